--- /dev/null
+++ b/packages/cyclamenusher/src/node/index.ts
@@ -0,0 +1,4 @@
+/** The command line's parts, for tests. */
+
+export * from './connection.js'
+export * from './errors.js'
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/connection/backendConnection.ts
@@ -0,0 +1,112 @@
+/**
+ * One connection to a backend server. The library opens it and authenticates;
+ * from then on this module owns the socket and deals in whole frames.
+ */
+
+import pg from 'pg'
+import { buildCancelRequest, buildFrame, createFrameSplitter, FRONTEND } from '@cyclamenusher/protocol'
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import type { Frame } from '@cyclamenusher/protocol'
+
+/** Largest frame of a backend server, in bytes. */
+const MAXIMUM_FRAME_BYTES = 1024 * 1024 * 1024
+/** Time that opening may take, in milliseconds. */
+const CONNECT_MILLISECONDS = 2_000
+
+export interface FrameReceiver {
+  onFrame: (frame: Frame) => void
+  /** All frames of one chunk have been handed over. */
+  onChunkEnd: () => void
+  onClosed: () => void
+}
+
+export interface BackendConnection {
+  readonly member: string
+  /** Statements prepared here, by name. */
+  readonly prepared: Set<string>
+  /** Settings in force here that are not the defaults, by name. */
+  settings: ReadonlyMap<string, string>
+  send: (bytes: Buffer) => void
+  /** Who gets the frames; undefined: nobody, and any frame closes the connection. */
+  receive: (receiver: FrameReceiver | undefined) => void
+  pauseReading: () => void
+  resumeReading: () => void
+  cancel: () => void
+  isOpen: () => boolean
+  close: () => void
+}
+
+export interface BackendTarget {
+  member: string
+  host: string
+  port: number
+  user: string
+  password: string
+  database: string
+}
+
+interface TakenOver {
+  connection: { stream: Socket }
+  processID: number
+  secretKey: number
+}
+
+export async function openBackendConnection (target: BackendTarget, onClosed: () => void): Promise<BackendConnection> {
+  const { member, host, port, user, password, database } = target
+  const client = new pg.Client({ host, port, user, password, database, connectionTimeoutMillis: CONNECT_MILLISECONDS, keepAlive: true })
+  client.on('error', () => {})
+  await client.connect()
+  const { connection, processID, secretKey } = client as unknown as TakenOver
+  const socket = connection.stream
+  socket.removeAllListeners('data')
+  socket.setNoDelay(true)
+  let receiver: FrameReceiver | undefined
+  let open = true
+
+  const splitter = createFrameSplitter(MAXIMUM_FRAME_BYTES, frame => {
+    // A frame that nobody waits for means that the state is not what it seemed.
+    if (receiver === undefined) {
+      socket.destroy()
+      return
+    }
+    receiver.onFrame(frame)
+  })
+  socket.on('data', (chunk: Buffer) => {
+    try {
+      splitter.push(chunk)
+    } catch {
+      socket.destroy()
+      return
+    }
+    receiver?.onChunkEnd()
+  })
+  socket.on('error', () => {})
+  socket.on('close', () => {
+    open = false
+    const last = receiver
+    receiver = undefined
+    last?.onClosed()
+    onClosed()
+  })
+
+  return {
+    member,
+    prepared: new Set(),
+    settings: new Map(),
+    send: bytes => { socket.write(bytes) },
+    receive: next => { receiver = next },
+    pauseReading: () => { socket.pause() },
+    resumeReading: () => { socket.resume() },
+    cancel: () => {
+      const request = connect({ host, port }, () => { request.end(buildCancelRequest(processID, secretKey)) })
+      request.on('error', () => {})
+    },
+    isOpen: () => open,
+    close: () => {
+      if (!open) return
+      socket.write(buildFrame(FRONTEND.terminate))
+      socket.destroySoon()
+    }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/main.ts
@@ -0,0 +1,70 @@
+/** The daemon: `cyclamenusherd --config FILE`. */
+
+import { cac } from 'cac'
+import { FaultyFileError } from '@cyclamenusher/decisions'
+import { resolveConfig } from './process/config.js'
+import { startInstance } from './process/instance.js'
+import type { Config } from './process/config.js'
+import type { RunningInstance } from './process/instance.js'
+
+/** How the daemon ends, for the scripts that start it; docs/OPERATORS.md lists them. */
+const EXIT_CODES = { success: 0, failure: 1, usage: 2, settings: 3 } as const
+
+function exit (code: number): never {
+  process.exit(code)
+}
+
+function readConfig (file: string): Config {
+  try {
+    return resolveConfig(file)
+  } catch (error) {
+    if (!(error instanceof FaultyFileError)) throw error
+    console.error(error.message)
+    return exit(EXIT_CODES.settings)
+  }
+}
+
+function stopOnSignal (instance: RunningInstance): void {
+  let signals = 0
+  const onSignal = (): void => {
+    signals += 1
+    const ending = signals === 1 ? instance.stop() : instance.abort()
+    ending.then(() => exit(EXIT_CODES.success), () => exit(EXIT_CODES.failure))
+  }
+  process.on('SIGTERM', onSignal)
+  process.on('SIGINT', onSignal)
+}
+
+async function run (flags: { config?: string, check?: boolean }): Promise<void> {
+  if (flags.config === undefined) {
+    console.error('No settings were named. Start with cyclamenusherd --config FILE.')
+    return exit(EXIT_CODES.usage)
+  }
+  const config = readConfig(flags.config)
+  if (flags.check === true) {
+    console.log(`${flags.config}: the settings are good.`)
+    return
+  }
+  try {
+    stopOnSignal(await startInstance(config))
+  } catch (error) {
+    console.error(`The instance could not start: ${(error as Error).message}. Check the addresses and folders in ${flags.config}.`)
+    exit(EXIT_CODES.failure)
+  }
+}
+
+const program = cac('cyclamenusherd')
+program.command('', 'run one instance of the database proxy')
+  .option('--config <file>', 'settings of the instance, in TOML')
+  .option('--check', 'check the settings and stop')
+  .example('cyclamenusherd --config entry-1.toml')
+  .example('cyclamenusherd --config entry-1.toml --check')
+  .action(run)
+program.help()
+program.version('0.1.0')
+try {
+  program.parse()
+} catch (error) {
+  console.error(`${(error as Error).message}. See cyclamenusherd --help.`)
+  exit(EXIT_CODES.usage)
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -0,0 +1,155 @@
+/** All callers of this instance: accepts them, and ends those whose key is gone. */
+
+import { createServer } from 'node:net'
+import { randomInt } from 'node:crypto'
+import { createCallerConnection } from '../connection/callerConnection.js'
+import { createCallerContext, shakeHands } from '../connection/callerHandshake.js'
+import { RefusalError, refusalResponse } from '../request/refusal.js'
+import { OPEN_ACCOUNT } from './admission.js'
+import type { Server, Socket } from 'node:net'
+import type { CallerConnection, CallerServices } from '../connection/callerConnection.js'
+import type { CallerStartup } from '../connection/callerHandshake.js'
+import type { Identity, RulesStore } from '../version/rulesStore.js'
+import type { Config } from './config.js'
+import type { ScopedLogger } from './logger.js'
+import type { Metrics } from './metrics.js'
+
+/** How often keys of connected callers are looked at, in milliseconds. */
+const KEY_CHECK_MILLISECONDS = 250
+
+export interface Callers {
+  port: number
+  count: () => number
+  /** Ends idle callers, and busy ones as they finish; resolves when all are gone. */
+  drain: (milliseconds: number) => Promise<{ cut: number }>
+  close: () => void
+}
+
+export interface CallersOptions {
+  config: Config
+  store: RulesStore
+  services: CallerServices
+  logger: ScopedLogger
+  metrics: Metrics
+}
+
+interface Accepted {
+  identity: Identity
+  group: string
+}
+
+export async function listenForCallers (options: CallersOptions): Promise<Callers> {
+  const { config, store, services, logger, metrics } = options
+  const { tlsCertificate, tlsKey, listen, maximumConnections } = config.callers
+  const context = createCallerContext(tlsCertificate === undefined || tlsKey === undefined ? undefined : { certificate: tlsCertificate, key: tlsKey })
+  const callers = new Map<number, { caller: CallerConnection, secret: number }>()
+  const greeting = new Set<Socket>()
+  let nextProcessNumber = 1
+
+  function identify ({ user, database }: CallerStartup, key: string | undefined): Accepted {
+    const rule = store.rules().databases.get(database)
+    if (key === undefined) {
+      if (rule === undefined || store.open(database) === undefined) throw new RefusalError('database unknown', `database ${database} is not open to all`, 'not run', 'Connect with an account and its key.')
+      return { identity: { account: OPEN_ACCOUNT }, group: rule.group }
+    }
+    if (!store.isFresh()) throw new RefusalError('rules not fresh', 'this instance can\'t tell whether the key stands', 'not run', 'Connect through another instance, or try again.')
+    const identity = store.identify(user, key)
+    // One answer for an unknown account and a wrong key: neither is given away.
+    if (identity === undefined) throw new RefusalError('key refused', `the key does not stand for client account ${user}`, 'not run', 'Check the account (user) and its key (password).')
+    if (rule === undefined || store.access(user, database) === undefined) throw new RefusalError('database unknown', `client account ${user} reaches no database ${database}`, 'not run', 'Check the database\'s name, or ask the operators for an access rule.')
+    return { identity, group: rule.group }
+  }
+
+  async function accept (plain: Socket): Promise<void> {
+    plain.setNoDelay(true)
+    plain.on('error', () => { plain.destroy() })
+    if (callers.size + greeting.size >= maximumConnections) {
+      plain.end(refusalResponse(new RefusalError('too many connections', `this instance serves ${maximumConnections} callers already`, 'not run', 'Connect again: the balancer may choose another instance.'), 'FATAL'))
+      return
+    }
+    greeting.add(plain)
+    const shaken = await shakeHands(plain, context, {
+      needsKey: ({ user }) => user !== OPEN_ACCOUNT,
+      accept: identify,
+      cancel: (processNumber, secret) => {
+        const target = callers.get(processNumber)
+        if (target !== undefined && target.secret === secret) target.caller.cancel()
+      }
+    })
+    greeting.delete(plain)
+    if (shaken === undefined) return
+    const { socket, startup, accepted, rest } = shaken
+    const processNumber = nextProcessNumber
+    nextProcessNumber += 1
+    const secret = randomInt(0xffffffff)
+    let closed = false
+    const caller = createCallerConnection({
+      socket,
+      identity: accepted.identity,
+      database: startup.database,
+      group: accepted.group,
+      parameters: startup.parameters,
+      processNumber,
+      secret,
+      rest,
+      services,
+      onClosed: () => {
+        closed = true
+        callers.delete(processNumber)
+        metrics.callers.set(callers.size)
+      }
+    })
+    if (closed) return
+    callers.set(processNumber, { caller, secret })
+    metrics.callers.set(callers.size)
+    logger.debug('A caller connected.', { account: accepted.identity.account, database: startup.database })
+  }
+
+  /** Ends callers whose key was withdrawn, or can no longer be vouched for. */
+  function checkKeys (): void {
+    const fresh = store.isFresh()
+    for (const { caller } of callers.values()) {
+      const { identity } = caller
+      if (identity.key === undefined) continue
+      if (store.isValid(identity) && (fresh || !caller.isBusy())) continue
+      logger.info('A caller was disconnected.', { account: identity.account, key: identity.key, reason: fresh ? 'key withdrawn' : 'rules not fresh' })
+      caller.end(new RefusalError('key refused', `the key of client account ${identity.account} is no longer valid`, 'stopped'))
+    }
+  }
+
+  const server: Server = createServer(socket => {
+    accept(socket).catch((error: Error) => {
+      logger.error('A caller could not be taken.', { error: error.message })
+      socket.destroy()
+    })
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(listen.port, listen.host, 1024, resolve)
+  })
+  const subscription = store.versions.observe(checkKeys)
+  subscription.catch(() => {})
+  const timer = setInterval(checkKeys, KEY_CHECK_MILLISECONDS)
+  const address = server.address()
+
+  async function drain (milliseconds: number): Promise<{ cut: number }> {
+    server.close()
+    for (const { caller } of callers.values()) caller.drain()
+    const until = services.now() + milliseconds
+    while (callers.size > 0 && services.now() < until) await new Promise(resolve => setTimeout(resolve, 20))
+    const cut = callers.size
+    for (const { caller } of callers.values()) caller.end(new RefusalError('shutting down', 'this instance is shutting down and can wait no longer', 'unknown'))
+    return { cut }
+  }
+
+  return {
+    port: typeof address === 'object' && address !== null ? address.port : listen.port,
+    count: () => callers.size,
+    drain,
+    close: () => {
+      clearInterval(timer)
+      server.close()
+      for (const { caller } of callers.values()) caller.end(new RefusalError('shutting down', 'this instance is shutting down', 'unknown'))
+    }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -0,0 +1,283 @@
+/** The settings of an instance: read from TOML, checked once, every fault named. */
+
+import { readFileSync } from 'node:fs'
+import { dirname, resolve } from 'node:path'
+import { FaultyFileError, entriesBelow, readToml, resolveFields } from '@cyclamenusher/decisions'
+import type { Fault, Field, TomlValue } from '@cyclamenusher/decisions'
+
+export type InstanceRole = 'entry' | 'control'
+
+/** An address by IP number. */
+export interface Address {
+  host: string
+  port: number
+}
+
+export interface Config {
+  file: string
+  instance: {
+    name: string
+    failureDomain: string
+    roles: InstanceRole[]
+    /** Where a control instance keeps what must survive. */
+    dataFolder?: string
+  }
+  callers: {
+    listen: Address
+    /** Keys may come in clear text; allowed on loopback only. @default false */
+    clearTextKeys: boolean
+    tlsCertificate?: string
+    tlsKey?: string
+    /** @default 5000 */
+    maximumConnections: number
+    /** Longest message of a caller, in bytes. @default 16777216 */
+    maximumMessageBytes: number
+    /** Time that a request may take, in milliseconds. @default 30000 */
+    requestMilliseconds: number
+  }
+  calls: {
+    listen: Address
+    /** Secret that all instances and announcers share. */
+    secret: string
+    tls?: { certificate: string, key: string, authority: string }
+  }
+  control: {
+    addresses: Address[]
+    /** How long a rule is trusted without word from control, in milliseconds. @default 3000 */
+    leaseMilliseconds: number
+  }
+  backend: {
+    user: string
+    monitorUser: string
+    password: string
+    /** Connections of this instance to one backend server. @default 5 */
+    connectionsPerServer: number
+    /** Time that a request waits for a connection, in milliseconds. @default 2000 */
+    waitMilliseconds: number
+    /** Time that a commit waits for a majority, in milliseconds. @default 5000 */
+    acknowledgeMilliseconds: number
+  }
+  failover: {
+    /** Silence of a primary before its replicas call it failed, in milliseconds. @default 500 */
+    silenceMilliseconds: number
+  }
+  metrics: { listen: Address }
+  log: {
+    level: 'error' | 'warn' | 'info' | 'debug'
+    format: 'lines' | 'json'
+    /** Whether each routing decision gets a line. @default true */
+    decisions: boolean
+  }
+  shutdown: {
+    /** Time in which callers are still accepted after SIGTERM, in milliseconds. @default 1000 */
+    graceMilliseconds: number
+    /** Time after which running requests are cut, in milliseconds. @default 20000 */
+    drainMilliseconds: number
+  }
+}
+
+const ADDRESS = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/
+const ADDRESS_SHAPE = 'an IP number and a port, as "127.0.0.1:6432"'
+
+function address (description: string, fallback?: string): Field {
+  return { kind: 'text', pattern: ADDRESS, shape: ADDRESS_SHAPE, description, default: fallback }
+}
+
+function milliseconds (description: string, fallback: number, minimum: number, maximum: number): Field {
+  return { kind: 'number', minimum, maximum, unit: 'milliseconds', default: fallback, description }
+}
+
+/** Every setting, by table; docs/OPERATORS.md lists the same. */
+export const SETTINGS: Record<string, Record<string, Field>> = {
+  instance: {
+    name: { kind: 'text', pattern: /^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$/, shape: 'a name of letters, digits, ".", "_" and "-"', description: 'name of the instance, unlike any other' },
+    failure_domain: { kind: 'text', description: 'failure domain that the instance is in' },
+    roles: { kind: 'list', choices: ['entry', 'control'], default: ['entry'], description: 'what the instance does' },
+    data_folder: { kind: 'text', optional: true, description: 'folder on a disk; a control instance needs one' }
+  },
+  callers: {
+    listen: address('address for callers', '127.0.0.1:6432'),
+    clear_text_keys: { kind: 'flag', default: false, description: 'accept keys without TLS, on loopback only' },
+    tls_certificate: { kind: 'text', optional: true, description: 'file of the certificate in PEM form' },
+    tls_key: { kind: 'text', optional: true, description: 'file of its private key' },
+    maximum_connections: { kind: 'number', minimum: 1, maximum: 100_000, unit: 'connections', default: 5000, description: 'connections of callers' },
+    maximum_message_bytes: { kind: 'number', minimum: 1024, maximum: 1_073_741_824, unit: 'bytes', default: 16_777_216, description: 'longest message of a caller' },
+    request_milliseconds: milliseconds('time that a request may take', 30_000, 100, 3_600_000)
+  },
+  calls: {
+    listen: address('address for other instances, announcers and operators', '127.0.0.1:7432'),
+    secret_file: { kind: 'text', description: 'file with the secret that all instances and announcers share' },
+    tls_certificate: { kind: 'text', optional: true, description: 'certificate for mutual TLS' },
+    tls_key: { kind: 'text', optional: true, description: 'its private key' },
+    tls_authority: { kind: 'text', optional: true, description: 'certificate that signed those of the other instances' }
+  },
+  control: {
+    addresses: { kind: 'list', pattern: ADDRESS, shape: ADDRESS_SHAPE, description: 'addresses of the control instances' },
+    lease_milliseconds: milliseconds('how long rules are trusted without word from control', 3_000, 1_000, 60_000)
+  },
+  backend: {
+    user: { kind: 'text', default: 'cyclamenusher', description: 'user of the system at backend servers' },
+    monitor_user: { kind: 'text', default: 'cyclamenusher_monitor', description: 'user whose connections are reserved ones' },
+    password_file: { kind: 'text', description: 'file with the password of both users' },
+    connections_per_server: { kind: 'number', minimum: 1, maximum: 1000, unit: 'connections', default: 5, description: 'connections of this instance to one backend server' },
+    wait_milliseconds: milliseconds('time that a request waits for a connection', 2_000, 10, 60_000),
+    acknowledge_milliseconds: milliseconds('time that a commit waits for a majority', 5_000, 100, 60_000)
+  },
+  failover: {
+    silence_milliseconds: milliseconds('silence of a primary before it counts as failed', 500, 200, 10_000)
+  },
+  metrics: { listen: address('address of the metrics and health pages', '127.0.0.1:9432') },
+  log: {
+    level: { kind: 'choice', choices: ['error', 'warn', 'info', 'debug'], default: 'info', description: 'least severe level that is written' },
+    format: { kind: 'choice', choices: ['lines', 'json'], default: 'lines', description: 'lines for people, or JSON' },
+    decisions: { kind: 'flag', default: true, description: 'a line for each routing decision' }
+  },
+  shutdown: {
+    grace_milliseconds: milliseconds('time in which callers are still accepted after SIGTERM', 1_000, 0, 60_000),
+    drain_milliseconds: milliseconds('time after which running requests are cut', 20_000, 0, 3_600_000)
+  }
+}
+
+type Values = Record<string, Record<string, TomlValue | undefined>>
+
+export function parseAddress (text: string): Address {
+  const split = text.lastIndexOf(':')
+  return { host: text.slice(0, split).replace(/^\[|\]$/g, ''), port: Number(text.slice(split + 1)) }
+}
+
+function isLoopback (host: string): boolean {
+  return host.startsWith('127.') || host === '::1'
+}
+
+interface FileReader {
+  secret: (table: string, name: string) => string
+  text: (table: string, name: string) => string | undefined
+}
+
+function createFileReader (file: string, values: Values, lineOf: (table: string, name: string) => number, faults: Fault[]): FileReader {
+  const text = (table: string, name: string): string | undefined => {
+    const path = values[table][name]
+    if (typeof path !== 'string') return undefined
+    try {
+      return readFileSync(resolve(dirname(file), path), 'utf8')
+    } catch (error) {
+      faults.push({ file, line: lineOf(table, name), problem: `${table}.${name}: ${path} can't be read (${(error as NodeJS.ErrnoException).code})`, remedy: 'Name a file that this process may read' })
+      return undefined
+    }
+  }
+  const secret = (table: string, name: string): string => {
+    const content = text(table, name)?.trim() ?? ''
+    const unreadable = faults.some(fault => fault.line === lineOf(table, name))
+    if (content.length < 8 && !unreadable) {
+      faults.push({ file, line: lineOf(table, name), problem: `${table}.${name}: the file holds fewer than 8 characters`, remedy: 'Write a longer secret into it' })
+    }
+    return content
+  }
+  return { secret, text }
+}
+
+function checkTogether (file: string, values: Values, lineOf: (table: string, name: string) => number): Fault[] {
+  const faults: Fault[] = []
+  const { instance, callers, calls } = values
+  const roles = instance.roles as InstanceRole[]
+  if (roles.includes('control') && instance.data_folder === undefined) {
+    faults.push({ file, line: lineOf('instance', 'roles'), problem: 'a control instance has no instance.data_folder', remedy: 'Name a folder on its disk' })
+  }
+  if ((callers.tls_certificate === undefined) !== (callers.tls_key === undefined)) {
+    faults.push({ file, line: lineOf('callers', 'tls_certificate'), problem: 'callers.tls_certificate and callers.tls_key go together', remedy: 'Set both or neither' })
+  }
+  const tlsParts = [calls.tls_certificate, calls.tls_key, calls.tls_authority].filter(part => part !== undefined).length
+  if (tlsParts > 0 && tlsParts < 3) {
+    faults.push({ file, line: lineOf('calls', 'tls_certificate'), problem: 'calls.tls_certificate, calls.tls_key and calls.tls_authority go together', remedy: 'Set all three or none' })
+  }
+  if (roles.includes('entry') && callers.tls_certificate === undefined) {
+    const loopback = isLoopback(parseAddress(String(callers.listen)).host)
+    if (callers.clear_text_keys !== true) faults.push({ file, line: lineOf('callers', 'listen'), problem: 'callers have neither TLS nor leave to send keys in clear text', remedy: 'Set callers.tls_certificate and callers.tls_key, or on loopback callers.clear_text_keys = true' })
+    else if (!loopback) faults.push({ file, line: lineOf('callers', 'clear_text_keys'), problem: 'keys in clear text are accepted on loopback only', remedy: 'Set callers.tls_certificate and callers.tls_key' })
+  }
+  if (tlsParts === 0 && !isLoopback(parseAddress(String(calls.listen)).host)) {
+    faults.push({ file, line: lineOf('calls', 'listen'), problem: 'calls between instances leave loopback without TLS', remedy: 'Set calls.tls_certificate, calls.tls_key and calls.tls_authority' })
+  }
+  return faults
+}
+
+/**
+ * Resolves settings.
+ *
+ * @throws FaultyFileError with every fault, each with file, line and remedy
+ */
+export function resolveConfig (file: string): Config {
+  let text: string
+  try {
+    text = readFileSync(file, 'utf8')
+  } catch (error) {
+    throw new FaultyFileError([{ file, line: 1, problem: `the settings can't be read (${(error as NodeJS.ErrnoException).code})`, remedy: 'Name a file that this process may read with --config FILE' }])
+  }
+  const entries = readToml(file, text)
+  const faults: Fault[] = []
+  const values: Values = {}
+  const lineOf = (table: string, name: string): number =>
+    (entries.find(({ path }) => path[0] === table && path[1] === name) ?? entries.find(({ path }) => path[0] === table))?.line ?? 1
+  for (const { path, line } of entries) {
+    if (path.length === 2 && SETTINGS[path[0]] !== undefined) continue
+    if (SETTINGS[path[0]] !== undefined && path.length > 2) continue
+    faults.push({ file, line, problem: `there is no setting ${path.join('.')}`, remedy: `Tables are ${Object.keys(SETTINGS).join(', ')}` })
+  }
+  for (const [table, fields] of Object.entries(SETTINGS)) {
+    const resolved = resolveFields(file, table, fields, entriesBelow(entries, table), lineOf(table, ''))
+    values[table] = resolved.values
+    faults.push(...resolved.faults)
+  }
+  if (faults.length > 0) throw new FaultyFileError(faults)
+  faults.push(...checkTogether(file, values, lineOf))
+  const files = createFileReader(file, values, lineOf, faults)
+  const config = assemble(file, values, files)
+  if (faults.length > 0) throw new FaultyFileError(faults)
+  return config
+}
+
+function assemble (file: string, values: Values, files: FileReader): Config {
+  const { instance, callers, calls, control, backend, failover, metrics, log, shutdown } = values
+  const authority = files.text('calls', 'tls_authority')
+  return {
+    file,
+    instance: {
+      name: String(instance.name),
+      failureDomain: String(instance.failure_domain),
+      roles: instance.roles as InstanceRole[],
+      dataFolder: instance.data_folder === undefined ? undefined : resolve(dirname(file), String(instance.data_folder))
+    },
+    callers: {
+      listen: parseAddress(String(callers.listen)),
+      clearTextKeys: callers.clear_text_keys === true,
+      tlsCertificate: files.text('callers', 'tls_certificate'),
+      tlsKey: files.text('callers', 'tls_key'),
+      maximumConnections: Number(callers.maximum_connections),
+      maximumMessageBytes: Number(callers.maximum_message_bytes),
+      requestMilliseconds: Number(callers.request_milliseconds)
+    },
+    calls: {
+      listen: parseAddress(String(calls.listen)),
+      secret: files.secret('calls', 'secret_file'),
+      tls: authority === undefined
+        ? undefined
+        : { certificate: files.text('calls', 'tls_certificate') ?? '', key: files.text('calls', 'tls_key') ?? '', authority }
+    },
+    control: {
+      addresses: (control.addresses as string[]).map(parseAddress),
+      leaseMilliseconds: Number(control.lease_milliseconds)
+    },
+    backend: {
+      user: String(backend.user),
+      monitorUser: String(backend.monitor_user),
+      password: files.secret('backend', 'password_file'),
+      connectionsPerServer: Number(backend.connections_per_server),
+      waitMilliseconds: Number(backend.wait_milliseconds),
+      acknowledgeMilliseconds: Number(backend.acknowledge_milliseconds)
+    },
+    failover: { silenceMilliseconds: Number(failover.silence_milliseconds) },
+    metrics: { listen: parseAddress(String(metrics.listen)) },
+    log: { level: log.level as Config['log']['level'], format: log.format as Config['log']['format'], decisions: log.decisions === true },
+    shutdown: { graceMilliseconds: Number(shutdown.grace_milliseconds), drainMilliseconds: Number(shutdown.drain_milliseconds) }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/directory.ts
@@ -0,0 +1,72 @@
+/**
+ * Where backend servers are: what they announced, by group. There is no list
+ * anywhere; a server tells any entry instance, which tells its peers.
+ */
+
+import { EventEmitter } from 'node:events'
+import { fromEvent } from 'most'
+import type { Stream } from 'most'
+import type { Clock } from './clock.js'
+import type { ScopedLogger } from './logger.js'
+
+export interface MemberAnnouncement {
+  group: string
+  member: string
+  role: string
+  term: number
+  logTerm: number
+  position: number
+  host: string
+  port: number
+  failureDomain: string
+  leaving: boolean
+  sequence: number
+}
+
+export interface Directory {
+  /** Takes an announcement; true when it says something new that peers should hear. */
+  announce: (announcement: MemberAnnouncement) => boolean
+  members: (group: string) => readonly MemberAnnouncement[]
+  groups: () => readonly string[]
+  /** Emits the group of each announcement that changed something. */
+  changes: Stream<string>
+}
+
+/** Members remembered for one group; more are refused. */
+const MAXIMUM_MEMBERS = 16
+/** Groups remembered by one instance. */
+const MAXIMUM_GROUPS = 20_000
+/** Peers hear an unchanged announcement again after this time, in milliseconds. */
+const REPEAT_MILLISECONDS = 3_000
+
+const TOLD: Array<keyof MemberAnnouncement> = ['role', 'term', 'host', 'port', 'failureDomain', 'leaving']
+
+export function createDirectory (clock: Clock, logger: ScopedLogger): Directory {
+  const groups = new Map<string, Map<string, { announcement: MemberAnnouncement, toldAt: number }>>()
+  const emitter = new EventEmitter()
+
+  function announce (announcement: MemberAnnouncement): boolean {
+    const members = groups.get(announcement.group) ?? new Map<string, { announcement: MemberAnnouncement, toldAt: number }>()
+    if (members.size === 0 && groups.size >= MAXIMUM_GROUPS) return false
+    const known = members.get(announcement.member)
+    if (known === undefined && members.size >= MAXIMUM_MEMBERS) return false
+    if (known !== undefined && known.announcement.sequence >= announcement.sequence) return false
+    groups.set(announcement.group, members)
+    const changed = known === undefined || TOLD.some(field => known.announcement[field] !== announcement[field])
+    const due = changed || clock.now() - known.toldAt > REPEAT_MILLISECONDS
+    members.set(announcement.member, { announcement, toldAt: due ? clock.now() : known.toldAt })
+    if (changed) {
+      const { group, member, role, term, host, port, leaving } = announcement
+      logger.info('A backend server announced itself.', { group, member, role, term, address: `${host}:${port}`, leaving })
+      emitter.emit('change', group)
+    }
+    return due
+  }
+
+  return {
+    announce,
+    members: group => [...groups.get(group)?.values() ?? []].map(({ announcement }) => announcement),
+    groups: () => [...groups.keys()],
+    changes: fromEvent<string>('change', emitter)
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/entry.ts
@@ -0,0 +1,142 @@
+/** The entry role: callers on one side, backend servers on the other. */
+
+import { loadParser } from '@cyclamenusher/decisions'
+import { DirectoryService, OperatorService, createPeerClient } from '@cyclamenusher/protocol'
+import { createRulesStore } from '../version/rulesStore.js'
+import { createAdmission } from './admission.js'
+import { listenForCallers } from './callers.js'
+import { createDirectory } from './directory.js'
+import { createRouter } from './router.js'
+import { createRulesWatcher } from './rulesWatcher.js'
+import type { Client, ConnectRouter } from '@connectrpc/connect'
+import type { Announcement, PeerCredentials } from '@cyclamenusher/protocol'
+import type { Callers } from './callers.js'
+import type { Clock } from './clock.js'
+import type { Config } from './config.js'
+import type { Logger } from './logger.js'
+import type { Metrics } from './metrics.js'
+import type { MemberAnnouncement } from './directory.js'
+
+/** When backend servers are asked to announce themselves again, in milliseconds. */
+const ANNOUNCE_MILLISECONDS = 1_000
+/** Time that passing on an announcement may take, in milliseconds. */
+const FORWARD_MILLISECONDS = 1_000
+
+export interface EntryRole {
+  routes: (router: ConnectRouter) => void
+  /** Starts taking callers; `callsPort` is where peers reach this instance. */
+  start: (callsPort: number) => Promise<void>
+  isReady: () => boolean
+  drain: () => Promise<{ cut: number }>
+  close: () => void
+}
+
+export interface EntryOptions {
+  config: Config
+  credentials: PeerCredentials
+  clock: Clock
+  logger: Logger
+  metrics: Metrics
+}
+
+function readAnnouncement (message: Announcement): MemberAnnouncement {
+  return {
+    group: message.group,
+    member: message.member,
+    role: message.role,
+    term: Number(message.term),
+    logTerm: Number(message.logTerm),
+    position: Number(message.position),
+    host: message.host,
+    port: message.port,
+    failureDomain: message.failureDomain,
+    leaving: message.leaving,
+    sequence: Number(message.sequence)
+  }
+}
+
+export function createEntryRole ({ config, credentials, clock, logger, metrics }: EntryOptions): EntryRole {
+  const store = createRulesStore(clock, config.control.leaseMilliseconds)
+  const directory = createDirectory(clock, logger.scope('directory'))
+  const peers = new Map<string, Client<typeof DirectoryService>>()
+  let watcher: ReturnType<typeof createRulesWatcher> | undefined
+  let callers: Callers | undefined
+  let draining = false
+  const entries = (): readonly string[] => (watcher?.peers() ?? []).filter(({ role }) => role === 'entry').map(({ name }) => name)
+  const router = createRouter({ config, store, directory, instances: entries, clock, logger, metrics })
+  const admission = createAdmission({ store, sharers: () => Math.max(1, entries().length), clock })
+
+  function forward (announcement: Announcement): void {
+    for (const { name, role, host, port } of watcher?.peers() ?? []) {
+      if (role !== 'entry' || name === config.instance.name) continue
+      const address = `${host}:${port}`
+      const client = peers.get(address) ?? createPeerClient(DirectoryService, host, port, credentials)
+      peers.set(address, client)
+      client.announce({ announcement, forwarded: true }, { timeoutMs: FORWARD_MILLISECONDS }).catch(() => {})
+    }
+  }
+
+  function routes (connect: ConnectRouter): void {
+    connect.service(DirectoryService, {
+      announce: ({ announcement, forwarded }) => {
+        if (announcement === undefined) return { nextMilliseconds: ANNOUNCE_MILLISECONDS }
+        const news = directory.announce(readAnnouncement(announcement))
+        if (news) router.refresh(announcement.group)
+        if (news && !forwarded) forward(announcement)
+        return { nextMilliseconds: ANNOUNCE_MILLISECONDS }
+      },
+      lookup: ({ group }) => ({
+        announcements: directory.members(group).map(member => ({ ...member, term: BigInt(member.term), logTerm: BigInt(member.logTerm), position: BigInt(member.position), sequence: BigInt(member.sequence) }))
+      })
+    })
+    connect.service(OperatorService, {
+      explain: request => {
+        const group = store.rules().databases.get(request.database)?.group ?? ''
+        const decision = router.explain({ identity: { account: request.account, key: '' }, database: request.database, group, need: 'read', token: undefined })
+        return { decision: JSON.stringify(decision) }
+      }
+    })
+  }
+
+  async function start (callsPort: number): Promise<void> {
+    await loadParser()
+    watcher = createRulesWatcher({ config, callsPort, store, credentials, clock, logger: logger.scope('rules') })
+    callers = await listenForCallers({
+      config,
+      store,
+      logger: logger.scope('caller'),
+      metrics,
+      services: {
+        tokenSecret: config.calls.secret,
+        maximumMessageBytes: config.callers.maximumMessageBytes,
+        requestMilliseconds: config.callers.requestMilliseconds,
+        now: clock.now,
+        admit: admission.admit,
+        lease: router.lease,
+        confirmPlace: router.confirmPlace,
+        acknowledge: router.acknowledge,
+        recordRequest: (kind, outcome, milliseconds) => {
+          metrics.requests.inc({ kind, outcome })
+          metrics.recordLatency('request', milliseconds)
+        }
+      }
+    })
+    logger.scope('process').info('The entry role takes callers.', { address: `${config.callers.listen.host}:${callers.port}` })
+  }
+
+  return {
+    routes,
+    start,
+    isReady: () => !draining && callers !== undefined && store.number() > 0,
+    drain: async () => {
+      draining = true
+      await new Promise(resolve => setTimeout(resolve, config.shutdown.graceMilliseconds))
+      return await callers?.drain(config.shutdown.drainMilliseconds) ?? { cut: 0 }
+    },
+    close: () => {
+      watcher?.close()
+      callers?.close()
+      router.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/instance.ts
@@ -0,0 +1,52 @@
+/** One instance: its roles, its addresses, its start and its end. */
+
+import { listenForCalls } from '@cyclamenusher/protocol'
+import { systemClock } from './clock.js'
+import { createControlRole } from './control/controlRole.js'
+import { createEntryRole } from './entry.js'
+import { createLogger } from './logger.js'
+import { createMetrics, listenForMetrics } from './metrics.js'
+import type { Config } from './config.js'
+
+export interface RunningInstance {
+  /** Stops as gracefully as the settings allow; resolves when all is closed. */
+  stop: () => Promise<void>
+  /** Closes at once. */
+  abort: () => Promise<void>
+}
+
+export async function startInstance (config: Config): Promise<RunningInstance> {
+  const logger = createLogger(config.log)
+  const log = logger.scope('process')
+  const clock = systemClock
+  const metrics = createMetrics()
+  const credentials = { secret: config.calls.secret, tls: config.calls.tls }
+  const { roles } = config.instance
+  const entry = roles.includes('entry') ? createEntryRole({ config, credentials, clock, logger, metrics }) : undefined
+  const control = roles.includes('control') ? createControlRole(config, clock, logger) : undefined
+  const calls = await listenForCalls(config.calls.listen.host, config.calls.listen.port, credentials, router => {
+    entry?.routes(router)
+    control?.routes(router)
+  })
+  await entry?.start(calls.port)
+  const pages = await listenForMetrics(config.metrics.listen, metrics, () => (entry?.isReady() ?? true) && (control?.isReady() ?? true))
+  log.info('The instance runs.', { name: config.instance.name, failureDomain: config.instance.failureDomain, roles: roles.join(','), calls: `${config.calls.listen.host}:${calls.port}` })
+
+  async function close (): Promise<void> {
+    entry?.close()
+    await calls.close()
+    await control?.close()
+    pages.close()
+    logger.close()
+  }
+
+  return {
+    stop: async () => {
+      log.info('The instance drains.', { graceMilliseconds: config.shutdown.graceMilliseconds })
+      const drained = await entry?.drain()
+      log.info('The instance stops.', { cut: drained?.cut ?? 0 })
+      await close()
+    },
+    abort: close
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -0,0 +1,82 @@
+/** Counters, gauges and latencies, and the page that shows them in the Prometheus text format. */
+
+import { createServer } from 'node:http'
+import { build } from 'hdr-histogram-js'
+import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
+import type { Histogram } from 'hdr-histogram-js'
+import type { Server } from 'node:http'
+import type { Address } from './config.js'
+
+/** Longest latency that is told apart, in microseconds. */
+const HIGHEST_MICROSECONDS = 60_000_000
+const QUANTILES = [0.5, 0.9, 0.99, 0.999]
+
+export type LatencyName = 'request' | 'connection_wait' | 'acknowledge' | 'failover'
+
+export interface Metrics {
+  requests: Counter<'kind' | 'outcome'>
+  routes: Counter<'role' | 'reason'>
+  refusals: Counter<'code'>
+  callers: Gauge
+  backendConnections: Gauge<'member'>
+  failovers: Counter<'outcome'>
+  recordLatency: (name: LatencyName, milliseconds: number) => void
+  render: () => Promise<string>
+}
+
+function renderLatency (name: string, histogram: Histogram): string {
+  const metric = `cyclamenusher_${name}_seconds`
+  const lines = QUANTILES.map(quantile => `${metric}{quantile="${quantile}"} ${histogram.getValueAtPercentile(quantile * 100) / 1e6}`)
+  const sum = histogram.totalCount === 0 ? 0 : histogram.mean * histogram.totalCount / 1e6
+  return [`# HELP ${metric} Latency in seconds.`, `# TYPE ${metric} summary`, ...lines, `${metric}_sum ${sum}`, `${metric}_count ${histogram.totalCount}`].join('\n')
+}
+
+export function createMetrics (): Metrics {
+  const registry = new Registry()
+  collectDefaultMetrics({ register: registry })
+  const latencies: Record<LatencyName, Histogram> = {
+    request: build({ highestTrackableValue: HIGHEST_MICROSECONDS, numberOfSignificantValueDigits: 2 }),
+    connection_wait: build({ highestTrackableValue: HIGHEST_MICROSECONDS, numberOfSignificantValueDigits: 2 }),
+    acknowledge: build({ highestTrackableValue: HIGHEST_MICROSECONDS, numberOfSignificantValueDigits: 2 }),
+    failover: build({ highestTrackableValue: HIGHEST_MICROSECONDS, numberOfSignificantValueDigits: 2 })
+  }
+  const registers = [registry]
+  return {
+    requests: new Counter({ name: 'cyclamenusher_requests_total', help: 'Requests of callers.', labelNames: ['kind', 'outcome'], registers }),
+    routes: new Counter({ name: 'cyclamenusher_routes_total', help: 'Routing decisions.', labelNames: ['role', 'reason'], registers }),
+    refusals: new Counter({ name: 'cyclamenusher_refusals_total', help: 'Requests refused, by SQLSTATE.', labelNames: ['code'], registers }),
+    callers: new Gauge({ name: 'cyclamenusher_callers', help: 'Connections of callers.', registers }),
+    backendConnections: new Gauge({ name: 'cyclamenusher_backend_connections', help: 'Connections to backend servers.', labelNames: ['member'], registers }),
+    failovers: new Counter({ name: 'cyclamenusher_failovers_total', help: 'Promotions that this instance ordered.', labelNames: ['outcome'], registers }),
+    recordLatency: (name, milliseconds) => {
+      const microseconds = Math.min(HIGHEST_MICROSECONDS, Math.max(1, Math.round(milliseconds * 1000)))
+      latencies[name].recordValue(microseconds)
+    },
+    render: async () => {
+      const counters = await registry.metrics()
+      const summaries = Object.entries(latencies).map(([name, histogram]) => renderLatency(name, histogram))
+      return `${counters}\n${summaries.join('\n')}\n`
+    }
+  }
+}
+
+/** Serves `/metrics`, and `/health` with 200 while `healthy` and 503 otherwise. */
+export async function listenForMetrics (address: Address, metrics: Metrics, healthy: () => boolean): Promise<Server> {
+  const server = createServer((request, response) => {
+    if (request.url === '/health') {
+      const well = healthy()
+      response.writeHead(well ? 200 : 503, { 'content-type': 'text/plain' }).end(well ? 'ready\n' : 'not ready\n')
+      return
+    }
+    if (request.url !== '/metrics') {
+      response.writeHead(404).end()
+      return
+    }
+    void metrics.render().then(page => response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page))
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(address.port, address.host, resolve)
+  })
+  return server
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/router.ts
@@ -0,0 +1,194 @@
+/** Finds the member and the connection for each request of this instance. */
+
+import { decideRoute } from '@cyclamenusher/decisions'
+import { RefusalError } from '../request/refusal.js'
+import { createPool } from './pool.js'
+import { createCoordinator } from './group/coordinator.js'
+import { createGroupMonitor } from './group/groupMonitor.js'
+import type { LogPosition, MemberLoad, RouteDecision, RouteNeed } from '@cyclamenusher/decisions'
+import type { Lease, LeaseRequest } from '../connection/callerConnection.js'
+import type { RulesStore } from '../version/rulesStore.js'
+import type { Clock } from './clock.js'
+import type { Config } from './config.js'
+import type { Directory } from './directory.js'
+import type { Coordinator } from './group/coordinator.js'
+import type { GroupMonitor } from './group/groupMonitor.js'
+import type { Logger } from './logger.js'
+import type { Metrics } from './metrics.js'
+import type { Pool } from './pool.js'
+
+/** Time that a request waits for a member that can serve it, in milliseconds. */
+const ROUTE_MILLISECONDS = 7_000
+/** Time that a session without a token waits for its place, in milliseconds. */
+const PLACE_MILLISECONDS = 7_000
+/** Age of a member's answer that still counts for a failover, in milliseconds. */
+const ANSWER_MILLISECONDS = 1_000
+/** Members of a group when no rule names another number. */
+const DEFAULT_MEMBERS = 3
+
+export interface Router {
+  lease: (request: LeaseRequest) => Promise<Lease>
+  confirmPlace: (group: string) => Promise<LogPosition>
+  acknowledge: (group: string, at: LogPosition) => Promise<'held' | 'replaced' | 'timeout'>
+  /** The decision for a request, without running it. */
+  explain: (request: LeaseRequest) => RouteDecision
+  /** Takes news of a group's members. */
+  refresh: (group: string) => void
+  close: () => void
+}
+
+export interface RouterOptions {
+  config: Config
+  store: RulesStore
+  directory: Directory
+  instances: () => readonly string[]
+  clock: Clock
+  logger: Logger
+  metrics: Metrics
+}
+
+interface Group {
+  monitor: GroupMonitor
+  coordinator: Coordinator
+}
+
+export function createRouter (options: RouterOptions): Router {
+  const { config, store, directory, clock, logger, metrics } = options
+  const routeLog = logger.scope('route')
+  const groups = new Map<string, Group>()
+  const pools = new Map<string, { pool: Pool, address: string }>()
+
+  function sizeOf (group: string): number {
+    const rule = [...store.rules().databases.values()].find(database => database.group === group)
+    return rule?.members ?? DEFAULT_MEMBERS
+  }
+
+  function openGroup (group: string): Group {
+    const known = groups.get(group)
+    if (known !== undefined) return known
+    const monitor = createGroupMonitor({ group, size: sizeOf(group), config, clock, logger: logger.scope('monitor'), onChange: () => {} })
+    const coordinator = createCoordinator({
+      monitor,
+      self: config.instance.name,
+      instances: options.instances,
+      limits: { silenceMilliseconds: config.failover.silenceMilliseconds, answerMilliseconds: ANSWER_MILLISECONDS },
+      clock,
+      logger: logger.scope('failover'),
+      metrics
+    })
+    const opened = { monitor, coordinator }
+    groups.set(group, opened)
+    monitor.setMembers(directory.members(group))
+    return opened
+  }
+
+  function refresh (group: string): void {
+    openGroup(group).monitor.setMembers(directory.members(group))
+  }
+
+  function poolOf (group: string, member: string): Pool | undefined {
+    const announcement = openGroup(group).monitor.member(member)
+    if (announcement === undefined) return undefined
+    const key = `${group}/${member}`
+    const address = `${announcement.host}:${announcement.port}`
+    const known = pools.get(key)
+    if (known?.address === address) return known.pool
+    known?.pool.close()
+    const pool = createPool({
+      target: { member, host: announcement.host, port: announcement.port, user: config.backend.user, password: config.backend.password, database: group },
+      limit: config.backend.connectionsPerServer,
+      clock,
+      logger: logger.scope('pool'),
+      onSize: size => { metrics.backendConnections.set({ member }, size) }
+    })
+    pools.set(key, { pool, address })
+    return pool
+  }
+
+  function loadsOf (group: string): Map<string, MemberLoad> {
+    const loads = new Map<string, MemberLoad>()
+    for (const { member, failureDomain } of directory.members(group)) {
+      loads.set(member, { busy: pools.get(`${group}/${member}`)?.pool.busy() ?? 0, near: failureDomain === config.instance.failureDomain })
+    }
+    return loads
+  }
+
+  function needOf ({ identity, database, need, token }: LeaseRequest): RouteNeed {
+    if (need !== 'read') return { kind: 'write' }
+    const age = identity.key === undefined
+      ? store.open(database)?.maximum_age_milliseconds
+      : store.access(identity.account, database)?.maximum_age_milliseconds
+    if (identity.key === undefined) return { kind: 'aged-read', maximumAgeMilliseconds: age ?? 0 }
+    if (age !== undefined && age > 0) return { kind: 'aged-read', maximumAgeMilliseconds: age, token }
+    return { kind: 'session-read', token: token ?? { term: 0, position: 0 } }
+  }
+
+  function decide (request: LeaseRequest): RouteDecision {
+    const view = openGroup(request.group).monitor.view()
+    return decideRoute(view, needOf(request), loadsOf(request.group), clock.now())
+  }
+
+  async function lease (request: LeaseRequest): Promise<Lease> {
+    const deadline = clock.now() + ROUTE_MILLISECONDS
+    let last = 'no backend server of the group has announced itself'
+    while (clock.now() < deadline) {
+      const decision = decide(request)
+      if (decision.kind === 'member') {
+        const pool = poolOf(request.group, decision.member)
+        try {
+          const found = await take(pool, request, decision)
+          if (found !== undefined) return found
+        } catch (error) {
+          last = (error as Error).message
+        }
+      } else {
+        last = decision.reason
+      }
+      await openGroup(request.group).monitor.nextChange(100)
+    }
+    metrics.refusals.inc({ code: '57P03' })
+    throw new RefusalError('no server', `no backend server of ${request.group} can serve the request: ${last}`, 'not run', 'Try again; if it lasts, look at the failover lines of the log.')
+  }
+
+  async function take (pool: Pool | undefined, request: LeaseRequest, decision: Extract<RouteDecision, { kind: 'member' }>): Promise<Lease | undefined> {
+    if (pool === undefined) return undefined
+    const askedAt = clock.now()
+    const backend = await pool.acquire(request.identity.account, config.backend.waitMilliseconds)
+    metrics.recordLatency('connection_wait', clock.now() - askedAt)
+    metrics.routes.inc({ role: request.need, reason: decision.reason })
+    if (config.log.decisions) {
+      routeLog.info('A request was routed.', { account: request.identity.account, database: request.database, need: request.need, member: decision.member, reason: decision.reason, term: decision.term })
+    }
+    return { backend, release: clean => { pool.release(backend, clean) } }
+  }
+
+  async function confirmPlace (group: string): Promise<LogPosition> {
+    const sample = await openGroup(group).monitor.confirmPlace(PLACE_MILLISECONDS)
+    if (sample === undefined) {
+      throw new RefusalError('no server', `no majority of ${group} confirms its primary`, 'not run', 'Try again; if it lasts, look at the failover lines of the log.')
+    }
+    return { term: sample.term, position: sample.position }
+  }
+
+  async function acknowledge (group: string, at: LogPosition): Promise<'held' | 'replaced' | 'timeout'> {
+    const askedAt = clock.now()
+    const outcome = await openGroup(group).monitor.acknowledge(at, config.backend.acknowledgeMilliseconds)
+    metrics.recordLatency('acknowledge', clock.now() - askedAt)
+    return outcome
+  }
+
+  return {
+    lease,
+    confirmPlace,
+    acknowledge,
+    explain: decide,
+    refresh,
+    close: () => {
+      for (const { monitor, coordinator } of groups.values()) {
+        coordinator.close()
+        monitor.close()
+      }
+      for (const { pool } of pools.values()) pool.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/request/refusal.ts
@@ -0,0 +1,52 @@
+/** Answers of the system itself to a caller, each with its SQLSTATE. */
+
+import { buildErrorResponse } from '@cyclamenusher/protocol'
+
+/** Why the system refused, and the SQLSTATE that says so. */
+export const REFUSAL_CODES = {
+  'key refused': '28P01',
+  'account unknown': '28000',
+  'database unknown': '3D000',
+  'access denied': '42501',
+  'rate exceeded': '53400',
+  'too many connections': '53300',
+  'not supported': '0A000',
+  'rules not fresh': '57P03',
+  'no server': '57P03',
+  'shutting down': '57P01',
+  'protocol broken': '08P01',
+  'token refused': '22023',
+  timeout: '57014',
+  'server lost': '08006',
+  'outcome unknown': '08007',
+  'syntax error': '42601'
+} as const
+
+export type RefusalKind = keyof typeof REFUSAL_CODES
+
+/** Whether any of the request can have run. */
+export type RunState = 'not run' | 'unknown' | 'stopped'
+
+const DETAILS: Record<RunState, string> = {
+  'not run': 'The request has not run: it is safe to send it again.',
+  unknown: 'Whether the request ran is not known: look before sending it again.',
+  stopped: 'The request was stopped and had no effect that lasts.'
+}
+
+/** An answer of the system instead of the backend server's. */
+export class RefusalError extends Error {
+  override readonly name = 'RefusalError'
+  constructor (readonly kind: RefusalKind, message: string, readonly runState: RunState = 'not run', readonly hint?: string) {
+    super(message)
+  }
+}
+
+export function refusalResponse (error: RefusalError, severity: 'ERROR' | 'FATAL' = 'ERROR'): Buffer {
+  return buildErrorResponse({
+    severity,
+    code: REFUSAL_CODES[error.kind],
+    message: error.message,
+    detail: DETAILS[error.runState],
+    hint: error.hint
+  })
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/version/rulesStore.ts
@@ -0,0 +1,113 @@
+/**
+ * The rules in force at this instance, and how long they may be trusted. They
+ * only move forward: a version that is not known to be fresh serves no key.
+ */
+
+import { EventEmitter } from 'node:events'
+import { createHash, timingSafeEqual } from 'node:crypto'
+import { EMPTY_RULES, applyDelta } from '@cyclamenusher/decisions'
+import { fromEvent } from 'most'
+import type { Stream } from 'most'
+import type { AccessRule, OpenRule, ParsedRules, Rules } from '@cyclamenusher/decisions'
+import type { Clock } from '../process/clock.js'
+
+/** What one reply of control says of the rules. */
+export interface RulesUpdate {
+  number: number
+  /** The lines apply to this number; 0: they are the whole. */
+  baseNumber: number
+  removed: readonly string[]
+  added: readonly string[]
+  fresh: boolean
+  /** Age of the proof of freshness at its sender, in milliseconds. */
+  ageMilliseconds: number
+  /** When the request left, on the clock of this instance. */
+  askedAt: number
+}
+
+/** Who a connection speaks for. */
+export interface Identity {
+  account: string
+  /** Name of the key's rule; undefined on an open route. */
+  key?: string
+}
+
+export interface RulesStore {
+  number: () => number
+  rules: () => Rules
+  /** Whether the rules are known to be current within the lease. */
+  isFresh: () => boolean
+  update: (update: RulesUpdate) => 'changed' | 'unchanged' | 'refused'
+  /** The account and key rule that `key` opens, if it is valid now. */
+  identify: (account: string, key: string) => Identity | undefined
+  /** Whether the key of `identity` still stands for its account. */
+  isValid: (identity: Identity) => boolean
+  access: (account: string, database: string) => AccessRule | undefined
+  open: (database: string) => OpenRule | undefined
+  /** Emits the number of each version that comes into force. */
+  versions: Stream<number>
+}
+
+interface Index {
+  keyByDigest: Map<string, { name: string, account: string }>
+  accessByPair: Map<string, AccessRule>
+  openByDatabase: Map<string, OpenRule>
+}
+
+function indexRules (rules: Rules): Index {
+  return {
+    keyByDigest: new Map([...rules.keys].map(([name, { digest, account }]) => [digest, { name, account }])),
+    accessByPair: new Map([...rules.access.values()].map(rule => [`${rule.account} ${rule.database}`, rule])),
+    openByDatabase: new Map([...rules.open.values()].map(rule => [rule.database, rule]))
+  }
+}
+
+function digestKey (key: string): string {
+  return `sha256:${createHash('sha256').update(key).digest('hex')}`
+}
+
+export function createRulesStore (clock: Clock, leaseMilliseconds: number): RulesStore {
+  let current: ParsedRules = { rules: EMPTY_RULES, lines: [], digest: '' }
+  let index = indexRules(EMPTY_RULES)
+  let number = 0
+  let freshUntil = -Infinity
+  const emitter = new EventEmitter()
+  emitter.setMaxListeners(0)
+
+  function update (message: RulesUpdate): 'changed' | 'unchanged' | 'refused' {
+    // An older number, or a change to a version that is not held, is never applied.
+    if (message.number < number) return 'refused'
+    if (message.baseNumber !== 0 && message.baseNumber !== number) return 'refused'
+    const changed = message.number > number
+    if (changed) {
+      const before = message.baseNumber === 0 ? [] : current.lines
+      current = applyDelta(before, { removed: message.removed, addedTexts: message.added })
+      index = indexRules(current.rules)
+      number = message.number
+    }
+    if (message.fresh) freshUntil = Math.max(freshUntil, message.askedAt + leaseMilliseconds - message.ageMilliseconds)
+    if (changed) emitter.emit('version', number)
+    return changed ? 'changed' : 'unchanged'
+  }
+
+  function identify (account: string, key: string): Identity | undefined {
+    const digest = digestKey(key)
+    const found = index.keyByDigest.get(digest)
+    if (found === undefined || found.account !== account) return undefined
+    const rule = current.rules.keys.get(found.name)
+    if (rule === undefined || !timingSafeEqual(Buffer.from(rule.digest), Buffer.from(digest))) return undefined
+    return { account, key: found.name }
+  }
+
+  return {
+    number: () => number,
+    rules: () => current.rules,
+    isFresh: () => clock.now() < freshUntil,
+    update,
+    identify,
+    isValid: ({ account, key }) => key === undefined || current.rules.keys.get(key)?.account === account,
+    access: (account, database) => index.accessByPair.get(`${account} ${database}`),
+    open: database => index.openByDatabase.get(database),
+    versions: fromEvent<number>('version', emitter)
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/node/configuration/state.ts
@@ -0,0 +1,109 @@
+/**
+ * The state that control instances agree on: the configuration, its number, and
+ * what each number was made of. Commands change it in the order of the log.
+ */
+
+import { digestLines } from '../rules/rules.js'
+import type { RuleLine } from '../rules/rules.js'
+
+/** One accepted configuration, without its text. */
+export interface ConfigurationRecord {
+  number: number
+  /** Digest of all rule lines of that number. */
+  digest: string
+  operator: string
+  /** Clock of the instance that accepted it, milliseconds since 1970. */
+  acceptedAt: number
+}
+
+/** The change that makes `number` out of the number before it. */
+export interface SubmitCommand {
+  kind: 'submit'
+  number: number
+  digest: string
+  operator: string
+  acceptedAt: number
+  removed: string[]
+  added: RuleLine[]
+}
+
+export type ConfigurationCommand = SubmitCommand
+
+export type SubmitOutcome =
+  | { kind: 'accepted', number: number }
+  | { kind: 'conflict', winner: ConfigurationRecord }
+  | { kind: 'out of order', next: number }
+  | { kind: 'forgotten', oldest: number }
+
+export interface ConfigurationState {
+  number: number
+  lines: ReadonlyMap<string, string>
+  /** Newest last. */
+  history: readonly ConfigurationRecord[]
+  /** Newest last; they let an instance that is behind catch up without the whole text. */
+  deltas: ReadonlyArray<{ number: number, removed: string[], added: RuleLine[] }>
+}
+
+/** Numbers whose digests are kept, so that a resent change gets its first answer. */
+export const MAXIMUM_HISTORY = 100_000
+/** Numbers whose changes are kept beside the whole text. */
+export const MAXIMUM_DELTAS = 1_000
+
+export const INITIAL_CONFIGURATION: ConfigurationState = { number: 0, lines: new Map(), history: [], deltas: [] }
+
+/** What a submission of `number` with `digest` gets, before it reaches the log. */
+export function judgeSubmission (state: ConfigurationState, number: number, digest: string): SubmitOutcome | 'new' {
+  if (number > state.number + 1) return { kind: 'out of order', next: state.number + 1 }
+  if (number === state.number + 1) return 'new'
+  const oldest = state.history[0]?.number ?? 1
+  if (number < oldest) return { kind: 'forgotten', oldest }
+  const winner = state.history[number - oldest]
+  return winner.digest === digest ? { kind: 'accepted', number } : { kind: 'conflict', winner }
+}
+
+/** Applies one command of the log. */
+export function applyCommand (state: ConfigurationState, command: ConfigurationCommand): { state: ConfigurationState, outcome: SubmitOutcome } {
+  const { number, digest, operator, acceptedAt, removed, added } = command
+  const judged = judgeSubmission(state, number, digest)
+  if (judged !== 'new') return { state, outcome: judged }
+  const lines = new Map(state.lines)
+  for (const identity of removed) lines.delete(identity)
+  for (const { identity, text } of added) lines.set(identity, text)
+  return {
+    state: {
+      number,
+      lines,
+      history: [...state.history, { number, digest, operator, acceptedAt }].slice(-MAXIMUM_HISTORY),
+      deltas: [...state.deltas, { number, removed, added }].slice(-MAXIMUM_DELTAS)
+    },
+    outcome: { kind: 'accepted', number }
+  }
+}
+
+export function linesOf (state: ConfigurationState): RuleLine[] {
+  return [...state.lines].map(([identity, text]) => ({ identity, text }))
+}
+
+/** The change from `known` to the newest number; undefined: send the whole text. */
+export function changeSince (state: ConfigurationState, known: number): { removed: string[], added: RuleLine[] } | undefined {
+  const oldest = state.deltas[0]?.number ?? state.number + 1
+  if (known > state.number || known + 1 < oldest) return undefined
+  const removed = new Set<string>()
+  const added = new Map<string, string>()
+  for (const delta of state.deltas.slice(known + 1 - oldest)) {
+    for (const identity of delta.removed) {
+      removed.add(identity)
+      added.delete(identity)
+    }
+    for (const { identity, text } of delta.added) {
+      removed.delete(identity)
+      added.set(identity, text)
+    }
+  }
+  return { removed: [...removed], added: [...added].map(([identity, text]) => ({ identity, text })) }
+}
+
+/** Digest of the newest number. */
+export function digestOf (state: ConfigurationState): string {
+  return state.history.at(-1)?.digest ?? digestLines([])
+}
--- /dev/null
+++ b/packages/decisions/src/node/group/__tests__/route.test.ts
@@ -0,0 +1,65 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { decideRoute } from '../route.js'
+import { createGroupView, majorityHolds, memberAge, recordStatus } from '../view.js'
+import type { GroupView, MemberStatus } from '../view.js'
+
+function status (member: string, changes: Partial<MemberStatus>): MemberStatus {
+  return { member, role: 'replica', adoptedTerm: 2, logTerm: 2, position: 10, appliedPosition: 10, primaryMember: 'one', heardMilliseconds: 0, leaving: false, ...changes }
+}
+
+function viewOf (...statuses: MemberStatus[]): GroupView {
+  return statuses.reduce((view, next) => recordStatus(view, next, 100, 101), createGroupView('group', 3))
+}
+
+const primary = status('one', { role: 'primary', position: 12, appliedPosition: 12 })
+
+test('a write goes to the primary of the highest term', () => {
+  const old = status('three', { role: 'primary', adoptedTerm: 1, logTerm: 1, position: 99 })
+  const decision = decideRoute(viewOf(old, primary), { kind: 'write' }, new Map(), 200)
+  assert.is(decision.kind === 'member' && decision.member, 'one')
+})
+
+test('a replaced primary gets no write', () => {
+  const view = viewOf(primary, status('two', { adoptedTerm: 3 }))
+  assert.is(decideRoute(view, { kind: 'write' }, new Map(), 200).kind, 'none')
+})
+
+test('a read goes to a replica at the session\'s place', () => {
+  const view = viewOf(primary, status('two', { appliedPosition: 8 }), status('three', { appliedPosition: 10 }))
+  const decision = decideRoute(view, { kind: 'session-read', token: { term: 2, position: 9 } }, new Map(), 200)
+  assert.is(decision.kind === 'member' && decision.member, 'three')
+})
+
+test('a higher position of an earlier term proves nothing', () => {
+  const view = viewOf(primary, status('two', { logTerm: 1, position: 99, appliedPosition: 99 }))
+  const decision = decideRoute(view, { kind: 'session-read', token: { term: 2, position: 9 } }, new Map(), 200)
+  assert.is(decision.kind === 'member' && decision.member, 'one')
+})
+
+test('a session from a later term never reads at the old primary', () => {
+  const decision = decideRoute(viewOf(primary), { kind: 'session-read', token: { term: 3, position: 1 } }, new Map(), 200)
+  assert.is(decision.kind, 'none')
+})
+
+test('a replica that can\'t show its age serves no read of a stated age', () => {
+  const view = viewOf(status('two', {}))
+  assert.is(decideRoute(view, { kind: 'aged-read', maximumAgeMilliseconds: 60_000 }, new Map(), 200).kind, 'none')
+})
+
+test('an age counts from when the primary was asked, once a majority confirms it', () => {
+  const alone = viewOf(primary)
+  const [member] = alone.members.values()
+  assert.is(memberAge(alone, member, 150), Infinity)
+  const confirmed = viewOf(primary, status('two', { appliedPosition: 12, position: 12 }))
+  const [, replica] = confirmed.members.values()
+  assert.is(memberAge(confirmed, replica, 150), 50)
+})
+
+test('a majority holds a commit only in its own term', () => {
+  assert.is(majorityHolds(viewOf(primary, status('two', { position: 12 })), { term: 2, position: 12 }), true)
+  assert.is(majorityHolds(viewOf(primary, status('two', { position: 11 })), { term: 2, position: 12 }), false)
+  assert.is(majorityHolds(viewOf(primary, status('two', { position: 12 }), status('three', { adoptedTerm: 3 })), { term: 2, position: 12 }), false)
+})
+
+test.run()
--- /dev/null
+++ b/packages/decisions/src/node/index.ts
@@ -0,0 +1,15 @@
+/** Decisions of the system as plain functions: no sockets, no clocks, no files. */
+
+export * from './group/route.js'
+export * from './group/view.js'
+export * from './rate/bucket.js'
+export * from './rules/delta.js'
+export * from './rules/rules.js'
+export * from './session/position.js'
+export * from './session/token.js'
+export * from './settings/fields.js'
+export * from './settings/toml.js'
+export * from './statement/classify.js'
+export * from './configuration/state.js'
+export * from './group/failover.js'
+export * from './group/rendezvous.js'
--- /dev/null
+++ b/packages/decisions/src/node/rate/bucket.ts
@@ -0,0 +1,28 @@
+/** A token bucket on a clock that the caller passes in. */
+
+export interface Bucket {
+  tokens: number
+  /** Time of the last refill, in milliseconds. */
+  refilledAt: number
+}
+
+export interface BucketLimits {
+  /** Tokens a second. */
+  rate: number
+  /** Most tokens that it holds. */
+  burst: number
+}
+
+/** The bucket with the tokens that time has added. Time that runs back adds none. */
+export function refill (bucket: Bucket, limits: BucketLimits, now: number): Bucket {
+  const elapsed = Math.max(0, now - bucket.refilledAt)
+  const tokens = Math.min(limits.burst, bucket.tokens + elapsed * limits.rate / 1000)
+  return { tokens, refilledAt: Math.max(now, bucket.refilledAt) }
+}
+
+/** Takes one token if there is one. */
+export function take (bucket: Bucket, limits: BucketLimits, now: number): { bucket: Bucket, taken: boolean } {
+  const full = refill(bucket, limits, now)
+  if (full.tokens < 1) return { bucket: full, taken: false }
+  return { bucket: { ...full, tokens: full.tokens - 1 }, taken: true }
+}
--- /dev/null
+++ b/packages/decisions/src/node/rules/rules.ts
@@ -0,0 +1,219 @@
+/**
+ * The rules that operators declare: a TOML text with one line for each rule,
+ * each line with a trailing comment that says who asked for it.
+ */
+
+import { createHash } from 'node:crypto'
+import { FaultyFileError, readToml } from '../settings/toml.js'
+import { resolveFields } from '../settings/fields.js'
+import type { Field } from '../settings/fields.js'
+import type { Fault, TomlEntry, TomlValue } from '../settings/toml.js'
+
+/** A client account: who sends requests, and how many of them. */
+export interface AccountRule {
+  /** Requests a second, over all instances together. */
+  rate: number
+  /** Requests that may come at once, over all instances together. */
+  burst: number
+  /** Share of scarce connections beside other accounts. */
+  weight: number
+}
+
+/** A valid key: only its digest is kept. */
+export interface KeyRule {
+  account: string
+  /** SHA-256 of the key, as "sha256:" and 64 hexadecimal digits. */
+  digest: string
+}
+
+/** A database that callers can name, and the group that serves it. */
+export interface DatabaseRule {
+  group: string
+  /** Places of the group's members. */
+  members: number
+}
+
+/** What an account may do with a database. */
+export interface AccessRule {
+  account: string
+  database: string
+  write: boolean
+  /** Reads may come from data of this age; 0: from the session's place on. */
+  maximum_age_milliseconds: number
+}
+
+/** A route open to all: reads without a key. */
+export interface OpenRule {
+  database: string
+  maximum_age_milliseconds: number
+  rate: number
+  burst: number
+}
+
+export interface Rules {
+  accounts: ReadonlyMap<string, AccountRule>
+  keys: ReadonlyMap<string, KeyRule>
+  databases: ReadonlyMap<string, DatabaseRule>
+  access: ReadonlyMap<string, AccessRule>
+  open: ReadonlyMap<string, OpenRule>
+}
+
+export type RuleTable = keyof Rules
+
+/** One rule as it stands in the file; lines are what deltas carry. */
+export interface RuleLine {
+  /** Table and name, as "keys.clinic-1". */
+  identity: string
+  /** The whole line in its normal form. */
+  text: string
+}
+
+export interface ParsedRules {
+  rules: Rules
+  lines: RuleLine[]
+  /** SHA-256 of the lines in order of identity: equal content, equal digest. */
+  digest: string
+}
+
+/** Longest rules text, in bytes. */
+export const MAXIMUM_RULES_BYTES = 8 * 1024 * 1024
+/** Rules that one text may hold. */
+export const MAXIMUM_RULES = 100_000
+
+const NAME = /^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$/
+const NAME_SHAPE = 'a name of letters, digits, ".", "_" and "-", at most 63 long'
+const AGE_FIELD: Field = { kind: 'number', minimum: 0, maximum: 3_600_000, unit: 'milliseconds', default: 0, description: 'age of data that reads may be served from' }
+
+const FIELDS: Record<RuleTable, Record<string, Field>> = {
+  accounts: {
+    rate: { kind: 'number', minimum: 0, maximum: 1_000_000, unit: 'requests a second', description: 'requests a second over all instances' },
+    burst: { kind: 'number', minimum: 1, maximum: 1_000_000, unit: 'requests', description: 'requests that may come at once' },
+    weight: { kind: 'number', minimum: 0.1, maximum: 100, unit: 'weight', default: 1, description: 'share of scarce connections' }
+  },
+  keys: {
+    account: { kind: 'text', pattern: NAME, shape: NAME_SHAPE, description: 'the account that the key speaks for' },
+    digest: { kind: 'text', pattern: /^sha256:[0-9a-f]{64}$/, shape: '"sha256:" and 64 hexadecimal digits (printf %s KEY | sha256sum)', description: 'SHA-256 of the key' }
+  },
+  databases: {
+    group: { kind: 'text', pattern: NAME, shape: NAME_SHAPE, description: 'the group of backend servers' },
+    members: { kind: 'number', minimum: 1, maximum: 9, unit: 'members', default: 3, description: 'places of the group\'s members' }
+  },
+  access: {
+    account: { kind: 'text', pattern: NAME, shape: NAME_SHAPE, description: 'an account' },
+    database: { kind: 'text', pattern: NAME, shape: NAME_SHAPE, description: 'a database that it may reach' },
+    write: { kind: 'flag', default: false, description: 'whether it may write' },
+    maximum_age_milliseconds: AGE_FIELD
+  },
+  open: {
+    database: { kind: 'text', pattern: NAME, shape: NAME_SHAPE, description: 'a database whose reads are open to all' },
+    maximum_age_milliseconds: { ...AGE_FIELD, minimum: 1, default: undefined },
+    rate: { kind: 'number', minimum: 0, maximum: 1_000_000, unit: 'requests a second', description: 'requests a second over all instances' },
+    burst: { kind: 'number', minimum: 1, maximum: 1_000_000, unit: 'requests', description: 'requests that may come at once' }
+  }
+}
+
+const TABLES = Object.keys(FIELDS) as RuleTable[]
+
+function isTable (value: TomlValue): value is { [key: string]: TomlValue } {
+  return typeof value === 'object' && !Array.isArray(value)
+}
+
+function checkShape (file: string, entry: TomlEntry): Fault[] {
+  const { path, value, line, endLine, comment } = entry
+  const [table, ...rest] = path
+  const name = rest.join('.')
+  if (!TABLES.includes(table as RuleTable)) {
+    return [{ file, line, problem: `there is no rule table ${table}`, remedy: `Take one of ${TABLES.join(', ')}` }]
+  }
+  const faults: Fault[] = []
+  if (!NAME.test(name)) faults.push({ file, line, problem: `${table} has a rule named "${name}"`, remedy: `Give it ${NAME_SHAPE}` })
+  if (!isTable(value)) {
+    return [...faults, { file, line, problem: `${table}.${name} is not a rule`, remedy: `Write ${name || 'name'} = { ... } on one line` }]
+  }
+  if (endLine !== line) faults.push({ file, line, problem: `${table}.${name} takes more than one line`, remedy: 'Write each rule on one line' })
+  if (comment === '') faults.push({ file, line, problem: `${table}.${name} does not say who asked for it`, remedy: 'Add a comment at the end of the line, as # asked for by NAME' })
+  return faults
+}
+
+function isNumberOrFlag (value: TomlValue): boolean {
+  return typeof value === 'number' || typeof value === 'boolean'
+}
+
+function normalLine ({ path, value, comment }: TomlEntry): RuleLine {
+  const identity = `${path[0]}.${path.slice(1).join('.')}`
+  const fields = Object.entries(value as { [key: string]: TomlValue })
+    .map(([name, field]) => `${name} = ${isNumberOrFlag(field) ? String(field) : JSON.stringify(field)}`)
+  return { identity, text: `${path[0]}.${JSON.stringify(path.slice(1).join('.'))} = { ${fields.join(', ')} } # ${comment}` }
+}
+
+/** Rules that name others must find them. */
+function checkReferences (file: string, rules: Rules, lineOf: Map<string, number>): Fault[] {
+  const faults: Fault[] = []
+  const need = (identity: string, table: 'accounts' | 'databases', name: string): void => {
+    if (rules[table].has(name)) return
+    faults.push({ file, line: lineOf.get(identity) ?? 1, problem: `${identity} names ${name}, which is not in ${table}`, remedy: `Add ${table}.${name}, or take the rule out` })
+  }
+  for (const [name, rule] of rules.keys) need(`keys.${name}`, 'accounts', rule.account)
+  for (const [name, rule] of rules.access) {
+    need(`access.${name}`, 'accounts', rule.account)
+    need(`access.${name}`, 'databases', rule.database)
+  }
+  for (const [name, rule] of rules.open) need(`open.${name}`, 'databases', rule.database)
+  return [...faults, ...checkUnique(file, rules, lineOf)]
+}
+
+function checkUnique (file: string, rules: Rules, lineOf: Map<string, number>): Fault[] {
+  const faults: Fault[] = []
+  const seen = new Map<string, string>()
+  const once = (identity: string, subject: string): void => {
+    const earlier = seen.get(subject)
+    if (earlier !== undefined) faults.push({ file, line: lineOf.get(identity) ?? 1, problem: `${identity} says again what ${earlier} says`, remedy: 'Keep one of them' })
+    seen.set(subject, identity)
+  }
+  for (const [name, rule] of rules.keys) once(`keys.${name}`, rule.digest)
+  for (const [name, rule] of rules.access) once(`access.${name}`, `${rule.account} ${rule.database}`)
+  for (const [name, rule] of rules.open) once(`open.${name}`, `open ${rule.database}`)
+  return faults
+}
+
+/** Digest of rule lines, whatever their order. */
+export function digestLines (lines: readonly RuleLine[]): string {
+  const hash = createHash('sha256')
+  for (const { text } of [...lines].sort((left, right) => left.identity < right.identity ? -1 : 1)) hash.update(`${text}\n`)
+  return hash.digest('hex')
+}
+
+/**
+ * Reads a rules text.
+ *
+ * @throws FaultyFileError with every fault, each with its line and remedy
+ */
+export function parseRules (file: string, text: string): ParsedRules {
+  if (Buffer.byteLength(text) > MAXIMUM_RULES_BYTES) {
+    throw new FaultyFileError([{ file, line: 1, problem: `the file has more than ${MAXIMUM_RULES_BYTES} bytes`, remedy: 'Take out rules that are no longer needed' }])
+  }
+  const entries = readToml(file, text)
+  const faults: Fault[] = []
+  const rules = { accounts: new Map(), keys: new Map(), databases: new Map(), access: new Map(), open: new Map() }
+  const lineOf = new Map<string, number>()
+  if (entries.length > MAXIMUM_RULES) faults.push({ file, line: entries[MAXIMUM_RULES].line, problem: `the file has more than ${MAXIMUM_RULES} rules`, remedy: 'Take out rules that are no longer needed' })
+  for (const entry of entries) {
+    const shape = checkShape(file, entry)
+    faults.push(...shape)
+    const table = entry.path[0] as RuleTable
+    if (!TABLES.includes(table) || !isTable(entry.value)) continue
+    const name = entry.path.slice(1).join('.')
+    const fields = Object.entries(entry.value).map(([field, value]) => ({ name: field, value, line: entry.line }))
+    const resolved = resolveFields(file, `${table}.${name}`, FIELDS[table], fields, entry.line)
+    faults.push(...resolved.faults)
+    lineOf.set(`${table}.${name}`, entry.line)
+    rules[table].set(name, resolved.values)
+  }
+  if (faults.length > 0) throw new FaultyFileError(faults)
+  const references = checkReferences(file, rules, lineOf)
+  if (references.length > 0) throw new FaultyFileError(references)
+  const lines = entries.map(normalLine)
+  return { rules, lines, digest: digestLines(lines) }
+}
+
+export const EMPTY_RULES: Rules = { accounts: new Map(), keys: new Map(), databases: new Map(), access: new Map(), open: new Map() }
--- /dev/null
+++ b/packages/decisions/src/node/settings/fields.ts
@@ -0,0 +1,124 @@
+/** Checks values against a table of fields: kind, range, default. */
+
+import type { Fault, TomlEntry, TomlValue } from './toml.js'
+
+interface FieldBase<Value> {
+  /** What the field is for, one line; the command line and the docs print it. */
+  description: string
+  /** Value when the field is missing; without one it must be there. */
+  default?: Value
+  /** The field may be missing and then is undefined. */
+  optional?: boolean
+}
+
+export interface NumberField extends FieldBase<number> {
+  kind: 'number'
+  minimum: number
+  maximum: number
+  unit: string
+}
+
+export interface TextField extends FieldBase<string> {
+  kind: 'text'
+  pattern?: RegExp
+  /** What the pattern asks for, as a message says it. */
+  shape?: string
+}
+
+export interface ChoiceField extends FieldBase<string> {
+  kind: 'choice'
+  choices: readonly string[]
+}
+
+export interface FlagField extends FieldBase<boolean> {
+  kind: 'flag'
+}
+
+export interface ListField extends FieldBase<string[]> {
+  kind: 'list'
+  choices?: readonly string[]
+  pattern?: RegExp
+  shape?: string
+}
+
+export type Field = NumberField | TextField | ChoiceField | FlagField | ListField
+
+type Problem = { problem: string, remedy: string } | undefined
+type Checks = { [Kind in Field['kind']]: (field: Extract<Field, { kind: Kind }>, value: TomlValue, name: string) => Problem }
+
+function checkPattern (text: string, field: { pattern?: RegExp, shape?: string }, name: string): Problem {
+  if (field.pattern === undefined || field.pattern.test(text)) return undefined
+  return { problem: `${name} is "${text}"`, remedy: `Write ${field.shape ?? `text that matches ${field.pattern}`}` }
+}
+
+const CHECKS: Checks = {
+  number: (field, value, name) => {
+    if (typeof value === 'number' && value >= field.minimum && value <= field.maximum) return undefined
+    return { problem: `${name} is ${JSON.stringify(value)}`, remedy: `Write a number from ${field.minimum} to ${field.maximum} (${field.unit})` }
+  },
+  text: (field, value, name) => {
+    if (typeof value !== 'string' || value === '') return { problem: `${name} is ${JSON.stringify(value)}`, remedy: `Write ${field.shape ?? 'text between quotes'}` }
+    return checkPattern(value, field, name)
+  },
+  choice: (field, value, name) => {
+    if (typeof value === 'string' && field.choices.includes(value)) return undefined
+    return { problem: `${name} is ${JSON.stringify(value)}`, remedy: `Write one of ${field.choices.map(choice => `"${choice}"`).join(', ')}` }
+  },
+  flag: (_field, value, name) => {
+    if (typeof value === 'boolean') return undefined
+    return { problem: `${name} is ${JSON.stringify(value)}`, remedy: 'Write true or false' }
+  },
+  list: (field, value, name) => {
+    if (!Array.isArray(value) || !value.every(item => typeof item === 'string')) return { problem: `${name} is ${JSON.stringify(value)}`, remedy: 'Write a list of texts, as ["one", "two"]' }
+    const unknown = value.find(item => field.choices !== undefined && !field.choices.includes(item as string))
+    if (unknown !== undefined) return { problem: `${name} holds ${JSON.stringify(unknown)}`, remedy: `Take from ${field.choices?.map(choice => `"${choice}"`).join(', ')}` }
+    for (const item of value) {
+      const problem = checkPattern(item as string, field, name)
+      if (problem !== undefined) return problem
+    }
+    return undefined
+  }
+}
+
+/** Checks one value; undefined when it is as the field wants it. */
+export function checkField (field: Field, value: TomlValue, name: string): Problem {
+  const check = CHECKS[field.kind] as (field: Field, value: TomlValue, name: string) => Problem
+  return check(field, value, name)
+}
+
+function nearestName (name: string, known: string[]): string {
+  const first = known.find(candidate => candidate.startsWith(name.slice(0, 3)))
+  return first === undefined ? `Known here: ${known.join(', ')}` : `Did you mean ${first}? Known here: ${known.join(', ')}`
+}
+
+/**
+ * Resolves the entries of one table against its fields: values with defaults
+ * filled in, and every fault found on the way.
+ */
+export function resolveFields (file: string, tableName: string, fields: Record<string, Field>, entries: Array<{ name: string, value: TomlValue, line: number }>, tableLine: number): { values: Record<string, TomlValue | undefined>, faults: Fault[] } {
+  const faults: Fault[] = []
+  const values: Record<string, TomlValue | undefined> = {}
+  for (const { name, value, line } of entries) {
+    const field = fields[name]
+    if (field === undefined) {
+      faults.push({ file, line, problem: `${tableName} has no field ${name}`, remedy: nearestName(name, Object.keys(fields)) })
+      continue
+    }
+    const problem = checkField(field, value, `${tableName}.${name}`)
+    if (problem !== undefined) faults.push({ file, line, ...problem })
+    values[name] = value
+  }
+  for (const [name, field] of Object.entries(fields)) {
+    if (values[name] !== undefined) continue
+    values[name] = field.default
+    const missing = field.default === undefined && field.optional !== true && !entries.some(entry => entry.name === name)
+    if (missing) faults.push({ file, line: tableLine, problem: `${tableName}.${name} is missing`, remedy: `Add it: ${field.description}` })
+  }
+  return { values, faults }
+}
+
+/** Entries below one table, with the rest of their path as name. */
+export function entriesBelow (entries: TomlEntry[], table: string): Array<{ name: string, value: TomlValue, line: number }> {
+  return entries.filter(({ path }) => path[0] === table && path.length > 1)
+    .map(({ path, value, line }) => ({ name: path.slice(1).join('.'), value, line }))
+}
--- /dev/null
+++ b/packages/decisions/src/node/statement/__tests__/classify.test.ts
@@ -0,0 +1,42 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { classify, loadParser } from '../classify.js'
+
+const KINDS: Array<[text: string, kind: string]> = [
+  ['select value from visits where id = $1', 'read'],
+  ['select count(*) from visits', 'read'],
+  ['select * from visits for update', 'write'],
+  ['select nextval(\'s\')', 'write'],
+  ['select my_function()', 'write'],
+  ['with gone as (delete from visits returning *) select * from gone', 'write'],
+  ['insert into visits (id) values (1)', 'write'],
+  ['select * into temp copy from visits', 'unsupported'],
+  ['create temp table t (a int)', 'unsupported'],
+  ['select pg_advisory_lock(1)', 'unsupported'],
+  ['copy visits from stdin', 'unsupported'],
+  ['listen news', 'unsupported'],
+  ['begin', 'begin'],
+  ['begin read only', 'begin read only'],
+  ['commit', 'commit'],
+  ['commit and chain', 'unsupported'],
+  ['prepare transaction \'x\'', 'unsupported'],
+  ['set local statement_timeout = 10', 'local setting'],
+  ['set statement_timeout = 10', 'setting'],
+  ['', 'empty']
+]
+
+test.before(loadParser)
+
+for (const [text, kind] of KINDS) {
+  test(`kind of: ${text}`, () => { assert.is(classify(text).statements[0].kind, kind) })
+}
+
+test('each statement of a text has its kind', () => {
+  assert.equal(classify('select 1; delete from visits').statements.map(({ kind }) => kind), ['read', 'write'])
+})
+
+test('a text that is no SQL says why', () => {
+  assert.match(classify('selec 1').syntaxError ?? '', /syntax error/)
+})
+
+test.run()
--- /dev/null
+++ b/packages/decisions/src/node/statement/classify.ts
@@ -0,0 +1,209 @@
+/**
+ * Sorts statements by what they need: a read can go to a replica, a write needs
+ * the primary, session state needs a decision of its own. PostgreSQL's own
+ * parser reads the text; answers are cached by text.
+ */
+
+import { loadModule, parseSync } from 'libpg-query'
+import { HARMLESS_FUNCTIONS } from './constants.js'
+
+export type StatementKind =
+  | 'read'
+  | 'write'
+  | 'begin'
+  | 'begin read only'
+  | 'commit'
+  | 'rollback'
+  | 'savepoint'
+  | 'setting'
+  | 'local setting'
+  | 'empty'
+  | 'unsupported'
+
+export interface StatementClass {
+  kind: StatementKind
+  /** For a setting: its name in lower case. */
+  setting?: string
+  /** For a setting: its value; undefined means the default. */
+  value?: string
+  /** For an unsupported statement: what it is, as a message names it. */
+  feature?: string
+}
+
+/** What a text of one or more statements needs. */
+export interface TextClass {
+  statements: StatementClass[]
+  /** Message of the parser when it could not read the text. */
+  syntaxError?: string
+}
+
+type Node = Record<string, unknown>
+
+/** Texts whose class is kept. */
+const CACHE_ENTRIES = 10_000
+/** Texts longer than this are not kept, in characters. */
+const CACHE_TEXT_CHARACTERS = 4_096
+
+const READ: StatementClass = { kind: 'read' }
+const WRITE: StatementClass = { kind: 'write' }
+
+function unsupported (feature: string): StatementClass {
+  return { kind: 'unsupported', feature }
+}
+
+function functionName (call: Node): string {
+  const names = (call.funcname as Node[] | undefined) ?? []
+  return names.map(name => String((name.String as Node).sval)).filter(name => name !== 'pg_catalog').join('.')
+}
+
+/** Whether anything below `node` can change data or leave a mark on the session. */
+function hasEffect (node: unknown): boolean {
+  if (Array.isArray(node)) return node.some(hasEffect)
+  if (typeof node !== 'object' || node === null) return false
+  return Object.entries(node).some(([key, value]) => {
+    if (EFFECT_KEYS.has(key)) return true
+    if (key === 'FuncCall' && !HARMLESS_FUNCTIONS.has(functionName(value as Node))) return true
+    return hasEffect(value)
+  })
+}
+
+const EFFECT_KEYS = new Set(['InsertStmt', 'UpdateStmt', 'DeleteStmt', 'MergeStmt', 'lockingClause', 'intoClause'])
+
+/** Functions whose effect lasts beyond the transaction on a pooled connection. */
+const SESSION_FUNCTIONS = /^(pg_(try_)?advisory_lock(_shared)?|pg_advisory_unlock.*|set_config|setseed|pg_backend_pid|lo_\w+|dblink_connect\w*)$/
+
+function sessionFunction (node: unknown): string | undefined {
+  if (Array.isArray(node)) {
+    for (const item of node) {
+      const found = sessionFunction(item)
+      if (found !== undefined) return found
+    }
+    return undefined
+  }
+  if (typeof node !== 'object' || node === null) return undefined
+  for (const [key, value] of Object.entries(node)) {
+    if (key === 'FuncCall' && SESSION_FUNCTIONS.test(functionName(value as Node))) return functionName(value as Node)
+    const found = sessionFunction(value)
+    if (found !== undefined) return found
+  }
+  return undefined
+}
+
+function isTemporary (relation: unknown): boolean {
+  return (relation as Node | undefined)?.relpersistence === 't'
+}
+
+function transaction (node: Node): StatementClass {
+  const options = (node.options as Node[] | undefined) ?? []
+  const readOnly = options.some(option => {
+    const element = option.DefElem as Node
+    const value = ((element.arg as Node | undefined)?.A_Const as Node | undefined)?.ival as Node | undefined
+    return element.defname === 'transaction_read_only' && value?.ival === 1
+  })
+  const kinds: Record<string, StatementClass> = {
+    TRANS_STMT_BEGIN: { kind: readOnly ? 'begin read only' : 'begin' },
+    TRANS_STMT_START: { kind: readOnly ? 'begin read only' : 'begin' },
+    TRANS_STMT_COMMIT: node.chain === true ? unsupported('COMMIT AND CHAIN') : { kind: 'commit' },
+    TRANS_STMT_ROLLBACK: node.chain === true ? unsupported('ROLLBACK AND CHAIN') : { kind: 'rollback' },
+    TRANS_STMT_SAVEPOINT: { kind: 'savepoint' },
+    TRANS_STMT_RELEASE: { kind: 'savepoint' },
+    TRANS_STMT_ROLLBACK_TO: { kind: 'savepoint' }
+  }
+  return kinds[String(node.kind)] ?? unsupported('two-phase commit')
+}
+
+function settingValue (node: Node): string | undefined {
+  const values = ((node.args as Node[] | undefined) ?? []).map(argument => {
+    const constant = argument.A_Const as Node | undefined
+    if (constant?.sval !== undefined) return String((constant.sval as Node).sval ?? '')
+    if (constant?.ival !== undefined) return String((constant.ival as Node).ival ?? 0)
+    if (constant?.fval !== undefined) return String((constant.fval as Node).fval)
+    if (constant?.boolval !== undefined) return (constant.boolval as Node).boolval === true ? 'on' : 'off'
+    return ''
+  })
+  return values.length === 0 ? undefined : values.join(', ')
+}
+
+function variableSet (node: Node): StatementClass {
+  const setting = String(node.name ?? '').toLowerCase()
+  if (node.kind === 'VAR_SET_MULTI') return unsupported('SET TRANSACTION and SET SESSION CHARACTERISTICS')
+  if (node.kind === 'VAR_RESET_ALL') return { kind: 'setting', setting: '*' }
+  if (node.is_local === true) return { kind: 'local setting', setting }
+  return { kind: 'setting', setting, value: settingValue(node) }
+}
+
+function explain (node: Node): StatementClass {
+  const options = (node.options as Node[] | undefined) ?? []
+  const analyzes = options.some(option => (option.DefElem as Node).defname === 'analyze')
+  return analyzes && hasEffect(node.query) ? WRITE : READ
+}
+
+const HANDLERS: Record<string, (node: Node) => StatementClass> = {
+  SelectStmt: node => {
+    const lasting = sessionFunction(node)
+    if (lasting !== undefined) return unsupported(`the function ${lasting}`)
+    const into = node.intoClause as Node | undefined
+    if (isTemporary(into?.rel)) return unsupported('temporary tables')
+    return hasEffect(node) ? WRITE : READ
+  },
+  TransactionStmt: transaction,
+  VariableSetStmt: variableSet,
+  VariableShowStmt: () => READ,
+  ExplainStmt: explain,
+  CreateStmt: node => isTemporary(node.relation) ? unsupported('temporary tables') : WRITE,
+  CreateTableAsStmt: node => isTemporary((node.into as Node | undefined)?.rel) ? unsupported('temporary tables') : WRITE,
+  CopyStmt: () => unsupported('COPY'),
+  ListenStmt: () => unsupported('LISTEN'),
+  UnlistenStmt: () => unsupported('UNLISTEN'),
+  PrepareStmt: () => unsupported('PREPARE as a statement (use the extended protocol)'),
+  ExecuteStmt: () => unsupported('EXECUTE as a statement (use the extended protocol)'),
+  DeallocateStmt: () => unsupported('DEALLOCATE'),
+  DeclareCursorStmt: node => (Number(node.options ?? 0) & CURSOR_WITH_HOLD) > 0 ? unsupported('cursors WITH HOLD') : WRITE,
+  DiscardStmt: () => ({ kind: 'setting', setting: '*' }),
+  LoadStmt: () => unsupported('LOAD'),
+  DoStmt: () => WRITE,
+  VacuumStmt: () => WRITE
+}
+
+/** Bit of DECLARE's options that keeps a cursor beyond its transaction. */
+const CURSOR_WITH_HOLD = 0x0020
+
+function classifyNode (statement: Node): StatementClass {
+  const [[tag, node]] = Object.entries(statement)
+  const handler = HANDLERS[tag]
+  if (handler === undefined) return sessionFunction(node) === undefined ? WRITE : unsupported(`the function ${sessionFunction(node)}`)
+  return handler(node as Node)
+}
+
+function classifyText (text: string): TextClass {
+  // The parser takes an empty text for a mistake.
+  if (text.trim() === '') return { statements: [{ kind: 'empty' }] }
+  try {
+    const parsed = parseSync(text) as unknown as { stmts?: Array<{ stmt: Node }> }
+    const statements = (parsed.stmts ?? []).map(({ stmt }) => classifyNode(stmt))
+    return { statements: statements.length === 0 ? [{ kind: 'empty' }] : statements }
+  } catch (error) {
+    return { statements: [], syntaxError: (error as Error).message }
+  }
+}
+
+const cache = new Map<string, TextClass>()
+
+/** Loads the parser; call it once before `classify`. */
+export async function loadParser (): Promise<void> {
+  await loadModule()
+}
+
+/** The class of each statement in `text`. */
+export function classify (text: string): TextClass {
+  const known = cache.get(text)
+  if (known !== undefined) return known
+  const result = classifyText(text)
+  if (text.length > CACHE_TEXT_CHARACTERS) return result
+  if (cache.size >= CACHE_ENTRIES) {
+    const [oldest] = cache.keys()
+    cache.delete(oldest)
+  }
+  cache.set(text, result)
+  return result
+}
--- /dev/null
+++ b/packages/stand-ins/src/node/backend/connection.ts
@@ -0,0 +1,375 @@
+/** One connection to a stand-in backend server: the PostgreSQL wire protocol. */
+
+import {
+  BACKEND, FRONTEND, STARTUP_CODE, buildBackendKeyData, buildCommandComplete, buildDataRow, buildErrorResponse, buildFrame,
+  buildParameterStatus, buildReadyForQuery, buildRowDescription, createFrameSplitter, readCString, readStartupParameters
+} from '@cyclamenusher/protocol'
+import { StatementError, bindParameters, runStatement } from './statements.js'
+import type { Socket } from 'node:net'
+import type { Frame } from '@cyclamenusher/protocol'
+import type { BackendServer } from './server.js'
+import type { SessionState, StatementResult } from './statements.js'
+
+/** Largest message taken, in bytes. */
+const MAXIMUM_MESSAGE_BYTES = 64 * 1024 * 1024
+/** Rows are written in batches of this many, so that a slow reader holds the producer. */
+const ROWS_A_BATCH = 200
+
+/** What all connections of one stand-in share. */
+export interface ConnectionRegistry {
+  /** Open connections for callers' work. */
+  open: number
+  /** Counts every connection ever opened for callers' work. */
+  opened: number
+  nextProcessNumber: number
+  cancels: Map<number, { secret: number, cancel: () => void }>
+  /** User and password that a connection must bring. */
+  users: Map<string, string>
+  /** Users whose connections come out of the reserved ones. */
+  reservedUsers: Set<string>
+  /** Everything that callers sent, newest last, for checks that a key never shows. */
+  received: Buffer[]
+  statements: number
+}
+
+export function createConnectionRegistry (users: Map<string, string>, reservedUsers: Set<string>): ConnectionRegistry {
+  return { open: 0, opened: 0, nextProcessNumber: 1, cancels: new Map(), users, reservedUsers, received: [], statements: 0 }
+}
+
+interface Prepared { text: string }
+interface Portal { text: string }
+
+/** Reads the first message, answers TLS and cancel requests, then serves the connection. */
+export function serveConnection (socket: Socket, server: BackendServer, registry: ConnectionRegistry): void {
+  socket.setNoDelay(true)
+  socket.on('error', () => {})
+  let head: Buffer = Buffer.alloc(0)
+  const onData = (chunk: Buffer): void => {
+    head = Buffer.concat([head, chunk])
+    if (head.length < 8) return
+    const length = head.readUInt32BE(0)
+    if (length > 10_000) {
+      socket.destroy()
+      return
+    }
+    if (head.length < length) return
+    const message = head.subarray(0, length)
+    const rest = head.subarray(length)
+    const code = message.readUInt32BE(4)
+    if (code === STARTUP_CODE.tls || code === STARTUP_CODE.gss) {
+      head = rest
+      socket.write('N')
+      return
+    }
+    socket.off('data', onData)
+    if (code === STARTUP_CODE.cancel) {
+      const target = registry.cancels.get(message.readUInt32BE(8))
+      if (target !== undefined && target.secret === message.readUInt32BE(12)) target.cancel()
+      socket.end()
+      return
+    }
+    if (rest.length > 0) socket.unshift(rest)
+    startSession(socket, server, registry, readStartupParameters(message))
+  }
+  socket.on('data', onData)
+}
+
+function startSession (socket: Socket, server: BackendServer, registry: ConnectionRegistry, parameters: Record<string, string>): void {
+  if (parameters.replication === 'true') return server.serveReplica(socket)
+  const user = parameters.user ?? ''
+  const reserved = registry.reservedUsers.has(user)
+  if (!reserved && registry.open >= server.options.connectionLimit) {
+    socket.end(buildErrorResponse({ severity: 'FATAL', code: '53300', message: 'sorry, too many clients already' }))
+    return
+  }
+  if (!reserved) {
+    registry.open += 1
+    registry.opened += 1
+    socket.on('close', () => { registry.open -= 1 })
+  }
+  const delay = reserved ? 0 : server.options.openMilliseconds
+  setTimeout(() => { runSession(socket, server, registry, user, parameters) }, delay)
+}
+
+function runSession (socket: Socket, server: BackendServer, registry: ConnectionRegistry, user: string, parameters: Record<string, string>): void {
+  const processNumber = registry.nextProcessNumber
+  registry.nextProcessNumber += 1
+  const secret = Math.floor(Math.random() * 0xffffffff)
+  const session: SessionState = { user, pending: [], transaction: 'idle', settings: new Map(), temporaryTables: new Map() }
+  const prepared = new Map<string, Prepared>()
+  const portals = new Map<string, Portal>()
+  let authenticated = false
+  let cancelled = false
+  let wake: (() => void) | undefined
+  let skipping = false
+  const queue: Frame[] = []
+  let running = false
+
+  registry.cancels.set(processNumber, {
+    secret,
+    cancel: () => {
+      cancelled = true
+      wake?.()
+    }
+  })
+  server.onDemoted(() => {
+    // A demoted primary ends the transactions that it can no longer commit.
+    if (session.transaction !== 'idle') socket.destroy()
+  })
+  socket.on('close', () => {
+    registry.cancels.delete(processNumber)
+    wake?.()
+  })
+
+  async function pause (milliseconds: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, milliseconds)
+      wake = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
+    wake = undefined
+    if (cancelled) {
+      cancelled = false
+      throw new StatementError('57014', 'canceling statement due to user request')
+    }
+  }
+
+  async function sendRows (result: StatementResult): Promise<void> {
+    let batch: Buffer[] = []
+    for (const row of result.rows ?? []) {
+      batch.push(buildDataRow(row))
+      if (batch.length < ROWS_A_BATCH) continue
+      const flowing = socket.write(Buffer.concat(batch))
+      batch = []
+      if (!flowing && !socket.destroyed) {
+        await new Promise<void>(resolve => {
+          socket.once('drain', resolve)
+          socket.once('close', () => { resolve() })
+        })
+      }
+      if (socket.destroyed) return
+    }
+    if (batch.length > 0) socket.write(Buffer.concat(batch))
+  }
+
+  function commitPending (): void {
+    const operations = session.pending
+    session.pending = []
+    session.transaction = 'idle'
+    if (operations.length === 0) return
+    const at = server.commit(operations)
+    if (at === undefined) throw new StatementError('25006', 'cannot execute the transaction: this server is not the primary')
+    socket.write(buildParameterStatus('cyclamenusher.position', `${at.term}/${at.position}`))
+  }
+
+  const transactionControl: Array<[RegExp, () => string]> = [
+    [/^(begin|start transaction)\b/i, () => {
+      if (session.transaction === 'idle') session.transaction = 'transaction'
+      return 'BEGIN'
+    }],
+    [/^(commit|end)\b/i, () => {
+      if (session.transaction === 'failed') {
+        session.pending = []
+        session.transaction = 'idle'
+        return 'ROLLBACK'
+      }
+      commitPending()
+      return 'COMMIT'
+    }],
+    [/^(rollback|abort)\b/i, () => {
+      session.pending = []
+      session.transaction = 'idle'
+      return 'ROLLBACK'
+    }]
+  ]
+
+  async function runOne (text: string, describe: boolean): Promise<void> {
+    registry.statements += 1
+    for (const [pattern, handler] of transactionControl) {
+      if (!pattern.test(text.trim())) continue
+      socket.write(buildCommandComplete(handler()))
+      return
+    }
+    if (session.transaction === 'failed') {
+      throw new StatementError('25P02', 'current transaction is aborted, commands ignored until end of transaction block')
+    }
+    const result = await runStatement(text, session, server)
+    if (result.sleepMilliseconds !== undefined) await pause(result.sleepMilliseconds)
+    if (result.operations !== undefined && server.status().role !== 'primary') {
+      throw new StatementError('25006', 'cannot execute the statement in a read-only transaction: this server is not the primary')
+    }
+    if (result.operations !== undefined) session.pending.push(...result.operations)
+    if (describe && result.columns !== undefined) socket.write(buildRowDescription(result.columns))
+    await sendRows(result)
+    if (session.transaction === 'idle') commitPending()
+    socket.write(buildCommandComplete(result.tag))
+  }
+
+  function fail (error: unknown): void {
+    const known = error instanceof StatementError
+    session.pending = session.transaction === 'idle' ? [] : session.pending
+    if (session.transaction === 'transaction') session.transaction = 'failed'
+    socket.write(buildErrorResponse({ severity: 'ERROR', code: known ? error.code : 'XX000', message: (error as Error).message }))
+  }
+
+  function ready (): void {
+    socket.write(buildReadyForQuery(session.transaction))
+  }
+
+  async function describeColumns (text: string): Promise<Buffer> {
+    if (!/^\s*(\/\*.*?\*\/\s*)*(select|show)|\breturning\b/i.test(text)) return buildFrame(BACKEND.noData)
+    const match = /^\s*(?:\/\*.*?\*\/\s*)*select (id, *value|value|count)/i.exec(text)
+    const columns = match === null ? ['value'] : match[1].split(/, */)
+    return buildRowDescription(columns)
+  }
+
+  const handlers: Record<number, (frame: Frame) => void | Promise<void>> = {
+    [FRONTEND.query]: async frame => {
+      const [text] = readCString(frame.bytes, 5)
+      const statements = text.split(';').map(part => part.trim()).filter(part => part !== '')
+      if (statements.length === 0) socket.write(buildFrame(BACKEND.emptyQueryResponse))
+      try {
+        for (const statement of statements) await runOne(statement, true)
+      } catch (error) {
+        fail(error)
+      }
+      ready()
+    },
+    [FRONTEND.parse]: frame => {
+      const [name, next] = readCString(frame.bytes, 5)
+      const [text] = readCString(frame.bytes, next)
+      if (name !== '' && prepared.has(name)) throw new StatementError('42P05', `prepared statement "${name}" already exists`)
+      prepared.set(name, { text })
+      socket.write(buildFrame(BACKEND.parseComplete))
+    },
+    [FRONTEND.bind]: frame => {
+      const [portal, afterPortal] = readCString(frame.bytes, 5)
+      const [name, afterName] = readCString(frame.bytes, afterPortal)
+      const statement = prepared.get(name)
+      if (statement === undefined) throw new StatementError('26000', `prepared statement "${name}" does not exist`)
+      let offset = afterName + 2 + 2 * frame.bytes.readUInt16BE(afterName)
+      const count = frame.bytes.readUInt16BE(offset)
+      offset += 2
+      const values: Array<string | null> = []
+      for (let index = 0; index < count; index += 1) {
+        const length = frame.bytes.readInt32BE(offset)
+        offset += 4
+        values.push(length < 0 ? null : frame.bytes.toString('utf8', offset, offset + length))
+        offset += Math.max(0, length)
+      }
+      portals.set(portal, { text: bindParameters(statement.text, values) })
+      socket.write(buildFrame(BACKEND.bindComplete))
+    },
+    [FRONTEND.describe]: async frame => {
+      const [name] = readCString(frame.bytes, 6)
+      const ofPortal = frame.bytes[5] === 0x50
+      const text = ofPortal ? portals.get(name)?.text : prepared.get(name)?.text
+      if (text === undefined) throw new StatementError(ofPortal ? '34000' : '26000', `"${name}" does not exist`)
+      if (!ofPortal) {
+        const count = new Set(text.match(/\$\d+/g) ?? []).size
+        const payload = Buffer.alloc(2 + 4 * count)
+        payload.writeUInt16BE(count, 0)
+        for (let index = 0; index < count; index += 1) payload.writeUInt32BE(25, 2 + 4 * index)
+        socket.write(buildFrame(BACKEND.parameterDescription, payload))
+      }
+      socket.write(await describeColumns(text))
+    },
+    [FRONTEND.execute]: async frame => {
+      const [name] = readCString(frame.bytes, 5)
+      const portal = portals.get(name)
+      if (portal === undefined) throw new StatementError('34000', `portal "${name}" does not exist`)
+      if (portal.text.trim() === '') {
+        socket.write(buildFrame(BACKEND.emptyQueryResponse))
+        return
+      }
+      await runOne(portal.text, false)
+    },
+    [FRONTEND.close]: frame => {
+      const [name] = readCString(frame.bytes, 6)
+      if (frame.bytes[5] === 0x53) prepared.delete(name)
+      else portals.delete(name)
+      socket.write(buildFrame(BACKEND.closeComplete))
+    },
+    [FRONTEND.sync]: () => {
+      if (session.transaction === 'idle') portals.clear()
+      ready()
+    },
+    [FRONTEND.flush]: () => {},
+    [FRONTEND.terminate]: () => { socket.end() }
+  }
+
+  async function handle (frame: Frame): Promise<void> {
+    if (!authenticated) return authenticate(frame)
+    if (skipping && frame.type !== FRONTEND.sync && frame.type !== FRONTEND.terminate) return
+    skipping = false
+    if (server.faults.answerMilliseconds > 0) await pause(server.faults.answerMilliseconds)
+    while (server.faults.frozen && !registry.reservedUsers.has(user) && !socket.destroyed) await pause(20)
+    const handler = handlers[frame.type]
+    if (handler === undefined) {
+      fail(new StatementError('08P01', `message type ${frame.type} is not supported`))
+      return
+    }
+    try {
+      await handler(frame)
+    } catch (error) {
+      // In the extended protocol an error skips everything up to Sync.
+      fail(error)
+      skipping = true
+    }
+  }
+
+  function authenticate (frame: Frame): void {
+    const [password] = readCString(frame.bytes, 5)
+    if (frame.type !== FRONTEND.password || registry.users.get(user) !== password) {
+      socket.end(buildErrorResponse({ severity: 'FATAL', code: '28P01', message: `password authentication failed for user "${user}"` }))
+      return
+    }
+    authenticated = true
+    socket.write(Buffer.concat([
+      buildFrame(BACKEND.authentication, Uint8Array.of(0, 0, 0, 0)),
+      buildParameterStatus('server_version', '15.0'),
+      buildParameterStatus('client_encoding', 'UTF8'),
+      buildParameterStatus('standard_conforming_strings', 'on'),
+      buildBackendKeyData(processNumber, secret),
+      buildReadyForQuery('idle')
+    ]))
+  }
+
+  async function drainQueue (): Promise<void> {
+    if (running) return
+    running = true
+    for (let frame = queue.shift(); frame !== undefined && !socket.destroyed; frame = queue.shift()) {
+      socket.cork()
+      try {
+        await handle(frame)
+      } finally {
+        socket.uncork()
+      }
+    }
+    running = false
+  }
+
+  const splitter = createFrameSplitter(MAXIMUM_MESSAGE_BYTES, frame => { queue.push(frame) })
+  socket.on('data', (chunk: Buffer) => {
+    if (!registry.reservedUsers.has(user)) remember(registry, chunk)
+    try {
+      splitter.push(chunk)
+    } catch {
+      socket.destroy()
+      return
+    }
+    void drainQueue()
+  })
+  remember(registry, Buffer.from(JSON.stringify(parameters)))
+  socket.write(buildFrame(BACKEND.authentication, Uint8Array.of(0, 0, 0, 3)))
+}
+
+/** Chunks kept for checks of what a server saw. */
+const REMEMBERED_CHUNKS = 20_000
+
+function remember (registry: ConnectionRegistry, chunk: Buffer): void {
+  registry.received.push(Buffer.from(chunk))
+  if (registry.received.length > REMEMBERED_CHUNKS) registry.received.splice(0, REMEMBERED_CHUNKS / 2)
+}
--- /dev/null
+++ b/packages/stand-ins/src/node/index.ts
@@ -0,0 +1,9 @@
+/** Stand-ins for the systems outside: backend servers, their announcer, the balancer, links. */
+
+export * from './announcer/announcer.js'
+export * from './backend/administration.js'
+export * from './backend/connection.js'
+export * from './backend/log.js'
+export * from './backend/server.js'
+export * from './backend/store.js'
+export * from './utils.js'
--- /dev/null
+++ b/packages/stand-ins/src/node/main.ts
@@ -0,0 +1,65 @@
+/** Command line of the stand-ins: one process plays one part. */
+
+import { createServer } from 'node:net'
+import { readFileSync } from 'node:fs'
+import { cac } from 'cac'
+import { createAnnouncer } from './announcer/announcer.js'
+import { listenForAdministration } from './backend/administration.js'
+import { createConnectionRegistry, serveConnection } from './backend/connection.js'
+import { createBackendServer } from './backend/server.js'
+
+interface BackendFlags {
+  group: string
+  member: string
+  failureDomain: string
+  host: string
+  port: number
+  administrationPort: number
+  connectionLimit: number
+  openMilliseconds: number
+  lagMilliseconds: number
+  dataFolder?: string
+  entries: string
+  secretFile: string
+  user: string
+  password: string
+}
+
+function parseAddresses (text: string): Array<{ host: string, port: number }> {
+  return String(text).split(',').map(address => {
+    const [host, port] = address.split(':')
+    return { host, port: Number(port) }
+  })
+}
+
+async function runBackend (flags: BackendFlags): Promise<void> {
+  const server = createBackendServer({ ...flags, dataFolder: flags.dataFolder })
+  const users = new Map([[flags.user, flags.password], ['cyclamenusher_monitor', flags.password]])
+  const registry = createConnectionRegistry(users, new Set(['cyclamenusher_monitor']))
+  const listener = createServer(socket => { serveConnection(socket, server, registry) })
+  await new Promise<void>(resolve => { listener.listen(flags.port, flags.host, resolve) })
+  await listenForAdministration(flags.host, flags.administrationPort, server, registry)
+  createAnnouncer({ server, entries: parseAddresses(flags.entries), credentials: { secret: readFileSync(flags.secretFile, 'utf8').trim() } })
+  console.log(JSON.stringify({ ready: true, member: flags.member, port: flags.port }))
+  process.once('SIGTERM', () => { process.exit(0) })
+}
+
+const program = cac('stand-ins')
+program.command('backend', 'one member of a replicated group of backend servers')
+  .option('--group <name>', 'group')
+  .option('--member <name>', 'member')
+  .option('--failure-domain <name>', 'failure domain', { default: 'local' })
+  .option('--host <address>', 'address to listen on', { default: '127.0.0.1' })
+  .option('--port <number>', 'port of the wire protocol')
+  .option('--administration-port <number>', 'port for faults and state')
+  .option('--connection-limit <number>', 'connections for work', { default: 25 })
+  .option('--open-milliseconds <number>', 'cost of opening a connection', { default: 10 })
+  .option('--lag-milliseconds <number>', 'lag between holding and showing a record', { default: 0 })
+  .option('--data-folder <folder>', 'where the log lives; without it in memory')
+  .option('--entries <addresses>', 'entry instances, HOST:PORT with commas between')
+  .option('--secret-file <file>', 'shared secret of the system')
+  .option('--user <name>', 'user of the system', { default: 'cyclamenusher' })
+  .option('--password <text>', 'password of the system', { default: 'system-password' })
+  .action(runBackend)
+program.help()
+program.parse()
--- /dev/null
+++ b/packages/stand-ins/src/node/utils.ts
@@ -0,0 +1,13 @@
+/** Small helpers of the stand-ins. */
+
+import { STARTUP_CODE, cString } from '@cyclamenusher/protocol'
+
+/** The first message of a connection, which has no type byte. */
+export function buildStartupMessage (parameters: Record<string, string>): Buffer {
+  const fields = Object.entries(parameters).flatMap(([name, value]) => [cString(name), cString(value)])
+  const body = Buffer.concat([...fields, Buffer.from([0])])
+  const head = Buffer.alloc(8)
+  head.writeUInt32BE(body.length + 8, 0)
+  head.writeUInt32BE(STARTUP_CODE.version3, 4)
+  return Buffer.concat([head, body])
+}
--- /dev/null
+++ b/playground/src/fleet.ts
@@ -0,0 +1,112 @@
+/** Starts the processes of a small fleet on loopback, and ends exactly those. */
+
+import { spawn } from 'node:child_process'
+import { createHash } from 'node:crypto'
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import type { ChildProcess } from 'node:child_process'
+
+const ROOT = fileURLToPath(new URL('../..', import.meta.url))
+const PROGRAMS = {
+  daemon: join(ROOT, 'packages/cyclamenusherd/dist/main.js'),
+  operator: join(ROOT, 'packages/cyclamenusher/dist/main.js'),
+  standIns: join(ROOT, 'packages/stand-ins/dist/main.js')
+}
+
+export type Program = keyof typeof PROGRAMS
+
+export interface FleetProcess {
+  name: string
+  child: ChildProcess
+  /** What it has written so far. */
+  output: () => string
+}
+
+export interface Fleet {
+  folder: string
+  /** A port that nobody listens on. */
+  freePort: () => Promise<number>
+  write: (file: string, text: string) => string
+  start: (name: string, program: Program, parameters: string[]) => FleetProcess
+  /** Runs a program to its end. */
+  run: (program: Program, parameters: string[]) => Promise<{ code: number, output: string }>
+  /** Ends one process by signal, and waits until it is gone. */
+  end: (process: FleetProcess, signal: NodeJS.Signals) => Promise<void>
+  /** What each running process has written. */
+  outputs: () => string[]
+  /** Ends every process and removes the folder. */
+  close: () => Promise<void>
+}
+
+export function digestOf (key: string): string {
+  return `sha256:${createHash('sha256').update(key).digest('hex')}`
+}
+
+export function createFleet (): Fleet {
+  const folder = mkdtempSync(join(tmpdir(), 'cyclamenusher-'))
+  const processes = new Set<FleetProcess>()
+  const ports = new Set<number>()
+
+  async function freePort (): Promise<number> {
+    for (;;) {
+      const port = await new Promise<number>((resolve, reject) => {
+        const server = createServer()
+        server.once('error', reject)
+        server.listen(0, '127.0.0.1', () => {
+          const address = server.address()
+          server.close(() => { resolve(typeof address === 'object' && address !== null ? address.port : 0) })
+        })
+      })
+      if (ports.has(port)) continue
+      ports.add(port)
+      return port
+    }
+  }
+
+  function start (name: string, program: Program, parameters: string[]): FleetProcess {
+    const child = spawn(process.execPath, [PROGRAMS[program], ...parameters], { stdio: ['ignore', 'pipe', 'pipe'] })
+    let text = ''
+    const keep = (chunk: Buffer): void => { text = (text + chunk.toString('utf8')).slice(-200_000) }
+    child.stdout?.on('data', keep)
+    child.stderr?.on('data', keep)
+    const started = { name, child, output: () => text }
+    processes.add(started)
+    child.once('exit', () => { processes.delete(started) })
+    return started
+  }
+
+  async function run (program: Program, parameters: string[]): Promise<{ code: number, output: string }> {
+    const started = start(program, program, parameters)
+    const code = await new Promise<number>(resolve => { started.child.once('close', status => { resolve(status ?? 1) }) })
+    return { code, output: started.output() }
+  }
+
+  async function end ({ child }: FleetProcess, signal: NodeJS.Signals): Promise<void> {
+    if (child.exitCode !== null || child.signalCode !== null) return
+    const gone = new Promise<void>(resolve => { child.once('exit', () => { resolve() }) })
+    child.kill(signal)
+    await gone
+  }
+
+  return {
+    folder,
+    freePort,
+    write: (file, text) => {
+      const path = join(folder, file)
+      mkdirSync(join(path, '..'), { recursive: true })
+      writeFileSync(path, text, { mode: 0o600 })
+      return path
+    },
+    start,
+    run,
+    end,
+    outputs: () => [...processes].map(({ name, output }) => `== ${name}\n${output()}`),
+    close: async () => {
+      await Promise.all([...processes].map(async started => { await end(started, 'SIGKILL') }))
+      rmSync(folder, { recursive: true, force: true })
+    }
+  }
+}
--- /dev/null
+++ b/scripts/test.js
@@ -0,0 +1,81 @@
+// Runs every test file in a process of its own and adds up what uvu reports.
+// Tests named in KNOWN-RED.txt may fail; all else must pass, and a file that
+// reports nothing counts as failed.
+import { spawn } from 'node:child_process'
+import { existsSync, readFileSync, readdirSync } from 'node:fs'
+import { join } from 'node:path'
+
+/** Test files that run at once. */
+const PARALLEL_FILES = 4
+/** Time after which a file counts as hung, in milliseconds. */
+const FILE_MILLISECONDS = 120_000
+
+function findTests (folder) {
+  return readdirSync(folder, { withFileTypes: true }).flatMap(entry => {
+    if (entry.name === 'node_modules' || entry.name === 'dist') return []
+    const path = join(folder, entry.name)
+    if (entry.isDirectory()) return findTests(path)
+    return /\.test\.ts$/.test(entry.name) && folder.endsWith('__tests__') ? [path] : []
+  })
+}
+
+/** Entries of KNOWN-RED.txt: "file :: test name :: command and seed :: what was seen :: issue". */
+function readKnownRed () {
+  if (!existsSync('KNOWN-RED.txt')) return []
+  return readFileSync('KNOWN-RED.txt', 'utf8').split('\n')
+    .filter(line => line.trim() !== '' && !line.startsWith('#'))
+    .map(line => {
+      const [file, name, ...rest] = line.split(' :: ')
+      return { file, name, rest: rest.join(' :: ') }
+    })
+}
+
+async function runFile (file) {
+  const child = spawn(process.execPath, ['--import', 'tsx', file], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, FORCE_COLOR: '0', NO_COLOR: '1' } })
+  let output = ''
+  child.stdout.on('data', chunk => { output += chunk })
+  child.stderr.on('data', chunk => { output += chunk })
+  let hung = false
+  const timer = setTimeout(() => {
+    hung = true
+    child.kill('SIGKILL')
+  }, FILE_MILLISECONDS)
+  const code = await new Promise(resolve => child.once('close', resolve))
+  clearTimeout(timer)
+  const total = Number(/Total:\s+(\d+)/.exec(output)?.[1] ?? 0)
+  const passed = Number(/Passed:\s+(\d+)/.exec(output)?.[1] ?? 0)
+  const failures = [...output.matchAll(/^\s*FAIL\s+(?:\S+\s+)?"(.*)"\s*$/gm)].map(match => match[1])
+  const broken = hung ? 'it hung' : total === 0 ? 'it ran no test' : code !== 0 && failures.length === 0 ? `it ended with code ${code}` : undefined
+  return { file, passed, failures, broken, output }
+}
+
+async function runAll (files) {
+  const results = []
+  const queue = [...files]
+  await Promise.all(Array.from({ length: PARALLEL_FILES }, async () => {
+    for (let file = queue.shift(); file !== undefined; file = queue.shift()) results.push(await runFile(file))
+  }))
+  return results.sort((left, right) => left.file < right.file ? -1 : 1)
+}
+
+const wanted = process.argv.slice(2)
+const files = ['packages', 'playground'].flatMap(findTests).filter(file => wanted.length === 0 || wanted.some(part => file.includes(part)))
+const knownRed = readKnownRed()
+let passed = 0
+let failed = 0
+for (const { file, passed: filePassed, failures, broken, output } of await runAll(files)) {
+  passed += filePassed
+  const known = failures.filter(name => knownRed.some(entry => entry.file === file && entry.name === name))
+  const unknown = failures.filter(name => !known.includes(name))
+  for (const name of known) console.log(`known red: ${file} :: ${name} :: ${knownRed.find(entry => entry.file === file && entry.name === name).rest}`)
+  failed += unknown.length + (broken === undefined ? 0 : 1)
+  const verdict = unknown.length > 0 || broken !== undefined ? 'FAIL' : 'ok'
+  console.log(`${verdict.padEnd(4)} ${file} (${filePassed} passed${failures.length > 0 ? `, ${failures.length} failed` : ''}${broken === undefined ? '' : `, ${broken}`})`)
+  if (verdict === 'FAIL') console.log(output)
+}
+for (const { file, name } of knownRed) {
+  if (!files.includes(file) && wanted.length === 0) console.log(`KNOWN-RED.txt names ${file} (${name}), which is not there: take the entry out.`)
+}
+if (files.length === 0) failed += 1
+console.log(`${passed} passed, ${failed} failed`)
+process.exitCode = failed === 0 ? 0 : 1
