A deployment of small processes, shared by demo, proofs and measurements

Cause: the demo, the proofs and the measuring tool each need the same fleet of control, entry and stand-in processes; only the demo had one.

Change: fleet and deployment move into the stand-ins package; the measuring tool gets its frame (deployments of the two users, a table of scenarios). Ports come from below the kernel's range for outgoing connections, since a port that was free when asked for can be taken by a connection before its process starts.

--- /dev/null
+++ b/packages/measure/src/node/deployments.ts
@@ -0,0 +1,55 @@
+/** The two deployments that are measured, with the sizes and latencies of their users. */
+
+export interface MeasuredDeployment {
+  name: 'agency' | 'head-office'
+  failureDomains: string[]
+  /** One way between failure domains, in milliseconds. */
+  domainMilliseconds: number
+  /** One way between a caller and an entry instance, in milliseconds. */
+  clientMilliseconds: number
+  entries: number
+  groups: number
+  members: number
+  connectionLimit: number
+  openMilliseconds: number
+  /** Rate and burst by account; a few are large. */
+  accounts: Array<{ name: string, rate: number, burst: number }>
+}
+
+const ACCOUNTS = [
+  { name: 'account-1', rate: 400, burst: 400 },
+  { name: 'account-2', rate: 300, burst: 300 },
+  { name: 'account-3', rate: 60, burst: 60 },
+  { name: 'account-4', rate: 60, burst: 60 },
+  { name: 'account-5', rate: 40, burst: 40 },
+  { name: 'account-6', rate: 40, burst: 40 },
+  { name: 'account-7', rate: 20, burst: 20 },
+  { name: 'account-8', rate: 20, burst: 20 }
+]
+
+export const DEPLOYMENTS: Record<MeasuredDeployment['name'], MeasuredDeployment> = {
+  agency: {
+    name: 'agency',
+    failureDomains: ['la-plata', 'conurbano', 'mar-del-plata'],
+    domainMilliseconds: 1.5,
+    clientMilliseconds: 3,
+    entries: 9,
+    groups: 3,
+    members: 3,
+    connectionLimit: 25,
+    openMilliseconds: 10,
+    accounts: ACCOUNTS
+  },
+  'head-office': {
+    name: 'head-office',
+    failureDomains: ['ktm-a', 'ktm-b', 'ktm-c'],
+    domainMilliseconds: 0.5,
+    clientMilliseconds: 1,
+    entries: 8,
+    groups: 3,
+    members: 3,
+    connectionLimit: 45,
+    openMilliseconds: 10,
+    accounts: ACCOUNTS
+  }
+}
--- /dev/null
+++ b/packages/measure/src/node/index.ts
@@ -0,0 +1,4 @@
+/** The measuring tool's parts, for tests. */
+
+export * from './deployments.js'
+export * from './scenario.js'
--- /dev/null
+++ b/packages/prove/src/node/index.ts
@@ -0,0 +1,2 @@
+/** The proofs' parts, for tests. */
+export {}
--- /dev/null
+++ b/packages/stand-ins/src/node/fleet/deployment.ts
@@ -0,0 +1,236 @@
+/**
+ * A whole deployment of small processes on loopback: control and entry
+ * instances in failure domains, groups of stand-in servers, and rules.
+ */
+
+import { request } from 'node:http'
+import { createFleet, digestOf } from './fleet.js'
+import type { Fleet, FleetProcess } from './fleet.js'
+
+const HOST = '127.0.0.1'
+/** Password of the system at the stand-in servers. */
+const SYSTEM_PASSWORD = 'system-password'
+/** Time that a deployment has to become ready, in milliseconds. */
+const READY_MILLISECONDS = 20_000
+
+export interface AccountPlan {
+  name: string
+  key: string
+  rate: number
+  burst: number
+  weight?: number
+}
+
+export interface DeploymentPlan {
+  failureDomains: string[]
+  /** Entry instances, spread over the failure domains in turn. */
+  entries: number
+  /** Control instances, spread over the failure domains in turn. */
+  controls: number
+  /** Databases; each is a group of its own. */
+  databases: string[]
+  /** Members of each group, spread over the failure domains in turn. */
+  members: number
+  accounts: AccountPlan[]
+  connectionLimit: number
+  openMilliseconds: number
+  lagMilliseconds: number
+  /** Reads of keyed accounts may be this old; 0: the session's place. */
+  maximumAgeMilliseconds?: number
+  /** Databases whose reads are open to all, with the age that they may have, in milliseconds. */
+  open?: Record<string, number>
+  /** Further lines of an instance's settings, by table. */
+  settings?: Record<string, string[]>
+}
+
+export interface InstanceProcess {
+  name: string
+  failureDomain: string
+  role: 'entry' | 'control'
+  callers: number
+  calls: number
+  metrics: number
+  configFile: string
+  process: FleetProcess
+}
+
+export interface ServerProcess {
+  group: string
+  member: string
+  failureDomain: string
+  port: number
+  administration: number
+  parameters: string[]
+  process: FleetProcess
+}
+
+export interface Deployment {
+  fleet: Fleet
+  plan: DeploymentPlan
+  secretFile: string
+  controls: InstanceProcess[]
+  entries: InstanceProcess[]
+  servers: ServerProcess[]
+  /** Rule lines by identity ("table.name"); change them, then `applyRules`. */
+  rules: Map<string, string>
+  /** Submits the rules as the next number. */
+  applyRules: () => Promise<{ code: number, output: string }>
+  number: () => number
+  /** Runs the operators' command line with the deployment's addresses. */
+  operator: (parameters: string[]) => Promise<{ code: number, output: string }>
+  restartInstance: (instance: InstanceProcess) => void
+  restartServer: (server: ServerProcess) => void
+  administer: (server: ServerProcess, method: 'GET' | 'POST', path: string, body?: unknown) => Promise<unknown>
+  close: () => Promise<void>
+}
+
+export async function callHttp (port: number, method: string, path: string, body?: unknown): Promise<{ status: number, text: string }> {
+  return await new Promise((resolve, reject) => {
+    const sent = request({ host: HOST, port, method, path, timeout: 2_000 }, response => {
+      let text = ''
+      response.on('data', (chunk: Buffer) => { text += chunk.toString('utf8') })
+      response.on('end', () => { resolve({ status: response.statusCode ?? 0, text }) })
+    })
+    sent.on('error', reject)
+    sent.on('timeout', () => { sent.destroy(new Error('no answer in time')) })
+    sent.end(body === undefined ? undefined : JSON.stringify(body))
+  })
+}
+
+function buildRules (plan: DeploymentPlan): Map<string, string> {
+  const lines = new Map<string, string>()
+  const add = (table: string, name: string, fields: string): void => { lines.set(`${table}.${name}`, `${table}.${name} = { ${fields} } # asked for by the deployment`) }
+  for (const { name, key, rate, burst, weight } of plan.accounts) {
+    add('accounts', name, `rate = ${rate}, burst = ${burst}, weight = ${weight ?? 1}`)
+    add('keys', `${name}-key`, `account = "${name}", digest = "${digestOf(key)}"`)
+    for (const database of plan.databases) {
+      add('access', `${name}-${database}`, `account = "${name}", database = "${database}", write = true, maximum_age_milliseconds = ${plan.maximumAgeMilliseconds ?? 0}`)
+    }
+  }
+  for (const database of plan.databases) add('databases', database, `group = "${database}", members = ${plan.members}`)
+  for (const [database, age] of Object.entries(plan.open ?? {})) add('open', database, `database = "${database}", maximum_age_milliseconds = ${age}, rate = 1000, burst = 1000`)
+  return lines
+}
+
+export async function startDeployment (plan: DeploymentPlan): Promise<Deployment> {
+  const fleet = createFleet()
+  try {
+    return await startIn(fleet, plan)
+  } catch (error) {
+    await fleet.close()
+    throw error
+  }
+}
+
+async function startIn (fleet: Fleet, plan: DeploymentPlan): Promise<Deployment> {
+  const secretFile = fleet.write('secret', 'the shared secret of a deployment')
+  fleet.write('password', SYSTEM_PASSWORD)
+  const domainOf = (index: number): string => plan.failureDomains[index % plan.failureDomains.length]
+  const controlPorts = await Promise.all(Array.from({ length: plan.controls }, async () => await fleet.freePort()))
+  const controlAddresses = controlPorts.map(port => `${HOST}:${port}`)
+  let number = 0
+
+  async function prepareInstance (role: 'entry' | 'control', index: number): Promise<Omit<InstanceProcess, 'process'>> {
+    const name = `${role}-${index + 1}`
+    const callers = await fleet.freePort()
+    const calls = role === 'control' ? controlPorts[index] : await fleet.freePort()
+    const metrics = await fleet.freePort()
+    const tables: Record<string, string[]> = {
+      instance: [`name = "${name}"`, `failure_domain = "${domainOf(index)}"`, `roles = ["${role}"]`, ...(role === 'control' ? [`data_folder = "${name}-data"`] : [])],
+      callers: [`listen = "${HOST}:${callers}"`, 'clear_text_keys = true'],
+      calls: [`listen = "${HOST}:${calls}"`, 'secret_file = "secret"'],
+      control: [`addresses = [${controlAddresses.map(address => `"${address}"`).join(', ')}]`],
+      backend: ['password_file = "password"'],
+      metrics: [`listen = "${HOST}:${metrics}"`]
+    }
+    for (const [table, lines] of Object.entries(plan.settings ?? {})) tables[table] = [...tables[table] ?? [], ...lines]
+    const configFile = fleet.write(`${name}.toml`, Object.entries(tables).map(([table, lines]) => `[${table}]\n${lines.join('\n')}\n`).join('\n'))
+    return { name, failureDomain: domainOf(index), role, callers, calls, metrics, configFile }
+  }
+
+  function startInstance (prepared: Omit<InstanceProcess, 'process'>): InstanceProcess {
+    return { ...prepared, process: fleet.start(prepared.name, 'daemon', ['--config', prepared.configFile]) }
+  }
+
+  const controls = (await Promise.all(controlPorts.map(async (_port, index) => await prepareInstance('control', index)))).map(startInstance)
+  const entries = (await Promise.all(Array.from({ length: plan.entries }, async (_value, index) => await prepareInstance('entry', index)))).map(startInstance)
+  const entryAddresses = entries.map(({ calls }) => `${HOST}:${calls}`)
+
+  async function prepareServer (group: string, index: number): Promise<Omit<ServerProcess, 'process'>> {
+    const [port, administration] = [await fleet.freePort(), await fleet.freePort()]
+    const member = `${group}-${index + 1}`
+    const failureDomain = domainOf(index)
+    // Each server announces itself to an entry instance of its own failure domain first.
+    const own = entries.filter(entry => entry.failureDomain === failureDomain).map(({ calls }) => `${HOST}:${calls}`)
+    const announceTo = [...own, ...entryAddresses.filter(address => !own.includes(address))].join(',')
+    const parameters = [
+      'backend', '--group', group, '--member', member, '--failure-domain', failureDomain, '--port', String(port),
+      '--administration-port', String(administration), '--entries', announceTo, '--secret-file', secretFile, '--password', SYSTEM_PASSWORD,
+      '--data-folder', `${fleet.folder}/${member}-data`, '--connection-limit', String(plan.connectionLimit),
+      '--open-milliseconds', String(plan.openMilliseconds), '--lag-milliseconds', String(plan.lagMilliseconds)
+    ]
+    return { group, member, failureDomain, port, administration, parameters }
+  }
+
+  function startServer (prepared: Omit<ServerProcess, 'process'>): ServerProcess {
+    return { ...prepared, process: fleet.start(prepared.member, 'standIns', prepared.parameters) }
+  }
+
+  const places = plan.databases.flatMap(group => Array.from({ length: plan.members }, (_value, index) => ({ group, index })))
+  const servers = (await Promise.all(places.map(async ({ group, index }) => await prepareServer(group, index)))).map(startServer)
+  const rules = buildRules(plan)
+
+  async function operator (parameters: string[]): Promise<{ code: number, output: string }> {
+    return await fleet.run('operator', [...parameters, '--control', controlAddresses.join(','), '--secret-file', secretFile])
+  }
+
+  const deployment: Deployment = {
+    fleet,
+    plan,
+    secretFile,
+    controls,
+    entries,
+    servers,
+    rules,
+    number: () => number,
+    operator,
+    applyRules: async () => {
+      const file = fleet.write('rules.toml', `${[...rules.values()].join('\n')}\n`)
+      const result = await operator(['apply', file, '--number', String(number + 1), '--operator', 'deployment'])
+      if (result.code === 0) number += 1
+      return result
+    },
+    restartInstance: instance => { instance.process = fleet.start(instance.name, 'daemon', ['--config', instance.configFile]) },
+    restartServer: server => { server.process = fleet.start(server.member, 'standIns', server.parameters) },
+    administer: async (server, method, path, body) => JSON.parse((await callHttp(server.administration, method, path, body)).text),
+    close: fleet.close
+  }
+  await becomeReady(deployment)
+  return deployment
+}
+
+async function becomeReady (deployment: Deployment): Promise<void> {
+  const applied = await deployment.applyRules()
+  if (applied.code !== 0) throw new Error(`the rules were not accepted: ${applied.output}`)
+  const deadline = Date.now() + READY_MILLISECONDS
+  for (const entry of deployment.entries) {
+    await until(deadline, `${entry.name} is not ready: ${entry.process.output().slice(-500)}`, async () => (await callHttp(entry.metrics, 'GET', '/health')).status === 200)
+  }
+  for (const group of deployment.plan.databases) {
+    const members = deployment.servers.filter(server => server.group === group)
+    await until(deadline, `${group} has no primary`, async () => {
+      const states = await Promise.all(members.map(async server => await deployment.administer(server, 'GET', '/state') as { role: string, primaryMember: string }))
+      const primaries = states.filter(({ role }) => role === 'primary')
+      return primaries.length === 1 && states.every(({ primaryMember }) => primaryMember !== '')
+    })
+  }
+}
+
+/** Repeats `attempt` until it is true. @throws Error with `problem` at the deadline */
+export async function until (deadline: number, problem: string, attempt: () => Promise<boolean>): Promise<void> {
+  for (;;) {
+    if (await attempt().catch(() => false)) return
+    if (Date.now() > deadline) throw new Error(problem)
+    await new Promise(resolve => setTimeout(resolve, 50))
+  }
+}
--- a/playground/src/fleet.ts
+++ b/packages/stand-ins/src/node/fleet/fleet.ts
@@ -2,14 +2,21 @@
 
 import { spawn } from 'node:child_process'
 import { createHash } from 'node:crypto'
-import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { existsSync, mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
-import { join } from 'node:path'
+import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import type { ChildProcess } from 'node:child_process'
 
-const ROOT = fileURLToPath(new URL('../..', import.meta.url))
+/** The folder that holds the workspace, whether this runs from a bundle or from source. */
+function findRoot (): string {
+  let folder = dirname(fileURLToPath(import.meta.url))
+  while (!existsSync(join(folder, 'packages/cyclamenusherd/package.json'))) folder = dirname(folder)
+  return folder
+}
+
+const ROOT = findRoot()
 const PROGRAMS = {
   daemon: join(ROOT, 'packages/cyclamenusherd/dist/main.js'),
   operator: join(ROOT, 'packages/cyclamenusher/dist/main.js'),
@@ -50,17 +57,20 @@
   const processes = new Set<FleetProcess>()
   const ports = new Set<number>()
 
+  async function tryPort (): Promise<number> {
+    // Below the range from which the kernel takes the ports of outgoing connections.
+    const port = 12_000 + Math.floor(Math.random() * 20_000)
+    return await new Promise<number>(resolve => {
+      const server = createServer()
+      server.once('error', () => { resolve(0) })
+      server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(port) }) })
+    })
+  }
+
   async function freePort (): Promise<number> {
     for (;;) {
-      const port = await new Promise<number>((resolve, reject) => {
-        const server = createServer()
-        server.once('error', reject)
-        server.listen(0, '127.0.0.1', () => {
-          const address = server.address()
-          server.close(() => { resolve(typeof address === 'object' && address !== null ? address.port : 0) })
-        })
-      })
-      if (ports.has(port)) continue
+      const port = await tryPort()
+      if (port === 0 || ports.has(port)) continue
       ports.add(port)
       return port
     }
--- a/playground/src/demo.ts
+++ b/playground/src/demo.ts
@@ -1,8 +1,8 @@
 /** The demonstration: a small fleet, callers, and failures. */
 
 import pg from 'pg'
-import { createFleet, digestOf } from './fleet.js'
-import type { Fleet, FleetProcess } from './fleet.js'
+import { createFleet, digestOf } from '@cyclamenusher/stand-ins'
+import type { Fleet, FleetProcess } from '@cyclamenusher/stand-ins'
 
 interface EntryInstance { name: string, callers: number, calls: number, process: FleetProcess }
 
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -7,6 +7,7 @@
   ['packages/cyclamenusherd', ['main']],
   ['packages/cyclamenusher', ['main']],
   ['packages/stand-ins', ['main']],
+  ['packages/measure', ['main']],
   ['playground', ['demo']]
 ]
 
