--- /dev/null
+++ b/packages/measure/src/node/slopes/processUsage.ts
@@ -0,0 +1,43 @@
+/** What a process has used, read from the kernel's own accounts. */
+
+import { readFileSync } from 'node:fs'
+
+/** Kernel ticks a second in /proc/PID/stat. */
+const TICKS_A_SECOND = 100
+
+export interface ProcessUsage {
+  /** Processor time so far, in seconds. */
+  processorSeconds: number
+  /** Resident memory, in bytes. */
+  residentBytes: number
+}
+
+export function readUsage (processNumber: number): ProcessUsage {
+  const stat = readFileSync(`/proc/${processNumber}/stat`, 'utf8')
+  // The command's name may hold spaces; the fields behind its closing bracket don't.
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ')
+  const status = readFileSync(`/proc/${processNumber}/status`, 'utf8')
+  const resident = Number(/VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? 0)
+  return { processorSeconds: (Number(fields[11]) + Number(fields[12])) / TICKS_A_SECOND, residentBytes: resident * 1024 }
+}
+
+/** Share of one core that a process uses over `milliseconds`, and its memory at the end. */
+export async function observeUsage (processNumber: number, milliseconds: number): Promise<{ coreShare: number, residentBytes: number }> {
+  const before = readUsage(processNumber)
+  const startedAt = performance.now()
+  await new Promise(resolve => setTimeout(resolve, milliseconds))
+  const after = readUsage(processNumber)
+  const seconds = (performance.now() - startedAt) / 1000
+  return { coreShare: (after.processorSeconds - before.processorSeconds) / seconds, residentBytes: after.residentBytes }
+}
+
+/** Slope and intercept of the straight line closest to the points. */
+export function fitLine (points: ReadonlyArray<{ x: number, y: number }>): { slope: number, intercept: number } {
+  const count = points.length
+  const meanX = points.reduce((sum, { x }) => sum + x, 0) / count
+  const meanY = points.reduce((sum, { y }) => sum + y, 0) / count
+  const covariance = points.reduce((sum, { x, y }) => sum + (x - meanX) * (y - meanY), 0)
+  const variance = points.reduce((sum, { x }) => sum + (x - meanX) ** 2, 0)
+  const slope = variance === 0 ? 0 : covariance / variance
+  return { slope, intercept: meanY - slope * meanX }
+}
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -7,7 +7,7 @@
   ['packages/cyclamenusherd', ['main']],
   ['packages/cyclamenusher', ['main']],
   ['packages/stand-ins', ['main']],
-  ['packages/measure', ['main']],
+  ['packages/measure', ['main', 'slopes/main']],
   ['playground', ['demo']]
 ]
 
@@ -21,7 +21,7 @@
   const source = folder === 'playground' ? 'src' : 'src/node'
   rmSync(`${folder}/dist`, { recursive: true, force: true })
   await build({
-    entryPoints: names.map(name => `${folder}/${source}/${name}.ts`),
+    entryPoints: names.map(name => ({ in: `${folder}/${source}/${name}.ts`, out: name })),
     outdir: `${folder}/dist`,
     bundle: true,
     platform: 'node',
