Links and a balancer as stand-ins; failure domains can be cut

Cause: nothing stood between the processes of a deployment, so a partition could not be tried with real processes.

Each process of a deployment with links: true dials 127.0.0.1 through a module loaded before its program, which sends it to the address of its failure domain, where a link to each process listens. Ruled out: per-domain addresses in announcements (the protocol has none), and source addresses (loopback picks 127.0.0.1 for all).

--- /dev/null
+++ b/packages/stand-ins/src/node/balancer/balancer.ts
@@ -0,0 +1,98 @@
+/**
+ * A stand-in for the platform's balancer: spreads new TCP connections over the
+ * entry instances whose health page answers 200, in turn.
+ */
+
+import { request } from 'node:http'
+import { connect, createServer } from 'node:net'
+import type { Socket } from 'node:net'
+
+/** Time between two looks at a health page, in milliseconds. */
+const HEALTH_MILLISECONDS = 200
+/** Time that a health page has to answer, in milliseconds. */
+const ANSWER_MILLISECONDS = 500
+
+export interface BalancedInstance {
+  host: string
+  /** Port for callers. */
+  port: number
+  /** Port of the metrics and health pages. */
+  health: number
+}
+
+export interface BalancerOptions {
+  listen: { host: string, port: number }
+  instances: readonly BalancedInstance[]
+}
+
+export interface Balancer {
+  port: number
+  /** Instances that get new connections now. */
+  healthy: () => number
+  close: () => Promise<void>
+}
+
+async function isHealthy ({ host, health }: BalancedInstance): Promise<boolean> {
+  return await new Promise<boolean>(resolve => {
+    const sent = request({ host, port: health, path: '/health', timeout: ANSWER_MILLISECONDS }, response => {
+      response.resume()
+      resolve(response.statusCode === 200)
+    })
+    sent.on('error', () => { resolve(false) })
+    sent.on('timeout', () => { sent.destroy() })
+    sent.end()
+  })
+}
+
+/** Starts a balancer; it takes connections once each health page was looked at. */
+export async function createBalancer ({ listen, instances }: BalancerOptions): Promise<Balancer> {
+  let healthy: BalancedInstance[] = []
+  let turn = 0
+  const sockets = new Set<Socket>()
+
+  async function look (): Promise<void> {
+    const answers = await Promise.all(instances.map(isHealthy))
+    healthy = instances.filter((_instance, index) => answers[index])
+  }
+
+  function track (socket: Socket, other: Socket): void {
+    sockets.add(socket)
+    socket.setNoDelay(true)
+    socket.on('error', () => {})
+    socket.on('close', () => {
+      sockets.delete(socket)
+      other.destroySoon()
+    })
+  }
+
+  const server = createServer(caller => {
+    if (healthy.length === 0) {
+      caller.destroy()
+      return
+    }
+    turn += 1
+    const { host, port } = healthy[turn % healthy.length]
+    const instance = connect({ host, port })
+    track(caller, instance)
+    track(instance, caller)
+    caller.pipe(instance)
+    instance.pipe(caller)
+  })
+  await look()
+  const timer = setInterval(() => { void look() }, HEALTH_MILLISECONDS)
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(listen.port, listen.host, resolve)
+  })
+  const address = server.address()
+  return {
+    port: typeof address === 'object' && address !== null ? address.port : listen.port,
+    healthy: () => healthy.length,
+    close: async () => {
+      clearInterval(timer)
+      const closed = new Promise<void>(resolve => server.close(() => { resolve() }))
+      for (const socket of sockets) socket.destroy()
+      await closed
+    }
+  }
+}
--- a/packages/stand-ins/src/node/fleet/deployment.ts
+++ b/packages/stand-ins/src/node/fleet/deployment.ts
@@ -5,7 +5,9 @@
 
 import { request } from 'node:http'
 import { createFleet, digestOf } from './fleet.js'
-import type { Fleet, FleetProcess } from './fleet.js'
+import { createNetwork } from './network.js'
+import type { Fleet, FleetProcess, ProgramFiles } from './fleet.js'
+import type { Network } from './network.js'
 
 const HOST = '127.0.0.1'
 /** Password of the system at the stand-in servers. */
@@ -41,6 +43,10 @@
   open?: Record<string, number>
   /** Further lines of an instance's settings, by table. */
   settings?: Record<string, string[]>
+  /** Every path between processes goes through links, so that failure domains can be cut. @default false */
+  links?: boolean
+  /** Programs that run in place of the built ones. */
+  programs?: ProgramFiles
 }
 
 export interface InstanceProcess {
@@ -67,6 +73,8 @@
 export interface Deployment {
   fleet: Fleet
   plan: DeploymentPlan
+  /** The links between processes; undefined without `links`. */
+  network: Network | undefined
   secretFile: string
   controls: InstanceProcess[]
   entries: InstanceProcess[]
@@ -113,28 +121,32 @@
 }
 
 export async function startDeployment (plan: DeploymentPlan): Promise<Deployment> {
-  const fleet = createFleet()
+  const fleet = createFleet(plan.programs)
+  const network = plan.links === true ? createNetwork(plan.failureDomains) : undefined
   try {
-    return await startIn(fleet, plan)
+    return await startIn(fleet, plan, network)
   } catch (error) {
     await fleet.close()
+    await network?.close()
     throw error
   }
 }
 
-async function startIn (fleet: Fleet, plan: DeploymentPlan): Promise<Deployment> {
+async function startIn (fleet: Fleet, plan: DeploymentPlan, network: Network | undefined): Promise<Deployment> {
   const secretFile = fleet.write('secret', 'the shared secret of a deployment')
   fleet.write('password', SYSTEM_PASSWORD)
   const domainOf = (index: number): string => plan.failureDomains[index % plan.failureDomains.length]
   const controlPorts = await Promise.all(Array.from({ length: plan.controls }, async () => await fleet.freePort()))
   const controlAddresses = controlPorts.map(port => `${HOST}:${port}`)
   let number = 0
+  const startOptions = (failureDomain: string): { linkHost?: string } => ({ linkHost: network?.hostOf(failureDomain) })
 
   async function prepareInstance (role: 'entry' | 'control', index: number): Promise<Omit<InstanceProcess, 'process'>> {
     const name = `${role}-${index + 1}`
     const callers = await fleet.freePort()
     const calls = role === 'control' ? controlPorts[index] : await fleet.freePort()
     const metrics = await fleet.freePort()
+    await network?.connectProcess(domainOf(index), calls)
     const tables: Record<string, string[]> = {
       instance: [`name = "${name}"`, `failure_domain = "${domainOf(index)}"`, `roles = ["${role}"]`, ...(role === 'control' ? [`data_folder = "${name}-data"`] : [])],
       callers: [`listen = "${HOST}:${callers}"`, 'clear_text_keys = true'],
@@ -149,7 +161,7 @@
   }
 
   function startInstance (prepared: Omit<InstanceProcess, 'process'>): InstanceProcess {
-    return { ...prepared, process: fleet.start(prepared.name, 'daemon', ['--config', prepared.configFile]) }
+    return { ...prepared, process: fleet.start(prepared.name, 'daemon', ['--config', prepared.configFile], startOptions(prepared.failureDomain)) }
   }
 
   const controls = (await Promise.all(controlPorts.map(async (_port, index) => await prepareInstance('control', index)))).map(startInstance)
@@ -160,6 +172,7 @@
     const [port, administration] = [await fleet.freePort(), await fleet.freePort()]
     const member = `${group}-${index + 1}`
     const failureDomain = domainOf(index)
+    await network?.connectProcess(failureDomain, port)
     // Each server announces itself to an entry instance of its own failure domain first.
     const own = entries.filter(entry => entry.failureDomain === failureDomain).map(({ calls }) => `${HOST}:${calls}`)
     const announceTo = [...own, ...entryAddresses.filter(address => !own.includes(address))].join(',')
@@ -173,7 +186,7 @@
   }
 
   function startServer (prepared: Omit<ServerProcess, 'process'>): ServerProcess {
-    return { ...prepared, process: fleet.start(prepared.member, 'standIns', prepared.parameters) }
+    return { ...prepared, process: fleet.start(prepared.member, 'standIns', prepared.parameters, startOptions(prepared.failureDomain)) }
   }
 
   const places = plan.databases.flatMap(group => Array.from({ length: plan.members }, (_value, index) => ({ group, index })))
@@ -187,6 +200,7 @@
   const deployment: Deployment = {
     fleet,
     plan,
+    network,
     secretFile,
     controls,
     entries,
@@ -200,10 +214,13 @@
       if (result.code === 0) number += 1
       return result
     },
-    restartInstance: instance => { instance.process = fleet.start(instance.name, 'daemon', ['--config', instance.configFile]) },
-    restartServer: server => { server.process = fleet.start(server.member, 'standIns', server.parameters) },
+    restartInstance: instance => { instance.process = fleet.start(instance.name, 'daemon', ['--config', instance.configFile], startOptions(instance.failureDomain)) },
+    restartServer: server => { server.process = fleet.start(server.member, 'standIns', server.parameters, startOptions(server.failureDomain)) },
     administer: async (server, method, path, body) => JSON.parse((await callHttp(server.administration, method, path, body)).text),
-    close: fleet.close
+    close: async () => {
+      await fleet.close()
+      await network?.close()
+    }
   }
   await becomeReady(deployment)
   return deployment
--- a/packages/stand-ins/src/node/fleet/fleet.ts
+++ b/packages/stand-ins/src/node/fleet/fleet.ts
@@ -6,7 +6,7 @@
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
-import { fileURLToPath } from 'node:url'
+import { fileURLToPath, pathToFileURL } from 'node:url'
 import type { ChildProcess } from 'node:child_process'
 
 /** The folder that holds the workspace, whether this runs from a bundle or from source. */
@@ -25,6 +25,17 @@
 
 export type Program = keyof typeof PROGRAMS
 
+/** Where the module lies that sends a process's connections through links. */
+const DIAL_THROUGH_LINKS = join(ROOT, 'packages/stand-ins/dist/dialThroughLinks.js')
+
+export interface StartOptions {
+  /** Where the process reaches the others through links. @default undefined - directly */
+  linkHost?: string
+}
+
+/** Programs that run in place of the built ones, as mutated bundles do. */
+export type ProgramFiles = Partial<Record<Program, string>>
+
 export interface FleetProcess {
   name: string
   child: ChildProcess
@@ -37,7 +48,7 @@
   /** A port that nobody listens on. */
   freePort: () => Promise<number>
   write: (file: string, text: string) => string
-  start: (name: string, program: Program, parameters: string[]) => FleetProcess
+  start: (name: string, program: Program, parameters: string[], options?: StartOptions) => FleetProcess
   /** Runs a program to its end. */
   run: (program: Program, parameters: string[]) => Promise<{ code: number, output: string }>
   /** Ends one process by signal, and waits until it is gone. */
@@ -52,7 +63,7 @@
   return `sha256:${createHash('sha256').update(key).digest('hex')}`
 }
 
-export function createFleet (): Fleet {
+export function createFleet (programs: ProgramFiles = {}): Fleet {
   const folder = mkdtempSync(join(tmpdir(), 'cyclamenusher-'))
   const processes = new Set<FleetProcess>()
   const ports = new Set<number>()
@@ -76,8 +87,9 @@
     }
   }
 
-  function start (name: string, program: Program, parameters: string[]): FleetProcess {
-    const child = spawn(process.execPath, [PROGRAMS[program], ...parameters], { stdio: ['ignore', 'pipe', 'pipe'] })
+  function start (name: string, program: Program, parameters: string[], { linkHost }: StartOptions = {}): FleetProcess {
+    const preload = linkHost === undefined ? [] : ['--import', `${pathToFileURL(DIAL_THROUGH_LINKS).href}?host=${linkHost}`]
+    const child = spawn(process.execPath, [...preload, programs[program] ?? PROGRAMS[program], ...parameters], { stdio: ['ignore', 'pipe', 'pipe'] })
     let text = ''
     const keep = (chunk: Buffer): void => { text = (text + chunk.toString('utf8')).slice(-200_000) }
     child.stdout?.on('data', keep)
--- /dev/null
+++ b/packages/stand-ins/src/node/link/__tests__/link.test.ts
@@ -0,0 +1,88 @@
+import { connect, createServer } from 'node:net'
+import { once } from 'node:events'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createLink } from '../link.js'
+import type { Socket } from 'node:net'
+import type { Link } from '../link.js'
+
+const HOST = '127.0.0.1'
+
+async function withEcho (run: (link: Link, dial: () => Promise<Socket>) => Promise<void>): Promise<void> {
+  const echo = createServer(socket => {
+    socket.on('error', () => {})
+    socket.pipe(socket)
+  })
+  await new Promise<void>(resolve => { echo.listen(0, HOST, resolve) })
+  const { port } = echo.address() as { port: number }
+  const link = await createLink({ listen: { host: HOST, port: 0 }, target: { host: HOST, port } })
+  const dialled: Socket[] = []
+  try {
+    await run(link, async () => {
+      const socket = connect(link.port, HOST)
+      dialled.push(socket)
+      await once(socket, 'connect')
+      return socket
+    })
+  } finally {
+    for (const socket of dialled) socket.destroy()
+    await link.close()
+    echo.close()
+  }
+}
+
+async function exchange (socket: Socket, text: string): Promise<string> {
+  const answer = once(socket, 'data')
+  socket.write(text)
+  const [chunk] = await answer
+  return String(chunk)
+}
+
+test('a link passes bytes both ways', async () => {
+  await withEcho(async (_link, dial) => {
+    assert.is(await exchange(await dial(), 'hello'), 'hello')
+  })
+})
+
+test('held bytes arrive once the link passes', async () => {
+  await withEcho(async (link, dial) => {
+    const socket = await dial()
+    await exchange(socket, 'before')
+    link.setState('held', ['back'])
+    let heard = ''
+    socket.on('data', chunk => { heard += String(chunk) })
+    const other = await dial()
+    socket.write('late')
+    link.setState('passing')
+    assert.is(await exchange(other, 'other'), 'other')
+    while (heard === '') await once(socket, 'data')
+    assert.is(heard, 'late')
+  })
+})
+
+test('a lost connection stays silent while new ones work', async () => {
+  await withEcho(async (link, dial) => {
+    const lost = await dial()
+    await exchange(lost, 'before')
+    link.loseOpen()
+    let heard = ''
+    lost.on('data', chunk => { heard += String(chunk) })
+    lost.write('gone')
+    link.setState('passing')
+    const fresh = await dial()
+    for (let round = 0; round < 5; round += 1) assert.is(await exchange(fresh, 'new'), 'new')
+    assert.is(heard, '')
+    assert.not.ok(lost.destroyed)
+  })
+})
+
+test('a refusing link closes new connections', async () => {
+  await withEcho(async (link, dial) => {
+    link.refuse(true)
+    const socket = await dial()
+    await once(socket.resume(), 'close')
+    assert.ok(socket.destroyed)
+  })
+})
+
+test.run()
--- /dev/null
+++ b/packages/stand-ins/src/node/link/dialThroughLinks.ts
@@ -0,0 +1,32 @@
+/**
+ * Loaded into a process before its own program (`node --import`): connections
+ * to 127.0.0.1 go to the same port at the host that this module's address
+ * names (`?host=127.1.1.1`), where the links of the process's failure domain listen.
+ */
+
+import { Socket } from 'node:net'
+
+const host = new URL(import.meta.url).searchParams.get('host') ?? ''
+
+interface ConnectOptions { host?: string, port?: number }
+
+type Connect = (this: Socket, ...parameters: unknown[]) => Socket
+
+function rewrite (options: ConnectOptions): ConnectOptions {
+  return options.port !== undefined && (options.host === '127.0.0.1' || options.host === 'localhost') ? { ...options, host } : options
+}
+
+const prototype = Socket.prototype as unknown as { connect: Connect }
+const { connect } = prototype
+
+prototype.connect = function (...parameters) {
+  const [first, second, ...others] = parameters
+  if (Array.isArray(first)) {
+    // The normalised form, which Node's own modules pass on; it carries a mark that a copy would lose.
+    first[0] = rewrite(first[0] as ConnectOptions)
+    return connect.call(this, ...parameters)
+  }
+  if (typeof first === 'object' && first !== null) return connect.call(this, rewrite(first), second, ...others)
+  if (typeof second === 'string') return connect.call(this, rewrite({ port: Number(first), host: second }), ...others)
+  return connect.call(this, ...parameters)
+}
--- a/packages/stand-ins/src/node/main.ts
+++ b/packages/stand-ins/src/node/main.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:net'
 import { readFileSync } from 'node:fs'
 import { cac } from 'cac'
+import { createBalancer } from './balancer/balancer.js'
 import { createAnnouncer } from './announcer/announcer.js'
 import { listenForAdministration } from './backend/administration.js'
 import { createConnectionRegistry, serveConnection } from './backend/connection.js'
@@ -44,7 +45,26 @@
   process.once('SIGTERM', () => { process.exit(0) })
 }
 
+interface BalancerFlags {
+  listen: string
+  instances: string
+}
+
+async function runBalancer ({ listen, instances }: BalancerFlags): Promise<void> {
+  const parsed = String(instances).split(',').map(instance => {
+    const [host, port, health] = instance.split(':')
+    return { host, port: Number(port), health: Number(health) }
+  })
+  const balancer = await createBalancer({ listen: parseAddresses(listen)[0], instances: parsed })
+  console.log(JSON.stringify({ ready: true, port: balancer.port }))
+  process.once('SIGTERM', () => { process.exit(0) })
+}
+
 const program = cac('stand-ins')
+program.command('balancer', 'the balancer in front of entry instances')
+  .option('--listen <address>', 'address for callers, HOST:PORT')
+  .option('--instances <addresses>', 'entry instances, HOST:PORT:HEALTHPORT with commas between')
+  .action(runBalancer)
 program.command('backend', 'one member of a replicated group of backend servers')
   .option('--group <name>', 'group')
   .option('--member <name>', 'member')
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -6,7 +6,7 @@
 const programs = [
   ['packages/cyclamenusherd', ['main']],
   ['packages/cyclamenusher', ['main']],
-  ['packages/stand-ins', ['main']],
+  ['packages/stand-ins', ['main', 'link/dialThroughLinks']],
   ['packages/measure', ['main']],
   ['playground', ['demo']]
 ]
@@ -23,6 +23,7 @@
   await build({
     entryPoints: names.map(name => `${folder}/${source}/${name}.ts`),
     outdir: `${folder}/dist`,
+    entryNames: '[name]',
     bundle: true,
     platform: 'node',
     format: 'esm',
