--- /dev/null
+++ b/packages/prove/src/node/checkers/accounts.ts
@@ -0,0 +1,79 @@
+/** Checks of keys and of rates. */
+
+import type { Operation, Violation } from '../history.js'
+
+/** The account that a key stands for, and when its withdrawal was accepted. */
+export interface KeyRecord {
+  account: string
+  withdrawnAt?: number
+}
+
+/** Nothing runs for an account whose own key did not come with it, nor on a database beyond its reach. */
+export function checkIsolation (operations: readonly Operation[], keys: ReadonlyMap<string, KeyRecord>, reach: ReadonlyMap<string, ReadonlySet<string>>): Violation[] {
+  return operations
+    .filter(({ outcome }) => outcome === 'done' || outcome === 'unknown')
+    .filter(({ account, key, database }) => keys.get(key)?.account !== account || reach.get(account)?.has(database) !== true)
+    .map(operation => ({ problem: `work ran for ${operation.account} on ${operation.database} that its key does not allow`, operations: [operation] }))
+}
+
+/** After `milliseconds`, nothing runs for a withdrawn key. */
+export function checkWithdrawn (operations: readonly Operation[], keys: ReadonlyMap<string, KeyRecord>, milliseconds: number): Violation[] {
+  return operations.flatMap(operation => {
+    const withdrawnAt = keys.get(operation.key)?.withdrawnAt
+    if (withdrawnAt === undefined || operation.outcome !== 'done' || operation.invokedAt < withdrawnAt + milliseconds) return []
+    return [{ problem: `a key worked ${Math.round(operation.invokedAt - withdrawnAt)} ms after its withdrawal was accepted`, operations: [operation] }]
+  })
+}
+
+export interface RateLimit {
+  rate: number
+  burst: number
+}
+
+/**
+ * In no stretch of time did more run for an account than its rate and burst
+ * allow. Only work that surely lies within the stretch counts: invoked and
+ * answered inside it.
+ */
+export function checkRate (operations: readonly Operation[], limits: ReadonlyMap<string, RateLimit>): Violation[] {
+  return [...limits].flatMap(([account, limit]) => {
+    const ran = operations.filter(operation => operation.account === account && operation.outcome === 'done' && operation.kind !== 'connect')
+    const worst = findWorstStretch(ran, limit.rate)
+    if (worst.excess <= limit.burst) return []
+    return [{
+      problem: `${account} ran ${worst.count} requests in ${Math.round(worst.until - worst.from)} ms, ${Math.round(worst.excess - limit.burst)} more than ${limit.rate} a second and ${limit.burst} at once`,
+      operations: worst.operations.slice(0, 5)
+    }]
+  })
+}
+
+interface Stretch {
+  from: number
+  until: number
+  count: number
+  /** Requests beyond what the rate alone allows. */
+  excess: number
+  operations: Operation[]
+}
+
+/** The stretch in which most requests ran beyond what the rate alone allows. */
+export function findWorstStretch (ran: readonly Operation[], rate: number): Stretch {
+  const byAnswer = [...ran].sort((left, right) => left.answeredAt - right.answeredAt)
+  let worst: Stretch = { from: 0, until: 0, count: 0, excess: 0, operations: [] }
+  for (const { invokedAt: from } of ran) {
+    let count = 0
+    for (const { invokedAt, answeredAt: until } of byAnswer) {
+      if (invokedAt < from) continue
+      count += 1
+      const excess = count - rate * (until - from) / 1000
+      if (excess > worst.excess) worst = { from, until, count, excess, operations: [] }
+    }
+  }
+  worst.operations = byAnswer.filter(({ invokedAt, answeredAt }) => invokedAt >= worst.from && answeredAt <= worst.until)
+  return worst
+}
+
+/** No server received any of the texts, each given with where it was found. */
+export function checkKeysHidden (found: ReadonlyArray<{ member: string, text: string }>): Violation[] {
+  return found.map(({ member, text }) => ({ problem: `${member} received ${text}`, operations: [] }))
+}
