--- a/scripts/build.js
+++ b/scripts/build.js
@@ -6,7 +6,7 @@
 const programs = [
   ['packages/cyclamenusherd', ['main']],
   ['packages/cyclamenusher', ['main']],
-  ['packages/stand-ins', ['main']],
+  ['packages/stand-ins', ['main', 'link/dialThroughLinks']],
   ['packages/measure', ['main', 'slopes/main']],
   ['playground', ['demo']]
 ]
