--- a/packages/cyclamenusherd/src/node/connection/backendConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/backendConnection.ts
@@ -3,17 +3,22 @@
  * from then on this module owns the socket and deals in whole frames.
  */
 
+import { NO_SETTINGS } from '@cyclamenusher/decisions'
 import pg from 'pg'
 import { buildCancelRequest, buildFrame, createFrameSplitter, FRONTEND } from '@cyclamenusher/protocol'
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import type { Frame } from '@cyclamenusher/protocol'
+import type { SettingValues } from '@cyclamenusher/decisions'
 
 /** Largest frame of a backend server, in bytes. */
 const MAXIMUM_FRAME_BYTES = 1024 * 1024 * 1024
 /** Time that opening may take, in milliseconds. */
 const CONNECT_MILLISECONDS = 2_000
 
+/** Time that ending in good order may take, in milliseconds. */
+const CLOSE_MILLISECONDS = 1_000
+
 export interface FrameReceiver {
   onFrame: (frame: Frame) => void
   /** All frames of one chunk have been handed over. */
@@ -26,15 +31,27 @@
   /** Statements prepared here, by name. */
   readonly prepared: Set<string>
   /** Settings in force here that are not the defaults, by name. */
-  settings: ReadonlyMap<string, string>
-  send: (bytes: Buffer) => void
+  settings: SettingValues
+  /** A statement ran that may have left marks on the server's session. */
+  marked: boolean
+  /** When it was last lent or checked, in milliseconds of the process's clock. */
+  usedAt: number
+  /** Writes the pieces in one go. False: the server takes no more now; `onDrain` tells when it does. */
+  send: (pieces: readonly Buffer[]) => boolean
+  onDrain: (listener: () => void) => void
   /** Who gets the frames; undefined: nobody, and any frame closes the connection. */
   receive: (receiver: FrameReceiver | undefined) => void
   pauseReading: () => void
   resumeReading: () => void
+  /** Asks the server to stop what runs here. It may come late, so the connection is not lent again. */
   cancel: () => void
+  /** Whether it may be lent to another request. */
+  isReusable: () => boolean
   isOpen: () => boolean
+  /** Ends it in good order. */
   close: () => void
+  /** Drops it at once, also when the other end is silent. */
+  destroy: () => void
 }
 
 export interface BackendTarget {
@@ -63,6 +80,7 @@
   socket.setNoDelay(true)
   let receiver: FrameReceiver | undefined
   let open = true
+  let cancelled = false
 
   const splitter = createFrameSplitter(MAXIMUM_FRAME_BYTES, frame => {
     // A frame that nobody waits for means that the state is not what it seemed.
@@ -93,20 +111,36 @@
   return {
     member,
     prepared: new Set(),
-    settings: new Map(),
-    send: bytes => { socket.write(bytes) },
+    settings: NO_SETTINGS,
+    marked: false,
+    usedAt: 0,
+    send: pieces => {
+      if (pieces.length === 1) return socket.write(pieces[0])
+      let flowing = true
+      socket.cork()
+      for (const piece of pieces) flowing = socket.write(piece)
+      socket.uncork()
+      return flowing
+    },
+    onDrain: listener => { socket.once('drain', listener) },
     receive: next => { receiver = next },
     pauseReading: () => { socket.pause() },
     resumeReading: () => { socket.resume() },
     cancel: () => {
+      cancelled = true
       const request = connect({ host, port }, () => { request.end(buildCancelRequest(processID, secretKey)) })
       request.on('error', () => {})
+      request.setTimeout(CONNECT_MILLISECONDS, () => { request.destroy() })
     },
+    isReusable: () => open && !cancelled,
     isOpen: () => open,
     close: () => {
       if (!open) return
       socket.write(buildFrame(FRONTEND.terminate))
       socket.destroySoon()
-    }
+      // A silent other end acknowledges nothing: the socket must not outlive this.
+      setTimeout(() => { socket.destroy() }, CLOSE_MILLISECONDS).unref()
+    },
+    destroy: () => { socket.destroy() }
   }
 }
--- a/packages/cyclamenusherd/src/node/connection/callerConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerConnection.ts
@@ -1,20 +1,20 @@
 /**
- * One caller's connection: its session, its place in the groups' logs, and its
- * requests one after another. It owns the caller's socket.
+ * One caller's connection: it owns the caller's socket, cuts what arrives into
+ * batches, and has them run one after another.
  */
 
-import { EMPTY_TOKEN, SessionTokenError, advanceToken, decodeToken, encodeToken } from '@cyclamenusher/decisions'
-import { BACKEND, FRONTEND, buildBackendKeyData, buildCommandComplete, buildFrame, buildParameterStatus, buildReadyForQuery, createFrameSplitter } from '@cyclamenusher/protocol'
-import { needOf, readExtendedBatch, readSimpleQuery } from '../request/batch.js'
+import { BACKEND, FRONTEND, buildBackendKeyData, buildFrame, buildParameterStatus, buildReadyForQuery, createFrameSplitter } from '@cyclamenusher/protocol'
+import { readExtendedBatch, readSimpleQuery } from '../request/batch.js'
 import { RefusalError, refusalResponse } from '../request/refusal.js'
-import { ConnectionLostError, createStatementRequest, unknownOutcome } from '../request/statementRequest.js'
+import { createRequestRunner } from '../request/requestRunner.js'
+import { createCallerSession } from './callerSession.js'
 import type { Socket } from 'node:net'
-import type { LogPosition, SessionToken, StatementClass } from '@cyclamenusher/decisions'
-import type { Frame, TransactionState } from '@cyclamenusher/protocol'
-import type { Batch, BatchNeed, PreparedStatements } from '../request/batch.js'
-import type { StatementRequest } from '../request/statementRequest.js'
+import type { LogPosition } from '@cyclamenusher/decisions'
+import type { Frame } from '@cyclamenusher/protocol'
+import type { Batch, BatchNeed } from '../request/batch.js'
 import type { Identity } from '../version/rulesStore.js'
 import type { BackendConnection } from './backendConnection.js'
+import type { CallerSession } from './callerSession.js'
 
 /** A backend connection lent to a request, with what giving it back takes. */
 export interface Lease {
@@ -70,204 +70,199 @@
   isBusy: () => boolean
 }
 
-/** Setting with which a caller gives its token back. */
-const SESSION_SETTING = 'cyclamenusher.session'
 /** Frames that may wait while a request runs. */
 const MAXIMUM_QUEUED_FRAMES = 10_000
+/** Bytes that may wait while a request runs. */
+const MAXIMUM_QUEUED_BYTES = 256 * 1024
+/** Messages of a batch that are sent on before its Sync has come. */
+const MAXIMUM_COLLECTED_FRAMES = 5_000
+const MAXIMUM_COLLECTED_BYTES = 1024 * 1024
 
-function startupToken (parameters: Record<string, string>, secret: string): SessionToken {
-  const fromOptions = /(?:^|\s)(?:-c\s*|--)cyclamenusher\.session=(\S+)/.exec(parameters.options ?? '')
-  return decodeToken(parameters[SESSION_SETTING] ?? fromOptions?.[1] ?? '', secret)
-}
+const EXTENDED: ReadonlySet<number> = new Set([
+  FRONTEND.parse, FRONTEND.bind, FRONTEND.describe, FRONTEND.execute, FRONTEND.close, FRONTEND.sync, FRONTEND.flush
+])
 
-export function createCallerConnection (options: CallerConnectionOptions): CallerConnection {
-  const { socket, identity, database, group, services } = options
-  let token: SessionToken = EMPTY_TOKEN
-  let pinned: Lease | undefined
-  let transaction: TransactionState = 'idle'
-  let current: { request: StatementRequest, lease: Lease } | undefined
-  let running = false
-  let draining = false
-  let closed = false
-  const frames: Frame[] = []
-  let collected: Frame[] = []
-  const prepared: PreparedStatements = new Map()
-  const portals = new Map<string, string>()
+/** What a caller is told of the server before its first request. */
+const GREETING = Buffer.concat([
+  buildFrame(BACKEND.authentication, Uint8Array.of(0, 0, 0, 0)),
+  buildParameterStatus('server_version', '15.0'),
+  buildParameterStatus('server_encoding', 'UTF8'),
+  buildParameterStatus('client_encoding', 'UTF8'),
+  buildParameterStatus('DateStyle', 'ISO, MDY'),
+  buildParameterStatus('integer_datetimes', 'on'),
+  buildParameterStatus('standard_conforming_strings', 'on')
+])
+
+/** Frames that wait to be made into batches, and how much of them may. */
+interface FrameQueue {
+  add: (frame: Frame) => void
+  take: () => Frame | undefined
+  isFull: () => boolean
+}
 
-  function write (...buffers: Buffer[]): void {
-    if (!socket.destroyed) socket.write(buffers.length === 1 ? buffers[0] : Buffer.concat(buffers))
+function createFrameQueue (): FrameQueue {
+  let frames: Frame[] = []
+  let first = 0
+  let bytes = 0
+  return {
+    add: frame => {
+      frames.push(frame)
+      bytes += frame.bytes.length
+    },
+    take: () => {
+      const frame = frames[first]
+      if (frame === undefined) return undefined
+      first += 1
+      bytes -= frame.bytes.length
+      if (first === frames.length) {
+        frames = []
+        first = 0
+      }
+      return frame
+    },
+    isFull: () => frames.length - first > MAXIMUM_QUEUED_FRAMES || bytes > MAXIMUM_QUEUED_BYTES
   }
+}
 
-  function end (error: RefusalError): void {
-    if (closed) return
-    write(refusalResponse(error, 'FATAL'))
-    close()
+export function createCallerConnection (options: CallerConnectionOptions): CallerConnection | undefined {
+  const { socket, identity, services } = options
+  let session: CallerSession
+  try {
+    session = createCallerSession(options.parameters, services.tokenSecret)
+  } catch (error) {
+    const refusal = error instanceof RefusalError ? error : new RefusalError('protocol broken', (error as Error).message)
+    socket.resume()
+    socket.end(refusalResponse(refusal, 'FATAL'))
+    return undefined
   }
+  return serveCaller(options, session, socket, identity, services)
+}
+
+function serveCaller (options: CallerConnectionOptions, session: CallerSession, socket: Socket, identity: Identity, services: CallerServices): CallerConnection {
+  const queue = createFrameQueue()
+  let collected: Frame[] = []
+  let collectedBytes = 0
+  /** After an error in a batch, what comes before its Sync is left out. */
+  let skipping = false
+  /** The batch that was read last ended, so that ReadyForQuery follows even an error. */
+  let ended = true
+  let running = false
+  let draining = false
+  let closed = false
+  const runner = createRequestRunner({
+    caller: socket,
+    session,
+    identity,
+    database: options.database,
+    group: options.group,
+    services,
+    onOpenFailed: error => {
+      skipping = true
+      collected = []
+      collectedBytes = 0
+      if (!closed) socket.write(refusalResponse(error))
+    }
+  })
 
   function close (): void {
     if (closed) return
     closed = true
-    // Whatever runs for a caller that is gone must not reach the next one.
-    current?.lease.backend.cancel()
-    if (current !== undefined && current.lease !== pinned) current.lease.release(false)
-    pinned?.release(false)
-    pinned = undefined
+    runner.stop()
     socket.destroySoon()
     options.onClosed()
   }
 
-  function greet (): void {
-    write(
-      buildFrame(BACKEND.authentication, Uint8Array.of(0, 0, 0, 0)),
-      buildParameterStatus('server_version', '15.0'),
-      buildParameterStatus('server_encoding', 'UTF8'),
-      buildParameterStatus('client_encoding', 'UTF8'),
-      buildParameterStatus('DateStyle', 'ISO, MDY'),
-      buildParameterStatus('integer_datetimes', 'on'),
-      buildParameterStatus('standard_conforming_strings', 'on'),
-      buildBackendKeyData(options.processNumber, options.secret),
-      buildReadyForQuery('idle')
-    )
+  function end (error: RefusalError): void {
+    if (closed) return
+    const known = runner.mayHaveCommitted() ? new RefusalError(error.kind, error.message, 'unknown', error.hint) : error
+    if (!socket.destroyed) socket.write(refusalResponse(known, 'FATAL'))
+    close()
+    // A caller that does not read must not keep the socket.
+    setTimeout(() => { socket.destroy() }, CLOSE_MILLISECONDS).unref()
   }
 
-  function applySetting ({ setting, value }: StatementClass): void {
-    if (setting === SESSION_SETTING) {
-      try {
-        token = decodeToken(value ?? '', services.tokenSecret)
-      } catch (error) {
-        if (error instanceof SessionTokenError) throw new RefusalError('token refused', error.message)
-        throw error
-      }
-      return
-    }
-    throw new RefusalError('not supported', `SET ${setting ?? ''} is not supported on a shared connection`, 'not run', 'Use SET LOCAL in a transaction.')
+  function endIfDrained (): void {
+    if (draining && session.transaction === 'idle' && !runner.isOpen()) end(new RefusalError('shutting down', 'this instance is shutting down: connect again'))
   }
 
-  function answerSetting (batch: Batch): void {
-    applySetting(batch.statements[0])
-    const replies: Buffer[] = batch.simple ? [buildCommandComplete('SET')] : batch.messages.flatMap(({ type }) => SETTING_REPLIES[type] ?? [])
-    write(...replies, buildReadyForQuery(transaction))
+  function takeBatch (): Batch {
+    const frames = collected
+    collected = []
+    collectedBytes = 0
+    ended = frames.at(-1)?.type === FRONTEND.sync
+    return readExtendedBatch(frames, session.prepared, session.portals)
   }
 
-  async function sessionPlace (need: BatchNeed): Promise<LogPosition | undefined> {
-    const known = token.get(group)
-    if (known !== undefined || need !== 'read') return known
-    // Without a token the session may have written anywhere: learn how far the group is.
-    const place = await services.confirmPlace(group)
-    token = advanceToken(token, group, place)
-    return place
+  function readSimple (frame: Frame): Batch {
+    if (collected.length > 0 || runner.isOpen()) throw new RefusalError('protocol broken', 'a simple query came before the Sync of the batch in front of it')
+    ended = true
+    return readSimpleQuery(frame)
   }
 
-  async function finish (request: StatementRequest, lease: Lease): Promise<string> {
-    const result = await request.done
-    transaction = result.transaction
-    if (result.transaction === 'idle') {
-      pinned = undefined
-      lease.release(true)
-    } else {
-      pinned = lease
-    }
-    if (result.committed === undefined) {
-      request.flush(undefined)
-      return result.errorCode === undefined ? 'done' : 'failed'
-    }
-    token = advanceToken(token, group, result.committed)
-    const outcome = await services.acknowledge(group, result.committed)
-    if (outcome === 'held') {
-      request.flush(encodeToken(token, services.tokenSecret))
-      return 'done'
-    }
-    const message = outcome === 'replaced'
-      ? 'the primary was replaced before a majority held the commit'
-      : 'no majority confirmed the commit in time'
-    request.replace(unknownOutcome(message), transaction)
-    return 'unknown'
-  }
-
-  async function run (batch: Batch): Promise<void> {
-    const startedAt = services.now()
-    const need = needOf(batch)
-    if (need === 'setting') return answerSetting(batch)
-    if (need === 'empty') return write(buildReadyForQuery(transaction))
-    services.admit(identity, database, need)
-    const place = pinned === undefined ? await sessionPlace(need) : undefined
-    const lease = pinned ?? await services.lease({ identity, database, group, need, token: place })
-    if (closed) return lease.release(lease !== pinned)
-    const request = createStatementRequest({ caller: socket, backend: lease.backend, prepared, mayCommit: need === 'write' })
-    current = { request, lease }
-    const deadline = setTimeout(() => {
-      // The server is told to stop; its connection is not lent again.
-      lease.backend.cancel()
-      lease.backend.close()
-    }, services.requestMilliseconds)
-    try {
-      request.send(batch)
-      const outcome = await finish(request, lease)
-      services.recordRequest(need, outcome, services.now() - startedAt)
-    } catch (error) {
-      pinned = undefined
-      lease.release(false)
-      throw translateLoss(error, need, request)
-    } finally {
-      clearTimeout(deadline)
-      current = undefined
+  /** The next batch that is whole, or that has grown so long that a part of it goes ahead. */
+  function nextBatch (): Batch | undefined {
+    for (let frame = queue.take(); frame !== undefined; frame = queue.take()) {
+      if (frame.type === FRONTEND.terminate) {
+        close()
+        return undefined
+      }
+      if (skipping) {
+        if (frame.type === FRONTEND.sync) endSkipping()
+        continue
+      }
+      if (frame.type === FRONTEND.query) return readSimple(frame)
+      if (frame.type === FRONTEND.functionCall) {
+        ended = true
+        throw new RefusalError('not supported', 'function calls by message are not supported', 'not run', 'Call the function in a SELECT.')
+      }
+      if (!EXTENDED.has(frame.type)) throw new RefusalError('protocol broken', `there is no message of type ${frame.type} here`)
+      collected.push(frame)
+      collectedBytes += frame.bytes.length
+      const whole = frame.type === FRONTEND.sync || frame.type === FRONTEND.flush
+      if (whole || collected.length >= MAXIMUM_COLLECTED_FRAMES || collectedBytes >= MAXIMUM_COLLECTED_BYTES) return takeBatch()
     }
+    return undefined
   }
 
-  function translateLoss (error: unknown, need: BatchNeed, request: StatementRequest): unknown {
-    if (!(error instanceof ConnectionLostError)) return error
-    const wasInTransaction = transaction !== 'idle'
-    transaction = 'idle'
-    if (need === 'read') return new RefusalError('server lost', 'the backend server was lost while it answered a read', 'stopped')
-    if (request.hasAnswered() || wasInTransaction || need === 'write') {
-      return new RefusalError('outcome unknown', 'the backend server was lost before it said whether the work was committed', 'unknown')
-    }
-    return new RefusalError('server lost', 'the backend server was lost', 'not run')
+  function endSkipping (): void {
+    skipping = false
+    socket.write(buildReadyForQuery(session.transaction))
   }
 
-  function refuse (error: unknown): void {
+  /** Tells the caller of a refusal, with what is left of its transaction. */
+  async function refuse (error: unknown): Promise<void> {
     const refusal = error instanceof RefusalError ? error : new RefusalError('server lost', (error as Error).message, 'unknown')
-    write(refusalResponse(refusal), buildReadyForQuery(transaction === 'idle' ? 'idle' : 'failed'))
+    collected = []
+    collectedBytes = 0
+    await runner.failTransaction()
+    if (closed) return
+    skipping = !ended
+    socket.write(refusalResponse(refusal))
+    if (!skipping) socket.write(buildReadyForQuery(session.transaction))
   }
 
-  function nextBatch (): Batch | undefined {
-    for (let frame = frames.shift(); frame !== undefined; frame = frames.shift()) {
-      if (frame.type === FRONTEND.terminate) {
-        close()
-        return undefined
-      }
-      if (frame.type === FRONTEND.query) return readSimpleQuery(frame)
-      if (!EXTENDED.has(frame.type)) throw new RefusalError('not supported', `message type ${frame.type} is not supported`)
-      collected.push(frame)
-      if (frame.type !== FRONTEND.sync) continue
-      const batch = readExtendedBatch(collected, prepared, portals)
-      collected = []
-      return batch
+  async function workOnce (): Promise<boolean> {
+    try {
+      const batch = nextBatch()
+      if (batch === undefined) return false
+      const flowing = await runner.run(batch)
+      if (!flowing) await new Promise<void>(resolve => { runner.onDrain(resolve) })
+    } catch (error) {
+      if (error instanceof RefusalError && error.kind === 'protocol broken') end(error)
+      else if (!closed) await refuse(error)
     }
-    return undefined
+    return true
   }
 
   async function work (): Promise<void> {
     if (running) return
     running = true
-    while (!closed) {
-      try {
-        const batch = nextBatch()
-        if (batch === undefined) break
-        await run(batch)
-      } catch (error) {
-        if (!closed) refuse(error)
-      }
-      if (draining && transaction === 'idle') end(new RefusalError('shutting down', 'this instance is shutting down: connect again'))
-    }
+    while (!closed && await workOnce()) endIfDrained()
     running = false
-    if (frames.length < MAXIMUM_QUEUED_FRAMES / 2) socket.resume()
+    if (!closed && socket.isPaused()) socket.resume()
   }
 
-  const splitter = createFrameSplitter(services.maximumMessageBytes, frame => {
-    frames.push(frame)
-    if (frames.length > MAXIMUM_QUEUED_FRAMES) socket.pause()
-  })
+  const splitter = createFrameSplitter(services.maximumMessageBytes, frame => { queue.add(frame) })
 
   function receive (chunk: Buffer): void {
     try {
@@ -276,42 +271,29 @@
       return end(new RefusalError('protocol broken', (error as Error).message))
     }
     void work()
+    // What a caller sends ahead of its answers waits in its own buffers.
+    if (running && queue.isFull()) socket.pause()
   }
 
-  try {
-    token = startupToken(options.parameters, services.tokenSecret)
-  } catch (error) {
-    end(new RefusalError('token refused', (error as Error).message))
-  }
-  socket.on('error', () => { close() })
+  socket.on('error', close)
   socket.on('close', close)
   socket.on('end', close)
-  if (!closed) {
-    greet()
-    if (options.rest.length > 0) receive(options.rest)
-    socket.on('data', receive)
-    socket.resume()
-  }
+  socket.write(Buffer.concat([GREETING, buildBackendKeyData(options.processNumber, options.secret), buildReadyForQuery('idle')]))
+  if (options.rest.length > 0) receive(options.rest)
+  socket.on('data', receive)
+  socket.resume()
 
   return {
     identity,
-    cancel: () => { current?.lease.backend.cancel() },
+    cancel: runner.cancel,
     end,
     drain: () => {
       draining = true
-      if (!running && transaction === 'idle') end(new RefusalError('shutting down', 'this instance is shutting down: connect again'))
+      if (!running) endIfDrained()
     },
-    isBusy: () => running || transaction !== 'idle'
+    isBusy: () => running || runner.isOpen() || session.transaction !== 'idle'
   }
 }
 
-const EXTENDED: ReadonlySet<number> = new Set([
-  FRONTEND.parse, FRONTEND.bind, FRONTEND.describe, FRONTEND.execute, FRONTEND.close, FRONTEND.sync, FRONTEND.flush
-])
-
-const SETTING_REPLIES: Record<number, Buffer> = {
-  [FRONTEND.parse]: buildFrame(BACKEND.parseComplete),
-  [FRONTEND.bind]: buildFrame(BACKEND.bindComplete),
-  [FRONTEND.describe]: buildFrame(BACKEND.noData),
-  [FRONTEND.execute]: buildCommandComplete('SET')
-}
+/** Time that a caller has to take the last answer, in milliseconds. */
+const CLOSE_MILLISECONDS = 2_000
--- a/packages/cyclamenusherd/src/node/connection/callerHandshake.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerHandshake.ts
@@ -46,7 +46,7 @@
 }
 
 export function createCallerContext (tls: CallerTls | undefined): SecureContext | undefined {
-  return tls === undefined ? undefined : createSecureContext({ cert: tls.certificate, key: tls.key })
+  return tls === undefined ? undefined : createSecureContext({ cert: tls.certificate, key: tls.key, minVersion: 'TLSv1.2' })
 }
 
 interface ByteSource {
--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -64,7 +64,10 @@
     plain.setNoDelay(true)
     plain.on('error', () => { plain.destroy() })
     if (callers.size + greeting.size >= maximumConnections) {
-      plain.end(refusalResponse(new RefusalError('too many connections', `this instance serves ${maximumConnections} callers already`, 'not run', 'Connect again: the balancer may choose another instance.'), 'FATAL'))
+      // Whoever floods is not waited for.
+      plain.resume()
+      plain.write(refusalResponse(new RefusalError('too many connections', `this instance serves ${maximumConnections} callers already`, 'not run', 'Connect again: the balancer may choose another instance.'), 'FATAL'))
+      plain.destroySoon()
       return
     }
     greeting.add(plain)
@@ -99,7 +102,7 @@
         metrics.callers.set(callers.size)
       }
     })
-    if (closed) return
+    if (closed || caller === undefined) return
     callers.set(processNumber, { caller, secret })
     metrics.callers.set(callers.size)
     logger.debug('A caller connected.', { account: accepted.identity.account, database: startup.database })
--- a/packages/cyclamenusherd/src/node/process/config.ts
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -50,8 +50,10 @@
     user: string
     monitorUser: string
     password: string
-    /** Connections of this instance to one backend server. @default 5 */
+    /** Connections of all entry instances together to one backend server. @default 25 */
     connectionsPerServer: number
+    /** Connections of this instance alone to one backend server. @default undefined - its even part */
+    connectionsOfInstance?: number
     /** Time that a request waits for a connection, in milliseconds. @default 2000 */
     waitMilliseconds: number
     /** Time that a commit waits for a majority, in milliseconds. @default 5000 */
@@ -119,7 +121,8 @@
     user: { kind: 'text', default: 'cyclamenusher', description: 'user of the system at backend servers' },
     monitor_user: { kind: 'text', default: 'cyclamenusher_monitor', description: 'user whose connections are reserved ones' },
     password_file: { kind: 'text', description: 'file with the password of both users' },
-    connections_per_server: { kind: 'number', minimum: 1, maximum: 1000, unit: 'connections', default: 5, description: 'connections of this instance to one backend server' },
+    connections_per_server: { kind: 'number', minimum: 1, maximum: 1000, unit: 'connections', default: 25, description: 'connections of all entry instances together to one backend server' },
+    connections_of_instance: { kind: 'number', minimum: 1, maximum: 1000, unit: 'connections', optional: true, description: 'connections of this instance to one backend server; its even part of connections_per_server without it' },
     wait_milliseconds: milliseconds('time that a request waits for a connection', 2_000, 10, 60_000),
     acknowledge_milliseconds: milliseconds('time that a commit waits for a majority', 5_000, 100, 60_000)
   },
@@ -272,6 +275,7 @@
       monitorUser: String(backend.monitor_user),
       password: files.secret('backend', 'password_file'),
       connectionsPerServer: Number(backend.connections_per_server),
+      connectionsOfInstance: backend.connections_of_instance === undefined ? undefined : Number(backend.connections_of_instance),
       waitMilliseconds: Number(backend.wait_milliseconds),
       acknowledgeMilliseconds: Number(backend.acknowledge_milliseconds)
     },
--- a/packages/cyclamenusherd/src/node/process/router.ts
+++ b/packages/cyclamenusherd/src/node/process/router.ts
@@ -1,8 +1,8 @@
 /** Finds the member and the connection for each request of this instance. */
 
-import { decideRoute } from '@cyclamenusher/decisions'
+import { connectionShare, decideRoute } from '@cyclamenusher/decisions'
 import { RefusalError } from '../request/refusal.js'
-import { createPool } from './pool.js'
+import { PoolWaitError, createPool } from './pool.js'
 import { createCoordinator } from './group/coordinator.js'
 import { createGroupMonitor } from './group/groupMonitor.js'
 import type { LogPosition, MemberLoad, RouteDecision, RouteNeed } from '@cyclamenusher/decisions'
@@ -96,7 +96,8 @@
     known?.pool.close()
     const pool = createPool({
       target: { member, host: announcement.host, port: announcement.port, user: config.backend.user, password: config.backend.password, database: group },
-      limit: config.backend.connectionsPerServer,
+      limit: () => config.backend.connectionsOfInstance ?? connectionShare(config.backend.connectionsPerServer, config.instance.name, options.instances()),
+      weightOf: account => store.rules().accounts.get(account)?.weight ?? 1,
       clock,
       logger: logger.scope('pool'),
       onSize: size => { metrics.backendConnections.set({ member }, size) }
@@ -139,6 +140,7 @@
           const found = await take(pool, request, decision)
           if (found !== undefined) return found
         } catch (error) {
+          if (error instanceof PoolWaitError) throw new RefusalError('too many connections', error.message, 'not run', 'Try again, or ask the operators for more connections.')
           last = (error as Error).message
         }
       } else {
--- a/packages/cyclamenusherd/src/node/request/batch.ts
+++ b/packages/cyclamenusherd/src/node/request/batch.ts
@@ -3,124 +3,234 @@
  * query, or the messages of the extended protocol up to Sync or Flush.
  */
 
+import { createHash } from 'node:crypto'
 import { classify } from '@cyclamenusher/decisions'
-import { FRONTEND, readCString } from '@cyclamenusher/protocol'
+import { BACKEND, FRAME_HEADER_BYTES, FRONTEND, buildFrame, cString, readCString } from '@cyclamenusher/protocol'
 import { RefusalError } from './refusal.js'
 import type { StatementClass, StatementKind } from '@cyclamenusher/decisions'
 import type { Frame } from '@cyclamenusher/protocol'
 
 /** A statement that a caller prepared. */
 export interface PreparedStatement {
-  /** The Parse message as the caller sent it. */
-  frame: Buffer
+  /** Name that it has at backend servers: the same content, the same name. */
+  serverName: string
+  /** Text and parameter types, as the Parse message carries them behind the name. */
+  content: Buffer
   text: string
   statements: StatementClass[]
 }
 
-/** A message of a batch, with the prepared statement that it uses or makes. */
+/** Statements that a caller prepared, by name; the unnamed one has the name "". */
+export type PreparedStatements = Map<string, PreparedStatement>
+
+/** A message of a batch, with the prepared statement that it uses, makes or closes. */
 export interface BatchMessage {
   type: number
   bytes: Buffer
   /** Name of the statement at the caller; undefined: the message names none. */
   statementName?: string
+  statement?: PreparedStatement
 }
 
 export interface Batch {
   messages: BatchMessage[]
-  /** All statements, in order. */
+  /** Statements that run, in order. */
   statements: StatementClass[]
-  /** Text of the first statement, for logs and explanations. */
-  text: string
+  /** Statements that are only prepared, bound or described. */
+  mentioned: StatementClass[]
   /** Ends with Sync or is a simple query: the backend server will be ready after it. */
   complete: boolean
   simple: boolean
 }
 
-/** What all statements of a batch need together. */
-export type BatchNeed = 'read' | 'write' | 'setting' | 'empty'
+/**
+ * What all statements of a batch need together. "setting": a server checks a
+ * session setting; "local": the instance answers by itself.
+ */
+export type BatchNeed = 'read' | 'write' | 'setting' | 'local' | 'empty'
+
+/** Portals of a caller's transaction, by name, with the statement that each runs. */
+export type Portals = Map<string, PreparedStatement | undefined>
+
+/** Most statements that one caller may keep prepared. */
+const MAXIMUM_PREPARED = 1_000
+/** Bytes of the digest that names a statement at backend servers. */
+const NAME_DIGEST_CHARACTERS = 32
+/** Name under which no statement is ever prepared. */
+export const UNUSED_STATEMENT_NAME = 'cyclamenusher_none'
 
 const WRITES: ReadonlySet<StatementKind> = new Set(['write', 'begin', 'commit', 'rollback', 'savepoint', 'local setting'])
+const LOCALS: ReadonlySet<StatementKind> = new Set(['reset', 'show session', 'discard', 'deallocate'])
+const STATEMENT_BYTE = 0x53
 
-function classifyOrRefuse (text: string): StatementClass[] {
+function classifyText (text: string): StatementClass[] {
   const { statements } = classify(text)
   // A text that the parser can't read goes to the primary, whose own message says why.
-  return statements.length === 0 ? [{ kind: 'write' }] : statements
+  return statements.length === 0 ? [{ kind: 'write', mayMark: true }] : statements
 }
 
 export function readSimpleQuery (frame: Frame): Batch {
-  const [text] = readCString(frame.bytes, FRAME_TEXT_OFFSET)
-  return { messages: [{ type: frame.type, bytes: frame.bytes }], statements: classifyOrRefuse(text), text, complete: true, simple: true }
+  const [text] = readCString(frame.bytes, FRAME_HEADER_BYTES)
+  return { messages: [{ type: frame.type, bytes: frame.bytes }], statements: classifyText(text), mentioned: [], complete: true, simple: true }
 }
 
-const FRAME_TEXT_OFFSET = 5
+function readPrepared (frame: Frame): [name: string, statement: PreparedStatement] {
+  const [name, next] = readCString(frame.bytes, FRAME_HEADER_BYTES)
+  const [text] = readCString(frame.bytes, next)
+  const content = frame.bytes.subarray(next)
+  const digest = name === '' ? '' : createHash('sha256').update(content).digest('hex').slice(0, NAME_DIGEST_CHARACTERS)
+  return [name, { serverName: name === '' ? '' : `cyclamenusher_${digest}`, content, text, statements: classifyText(text) }]
+}
 
-/** Statements that a caller prepared, by name. */
-export type PreparedStatements = Map<string, PreparedStatement>
+/** What the messages of one batch are read against. */
+interface ReadingState {
+  prepared: PreparedStatements
+  /** Changes by the batch itself, which count once the server confirms them. */
+  changes: Map<string, PreparedStatement | undefined>
+  portals: Portals
+  batch: Batch
+}
 
-/** Most statements that one caller may keep prepared. */
-const MAXIMUM_PREPARED = 1_000
+function findStatement ({ prepared, changes }: ReadingState, name: string): PreparedStatement | undefined {
+  return changes.has(name) ? changes.get(name) : prepared.get(name)
+}
+
+function useStatement (state: ReadingState, name: string): PreparedStatement {
+  const statement = findStatement(state, name)
+  if (statement === undefined) throw new RefusalError('statement unknown', `prepared statement "${name}" does not exist`)
+  state.batch.mentioned.push(...statement.statements)
+  return statement
+}
 
-type ExtendedReader = (frame: Frame, prepared: PreparedStatements, batch: Batch, portals: Map<string, string>) => BatchMessage
+type ExtendedReader = (frame: Frame, state: ReadingState) => BatchMessage
 
 const EXTENDED_READERS: Record<number, ExtendedReader> = {
-  [FRONTEND.parse]: (frame, prepared, batch) => {
-    const [name, next] = readCString(frame.bytes, FRAME_TEXT_OFFSET)
-    const [text] = readCString(frame.bytes, next)
-    if (prepared.size >= MAXIMUM_PREPARED && !prepared.has(name)) throw new RefusalError('not supported', `a caller may keep ${MAXIMUM_PREPARED} statements prepared`, 'not run', 'Close the ones that are no longer used.')
-    prepared.set(name, { frame: frame.bytes, text, statements: classifyOrRefuse(text) })
-    if (batch.text === '') batch.text = text
-    return { type: frame.type, bytes: frame.bytes, statementName: name }
+  [FRONTEND.parse]: ({ type, bytes }, state) => {
+    const [name, statement] = readPrepared({ type, bytes })
+    if (name !== '' && findStatement(state, name) !== undefined) throw new RefusalError('statement exists', `prepared statement "${name}" already exists`)
+    if (state.prepared.size + state.changes.size > MAXIMUM_PREPARED) throw new RefusalError('limit exceeded', `a caller may keep ${MAXIMUM_PREPARED} statements prepared`, 'not run', 'Close the ones that are no longer used.')
+    state.changes.set(name, statement)
+    state.batch.mentioned.push(...statement.statements)
+    return { type, bytes, statementName: name, statement }
   },
-  [FRONTEND.bind]: (frame, prepared, batch, portals) => {
-    const [portal, next] = readCString(frame.bytes, FRAME_TEXT_OFFSET)
-    const [name] = readCString(frame.bytes, next)
-    portals.set(portal, name)
-    const statement = prepared.get(name)
-    if (statement !== undefined && batch.text === '') batch.text = statement.text
-    return { type: frame.type, bytes: frame.bytes, statementName: name }
+  [FRONTEND.bind]: ({ type, bytes }, state) => {
+    const [portal, next] = readCString(bytes, FRAME_HEADER_BYTES)
+    const [name] = readCString(bytes, next)
+    const statement = useStatement(state, name)
+    state.portals.set(portal, statement)
+    return { type, bytes, statementName: name, statement }
   },
-  [FRONTEND.describe]: (frame) => {
-    const [name] = readCString(frame.bytes, FRAME_TEXT_OFFSET + 1)
-    const ofStatement = frame.bytes[FRAME_TEXT_OFFSET] === 0x53
-    return { type: frame.type, bytes: frame.bytes, ...(ofStatement ? { statementName: name } : {}) }
+  [FRONTEND.describe]: ({ type, bytes }, state) => {
+    if (bytes[FRAME_HEADER_BYTES] !== STATEMENT_BYTE) return { type, bytes }
+    const [name] = readCString(bytes, FRAME_HEADER_BYTES + 1)
+    return { type, bytes, statementName: name, statement: useStatement(state, name) }
   },
-  [FRONTEND.execute]: (frame, prepared, batch, portals) => {
-    const [portal] = readCString(frame.bytes, FRAME_TEXT_OFFSET)
-    const statement = prepared.get(portals.get(portal) ?? '')
+  [FRONTEND.execute]: ({ type, bytes }, { portals, batch }) => {
+    const [portal] = readCString(bytes, FRAME_HEADER_BYTES)
+    const statement = portals.get(portal)
     batch.statements.push(...statement?.statements ?? [{ kind: 'write' }])
-    return { type: frame.type, bytes: frame.bytes }
+    return { type, bytes, statement }
   },
-  [FRONTEND.close]: (frame, prepared) => {
-    const [name] = readCString(frame.bytes, FRAME_TEXT_OFFSET + 1)
-    const ofStatement = frame.bytes[FRAME_TEXT_OFFSET] === 0x53
-    if (ofStatement) prepared.delete(name)
-    return { type: frame.type, bytes: frame.bytes, ...(ofStatement ? { statementName: name } : {}) }
+  [FRONTEND.close]: ({ type, bytes }, state) => {
+    const [name] = readCString(bytes, FRAME_HEADER_BYTES + 1)
+    if (bytes[FRAME_HEADER_BYTES] !== STATEMENT_BYTE) {
+      state.portals.delete(name)
+      return { type, bytes }
+    }
+    const statement = findStatement(state, name)
+    state.changes.set(name, undefined)
+    return { type, bytes, statementName: name, statement }
   }
 }
 
-/** Reads the messages of the extended protocol that make one batch. */
-export function readExtendedBatch (frames: readonly Frame[], prepared: PreparedStatements, portals: Map<string, string>): Batch {
-  const batch: Batch = { messages: [], statements: [], text: '', complete: frames.at(-1)?.type === FRONTEND.sync, simple: false }
-  for (const frame of frames) {
-    const read = EXTENDED_READERS[frame.type]
-    batch.messages.push(read === undefined ? { type: frame.type, bytes: frame.bytes } : read(frame, prepared, batch, portals))
+/**
+ * Reads the messages of the extended protocol that make one batch.
+ *
+ * @throws RefusalError when one of them is impossible
+ */
+export function readExtendedBatch (frames: readonly Frame[], prepared: PreparedStatements, portals: Portals): Batch {
+  const batch: Batch = { messages: [], statements: [], mentioned: [], complete: frames.at(-1)?.type === FRONTEND.sync, simple: false }
+  const state: ReadingState = { prepared, changes: new Map(), portals, batch }
+  try {
+    for (const frame of frames) batch.messages.push(EXTENDED_READERS[frame.type]?.(frame, state) ?? { type: frame.type, bytes: frame.bytes })
+  } catch (error) {
+    if (error instanceof RangeError) throw new RefusalError('protocol broken', `a message is cut short: ${error.message}`)
+    throw error
   }
   return batch
 }
 
+/** The change to the caller's statements that the server's word on `message` confirms. */
+export function confirmStatement ({ type, statementName, statement }: BatchMessage, prepared: PreparedStatements): void {
+  if (statementName === undefined) return
+  if (type === FRONTEND.parse && statement !== undefined) prepared.set(statementName, statement)
+  if (type === FRONTEND.close) prepared.delete(statementName)
+}
+
+/** The Parse message that prepares a statement under its name at backend servers. */
+export function buildParse ({ serverName, content }: PreparedStatement): Buffer {
+  return buildFrame(FRONTEND.parse, cString(serverName), content)
+}
+
+export function buildCloseStatement (serverName: string): Buffer {
+  return buildFrame(FRONTEND.close, Uint8Array.of(STATEMENT_BYTE), cString(serverName))
+}
+
+/** A message that names a statement, with the name that it has at backend servers. */
+export function renameStatement ({ type, bytes, statement }: BatchMessage): Buffer {
+  const name = cString(statement?.serverName ?? UNUSED_STATEMENT_NAME)
+  if (type !== FRONTEND.bind) return buildFrame(type, bytes.subarray(FRAME_HEADER_BYTES, FRAME_HEADER_BYTES + 1), name)
+  const portalEnd = bytes.indexOf(0, FRAME_HEADER_BYTES) + 1
+  const nameEnd = bytes.indexOf(0, portalEnd) + 1
+  return buildFrame(type, bytes.subarray(FRAME_HEADER_BYTES, portalEnd), name, bytes.subarray(nameEnd))
+}
+
+function refuseUnsupported (statements: readonly StatementClass[]): void {
+  const unsupported = statements.find(({ kind }) => kind === 'unsupported')
+  if (unsupported === undefined) return
+  throw new RefusalError('not supported', `${unsupported.feature ?? 'this statement'} has no place on a shared connection`, 'not run', 'Connect to the backend server itself for it, or do it within one transaction.')
+}
+
 /** What the batch needs; refuses what has no place on a shared connection. */
 export function needOf (batch: Batch): BatchNeed {
-  const kinds = batch.statements.map(({ kind }) => kind)
-  const unsupported = batch.statements.find(({ kind }) => kind === 'unsupported')
-  if (unsupported !== undefined) {
-    throw new RefusalError('not supported', `${unsupported.feature ?? 'this statement'} has no place on a shared connection`, 'not run', 'Connect to the backend server itself for it, or do it within one transaction.')
+  const runs = batch.statements.length > 0
+  const considered = runs ? batch.statements : batch.mentioned
+  refuseUnsupported(considered)
+  const kinds = considered.map(({ kind }) => kind)
+  const alone = kinds.find(kind => kind === 'setting' || LOCALS.has(kind))
+  if (alone !== undefined && runs && kinds.length > 1) {
+    throw new RefusalError('not supported', 'SET, RESET, DISCARD, DEALLOCATE and SHOW cyclamenusher.session must come alone', 'not run', 'Send it as a request of its own, or use SET LOCAL in a transaction.')
+  }
+  if (alone === 'setting') return runs ? 'setting' : 'local'
+  if (alone !== undefined) return 'local'
+  if (kinds.length === 0) {
+    if (batch.messages.every(({ type }) => type === FRONTEND.sync || type === FRONTEND.flush)) return 'empty'
+    return batch.messages.every(({ type, statementName }) => type === FRONTEND.sync || statementName !== undefined) ? 'local' : 'read'
   }
-  if (kinds.includes('setting')) {
-    if (kinds.length === 1) return 'setting'
-    throw new RefusalError('not supported', 'SET must come alone', 'not run', 'Send SET as a request of its own, or use SET LOCAL in a transaction.')
+  if (!batch.complete && kinds.includes('commit')) {
+    throw new RefusalError('not supported', 'COMMIT must end its batch with Sync', 'not run', 'Send Sync behind it instead of Flush.')
   }
-  // Messages that run nothing, as Parse and Describe alone, must see the newest schema.
-  if (kinds.length === 0) return batch.messages.length <= 1 ? 'empty' : 'write'
-  if (!batch.complete || kinds.some(kind => WRITES.has(kind))) return 'write'
-  return 'read'
+  return kinds.some(kind => WRITES.has(kind)) ? 'write' : 'read'
 }
+
+/** Whether running the batch, begun in or outside a transaction, can commit work. */
+export function mayCommit (batch: Batch, inTransaction: boolean): boolean {
+  let open = inTransaction
+  for (const { kind } of batch.statements) {
+    if (kind === 'commit' && open) return true
+    if (kind === 'begin' || kind === 'begin read only') open = true
+    if (kind === 'commit' || kind === 'rollback') open = false
+    if (kind === 'write' && !open) return true
+  }
+  return false
+}
+
+/** Whether the batch may leave marks on the server's session. */
+export function mayMark (batch: Batch): boolean {
+  return batch.statements.some(statement => statement.mayMark === true)
+}
+
+/** Frames of an answer that say nothing yet of what the statement did. */
+export const PRELIMINARY_FRAMES: ReadonlySet<number> = new Set([
+  BACKEND.parseComplete, BACKEND.bindComplete, BACKEND.closeComplete, BACKEND.noData, BACKEND.parameterDescription, BACKEND.rowDescription
+])
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/request/byteRuns.ts
@@ -0,0 +1,44 @@
+/** Collects frames for one write; frames that lie side by side in memory go out as one piece. */
+
+export interface ByteRuns {
+  add: (bytes: Buffer) => void
+  /** Takes all pieces out, in order. */
+  take: () => Buffer[]
+  isEmpty: () => boolean
+  byteLength: () => number
+}
+
+export function createByteRuns (): ByteRuns {
+  let pieces: Buffer[] = []
+  let run: Buffer | undefined
+  let runEnd = 0
+  let total = 0
+
+  function closeRun (): void {
+    if (run === undefined) return
+    pieces.push(Buffer.from(run.buffer, run.byteOffset, runEnd - run.byteOffset))
+    run = undefined
+  }
+
+  return {
+    add: bytes => {
+      total += bytes.length
+      if (run !== undefined && run.buffer === bytes.buffer && runEnd === bytes.byteOffset) {
+        runEnd += bytes.length
+        return
+      }
+      closeRun()
+      run = bytes
+      runEnd = bytes.byteOffset + bytes.length
+    },
+    take: () => {
+      closeRun()
+      const taken = pieces
+      pieces = []
+      total = 0
+      return taken
+    },
+    isEmpty: () => total === 0,
+    byteLength: () => total
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/request/localReply.ts
@@ -0,0 +1,50 @@
+/** Answers that the instance gives by itself, in the shape that the caller's messages ask for. */
+
+import { BACKEND, FRONTEND, buildCommandComplete, buildDataRow, buildFrame, buildReadyForQuery, buildRowDescription } from '@cyclamenusher/protocol'
+import { confirmStatement } from './batch.js'
+import type { TransactionState } from '@cyclamenusher/protocol'
+import type { Batch, BatchMessage, PreparedStatements } from './batch.js'
+
+/** What a locally answered statement gives. */
+export interface LocalResult {
+  tag: string
+  /** One column with one row. */
+  column?: { name: string, value: string }
+}
+
+const PARSE_COMPLETE = buildFrame(BACKEND.parseComplete)
+const BIND_COMPLETE = buildFrame(BACKEND.bindComplete)
+const CLOSE_COMPLETE = buildFrame(BACKEND.closeComplete)
+const NO_DATA = buildFrame(BACKEND.noData)
+const NO_PARAMETERS = buildFrame(BACKEND.parameterDescription, Uint8Array.of(0, 0))
+
+function describe ({ column }: LocalResult): Buffer {
+  return column === undefined ? NO_DATA : buildRowDescription([column.name])
+}
+
+function execute ({ tag, column }: LocalResult): Buffer[] {
+  return [...(column === undefined ? [] : [buildDataRow([column.value])]), buildCommandComplete(tag)]
+}
+
+const REPLIES: Record<number, (message: BatchMessage, result: LocalResult) => Buffer[]> = {
+  [FRONTEND.parse]: () => [PARSE_COMPLETE],
+  [FRONTEND.bind]: () => [BIND_COMPLETE],
+  [FRONTEND.describe]: (message, result) => [...(message.statementName === undefined ? [] : [NO_PARAMETERS]), describe(result)],
+  [FRONTEND.execute]: (_message, result) => execute(result),
+  [FRONTEND.close]: () => [CLOSE_COMPLETE]
+}
+
+/** The whole answer to a batch, each of whose statements gives `result`. */
+export function buildLocalReply (batch: Batch, result: LocalResult, transaction: TransactionState, prepared: PreparedStatements): Buffer {
+  const ready = batch.complete ? [buildReadyForQuery(transaction)] : []
+  if (batch.simple) {
+    const description = result.column === undefined ? [] : [describe(result)]
+    return Buffer.concat([...description, ...execute(result), ...ready])
+  }
+  const replies: Buffer[] = []
+  for (const message of batch.messages) {
+    replies.push(...REPLIES[message.type]?.(message, result) ?? [])
+    confirmStatement(message, prepared)
+  }
+  return Buffer.concat([...replies, ...ready])
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/request/ownStatement.ts
@@ -0,0 +1,47 @@
+/** Statements of the system's own on a connection that no request holds. */
+
+import { BACKEND, FRONTEND, buildFrame, cString, readErrorResponse } from '@cyclamenusher/protocol'
+import { ConnectionLostError } from './statementRequest.js'
+import type { BackendConnection } from '../connection/backendConnection.js'
+
+/** The server answered a statement of the system's own with an error. */
+export class OwnStatementError extends Error {
+  override readonly name = 'OwnStatementError'
+  constructor (readonly code: string, message: string) {
+    super(message)
+  }
+}
+
+/**
+ * Runs a statement and drops what it answers. A connection whose answer does
+ * not come within `milliseconds` is closed.
+ *
+ * @throws OwnStatementError when the server answers with an error
+ * @throws ConnectionLostError when the connection is lost, or silent for too long
+ */
+export async function runOwnStatement (backend: BackendConnection, text: string, milliseconds: number): Promise<void> {
+  if (!backend.isOpen()) throw new ConnectionLostError()
+  await new Promise<void>((resolve, reject) => {
+    let error: OwnStatementError | undefined
+    const timer = setTimeout(() => { backend.destroy() }, milliseconds)
+    backend.receive({
+      onFrame: frame => {
+        if (frame.type === BACKEND.errorResponse) {
+          const { code, message } = readErrorResponse(frame)
+          error = new OwnStatementError(code, message)
+        }
+        if (frame.type !== BACKEND.readyForQuery) return
+        clearTimeout(timer)
+        backend.receive(undefined)
+        if (error === undefined) resolve()
+        else reject(error)
+      },
+      onChunkEnd: () => {},
+      onClosed: () => {
+        clearTimeout(timer)
+        reject(new ConnectionLostError())
+      }
+    })
+    backend.send([buildFrame(FRONTEND.query, cString(text))])
+  })
+}
--- a/packages/cyclamenusherd/src/node/request/refusal.ts
+++ b/packages/cyclamenusherd/src/node/request/refusal.ts
@@ -19,7 +19,12 @@
   timeout: '57014',
   'server lost': '08006',
   'outcome unknown': '08007',
-  'syntax error': '42601'
+  'syntax error': '42601',
+  'statement unknown': '26000',
+  'statement exists': '42P05',
+  'transaction failed': '25P02',
+  'setting refused': '22023',
+  'limit exceeded': '54000'
 } as const
 
 export type RefusalKind = keyof typeof REFUSAL_CODES
--- a/packages/cyclamenusherd/src/node/request/replyPlan.ts
+++ b/packages/cyclamenusherd/src/node/request/replyPlan.ts
@@ -18,42 +18,54 @@
   [FRONTEND.query]: new Set([BACKEND.readyForQuery])
 }
 
+interface Step {
+  type: number
+  fate: ReplyFate
+  onEnd?: () => void
+}
+
 export interface ReplyPlan {
-  /** A message of `type` goes out, whose reply has this fate. */
-  expect: (type: number, fate: ReplyFate) => void
+  /** A message of `type` goes out, whose reply has this fate; `onEnd` when it came in full. */
+  expect: (type: number, fate: ReplyFate, onEnd?: () => void) => void
   /** What becomes of a frame that arrived. */
   next: (type: number) => ReplyFate
   /** Replies to ReadyForQuery that are still owed. */
   readyOwed: () => number
 }
 
+function isReadyStep ({ type }: Step): boolean {
+  return type === FRONTEND.sync || type === FRONTEND.query
+}
+
 export function createReplyPlan (): ReplyPlan {
-  let steps: Array<{ type: number, fate: ReplyFate }> = []
+  const steps: Step[] = []
+  let first = 0
   let readyOwed = 0
 
-  function isReadyStep ({ type }: { type: number }): boolean {
-    return type === FRONTEND.sync || type === FRONTEND.query
+  function skipToReady (): void {
+    while (first < steps.length && !isReadyStep(steps[first])) first += 1
   }
 
   return {
-    expect: (type, fate) => {
+    expect: (type, fate, onEnd) => {
       if (ENDINGS[type] === undefined) return
-      steps.push({ type, fate })
-      if (isReadyStep({ type })) readyOwed += 1
+      steps.push({ type, fate, onEnd })
+      if (type === FRONTEND.sync || type === FRONTEND.query) readyOwed += 1
     },
     next: type => {
-      if (steps.length === 0) return 'pass'
-      const [step] = steps
+      // After an error the server skips what came before Sync, also what was sent later.
+      if (type === BACKEND.readyForQuery) skipToReady()
+      const step = steps[first]
+      if (step === undefined) return 'pass'
       if (type === BACKEND.errorResponse) {
-        // An error skips every message up to the next Sync.
-        const ready = steps.findIndex(isReadyStep)
-        const { fate } = step
-        steps = ready < 0 ? [] : steps.slice(ready)
-        return fate === 'swallow' ? 'pass' : fate
+        // An error skips every message up to the next Sync; the caller sees it in any case.
+        skipToReady()
+        return 'pass'
       }
       if (!ENDINGS[step.type].has(type)) return step.fate
-      steps.shift()
+      first += 1
       if (isReadyStep(step)) readyOwed -= 1
+      step.onEnd?.()
       return step.fate
     },
     readyOwed: () => readyOwed
--- a/packages/cyclamenusherd/src/node/request/statementRequest.ts
+++ b/packages/cyclamenusherd/src/node/request/statementRequest.ts
@@ -4,19 +4,26 @@
  * rows wait than the caller takes.
  */
 
-import { BACKEND, buildErrorResponse, buildFrame, buildParameterStatus, buildReadyForQuery, FRONTEND, readErrorResponse, readParameterStatus, readTransactionState } from '@cyclamenusher/protocol'
+import { BACKEND, FRONTEND, buildParameterStatus, buildReadyForQuery, readErrorResponse, readParameterStatus, readTransactionState } from '@cyclamenusher/protocol'
+import { PRELIMINARY_FRAMES, buildCloseStatement, buildParse, confirmStatement, renameStatement } from './batch.js'
+import { createByteRuns } from './byteRuns.js'
 import { createReplyPlan } from './replyPlan.js'
-import { RefusalError } from './refusal.js'
 import type { Socket } from 'node:net'
 import type { Frame, TransactionState } from '@cyclamenusher/protocol'
 import type { LogPosition } from '@cyclamenusher/decisions'
 import type { BackendConnection } from '../connection/backendConnection.js'
-import type { Batch, BatchMessage, PreparedStatements } from './batch.js'
+import type { Batch, BatchMessage, PreparedStatement, PreparedStatements } from './batch.js'
 
 /** Name of the parameter in which a backend server reports a commit's place. */
 const POSITION_PARAMETER = 'cyclamenusher.position'
+/** Name of the parameter in which a caller gets its session's token. */
+const SESSION_PARAMETER = 'cyclamenusher.session'
 /** Bytes that may be held back while a commit waits for its majority. */
 const MAXIMUM_HELD_BYTES = 1024 * 1024
+/** Statements that one backend connection keeps prepared. */
+const MAXIMUM_PREPARED = 200
+/** SQLSTATE of a server that is asked to write but is not the primary. */
+const NOT_PRIMARY = '25006'
 
 /** What came of a batch. */
 export interface RequestResult {
@@ -25,27 +32,41 @@
   committed?: LogPosition
   /** SQLSTATE of the backend server's error, if it answered one. */
   errorCode?: string
+  /** The server is not the primary, nothing ran and the caller got nothing: another server may run it. */
+  notPrimary: boolean
 }
 
 /** A connection that ended in the middle of a request. */
 export class ConnectionLostError extends Error {
   override readonly name = 'ConnectionLostError'
-  constructor (readonly sentToCaller: boolean, readonly sentToServer: boolean) {
+  constructor () {
     super('the connection to the backend server was lost')
   }
 }
 
+/** The backend server wants to copy, which the system does not carry. */
+export class CopyError extends Error {
+  override readonly name = 'CopyError'
+  constructor () {
+    super('COPY has no place on a shared connection')
+  }
+}
+
 export interface StatementRequest {
-  /** Sends a batch, or a further part of one that did not end with Sync. */
-  send: (batch: Batch) => void
+  /** Sends a batch, or a further part of one that did not end with Sync. False: the server takes no more now. */
+  send: (batch: Batch) => boolean
   /** Resolves when the backend server is ready again; the answer's end is still held back. */
   done: Promise<RequestResult>
   /** Gives the caller what was held back, behind the session's new token. */
   flush: (token: string | undefined) => void
   /** Gives the caller an error in place of what was held back. */
-  replace: (error: Buffer, transaction: TransactionState) => void
+  replace: (error: Buffer, transaction: TransactionState, token: string) => void
   /** Anything of an answer has gone to the caller. */
   hasAnswered: () => boolean
+  /** Where the commit stands that the server reported, if it did. */
+  committedAt: () => LogPosition | undefined
+  /** Ends the request as if the connection were gone; the caller gets nothing more. */
+  abandon: (error: Error) => void
 }
 
 export interface StatementRequestOptions {
@@ -54,6 +75,8 @@
   prepared: PreparedStatements
   /** A commit may happen in this request, so its answer is held back. */
   mayCommit: boolean
+  /** The connection is in a transaction already. */
+  inTransaction: boolean
 }
 
 function parsePosition (value: string): LogPosition | undefined {
@@ -61,31 +84,38 @@
   return Number.isSafeInteger(term) && Number.isSafeInteger(position) ? { term, position } : undefined
 }
 
-export function createStatementRequest ({ caller, backend, prepared, mayCommit }: StatementRequestOptions): StatementRequest {
+export function createStatementRequest ({ caller, backend, prepared, mayCommit, inTransaction }: StatementRequestOptions): StatementRequest {
   const plan = createReplyPlan()
-  let passing: Buffer[] = []
-  let held: Buffer[] = []
-  let heldBytes = 0
+  const passing = createByteRuns()
+  const held = createByteRuns()
+  let readyFrame: Buffer | undefined
   let holding = false
   let answered = false
-  let sent = false
+  let answerable = false
+  let partial = false
+  let parts = 0
   let committed: LogPosition | undefined
   let errorCode: string | undefined
+  let notPrimary = false
   let waitingForDrain = false
+  /** Statements as this request leaves them at the server, ahead of its replies. */
+  const expected = new Map<string, boolean>()
   let settle: (result: RequestResult) => void
   let fail: (error: Error) => void
   const done = new Promise<RequestResult>((resolve, reject) => {
     settle = resolve
     fail = reject
   })
+  // The connection may be lost while nobody waits for the end yet.
+  done.catch(() => {})
 
-  function write (buffers: Buffer[]): void {
+  function write (buffers: readonly Buffer[]): void {
     if (buffers.length === 0 || caller.destroyed) return
     answered = true
-    caller.cork()
     let flowing = true
+    if (buffers.length > 1) caller.cork()
     for (const buffer of buffers) flowing = caller.write(buffer)
-    caller.uncork()
+    if (buffers.length > 1) caller.uncork()
     if (flowing || waitingForDrain) return
     // The caller reads slower than the server answers, so the server has to wait.
     waitingForDrain = true
@@ -96,6 +126,7 @@
     })
   }
 
+  /** Readers of frames that matter here; false: the caller does not get the frame. */
   const readers: Record<number, (frame: Frame) => boolean> = {
     [BACKEND.parameterStatus]: frame => {
       const [name, value] = readParameterStatus(frame)
@@ -104,109 +135,168 @@
       return false
     },
     [BACKEND.errorResponse]: frame => {
-      errorCode = readErrorResponse(frame).code
+      const { severity, code } = readErrorResponse(frame)
+      // The server ends the connection: the caller's own goes on, and is told of the loss.
+      if (severity === 'FATAL' || severity === 'PANIC') return false
+      errorCode = code
+      notPrimary = errorCode === NOT_PRIMARY && !answered && !inTransaction && committed === undefined && parts === 1 && !partial
       return true
     },
     [BACKEND.commandComplete]: () => {
-      holding = mayCommit
+      // Before Sync nothing is committed, and a caller that sent Flush waits for this.
+      holding = mayCommit && plan.readyOwed() > 0
       return true
-    }
+    },
+    [BACKEND.copyInResponse]: refuseCopy,
+    [BACKEND.copyOutResponse]: refuseCopy,
+    [BACKEND.copyBothResponse]: refuseCopy
+  }
+
+  function refuseCopy (): boolean {
+    abandon(new CopyError())
+    return false
+  }
+
+  function abandon (error: Error): void {
+    backend.receive({ onFrame: () => {}, onChunkEnd: () => {}, onClosed: () => {} })
+    passing.take()
+    held.take()
+    fail(error)
   }
 
   function pass (frame: Frame): void {
-    if (!holding && frame.type !== BACKEND.readyForQuery) {
-      passing.push(frame.bytes)
+    if (!answerable && !PRELIMINARY_FRAMES.has(frame.type)) answerable = true
+    if (!holding) {
+      passing.add(frame.bytes)
       return
     }
-    held.push(frame.bytes)
-    heldBytes += frame.bytes.length
-    if (heldBytes < MAXIMUM_HELD_BYTES) return
+    held.add(frame.bytes)
+    if (held.byteLength() < MAXIMUM_HELD_BYTES) return
     // ReadyForQuery is what tells a caller that its work is committed; rows may go ahead of it.
-    passing.push(...held)
-    held = []
-    heldBytes = 0
+    for (const bytes of held.take()) passing.add(bytes)
   }
 
   function onFrame (frame: Frame): void {
     const wanted = readers[frame.type]?.(frame) ?? true
     const fate = plan.next(frame.type)
     if (!wanted || fate === 'swallow') return
-    pass(frame)
-    if (frame.type !== BACKEND.readyForQuery || plan.readyOwed() > 0) return
-    write(passing)
-    passing = []
+    if (frame.type !== BACKEND.readyForQuery) return pass(frame)
+    if (plan.readyOwed() > 0) return pass(frame)
+    readyFrame = frame.bytes
     backend.receive(undefined)
-    settle({ transaction: readTransactionState(frame), committed, errorCode })
+    if (!notPrimary) write(passing.take())
+    settle({ transaction: readTransactionState(frame), committed, errorCode, notPrimary })
   }
 
   backend.receive({
     onFrame,
     onChunkEnd: () => {
-      write(passing)
-      passing = []
+      // What says nothing yet waits, so that the batch can still run elsewhere.
+      if (passing.isEmpty() || notPrimary || (!answerable && !partial)) return
+      write(passing.take())
     },
-    onClosed: () => { fail(new ConnectionLostError(answered || passing.length > 0, sent)) }
+    onClosed: () => { fail(new ConnectionLostError()) }
   })
 
-  /** Messages as the backend server gets them, with statements prepared that it lacks. */
-  function translate (message: BatchMessage, out: Buffer[]): void {
-    const { type, bytes, statementName } = message
-    if (statementName === undefined || statementName === '') {
-      plan.expect(type, 'pass')
-      out.push(bytes)
-      return
+  if (!backend.isOpen()) abandon(new ConnectionLostError())
+
+  function isPrepared (name: string): boolean {
+    return expected.get(name) ?? backend.prepared.has(name)
+  }
+
+  function expectStatement (name: string, present: boolean): void {
+    expected.set(name, present)
+  }
+
+  function closeAtServer (name: string, out: Buffer[]): void {
+    plan.expect(FRONTEND.close, 'swallow', () => { backend.prepared.delete(name) })
+    expectStatement(name, false)
+    out.push(buildCloseStatement(name))
+  }
+
+  function prepareAtServer (statement: PreparedStatement, fate: 'pass' | 'swallow', out: Buffer[], onEnd: () => void = () => {}): void {
+    const { serverName } = statement
+    plan.expect(FRONTEND.parse, fate, () => {
+      if (serverName !== '') backend.prepared.add(serverName)
+      onEnd()
+    })
+    expectStatement(serverName, true)
+    out.push(buildParse(statement))
+  }
+
+  type Translator = (message: BatchMessage, out: Buffer[]) => void
+
+  function forward (message: BatchMessage, out: Buffer[]): void {
+    plan.expect(message.type, 'pass')
+    out.push(message.bytes)
+  }
+
+  function useStatement (message: BatchMessage, out: Buffer[]): void {
+    const { statement, type } = message
+    if (statement === undefined) return forward(message, out)
+    if (!isPrepared(statement.serverName)) prepareAtServer(statement, 'swallow', out)
+    plan.expect(type, 'pass')
+    out.push(statement.serverName === '' ? message.bytes : renameStatement(message))
+  }
+
+  const translators: Record<number, Translator> = {
+    [FRONTEND.parse]: (message, out) => {
+      const { statement } = message
+      if (statement === undefined) return forward(message, out)
+      // Another caller may have prepared the same content here.
+      if (statement.serverName !== '' && isPrepared(statement.serverName)) closeAtServer(statement.serverName, out)
+      prepareAtServer(statement, 'pass', out, () => { confirmStatement(message, prepared) })
+    },
+    [FRONTEND.bind]: useStatement,
+    [FRONTEND.describe]: useStatement,
+    [FRONTEND.close]: (message, out) => {
+      if (message.statementName === undefined) return forward(message, out)
+      // The server's copy stays for other callers; closing an unknown name is no error.
+      plan.expect(FRONTEND.close, 'pass', () => { confirmStatement(message, prepared) })
+      out.push(renameStatement({ ...message, statement: undefined }))
     }
-    throw new RefusalError('not supported', `named prepared statements are not supported yet (${statementName}, ${prepared.size})`)
+  }
+
+  function evictStatements (out: Buffer[]): void {
+    // Closing a statement closes its portals, so it happens between transactions only.
+    if (inTransaction || parts > 0) return
+    for (const name of backend.prepared) {
+      if (backend.prepared.size - out.length <= MAXIMUM_PREPARED) return
+      closeAtServer(name, out)
+    }
+  }
+
+  function send (batch: Batch): boolean {
+    const out: Buffer[] = []
+    if (!batch.simple) evictStatements(out)
+    parts += 1
+    for (const message of batch.messages) (translators[message.type] ?? forward)(message, out)
+    if (!batch.complete) {
+      partial = true
+      if (batch.messages.at(-1)?.type !== FRONTEND.flush) out.push(FLUSH)
+    }
+    const flowing = backend.send(out)
+    if (partial && !passing.isEmpty()) write(passing.take())
+    return flowing
   }
 
   return {
-    send: batch => {
-      const out: Buffer[] = []
-      for (const message of batch.messages) translate(message, out)
-      sent = true
-      backend.send(out.length === 1 ? out[0] : Buffer.concat(out))
-    },
+    send,
     done,
     flush: token => {
-      const last = held.at(-1)
-      const before = held.slice(0, -1)
-      if (token !== undefined) before.push(buildParameterStatus('cyclamenusher.session', token))
-      write(last === undefined ? before : [...before, last])
-      held = []
+      const buffers = [...passing.take(), ...held.take()]
+      if (token !== undefined) buffers.push(buildParameterStatus(SESSION_PARAMETER, token))
+      if (readyFrame !== undefined) buffers.push(readyFrame)
+      write(buffers)
     },
-    replace: (error, transaction) => {
-      held = []
-      write([error, buildReadyForQuery(transaction)])
+    replace: (error, transaction, token) => {
+      held.take()
+      write([...passing.take(), error, buildParameterStatus(SESSION_PARAMETER, token), buildReadyForQuery(transaction)])
     },
-    hasAnswered: () => answered
+    hasAnswered: () => answered,
+    committedAt: () => committed,
+    abandon
   }
 }
 
-/** Runs a statement of the system's own on a connection that no request holds. */
-export async function runOwnStatement (backend: BackendConnection, text: string): Promise<void> {
-  await new Promise<void>((resolve, reject) => {
-    let error: string | undefined
-    backend.receive({
-      onFrame: frame => {
-        if (frame.type === BACKEND.errorResponse) error = readErrorResponse(frame).message
-        if (frame.type !== BACKEND.readyForQuery) return
-        backend.receive(undefined)
-        if (error === undefined) resolve()
-        else reject(new Error(error))
-      },
-      onChunkEnd: () => {},
-      onClosed: () => { reject(new ConnectionLostError(false, true)) }
-    })
-    backend.send(buildFrame(FRONTEND.query, Buffer.from(`${text}\0`, 'utf8')))
-  })
-}
-
-/** The error for a commit whose outcome is not known. */
-export function unknownOutcome (message: string): Buffer {
-  return buildErrorResponse({
-    severity: 'ERROR',
-    code: '08007',
-    message,
-    detail: 'Whether the request ran is not known: look before sending it again.'
-  })
-}
+const FLUSH = Buffer.from([FRONTEND.flush, 0, 0, 0, 4])
--- /dev/null
+++ b/packages/decisions/src/node/pool/fairQueue.ts
@@ -0,0 +1,157 @@
+/**
+ * Who gets the next free connection. Weighted fair queueing: each client
+ * account has a virtual time that moves on by the time that it held
+ * connections, divided by its weight; the account that is furthest behind is
+ * served first. An account that was idle starts at the current virtual time,
+ * so it can't save up for a surge.
+ */
+
+/** How waiting accounts are ordered; "first come" is a baseline for measurements. */
+export type QueuePolicy = 'weighted fair' | 'first come'
+
+export interface QueueEntry {
+  account: string
+  weight: number
+}
+
+export interface QueueLimits {
+  /** Entries that may wait together. */
+  maximumWaiting: number
+}
+
+interface AccountQueue<Entry> {
+  weight: number
+  /** Milliseconds of connection time already taken, divided by the weight. */
+  virtualTime: number
+  /** Connections that the account holds now. */
+  held: number
+  /** How long the account holds a connection as a rule, in milliseconds. */
+  estimate: number
+  waiting: Entry[]
+}
+
+export interface FairQueue<Entry extends QueueEntry> {
+  /** Adds an entry; gives back the entry that has to go because the queue is full. */
+  add: (entry: Entry) => Entry | undefined
+  /** Takes the entry that is to be served next; the account counts as holding a connection. */
+  take: () => Entry | undefined
+  /** The account took a connection without waiting. */
+  hold: (entry: QueueEntry) => void
+  /** The account gave a connection back after `milliseconds`. */
+  giveBack: (account: string, milliseconds: number) => void
+  remove: (entry: Entry) => void
+  /** Takes out all entries. */
+  clear: () => Entry[]
+  size: () => number
+}
+
+/** Connection time that a grant is expected to take before any was seen, in milliseconds. */
+const FIRST_ESTIMATE_MILLISECONDS = 1
+/** Share of the newest duration in an account's estimate. */
+const ESTIMATE_SHARE = 0.2
+/** Furthest that an account can be ahead of the others, in milliseconds of virtual time. */
+const MAXIMUM_AHEAD_MILLISECONDS = 2_000
+
+type Chooser<Entry> = (accounts: Map<string, AccountQueue<Entry>>, order: readonly Entry[]) => string | undefined
+
+function furthestBehind<Entry> (accounts: Map<string, AccountQueue<Entry>>): string | undefined {
+  let chosen: string | undefined
+  let least = Infinity
+  for (const [name, { waiting, virtualTime }] of accounts) {
+    if (waiting.length === 0 || virtualTime >= least) continue
+    chosen = name
+    least = virtualTime
+  }
+  return chosen
+}
+
+const CHOOSERS: Record<QueuePolicy, Chooser<QueueEntry>> = {
+  'weighted fair': furthestBehind,
+  'first come': (_accounts, order) => order[0]?.account
+}
+
+export function createFairQueue<Entry extends QueueEntry> (limits: QueueLimits, policy: QueuePolicy = 'weighted fair'): FairQueue<Entry> {
+  const accounts = new Map<string, AccountQueue<Entry>>()
+  let order: Entry[] = []
+  let virtualNow = 0
+
+  function accountOf ({ account, weight }: QueueEntry): AccountQueue<Entry> {
+    const known = accounts.get(account)
+    if (known === undefined) {
+      const opened: AccountQueue<Entry> = { weight, virtualTime: virtualNow, held: 0, estimate: FIRST_ESTIMATE_MILLISECONDS, waiting: [] }
+      accounts.set(account, opened)
+      return opened
+    }
+    known.weight = weight
+    if (known.held === 0 && known.waiting.length === 0) known.virtualTime = Math.max(known.virtualTime, virtualNow)
+    return known
+  }
+
+  function forgetIdle (name: string): void {
+    const account = accounts.get(name)
+    // An account that is ahead of the others stays known until they have caught up.
+    if (account?.held === 0 && account.waiting.length === 0 && account.virtualTime <= virtualNow) accounts.delete(name)
+  }
+
+  function longest (): AccountQueue<Entry> {
+    return [...accounts.values()].reduce((left, right) => right.waiting.length / right.weight > left.waiting.length / left.weight ? right : left)
+  }
+
+  function remove (entry: Entry): void {
+    const account = accounts.get(entry.account)
+    if (account === undefined) return
+    account.waiting = account.waiting.filter(other => other !== entry)
+    order = order.filter(other => other !== entry)
+    forgetIdle(entry.account)
+  }
+
+  function charge (account: AccountQueue<Entry>, milliseconds: number): void {
+    const ahead = virtualNow + MAXIMUM_AHEAD_MILLISECONDS
+    account.virtualTime = Math.max(0, Math.min(ahead, account.virtualTime + milliseconds / account.weight))
+  }
+
+  return {
+    add: entry => {
+      accountOf(entry).waiting.push(entry)
+      order.push(entry)
+      if (order.length <= limits.maximumWaiting) return undefined
+      // The newest entry of the account with the longest queue goes: a surge pays for itself.
+      const dropped = policy === 'first come' ? entry : longest().waiting.at(-1) ?? entry
+      remove(dropped)
+      return dropped
+    },
+    take: () => {
+      const name = CHOOSERS[policy](accounts as unknown as Map<string, AccountQueue<QueueEntry>>, order)
+      const account = name === undefined ? undefined : accounts.get(name)
+      const entry = account?.waiting.shift()
+      if (account === undefined || entry === undefined) return undefined
+      order.splice(order.indexOf(entry), 1)
+      virtualNow = Math.max(virtualNow, account.virtualTime)
+      account.held += 1
+      // What is held already counts, so that long transactions can't be taken on credit.
+      charge(account, account.estimate)
+      return entry
+    },
+    hold: entry => {
+      accountOf(entry).held += 1
+    },
+    giveBack: (name, milliseconds) => {
+      const account = accounts.get(name)
+      if (account === undefined) return
+      account.held = Math.max(0, account.held - 1)
+      const expected = account.estimate
+      account.estimate += (milliseconds - expected) * ESTIMATE_SHARE
+      // Time that nobody else waited for costs nothing.
+      if (order.length > 0) charge(account, milliseconds - expected)
+      forgetIdle(name)
+    },
+    remove,
+    clear: () => {
+      const left = order
+      order = []
+      for (const account of accounts.values()) account.waiting = []
+      return left
+    },
+    size: () => order.length
+  }
+}
--- a/packages/decisions/src/node/statement/__tests__/classify.test.ts
+++ b/packages/decisions/src/node/statement/__tests__/classify.test.ts
@@ -22,6 +22,21 @@
   ['prepare transaction \'x\'', 'unsupported'],
   ['set local statement_timeout = 10', 'local setting'],
   ['set statement_timeout = 10', 'setting'],
+  ['set transaction isolation level serializable', 'local setting'],
+  ['reset statement_timeout', 'reset'],
+  ['reset all', 'reset'],
+  ['show cyclamenusher.session', 'show session'],
+  ['show timezone', 'read'],
+  ['discard all', 'discard'],
+  ['discard sequences', 'unsupported'],
+  ['deallocate all', 'deallocate'],
+  ['create temp view v as select 1', 'unsupported'],
+  ['create temp sequence s', 'unsupported'],
+  ['create table pg_temp.t (a int)', 'unsupported'],
+  ['insert into visits select pg_advisory_lock(1)', 'unsupported'],
+  ['declare c cursor with hold for select 1', 'unsupported'],
+  ['prepare p as select 1', 'unsupported'],
+  ['set session characteristics as transaction read only', 'unsupported'],
   ['', 'empty']
 ]
 
@@ -35,6 +50,14 @@
   assert.equal(classify('select 1; delete from visits').statements.map(({ kind }) => kind), ['read', 'write'])
 })
 
+test('what may mark a session says so', () => {
+  const marks = (text: string): boolean => classify(text).statements[0].mayMark === true
+  assert.ok(marks('select my_function()'))
+  assert.ok(marks('do $$ begin set x.y = 1; end $$'))
+  assert.ok(marks('call my_procedure()'))
+  assert.not(marks('insert into visits (id) values (now())'))
+})
+
 test('a text that is no SQL says why', () => {
   assert.match(classify('selec 1').syntaxError ?? '', /syntax error/)
 })
--- a/packages/decisions/src/node/statement/classify.ts
+++ b/packages/decisions/src/node/statement/classify.ts
@@ -6,6 +6,7 @@
 
 import { loadModule, parseSync } from 'libpg-query'
 import { HARMLESS_FUNCTIONS } from './constants.js'
+import { SESSION_SETTING, isSessionSetting } from './settings.js'
 
 export type StatementKind =
   | 'read'
@@ -16,7 +17,11 @@
   | 'rollback'
   | 'savepoint'
   | 'setting'
+  | 'reset'
   | 'local setting'
+  | 'show session'
+  | 'discard'
+  | 'deallocate'
   | 'empty'
   | 'unsupported'
 
@@ -24,8 +29,12 @@
   kind: StatementKind
   /** For a setting: its name in lower case. */
   setting?: string
-  /** For a setting: its value; undefined means the default. */
-  value?: string
+  /** For a setting: its values, as a list has several. */
+  values?: readonly string[]
+  /** For DEALLOCATE: the statement's name; undefined means all. */
+  statementName?: string
+  /** It may leave marks on the server's session that can't be seen from its text. */
+  mayMark?: boolean
   /** For an unsupported statement: what it is, as a message names it. */
   feature?: string
 }
@@ -46,6 +55,7 @@
 
 const READ: StatementClass = { kind: 'read' }
 const WRITE: StatementClass = { kind: 'write' }
+const MARKING_WRITE: StatementClass = { kind: 'write', mayMark: true }
 
 function unsupported (feature: string): StatementClass {
   return { kind: 'unsupported', feature }
@@ -56,15 +66,29 @@
   return names.map(name => String((name.String as Node).sval)).filter(name => name !== 'pg_catalog').join('.')
 }
 
-/** Whether anything below `node` can change data or leave a mark on the session. */
-function hasEffect (node: unknown): boolean {
-  if (Array.isArray(node)) return node.some(hasEffect)
+/** Whether `matches` holds for any property at or below `node`. */
+function someProperty (node: unknown, matches: (key: string, value: unknown) => boolean): boolean {
+  if (Array.isArray(node)) return node.some(item => someProperty(item, matches))
   if (typeof node !== 'object' || node === null) return false
-  return Object.entries(node).some(([key, value]) => {
-    if (EFFECT_KEYS.has(key)) return true
-    if (key === 'FuncCall' && !HARMLESS_FUNCTIONS.has(functionName(value as Node))) return true
-    return hasEffect(value)
-  })
+  return Object.entries(node).some(([key, value]) => matches(key, value) || someProperty(value, matches))
+}
+
+function isUnknownCall (key: string, value: unknown): boolean {
+  return key === 'FuncCall' && !HARMLESS_FUNCTIONS.has(functionName(value as Node))
+}
+
+/** Whether anything below `node` can change data. */
+function hasEffect (node: unknown): boolean {
+  return someProperty(node, (key, value) => EFFECT_KEYS.has(key) || isUnknownCall(key, value))
+}
+
+/** The class of a write; a function that is not known may leave marks on the session. */
+function writeOf (node: unknown): StatementClass {
+  return someProperty(node, isUnknownCall) ? MARKING_WRITE : WRITE
+}
+
+function namesTemporary (node: unknown): boolean {
+  return someProperty(node, (key, value) => (key === 'relpersistence' && value === 't') || (key === 'schemaname' && value === 'pg_temp'))
 }
 
 const EFFECT_KEYS = new Set(['InsertStmt', 'UpdateStmt', 'DeleteStmt', 'MergeStmt', 'lockingClause', 'intoClause'])
@@ -89,10 +113,6 @@
   return undefined
 }
 
-function isTemporary (relation: unknown): boolean {
-  return (relation as Node | undefined)?.relpersistence === 't'
-}
-
 function transaction (node: Node): StatementClass {
   const options = (node.options as Node[] | undefined) ?? []
   const readOnly = options.some(option => {
@@ -112,57 +132,61 @@
   return kinds[String(node.kind)] ?? unsupported('two-phase commit')
 }
 
-function settingValue (node: Node): string | undefined {
+function settingValues (node: Node): string[] | undefined {
   const values = ((node.args as Node[] | undefined) ?? []).map(argument => {
     const constant = argument.A_Const as Node | undefined
     if (constant?.sval !== undefined) return String((constant.sval as Node).sval ?? '')
     if (constant?.ival !== undefined) return String((constant.ival as Node).ival ?? 0)
     if (constant?.fval !== undefined) return String((constant.fval as Node).fval)
     if (constant?.boolval !== undefined) return (constant.boolval as Node).boolval === true ? 'on' : 'off'
-    return ''
+    return undefined
   })
-  return values.length === 0 ? undefined : values.join(', ')
+  return values.every(value => value !== undefined) ? values : undefined
 }
 
 function variableSet (node: Node): StatementClass {
   const setting = String(node.name ?? '').toLowerCase()
-  if (node.kind === 'VAR_SET_MULTI') return unsupported('SET TRANSACTION and SET SESSION CHARACTERISTICS')
-  if (node.kind === 'VAR_RESET_ALL') return { kind: 'setting', setting: '*' }
+  if (node.kind === 'VAR_SET_MULTI') {
+    return setting === 'transaction' ? { kind: 'local setting', setting } : unsupported('SET SESSION CHARACTERISTICS')
+  }
   if (node.is_local === true) return { kind: 'local setting', setting }
-  return { kind: 'setting', setting, value: settingValue(node) }
+  if (node.kind === 'VAR_RESET_ALL') return { kind: 'reset' }
+  if (node.kind === 'VAR_RESET' || node.kind === 'VAR_SET_DEFAULT') return isSessionSetting(setting) ? { kind: 'reset', setting } : unsupported(`RESET ${setting}`)
+  const values = settingValues(node)
+  if (!isSessionSetting(setting) || values === undefined || node.kind !== 'VAR_SET_VALUE') return unsupported(`SET ${setting}`)
+  return { kind: 'setting', setting, values }
+}
+
+const DISCARDS: Record<string, StatementClass> = {
+  DISCARD_ALL: { kind: 'discard' },
+  // Plans belong to the pooled connections, and there are no temporary tables to drop.
+  DISCARD_PLANS: { kind: 'reset', setting: 'plans' },
+  DISCARD_TEMP: { kind: 'reset', setting: 'temp' }
 }
 
 function explain (node: Node): StatementClass {
   const options = (node.options as Node[] | undefined) ?? []
   const analyzes = options.some(option => (option.DefElem as Node).defname === 'analyze')
-  return analyzes && hasEffect(node.query) ? WRITE : READ
+  return analyzes && hasEffect(node.query) ? writeOf(node.query) : READ
 }
 
 const HANDLERS: Record<string, (node: Node) => StatementClass> = {
-  SelectStmt: node => {
-    const lasting = sessionFunction(node)
-    if (lasting !== undefined) return unsupported(`the function ${lasting}`)
-    const into = node.intoClause as Node | undefined
-    if (isTemporary(into?.rel)) return unsupported('temporary tables')
-    return hasEffect(node) ? WRITE : READ
-  },
+  SelectStmt: node => hasEffect(node) ? writeOf(node) : READ,
   TransactionStmt: transaction,
   VariableSetStmt: variableSet,
-  VariableShowStmt: () => READ,
+  VariableShowStmt: node => String(node.name).toLowerCase() === SESSION_SETTING ? { kind: 'show session' } : READ,
   ExplainStmt: explain,
-  CreateStmt: node => isTemporary(node.relation) ? unsupported('temporary tables') : WRITE,
-  CreateTableAsStmt: node => isTemporary((node.into as Node | undefined)?.rel) ? unsupported('temporary tables') : WRITE,
   CopyStmt: () => unsupported('COPY'),
   ListenStmt: () => unsupported('LISTEN'),
   UnlistenStmt: () => unsupported('UNLISTEN'),
   PrepareStmt: () => unsupported('PREPARE as a statement (use the extended protocol)'),
   ExecuteStmt: () => unsupported('EXECUTE as a statement (use the extended protocol)'),
-  DeallocateStmt: () => unsupported('DEALLOCATE'),
+  DeallocateStmt: node => ({ kind: 'deallocate', ...(node.name === undefined ? {} : { statementName: String(node.name) }) }),
   DeclareCursorStmt: node => (Number(node.options ?? 0) & CURSOR_WITH_HOLD) > 0 ? unsupported('cursors WITH HOLD') : WRITE,
-  DiscardStmt: () => ({ kind: 'setting', setting: '*' }),
+  DiscardStmt: node => DISCARDS[String(node.target)] ?? unsupported('DISCARD SEQUENCES'),
   LoadStmt: () => unsupported('LOAD'),
-  DoStmt: () => WRITE,
-  VacuumStmt: () => WRITE
+  DoStmt: () => MARKING_WRITE,
+  CallStmt: () => MARKING_WRITE
 }
 
 /** Bit of DECLARE's options that keeps a cursor beyond its transaction. */
@@ -170,9 +194,10 @@
 
 function classifyNode (statement: Node): StatementClass {
   const [[tag, node]] = Object.entries(statement)
-  const handler = HANDLERS[tag]
-  if (handler === undefined) return sessionFunction(node) === undefined ? WRITE : unsupported(`the function ${sessionFunction(node)}`)
-  return handler(node as Node)
+  const lasting = sessionFunction(node)
+  if (lasting !== undefined) return unsupported(`the function ${lasting}`)
+  if (namesTemporary(node)) return unsupported('temporary tables')
+  return HANDLERS[tag]?.(node as Node) ?? writeOf(node)
 }
 
 function classifyText (text: string): TextClass {
--- /dev/null
+++ b/packages/decisions/src/node/statement/settings.ts
@@ -0,0 +1,71 @@
+/**
+ * Settings of a session that outlive a request: which ones a caller may set
+ * outside transactions, and what brings a pooled connection from one session's
+ * settings to another's.
+ */
+
+/** Setting that carries the session token. */
+export const SESSION_SETTING = 'cyclamenusher.session'
+
+/** Settings that a session keeps over pooled connections, in lower case. */
+const SESSION_SETTINGS: ReadonlySet<string> = new Set([
+  SESSION_SETTING, 'application_name', 'bytea_output', 'client_encoding', 'client_min_messages', 'datestyle',
+  'default_transaction_isolation', 'default_transaction_read_only', 'extra_float_digits',
+  'idle_in_transaction_session_timeout', 'intervalstyle', 'lock_timeout', 'search_path', 'statement_timeout',
+  'timezone', 'work_mem'
+])
+
+/** Longest value that a session keeps, in characters. */
+const MAXIMUM_VALUE_CHARACTERS = 1_024
+
+/** Values by setting, in lower case. */
+export type SettingValues = ReadonlyMap<string, readonly string[]>
+
+export const NO_SETTINGS: SettingValues = new Map()
+
+export function isSessionSetting (name: string): boolean {
+  return SESSION_SETTINGS.has(name)
+}
+
+/** Names of the settings that a session keeps, for messages and docs. */
+export function sessionSettingNames (): string[] {
+  return [...SESSION_SETTINGS]
+}
+
+function quote (value: string): string {
+  const escaped = value.replaceAll("'", "''")
+  // Without the E form a backslash would depend on standard_conforming_strings.
+  return escaped.includes('\\') ? ` E'${escaped.replaceAll('\\', '\\\\')}'` : `'${escaped}'`
+}
+
+function equalValues (left: readonly string[], right: readonly string[] | undefined): boolean {
+  return right !== undefined && left.length === right.length && left.every((value, index) => value === right[index])
+}
+
+/** The statements that make `wanted` of a connection where `inForce` is set; empty when nothing differs. */
+export function settingStatements (inForce: SettingValues, wanted: SettingValues): string {
+  if (inForce === wanted) return ''
+  const resets = [...inForce.keys()].filter(name => !wanted.has(name)).map(name => `RESET ${name}`)
+  const sets = [...wanted]
+    .filter(([name, values]) => !equalValues(values, inForce.get(name)))
+    .map(([name, values]) => `SET ${name} TO ${values.map(quote).join(', ')}`)
+  return [...resets, ...sets].join('; ')
+}
+
+/** What is wrong with a setting that a caller wants kept; undefined: nothing. */
+export function settingFault (name: string, values: readonly string[]): string | undefined {
+  if (!isSessionSetting(name)) return `the setting ${name} can't be kept on shared connections`
+  if (name === SESSION_SETTING) return undefined
+  if (values.join().length > MAXIMUM_VALUE_CHARACTERS) return `the value of ${name} is longer than ${MAXIMUM_VALUE_CHARACTERS} characters`
+  if (name === 'client_encoding' && !/^(utf-?8|unicode)$/i.test(values.join())) return 'only the client_encoding UTF8 is spoken here'
+  return undefined
+}
+
+/** Settings in the startup parameter `options`, as "-c name=value" or "--name=value". */
+export function readStartupOptions (text: string): Array<[name: string, value: string]> {
+  const settings: Array<[string, string]> = []
+  for (const [, name, value] of text.matchAll(/(?:^|\s)(?:-c\s*|--)([\w.-]+)=((?:\\.|[^\s\\])*)/g)) {
+    settings.push([name.replaceAll('-', '_').toLowerCase(), value.replace(/\\(.)/g, '$1')])
+  }
+  return settings
+}
--- a/packages/protocol/src/node/postgres/messages.ts
+++ b/packages/protocol/src/node/postgres/messages.ts
@@ -166,8 +166,8 @@
   return [name, value]
 }
 
-/** Code and message of an ErrorResponse. */
-export function readErrorResponse (frame: Frame): { code: string, message: string } {
+/** Severity (never translated), code and message of an ErrorResponse. */
+export function readErrorResponse (frame: Frame): { severity: string, code: string, message: string } {
   const fields: Record<string, string> = {}
   let offset = 5
   while (offset < frame.bytes.length && frame.bytes[offset] !== 0) {
@@ -176,7 +176,7 @@
     fields[key] = value
     offset = next
   }
-  return { code: fields.C ?? 'XX000', message: fields.M ?? '' }
+  return { severity: fields.V ?? fields.S ?? 'ERROR', code: fields.C ?? 'XX000', message: fields.M ?? '' }
 }
 
 /** The values of a text row. */
