--- a/packages/cyclamenusherd/src/node/connection/backendConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/backendConnection.ts
@@ -11,6 +11,8 @@
 
 /** Largest frame of a backend server, in bytes. */
 const MAXIMUM_FRAME_BYTES = 1024 * 1024 * 1024
+/** Parameter in which a backend server says which one it is. */
+const SERVER_PARAMETER = 'cyclamenusher.server'
 /** Time that opening may take, in milliseconds. */
 const CONNECT_MILLISECONDS = 2_000
 
@@ -23,6 +25,8 @@
 
 export interface BackendConnection {
   readonly member: string
+  /** What the server calls itself: "group/member/incarnation". */
+  readonly server: string
   /** Statements prepared here, by name. */
   readonly prepared: Set<string>
   /** Settings in force here that are not the defaults, by name. */
@@ -56,6 +60,11 @@
   const { member, host, port, user, password, database } = target
   const client = new pg.Client({ host, port, user, password, database, connectionTimeoutMillis: CONNECT_MILLISECONDS, keepAlive: true })
   client.on('error', () => {})
+  let server = ''
+  const parameters = (client as unknown as { connection: NodeJS.EventEmitter }).connection
+  parameters.on('parameterStatus', ({ parameterName, parameterValue }: Record<string, string>) => {
+    if (parameterName === SERVER_PARAMETER) server = parameterValue
+  })
   await client.connect()
   const { connection, processID, secretKey } = client as unknown as TakenOver
   const socket = connection.stream
@@ -92,6 +101,7 @@
 
   return {
     member,
+    server,
     prepared: new Set(),
     settings: new Map(),
     send: bytes => { socket.write(bytes) },
--- a/packages/cyclamenusherd/src/node/process/group/groupMonitor.ts
+++ b/packages/cyclamenusherd/src/node/process/group/groupMonitor.ts
@@ -5,7 +5,7 @@
  */
 
 import { EventEmitter } from 'node:events'
-import { confirmedSince, createGroupView, forgetMember, highestTerm, majorityHolds, recordStatus, recordUnreachable } from '@cyclamenusher/decisions'
+import { confirmedSince, createGroupView, currentPrimary, forgetMember, highestTerm, majorityHolds, recordStatus, recordUnreachable, resizeGroup } from '@cyclamenusher/decisions'
 import { createMemberLink } from './memberLink.js'
 import type { GroupView, LogPosition, PrimarySample } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
@@ -16,6 +16,8 @@
 
 /** Time between two questions to a member when nothing is waited for, in milliseconds. */
 const SAMPLE_MILLISECONDS = 100
+/** The same while the group has no primary, in milliseconds. */
+const UNSETTLED_MILLISECONDS = 20
 
 export type AcknowledgeOutcome = 'held' | 'replaced' | 'timeout'
 
@@ -24,6 +26,8 @@
   view: () => GroupView
   /** Takes the members that announced themselves. */
   setMembers: (announcements: readonly MemberAnnouncement[]) => void
+  /** Takes the number of places that the rules name. */
+  setSize: (size: number) => void
   member: (member: string) => MemberAnnouncement | undefined
   /** Resolves once a majority holds `at`, a later term shows, or time is up. */
   acknowledge: (at: LogPosition, milliseconds: number) => Promise<AcknowledgeOutcome>
@@ -31,6 +35,8 @@
   confirmPlace: (milliseconds: number) => Promise<PrimarySample | undefined>
   /** Resolves at the next change of the view, or when time is up. */
   nextChange: (milliseconds: number) => Promise<void>
+  /** Asks every member for its state now. */
+  poke: () => void
   order: (member: string, statement: string) => Promise<MemberAnswer>
   close: () => void
 }
@@ -58,8 +64,14 @@
   const emitter = new EventEmitter()
   emitter.setMaxListeners(0)
 
+  function isSettled (of: GroupView): boolean {
+    return currentPrimary(of)?.reachable === true
+  }
+
   function changed (next: GroupView): void {
+    const wasSettled = isSettled(view)
     view = next
+    if (wasSettled && !isSettled(view)) pokeAll()
     waiters = waiters.filter(waiter => !waiter.check(view))
     emitter.emit('change')
     options.onChange(monitor)
@@ -81,7 +93,7 @@
       user: config.backend.monitorUser,
       password: config.backend.password,
       database: group,
-      intervalMilliseconds: SAMPLE_MILLISECONDS,
+      intervalMilliseconds: () => isSettled(view) ? SAMPLE_MILLISECONDS : UNSETTLED_MILLISECONDS,
       clock,
       wanted: () => wantedAt(member),
       onAnswer: ({ status, askedAt, answeredAt }) => { changed(recordStatus(view, status, askedAt, answeredAt)) },
@@ -101,8 +113,8 @@
       const known = links.get(announcement.member)
       if (known === undefined) {
         // A group has a fixed number of places: a majority of more would not meet one of fewer.
-        if (links.size >= size) {
-          logger.warn('A backend server finds no place in its group.', { group, member: announcement.member, places: size })
+        if (links.size >= view.size) {
+          logger.warn('A backend server finds no place in its group.', { group, member: announcement.member, places: view.size })
           continue
         }
         links.set(announcement.member, { link: openLink(announcement), announcement })
@@ -147,6 +159,9 @@
     group,
     view: () => view,
     setMembers,
+    setSize: places => {
+      if (places !== view.size) changed(resizeGroup(view, places))
+    },
     member: member => links.get(member)?.announcement,
     acknowledge: async (at, milliseconds) => await until<AcknowledgeOutcome>(milliseconds, 'timeout', current => {
       if (majorityHolds(current, at)) return 'held'
@@ -167,6 +182,7 @@
         emitter.on('change', done)
       })
     },
+    poke: pokeAll,
     order: async (member, statement) => {
       const known = links.get(member)
       if (known === undefined) throw new Error(`no link to ${member}`)
--- a/packages/cyclamenusherd/src/node/process/group/memberLink.ts
+++ b/packages/cyclamenusherd/src/node/process/group/memberLink.ts
@@ -45,8 +45,8 @@
   user: string
   password: string
   database: string
-  /** Time between two questions when nothing is waited for, in milliseconds. */
-  intervalMilliseconds: number
+  /** Time until the next question when nothing is waited for, in milliseconds. */
+  intervalMilliseconds: () => number
   clock: Clock
   /** The place that somebody waits for at this member, if any. */
   wanted: () => { term: number, position: number } | undefined
@@ -56,6 +56,10 @@
 
 type Row = Record<string, string>
 
+function readFlag (value: string | undefined): boolean {
+  return value === 'true' || value === 't'
+}
+
 function readStatus (row: Row): MemberStatus {
   return {
     member: row.member,
@@ -66,7 +70,11 @@
     appliedPosition: Number(row.applied_position),
     primaryMember: row.primary_member,
     heardMilliseconds: Number(row.heard_milliseconds),
-    leaving: row.leaving === 'true' || row.leaving === 't'
+    primaryRefused: readFlag(row.primary_refused),
+    voting: readFlag(row.voting),
+    incarnation: row.incarnation ?? '',
+    leaving: readFlag(row.leaving),
+    openTransactions: Number(row.open_transactions ?? 0)
   }
 }
 
@@ -91,8 +99,12 @@
     const deadline = setTimeout(() => { destroy(connection) }, ANSWER_MILLISECONDS + waitMilliseconds)
     try {
       const { rows } = await connection.query<Row>(statement)
-      const answer = { status: readStatus(rows[0]), granted: rows[0].granted === 'true' || rows[0].granted === 't', askedAt, answeredAt: clock.now() }
-      if (answer.status.member !== member) throw new Error(`the server at this address is ${answer.status.member}`)
+      const answer = { status: readStatus(rows[0]), granted: readFlag(rows[0].granted), askedAt, answeredAt: clock.now() }
+      if (answer.status.member !== member || rows[0].group_name !== database) {
+        // Another server has this address now, so nothing that this one says may count.
+        destroy(connection)
+        throw new Error(`the server at this address is ${answer.status.member} of ${rows[0].group_name}`)
+      }
       options.onAnswer(answer)
       return answer
     } finally {
@@ -111,7 +123,7 @@
       return
     }
     await new Promise<void>(resolve => {
-      const timer = setTimeout(resolve, options.intervalMilliseconds)
+      const timer = setTimeout(resolve, options.intervalMilliseconds())
       wakeSleeper = () => {
         clearTimeout(timer)
         resolve()
--- a/packages/cyclamenusherd/src/node/process/router.ts
+++ b/packages/cyclamenusherd/src/node/process/router.ts
@@ -1,11 +1,12 @@
 /** Finds the member and the connection for each request of this instance. */
 
-import { decideRoute } from '@cyclamenusher/decisions'
+import { currentPrimary, decideRoute, mayRun } from '@cyclamenusher/decisions'
 import { RefusalError } from '../request/refusal.js'
 import { createPool } from './pool.js'
 import { createCoordinator } from './group/coordinator.js'
 import { createGroupMonitor } from './group/groupMonitor.js'
-import type { LogPosition, MemberLoad, RouteDecision, RouteNeed } from '@cyclamenusher/decisions'
+import { createLeaseWatch } from './group/leaseWatch.js'
+import type { GroupView, LogPosition, MemberLoad, RouteDecision, RouteNeed } from '@cyclamenusher/decisions'
 import type { Lease, LeaseRequest } from '../connection/callerConnection.js'
 import type { RulesStore } from '../version/rulesStore.js'
 import type { Clock } from './clock.js'
@@ -13,6 +14,7 @@
 import type { Directory } from './directory.js'
 import type { Coordinator } from './group/coordinator.js'
 import type { GroupMonitor } from './group/groupMonitor.js'
+import type { LeaseWatch } from './group/leaseWatch.js'
 import type { Logger } from './logger.js'
 import type { Metrics } from './metrics.js'
 import type { Pool } from './pool.js'
@@ -23,6 +25,10 @@
 const PLACE_MILLISECONDS = 7_000
 /** Age of a member's answer that still counts for a failover, in milliseconds. */
 const ANSWER_MILLISECONDS = 1_000
+/** Connections that are opened at once to a member that became the primary. */
+const WARM_CONNECTIONS = 2
+/** Time that opening them may take, in milliseconds. */
+const WARM_MILLISECONDS = 2_000
 /** Members of a group when no rule names another number. */
 const DEFAULT_MEMBERS = 3
 
@@ -32,6 +38,10 @@
   acknowledge: (group: string, at: LogPosition) => Promise<'held' | 'replaced' | 'timeout'>
   /** The decision for a request, without running it. */
   explain: (request: LeaseRequest) => RouteDecision
+  /** What this instance knows of a group. */
+  view: (group: string) => GroupView
+  /** Tells a backend server to take no new transactions, or to take them again. */
+  leave: (group: string, member: string, leaving: boolean) => Promise<boolean>
   /** Takes news of a group's members. */
   refresh: (group: string) => void
   close: () => void
@@ -50,6 +60,15 @@
 interface Group {
   monitor: GroupMonitor
   coordinator: Coordinator
+  leases: LeaseWatch
+  /** The primary that connections were last opened to. */
+  warmed: string
+}
+
+/** Whether a connection leads to the server whose state the view shows. */
+function isServer (view: GroupView, member: string, server: string): boolean {
+  const known = view.members.get(member)
+  return known !== undefined && server === `${view.group}/${member}/${known.status.incarnation}`
 }
 
 export function createRouter (options: RouterOptions): Router {
@@ -58,32 +77,70 @@
   const groups = new Map<string, Group>()
   const pools = new Map<string, { pool: Pool, address: string }>()
 
-  function sizeOf (group: string): number {
-    const rule = [...store.rules().databases.values()].find(database => database.group === group)
-    return rule?.members ?? DEFAULT_MEMBERS
+  function placesOf (group: string): number | undefined {
+    return [...store.rules().databases.values()].find(database => database.group === group)?.members
   }
 
   function openGroup (group: string): Group {
     const known = groups.get(group)
     if (known !== undefined) return known
-    const monitor = createGroupMonitor({ group, size: sizeOf(group), config, clock, logger: logger.scope('monitor'), onChange: () => {} })
+    const leases = createLeaseWatch()
+    const monitor = createGroupMonitor({
+      group,
+      size: placesOf(group) ?? DEFAULT_MEMBERS,
+      config,
+      clock,
+      logger: logger.scope('monitor'),
+      onChange: ({ view }) => {
+        leases.check(view())
+        warm(opened, view())
+      }
+    })
     const coordinator = createCoordinator({
       monitor,
       self: config.instance.name,
       instances: options.instances,
+      isKnown: () => placesOf(group) !== undefined,
       limits: { silenceMilliseconds: config.failover.silenceMilliseconds, answerMilliseconds: ANSWER_MILLISECONDS },
       clock,
       logger: logger.scope('failover'),
       metrics
     })
-    const opened = { monitor, coordinator }
+    const opened: Group = { monitor, coordinator, leases, warmed: '' }
     groups.set(group, opened)
     monitor.setMembers(directory.members(group))
     return opened
   }
 
+  /** Opens connections to a new primary before requests come for it. */
+  function warm (group: Group, view: GroupView): void {
+    const primary = currentPrimary(view)
+    if (primary === undefined || !primary.reachable) return
+    const { member, adoptedTerm, incarnation } = primary.status
+    const name = `${member} ${incarnation} ${adoptedTerm}`
+    if (group.warmed === name) return
+    group.warmed = name
+    const pool = poolOf(view.group, member)
+    if (pool === undefined || pool.size() >= WARM_CONNECTIONS) return
+    const count = Math.min(WARM_CONNECTIONS, config.backend.connectionsPerServer)
+    for (let index = 0; index < count; index += 1) {
+      pool.acquire('', WARM_MILLISECONDS).then(backend => { pool.release(backend, true) }, () => {})
+    }
+  }
+
+  function takeRules (): void {
+    for (const [group, { monitor }] of groups) {
+      const places = placesOf(group)
+      if (places !== undefined) monitor.setSize(places)
+    }
+  }
+
+  const versions = store.versions.subscribe({ next: takeRules, error: () => {}, complete: () => {} })
+
   function refresh (group: string): void {
-    openGroup(group).monitor.setMembers(directory.members(group))
+    const { monitor } = openGroup(group)
+    monitor.setMembers(directory.members(group))
+    monitor.poke()
   }
 
   function poolOf (group: string, member: string): Pool | undefined {
@@ -155,11 +212,25 @@
     const askedAt = clock.now()
     const backend = await pool.acquire(request.identity.account, config.backend.waitMilliseconds)
     metrics.recordLatency('connection_wait', clock.now() - askedAt)
+    const { monitor, leases } = openGroup(request.group)
+    // The group may have changed during the wait, and the server behind the address too.
+    const isSame = isServer(monitor.view(), decision.member, backend.server)
+    if (!isSame || !mayRun(monitor.view(), needOf(request), decision.member, clock.now())) {
+      pool.release(backend, isSame)
+      return undefined
+    }
     metrics.routes.inc({ role: request.need, reason: decision.reason })
     if (config.log.decisions) {
       routeLog.info('A request was routed.', { account: request.identity.account, database: request.database, need: request.need, member: decision.member, reason: decision.reason, term: decision.term })
     }
-    return { backend, release: clean => { pool.release(backend, clean) } }
+    const unwatch = request.need === 'read' ? undefined : leases.add(decision.term, backend)
+    return {
+      backend,
+      release: clean => {
+        unwatch?.()
+        pool.release(backend, clean)
+      }
+    }
   }
 
   async function confirmPlace (group: string): Promise<LogPosition> {
@@ -182,8 +253,11 @@
     confirmPlace,
     acknowledge,
     explain: decide,
+    view: group => openGroup(group).monitor.view(),
+    leave: async (group, member, leaving) => (await openGroup(group).monitor.order(member, `SELECT * FROM cyclamenusher.leave(${leaving})`)).granted,
     refresh,
     close: () => {
+      versions.unsubscribe()
       for (const { monitor, coordinator } of groups.values()) {
         coordinator.close()
         monitor.close()
--- a/packages/decisions/src/node/group/__tests__/route.test.ts
+++ b/packages/decisions/src/node/group/__tests__/route.test.ts
@@ -5,7 +5,7 @@
 import type { GroupView, MemberStatus } from '../view.js'
 
 function status (member: string, changes: Partial<MemberStatus>): MemberStatus {
-  return { member, role: 'replica', adoptedTerm: 2, logTerm: 2, position: 10, appliedPosition: 10, primaryMember: 'one', heardMilliseconds: 0, leaving: false, ...changes }
+  return { member, role: 'replica', adoptedTerm: 2, logTerm: 2, position: 10, appliedPosition: 10, primaryMember: 'one', heardMilliseconds: 0, primaryRefused: false, voting: true, incarnation: 'first', leaving: false, openTransactions: 0, ...changes }
 }
 
 function viewOf (...statuses: MemberStatus[]): GroupView {
--- a/packages/decisions/src/node/group/failover.ts
+++ b/packages/decisions/src/node/group/failover.ts
@@ -1,48 +1,100 @@
 /** When a group needs another primary, which member it is, and what keeps the rest in line. */
 
 import { includesPosition } from '../session/position.js'
-import { currentPrimary, highestTerm, majorityOf } from './view.js'
+import { confirmedSince, currentPrimary, hasVote, highestTerm, logPlace, majorityOf, voters } from './view.js'
+import type { LogPosition } from '../session/position.js'
 import type { GroupView, MemberStatus, MemberView } from './view.js'
 
+/**
+ * Time in which a member's grant of a term must arrive to count, in
+ * milliseconds, from when the member was asked.
+ */
+export const GRANT_MILLISECONDS = 1_000
+/**
+ * Time without a vote after which a member may be admitted, in milliseconds. A
+ * grant from before its loss no longer counts anywhere by then, also when
+ * clocks run at rates that differ by half.
+ */
+export const ADMISSION_MILLISECONDS = 2 * GRANT_MILLISECONDS
+/** Time in which a replica that was told to follow a primary should hear it, in milliseconds. */
+const FOLLOW_MILLISECONDS = 1_000
+/** Longest time that a leaving primary waits for its transactions to end, in milliseconds. */
+const HAND_OVER_MILLISECONDS = 5_000
+
 export interface FailoverLimits {
   /** Silence of a primary before a replica calls it failed, in milliseconds. */
   silenceMilliseconds: number
   /** Age of an answer that still counts, in milliseconds. */
   answerMilliseconds: number
+  /** Whether a refused connection to a primary counts as its failure at once. @default true */
+  trustsRefusal?: boolean
 }
 
 export type FailoverDecision =
   | { kind: 'none' }
-  /** A majority of the members hears no primary. */
+  /** The group has never had a primary. */
+  | { kind: 'form' }
+  /** A majority of the members has no primary. */
   | { kind: 'promote', reason: string }
+  /** The primary is leaving and another member can take over. */
+  | { kind: 'hand over', reason: string }
   /** These members do not follow the primary that the group has. */
   | { kind: 'repair', primary: string, term: number, members: string[] }
+  /** This member, which lost its state, holds again what it may have held. */
+  | { kind: 'admit', member: string, term: number, position: number, incarnation: string }
 
 function isFreshAnswer (member: MemberView, limits: FailoverLimits, now: number): boolean {
   return member.reachable && now - member.askedAt <= limits.answerMilliseconds
 }
 
 /** Whether a member's own view says that it has no working primary. */
-function hearsNoPrimary (member: MemberView, limits: FailoverLimits, primary: MemberView | undefined): boolean {
-  const { status } = member
+function hearsNoPrimary (member: MemberView, limits: FailoverLimits, primary: MemberView | undefined, now: number): boolean {
+  const { status, orphanSince } = member
   if (status.role === 'primary') return false
-  if (primary !== undefined && (status.adoptedTerm < primary.status.adoptedTerm || status.primaryMember === '')) return false
-  return status.heardMilliseconds < 0 || status.heardMilliseconds >= limits.silenceMilliseconds
+  const refused = status.primaryRefused && limits.trustsRefusal !== false
+  if (primary !== undefined) {
+    if (status.adoptedTerm < primary.status.adoptedTerm) return false
+    // It may have been told to follow this primary a moment ago.
+    if (status.primaryMember === '' && !refused) return orphanSince !== undefined && now - orphanSince >= limits.silenceMilliseconds + FOLLOW_MILLISECONDS
+  }
+  return refused || status.heardMilliseconds < 0 || status.heardMilliseconds >= limits.silenceMilliseconds
+}
+
+function isEmpty ({ status }: MemberView): boolean {
+  return !status.voting && status.logTerm === 0 && status.position === 0
+}
+
+/** Whether a member that belongs to the highest term hears its primary, which this instance may not. */
+function hearsPrimary ({ status }: MemberView, term: number, limits: FailoverLimits): boolean {
+  return status.adoptedTerm === term && status.primaryMember !== '' && !status.primaryRefused &&
+    status.heardMilliseconds >= 0 && status.heardMilliseconds < limits.silenceMilliseconds
+}
+
+function decidePromotion (view: GroupView, answers: readonly MemberView[], primary: MemberView | undefined, limits: FailoverLimits, now: number): FailoverDecision | undefined {
+  if (answers.length >= view.size && answers.every(isEmpty)) return { kind: 'form' }
+  const counted = answers.filter(hasVote)
+  const majority = majorityOf(view.size)
+  if (counted.length < majority) return undefined
+  const silent = counted.filter(member => hearsNoPrimary(member, limits, primary, now))
+  if (silent.length >= majority) return { kind: 'promote', reason: `${silent.length} of ${view.size} members hear no primary` }
+  if (currentPrimary(view) !== undefined) return undefined
+  // A coordinator that died after a minority adopted its term leaves the term without a primary.
+  const term = highestTerm(view)
+  if (now - view.termShownAt < limits.silenceMilliseconds || answers.some(member => hearsPrimary(member, term, limits))) return undefined
+  return { kind: 'promote', reason: `term ${term} has no primary` }
 }
 
 /** Decides what a group needs now. */
 export function decideFailover (view: GroupView, limits: FailoverLimits, now: number): FailoverDecision {
   const answers = [...view.members.values()].filter(member => isFreshAnswer(member, limits, now))
   const primary = currentPrimary(view)
-  const primaryAnswers = primary !== undefined && isFreshAnswer(primary, limits, now)
-  const silent = answers.filter(member => hearsNoPrimary(member, limits, primaryAnswers ? primary : undefined))
-  if (silent.length >= majorityOf(view.size)) {
-    return { kind: 'promote', reason: `${silent.length} of ${view.size} members hear no primary` }
-  }
-  if (primary === undefined || !primaryAnswers) return { kind: 'none' }
-  const astray = answers.filter(({ status }) => status.member !== primary.status.member && isAstray(status, primary.status))
-  if (astray.length === 0) return { kind: 'none' }
-  return { kind: 'repair', primary: primary.status.member, term: primary.status.adoptedTerm, members: astray.map(({ status }) => status.member) }
+  const answering = primary !== undefined && isFreshAnswer(primary, limits, now) ? primary : undefined
+  const promotion = decidePromotion(view, answers, answering, limits, now)
+  if (promotion !== undefined) return promotion
+  if (answering === undefined) return { kind: 'none' }
+  const astray = answers.filter(({ status }) => status.member !== answering.status.member && isAstray(status, answering.status))
+  if (astray.length > 0) return { kind: 'repair', primary: answering.status.member, term: answering.status.adoptedTerm, members: astray.map(({ status }) => status.member) }
+  return decideAdmission(view, answers, answering) ?? decideHandOver(view, answering, now) ?? { kind: 'none' }
 }
 
 function isAstray (status: MemberStatus, primary: MemberStatus): boolean {
@@ -50,20 +102,66 @@
   return status.adoptedTerm < primary.adoptedTerm || status.primaryMember !== primary.member
 }
 
+/**
+ * A member that lost its state may have granted a term or held a record that it
+ * no longer knows. Its old grants have run out after `ADMISSION_MILLISECONDS`;
+ * a sample that the others confirmed after that belongs to the newest term, and
+ * a log of that term up to the sample holds all that it may have held.
+ */
+function decideAdmission (view: GroupView, answers: readonly MemberView[], primary: MemberView): FailoverDecision | undefined {
+  for (const { status, withoutVoteSince } of answers) {
+    if (withoutVoteSince === undefined || status.role === 'primary') continue
+    const sample = confirmedSince(view, withoutVoteSince + ADMISSION_MILLISECONDS)
+    if (sample === undefined || sample.term !== primary.status.adoptedTerm) continue
+    if (status.adoptedTerm !== sample.term || status.logTerm !== sample.term || status.position < sample.position) continue
+    return { kind: 'admit', member: status.member, term: sample.term, position: sample.position, incarnation: status.incarnation }
+  }
+  return undefined
+}
+
+/** The members that could take over from a leaving primary, the furthest first. */
+function heirsOf (view: GroupView, primary: MemberView): MemberView[] {
+  return voters(view)
+    .filter(member => member !== primary && member.reachable && !member.status.leaving && member.status.logTerm === primary.status.logTerm)
+    .sort((left, right) => right.status.position - left.status.position)
+}
+
+/** Whether new transactions should wait, because a leaving primary can be replaced. */
+export function isHandingOver (view: GroupView): boolean {
+  const primary = currentPrimary(view)
+  if (primary === undefined || !primary.status.leaving) return false
+  return heirsOf(view, primary).length >= majorityOf(view.size)
+}
+
+/**
+ * A leaving primary gives way once its transactions have ended and another
+ * member holds everything that it does, or when it has waited long enough.
+ */
+function decideHandOver (view: GroupView, primary: MemberView, now: number): FailoverDecision | undefined {
+  if (primary.leavingSince === undefined || !isHandingOver(view)) return undefined
+  const [heir] = heirsOf(view, primary)
+  const settled = primary.status.openTransactions === 0 && heir.status.position >= primary.status.position
+  if (!settled && now - primary.leavingSince < HAND_OVER_MILLISECONDS) return undefined
+  return { kind: 'hand over', reason: `${primary.status.member} is leaving` }
+}
+
 /** The term that a promotion asks the members to adopt. */
 export function nextTerm (view: GroupView): number {
   return highestTerm(view) + 1
 }
 
+function isFurther (left: LogPosition, right: LogPosition): boolean {
+  return includesPosition(left, right) && !includesPosition(right, left)
+}
+
 /**
- * The member to promote, among those that adopted the new term: the one whose
- * log goes furthest. Undefined when they are no majority.
+ * The member to promote, among those that adopted the new term and have a vote:
+ * the one whose log goes furthest. Undefined when they are no majority. A
+ * leaving member is passed over where the others are a majority by themselves.
  */
 export function choosePrimary (granted: readonly MemberStatus[], size: number): MemberStatus | undefined {
-  if (granted.length < majorityOf(size)) return undefined
-  return granted.reduce((best, status) => {
-    const place = { term: status.logTerm, position: status.position }
-    const bestPlace = { term: best.logTerm, position: best.position }
-    return includesPosition(place, bestPlace) && !includesPosition(bestPlace, place) ? status : best
-  })
+  const staying = granted.filter(({ leaving }) => !leaving)
+  const candidates = staying.length >= majorityOf(size) ? staying : granted
+  if (candidates.length < majorityOf(size)) return undefined
+  return candidates.reduce((best, status) => isFurther(logPlace(status), logPlace(best)) ? status : best)
 }
--- a/packages/decisions/src/node/group/route.ts
+++ b/packages/decisions/src/node/group/route.ts
@@ -1,6 +1,7 @@
 /** Which member of a group runs a request. */
 
 import { includesPosition } from '../session/position.js'
+import { isHandingOver } from './failover.js'
 import { appliedPlace, currentPrimary, highestTerm, memberAge } from './view.js'
 import type { LogPosition } from '../session/position.js'
 import type { GroupView, MemberView } from './view.js'
@@ -14,9 +15,16 @@
 /** Why a member was chosen; it goes into the log line of the decision. */
 export type RouteReason = 'primary' | 'replica holds the session' | 'replica within the age' | 'primary holds the session'
 
+/** Why no member was chosen. */
+export type RouteObstacle =
+  | 'no primary is known'
+  | 'the primary is leaving'
+  | 'no member is at the session\'s place'
+  | 'no member is within the age'
+
 export type RouteDecision =
   | { kind: 'member', member: string, reason: RouteReason, term: number }
-  | { kind: 'none', reason: 'no primary is known' | 'no member is at the session\'s place' | 'no member is within the age' }
+  | { kind: 'none', reason: RouteObstacle }
 
 /** What the instance knows of a member beside the group's own state. */
 export interface MemberLoad {
@@ -26,54 +34,73 @@
   near: boolean
 }
 
-function byLoad (loads: ReadonlyMap<string, MemberLoad>): (left: MemberView, right: MemberView) => number {
-  return (left, right) => {
-    const leftLoad = loads.get(left.status.member) ?? { busy: 0, near: false }
-    const rightLoad = loads.get(right.status.member) ?? { busy: 0, near: false }
-    if (leftLoad.busy !== rightLoad.busy) return leftLoad.busy - rightLoad.busy
-    return Number(rightLoad.near) - Number(leftLoad.near)
-  }
+/** A member that may run a request. */
+interface Candidate {
+  view: MemberView
+  reason: RouteReason
 }
 
-function routeToPrimary (view: GroupView, reason: RouteReason): RouteDecision {
+type Candidates = readonly Candidate[] | RouteObstacle
+
+function primaryCandidate (view: GroupView, reason: RouteReason): Candidates {
   const primary = currentPrimary(view)
-  if (primary === undefined) return { kind: 'none', reason: 'no primary is known' }
-  return { kind: 'member', member: primary.status.member, reason, term: primary.status.adoptedTerm }
+  if (primary === undefined) return 'no primary is known'
+  if (isHandingOver(view)) return 'the primary is leaving'
+  return [{ view: primary, reason }]
 }
 
 function usableReplicas (view: GroupView): MemberView[] {
   return [...view.members.values()].filter(({ status, reachable }) => status.role === 'replica' && reachable && !status.leaving)
 }
 
-type Deciders = { [Kind in RouteNeed['kind']]: (view: GroupView, need: Extract<RouteNeed, { kind: Kind }>, loads: ReadonlyMap<string, MemberLoad>, now: number) => RouteDecision }
+type Finders = { [Kind in RouteNeed['kind']]: (view: GroupView, need: Extract<RouteNeed, { kind: Kind }>, now: number) => Candidates }
 
-const DECIDERS: Deciders = {
-  write: view => routeToPrimary(view, 'primary'),
-  'session-read': (view, { token }, loads) => {
-    const fresh = usableReplicas(view)
-      .filter(({ status }) => includesPosition(appliedPlace(status), token))
-      .sort(byLoad(loads))
-    if (fresh.length > 0) return { kind: 'member', member: fresh[0].status.member, reason: 'replica holds the session', term: fresh[0].status.logTerm }
+const FINDERS: Finders = {
+  write: view => primaryCandidate(view, 'primary'),
+  'session-read': (view, { token }) => {
+    const fresh = usableReplicas(view).filter(({ status }) => includesPosition(appliedPlace(status), token))
+    if (fresh.length > 0) return fresh.map(member => ({ view: member, reason: 'replica holds the session' }))
     const primary = currentPrimary(view)
     // A primary of an earlier term than the token's may have been replaced.
     if (primary === undefined || !includesPosition(appliedPlace(primary.status), { term: token.term, position: 0 }) || highestTerm(view) < token.term) {
-      return { kind: 'none', reason: 'no member is at the session\'s place' }
+      return 'no member is at the session\'s place'
     }
-    return routeToPrimary(view, 'primary holds the session')
+    return primaryCandidate(view, 'primary holds the session')
   },
-  'aged-read': (view, need, loads, now) => {
+  'aged-read': (view, need, now) => {
     const within = [...view.members.values()]
       .filter(({ status, reachable }) => reachable && !status.leaving && (need.token === undefined || includesPosition(appliedPlace(status), need.token)))
       .filter(member => memberAge(view, member, now) <= need.maximumAgeMilliseconds)
-      .sort((left, right) => Number(left.status.role === 'primary') - Number(right.status.role === 'primary') || byLoad(loads)(left, right))
-    if (within.length === 0) return { kind: 'none', reason: 'no member is within the age' }
-    const [{ status }] = within
-    return { kind: 'member', member: status.member, reason: status.role === 'primary' ? 'primary' : 'replica within the age', term: status.logTerm }
+    const replicas = within.filter(({ status }) => status.role === 'replica')
+    if (replicas.length > 0) return replicas.map(member => ({ view: member, reason: 'replica within the age' }))
+    return within.length > 0 ? within.map(member => ({ view: member, reason: 'primary' })) : 'no member is within the age'
+  }
+}
+
+function findCandidates (view: GroupView, need: RouteNeed, now: number): Candidates {
+  const find = FINDERS[need.kind] as (view: GroupView, need: RouteNeed, now: number) => Candidates
+  return find(view, need, now)
+}
+
+function byLoad (loads: ReadonlyMap<string, MemberLoad>): (left: Candidate, right: Candidate) => number {
+  return (left, right) => {
+    const leftLoad = loads.get(left.view.status.member) ?? { busy: 0, near: false }
+    const rightLoad = loads.get(right.view.status.member) ?? { busy: 0, near: false }
+    if (leftLoad.busy !== rightLoad.busy) return leftLoad.busy - rightLoad.busy
+    return Number(rightLoad.near) - Number(leftLoad.near)
   }
 }
 
 /** Decides which member runs a request. */
 export function decideRoute (view: GroupView, need: RouteNeed, loads: ReadonlyMap<string, MemberLoad>, now: number): RouteDecision {
-  const decide = DECIDERS[need.kind] as (view: GroupView, need: RouteNeed, loads: ReadonlyMap<string, MemberLoad>, now: number) => RouteDecision
-  return decide(view, need, loads, now)
+  const candidates = findCandidates(view, need, now)
+  if (typeof candidates === 'string') return { kind: 'none', reason: candidates }
+  const [{ view: { status }, reason }] = [...candidates].sort(byLoad(loads))
+  return { kind: 'member', member: status.member, reason, term: status.role === 'primary' ? status.adoptedTerm : status.logTerm }
+}
+
+/** Whether `member` may run a request, as after a wait for a connection to it. */
+export function mayRun (view: GroupView, need: RouteNeed, member: string, now: number): boolean {
+  const candidates = findCandidates(view, need, now)
+  return typeof candidates !== 'string' && candidates.some(candidate => candidate.view.status.member === member)
 }
--- a/packages/decisions/src/node/group/view.ts
+++ b/packages/decisions/src/node/group/view.ts
@@ -5,6 +5,7 @@
  */
 
 import { includesPosition } from '../session/position.js'
+import { addSample } from './samples.js'
 import type { LogPosition } from '../session/position.js'
 
 export type MemberRole = 'primary' | 'replica'
@@ -25,7 +26,15 @@
   primaryMember: string
   /** Time since it heard from that primary; -1: never. */
   heardMilliseconds: number
+  /** The primary that it follows refuses connections: nothing listens there. */
+  primaryRefused: boolean
+  /** It holds what it ever held; false on a server that began with an empty disk, until it is admitted. */
+  voting: boolean
+  /** Another one each time the server starts. */
+  incarnation: string
   leaving: boolean
+  /** Transactions of callers that are open there. */
+  openTransactions: number
 }
 
 /** A member's newest answer. */
@@ -36,6 +45,14 @@
   answeredAt: number
   /** Whether the link on which it answered still works. */
   reachable: boolean
+  /** When this incarnation was first seen without a vote; undefined while it has one. */
+  withoutVoteSince?: number
+  /** When it was first seen as a replica that never heard a primary; undefined once it did. */
+  orphanSince?: number
+  /** When it was first seen leaving; undefined while it stays. */
+  leavingSince?: number
+  /** The state that an earlier incarnation had shown and that this one lacks. */
+  lost?: { adoptedTerm: number, log: LogPosition }
 }
 
 /** A place that the group's current primary had reached when `takenAt` had passed. */
@@ -52,13 +69,18 @@
   members: ReadonlyMap<string, MemberView>
   /** Oldest first. */
   samples: readonly PrimarySample[]
+  /** When the highest term was first shown. */
+  termShownAt: number
 }
 
-/** Samples that are kept. */
-const MAXIMUM_SAMPLES = 512
-
 export function createGroupView (group: string, size: number): GroupView {
-  return { group, size, members: new Map(), samples: [] }
+  return { group, size, members: new Map(), samples: [], termShownAt: 0 }
+}
+
+/** The view with another number of places, as the rules name it. */
+export function resizeGroup (view: GroupView, size: number): GroupView {
+  // Samples were confirmed by majorities of the former size.
+  return size === view.size ? view : { ...view, size, samples: [] }
 }
 
 /** Members that make a majority of `size` places. */
@@ -66,32 +88,76 @@
   return Math.floor(size / 2) + 1
 }
 
+/** Where the log of a member ends. */
+export function logPlace (status: MemberStatus): LogPosition {
+  return { term: status.logTerm, position: status.position }
+}
+
+/**
+ * Whether a member counts in a majority. A server that lost its disk, or came
+ * back with an older one, may have forgotten a vote or an acknowledged record.
+ */
+export function hasVote ({ status, lost }: MemberView): boolean {
+  if (!status.voting) return false
+  if (lost === undefined) return true
+  return status.adoptedTerm >= lost.adoptedTerm && includesPosition(logPlace(status), lost.log)
+}
+
+/** The members that count in a majority. */
+export function voters (view: GroupView): MemberView[] {
+  return [...view.members.values()].filter(hasVote)
+}
+
 /** The highest term that any member has shown. */
 export function highestTerm (view: GroupView): number {
   return Math.max(0, ...[...view.members.values()].map(({ status }) => status.adoptedTerm))
 }
 
-function confirmSamples (view: GroupView, samples: readonly PrimarySample[]): PrimarySample[] {
-  const majority = majorityOf(view.size)
-  return samples.map(sample => {
-    if (sample.confirmed) return sample
-    const agreeing = [...view.members.values()].filter(member => member.askedAt >= sample.takenAt && member.status.adoptedTerm === sample.term)
-    return { ...sample, confirmed: agreeing.length >= majority }
-  })
+function confirmSample (view: GroupView, sample: PrimarySample): PrimarySample {
+  if (sample.confirmed) return sample
+  const agreeing = voters(view).filter(member => member.askedAt >= sample.takenAt && member.status.adoptedTerm === sample.term)
+  return agreeing.length >= majorityOf(view.size) ? { ...sample, confirmed: true } : sample
+}
+
+function lostState (known: MemberView | undefined, status: MemberStatus): MemberView['lost'] {
+  if (known === undefined || known.status.incarnation === status.incarnation) return known?.lost
+  const shown = { adoptedTerm: known.status.adoptedTerm, log: logPlace(known.status) }
+  const kept = status.adoptedTerm >= shown.adoptedTerm && includesPosition(logPlace(status), shown.log)
+  return kept ? known.lost : shown
+}
+
+function withoutVoteSince (known: MemberView | undefined, status: MemberStatus, answeredAt: number): number | undefined {
+  if (status.voting) return undefined
+  return known?.status.incarnation === status.incarnation ? known.withoutVoteSince ?? answeredAt : answeredAt
+}
+
+function orphanSince (known: MemberView | undefined, status: MemberStatus, answeredAt: number): number | undefined {
+  if (status.role === 'primary' || (status.primaryMember !== '' && status.heardMilliseconds >= 0)) return undefined
+  return known?.orphanSince ?? answeredAt
 }
 
 /** The view after a member answered. Answers that arrive out of order are dropped. */
 export function recordStatus (view: GroupView, status: MemberStatus, askedAt: number, answeredAt: number): GroupView {
   const known = view.members.get(status.member)
   if (known !== undefined && known.askedAt > askedAt) return view
-  const members = new Map(view.members).set(status.member, { status, askedAt, answeredAt, reachable: true })
+  const member: MemberView = {
+    status,
+    askedAt,
+    answeredAt,
+    reachable: true,
+    withoutVoteSince: withoutVoteSince(known, status, answeredAt),
+    orphanSince: orphanSince(known, status, answeredAt),
+    leavingSince: status.leaving ? known?.leavingSince ?? answeredAt : undefined,
+    lost: lostState(known, status)
+  }
+  const members = new Map(view.members).set(status.member, member)
+  const termShownAt = status.adoptedTerm > highestTerm(view) ? answeredAt : view.termShownAt
+  const changed = { ...view, members, termShownAt }
   const isPrimary = status.role === 'primary' && status.logTerm === status.adoptedTerm
   const taken: PrimarySample[] = isPrimary
-    ? [{ takenAt: askedAt, term: status.adoptedTerm, position: status.position, confirmed: false }]
-    : []
-  const changed = { ...view, members }
-  const samples = confirmSamples(changed, [...view.samples, ...taken].slice(-MAXIMUM_SAMPLES))
-  return { ...changed, samples }
+    ? [...view.samples, { takenAt: askedAt, term: status.adoptedTerm, position: status.position, confirmed: false }]
+    : [...view.samples]
+  return { ...changed, samples: addSample(taken, sample => confirmSample(changed, sample)) }
 }
 
 /** The view after the link to a member broke. */
@@ -118,7 +184,7 @@
 /** Whether a majority holds `at` in its own term and no member has shown a later one. */
 export function majorityHolds (view: GroupView, at: LogPosition): boolean {
   if (highestTerm(view) > at.term) return false
-  const holders = [...view.members.values()].filter(({ status }) =>
+  const holders = voters(view).filter(({ status }) =>
     status.adoptedTerm === at.term && status.logTerm === at.term && status.position >= at.position)
   return holders.length >= majorityOf(view.size)
 }
--- a/packages/stand-ins/src/node/announcer/announcer.ts
+++ b/packages/stand-ins/src/node/announcer/announcer.ts
@@ -59,6 +59,7 @@
     if (!closed) timer = setTimeout(() => { void announce() }, next)
   }
 
+  server.onChanged(() => { setImmediate(() => { void announce() }) })
   void announce()
   return {
     announceNow: () => { void announce() },
--- a/packages/stand-ins/src/node/backend/connection.ts
+++ b/packages/stand-ins/src/node/backend/connection.ts
@@ -30,15 +30,22 @@
   /** Everything that callers sent, newest last, for checks that a key never shows. */
   received: Buffer[]
   statements: number
+  /** Sessions of callers' work. */
+  sessions: Set<SessionState>
 }
 
 export function createConnectionRegistry (users: Map<string, string>, reservedUsers: Set<string>): ConnectionRegistry {
-  return { open: 0, opened: 0, nextProcessNumber: 1, cancels: new Map(), users, reservedUsers, received: [], statements: 0 }
+  return { open: 0, opened: 0, nextProcessNumber: 1, cancels: new Map(), users, reservedUsers, received: [], statements: 0, sessions: new Set() }
 }
 
 interface Prepared { text: string }
 interface Portal { text: string }
 
+/** Callers' transactions that are open, and statements that run outside of one. */
+export function countTransactions (registry: ConnectionRegistry): number {
+  return [...registry.sessions].filter(({ transaction, busy }) => busy || transaction !== 'idle').length
+}
+
 /** Reads the first message, answers TLS and cancel requests, then serves the connection. */
 export function serveConnection (socket: Socket, server: BackendServer, registry: ConnectionRegistry): void {
   socket.setNoDelay(true)
@@ -95,7 +102,7 @@
   const processNumber = registry.nextProcessNumber
   registry.nextProcessNumber += 1
   const secret = Math.floor(Math.random() * 0xffffffff)
-  const session: SessionState = { user, pending: [], transaction: 'idle', settings: new Map(), temporaryTables: new Map() }
+  const session: SessionState = { user, pending: [], transaction: 'idle', busy: false, settings: new Map(), temporaryTables: new Map() }
   const prepared = new Map<string, Prepared>()
   const portals = new Map<string, Portal>()
   let authenticated = false
@@ -105,6 +112,7 @@
   const queue: Frame[] = []
   let running = false
 
+  if (!registry.reservedUsers.has(user)) registry.sessions.add(session)
   registry.cancels.set(processNumber, {
     secret,
     cancel: () => {
@@ -118,6 +126,7 @@
   })
   socket.on('close', () => {
     registry.cancels.delete(processNumber)
+    registry.sessions.delete(session)
     wake?.()
   })
 
@@ -311,12 +320,15 @@
       fail(new StatementError('08P01', `message type ${frame.type} is not supported`))
       return
     }
+    session.busy = true
     try {
       await handler(frame)
     } catch (error) {
       // In the extended protocol an error skips everything up to Sync.
       fail(error)
       skipping = true
+    } finally {
+      session.busy = false
     }
   }
 
@@ -332,6 +344,7 @@
       buildParameterStatus('server_version', '15.0'),
       buildParameterStatus('client_encoding', 'UTF8'),
       buildParameterStatus('standard_conforming_strings', 'on'),
+      buildParameterStatus('cyclamenusher.server', `${server.options.group}/${server.options.member}/${server.incarnation}`),
       buildBackendKeyData(processNumber, secret),
       buildReadyForQuery('idle')
     ]))
--- a/packages/stand-ins/src/node/backend/log.ts
+++ b/packages/stand-ins/src/node/backend/log.ts
@@ -1,6 +1,6 @@
 /** The log of a stand-in backend server: records in order, each of one term. */
 
-import { appendFileSync, existsSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
+import { appendFileSync, existsSync, mkdirSync, readFileSync, renameSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import type { Operation } from './store.js'
 
@@ -24,6 +24,15 @@
   /** The adopted term, kept beside the records. */
   adoptedTerm: () => number
   adopt: (term: number) => void
+  /** Whether the folder holds what the member ever held; false on an empty one, until `admit`. */
+  isVoting: () => boolean
+  admit: () => void
+}
+
+/** What a member keeps beside its records. */
+interface KeptState {
+  adoptedTerm: number
+  voting: boolean
 }
 
 /** Last position up to which two logs are the same. */
@@ -49,20 +58,46 @@
   return runs
 }
 
+/** Replaces a file in one step, so that a kill leaves the old text or the new. */
+function replaceFile (file: string, text: string): void {
+  writeFileSync(`${file}.new`, text)
+  renameSync(`${file}.new`, file)
+}
+
+function renderRecords (records: readonly LogRecord[]): string {
+  return records.map(record => `${JSON.stringify(record)}\n`).join('')
+}
+
+function readRecords (file: string): LogRecord[] {
+  // A kill can tear the last line; the stand-in loses that record, as an unsynced server would.
+  const lines = readFileSync(file, 'utf8').split('\n')
+  const records = lines.slice(0, -1).map(line => JSON.parse(line) as LogRecord)
+  if (lines.at(-1) !== '') replaceFile(file, renderRecords(records))
+  return records
+}
+
 /** Opens the log below `folder`; without a folder it lives in memory only. */
 export function openServerLog (folder: string | undefined): ServerLog {
   let records: LogRecord[] = []
-  let adopted = 0
+  let state: KeptState = { adoptedTerm: 0, voting: false }
   const recordsFile = folder === undefined ? undefined : join(folder, 'records.jsonl')
-  const termFile = folder === undefined ? undefined : join(folder, 'term')
+  const stateFile = folder === undefined ? undefined : join(folder, 'state.json')
   if (folder !== undefined) mkdirSync(folder, { recursive: true })
-  if (recordsFile !== undefined && existsSync(recordsFile)) {
-    // A kill can tear the last line; the stand-in loses that record, as an unsynced server would.
-    const lines = readFileSync(recordsFile, 'utf8').split('\n').slice(0, -1)
-    records = lines.map(line => JSON.parse(line) as LogRecord)
+  // Either file alone is what is left of a broken disk.
+  const isWhole = recordsFile !== undefined && stateFile !== undefined && existsSync(recordsFile) && existsSync(stateFile)
+  if (isWhole) {
+    records = readRecords(recordsFile)
+    state = JSON.parse(readFileSync(stateFile, 'utf8')) as KeptState
+  } else if (recordsFile !== undefined) {
+    replaceFile(recordsFile, '')
+  }
+
+  function keep (changes: Partial<KeptState>): void {
+    state = { ...state, ...changes }
+    if (stateFile !== undefined) replaceFile(stateFile, JSON.stringify(state))
   }
-  if (termFile !== undefined && existsSync(termFile)) adopted = Number(readFileSync(termFile, 'utf8'))
 
+  keep({})
   return {
     append: record => {
       records.push(record)
@@ -71,15 +106,14 @@
     truncate: position => {
       if (position >= records.length) return
       records = records.slice(0, position)
-      if (recordsFile !== undefined) writeFileSync(recordsFile, records.map(record => `${JSON.stringify(record)}\n`).join(''))
+      if (recordsFile !== undefined) replaceFile(recordsFile, renderRecords(records))
     },
     last: () => ({ term: records.at(-1)?.term ?? 0, position: records.at(-1)?.position ?? 0 }),
     records: () => records,
     runs: () => runsOf(records),
-    adoptedTerm: () => adopted,
-    adopt: term => {
-      adopted = term
-      if (termFile !== undefined) writeFileSync(termFile, String(term))
-    }
+    adoptedTerm: () => state.adoptedTerm,
+    adopt: term => { keep({ adoptedTerm: term }) },
+    isVoting: () => state.voting,
+    admit: () => { keep({ voting: true }) }
   }
 }
--- a/packages/stand-ins/src/node/backend/server.ts
+++ b/packages/stand-ins/src/node/backend/server.ts
@@ -4,6 +4,7 @@
  * a test sets. It is the state; `connection.ts` speaks the protocol.
  */
 
+import { randomUUID } from 'node:crypto'
 import { connect } from 'node:net'
 import { createInterface } from 'node:readline'
 import { createStore } from './store.js'
@@ -15,6 +16,8 @@
 
 /** How often a primary tells its replicas that it lives, in milliseconds. */
 const HEARTBEAT_MILLISECONDS = 50
+/** Pause before a replica connects to its primary again, in milliseconds. */
+const RECONNECT_MILLISECONDS = 20
 
 export interface BackendServerOptions {
   group: string
@@ -45,7 +48,15 @@
   primaryMember: string
   /** Milliseconds since the primary was last heard; -1: never. */
   heardMilliseconds: number
+  /** The last connection to the primary was refused. */
+  primaryRefused: boolean
+  /** Counts in majorities; false from an empty data folder on until `admit`. */
+  voting: boolean
+  /** Another one each time the process starts. */
+  incarnation: string
   leaving: boolean
+  /** Callers' transactions and statements that run. */
+  openTransactions: number
   /** Whether the call that asked for it did what it asked. */
   granted: boolean
 }
@@ -67,17 +78,24 @@
   readonly faults: ServerFaults
   readonly store: Store
   readonly log: ServerLog
+  readonly incarnation: string
+  /** Says how many of callers' transactions are open; set by who serves them. */
+  countTransactions: () => number
   status: (granted?: boolean) => ServerStatus
   /** Commits operations as primary; undefined when it may not. */
   commit: (operations: Operation[]) => { term: number, position: number } | undefined
   adopt: (term: number) => ServerStatus
   promote: (term: number) => ServerStatus
   follow: (term: number, host: string, port: number) => ServerStatus
+  /** Lets this incarnation count in majorities, if it holds `position` in `term`. */
+  admit: (term: number, position: number, incarnation: string) => ServerStatus
   /** Resolves when `position` of `term` is held or applied, when a higher term shows, or on timeout. */
   wait: (kind: 'held' | 'applied', term: number, position: number, milliseconds: number) => Promise<ServerStatus>
   /** Serves one replica that connected for replication. */
   serveReplica: (socket: Socket) => void
   setFaults: (faults: Partial<ServerFaults>) => void
+  /** Called when what the server announces has changed. */
+  onChanged: (listener: () => void) => void
   /** Called when the server stops being the primary of a term. */
   onDemoted: (listener: () => void) => void
   close: () => void
@@ -93,7 +111,11 @@
   const log = openServerLog(options.dataFolder)
   const store = createStore()
   const faults: ServerFaults = { isolated: false, lagMilliseconds: options.lagMilliseconds, frozen: false, leaving: false, answerMilliseconds: 0 }
+  const incarnation = randomUUID()
   let role: ServerRole = 'replica'
+  /** The term that `adopt` granted to a coordinator which has not yet promoted anyone. */
+  let grantedTerm = 0
+  let primaryRefused = false
   let primaryMember = ''
   let heardAt = -1
   let appliedPosition = 0
@@ -102,6 +124,7 @@
   let retry: NodeJS.Timeout | undefined
   const replicas = new Set<Socket>()
   const demotedListeners: Array<() => void> = []
+  const changedListeners: Array<() => void> = []
   let waiters: Array<() => void> = []
 
   function rebuildStore (): void {
@@ -136,7 +159,11 @@
       appliedPosition,
       primaryMember: role === 'primary' ? options.member : primaryMember,
       heardMilliseconds: role === 'primary' ? 0 : heardAt < 0 ? -1 : Math.round(performance.now() - heardAt),
+      primaryRefused,
+      voting: log.isVoting(),
+      incarnation,
       leaving: faults.leaving,
+      openTransactions: server.countTransactions(),
       granted
     }
   }
@@ -168,6 +195,7 @@
   function stopFollowing (): void {
     clearTimeout(retry)
     following = undefined
+    primaryRefused = false
     upstream?.destroy()
     upstream = undefined
   }
@@ -175,6 +203,7 @@
   function adopt (term: number): ServerStatus {
     if (term <= log.adoptedTerm()) return status(false)
     log.adopt(term)
+    grantedTerm = term
     stepDown()
     stopFollowing()
     wakeWaiters()
@@ -183,9 +212,12 @@
 
   function promote (term: number): ServerStatus {
     if (role === 'primary' && log.adoptedTerm() === term) return status(true)
-    if (log.adoptedTerm() !== term || log.last().term >= term) return status(false)
-    stopFollowing()
+    // The order holds for the log that was shown with the grant, so neither a
+    // restart nor another primary of the term may lie between.
+    if (grantedTerm !== term || log.adoptedTerm() !== term || !log.isVoting()) return status(false)
+    grantedTerm = 0
     role = 'primary'
+    for (const listener of changedListeners) listener()
     append({ term, position: log.last().position + 1, operations: [] })
     applyUpTo(log.last().position)
     return status(true)
@@ -195,6 +227,7 @@
     if (term < log.adoptedTerm()) return status(false)
     if (role === 'primary' && term === log.adoptedTerm()) return status(false)
     if (term > log.adoptedTerm()) log.adopt(term)
+    grantedTerm = 0
     if (following?.host === host && following.port === port && upstream !== undefined) return status(true)
     stepDown()
     stopFollowing()
@@ -203,27 +236,41 @@
     return status(true)
   }
 
+  function admit (term: number, position: number, admitted: string): ServerStatus {
+    const { term: logTerm, position: held } = log.last()
+    const isHeld = log.adoptedTerm() === term && (logTerm === term || position === 0) && held >= position
+    if (admitted !== incarnation || !isHeld) return status(false)
+    log.admit()
+    return status(true)
+  }
+
   function connectUpstream (): void {
     if (following === undefined) return
     const { host, port } = following
     const socket = connect({ host, port, noDelay: true })
     upstream = socket
     const lines = createInterface({ input: socket })
+    let started = false
     socket.on('connect', () => {
       socket.write(buildStartupMessage({ user: 'replication', replication: 'true' }))
-      socket.write(`${JSON.stringify({ adoptedTerm: log.adoptedTerm(), runs: log.runs() })}\n`)
+      socket.write(`${JSON.stringify({ group: options.group, adoptedTerm: log.adoptedTerm(), runs: log.runs() })}\n`)
     })
     lines.on('line', line => {
       if (upstream !== socket || faults.isolated) return
-      receive(JSON.parse(line) as ReplicationMessage)
+      const message = JSON.parse(line) as ReplicationMessage
+      // Records join on to the log only behind the start, which drops what the primary lacks.
+      started = started || message.kind === 'start'
+      if (started) receive(message)
+    })
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      if (upstream === socket) primaryRefused = error.code === 'ECONNREFUSED'
     })
-    socket.on('error', () => {})
     lines.on('error', () => {})
     socket.on('close', () => {
       if (upstream !== socket) return
       upstream = undefined
       if (following === undefined) return
-      retry = setTimeout(connectUpstream, HEARTBEAT_MILLISECONDS)
+      retry = setTimeout(connectUpstream, RECONNECT_MILLISECONDS)
     })
   }
 
@@ -232,6 +279,7 @@
       if (message.term !== log.adoptedTerm()) return
       heardAt = performance.now()
       primaryMember = message.member
+      primaryRefused = false
       if (message.truncate >= log.last().position) return
       log.truncate(message.truncate)
       rebuildStore()
@@ -262,8 +310,8 @@
     lines.on('error', () => {})
     socket.on('close', () => { replicas.delete(socket) })
     lines.once('line', line => {
-      const hello = JSON.parse(line) as { adoptedTerm: number, runs: TermRun[] }
-      if (role !== 'primary' || hello.adoptedTerm !== log.adoptedTerm()) {
+      const hello = JSON.parse(line) as { group: string, adoptedTerm: number, runs: TermRun[] }
+      if (role !== 'primary' || hello.group !== options.group || hello.adoptedTerm !== log.adoptedTerm()) {
         socket.end(`${JSON.stringify({ kind: 'refused' } satisfies ReplicationMessage)}\n`)
         return
       }
@@ -301,28 +349,33 @@
     for (const replica of replicas) replica.write(line)
   }, HEARTBEAT_MILLISECONDS)
 
-  rebuildStore()
-  return {
+  const server: BackendServer = {
     options,
     faults,
     store,
     log,
+    incarnation,
+    countTransactions: () => 0,
     status,
     commit,
     adopt,
     promote,
     follow,
+    admit,
     wait,
     serveReplica,
     setFaults: changed => {
       const healed = faults.isolated && changed.isolated === false
+      const leftOrStayed = changed.leaving !== undefined && changed.leaving !== faults.leaving
       Object.assign(faults, changed)
+      if (leftOrStayed) for (const listener of changedListeners) listener()
       if (faults.isolated || healed) {
         // Links that were cut have missed records, so both sides start anew.
         upstream?.destroy()
         for (const replica of replicas) replica.destroy()
       }
     },
+    onChanged: listener => { changedListeners.push(listener) },
     onDemoted: listener => { demotedListeners.push(listener) },
     close: () => {
       clearInterval(heartbeat)
@@ -330,4 +383,6 @@
       for (const replica of replicas) replica.destroy()
     }
   }
+  rebuildStore()
+  return server
 }
--- a/packages/stand-ins/src/node/backend/statements.ts
+++ b/packages/stand-ins/src/node/backend/statements.ts
@@ -5,7 +5,7 @@
 
 import { applyOperation } from './store.js'
 import type { Operation, Table } from './store.js'
-import type { BackendServer } from './server.js'
+import type { BackendServer, ServerStatus } from './server.js'
 
 /** What one connection holds between statements. */
 export interface SessionState {
@@ -13,6 +13,8 @@
   /** Operations of the open transaction, in order. */
   pending: Operation[]
   transaction: 'idle' | 'transaction' | 'failed'
+  /** A statement runs. */
+  busy: boolean
   settings: Map<string, string>
   temporaryTables: Map<string, Table>
 }
@@ -69,25 +71,47 @@
   for (let index = 1; index <= count; index += 1) yield [`${index}${padding}`]
 }
 
-function statusResult (status: ReturnType<BackendServer['status']>): StatementResult {
+/** Columns of a status row, in order, each with how it is read. */
+const STATUS_COLUMNS: ReadonlyArray<[name: string, read: (status: ServerStatus, server: BackendServer) => string | number | boolean]> = [
+  ['group_name', (_status, server) => server.options.group],
+  ['member', ({ member }) => member],
+  ['role', ({ role }) => role],
+  ['adopted_term', ({ adoptedTerm }) => adoptedTerm],
+  ['log_term', ({ logTerm }) => logTerm],
+  ['position', ({ position }) => position],
+  ['applied_position', ({ appliedPosition }) => appliedPosition],
+  ['primary_member', ({ primaryMember }) => primaryMember],
+  ['heard_milliseconds', ({ heardMilliseconds }) => heardMilliseconds],
+  ['primary_refused', ({ primaryRefused }) => primaryRefused],
+  ['voting', ({ voting }) => voting],
+  ['incarnation', ({ incarnation }) => incarnation],
+  ['leaving', ({ leaving }) => leaving],
+  ['open_transactions', ({ openTransactions }) => openTransactions],
+  ['granted', ({ granted }) => granted]
+]
+
+function statusResult (status: ServerStatus, server: BackendServer): StatementResult {
   return {
     tag: 'SELECT 1',
-    columns: ['member', 'role', 'adopted_term', 'log_term', 'position', 'applied_position', 'primary_member', 'heard_milliseconds', 'leaving', 'granted'],
-    rows: [[
-      status.member, status.role, String(status.adoptedTerm), String(status.logTerm), String(status.position),
-      String(status.appliedPosition), status.primaryMember, String(status.heardMilliseconds), String(status.leaving), String(status.granted)
-    ]]
+    columns: STATUS_COLUMNS.map(([name]) => name),
+    rows: [STATUS_COLUMNS.map(([, read]) => String(read(status, server)))]
   }
 }
 
 const HANDLERS: Array<[pattern: RegExp, handler: Handler]> = [
-  [/^select \* from cyclamenusher\.status\(\)$/i, (_match, _session, server) => statusResult(server.status())],
+  [/^select \* from cyclamenusher\.status\(\)$/i, (_match, _session, server) => statusResult(server.status(), server)],
   [/^select \* from cyclamenusher\.wait\('(held|applied)', *(\d+), *(\d+), *(\d+)\)$/i, async ([, kind, term, position, milliseconds], _session, server) =>
-    statusResult(await server.wait(kind as 'held' | 'applied', Number(term), Number(position), Number(milliseconds)))],
-  [/^select \* from cyclamenusher\.adopt\((\d+)\)$/i, ([, term], _session, server) => statusResult(server.adopt(Number(term)))],
-  [/^select \* from cyclamenusher\.promote\((\d+)\)$/i, ([, term], _session, server) => statusResult(server.promote(Number(term)))],
+    statusResult(await server.wait(kind as 'held' | 'applied', Number(term), Number(position), Number(milliseconds)), server)],
+  [/^select \* from cyclamenusher\.adopt\((\d+)\)$/i, ([, term], _session, server) => statusResult(server.adopt(Number(term)), server)],
+  [/^select \* from cyclamenusher\.promote\((\d+)\)$/i, ([, term], _session, server) => statusResult(server.promote(Number(term)), server)],
   [/^select \* from cyclamenusher\.follow\((\d+), *'([^']*)', *(\d+)\)$/i, ([, term, host, port], _session, server) =>
-    statusResult(server.follow(Number(term), host, Number(port)))],
+    statusResult(server.follow(Number(term), host, Number(port)), server)],
+  [/^select \* from cyclamenusher\.leave\((true|false)\)$/i, ([, leaving], _session, server) => {
+    server.setFaults({ leaving: leaving === 'true' })
+    return statusResult(server.status(), server)
+  }],
+  [/^select \* from cyclamenusher\.admit\((\d+), *(\d+), *'([^']*)'\)$/i, ([, term, position, incarnation], _session, server) =>
+    statusResult(server.admit(Number(term), Number(position), incarnation), server)],
   [new RegExp(`^insert into (\\w+) *\\(id, *value\\) *values *\\(${LITERAL}, *${LITERAL}\\)( on conflict \\(id\\) do update set value *= *excluded\\.value)?( returning value)?$`, 'i'), ([, table, id, value, upsert, returning], session, server) => {
     if (upsert === undefined && visibleTable(table, session, server).has(unquote(id))) {
       throw new StatementError('23505', `duplicate key value violates unique constraint "${table}_pkey"`)
--- a/packages/stand-ins/src/node/main.ts
+++ b/packages/stand-ins/src/node/main.ts
@@ -5,7 +5,7 @@
 import { cac } from 'cac'
 import { createAnnouncer } from './announcer/announcer.js'
 import { listenForAdministration } from './backend/administration.js'
-import { createConnectionRegistry, serveConnection } from './backend/connection.js'
+import { countTransactions, createConnectionRegistry, serveConnection } from './backend/connection.js'
 import { createBackendServer } from './backend/server.js'
 
 interface BackendFlags {
@@ -36,6 +36,7 @@
   const server = createBackendServer({ ...flags, dataFolder: flags.dataFolder })
   const users = new Map([[flags.user, flags.password], ['cyclamenusher_monitor', flags.password]])
   const registry = createConnectionRegistry(users, new Set(['cyclamenusher_monitor']))
+  server.countTransactions = () => countTransactions(registry)
   const listener = createServer(socket => { serveConnection(socket, server, registry) })
   await new Promise<void>(resolve => { listener.listen(flags.port, flags.host, resolve) })
   await listenForAdministration(flags.host, flags.administrationPort, server, registry)
