--- /dev/null
+++ b/packages/prove/src/node/callers/session.ts
@@ -0,0 +1,154 @@
+/** One caller's session through an ordinary client: it roams between instances and takes its token along. */
+
+import pg from 'pg'
+import type { Call, Ending, History, Operation, Outcome } from '../history.js'
+import type { RandomSource } from '../random.js'
+
+const HOST = '127.0.0.1'
+/** Time that a connection may take to open, in milliseconds. */
+const CONNECT_MILLISECONDS = 2_000
+/** Time after which the caller itself gives up on an answer, in milliseconds. */
+const ANSWER_MILLISECONDS = 8_000
+const TOKEN_PARAMETER = 'cyclamenusher.session'
+
+export interface CallerInstance {
+  name: string
+  /** Port for callers. */
+  callers: number
+}
+
+export interface SessionOptions {
+  name: string
+  account: string
+  key: string
+  database: string
+  instances: () => readonly CallerInstance[]
+  history: History
+  random: RandomSource
+}
+
+export interface Session {
+  readonly name: string
+  /** Records one operation that runs on the session's connection, opened if need be. */
+  run: (call: Partial<Call> & { kind: Call['kind'] }, work: (client: pg.Client, call: Call) => Promise<void>) => Promise<Operation | undefined>
+  /** The next operation goes to another instance, perhaps. */
+  roam: () => Promise<void>
+  /** Drops the connection without a word, as a caller does that dies. */
+  vanish: () => void
+  close: () => Promise<void>
+}
+
+/** An operation that a caller leaves unfinished on purpose. */
+export class AbandonedError extends Error {
+  override readonly name = 'AbandonedError'
+}
+
+/** The statement failed within a transaction whose commit was never sent. */
+export class UncommittedError extends Error {
+  override readonly name = 'UncommittedError'
+}
+
+interface ServerError extends Error {
+  code?: string
+  detail?: string
+}
+
+/** What the system's word in the detail of an error means. */
+const OUTCOMES_BY_DETAIL: ReadonlyArray<[start: string, outcome: Outcome]> = [
+  ['The request has not run', 'not run'],
+  ['Whether the request ran', 'unknown'],
+  ['The request was stopped', 'failed']
+]
+
+export function classifyError (error: ServerError): Ending {
+  const { code, message } = error
+  if (error instanceof AbandonedError || error instanceof UncommittedError) return { outcome: 'failed', code, message }
+  for (const [start, outcome] of OUTCOMES_BY_DETAIL) {
+    if (error.detail?.startsWith(start) === true) return { outcome, code, message }
+  }
+  // A backend server's own error undoes its statement; anything else leaves the outcome open.
+  const ofServer = code !== undefined && /^[0-9A-Z]{5}$/.test(code) && !code.startsWith('08') && !code.startsWith('57P')
+  return { outcome: ofServer ? 'failed' : 'unknown', code, message }
+}
+
+export function createSession (options: SessionOptions): Session {
+  const { name, account, key, database, history, random } = options
+  let client: pg.Client | undefined
+  let instance: CallerInstance | undefined
+  let token = ''
+
+  function drop (): void {
+    const dropped = client
+    client = undefined
+    if (dropped === undefined) return
+    const { stream } = (dropped as unknown as { connection: { stream: { destroy: () => void } } }).connection
+    stream.destroy()
+  }
+
+  async function open (at: CallerInstance): Promise<pg.Client> {
+    const opening = new pg.Client({
+      host: HOST,
+      port: at.callers,
+      user: account,
+      password: key,
+      database,
+      connectionTimeoutMillis: CONNECT_MILLISECONDS,
+      query_timeout: ANSWER_MILLISECONDS,
+      options: token === '' ? undefined : `-c ${TOKEN_PARAMETER}=${token}`
+    })
+    opening.on('error', () => { if (client === opening) client = undefined })
+    const { connection } = opening as unknown as { connection: NodeJS.EventEmitter }
+    connection.on('parameterStatus', ({ parameterName, parameterValue }: { parameterName: string, parameterValue: string }) => {
+      if (parameterName === TOKEN_PARAMETER) token = parameterValue
+    })
+    await opening.connect()
+    return opening
+  }
+
+  async function run (given: Partial<Call> & { kind: Call['kind'] }, work: (client: pg.Client, call: Call) => Promise<void>): Promise<Operation | undefined> {
+    if (client === undefined) {
+      instance = random.pick(options.instances())
+      const at = instance
+      const connected = await history.record({ kind: 'connect', session: name, account, key, database, instance: at.name }, async () => {
+        try {
+          client = await open(at)
+          return { outcome: 'done' }
+        } catch (error) {
+          // No request was sent, so none can have run.
+          return { ...classifyError(error as ServerError), outcome: 'not run' }
+        }
+      })
+      if (connected.outcome !== 'done') return undefined
+    }
+    const connection = client
+    if (connection === undefined || instance === undefined) return undefined
+    return await history.record({ session: name, account, key, database, instance: instance.name, ...given }, async call => {
+      try {
+        await work(connection, call)
+        return { outcome: 'done' }
+      } catch (error) {
+        const ending = classifyError(error as ServerError)
+        if (ending.outcome !== 'not run') drop()
+        // The token may be older than what an unknown outcome left: without one the session starts at the primary.
+        if (ending.outcome === 'unknown') token = ''
+        return ending
+      }
+    })
+  }
+
+  return {
+    name,
+    run,
+    roam: async () => {
+      const left = client
+      client = undefined
+      await left?.end().catch(() => {})
+    },
+    vanish: drop,
+    close: async () => {
+      const left = client
+      client = undefined
+      await Promise.race([left?.end().catch(() => {}), new Promise(resolve => setTimeout(resolve, 500))])
+    }
+  }
+}
--- /dev/null
+++ b/packages/prove/src/node/callers/work.ts
@@ -0,0 +1,121 @@
+/** What callers do with the data: unique appends, registers, transactions, reads. */
+
+import { AbandonedError, UncommittedError } from './session.js'
+import type pg from 'pg'
+import type { RandomSource } from '../random.js'
+import type { Session } from './session.js'
+
+const APPENDS = 'journal'
+const REGISTERS = 'registers'
+
+/** Setting that one transaction makes and the next must not see. */
+const MARK_SETTING = 'application_name'
+
+export interface Worker {
+  session: Session
+  random: RandomSource
+  /** Makes values that nobody else makes. */
+  unique: () => string
+  /** Register that this session alone writes, and the last number that it wrote. */
+  register: string
+  number: number
+}
+
+type Action = (worker: Worker) => Promise<void>
+
+async function insertAll (client: pg.Client, values: readonly string[]): Promise<void> {
+  for (const value of values) await client.query(`insert into ${APPENDS} (value) values ('${value}')`)
+}
+
+export async function append ({ session, unique }: Worker): Promise<void> {
+  const values = [unique()]
+  await session.run({ kind: 'append', values }, async client => { await insertAll(client, values) })
+}
+
+export async function put (worker: Worker): Promise<void> {
+  worker.number += 1
+  const { session, register, number } = worker
+  await session.run({ kind: 'put', register, number }, async client => {
+    await client.query(`insert into ${REGISTERS} (id, value) values ('${register}', '${number}') on conflict (id) do update set value = excluded.value`)
+  })
+}
+
+export async function get ({ session, register }: Worker): Promise<void> {
+  await session.run({ kind: 'get', register }, async (client, call) => {
+    const { rows } = await client.query<{ value: string }>(`select value from ${REGISTERS} where id = '${register}'`)
+    call.number = rows.length === 0 ? 0 : Number(rows[0].value)
+  })
+}
+
+export async function transact ({ session, random, unique }: Worker): Promise<void> {
+  const values = Array.from({ length: random.between(2, 4) }, unique)
+  await session.run({ kind: 'transaction', values }, async client => {
+    try {
+      await client.query('begin')
+      await insertAll(client, values)
+    } catch (error) {
+      // The commit was never sent, so nothing of it may show.
+      throw new UncommittedError((error as Error).message)
+    }
+    const { command } = await client.query('commit')
+    if (command !== 'COMMIT') throw new UncommittedError(`the commit was answered ${command}`)
+  })
+}
+
+/** Dies in the middle of a transaction, or rolls it back. */
+export async function abandon ({ session, random, unique }: Worker): Promise<void> {
+  const values = [unique(), unique()]
+  const vanishes = random.chance(0.5)
+  await session.run({ kind: 'transaction', values }, async client => {
+    await client.query('begin')
+    await insertAll(client, values)
+    if (!vanishes) await client.query('rollback')
+    throw new AbandonedError(vanishes ? 'the caller vanished' : 'rolled back')
+  })
+}
+
+/** Asks for its own unique text, and for a setting that another's transaction may have left. */
+export async function echo ({ session, random, unique }: Worker): Promise<void> {
+  const expected = unique()
+  const withSetting = random.chance(0.3)
+  await session.run({ kind: 'read', expected }, async (client, call) => {
+    if (withSetting) {
+      await client.query('begin')
+      const { rows: [{ current_setting: left }] } = await client.query<{ current_setting: string }>(`select current_setting('${MARK_SETTING}')`)
+      await client.query(`set local ${MARK_SETTING} = '${expected}'`)
+      await client.query('rollback')
+      if (left.startsWith('unique-')) call.leaked = left
+    }
+    const { rows } = await client.query<{ answer: string }>(`select '${expected}' as answer`)
+    call.given = rows.map(row => Object.values(row)[0]).join()
+  })
+}
+
+const ACTIONS: ReadonlyArray<[weight: number, action: Action]> = [[30, get], [25, put], [15, append], [12, transact], [6, abandon], [12, echo]]
+const TOTAL_WEIGHT = ACTIONS.reduce((sum, [weight]) => sum + weight, 0)
+/** Longest pause between two operations of a session, in milliseconds. */
+const MAXIMUM_PAUSE_MILLISECONDS = 25
+/** Share of operations after which a session moves to another instance. */
+const ROAM_SHARE = 0.1
+
+export function chooseAction (random: RandomSource): Action {
+  let left = random.next() * TOTAL_WEIGHT
+  for (const [weight, action] of ACTIONS) {
+    left -= weight
+    if (left < 0) return action
+  }
+  return get
+}
+
+export async function pause (milliseconds: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, milliseconds))
+}
+
+/** Works until told to stop. */
+export async function workUntil (worker: Worker, isOver: () => boolean): Promise<void> {
+  while (!isOver()) {
+    await chooseAction(worker.random)(worker)
+    if (worker.random.chance(ROAM_SHARE)) await worker.session.roam()
+    await pause(worker.random.between(1, MAXIMUM_PAUSE_MILLISECONDS))
+  }
+}
--- a/packages/prove/src/node/checkers/__tests__/checkers.test.ts
+++ b/packages/prove/src/node/checkers/__tests__/checkers.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import {
-  checkAcknowledged, checkAnswers, checkAtMostOnce, checkConfigurations, checkIsolation, checkKeysHidden, checkLeaving, checkNotRun,
+  checkAcknowledged, checkAnswers, checkAtMostOnce, checkConfigurations, checkIsolation, checkKeysHidden, checkLeaks, checkLeaving, checkNotRun,
   checkRate, checkReadYourWrites, checkShutdown, checkSubmissions, checkTransactions, checkWithdrawn
 } from '../index.js'
 import type { Operation } from '../../history.js'
@@ -66,6 +66,11 @@
   count(checkAnswers([operation({ expected: 'mine', outcome: 'failed' })]), 0)
 })
 
+test('a setting that another transaction left', () => {
+  count(checkLeaks([operation({})]), 0)
+  count(checkLeaks([operation({ leaked: 'x' })]), 1)
+})
+
 test('work under a key of another account, and beyond its reach', () => {
   const keys = new Map([['k', { account: 'a' }], ['l', { account: 'b' }]])
   const reach = new Map([['a', new Set(['d'])]])
--- a/packages/prove/src/node/checkers/session.ts
+++ b/packages/prove/src/node/checkers/session.ts
@@ -38,6 +38,13 @@
     .map(operation => ({ problem: `an answer is another's, or not whole: wanted ${summary(operation.expected)}, got ${summary(operation.given)}`, operations: [operation] }))
 }
 
+/** Nothing that another's transaction left behind shows. */
+export function checkLeaks (operations: readonly Operation[]): Violation[] {
+  return operations.flatMap(operation => operation.leaked === undefined
+    ? []
+    : [{ problem: `a transaction saw what another left: ${operation.leaked}`, operations: [operation] }])
+}
+
 function summary (text: string | undefined): string {
   return text === undefined ? 'nothing' : text.length > 60 ? `${text.slice(0, 60)}... (${text.length} characters)` : text
 }
--- /dev/null
+++ b/packages/prove/src/node/faults/faults.ts
@@ -0,0 +1,146 @@
+/** Faults of real processes and of the links between them, each with what ends it. */
+
+import { rmSync } from 'node:fs'
+import pg from 'pg'
+import type { Deployment, InstanceProcess, ServerProcess } from '@cyclamenusher/stand-ins'
+import type { RandomSource } from '../random.js'
+
+export interface FaultContext {
+  deployment: Deployment
+  random: RandomSource
+}
+
+/** Ends a fault. */
+export type Heal = () => Promise<void>
+
+export type Strike = (context: FaultContext) => Promise<Heal>
+
+interface MemberState {
+  role: string
+  adoptedTerm: number
+  logTerm: number
+  position: number
+}
+
+export async function stateOf (deployment: Deployment, server: ServerProcess): Promise<MemberState | undefined> {
+  return await deployment.administer(server, 'GET', '/state').then(state => state as MemberState, () => undefined)
+}
+
+/** The server of a group that acts as primary in the highest term. */
+export async function findPrimary ({ deployment, random }: FaultContext): Promise<ServerProcess> {
+  const states = await Promise.all(deployment.servers.map(async server => ({ server, state: await stateOf(deployment, server) })))
+  const primaries = states.filter(({ state }) => state?.role === 'primary')
+    .sort((left, right) => (right.state?.adoptedTerm ?? 0) - (left.state?.adoptedTerm ?? 0))
+  return primaries[0]?.server ?? random.pick(deployment.servers)
+}
+
+function isGone ({ process: { child } }: InstanceProcess | ServerProcess): boolean {
+  return child.exitCode !== null || child.signalCode !== null
+}
+
+async function killServer ({ deployment }: FaultContext, server: ServerProcess): Promise<Heal> {
+  await deployment.fleet.end(server.process, 'SIGKILL')
+  return async () => { if (isGone(server)) deployment.restartServer(server) }
+}
+
+async function killInstance ({ deployment }: FaultContext, instance: InstanceProcess): Promise<Heal> {
+  await deployment.fleet.end(instance.process, 'SIGKILL')
+  return async () => { if (isGone(instance)) deployment.restartInstance(instance) }
+}
+
+function freeze (frozen: InstanceProcess | ServerProcess): Heal {
+  const { child } = frozen.process
+  child.kill('SIGSTOP')
+  return async () => { child.kill('SIGCONT') }
+}
+
+async function otherServer (context: FaultContext): Promise<ServerProcess> {
+  const primary = await findPrimary(context)
+  return context.random.pick(context.deployment.servers.filter(server => server !== primary))
+}
+
+function networkOf ({ deployment }: FaultContext): NonNullable<Deployment['network']> {
+  if (deployment.network === undefined) throw new Error('this fault needs a deployment with links')
+  return deployment.network
+}
+
+/** A second coordinator, which knows nothing of the first: adopts a term at all members and promotes one. */
+async function promoteAsRival ({ deployment, random }: FaultContext): Promise<void> {
+  const states = await Promise.all(deployment.servers.map(async server => await stateOf(deployment, server)))
+  const term = Math.max(0, ...states.map(state => state?.adoptedTerm ?? 0)) + 1
+  const adopted = await Promise.all(deployment.servers.map(async server => await order(server, `SELECT * FROM cyclamenusher.adopt(${term})`)))
+  const granted = deployment.servers
+    .map((server, index) => ({ server, answer: adopted[index] }))
+    .filter(({ answer }) => answer?.granted === 'true')
+    .sort((left, right) => Number(right.answer?.log_term) - Number(left.answer?.log_term) || Number(right.answer?.position) - Number(left.answer?.position))
+  if (granted.length <= deployment.servers.length / 2) return
+  await new Promise(resolve => setTimeout(resolve, random.between(0, 100)))
+  await order(granted[0].server, `SELECT * FROM cyclamenusher.promote(${term})`)
+}
+
+async function order (server: ServerProcess, statement: string): Promise<Record<string, string> | undefined> {
+  const client = new pg.Client({ host: '127.0.0.1', port: server.port, user: 'cyclamenusher_monitor', password: 'system-password', database: server.group, connectionTimeoutMillis: 500, query_timeout: 500 })
+  client.on('error', () => {})
+  try {
+    await client.connect()
+    const { rows } = await client.query<Record<string, string>>(statement)
+    return rows[0]
+  } catch {
+    return undefined
+  } finally {
+    await client.end().catch(() => {})
+  }
+}
+
+const NOTHING: Heal = async () => {}
+
+export const FAULTS = {
+  'kill primary': async context => await killServer(context, await findPrimary(context)),
+  'freeze primary': async context => freeze(await findPrimary(context)),
+  'isolate primary from replicas': async context => {
+    const primary = await findPrimary(context)
+    await context.deployment.administer(primary, 'POST', '/faults', { isolated: true })
+    return async () => { await context.deployment.administer(primary, 'POST', '/faults', { isolated: false }).catch(() => {}) }
+  },
+  'cut domain of primary': async context => {
+    const { failureDomain } = await findPrimary(context)
+    networkOf(context).cut(failureDomain)
+    return async () => { networkOf(context).heal(failureDomain) }
+  },
+  'one-way silence': async context => {
+    const failureDomain = context.random.pick(context.deployment.plan.failureDomains)
+    networkOf(context).cut(failureDomain, [context.random.pick(['in', 'out'] as const)])
+    return async () => { networkOf(context).heal(failureDomain) }
+  },
+  'open connections silent for good': async context => {
+    networkOf(context).loseOpen(context.random.pick(context.deployment.plan.failureDomains))
+    return NOTHING
+  },
+  'slow links': async context => {
+    networkOf(context).setDelay(context.random.between(5, 60))
+    return async () => { networkOf(context).setDelay(0) }
+  },
+  'replica far behind': async context => {
+    const server = await otherServer(context)
+    await context.deployment.administer(server, 'POST', '/faults', { lagMilliseconds: 800 })
+    return async () => { await context.deployment.administer(server, 'POST', '/faults', { lagMilliseconds: context.deployment.plan.lagMilliseconds }).catch(() => {}) }
+  },
+  'kill replica': async context => await killServer(context, await otherServer(context)),
+  'freeze replica': async context => freeze(await otherServer(context)),
+  'rival promotion': async context => {
+    await promoteAsRival(context)
+    return NOTHING
+  },
+  'kill entry instance': async context => await killInstance(context, context.random.pick(context.deployment.entries)),
+  'freeze entry instance': async context => freeze(context.random.pick(context.deployment.entries)),
+  'kill control instance': async context => await killInstance(context, context.random.pick(context.deployment.controls)),
+  'freeze control instance': async context => freeze(context.random.pick(context.deployment.controls)),
+  'lose disk of control instance': async context => {
+    const instance = context.random.pick(context.deployment.controls)
+    const heal = await killInstance(context, instance)
+    rmSync(`${context.deployment.fleet.folder}/${instance.name}-data`, { recursive: true, force: true })
+    return heal
+  }
+} satisfies Record<string, Strike>
+
+export type FaultName = keyof typeof FAULTS
--- a/packages/prove/src/node/history.ts
+++ b/packages/prove/src/node/history.ts
@@ -40,6 +40,8 @@
   /** For `read`: the rows expected and given, and the member that answered where known. */
   expected?: string
   given?: string
+  /** What another's work left on the connection. */
+  leaked?: string
   member?: string
 }
 
--- /dev/null
+++ b/packages/prove/src/node/main.ts
@@ -0,0 +1,100 @@
+/** Proves what must always hold: `npm run prove`. */
+
+import { cac } from 'cac'
+import { POINTS, POINT_NAMES, SCENARIOS } from './points.js'
+import type { FaultName } from './faults/faults.js'
+import type { Violation } from './history.js'
+import type { PointName } from './points.js'
+import type { ScenarioResult } from './scenarios/scenario.js'
+
+/** Violations of one run that are shown. */
+const SHOWN_VIOLATIONS = 3
+
+interface Flags {
+  list?: boolean
+  seed: number
+  runs?: number
+  faults?: string
+}
+
+interface Tally {
+  broken: Map<PointName, number>
+  judged: Set<PointName>
+  runs: number
+  operations: number
+  faults: Record<string, number>
+}
+
+function show (point: string, violations: readonly Violation[]): void {
+  for (const { problem, operations } of violations.slice(0, SHOWN_VIOLATIONS)) {
+    console.log(`    ${point}: ${problem}`)
+    for (const operation of operations) console.log(`      ${JSON.stringify(operation)}`)
+  }
+  if (violations.length > SHOWN_VIOLATIONS) console.log(`    ${point}: and ${violations.length - SHOWN_VIOLATIONS} more`)
+}
+
+function add (tally: Tally, result: ScenarioResult, wanted: ReadonlySet<PointName>): PointName[] {
+  tally.runs += 1
+  tally.operations += result.operations
+  for (const fault of result.faults) tally.faults[fault] = (tally.faults[fault] ?? 0) + 1
+  const broken: PointName[] = []
+  for (const [point, violations] of Object.entries(result.violations) as Array<[PointName, Violation[]]>) {
+    if (!wanted.has(point)) continue
+    tally.judged.add(point)
+    if (violations.length > 0) broken.push(point)
+  }
+  for (const point of broken) tally.broken.set(point, (tally.broken.get(point) ?? 0) + 1)
+  return broken
+}
+
+async function prove (names: string[], flags: Flags): Promise<void> {
+  if (flags.list === true) {
+    for (const name of POINT_NAMES) console.log(name)
+    return
+  }
+  const unknown = names.find(name => !POINT_NAMES.includes(name as PointName))
+  if (unknown !== undefined) {
+    console.error(`There is no point ${unknown}. Take one of ${POINT_NAMES.join(', ')}.`)
+    process.exitCode = 2
+    return
+  }
+  const wanted = new Set(names.length === 0 ? POINT_NAMES : names as PointName[])
+  const tally: Tally = { broken: new Map(), judged: new Set(), runs: 0, operations: 0, faults: {} }
+  for (const [name, { run, judges, runs }] of Object.entries(SCENARIOS)) {
+    if (!judges.some(point => wanted.has(point))) continue
+    for (let index = 0; index < (flags.runs ?? runs); index += 1) {
+      const seed = flags.seed + index
+      const startedAt = performance.now()
+      try {
+        const result = await run({ seed, faults: flags.faults?.split(',') as FaultName[] | undefined })
+        const broken = add(tally, result, wanted)
+        const seconds = ((performance.now() - startedAt) / 1000).toFixed(1)
+        console.log(`${broken.length === 0 ? 'held  ' : 'BROKEN'} ${name} seed ${seed}: ${result.operations} operations, ${result.done} answered whole, ${seconds} s, faults: ${result.faults.join(', ') || 'none'}`)
+        for (const point of broken) show(point, result.violations[point] ?? [])
+      } catch (error) {
+        // A run that could not be judged proves nothing, so its points don't count as held.
+        console.log(`BROKEN ${name} seed ${seed}: the run failed: ${(error as Error).message}`)
+        tally.runs += 1
+        for (const point of judges) if (wanted.has(point)) tally.broken.set(point, (tally.broken.get(point) ?? 0) + 1)
+      }
+    }
+  }
+  const held = [...wanted].filter(point => tally.judged.has(point) && !tally.broken.has(point))
+  for (const point of wanted) {
+    const verdict = held.includes(point) ? 'held' : tally.broken.has(point) ? `BROKEN in ${tally.broken.get(point)} runs` : 'NOT PROVED'
+    console.log(`${point.padEnd(18)} ${verdict.padEnd(18)} ${POINTS[point]}`)
+  }
+  console.log(JSON.stringify({ points: wanted.size, held: held.length, runs: tally.runs, faults: tally.faults, operations: tally.operations }))
+  if (held.length < wanted.size) process.exitCode = 1
+}
+
+const program = cac('prove')
+program.command('[...names]', 'prove all points, or the named ones')
+  .option('--list', 'list the points by name')
+  .option('--seed <number>', 'seed of the first run; each further run takes the next', { default: 1 })
+  .option('--runs <number>', 'runs of each scenario')
+  .option('--faults <names>', 'strike these faults, with commas between, instead of those that the seed picks')
+  .example('npm run prove -- read-your-writes --seed 7 --runs 1')
+  .action(prove)
+program.help()
+program.parse()
--- /dev/null
+++ b/packages/prove/src/node/scenarios/scenario.ts
@@ -0,0 +1,152 @@
+/** What all scenarios share: a deployment, a history, faults by seed, and the logs afterwards. */
+
+import { startDeployment, until } from '@cyclamenusher/stand-ins'
+import { createHistory } from '../history.js'
+import { createRandom } from '../random.js'
+import { FAULTS, findPrimary, stateOf } from '../faults/faults.js'
+import { pause } from '../callers/work.js'
+import type { Deployment, DeploymentPlan, ProgramFiles } from '@cyclamenusher/stand-ins'
+import type { CommittedRecord } from '../checkers/log.js'
+import type { FaultName, Heal } from '../faults/faults.js'
+import type { History, Violation } from '../history.js'
+import type { PointName } from '../points.js'
+import type { RandomSource } from '../random.js'
+
+/** Time that a deployment has to settle after its faults, in milliseconds. */
+const SETTLE_MILLISECONDS = 20_000
+
+export interface ScenarioOptions {
+  seed: number
+  /** Programs that run in place of the built ones, as mutations do. */
+  programs?: ProgramFiles
+  /** Faults to strike instead of those that the seed picks. */
+  faults?: FaultName[]
+}
+
+export interface ScenarioResult {
+  /** What was found against each point that the scenario judges. */
+  violations: Partial<Record<PointName, Violation[]>>
+  operations: number
+  /** Operations that were answered whole. */
+  done: number
+  faults: FaultName[]
+}
+
+export type Scenario = (options: ScenarioOptions) => Promise<ScenarioResult>
+
+export interface Stage {
+  deployment: Deployment
+  history: History
+  random: RandomSource
+  unique: () => string
+  /** Faults struck so far. */
+  struck: FaultName[]
+  strike: (name: FaultName) => Promise<Heal>
+}
+
+export const FAILURE_DOMAINS = ['domain-a', 'domain-b', 'domain-c']
+
+export const BASE_PLAN: DeploymentPlan = {
+  failureDomains: FAILURE_DOMAINS,
+  entries: 3,
+  controls: 1,
+  databases: ['padron'],
+  members: 3,
+  accounts: [{ name: 'clinic', key: 'key-of-clinic', rate: 100_000, burst: 100_000 }],
+  connectionLimit: 25,
+  openMilliseconds: 5,
+  lagMilliseconds: 5,
+  links: true,
+  settings: { callers: ['request_milliseconds = 4000'], shutdown: ['grace_milliseconds = 500'] }
+}
+
+/** Runs `work` on a deployment of its own. */
+export async function withStage<Result> (plan: DeploymentPlan, { seed, programs }: ScenarioOptions, work: (stage: Stage) => Promise<Result>): Promise<Result> {
+  const random = createRandom(seed)
+  const deployment = await startDeployment({ ...plan, programs })
+  const struck: FaultName[] = []
+  let made = 0
+  const stage: Stage = {
+    deployment,
+    history: createHistory(),
+    random,
+    unique: () => {
+      made += 1
+      return `unique-${seed}-${made}.`
+    },
+    struck,
+    strike: async name => {
+      struck.push(name)
+      return await FAULTS[name]({ deployment, random: random.fork() })
+    }
+  }
+  try {
+    return await work(stage)
+  } finally {
+    await deployment.close()
+  }
+}
+
+/** Strikes the faults close together, and ends them after `milliseconds`. */
+export async function strikeTogether ({ strike, random }: Stage, names: readonly FaultName[], milliseconds: number): Promise<void> {
+  const heals: Heal[] = []
+  for (const name of names) {
+    heals.push(await strike(name))
+    await pause(random.between(0, 300))
+  }
+  await pause(milliseconds)
+  for (const heal of heals) await heal()
+}
+
+/** Waits until each group has one primary and all members hold and apply the same. */
+export async function settle ({ deployment }: Stage): Promise<void> {
+  let seen: unknown
+  const settled = until(Date.now() + SETTLE_MILLISECONDS, 'no word', async () => {
+    for (const group of deployment.plan.databases) {
+      const states = await Promise.all(deployment.servers.filter(server => server.group === group).map(async server => await stateOf(deployment, server)))
+      seen = states
+      const alike = states.every(state => state !== undefined && state.position === states[0]?.position && state.logTerm === states[0]?.logTerm)
+      if (!alike || states.filter(state => state?.role === 'primary').length !== 1) return false
+    }
+    return true
+  })
+  await settled.catch(() => { throw new Error(`the groups did not settle: ${JSON.stringify(seen)}`) })
+}
+
+interface RawRecord {
+  term: number
+  position: number
+  operations: Array<{ kind: string, value: string }>
+}
+
+async function readLog (deployment: Deployment, server: Deployment['servers'][number]): Promise<CommittedRecord[]> {
+  const records = await deployment.administer(server, 'GET', '/log') as RawRecord[]
+  return records.map(({ term, position, operations }) => ({ term, position, values: operations.filter(({ kind }) => kind === 'append').map(({ value }) => value) }))
+}
+
+/** Logs of all servers that answer now. */
+export async function readLogs ({ deployment }: Stage): Promise<CommittedRecord[][]> {
+  const logs = await Promise.allSettled(deployment.servers.map(async server => await readLog(deployment, server)))
+  return logs.flatMap(log => log.status === 'fulfilled' ? [log.value] : [])
+}
+
+export async function readPrimaryLog (stage: Stage): Promise<CommittedRecord[]> {
+  return await readLog(stage.deployment, await findPrimary(stage))
+}
+
+/** Which of the texts some server has received from its callers. */
+export async function findReceived ({ deployment }: Stage, texts: readonly string[]): Promise<Array<{ member: string, text: string }>> {
+  const found: Array<{ member: string, text: string }> = []
+  for (const server of deployment.servers) {
+    for (const text of texts) {
+      const answer = await deployment.administer(server, 'GET', `/received?text=${encodeURIComponent(text)}`).catch(() => undefined) as { found: boolean } | undefined
+      if (answer?.found === true) found.push({ member: server.member, text })
+    }
+  }
+  return found
+}
+
+/** A run in which little was answered shows nothing. */
+export function checkLively (done: number, least: number): Violation[] {
+  return done >= least ? [] : [{ problem: `only ${done} operations were answered, fewer than the ${least} that a run needs to show anything`, operations: [] }]
+}
--- a/packages/stand-ins/src/node/backend/connection.ts
+++ b/packages/stand-ins/src/node/backend/connection.ts
@@ -95,7 +95,7 @@
   const processNumber = registry.nextProcessNumber
   registry.nextProcessNumber += 1
   const secret = Math.floor(Math.random() * 0xffffffff)
-  const session: SessionState = { user, pending: [], transaction: 'idle', settings: new Map(), temporaryTables: new Map() }
+  const session: SessionState = { user, pending: [], transaction: 'idle', settings: new Map(), localSettings: new Map(), temporaryTables: new Map() }
   const prepared = new Map<string, Prepared>()
   const portals = new Map<string, Portal>()
   let authenticated = false
@@ -215,6 +215,7 @@
   }
 
   function ready (): void {
+    if (session.transaction === 'idle') session.localSettings.clear()
     socket.write(buildReadyForQuery(session.transaction))
   }
 
--- a/packages/stand-ins/src/node/backend/statements.ts
+++ b/packages/stand-ins/src/node/backend/statements.ts
@@ -14,6 +14,8 @@
   pending: Operation[]
   transaction: 'idle' | 'transaction' | 'failed'
   settings: Map<string, string>
+  /** Settings that end with the open transaction. */
+  localSettings: Map<string, string>
   temporaryTables: Map<string, Table>
 }
 
@@ -69,6 +71,10 @@
   for (let index = 1; index <= count; index += 1) yield [`${index}${padding}`]
 }
 
+function readSetting (name: string, session: SessionState): string {
+  return session.localSettings.get(name.toLowerCase()) ?? session.settings.get(name.toLowerCase()) ?? ''
+}
+
 function statusResult (status: ReturnType<BackendServer['status']>): StatementResult {
   return {
     tag: 'SELECT 1',
@@ -127,12 +133,13 @@
   [/^select current_user$/i, (_match, session) => ({ tag: 'SELECT 1', columns: ['current_user'], rows: [[session.user]] })],
   [/^select member_name\(\)$/i, (_match, _session, server) => ({ tag: 'SELECT 1', columns: ['member'], rows: [[server.options.member]] })],
   [/^select current_setting\('([\w.]+)'\)$/i, ([, name], session) =>
-    ({ tag: 'SELECT 1', columns: ['current_setting'], rows: [[session.settings.get(name.toLowerCase()) ?? '']] })],
-  [/^show ([\w.]+)$/i, ([, name], session) => ({ tag: 'SHOW', columns: [name], rows: [[session.settings.get(name.toLowerCase()) ?? '']] })],
+    ({ tag: 'SELECT 1', columns: ['current_setting'], rows: [[readSetting(name, session)]] })],
+  [/^show ([\w.]+)$/i, ([, name], session) => ({ tag: 'SHOW', columns: [name], rows: [[readSetting(name, session)]] })],
   [new RegExp(`^select (?:(-?\\d+)|${LITERAL})(?:::\\w+)?(?: as \\w+)?$`, 'i'), ([, number, text]) =>
     ({ tag: 'SELECT 1', columns: ['?column?'], rows: [[number ?? unquote(text)]] })],
-  [/^set (local )?(?:session )?([\w.]+) *(?:=|to) *'?([^']*)'?$/i, ([, , name, value], session) => {
-    session.settings.set(name.toLowerCase(), value)
+  [/^set (local )?(?:session )?([\w.]+) *(?:=|to) *'?([^']*)'?$/i, ([, local, name, value], session) => {
+    const settings = local === undefined ? session.settings : session.localSettings
+    settings.set(name.toLowerCase(), value)
     return { tag: 'SET' }
   }],
   [/^reset all$/i, (_match, session) => {
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -8,6 +8,7 @@
   ['packages/cyclamenusher', ['main']],
   ['packages/stand-ins', ['main', 'link/dialThroughLinks']],
   ['packages/measure', ['main']],
+  ['packages/prove', ['main']],
   ['playground', ['demo']]
 ]
 
