Tests of statements, settings and failure answers over real sockets

The stand-in reads portals in part, resets one setting, and no longer falls over when a cancel arrives while it is frozen (it threw outside its handler; seen in the test of late answers).

--- /dev/null
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
@@ -0,0 +1,194 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { connect } from 'node:net'
+import { buildCancelRequest } from '@cyclamenusher/protocol'
+import { RefusalError } from '../../request/refusal.js'
+import { codeOf, eventually, startHarness } from './harness.js'
+import type { Socket } from 'node:net'
+import type { Harness, HarnessOptions } from './harness.js'
+
+/** Gives the test a harness of its own. */
+function withHarness (name: string, options: HarnessOptions, body: (harness: Harness) => Promise<void>): void {
+  test(name, async () => {
+    const harness = await startHarness(options)
+    try {
+      await body(harness)
+      await eventually('a connection stayed lent', () => harness.lent() === 0)
+    } finally {
+      await harness.close()
+    }
+  })
+}
+
+function cut ({ primary }: Harness): void {
+  for (const socket of primary.sockets) socket.destroy()
+}
+
+withHarness('a lost read runs elsewhere', {}, async harness => {
+  const caller = await harness.connect()
+  await caller.query('select 1')
+  const answer = caller.query('select pg_sleep(0.2)')
+  await eventually('it runs', () => harness.primary.registry.statements === 2)
+  harness.choose.member = () => harness.replica
+  cut(harness)
+  assert.is((await answer).rows.length, 1)
+})
+
+withHarness('a lost write has an unknown outcome', {}, async harness => {
+  let confirmed = 0
+  const { confirmPlace } = harness.services
+  harness.services.confirmPlace = async group => {
+    confirmed += 1
+    return await confirmPlace(group)
+  }
+  const caller = await harness.connect()
+  await caller.query('insert into visits (id, value) values (\'1\', \'a\')')
+  const answer = codeOf(caller.query('update visits set value = \'b\' where id = \'1\''))
+  harness.primary.server.setFaults({ answerMilliseconds: 100 })
+  await eventually('it is lent', () => harness.lent() === 1)
+  await new Promise(resolve => setTimeout(resolve, 20))
+  cut(harness)
+  assert.is(await answer, '08007')
+  harness.primary.server.setFaults({ answerMilliseconds: 0 })
+  await caller.query('select value from visits where id = \'1\'')
+  assert.is(confirmed, 1, 'the place is asked for anew')
+})
+
+withHarness('a transaction lost before COMMIT has no effect', {}, async harness => {
+  const caller = await harness.connect()
+  await caller.query('begin')
+  await caller.query('insert into visits (id, value) values (\'1\', \'a\')')
+  cut(harness)
+  await eventually('the pool knows', () => harness.primary.pool.size() === 0)
+  assert.is(await codeOf(caller.query('select 1')), '08006')
+  assert.is(await codeOf(caller.query('select 1')), '25P02')
+  await caller.query('rollback')
+  assert.equal((await caller.query('select value from visits where id = \'1\'')).rows, [])
+})
+
+withHarness('a server that is not the primary is tried no more', {}, async harness => {
+  const { replica, primary, choose } = harness
+  let asked = 0
+  choose.member = () => ++asked < 3 ? replica : primary
+  const caller = await harness.connect()
+  await caller.query('insert into visits (id, value) values ($1, $2)', ['1', 'a'])
+  assert.is(asked, 3)
+  assert.is(primary.server.status().position, 2)
+})
+
+withHarness('a replaced primary\'s commit is not acknowledged', { services: { acknowledge: async () => 'replaced' } }, async harness => {
+  const caller = await harness.connect()
+  assert.is(await codeOf(caller.query('insert into visits (id, value) values (\'1\', \'a\')')), '08007')
+  await caller.query('begin')
+  await caller.query('insert into visits (id, value) values (\'2\', \'a\')')
+  assert.is(await codeOf(caller.query('commit')), '08007')
+  assert.equal((await caller.query('select 1')).rows.length, 1)
+})
+
+withHarness('an error behind a commit keeps the commit\'s answer back', { services: { acknowledge: async () => 'timeout' } }, async harness => {
+  const caller = await harness.connect()
+  assert.is(await codeOf(caller.query('begin; insert into visits (id, value) values (\'1\', \'a\'); commit; selec nothing')), '08007')
+})
+
+withHarness('a commit waits for its majority', {}, async harness => {
+  let release = (): void => {}
+  harness.services.acknowledge = async () => {
+    await new Promise<void>(resolve => { release = resolve })
+    return 'held'
+  }
+  const caller = await harness.connect()
+  let answered = false
+  const answer = caller.query('insert into visits (id, value) values (\'1\', \'a\')').then(() => { answered = true })
+  await eventually('it commits', () => harness.primary.server.status().position === 2)
+  await eventually('the connection is free meanwhile', () => harness.lent() === 0)
+  assert.not(answered)
+  release()
+  await answer
+})
+
+withHarness('the deadline of a read: 57014', { requestMilliseconds: 100 }, async harness => {
+  const caller = await harness.connect()
+  assert.is(await codeOf(caller.query('select pg_sleep(5)')), '57014')
+  assert.equal((await caller.query('select 1')).rows.length, 1)
+})
+
+withHarness('the deadline of a write: 08007', { requestMilliseconds: 100 }, async harness => {
+  const caller = await harness.connect()
+  await caller.query('select 1')
+  harness.primary.server.setFaults({ frozen: true })
+  assert.is(await codeOf(caller.query('insert into visits (id, value) values (\'1\', \'a\')')), '08007')
+})
+
+withHarness('a late answer reaches nobody', { requestMilliseconds: 100, limit: 1 }, async harness => {
+  const [left, right] = [await harness.connect(), await harness.connect()]
+  await left.query('select 1')
+  harness.primary.server.setFaults({ frozen: true })
+  assert.is(await codeOf(left.query('select \'late\'')), '57014')
+  harness.primary.server.setFaults({ frozen: false })
+  for (let round = 0; round < 20; round += 1) {
+    const { rows } = await right.query(`select '${round}'`)
+    assert.equal(Object.values(rows[0] as object), [String(round)])
+  }
+})
+
+withHarness('a cancel stops the request, and nobody else\'s', { limit: 1 }, async harness => {
+  const [left, right] = [await harness.connect(), await harness.connect()]
+  const answer = codeOf(left.query('select pg_sleep(5)'))
+  await eventually('it runs', () => harness.primary.registry.statements === 1)
+  const other = right.query('select pg_sleep(0.05)')
+  cancel(left, harness.callers.port)
+  assert.is(await answer, '57014')
+  assert.is((await other).rows.length, 1)
+  assert.is(harness.primary.registry.opened, 2, 'the cancelled connection is not lent again')
+})
+
+withHarness('a cancel ends the wait for a connection', { limit: 1 }, async harness => {
+  const [left, right] = [await harness.connect(), await harness.connect()]
+  await left.query('begin')
+  await left.query('select 1')
+  const waiting = codeOf(right.query('select 1'))
+  await eventually('it waits', () => harness.lent() === 2)
+  cancel(right, harness.callers.port)
+  assert.is(await waiting, '57014')
+  await left.query('commit')
+})
+
+withHarness('a caller that goes away frees its connection', { limit: 1 }, async harness => {
+  const [left, right] = [await harness.connect(), await harness.connect()]
+  void codeOf(left.query('select pg_sleep(5)'))
+  await eventually('it runs', () => harness.primary.registry.statements === 1)
+  streamOf(left).destroy()
+  assert.is((await right.query('select 1')).rows.length, 1)
+})
+
+withHarness('a key withdrawn in mid-transaction', { limit: 1 }, async harness => {
+  const caller = await harness.connect()
+  await caller.query('begin')
+  await caller.query('insert into visits (id, value) values (\'1\', \'a\')')
+  const ended = new Promise(resolve => { caller.once('end', resolve) })
+  harness.withdrawKey()
+  await ended
+  await eventually('the connection is gone', () => harness.primary.registry.open === 0)
+  assert.is(harness.primary.server.status().position, 1)
+})
+
+withHarness('no connection in time is said so', { services: { lease: async () => { throw new RefusalError('too many connections', 'none came free') } } }, async harness => {
+  const caller = await harness.connect()
+  const error = await caller.query('insert into visits (id, value) values (\'1\', \'a\')').catch((reason: { code: string, detail: string }) => reason)
+  assert.is((error as { code: string }).code, '53300')
+  assert.match((error as { detail: string }).detail, /has not run/)
+})
+
+interface ClientParts { processID: number, secretKey: number, connection: { stream: Socket } }
+
+function streamOf (client: unknown): Socket {
+  return (client as ClientParts).connection.stream
+}
+
+function cancel (client: unknown, port: number): void {
+  const { processID, secretKey } = client as ClientParts
+  const socket = connect(port, '127.0.0.1', () => { socket.end(buildCancelRequest(processID, secretKey)) })
+  socket.on('error', () => {})
+}
+
+test.run()
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -0,0 +1,184 @@
+/** Callers on one side and stand-in backend servers on the other, in one process over real sockets. */
+
+import { createServer } from 'node:net'
+import { createHash } from 'node:crypto'
+import pg from 'pg'
+import { loadParser } from '@cyclamenusher/decisions'
+import { createBackendServer, createConnectionRegistry, serveConnection } from '@cyclamenusher/stand-ins'
+import { listenForCallers } from '../../process/callers.js'
+import { createMetrics } from '../../process/metrics.js'
+import { createPool } from '../../process/pool.js'
+import { createRulesStore } from '../../version/rulesStore.js'
+import type { BackendServer, ConnectionRegistry } from '@cyclamenusher/stand-ins'
+import type { AddressInfo, Server, Socket } from 'node:net'
+import type { Callers } from '../../process/callers.js'
+import type { Config } from '../../process/config.js'
+import type { ScopedLogger } from '../../process/logger.js'
+import type { Pool } from '../../process/pool.js'
+import type { RulesStore } from '../../version/rulesStore.js'
+import type { CallerServices, LeaseRequest } from '../callerConnection.js'
+
+export const KEY = 'the key of a test'
+const PASSWORD = 'system-password'
+const HOST = '127.0.0.1'
+
+const RULES = [
+  'accounts.alfa = { rate = 100000, burst = 100000 } # asked for by tests',
+  'accounts.beta = { rate = 100000, burst = 100000 } # asked for by tests',
+  `keys.alfa-key = { account = "alfa", digest = "sha256:${createHash('sha256').update(KEY).digest('hex')}" } # asked for by tests`,
+  'databases.main = { group = "main", members = 3 } # asked for by tests',
+  'access.alfa-main = { account = "alfa", database = "main", write = true } # asked for by tests'
+]
+
+export const SILENT: ScopedLogger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
+
+/** One stand-in server, its sockets and the pool to it. */
+export interface HarnessServer {
+  server: BackendServer
+  registry: ConnectionRegistry
+  listener: Server
+  sockets: Set<Socket>
+  port: number
+  pool: Pool
+}
+
+export interface Harness {
+  primary: HarnessServer
+  replica: HarnessServer
+  callers: Callers
+  store: RulesStore
+  services: CallerServices
+  /** Who serves a request; a test may change it. */
+  choose: { member: (request: LeaseRequest) => HarnessServer }
+  connect: (options?: pg.ClientConfig) => Promise<pg.Client>
+  withdrawKey: () => void
+  lent: () => number
+  close: () => Promise<void>
+}
+
+export interface HarnessOptions {
+  /** Connections of the pool to each server. @default 4 */
+  limit?: number
+  requestMilliseconds?: number
+  maximumConnections?: number
+  tls?: { certificate: string, key: string }
+  services?: Partial<CallerServices>
+}
+
+async function startServer (member: string, limit: number): Promise<HarnessServer> {
+  const sockets = new Set<Socket>()
+  const server = createBackendServer({ group: 'main', member, failureDomain: 'a', host: HOST, port: 0, connectionLimit: 20, openMilliseconds: 0, lagMilliseconds: 0 })
+  const registry = createConnectionRegistry(new Map([['cyclamenusher', PASSWORD]]), new Set())
+  const listener = createServer(socket => {
+    sockets.add(socket)
+    socket.on('close', () => { sockets.delete(socket) })
+    serveConnection(socket, server, registry)
+  })
+  await new Promise<void>(resolve => { listener.listen(0, HOST, resolve) })
+  const { port } = listener.address() as AddressInfo
+  const pool = createPool({
+    target: { member, host: HOST, port, user: 'cyclamenusher', password: PASSWORD, database: 'main' },
+    limit: () => limit,
+    clock: { now: () => performance.now() },
+    logger: SILENT,
+    onSize: () => {}
+  })
+  return { server, registry, listener, sockets, port, pool }
+}
+
+function createConfig (options: HarnessOptions): Config {
+  return {
+    callers: {
+      listen: { host: HOST, port: 0 },
+      clearTextKeys: options.tls === undefined,
+      tlsCertificate: options.tls?.certificate,
+      tlsKey: options.tls?.key,
+      maximumConnections: options.maximumConnections ?? 100,
+      maximumMessageBytes: 1024 * 1024,
+      requestMilliseconds: options.requestMilliseconds ?? 5_000
+    }
+  } as unknown as Config
+}
+
+export async function startHarness (options: HarnessOptions = {}): Promise<Harness> {
+  await loadParser()
+  const primary = await startServer('main-1', options.limit ?? 4)
+  const replica = await startServer('main-2', options.limit ?? 4)
+  primary.server.adopt(1)
+  primary.server.promote(1)
+  replica.server.adopt(1)
+  replica.server.follow(1, HOST, primary.port)
+  const store = createRulesStore({ now: () => performance.now() }, 60_000)
+  const rule = (number: number, baseNumber: number, removed: string[], added: string[]): void => {
+    store.update({ number, baseNumber, removed, added, fresh: true, ageMilliseconds: 0, askedAt: performance.now() })
+  }
+  rule(1, 0, [], RULES)
+  const choose = { member: (_request: LeaseRequest) => primary }
+  const services: CallerServices = {
+    tokenSecret: 'a secret of tests',
+    maximumMessageBytes: 1024 * 1024,
+    requestMilliseconds: options.requestMilliseconds ?? 5_000,
+    now: () => performance.now(),
+    admit: () => {},
+    lease: async request => {
+      const { pool } = choose.member(request)
+      const backend = await pool.acquire(request.identity.account, 2_000)
+      return { backend, release: clean => { pool.release(backend, clean) } }
+    },
+    confirmPlace: async () => ({ term: 1, position: primary.server.status().position }),
+    acknowledge: async () => 'held',
+    recordRequest: () => {},
+    ...options.services
+  }
+  const callers = await listenForCallers({ config: createConfig(options), store, services, logger: SILENT, metrics: createMetrics() })
+  const clients: pg.Client[] = []
+
+  async function connect (client: pg.ClientConfig = {}): Promise<pg.Client> {
+    const opened = new pg.Client({ host: HOST, port: callers.port, user: 'alfa', password: KEY, database: 'main', ...client })
+    opened.on('error', () => {})
+    clients.push(opened)
+    await opened.connect()
+    return opened
+  }
+
+  return {
+    primary,
+    replica,
+    callers,
+    store,
+    services,
+    choose,
+    connect,
+    withdrawKey: () => { rule(2, 1, ['keys.alfa-key'], []) },
+    lent: () => primary.pool.busy() + replica.pool.busy(),
+    close: async () => {
+      await Promise.all(clients.map(async client => { await client.end().catch(() => {}) }))
+      callers.close()
+      for (const { server, listener, sockets, pool } of [primary, replica]) {
+        pool.close()
+        server.close()
+        listener.close()
+        for (const socket of sockets) socket.destroy()
+      }
+    }
+  }
+}
+
+/** Repeats until `attempt` holds. @throws Error after `milliseconds` */
+export async function eventually (problem: string, attempt: () => boolean, milliseconds = 3_000): Promise<void> {
+  const deadline = performance.now() + milliseconds
+  while (!attempt()) {
+    if (performance.now() > deadline) throw new Error(problem)
+    await new Promise(resolve => setTimeout(resolve, 5))
+  }
+}
+
+/** The SQLSTATE of a refusal; fails when there is none. */
+export async function codeOf (work: Promise<unknown>): Promise<string> {
+  try {
+    await work
+  } catch (error) {
+    return (error as { code?: string }).code ?? String(error)
+  }
+  throw new Error('it was not refused')
+}
--- a/packages/stand-ins/src/node/backend/connection.ts
+++ b/packages/stand-ins/src/node/backend/connection.ts
@@ -37,7 +37,11 @@
 }
 
 interface Prepared { text: string }
-interface Portal { text: string }
+interface Portal {
+  text: string
+  /** Rows that are left of a portal that was read in part. */
+  rows?: Iterator<Array<string | null>>
+}
 
 /** Reads the first message, answers TLS and cancel requests, then serves the connection. */
 export function serveConnection (socket: Socket, server: BackendServer, registry: ConnectionRegistry): void {
@@ -207,6 +211,24 @@
     socket.write(buildCommandComplete(result.tag))
   }
 
+  /** Sends at most `maximumRows` of a read; the portal keeps the rest. */
+  async function runInPart (portal: Portal, maximumRows: number): Promise<void> {
+    if (portal.rows === undefined) {
+      const result = await runStatement(portal.text, session, server)
+      if (result.operations !== undefined) return runOne(portal.text, false)
+      portal.rows = (result.rows ?? [])[Symbol.iterator]()
+    }
+    for (let count = 0; count < maximumRows; count += 1) {
+      const { done, value } = portal.rows.next()
+      if (done === true) {
+        socket.write(buildCommandComplete(`SELECT ${count}`))
+        return
+      }
+      socket.write(buildDataRow(value))
+    }
+    socket.write(buildFrame(BACKEND.portalSuspended))
+  }
+
   function fail (error: unknown): void {
     const known = error instanceof StatementError
     session.pending = session.transaction === 'idle' ? [] : session.pending
@@ -284,7 +306,9 @@
         socket.write(buildFrame(BACKEND.emptyQueryResponse))
         return
       }
-      await runOne(portal.text, false)
+      const maximumRows = frame.bytes.readInt32BE(frame.bytes.indexOf(0, 5) + 1)
+      if (maximumRows > 0) await runInPart(portal, maximumRows)
+      else await runOne(portal.text, false)
     },
     [FRONTEND.close]: frame => {
       const [name] = readCString(frame.bytes, 6)
@@ -304,14 +328,15 @@
     if (!authenticated) return authenticate(frame)
     if (skipping && frame.type !== FRONTEND.sync && frame.type !== FRONTEND.terminate) return
     skipping = false
-    if (server.faults.answerMilliseconds > 0) await pause(server.faults.answerMilliseconds)
-    while (server.faults.frozen && !registry.reservedUsers.has(user) && !socket.destroyed) await pause(20)
+    // A frozen server does not see a cancel request either.
+    while (server.faults.frozen && !registry.reservedUsers.has(user) && !socket.destroyed) await new Promise(resolve => setTimeout(resolve, 20))
     const handler = handlers[frame.type]
     if (handler === undefined) {
       fail(new StatementError('08P01', `message type ${frame.type} is not supported`))
       return
     }
     try {
+      if (server.faults.answerMilliseconds > 0) await pause(server.faults.answerMilliseconds)
       await handler(frame)
     } catch (error) {
       // In the extended protocol an error skips everything up to Sync.
--- a/packages/stand-ins/src/node/backend/statements.ts
+++ b/packages/stand-ins/src/node/backend/statements.ts
@@ -135,6 +135,10 @@
     session.settings.set(name.toLowerCase(), value)
     return { tag: 'SET' }
   }],
+  [/^reset (?!all$)([\w.]+)$/i, ([, name], session) => {
+    session.settings.delete(name.toLowerCase())
+    return { tag: 'RESET' }
+  }],
   [/^reset all$/i, (_match, session) => {
     session.settings.clear()
     return { tag: 'RESET' }
