--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -104,6 +104,8 @@
   await loadParser()
   const primary = await startServer('main-1', options.limit ?? 4)
   const replica = await startServer('main-2', options.limit ?? 4)
+  // A new member counts, and may be promoted, only once it is let in.
+  for (const { server } of [primary, replica]) server.admit(0, 0, server.incarnation)
   primary.server.adopt(1)
   primary.server.promote(1)
   replica.server.adopt(1)
