--- a/packages/decisions/src/node/index.ts
+++ b/packages/decisions/src/node/index.ts
@@ -2,7 +2,12 @@
 
 export * from './group/route.js'
 export * from './group/view.js'
+export * from './rate/agent.js'
 export * from './rate/bucket.js'
+export * from './rate/lender.js'
+export * from './rate/mandate.js'
+export * from './rate/policy.js'
+export * from './rate/share.js'
 export * from './rules/delta.js'
 export * from './rules/rules.js'
 export * from './session/position.js'
--- /dev/null
+++ b/packages/decisions/src/node/rate/agent.ts
@@ -0,0 +1,330 @@
+/**
+ * Rate and burst at one instance: takes tokens for its requests, borrows from
+ * the homes of each failure domain, and lends where it is home itself. It sends
+ * nothing: what is to be sent comes back as effects.
+ */
+
+import { rankNodes } from '../group/rendezvous.js'
+import { buildAsk, demandOf, heldTokens, isShort, mayAsk, noteDemand, openBorrower, pendingTokens, receiveLoan, spendToken } from './borrower.js'
+import { lendTokens, openLender, takeFromLender } from './lender.js'
+import { countVote, mintedSince, openMandates, startRound } from './mandate.js'
+import { WHOLE_FLEET, ownersOf, partOf, seatOf, seatsOf, splitName } from './share.js'
+import type { BucketLimits } from './bucket.js'
+import type { Borrower } from './borrower.js'
+import type { Lender, LoanRequest } from './lender.js'
+import type { MandateRequest } from './mandate.js'
+import type { RatePolicy } from './policy.js'
+import type { AccountKind } from './share.js'
+
+/** What the agent goes by; read anew at each step. */
+export interface RateView {
+  /** Live entry instances, this one among them. */
+  entries: ReadonlyArray<{ name: string, failureDomain: string }>
+  /** Failure domains that the rules name. */
+  domains: readonly string[]
+  /** Limits of an account over the whole fleet; undefined: there is no such account. */
+  limitsOf: (kind: AccountKind, account: string) => BucketLimits | undefined
+  /** Whether rules are current enough to lend by, for this kind of account. */
+  mayLend: (kind: AccountKind) => boolean
+  /** Voters for seats of this kind. */
+  voters: (kind: AccountKind) => readonly string[]
+}
+
+export interface RateAgentOptions {
+  name: string
+  failureDomain: string
+  /** Differs each time that the process starts. */
+  incarnation: string
+  policy: RatePolicy
+  view: () => RateView
+}
+
+export type RateEffect =
+  | { kind: 'admit', ticket: number }
+  | { kind: 'refuse', ticket: number }
+  | { kind: 'ask', lender: string, account: string, accountKind: AccountKind, request: LoanRequest }
+  | { kind: 'seek', voter: string, round: number, request: MandateRequest }
+
+export interface RateAgent {
+  /** A request wants a token; the ticket comes back with the verdict, at once or later. */
+  arrive: (kind: AccountKind, account: string, ticket: number, now: number) => RateEffect[]
+  /** The request behind the ticket is gone. */
+  abandon: (ticket: number) => void
+  /** Another instance asks for tokens; undefined: this instance is not home. */
+  lend: (kind: AccountKind, account: string, request: LoanRequest, now: number) => number | undefined
+  receiveLoan: (kind: AccountKind, account: string, lender: string, number: number, tokens: number | undefined, now: number) => RateEffect[]
+  receivePromise: (voter: string, round: number, seats: readonly string[], now: number) => void
+  /** To be called every few milliseconds. */
+  tick: (now: number) => RateEffect[]
+  /** Seats that this instance holds and mints for now. */
+  seats: (now: number) => string[]
+  /** Requests that wait. */
+  waiting: () => number
+}
+
+interface Account {
+  kind: AccountKind
+  name: string
+  borrower: Borrower
+  waiters: Array<{ ticket: number, until: number }>
+  lender?: Lender
+  /** Instances that turned out not to be home lately, with when that is forgotten. */
+  strangers: Map<string, number>
+  usedAt: number
+}
+
+/** Accounts whose state is kept. */
+const MAXIMUM_ACCOUNTS = 20_000
+/** How long an instance that is not home is passed over, in milliseconds. */
+const STRANGER_MILLISECONDS = 200
+
+export function createRateAgent ({ name, failureDomain, incarnation, policy, view }: RateAgentOptions): RateAgent {
+  const self = policy.mutation === 'restart keeps its name' ? name : `${name}#${incarnation}`
+  const accounts = new Map<string, Account>()
+  const active = new Set<Account>()
+  const mandates = openMandates()
+  let soughtAt = -Infinity
+  let sought = new Set<string>()
+  let startedAt: number | undefined
+  /** Lenders that are opened again count from here: some were forgotten. */
+  let forgottenAt = -Infinity
+  let split = ''
+  /** Instances by rank for each seat, and the view that they come from. */
+  let rankings = new Map<string, string[]>()
+  let rankedView: Pick<RateView, 'entries' | 'domains'> | undefined
+
+  /** The entry instances of the failure domain, the likeliest home of the seat first. */
+  function rankFor (seat: string, domain: string): string[] {
+    const { entries, domains } = view()
+    if (rankedView?.entries !== entries || rankedView.domains !== domains) {
+      rankings = new Map()
+      rankedView = { entries, domains }
+    }
+    const known = rankings.get(seat)
+    if (known !== undefined) return known
+    const candidates = entries.filter(entry => domains.length === 0 || entry.failureDomain === domain).map(entry => entry.name)
+    const ranked = rankNodes(seat, candidates)
+    rankings.set(seat, ranked)
+    return ranked
+  }
+
+  function accountOf (kind: AccountKind, account: string, now: number): Account {
+    const key = `${kind} ${account}`
+    const known = accounts.get(key) ?? { kind, name: account, borrower: openBorrower(now), waiters: [], strangers: new Map(), usedAt: now }
+    known.usedAt = now
+    // The least recently used accounts come first.
+    accounts.delete(key)
+    accounts.set(key, known)
+    if (accounts.size > MAXIMUM_ACCOUNTS) forgetOne(now)
+    return known
+  }
+
+  function forgetOne (now: number): void {
+    for (const [key, { waiters, lender }] of accounts) {
+      if (waiters.length > 0 || (lender !== undefined && lender.loans.length > 0)) continue
+      accounts.delete(key)
+      forgottenAt = now
+      return
+    }
+  }
+
+  function ownDomain (): string {
+    const { domains } = view()
+    return domains.length === 0 ? WHOLE_FLEET : failureDomain
+  }
+
+  /** This instance's tokens of the account, if it is home to it now. */
+  function ownLender (account: Account, now: number): { lender: Lender, share: BucketLimits } | undefined {
+    const { domains, limitsOf, mayLend } = view()
+    const limits = limitsOf(account.kind, account.name)
+    if (limits === undefined || !mayLend(account.kind)) return undefined
+    if (domains.length > 0 && !domains.includes(failureDomain)) return undefined
+    const since = mintsSince(seatOf(account.kind, ownDomain(), account.name), now)
+    if (since === undefined) {
+      account.lender = undefined
+      return undefined
+    }
+    const share = partOf(limits, Math.max(1, domains.length))
+    account.lender ??= openLender(share, now, now - Math.max(since, forgottenAt), policy)
+    return { lender: account.lender, share }
+  }
+
+  function mintsSince (seat: string, now: number): number | undefined {
+    if (policy.mutation === 'home without mandate') return wantedSeats().has(seat) ? startedAt : undefined
+    return mintedSince(mandates, seat, now)
+  }
+
+  function takeToken (account: Account, now: number): boolean {
+    if (spendToken(account.borrower, now, policy)) return true
+    const own = ownLender(account, now)
+    if (own === undefined) return false
+    if (takeFromLender(own.lender, own.share, now, policy)) return true
+    if (own.share.burst >= 1) return false
+    borrowFromSelf(account, own, now)
+    return spendToken(account.borrower, now, policy)
+  }
+
+  /** A share below one token is lent in parts, also to requests at the home. */
+  function borrowFromSelf (account: Account, own: { lender: Lender, share: BucketLimits }, now: number): void {
+    if (!mayAsk(account.borrower, name, now, policy)) return
+    const request = buildAsk(account.borrower, name, self, 1, now)
+    receiveLoan(account.borrower, name, request.number, lendTokens(own.lender, own.share, request, now, policy), now, policy)
+  }
+
+  /** Who is likely to be home to the account in a failure domain. */
+  function homeIn (domain: string, account: Account, now: number): string | undefined {
+    const ranked = rankFor(seatOf(account.kind, domain, account.name), domain)
+    return ranked.find(candidate => (account.strangers.get(candidate) ?? -Infinity) <= now) ?? ranked[0]
+  }
+
+  /** Tokens that the account lacks here, those on their way counted in. */
+  function missingTokens (account: Account, now: number): number {
+    const ahead = Math.floor(demandOf(account.borrower, now) * policy.aheadMilliseconds / 1000)
+    const held = heldTokens(account.borrower, now, policy) + pendingTokens(account.borrower)
+    return Math.ceil(account.waiters.length + ahead - held)
+  }
+
+  function borrow (account: Account, now: number): RateEffect[] {
+    const missing = missingTokens(account, now)
+    if (missing <= 0) return []
+    const { domains, limitsOf } = view()
+    if (limitsOf(account.kind, account.name) === undefined) return []
+    const own = ownDomain()
+    const home = ownersOf(account.name, domains).includes(own) ? homeIn(own, account, now) : undefined
+    if (home !== undefined && home !== name && !isShort(account.borrower, home)) {
+      const ready = mayAsk(account.borrower, home, now, policy)
+      if (!isShort(account.borrower, home)) return ready ? [ask(account, home, missing, now)] : []
+    }
+    // The home itself borrows for requests that wait, and nothing ahead.
+    if (home === name && account.waiters.length === 0) return []
+    return borrowAround(account, missing, now)
+  }
+
+  /** The home falls short: every owner is asked for a part. */
+  function borrowAround (account: Account, missing: number, now: number): RateEffect[] {
+    const { domains } = view()
+    const lenders = ownersOf(account.name, domains)
+      .map(domain => homeIn(domain, account, now))
+      .filter((lender): lender is string => lender !== undefined && lender !== name && mayAsk(account.borrower, lender, now, policy))
+    const wanted = Math.ceil(missing / Math.max(1, lenders.length))
+    return lenders.map(lender => ask(account, lender, wanted, now))
+  }
+
+  function ask (account: Account, lender: string, wanted: number, now: number): RateEffect {
+    return { kind: 'ask', lender, account: account.name, accountKind: account.kind, request: buildAsk(account.borrower, lender, self, wanted, now) }
+  }
+
+  function serveWaiters (account: Account, now: number): RateEffect[] {
+    const effects: RateEffect[] = []
+    while (account.waiters.length > 0 && takeToken(account, now)) {
+      const [{ ticket }] = account.waiters.splice(0, 1)
+      effects.push({ kind: 'admit', ticket })
+    }
+    while (account.waiters.length > 0 && account.waiters[0].until <= now) {
+      const [{ ticket }] = account.waiters.splice(0, 1)
+      effects.push({ kind: 'refuse', ticket })
+    }
+    if (account.waiters.length === 0) active.delete(account)
+    return effects
+  }
+
+  function arrive (kind: AccountKind, accountName: string, ticket: number, now: number): RateEffect[] {
+    const account = accountOf(kind, accountName, now)
+    noteDemand(account.borrower, now)
+    if (account.waiters.length === 0 && takeToken(account, now)) return [{ kind: 'admit', ticket }, ...borrow(account, now)]
+    if (account.waiters.length >= policy.maximumWaiting) return [{ kind: 'refuse', ticket }]
+    account.waiters.push({ ticket, until: now + policy.waitMilliseconds })
+    active.add(account)
+    return borrow(account, now)
+  }
+
+  function abandon (ticket: number): void {
+    for (const account of active) account.waiters = account.waiters.filter(waiter => waiter.ticket !== ticket)
+  }
+
+  function lend (kind: AccountKind, accountName: string, request: LoanRequest, now: number): number | undefined {
+    const account = accountOf(kind, accountName, now)
+    const own = ownLender(account, now)
+    return own === undefined ? undefined : lendTokens(own.lender, own.share, request, now, policy)
+  }
+
+  function takeLoan (kind: AccountKind, accountName: string, lender: string, number: number, tokens: number | undefined, now: number): RateEffect[] {
+    const account = accounts.get(`${kind} ${accountName}`)
+    if (account === undefined) return []
+    if (tokens === undefined) account.strangers.set(lender, now + STRANGER_MILLISECONDS)
+    else account.strangers.delete(lender)
+    receiveLoan(account.borrower, lender, number, tokens ?? 0, now, policy)
+    const served = serveWaiters(account, now)
+    return account.waiters.length === 0 ? served : [...served, ...borrow(account, now)]
+  }
+
+  /** Seats for which this instance comes first by its own view. */
+  function wantedSeats (): Set<string> {
+    const { domains } = view()
+    const domain = ownDomain()
+    if (domains.length > 0 && !domains.includes(domain)) return new Set()
+    return new Set(seatsOf(domain).map(({ seat }) => seat).filter(seat => rankFor(seat, domain)[0] === name))
+  }
+
+  function seek (now: number): RateEffect[] {
+    if (now - soughtAt < policy.renewMilliseconds) return []
+    soughtAt = now
+    const wanted = wantedSeats()
+    const released = [...sought].filter(seat => !wanted.has(seat))
+    for (const seat of released) mandates.held.delete(seat)
+    // A promise given before its seat was released must not count after it.
+    if (released.length > 0) mandates.rounds.clear()
+    sought = wanted
+    const { domains, voters } = view()
+    if (splitName(domains) !== split) {
+      // Tokens of another split must not be lent beside those of this one.
+      mandates.held.clear()
+      mandates.rounds.clear()
+      split = splitName(domains)
+    }
+    const round = startRound(mandates, now)
+    const everybody = new Set([...voters('keyed'), ...voters('open')])
+    return [...everybody].map(voter => ({
+      kind: 'seek',
+      voter,
+      round,
+      request: { holder: self, split, released, seats: [...wanted].filter(seat => voters(kindOf(seat)).includes(voter)) }
+    }))
+  }
+
+  function receivePromise (voter: string, round: number, seats: readonly string[], now: number): void {
+    const { voters } = view()
+    const majorityOf = (seat: string): number => Math.floor(voters(kindOf(seat)).length / 2) + 1
+    const gained = countVote(mandates, { voter, round, seats: seats.filter(seat => sought.has(seat) && voters(kindOf(seat)).includes(voter)) }, majorityOf, now, policy)
+    if (gained.length === 0) return
+    const fresh = new Set(gained)
+    for (const account of accounts.values()) {
+      if (fresh.has(seatOf(account.kind, ownDomain(), account.name))) account.lender = undefined
+    }
+  }
+
+  function tick (now: number): RateEffect[] {
+    startedAt ??= now
+    const effects = seek(now)
+    for (const account of active) {
+      effects.push(...serveWaiters(account, now))
+      if (account.waiters.length > 0) effects.push(...borrow(account, now))
+    }
+    return effects
+  }
+
+  return {
+    arrive,
+    abandon,
+    lend,
+    receiveLoan: takeLoan,
+    receivePromise,
+    tick,
+    seats: now => [...mandates.held.keys()].filter(seat => mintedSince(mandates, seat, now) !== undefined),
+    waiting: () => [...active].reduce((sum, { waiters }) => sum + waiters.length, 0)
+  }
+}
+
+function kindOf (seat: string): AccountKind {
+  return seat.startsWith('open/') ? 'open' : 'keyed'
+}
--- /dev/null
+++ b/packages/decisions/src/node/rate/borrower.ts
@@ -0,0 +1,121 @@
+/** One account's borrowed tokens at one instance, and what it may ask its lenders. */
+
+import { ROUNDING } from './lender.js'
+import type { LoanRequest, ReturnedTokens } from './lender.js'
+import type { RatePolicy } from './policy.js'
+
+/** Tokens of one loan that are not spent. */
+interface Lot {
+  lender: string
+  number: number
+  tokens: number
+  until: number
+}
+
+interface Ask {
+  number: number
+  pending: boolean
+  askedAt: number
+  wanted: number
+  /** The lender is left alone until then. */
+  retryAt: number
+  /** The last answer fell short of what was wanted. */
+  short: boolean
+}
+
+export interface Borrower {
+  lots: Lot[]
+  asks: Map<string, Ask>
+  /** Requests a second, smoothed. */
+  demand: number
+  demandAt: number
+}
+
+/** Time over which demand is smoothed, in milliseconds. */
+const DEMAND_MILLISECONDS = 300
+
+export function openBorrower (now: number): Borrower {
+  return { lots: [], asks: new Map(), demand: 0, demandAt: now }
+}
+
+export function noteDemand (borrower: Borrower, now: number): void {
+  borrower.demand = demandOf(borrower, now) + 1000 / DEMAND_MILLISECONDS
+  borrower.demandAt = now
+}
+
+/** Requests a second that this instance sees now. */
+export function demandOf (borrower: Borrower, now: number): number {
+  return borrower.demand * Math.exp(-Math.max(0, now - borrower.demandAt) / DEMAND_MILLISECONDS)
+}
+
+function dropExpired (borrower: Borrower, now: number, policy: RatePolicy): void {
+  if (policy.mutation === 'expired loans are spent') return
+  borrower.lots = borrower.lots.filter(({ until }) => now < until)
+}
+
+export function heldTokens (borrower: Borrower, now: number, policy: RatePolicy): number {
+  dropExpired(borrower, now, policy)
+  return borrower.lots.reduce((sum, { tokens }) => sum + tokens, 0)
+}
+
+/** Spends one borrowed token, of the loans that expire first. */
+export function spendToken (borrower: Borrower, now: number, policy: RatePolicy): boolean {
+  if (heldTokens(borrower, now, policy) < 1 - ROUNDING) return false
+  let missing = 1
+  for (const lot of borrower.lots) {
+    const spent = Math.min(missing, lot.tokens)
+    lot.tokens -= spent
+    missing -= spent
+  }
+  borrower.lots = borrower.lots.filter(({ tokens }) => tokens > ROUNDING)
+  return true
+}
+
+function askOf (borrower: Borrower, lender: string): Ask {
+  const known = borrower.asks.get(lender) ?? { number: 0, pending: false, askedAt: -Infinity, wanted: 0, retryAt: -Infinity, short: false }
+  borrower.asks.set(lender, known)
+  return known
+}
+
+/** Whether the lender can be asked now; an answer that does not come is given up. */
+export function mayAsk (borrower: Borrower, lender: string, now: number, policy: RatePolicy): boolean {
+  const ask = askOf(borrower, lender)
+  if (ask.pending && now - ask.askedAt >= policy.askMilliseconds) {
+    ask.pending = false
+    ask.short = true
+  }
+  return !ask.pending && now >= ask.retryAt
+}
+
+export function isShort (borrower: Borrower, lender: string): boolean {
+  return askOf(borrower, lender).short
+}
+
+/** Tokens that are on their way, at most. */
+export function pendingTokens (borrower: Borrower): number {
+  let sum = 0
+  for (const { pending, wanted } of borrower.asks.values()) if (pending) sum += wanted
+  return sum
+}
+
+export function buildAsk (borrower: Borrower, lender: string, name: string, wanted: number, now: number, returned: readonly ReturnedTokens[] = []): LoanRequest {
+  const ask = askOf(borrower, lender)
+  ask.number += 1
+  Object.assign(ask, { pending: true, askedAt: now, wanted })
+  const open = borrower.lots.filter(lot => lot.lender === lender).map(({ number }) => number)
+  return { borrower: name, number: ask.number, settled: Math.min(ask.number, ...open), returned, wanted }
+}
+
+/** Takes an answer; one that is no longer waited for is dropped with its tokens. */
+export function receiveLoan (borrower: Borrower, lender: string, number: number, tokens: number, now: number, policy: RatePolicy): void {
+  const ask = askOf(borrower, lender)
+  const expected = ask.pending && ask.number === number
+  if (!expected && policy.mutation !== 'any reply is taken') return
+  ask.pending = false
+  ask.short = tokens < ask.wanted
+  if (ask.short) ask.retryAt = now + policy.retryMilliseconds
+  const until = ask.askedAt + policy.loanMilliseconds
+  if (tokens <= 0 || until <= now) return
+  borrower.lots.push({ lender, number, tokens, until })
+  borrower.lots.sort((left, right) => left.until - right.until)
+}
--- /dev/null
+++ b/packages/decisions/src/node/rate/lender.ts
@@ -0,0 +1,128 @@
+/**
+ * One account's tokens at its home in a failure domain. Tokens that are lent
+ * leave no room for new ones until they are known to be spent, or have expired
+ * at the borrower: what is here and what is lent never exceed the burst together.
+ */
+
+import { outlast, surelyElapsed } from './policy.js'
+import type { BucketLimits } from './bucket.js'
+import type { RatePolicy } from './policy.js'
+
+/** Tokens that one borrower got with one request. */
+interface Loan {
+  borrower: string
+  number: number
+  tokens: number
+  /** When they have expired at the borrower, on this clock. */
+  until: number
+}
+
+/** Tokens that a borrower gives back, of the loan with this number. */
+export interface ReturnedTokens {
+  number: number
+  tokens: number
+}
+
+export interface LoanRequest {
+  /** Name and incarnation of the borrower. */
+  borrower: string
+  /** Rises with each request of one borrower to one lender. */
+  number: number
+  /** Every loan below this number is spent, expired or given back. */
+  settled: number
+  returned: readonly ReturnedTokens[]
+  wanted: number
+}
+
+export interface Lender {
+  tokens: number
+  refilledAt: number
+  /** In order of expiry. */
+  loans: Loan[]
+  /** Highest request number seen of each borrower. */
+  numbers: Map<string, number>
+}
+
+/** Borrowers whose numbers are remembered. */
+const MAXIMUM_BORROWERS = 5_000
+
+/** A lender that has had `elapsed` milliseconds to fill. */
+export function openLender (share: BucketLimits, now: number, elapsed: number, policy: RatePolicy): Lender {
+  const tokens = policy.mutation === 'new home starts full' ? share.burst : Math.min(share.burst, surelyElapsed(elapsed, policy) * share.rate / 1000)
+  return { tokens, refilledAt: now, loans: [], numbers: new Map() }
+}
+
+function lentTokens (lender: Lender, policy: RatePolicy): number {
+  if (policy.mutation === 'loans leave room') return 0
+  return lender.loans.reduce((sum, { tokens }) => sum + tokens, 0)
+}
+
+function addTokens (lender: Lender, share: BucketLimits, now: number, policy: RatePolicy): void {
+  const added = surelyElapsed(now - lender.refilledAt, policy) * share.rate / 1000
+  const room = Math.max(0, share.burst - lentTokens(lender, policy))
+  lender.tokens = Math.min(room, lender.tokens + added)
+  lender.refilledAt = Math.max(now, lender.refilledAt)
+}
+
+/** Adds what time has earned; expired loans make room from their expiry on, not before. */
+export function refillLender (lender: Lender, share: BucketLimits, now: number, policy: RatePolicy): void {
+  while (lender.loans.length > 0 && lender.loans[0].until <= now) {
+    if (policy.mutation !== 'room before refill') addTokens(lender, share, lender.loans[0].until, policy)
+    lender.loans.shift()
+  }
+  addTokens(lender, share, now, policy)
+}
+
+/** Forgets what the borrower has spent, and takes back what it returns. */
+function settleLoans (lender: Lender, { borrower, settled, returned }: LoanRequest): void {
+  const back = new Map(returned.map(({ number, tokens }) => [number, tokens]))
+  lender.loans = lender.loans.filter(loan => {
+    if (loan.borrower !== borrower || (loan.number >= settled && !back.has(loan.number))) return true
+    // A loan is settled once: the same return again finds nothing to settle.
+    lender.tokens += Math.min(loan.tokens, Math.max(0, back.get(loan.number) ?? 0))
+    return false
+  })
+}
+
+function rememberNumber (lender: Lender, borrower: string, number: number): void {
+  lender.numbers.delete(borrower)
+  lender.numbers.set(borrower, number)
+  if (lender.numbers.size <= MAXIMUM_BORROWERS) return
+  const [oldest] = lender.numbers.keys()
+  lender.numbers.delete(oldest)
+}
+
+/** Whole tokens, unless the share is too small to ever hold one: then parts of tokens are lent. */
+function lendable (lender: Lender, share: BucketLimits, wanted: number): number {
+  const tokens = Math.max(0, Math.min(lender.tokens, wanted))
+  if (share.burst >= 1) return Math.floor(tokens + ROUNDING)
+  return tokens >= SMALLEST_LOAN ? tokens : 0
+}
+
+/** Parts of tokens below this are not lent. */
+const SMALLEST_LOAN = 0.1
+/** Sums of parts of tokens may be this far off. */
+export const ROUNDING = 1e-9
+
+/** Lends tokens; a request that comes again, or late, gets none. */
+export function lendTokens (lender: Lender, share: BucketLimits, request: LoanRequest, now: number, policy: RatePolicy): number {
+  const { borrower, number, wanted } = request
+  if (policy.mutation === 'room before refill') settleLoans(lender, request)
+  refillLender(lender, share, now, policy)
+  settleLoans(lender, request)
+  if (number <= (lender.numbers.get(borrower) ?? -1)) return 0
+  rememberNumber(lender, borrower, number)
+  const tokens = lendable(lender, share, wanted)
+  if (tokens === 0) return 0
+  lender.tokens -= tokens
+  lender.loans.push({ borrower, number, tokens, until: now + outlast(policy.loanMilliseconds, policy) })
+  return tokens
+}
+
+/** Takes one token for a request at the home itself. */
+export function takeFromLender (lender: Lender, share: BucketLimits, now: number, policy: RatePolicy): boolean {
+  refillLender(lender, share, now, policy)
+  if (lender.tokens < 1) return false
+  lender.tokens -= 1
+  return true
+}
--- /dev/null
+++ b/packages/decisions/src/node/rate/share.ts
@@ -0,0 +1,48 @@
+/** How an account's rate and burst are split over failure domains. */
+
+import { rankNodes } from '../group/rendezvous.js'
+import type { BucketLimits } from './bucket.js'
+
+/** Seats of one failure domain; accounts are spread over them. */
+export const SEATS_PER_DOMAIN = 16
+
+/** Stands for the whole fleet where the rules name no failure domains. */
+export const WHOLE_FLEET = ''
+
+/** Accounts of keyed callers, and routes open to all. */
+export type AccountKind = 'keyed' | 'open'
+
+/** The failure domains that own a part of the account, in the order in which they are asked. */
+export function ownersOf (account: string, domains: readonly string[]): string[] {
+  return domains.length === 0 ? [WHOLE_FLEET] : rankNodes(account, domains)
+}
+
+/** The part of one owner. */
+export function partOf (limits: BucketLimits, owners: number): BucketLimits {
+  return { rate: limits.rate / owners, burst: limits.burst / owners }
+}
+
+function slotOf (account: string): number {
+  let hash = 0
+  for (let index = 0; index < account.length; index += 1) hash = (hash * 31 + account.charCodeAt(index)) % 0x7fffffff
+  return hash % SEATS_PER_DOMAIN
+}
+
+/** The seat whose holder is home to the account in a failure domain. */
+export function seatOf (kind: AccountKind, domain: string, account: string): string {
+  return seatName(kind, domain, slotOf(account))
+}
+
+export function seatName (kind: AccountKind, domain: string, slot: number): string {
+  return `${kind}/${domain}/${slot}`
+}
+
+/** Every seat of a failure domain. */
+export function seatsOf (domain: string): Array<{ kind: AccountKind, seat: string }> {
+  return (['keyed', 'open'] as const).flatMap(kind => Array.from({ length: SEATS_PER_DOMAIN }, (_value, slot) => ({ kind, seat: seatName(kind, domain, slot) })))
+}
+
+/** Two instances with the same split give every account the same owners. */
+export function splitName (domains: readonly string[]): string {
+  return [...domains].sort().join(' ')
+}
--- a/packages/measure/src/node/index.ts
+++ b/packages/measure/src/node/index.ts
@@ -2,3 +2,4 @@
 
 export * from './deployments.js'
 export * from './scenario.js'
+export * from './model/rateHistory.js'
--- /dev/null
+++ b/packages/measure/src/node/model/rateHistory.ts
@@ -0,0 +1,194 @@
+/**
+ * One history of rate and burst under faults in virtual time: lost, late and
+ * repeated messages, restarts under the same name, views that differ, cuts,
+ * drifting clocks and changes of rules. A seed repeats it exactly.
+ */
+
+import { DEFAULT_RATE_POLICY } from '@cyclamenusher/decisions'
+import { createRandom } from './random.js'
+import { createRateFleet } from './rateFleet.js'
+import { createRateLedger } from './rateLedger.js'
+import { createTimeline } from './timeline.js'
+import type { AccountKind, BucketLimits, RateMutation, RatePolicy } from '@cyclamenusher/decisions'
+import type { Random } from './random.js'
+import type { ModelLimits, ModelPlace, RateFleet } from './rateFleet.js'
+import type { RateViolation } from './rateLedger.js'
+import type { Timeline } from './timeline.js'
+
+export interface RateHistoryOptions {
+  seed: number
+  /** Mechanism that is taken out. */
+  mutation?: RateMutation
+  /** @default 4000 */
+  milliseconds?: number
+}
+
+export interface RateHistory {
+  violations: RateViolation[]
+  /** Requests that were judged. */
+  operations: number
+  admitted: number
+  faults: Record<string, number>
+}
+
+const DOMAINS = ['domain-a', 'domain-b', 'domain-c']
+const ENTRIES: ModelPlace[] = Array.from({ length: 6 }, (_value, index) => ({ name: `entry-${index + 1}`, failureDomain: DOMAINS[index % 3] }))
+const VOTERS: ModelPlace[] = DOMAINS.map((failureDomain, index) => ({ name: `control-${index + 1}`, failureDomain }))
+/** How long rules are trusted, in milliseconds. */
+const LEASE_MILLISECONDS = 700
+/** Error of clocks in the model; larger than real ones, so that what it breaks is seen. */
+const DRIFT = 0.04
+
+/** Shorter times than the product's, so that more happens in one history. */
+const POLICY: RatePolicy = {
+  ...DEFAULT_RATE_POLICY,
+  loanMilliseconds: 150,
+  mandateMilliseconds: 500,
+  renewMilliseconds: 100,
+  waitMilliseconds: 40,
+  askMilliseconds: 20,
+  maximumDrift: DRIFT
+}
+
+const ACCOUNTS: Record<string, BucketLimits> = {
+  quick: { rate: 300, burst: 24 },
+  even: { rate: 60, burst: 60 },
+  small: { rate: 20, burst: 2 },
+  'open padron': { rate: 100, burst: 20 }
+}
+
+function kindOf (account: string): AccountKind {
+  return account.startsWith('open ') ? 'open' : 'keyed'
+}
+
+interface Stage {
+  timeline: Timeline
+  random: Random
+  fleet: RateFleet
+  cut: Set<string>
+  count: (fault: string) => void
+  changeRules: () => void
+  changeDomains: () => void
+}
+
+type Fault = (stage: Stage) => void
+
+/** Instances learn at different times that one of them is gone, and that it is back. */
+function divideViews ({ timeline, fleet, random }: Stage): void {
+  const missing = random.pick(ENTRIES)
+  const live = ENTRIES.filter(place => place !== missing)
+  for (const { name } of ENTRIES) {
+    if (random.chance(0.3)) continue
+    timeline.after(random.between(0, 500), () => { fleet.setView(name, live) })
+    timeline.after(random.between(500, 1_500), () => { fleet.setView(name, ENTRIES) })
+  }
+}
+
+const FAULTS: Record<string, Fault> = {
+  'restart of an entry instance': ({ fleet, random }) => { fleet.restartEntry(random.pick(ENTRIES).name, random.pick([5, 60, 300])) },
+  'process replaced under its name': ({ fleet, random }) => { fleet.replaceEntry(random.pick(ENTRIES).name, random.between(100, 1_500)) },
+  'restart of a voter': ({ fleet, random }) => { fleet.restartVoter(random.pick(VOTERS).name, random.pick([5, 200])) },
+  'cut of a failure domain': ({ timeline, random, cut }) => {
+    const domain = random.pick(DOMAINS)
+    cut.add(domain)
+    timeline.after(random.between(100, 1_500), () => { cut.delete(domain) })
+  },
+  'views that differ': stage => { divideViews(stage) },
+  'restart of voters while views differ': stage => {
+    const { timeline, fleet, random } = stage
+    divideViews(stage)
+    for (const { name } of VOTERS.slice(random.whole(2))) timeline.after(random.between(0, 500), () => { fleet.restartVoter(name, 5) })
+  },
+  'change of failure domains in a cut': ({ timeline, random, cut, changeDomains }) => {
+    const domain = random.pick(DOMAINS)
+    cut.add(domain)
+    timeline.after(random.between(300, 1_200), () => { cut.delete(domain) })
+    changeDomains()
+  },
+  'change of rules': ({ changeRules }) => { changeRules() }
+}
+
+export function runRateHistory ({ seed, mutation, milliseconds = 4_000 }: RateHistoryOptions): RateHistory {
+  const random = createRandom(seed)
+  const timeline = createTimeline()
+  // Borrowing far ahead leaves many tokens unspent at borrowers: harder on lenders.
+  const policy: RatePolicy = { ...POLICY, aheadMilliseconds: random.pick([50, 600]), loanMilliseconds: random.pick([150, 450]), mutation }
+  const ledger = createRateLedger(LEASE_MILLISECONDS * (1 + DRIFT) + 2 * policy.loanMilliseconds)
+  const faults: Record<string, number> = {}
+  const cut = new Set<string>()
+  let rules: ModelLimits = { domains: random.pick([DOMAINS, DOMAINS.slice(0, 1), []]), accounts: new Map(Object.entries(ACCOUNTS)) }
+  for (const [account, limits] of rules.accounts) ledger.setLimits(account, limits, 0)
+  const lossy = random.pick([0, 0.05, 0.2])
+  const accountOf = new Map<number, string>()
+  let operations = 0
+
+  const fleet = createRateFleet({
+    timeline,
+    random,
+    policy,
+    entries: ENTRIES,
+    voters: VOTERS,
+    rules: () => rules,
+    kindOf,
+    leaseMilliseconds: LEASE_MILLISECONDS,
+    network: (from, to) => {
+      const apart = from.failureDomain !== to.failureDomain
+      if (apart && (cut.has(from.failureDomain) || cut.has(to.failureDomain))) return []
+      if (random.chance(lossy)) return []
+      const delay = random.chance(lossy) ? random.between(1, 400) : random.between(0.2, apart ? 4 : 1)
+      return random.chance(lossy) ? [delay, delay + random.between(0, 300)] : [delay]
+    },
+    onVerdict: (ticket, verdict) => {
+      const account = accountOf.get(ticket)
+      accountOf.delete(ticket)
+      if (account !== undefined && verdict === 'admit') ledger.admit(account, timeline.now())
+    }
+  })
+
+  function changeRules (): void {
+    // An open route's limits stand still: a cut off failure domain goes on with those that it knows.
+    const account = random.pick(['quick', 'even', 'small'])
+    const limits = { rate: ACCOUNTS[account].rate * random.pick([0.2, 1, 2]), burst: ACCOUNTS[account].burst * random.pick([0.5, 1, 2]) }
+    rules = { ...rules, accounts: new Map([...rules.accounts, [account, limits]]) }
+    ledger.setLimits(account, limits, timeline.now())
+  }
+
+  function changeDomains (): void {
+    rules = { ...rules, domains: random.pick([DOMAINS, DOMAINS.slice(0, 1), []]) }
+  }
+
+  const stage: Stage = { timeline, random, fleet, cut, changeRules, changeDomains, count: fault => { faults[fault] = (faults[fault] ?? 0) + 1 } }
+  const favourite = random.pick(Object.entries(FAULTS))
+  function strike (): void {
+    const [name, fault] = random.chance(0.5) ? favourite : random.pick(Object.entries(FAULTS))
+    stage.count(name)
+    fault(stage)
+    timeline.after(random.between(50, 600), strike)
+  }
+  timeline.after(random.between(0, 1_500), strike)
+
+  function request (account: string, entry: string): void {
+    operations += 1
+    accountOf.set(operations, account)
+    if (fleet.arrive(entry, account, operations) !== 'taken') accountOf.delete(operations)
+  }
+
+  function drive (account: string): void {
+    const targets = random.pick([[random.pick(ENTRIES)], [random.pick(ENTRIES), random.pick(ENTRIES)], ENTRIES])
+    const { rate, burst } = ACCOUNTS[account]
+    // Quiet first, so that tokens gather; then everything at once, then a steady surge.
+    timeline.after(random.pick([0, 60, 120, 400]), () => {
+      for (let index = 0; index < burst * 1.5; index += 1) request(account, random.pick(targets).name)
+      const surgeUntil = timeline.now() + random.pick([0, 150, 500])
+      const surge = (): void => {
+        if (timeline.now() >= surgeUntil) return drive(account)
+        request(account, random.pick(targets).name)
+        timeline.after(random.gap(rate * 3), surge)
+      }
+      surge()
+    })
+  }
+  for (const account of Object.keys(ACCOUNTS)) drive(account)
+  timeline.runUntil(milliseconds)
+  return { violations: ledger.violations(), operations, admitted: ledger.admitted(), faults }
+}
