--- a/packages/cyclamenusherd/src/node/main.ts
+++ b/packages/cyclamenusherd/src/node/main.ts
@@ -3,6 +3,7 @@
 import { cac } from 'cac'
 import { FaultyFileError } from '@cyclamenusher/decisions'
 import { resolveConfig } from './process/config.js'
+import { renderSettings } from './process/settingsTable.js'
 import { startInstance } from './process/instance.js'
 import type { Config } from './process/config.js'
 import type { RunningInstance } from './process/instance.js'
@@ -35,7 +36,11 @@
   process.on('SIGINT', onSignal)
 }
 
-async function run (flags: { config?: string, check?: boolean }): Promise<void> {
+async function run (flags: { config?: string, check?: boolean, settings?: boolean }): Promise<void> {
+  if (flags.settings === true) {
+    console.log(renderSettings())
+    return
+  }
   if (flags.config === undefined) {
     console.error('No settings were named. Start with cyclamenusherd --config FILE.')
     return exit(EXIT_CODES.usage)
@@ -57,6 +62,7 @@
 program.command('', 'run one instance of the database proxy')
   .option('--config <file>', 'settings of the instance, in TOML')
   .option('--check', 'check the settings and stop')
+  .option('--settings', 'list every setting with its values and its default')
   .example('cyclamenusherd --config entry-1.toml')
   .example('cyclamenusherd --config entry-1.toml --check')
   .action(run)
