--- a/packages/stand-ins/src/node/backend/connection.ts
+++ b/packages/stand-ins/src/node/backend/connection.ts
@@ -30,10 +30,12 @@
   /** Everything that callers sent, newest last, for checks that a key never shows. */
   received: Buffer[]
   statements: number
+  /** Sessions of callers' work. */
+  sessions: Set<SessionState>
 }
 
 export function createConnectionRegistry (users: Map<string, string>, reservedUsers: Set<string>): ConnectionRegistry {
-  return { open: 0, opened: 0, nextProcessNumber: 1, cancels: new Map(), users, reservedUsers, received: [], statements: 0 }
+  return { open: 0, opened: 0, nextProcessNumber: 1, cancels: new Map(), users, reservedUsers, received: [], statements: 0, sessions: new Set() }
 }
 
 interface Prepared { text: string }
@@ -43,6 +45,11 @@
   rows?: Iterator<Array<string | null>>
 }
 
+/** Callers' transactions that are open, and statements that run outside of one. */
+export function countTransactions (registry: ConnectionRegistry): number {
+  return [...registry.sessions].filter(({ transaction, busy }) => busy || transaction !== 'idle').length
+}
+
 /** Reads the first message, answers TLS and cancel requests, then serves the connection. */
 export function serveConnection (socket: Socket, server: BackendServer, registry: ConnectionRegistry): void {
   socket.setNoDelay(true)
@@ -99,7 +106,7 @@
   const processNumber = registry.nextProcessNumber
   registry.nextProcessNumber += 1
   const secret = Math.floor(Math.random() * 0xffffffff)
-  const session: SessionState = { user, pending: [], transaction: 'idle', settings: new Map(), temporaryTables: new Map() }
+  const session: SessionState = { user, pending: [], transaction: 'idle', busy: false, settings: new Map(), localSettings: new Map(), temporaryTables: new Map() }
   const prepared = new Map<string, Prepared>()
   const portals = new Map<string, Portal>()
   let authenticated = false
@@ -109,6 +116,7 @@
   const queue: Frame[] = []
   let running = false
 
+  if (!registry.reservedUsers.has(user)) registry.sessions.add(session)
   registry.cancels.set(processNumber, {
     secret,
     cancel: () => {
@@ -122,6 +130,7 @@
   })
   socket.on('close', () => {
     registry.cancels.delete(processNumber)
+    registry.sessions.delete(session)
     wake?.()
   })
 
@@ -240,6 +249,7 @@
   }
 
   function ready (): void {
+    if (session.transaction === 'idle') session.localSettings.clear()
     socket.write(buildReadyForQuery(session.transaction))
   }
 
@@ -338,6 +348,7 @@
       fail(new StatementError('08P01', `message type ${frame.type} is not supported`))
       return
     }
+    session.busy = true
     try {
       if (server.faults.answerMilliseconds > 0) await pause(server.faults.answerMilliseconds)
       await handler(frame)
@@ -345,6 +356,8 @@
       // In the extended protocol an error skips everything up to Sync.
       fail(error)
       skipping = true
+    } finally {
+      session.busy = false
     }
   }
 
@@ -360,6 +373,7 @@
       buildParameterStatus('server_version', '15.0'),
       buildParameterStatus('client_encoding', 'UTF8'),
       buildParameterStatus('standard_conforming_strings', 'on'),
+      buildParameterStatus('cyclamenusher.server', `${server.options.group}/${server.options.member}/${server.incarnation}`),
       buildBackendKeyData(processNumber, secret),
       buildReadyForQuery('idle')
     ]))
