--- a/packages/cyclamenusherd/src/node/process/config.ts
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -37,6 +37,8 @@
   }
   calls: {
     listen: Address
+    /** Where the other instances reach this one. @default the address of `listen` */
+    advertise: Address
     /** Secret that all instances and announcers share. */
     secret: string
     tls?: { certificate: string, key: string, authority: string }
@@ -106,6 +108,7 @@
   },
   calls: {
     listen: address('address for other instances, announcers and operators', '127.0.0.1:7432'),
+    advertise: { ...address('address at which other instances reach this one (default: calls.listen)'), optional: true },
     secret_file: { kind: 'text', description: 'file with the secret that all instances and announcers share' },
     tls_certificate: { kind: 'text', optional: true, description: 'certificate for mutual TLS' },
     tls_key: { kind: 'text', optional: true, description: 'its private key' },
@@ -178,11 +181,15 @@
 
 function checkTogether (file: string, values: Values, lineOf: (table: string, name: string) => number): Fault[] {
   const faults: Fault[] = []
-  const { instance, callers, calls } = values
+  const { instance, callers, calls, control } = values
   const roles = instance.roles as InstanceRole[]
   if (roles.includes('control') && instance.data_folder === undefined) {
     faults.push({ file, line: lineOf('instance', 'roles'), problem: 'a control instance has no instance.data_folder', remedy: 'Name a folder on its disk' })
   }
+  const advertised = String(calls.advertise ?? calls.listen)
+  if (roles.includes('control') && !(control.addresses as string[]).includes(advertised)) {
+    faults.push({ file, line: lineOf('control', 'addresses'), problem: `control.addresses lacks this control instance, ${advertised}`, remedy: 'List all control instances, in the same order on each, or set calls.advertise' })
+  }
   if ((callers.tls_certificate === undefined) !== (callers.tls_key === undefined)) {
     faults.push({ file, line: lineOf('callers', 'tls_certificate'), problem: 'callers.tls_certificate and callers.tls_key go together', remedy: 'Set both or neither' })
   }
@@ -258,6 +265,7 @@
     },
     calls: {
       listen: parseAddress(String(calls.listen)),
+      advertise: parseAddress(String(calls.advertise ?? calls.listen)),
       secret: files.secret('calls', 'secret_file'),
       tls: authority === undefined
         ? undefined
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
@@ -0,0 +1,183 @@
+/**
+ * The replicated log of a control instance: it founds the log with the others,
+ * or joins it, and then answers the control service.
+ */
+
+import { ConsensusService, createPeerLink } from '@cyclamenusher/protocol'
+import { decideFounding, isCaughtUp } from '@cyclamenusher/decisions'
+import { pause } from '../clock.js'
+import { createConsensusTask } from './consensusTask.js'
+import { openLogStorage } from './logStorage.js'
+import { decodeMessages, encodeMessages } from './peerLinks.js'
+import type { ConnectRouter } from '@connectrpc/connect'
+import type { DiskReport, Introduction, LogMember } from '@cyclamenusher/decisions'
+import type { ControlMember, IntroduceReply, PeerCredentials, PeerLink } from '@cyclamenusher/protocol'
+import type { Clock } from '../clock.js'
+import type { Address } from '../config.js'
+import type { ScopedLogger } from '../logger.js'
+import type { ConsensusTask } from './consensusTask.js'
+import type { Disk } from './logStorage.js'
+import type { ChangeOutcome, LogStatus, ReplicatedLog, StateMachine } from './replicatedLog.js'
+
+/** Interval at which an instance that is no member introduces itself, in milliseconds. */
+const INTRODUCE_MILLISECONDS = 300
+/** Time that an introduction may take, in milliseconds. */
+const INTRODUCE_CALL_MILLISECONDS = 500
+/** Time after which a proposal counts as unknown, in milliseconds. */
+const PROPOSE_MILLISECONDS = 4_000
+/** Time after which a confirmation counts as failed, in milliseconds. */
+const CONFIRM_MILLISECONDS = 1_000
+
+export interface ConsensusLogOptions<Command, Result> {
+  name: string
+  failureDomain: string
+  /** Where the other control instances reach this one. */
+  address: Address
+  /** All control instances; the first founds the log. */
+  addresses: readonly Address[]
+  dataFolder: string
+  machine: StateMachine<Command, Result>
+  credentials: PeerCredentials
+  clock: Clock
+  logger: ScopedLogger
+  /** @default the system's disk */
+  disk?: Disk
+}
+
+export interface ConsensusLog<Command, Result> extends ReplicatedLog<Command, Result> {
+  routes: (router: ConnectRouter) => void
+  /** The leader, when it is known. */
+  leader: () => LogMember | undefined
+  isLeader: () => boolean
+}
+
+/** The outcome of `work`, or `late` when it takes too long. */
+async function within<Value> (milliseconds: number, work: Promise<Value>, late: Value): Promise<Value> {
+  let timer: NodeJS.Timeout | undefined
+  const deadline = new Promise<Value>(resolve => { timer = setTimeout(resolve, milliseconds, late) })
+  const value = await Promise.race([work, deadline])
+  clearTimeout(timer)
+  return value
+}
+
+function readIntroduction ({ identity, name, failureDomain, host, port }: ControlMember): Introduction {
+  return { identity, name, failureDomain, host, port }
+}
+
+export function openConsensusLog<Command, Result> (options: ConsensusLogOptions<Command, Result>): ConsensusLog<Command, Result> {
+  const { name, failureDomain, address, addresses, machine, credentials, clock, logger } = options
+  const storage = openLogStorage(options.dataFolder, logger, options.disk)
+  const self: Introduction = { identity: storage.identity, name, failureDomain, host: address.host, port: address.port }
+  const isOwn = ({ host, port }: Address): boolean => host === address.host && port === address.port
+  const others = addresses.filter(other => !isOwn(other)).map(({ host, port }) => createPeerLink(ConsensusService, host, port, credentials))
+  const isFirst = addresses.length > 0 && isOwn(addresses[0])
+  const task: ConsensusTask<Result> = createConsensusTask({ storage, machine, credentials, clock, random: Math.random, logger })
+  let closed = false
+
+  function isEmpty (): boolean {
+    const { members, log, snapshot } = task.state()
+    return members.length === 0 && log.length === 0 && snapshot.index === 0
+  }
+
+  function isMember (): boolean {
+    const known = task.state().members.find(({ identity }) => identity === self.identity)
+    return known !== undefined && known.host === self.host && known.port === self.port && known.name === self.name
+  }
+
+  async function ask (link: PeerLink<typeof ConsensusService>): Promise<IntroduceReply | undefined> {
+    try {
+      return await link.client.introduce({ self: { ...self, role: '' } }, { timeoutMs: INTRODUCE_CALL_MILLISECONDS })
+    } catch {
+      link.reconnect()
+      return undefined
+    }
+  }
+
+  function found (members: LogMember[]): void {
+    logger.info('This instance founds the log.', { members: members.map(member => member.name).join(',') })
+    task.found(members)
+  }
+
+  /** Introduces this instance until it is a member; founds the log where that is due. */
+  async function join (): Promise<void> {
+    while (!closed && !task.hasFailed()) {
+      if (!isMember()) await introduceOnce()
+      await pause(INTRODUCE_MILLISECONDS)
+    }
+  }
+
+  async function introduceOnce (): Promise<void> {
+    task.introduce(self)
+    const replies = await Promise.all(others.map(ask))
+    if (closed || !isEmpty()) return
+    const reports = replies.map((reply): DiskReport | undefined => reply?.self === undefined ? undefined : { ...readIntroduction(reply.self), empty: reply.empty })
+    const decision = decideFounding(self, isFirst, reports)
+    if (decision.kind === 'found') found(decision.members)
+    if (decision.kind === 'clash') logger.error('Two control instances have the same name.', { name: decision.name })
+  }
+
+  function routes (router: ConnectRouter): void {
+    router.service(ConsensusService, {
+      // What is meant for an identity that is gone must not count for this one.
+      deliver: ({ from, to, body }) => ({ body: encodeMessages(to === self.identity ? task.receive(from, decodeMessages(body)) : []) }),
+      introduce: ({ self: other }) => {
+        if (other !== undefined) task.introduce(readIntroduction(other))
+        return { self: { ...self, role: '' }, empty: isEmpty() }
+      }
+    })
+  }
+
+  function leader (): LogMember | undefined {
+    const { leader: identity, members } = task.state()
+    return members.find(member => member.identity === identity)
+  }
+
+  function roleNow (): LogStatus['role'] {
+    const { role, members } = task.state()
+    if (task.hasFailed()) return 'failed'
+    if (members.every(({ identity, role: kind }) => identity !== self.identity || kind === 'learner')) return 'learner'
+    return role === 'pre-candidate' ? 'candidate' : role
+  }
+
+  function candidates (): Introduction[] {
+    const { members } = task.state()
+    return task.introductions().filter(({ identity }) => members.every(member => member.identity !== identity))
+  }
+
+  async function changeMember (action: 'add' | 'remove', target: string): Promise<ChangeOutcome> {
+    if (task.state().role !== 'leader') return 'not leader'
+    const candidate = candidates().find(introduction => introduction.name === target)
+    const member = task.state().members.find(known => known.name === target)
+    if (action === 'add' && member !== undefined && isCaughtUp(task.state(), member.identity)) return 'changed'
+    if (action === 'add' && candidate === undefined) return 'no candidate'
+    if (action === 'remove' && member === undefined) return 'no member'
+    const change = action === 'add' ? { kind: 'add learner', member: candidate as Introduction } as const : { kind: 'remove', identity: member?.identity ?? '' } as const
+    const answer = await within(PROPOSE_MILLISECONDS, task.change(change), 'unknown')
+    return answer === 'changed' || answer === 'not leader' || answer === 'unknown' ? answer : 'refused'
+  }
+
+  const log: ConsensusLog<Command, Result> = {
+    routes,
+    leader,
+    isLeader: () => task.state().role === 'leader' && !task.hasFailed(),
+    propose: async command => {
+      const answer = await within(PROPOSE_MILLISECONDS, task.propose(command), { kind: 'answered', answer: 'unknown' })
+      if (answer.kind === 'applied') return answer
+      return answer.answer === 'not leader' ? { kind: 'not leader', leader: leader()?.name } : { kind: 'unknown' }
+    },
+    confirmCurrent: async () => await within(CONFIRM_MILLISECONDS, task.confirm(), false),
+    changeMember,
+    status: () => {
+      const { term, commitIndex, members } = task.state()
+      const voters = members.filter(({ role }) => role === 'voter').map(member => member.name)
+      return { role: roleNow(), term, leader: leader()?.name ?? '', commitIndex, voters, members, candidates: candidates() }
+    },
+    close: async () => {
+      closed = true
+      task.close()
+      for (const link of others) link.reconnect()
+    }
+  }
+  void join()
+  return log
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/control/consensusTask.ts
@@ -0,0 +1,196 @@
+/**
+ * The task that takes part in agreement: it owns the reducer's state, its
+ * timer, the data folder and the links to the other members.
+ */
+
+import { EventEmitter } from 'node:events'
+import { fromEvent, merge, periodic } from 'most'
+import { planMembership, startConsensus, stepConsensus } from '@cyclamenusher/decisions'
+import { createPeerLinks } from './peerLinks.js'
+import type { ConsensusEffect, ConsensusEvent, ConsensusMessage, ConsensusState, Introduction, LogMember, MembershipChange, RequestAnswer } from '@cyclamenusher/decisions'
+import type { PeerCredentials } from '@cyclamenusher/protocol'
+import type { Clock } from '../clock.js'
+import type { ScopedLogger } from '../logger.js'
+import type { LogStorage } from './logStorage.js'
+import type { StateMachine } from './replicatedLog.js'
+
+/** Interval of the timer that drives elections and heartbeats, in milliseconds. */
+const TICK_MILLISECONDS = 25
+/** Applied entries after which the log is cut behind a snapshot. */
+const COMPACT_ENTRIES = 256
+/** Entries after which a leader no longer waits for slow members with that. */
+const COMPACT_ENTRIES_AT_MOST = 1_024
+/** Time after which an introduction that was not repeated counts no more, in milliseconds. */
+const INTRODUCTION_MILLISECONDS = 5_000
+
+export type TaskAnswer<Result> = { kind: 'answered', answer: RequestAnswer } | { kind: 'applied', result: Result }
+
+export interface ConsensusTask<Result> {
+  propose: (command: unknown) => Promise<TaskAnswer<Result>>
+  confirm: () => Promise<boolean>
+  change: (change: MembershipChange) => Promise<RequestAnswer>
+  /** Takes messages of `from`; gives back what this member says to it at once. */
+  receive: (from: string, messages: ConsensusMessage[]) => ConsensusMessage[]
+  /** Founds the log, where nothing is held yet. */
+  found: (members: LogMember[]) => void
+  introduce: (introduction: Introduction) => void
+  introductions: () => Introduction[]
+  state: () => ConsensusState
+  hasFailed: () => boolean
+  close: () => void
+}
+
+export interface TaskOptions<Command, Result> {
+  storage: LogStorage
+  machine: StateMachine<Command, Result>
+  credentials: PeerCredentials
+  clock: Clock
+  random: () => number
+  logger: ScopedLogger
+}
+
+type Performers = { [Kind in ConsensusEffect['kind']]: (effect: Extract<ConsensusEffect, { kind: Kind }>) => void }
+
+export function createConsensusTask<Command, Result> (options: TaskOptions<Command, Result>): ConsensusTask<Result> {
+  const { storage, machine, credentials, clock, random, logger } = options
+  const { identity, durable } = storage
+  const emitter = new EventEmitter()
+  const waiting = new Map<number, (answer: TaskAnswer<Result>) => void>()
+  const introduced = new Map<string, { introduction: Introduction, at: number }>()
+  const links = createPeerLinks(identity, credentials, (from, messages) => { receive(from, messages) })
+  let state = startConsensus(identity, durable, clock.now(), random)
+  let nextRequest = 1
+  let failed = false
+  let closed = false
+  /** While a call is handled: its caller, and what to answer it with. */
+  let reply: { to: string, messages: ConsensusMessage[] } | undefined
+
+  if (durable.snapshot.data !== '') machine.restore(durable.snapshot.data)
+  links.update(state.members)
+
+  function settle (request: number, answer: TaskAnswer<Result>): void {
+    const resolve = waiting.get(request)
+    waiting.delete(request)
+    resolve?.(answer)
+  }
+
+  const performers: Performers = {
+    persist: storage.persist,
+    send: ({ to, message }) => {
+      if (reply?.to === to) reply.messages.push(message)
+      else links.send(to, message)
+    },
+    apply: ({ entry, request }) => {
+      if (entry.kind !== 'command') return
+      const result = machine.apply(entry.command as Command)
+      if (request !== undefined) settle(request, { kind: 'applied', result })
+    },
+    restore: ({ data }) => { machine.restore(data) },
+    answer: ({ request, answer }) => { settle(request, { kind: 'answered', answer }) },
+    note: ({ note, term, leader }) => { logger.info('The part in agreement changed.', { now: note, term, leader: nameOf(leader) }) }
+  }
+
+  function nameOf (member: string | undefined): string | undefined {
+    return state.members.find(known => known.identity === member)?.name ?? member
+  }
+
+  /** Ends the part in agreement: this member no longer knows what its disk holds. */
+  function fail (error: Error): void {
+    failed = true
+    links.close()
+    for (const request of [...waiting.keys()]) settle(request, { kind: 'answered', answer: 'unknown' })
+    logger.error('This instance takes no part in agreement any more.', { reason: error.message })
+  }
+
+  function step (event: ConsensusEvent): void {
+    if (failed || closed) return
+    try {
+      const { members } = state
+      const next = stepConsensus(state, event, clock.now(), random)
+      state = next.state
+      if (state.members !== members) links.update(state.members)
+      for (const effect of next.effects) {
+        const perform = performers[effect.kind] as (effect: ConsensusEffect) => void
+        perform(effect)
+      }
+    } catch (error) {
+      fail(error as Error)
+    }
+  }
+
+  function compactWhenDue (): void {
+    const { appliedIndex, snapshot, progress } = state
+    const due = appliedIndex - snapshot.index
+    const followersHold = [...progress.values()].every(({ matchIndex }) => matchIndex >= appliedIndex)
+    if (due < COMPACT_ENTRIES || (!followersHold && due < COMPACT_ENTRIES_AT_MOST)) return
+    step({ kind: 'compact', index: appliedIndex, data: machine.snapshot() })
+  }
+
+  function introductions (): Introduction[] {
+    const oldest = clock.now() - INTRODUCTION_MILLISECONDS
+    for (const [name, { at }] of introduced) if (at < oldest) introduced.delete(name)
+    return [...introduced.values()].map(({ introduction }) => introduction)
+  }
+
+  function repairMembership (): void {
+    const change = planMembership(state, introductions(), clock.now())
+    if (change === undefined) return
+    logger.info('The membership changes.', { change: change.kind, member: 'member' in change ? change.member.name : nameOf(change.identity) })
+    void request(number => ({ kind: 'change membership', request: number, change }))
+  }
+
+  function tick (): void {
+    step({ kind: 'tick' })
+    if (failed || closed) return
+    compactWhenDue()
+    repairMembership()
+  }
+
+  async function request (make: (request: number) => ConsensusEvent): Promise<TaskAnswer<Result>> {
+    if (failed || closed) return { kind: 'answered', answer: 'not leader' }
+    const number = nextRequest
+    nextRequest += 1
+    return await new Promise(resolve => {
+      waiting.set(number, resolve)
+      emitter.emit('event', make(number))
+    })
+  }
+
+  function receive (from: string, messages: ConsensusMessage[]): ConsensusMessage[] {
+    reply = { to: from, messages: [] }
+    for (const message of messages) step({ kind: 'receive', from, message })
+    const { messages: answers } = reply
+    reply = undefined
+    return failed ? [] : answers
+  }
+
+  const closing = fromEvent('close', emitter)
+  const events = fromEvent<ConsensusEvent>('event', emitter).map(event => () => { step(event) })
+  const ticks = periodic(TICK_MILLISECONDS, tick)
+  void merge(events, ticks).until(closing).observe(run => { run() })
+
+  return {
+    propose: async command => await request(number => ({ kind: 'propose', request: number, command })),
+    confirm: async () => {
+      const answer = await request(number => ({ kind: 'confirm', request: number }))
+      return answer.kind === 'answered' && answer.answer === 'confirmed'
+    },
+    change: async change => {
+      const answer = await request(number => ({ kind: 'change membership', request: number, change }))
+      return answer.kind === 'answered' ? answer.answer : 'unknown'
+    },
+    receive,
+    found: members => { step({ kind: 'found', members }) },
+    introduce: introduction => { introduced.set(introduction.name, { introduction, at: clock.now() }) },
+    introductions,
+    state: () => state,
+    hasFailed: () => failed,
+    close: () => {
+      closed = true
+      emitter.emit('close')
+      links.close()
+      for (const number of [...waiting.keys()]) settle(number, { kind: 'answered', answer: 'unknown' })
+      storage.close()
+    }
+  }
+}
--- a/packages/cyclamenusherd/src/node/process/control/controlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/control/controlRole.ts
@@ -2,7 +2,7 @@
 
 import { ControlService } from '@cyclamenusher/protocol'
 import { createControlService } from './controlService.js'
-import { createLocalLog } from './localLog.js'
+import { openConsensusLog } from './consensusLog.js'
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { Clock } from '../clock.js'
 import type { Config } from '../config.js'
@@ -16,21 +16,45 @@
 
 export function createControlRole (config: Config, clock: Clock, logger: Logger): ControlRole {
   const service = createControlService(clock, logger.scope('control'))
-  const log = createLocalLog(config.instance.name, config.instance.dataFolder ?? '.', service.machine)
+  const { name, failureDomain, dataFolder = '.' } = config.instance
+  const log = openConsensusLog({
+    name,
+    failureDomain,
+    address: config.calls.advertise,
+    addresses: config.control.addresses,
+    dataFolder,
+    machine: service.machine,
+    credentials: { secret: config.calls.secret, tls: config.calls.tls },
+    clock,
+    logger: logger.scope('control')
+  })
   service.attach(log)
   return {
     routes: router => {
+      log.routes(router)
       router.service(ControlService, {
         submit: service.submit,
         history: service.history,
         watch: service.watch,
+        changeMember: service.changeMember,
         status: () => {
-          const { role, term, leader, commitIndex, voters } = log.status()
-          return { instance: config.instance.name, role, term: BigInt(term), leader, commitIndex: BigInt(commitIndex), number: BigInt(service.number()), instances: service.instances(), voters }
+          const { role, term, leader, commitIndex, voters, members, candidates } = log.status()
+          return {
+            instance: name,
+            role,
+            term: BigInt(term),
+            leader,
+            commitIndex: BigInt(commitIndex),
+            number: BigInt(service.number()),
+            instances: service.instances(),
+            voters,
+            members: [...members],
+            candidates: candidates.map(candidate => ({ ...candidate, role: '' }))
+          }
         }
       })
     },
-    isReady: () => true,
+    isReady: () => log.status().leader !== '',
     close: log.close
   }
 }
--- a/packages/cyclamenusherd/src/node/process/control/controlService.ts
+++ b/packages/cyclamenusherd/src/node/process/control/controlService.ts
@@ -1,16 +1,20 @@
 /** The control service: submissions, history, and the watch that carries rules to all instances. */
 
+import { createHash } from 'node:crypto'
 import { FaultyFileError, INITIAL_CONFIGURATION, applyCommand, changeSince, diffRules, judgeSubmission, linesOf, parseRules } from '@cyclamenusher/decisions'
 import type { ConfigurationCommand, ConfigurationState, ParsedRules, RuleLine, SubmitOutcome } from '@cyclamenusher/decisions'
-import type { HistoryRequest, SubmitRequest, WatchRequest } from '@cyclamenusher/protocol'
+import type { ChangeMemberRequest, HistoryRequest, SubmitRequest, WatchRequest } from '@cyclamenusher/protocol'
 import type { Clock } from '../clock.js'
 import type { ScopedLogger } from '../logger.js'
-import type { ReplicatedLog, StateMachine } from './replicatedLog.js'
+import type { ConsensusLog } from './consensusLog.js'
+import type { ChangeOutcome, StateMachine } from './replicatedLog.js'
 
 /** Time after which an instance that has not asked again counts as gone, in milliseconds. */
 const INSTANCE_MILLISECONDS = 5_000
 /** Longest time that a watch is held, in milliseconds. */
 const MAXIMUM_HOLD_MILLISECONDS = 2_000
+/** Time in which a new leader hears of the instances, before it tells of them, in milliseconds. */
+const GATHER_MILLISECONDS = 2_000
 
 interface KnownInstance { name: string, failureDomain: string, role: string, host: string, port: number }
 
@@ -29,7 +33,8 @@
   watch: (request: WatchRequest) => Promise<WatchAnswer>
   instances: () => KnownInstance[]
   number: () => number
-  attach: (log: ReplicatedLog<ConfigurationCommand, SubmitOutcome>) => void
+  changeMember: (request: ChangeMemberRequest) => Promise<{ outcome: string, message: string }>
+  attach: (log: ConsensusLog<ConfigurationCommand, SubmitOutcome>) => void
 }
 
 export interface WatchAnswer {
@@ -41,6 +46,16 @@
   ageMilliseconds: number
   instances: KnownInstance[]
   instancesRevision: bigint
+  leader?: KnownInstance
+}
+
+const CHANGE_MESSAGES: Record<ChangeOutcome, (action: 'add' | 'remove', name: string) => string> = {
+  changed: (action, name) => action === 'add' ? `${name} learns the log, and is a voter once it holds it: cyclamenusher member list shows it` : `${name} is no longer a member`,
+  refused: (action, name) => `${name} can't be ${action === 'add' ? 'added' : 'removed'} now: another change is under way, or no voter would be left; try again`,
+  'not leader': () => 'this instance does not lead: ask the others',
+  unknown: (_action, name) => `what became of the change of ${name} is not known: look at cyclamenusher member list`,
+  'no candidate': (_action, name) => `${name} does not run, or does not reach the leader: start it with all control instances in control.addresses`,
+  'no member': (_action, name) => `${name} is no member: cyclamenusher member list names them`
 }
 
 type OutcomeAnswers = { [Kind in SubmitOutcome['kind']]: (outcome: Extract<SubmitOutcome, { kind: Kind }>, number: number) => SubmitAnswer }
@@ -65,15 +80,14 @@
 
 export function createControlService (clock: Clock, logger: ScopedLogger): ControlService {
   let state: ConfigurationState = INITIAL_CONFIGURATION
-  let log: ReplicatedLog<ConfigurationCommand, SubmitOutcome> | undefined
-  let instancesRevision = 1
+  let log: ConsensusLog<ConfigurationCommand, SubmitOutcome> | undefined
+  let instancesRevision = 1n
+  let leadsSince: number | undefined
   const instances = new Map<string, KnownInstance & { seenAt: number }>()
-  let sleepers: Array<() => void> = []
+  const sleepers = new Set<() => void>()
 
   function wake (): void {
-    const woken = sleepers
-    sleepers = []
-    for (const sleeper of woken) sleeper()
+    for (const sleeper of sleepers) sleeper()
   }
 
   const machine: StateMachine<ConfigurationCommand, SubmitOutcome> = {
@@ -121,11 +135,11 @@
   function noteInstance (request: WatchRequest): void {
     const { instance } = request
     if (instance === undefined) return
-    if (!instances.has(instance.name)) {
-      instancesRevision += 1
-      logger.info('An instance joined.', { instance: instance.name, failureDomain: instance.failureDomain })
-    }
+    const known = instances.get(instance.name)
+    const differs = known?.host !== instance.host || known.port !== instance.port || known.failureDomain !== instance.failureDomain
+    if (differs) logger.info('An instance joined.', { instance: instance.name, failureDomain: instance.failureDomain })
     instances.set(instance.name, { name: instance.name, failureDomain: instance.failureDomain, role: instance.role, host: instance.host, port: instance.port, seenAt: clock.now() })
+    if (differs) reviseInstances()
   }
 
   function forgetSilent (): void {
@@ -133,30 +147,34 @@
     for (const [name, { seenAt }] of instances) {
       if (now - seenAt < INSTANCE_MILLISECONDS) continue
       instances.delete(name)
-      instancesRevision += 1
+      reviseInstances()
       logger.info('An instance is no longer heard.', { instance: name })
     }
   }
 
   function isNews (request: WatchRequest): boolean {
-    return Number(request.knownNumber) !== state.number || Number(request.knownInstances) !== instancesRevision
+    return Number(request.knownNumber) !== state.number || (tellsInstances(request) && request.knownInstances !== instancesRevision)
   }
 
   async function sleep (milliseconds: number): Promise<void> {
     await new Promise<void>(resolve => {
-      const timer = setTimeout(resolve, milliseconds)
-      sleepers.push(() => {
+      const wakeUp = (): void => {
         clearTimeout(timer)
+        sleepers.delete(wakeUp)
         resolve()
-      })
+      }
+      const timer = setTimeout(wakeUp, milliseconds)
+      sleepers.add(wakeUp)
     })
   }
 
   async function watch (request: WatchRequest): Promise<WatchAnswer> {
-    noteInstance(request)
-    forgetSilent()
-    if (!isNews(request)) await sleep(Math.min(request.holdMilliseconds, MAXIMUM_HOLD_MILLISECONDS))
-    const fresh = log !== undefined && await log.confirmCurrent()
+    const leads = noteLeadership()
+    if (leads) noteInstance(request)
+    if (leads) forgetSilent()
+    if (leads && !isNews(request)) await sleep(Math.min(request.holdMilliseconds, MAXIMUM_HOLD_MILLISECONDS))
+    const fresh = log !== undefined && leads && await log.confirmCurrent()
+    const tells = leads && tellsInstances(request)
     const known = Number(request.knownNumber)
     const change = known === 0 ? undefined : changeSince(state, known)
     const added: RuleLine[] = change?.added ?? linesOf(state)
@@ -167,9 +185,51 @@
       added: added.map(({ text }) => text),
       fresh,
       ageMilliseconds: 0,
-      instances: Number(request.knownInstances) === instancesRevision ? [] : listInstances(),
-      instancesRevision: BigInt(instancesRevision)
+      instances: tells && request.knownInstances !== instancesRevision ? listInstances() : [],
+      instancesRevision: tells ? instancesRevision : request.knownInstances,
+      leader: leaderInstance()
+    }
+  }
+
+  /** A digest, so that equal lists of two leaders have equal revisions, and others differ. */
+  function reviseInstances (): void {
+    const hash = createHash('sha256')
+    for (const { name, failureDomain, role, host, port } of [...instances.values()].sort((left, right) => left.name < right.name ? -1 : 1)) {
+      hash.update(JSON.stringify([name, failureDomain, role, host, port]))
     }
+    instancesRevision = hash.digest().readBigUInt64BE(0) | 1n
+  }
+
+  /** Whether this instance leads; one that starts to lead has heard of no instance yet. */
+  function noteLeadership (): boolean {
+    const leads = log?.isLeader() === true
+    if (leads && leadsSince === undefined) {
+      instances.clear()
+      reviseInstances()
+      leadsSince = clock.now()
+    }
+    if (!leads) leadsSince = undefined
+    return leads
+  }
+
+  /** A new leader leaves the watchers the list that they have, until it has heard of all. */
+  function tellsInstances ({ knownInstances }: WatchRequest): boolean {
+    if (leadsSince === undefined) return false
+    return knownInstances === 0n || clock.now() - leadsSince >= GATHER_MILLISECONDS
+  }
+
+  function leaderInstance (): KnownInstance | undefined {
+    const leader = log?.leader()
+    if (leader === undefined) return undefined
+    const { name, failureDomain, host, port } = leader
+    return { name, failureDomain, role: 'control', host, port }
+  }
+
+  async function changeMember ({ action, name }: ChangeMemberRequest): Promise<{ outcome: string, message: string }> {
+    if (action !== 'add' && action !== 'remove') return { outcome: 'refused', message: `there is no action ${action}: take add or remove` }
+    const outcome = log === undefined ? 'not leader' : await log.changeMember(action, name)
+    logger.info('A change of the membership was asked for.', { action, member: name, outcome })
+    return { outcome: outcome === 'no candidate' || outcome === 'no member' ? 'refused' : outcome, message: CHANGE_MESSAGES[outcome](action, name) }
   }
 
   function listInstances (): KnownInstance[] {
@@ -189,5 +249,5 @@
     }
   }
 
-  return { machine, submit, history, watch, instances: listInstances, number: () => state.number, attach: attached => { log = attached } }
+  return { machine, submit, history, watch, changeMember, instances: listInstances, number: () => state.number, attach: attached => { log = attached } }
 }
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/control/peerLinks.ts
@@ -0,0 +1,90 @@
+/** Links to the other control instances: one call at a time for each, bounded in time and in what waits. */
+
+import { Code, ConnectError } from '@connectrpc/connect'
+import { ConsensusService, createPeerLink } from '@cyclamenusher/protocol'
+import type { ConsensusMessage, LogMember } from '@cyclamenusher/decisions'
+import type { PeerCredentials, PeerLink } from '@cyclamenusher/protocol'
+
+/** Time that one call may take, in milliseconds. */
+const CALL_MILLISECONDS = 500
+/** Messages that wait for one peer; the oldest is dropped first, as a network may do. */
+const MAXIMUM_WAITING = 64
+
+export interface PeerLinks {
+  /** Knows where each member is. */
+  update: (members: readonly LogMember[]) => void
+  send: (to: string, message: ConsensusMessage) => void
+  close: () => void
+}
+
+interface Peer {
+  host: string
+  port: number
+  link: PeerLink<typeof ConsensusService>
+  waiting: ConsensusMessage[]
+  busy: boolean
+}
+
+export function encodeMessages (messages: readonly ConsensusMessage[]): Uint8Array<ArrayBuffer> {
+  return new Uint8Array(Buffer.from(JSON.stringify(messages), 'utf8'))
+}
+
+export function decodeMessages (body: Uint8Array): ConsensusMessage[] {
+  return JSON.parse(Buffer.from(body).toString('utf8')) as ConsensusMessage[]
+}
+
+/** A call that got no answer in time may have met a connection that is silent for good. */
+function isSilence (error: unknown): boolean {
+  return error instanceof ConnectError && error.code === Code.DeadlineExceeded
+}
+
+/** `receive` gets what a peer says in its answer to a call. */
+export function createPeerLinks (self: string, credentials: PeerCredentials, receive: (from: string, messages: ConsensusMessage[]) => void): PeerLinks {
+  const peers = new Map<string, Peer>()
+  let closed = false
+
+  async function flush (to: string, peer: Peer): Promise<void> {
+    if (peer.busy) return
+    peer.busy = true
+    while (peer.waiting.length > 0 && !closed) {
+      const messages = peer.waiting.splice(0)
+      try {
+        const { body } = await peer.link.client.deliver({ from: self, to, body: encodeMessages(messages) }, { timeoutMs: CALL_MILLISECONDS })
+        if (!closed) receive(to, decodeMessages(body))
+      } catch (error) {
+        // Messages may be lost: the next heartbeat finds out and sends again.
+        if (isSilence(error)) peer.link.reconnect()
+        peer.waiting.splice(0)
+      }
+    }
+    peer.busy = false
+  }
+
+  function update (members: readonly LogMember[]): void {
+    const wanted = new Map(members.filter(({ identity }) => identity !== self).map(member => [member.identity, member]))
+    for (const [identity, peer] of peers) {
+      const member = wanted.get(identity)
+      if (member?.host === peer.host && member.port === peer.port) continue
+      peer.link.reconnect()
+      peers.delete(identity)
+    }
+    for (const [identity, { host, port }] of wanted) {
+      if (!peers.has(identity)) peers.set(identity, { host, port, link: createPeerLink(ConsensusService, host, port, credentials), waiting: [], busy: false })
+    }
+  }
+
+  function send (to: string, message: ConsensusMessage): void {
+    const peer = peers.get(to)
+    if (peer === undefined || closed) return
+    peer.waiting.push(message)
+    if (peer.waiting.length > MAXIMUM_WAITING) peer.waiting.shift()
+    void flush(to, peer)
+  }
+
+  function close (): void {
+    closed = true
+    for (const { link } of peers.values()) link.reconnect()
+  }
+
+  return { update, send, close }
+}
--- a/packages/cyclamenusherd/src/node/process/control/replicatedLog.ts
+++ b/packages/cyclamenusherd/src/node/process/control/replicatedLog.ts
@@ -1,5 +1,7 @@
 /** What the control service needs of the log that control instances agree on. */
 
+import type { Introduction, LogMember } from '@cyclamenusher/decisions'
+
 /** What became of a proposed command. */
 export type ProposeOutcome<Result> =
   /** On a majority of synced disks, and applied. */
@@ -9,12 +11,20 @@
   /** It may or may not be accepted: the answer was lost. */
   | { kind: 'unknown' }
 
+/** What became of a change of the membership. */
+export type ChangeOutcome = 'changed' | 'refused' | 'not leader' | 'unknown' | 'no candidate' | 'no member'
+
 export interface LogStatus {
-  role: 'leader' | 'follower' | 'candidate' | 'learner'
+  /** Failed: the disk failed, and the instance takes no part. */
+  role: 'leader' | 'follower' | 'candidate' | 'learner' | 'failed'
   term: number
+  /** Name of the leader; empty when it is not known. */
   leader: string
   commitIndex: number
   voters: string[]
+  members: readonly LogMember[]
+  /** Instances that run and are no members. */
+  candidates: readonly Introduction[]
 }
 
 export interface ReplicatedLog<Command, Result> {
@@ -24,6 +34,8 @@
    * instance leads and has applied all that was accepted before the call.
    */
   confirmCurrent: () => Promise<boolean>
+  /** Adds a candidate as learner, to be promoted once it holds the state, or removes a member. */
+  changeMember: (action: 'add' | 'remove', name: string) => Promise<ChangeOutcome>
   status: () => LogStatus
   close: () => Promise<void>
 }
--- a/packages/cyclamenusherd/src/node/process/rulesWatcher.ts
+++ b/packages/cyclamenusherd/src/node/process/rulesWatcher.ts
@@ -1,9 +1,8 @@
 /** Keeps the rules of this instance current: asks control again and again, holding each request. */
 
-import { ControlService, createPeerClient } from '@cyclamenusher/protocol'
+import { ControlService, createPeerLink } from '@cyclamenusher/protocol'
 import { pause } from './clock.js'
-import type { Client } from '@connectrpc/connect'
-import type { Instance, PeerCredentials, WatchReply } from '@cyclamenusher/protocol'
+import type { Instance, PeerCredentials, PeerLink, WatchReply } from '@cyclamenusher/protocol'
 import type { RulesStore } from '../version/rulesStore.js'
 import type { Clock } from './clock.js'
 import type { Address, Config } from './config.js'
@@ -12,7 +11,7 @@
 /** How long control may hold a request, in milliseconds; well below the lease. */
 const HOLD_MILLISECONDS = 700
 /** Time that one request may take, in milliseconds. */
-const CALL_MILLISECONDS = 1_500
+const CALL_MILLISECONDS = 1_200
 /** Pause after a request that failed, in milliseconds. */
 const RETRY_MILLISECONDS = 100
 
@@ -45,20 +44,22 @@
     name: config.instance.name,
     failureDomain: config.instance.failureDomain,
     role: 'entry',
-    host: config.calls.listen.host,
-    port: callsPort
+    host: config.calls.advertise.host,
+    port: config.calls.advertise.port === 0 ? callsPort : config.calls.advertise.port
   }
-  const clients = new Map<string, Client<typeof ControlService>>()
+  const links = new Map<string, PeerLink<typeof ControlService>>()
   const { addresses } = config.control
   let turn = Math.floor(Math.random() * addresses.length)
+  /** The leader, as a control instance named it. */
+  let hint: Address | undefined
   let peers: Peer[] = []
   let instancesRevision = 0n
   let closed = false
 
-  function clientOf ({ host, port }: Address): Client<typeof ControlService> {
+  function linkOf ({ host, port }: Address): PeerLink<typeof ControlService> {
     const key = `${host}:${port}`
-    const known = clients.get(key) ?? createPeerClient(ControlService, host, port, credentials)
-    clients.set(key, known)
+    const known = links.get(key) ?? createPeerLink(ControlService, host, port, credentials)
+    links.set(key, known)
     return known
   }
 
@@ -73,38 +74,58 @@
       askedAt
     })
     if (outcome === 'changed') logger.info('A configuration is in force.', { number: Number(reply.number), lines: reply.added.length, removed: reply.removed.length })
-    if (reply.instancesRevision === instancesRevision || reply.instances.length === 0) return
+    // A leader that is cut off hears of few instances, and does not know it.
+    if (!reply.fresh || reply.instancesRevision === instancesRevision || reply.instances.length === 0) return
     instancesRevision = reply.instancesRevision
     peers = reply.instances.map(({ name, failureDomain, role, host, port }) => ({ name, failureDomain, role, host, port }))
   }
 
-  async function askOnce (): Promise<void> {
-    const client = clientOf(addresses[turn % addresses.length])
+  /** Asks one control instance; true when it proved that it is current. */
+  async function ask (address: Address): Promise<boolean> {
+    const link = linkOf(address)
     const askedAt = clock.now()
-    const reply = await client.watch({
-      instance: self,
-      knownNumber: BigInt(store.number()),
-      holdMilliseconds: store.isFresh() ? HOLD_MILLISECONDS : 0,
-      knownInstances: instancesRevision
-    }, { timeoutMs: CALL_MILLISECONDS })
-    if (closed) return
-    receive(reply, askedAt)
-    // Only what is known to be current extends the lease, so look elsewhere.
-    if (!reply.fresh) throw new Error('the control instance is not current')
+    try {
+      const reply = await link.client.watch({
+        instance: self,
+        knownNumber: BigInt(store.number()),
+        holdMilliseconds: store.isFresh() ? HOLD_MILLISECONDS : 0,
+        knownInstances: instancesRevision
+      }, { timeoutMs: CALL_MILLISECONDS })
+      if (closed) return true
+      receive(reply, askedAt)
+      hint = reply.leader === undefined ? undefined : { host: reply.leader.host, port: reply.leader.port }
+      return reply.fresh
+    } catch (error) {
+      logger.debug('A control instance did not answer.', { address: `${address.host}:${address.port}`, error: (error as Error).message })
+      // The connection may be silent for good while new ones work.
+      link.reconnect()
+      hint = undefined
+      return false
+    }
   }
 
   async function run (): Promise<void> {
+    let leader: Address | undefined
     while (!closed) {
-      try {
-        await askOnce()
-      } catch (error) {
-        logger.debug('A control instance did not help.', { address: addresses[turn % addresses.length].port, error: (error as Error).message })
-        turn += 1
-        await pause(RETRY_MILLISECONDS)
+      const asked = leader ?? addresses[turn % addresses.length]
+      if (await ask(asked)) {
+        leader = asked
+        continue
       }
+      // Only what is known to be current extends the lease, so look elsewhere.
+      const followsHint = leader === undefined && hint !== undefined
+      leader = followsHint ? hint : undefined
+      if (followsHint) continue
+      turn += 1
+      await pause(RETRY_MILLISECONDS)
     }
   }
 
+  function close (): void {
+    closed = true
+    for (const link of links.values()) link.reconnect()
+  }
+
   void run()
-  return { peers: () => peers, close: () => { closed = true } }
+  return { peers: () => peers, close }
 }
--- /dev/null
+++ b/packages/decisions/src/node/consensus/__tests__/consensus.test.ts
@@ -0,0 +1,221 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { EMPTY_DURABLE_STATE, applyPersist, startConsensus, stepConsensus } from '../consensus.js'
+import { CALM, ROUGH, createNetwork, member } from './network.js'
+import type { Network } from './network.js'
+import type { DurableState } from '../consensus.js'
+import type { ConsensusEvent, ConsensusState, LogEntry, LogMember } from '../types.js'
+
+const THREE = ['a', 'b', 'c']
+const SEEDS = Array.from({ length: Number(process.env.SEEDS ?? 60) }, (_value, index) => index + 1)
+
+function holdsAll (network: Network, identity: string): boolean {
+  const machine = network.nodes.get(identity)?.machine ?? []
+  return network.accepted.every(command => machine.includes(command))
+}
+
+function elect (network: Network): string {
+  network.run(3_000)
+  const leader = network.leader()
+  assert.ok(leader, 'no leader after three seconds')
+  return leader
+}
+
+/** Proposes until one command is accepted. */
+function accept (network: Network, command: string): void {
+  for (let attempt = 0; attempt < 40; attempt += 1) {
+    const request = network.propose(network.leader() ?? '', `${command}-${attempt}`)
+    network.run(300, network.repair)
+    if (network.answers.get(request) === 'applied') return
+  }
+  throw new Error(`${command} was never accepted`)
+}
+
+/** One seed of random faults, with proposals and reads on all members meanwhile. */
+function storm (seed: number, identities: string[]): Network {
+  const network = createNetwork(seed, identities, ROUGH)
+  const { random } = network
+  const pick = (): string => identities[Math.floor(random() * identities.length)]
+  let command = 0
+  const strike: Array<() => void> = [
+    () => { network.cut(pick(), pick()) },
+    () => { network.heal() },
+    () => { network.stop(pick()) },
+    () => { for (const identity of identities) if (network.nodes.get(identity)?.running === false) network.restart(identity) },
+    () => { network.compact(pick()) },
+    () => { for (const other of identities) network.cut(network.leader() ?? '', other) }
+  ]
+  for (let round = 0; round < 40; round += 1) {
+    strike[Math.floor(random() * strike.length)]()
+    network.run(100 + random() * 400, () => {
+      if (random() < 0.1) network.propose(network.leader() ?? pick(), `command-${command += 1}`)
+      if (random() < 0.1) network.propose(pick(), `command-${command += 1}`)
+      if (random() < 0.1) network.confirm(pick())
+    })
+  }
+  network.calmDown()
+  network.run(4_000)
+  return network
+}
+
+test('storms lose and revert nothing', () => {
+  let accepted = 0
+  for (const seed of SEEDS) {
+    const identities = seed % 3 === 0 ? ['a', 'b', 'c', 'd', 'e'] : THREE
+    const network = storm(seed, identities)
+    accepted += network.accepted.length
+    for (const identity of identities) assert.ok(holdsAll(network, identity), `seed ${seed}: ${identity} lacks what was accepted`)
+    assert.is(new Set(network.accepted).size, network.accepted.length, `seed ${seed}: a command was accepted twice`)
+    assert.ok(network.leader(), `seed ${seed}: no leader after the storm`)
+  }
+  assert.ok(accepted > SEEDS.length * 20, `only ${accepted} commands were accepted: the storms prove little`)
+})
+
+test('a leader that hears nobody steps down', () => {
+  const network = createNetwork(1, THREE, CALM)
+  const leader = elect(network)
+  for (const other of THREE) network.cut(other, leader)
+  network.run(700)
+  assert.is.not(network.nodes.get(leader)?.state.role, 'leader')
+})
+
+test('a leader whose words are lost confirms nothing', () => {
+  const network = createNetwork(2, THREE, CALM)
+  const leader = elect(network)
+  for (const other of THREE) network.cut(leader, other)
+  const request = network.confirm(leader)
+  network.run(3_000)
+  assert.is(network.answers.get(request), 'unconfirmed')
+})
+
+test('a silent member does not raise the term', () => {
+  const network = createNetwork(3, THREE, CALM)
+  const leader = elect(network)
+  const term = network.nodes.get(leader)?.state.term
+  const [silent] = THREE.filter(identity => identity !== leader)
+  for (const other of THREE) network.cut(other, silent)
+  network.run(5_000)
+  network.heal()
+  network.run(2_000)
+  assert.is(network.leader(), leader)
+  assert.is(network.nodes.get(leader)?.state.term, term)
+})
+
+test('a member far behind gets the snapshot in parts', () => {
+  const network = createNetwork(4, THREE, CALM)
+  const leader = elect(network)
+  const [behind] = THREE.filter(identity => identity !== leader)
+  network.stop(behind)
+  for (let command = 0; command < 30; command += 1) accept(network, `command-${command}`)
+  network.compact(leader)
+  network.restart(behind)
+  network.run(2_000)
+  assert.ok(holdsAll(network, behind))
+  assert.ok((network.nodes.get(behind)?.state.snapshot.index ?? 0) > 0)
+})
+
+test('a leader removed from the log stops leading', () => {
+  const network = createNetwork(5, THREE, CALM)
+  const leader = elect(network)
+  const request = network.change(leader, { kind: 'remove', identity: leader })
+  network.run(3_000)
+  assert.is(network.answers.get(request), 'changed')
+  assert.is.not(network.leader(), leader)
+  accept(network, 'after')
+})
+
+test('a second change waits for the first', () => {
+  const network = createNetwork(6, THREE, CALM)
+  const leader = elect(network)
+  network.change(leader, { kind: 'add learner', member: member('d') })
+  const second = network.change(leader, { kind: 'add learner', member: member('e') })
+  assert.is(network.answers.get(second), 'not now')
+})
+
+test('a learner that lacks the state is not promoted', () => {
+  const network = createNetwork(7, THREE, CALM)
+  const leader = elect(network)
+  accept(network, 'first')
+  network.change(leader, { kind: 'add learner', member: member('d') })
+  network.run(500)
+  const promotion = network.change(leader, { kind: 'promote', identity: 'd' })
+  assert.is(network.answers.get(promotion), 'refused')
+})
+
+test('a second loss right after a repair loses nothing', () => {
+  for (const seed of SEEDS) {
+    const network = createNetwork(seed, THREE, { ...ROUGH, tear: 0 })
+    elect(network)
+    for (let command = 0; command < 5; command += 1) accept(network, `before-${command}`)
+    const first = THREE[seed % 3]
+    network.replaceDisk(first, `${first}2`, first)
+    repairUntilWhole(network, seed)
+    accept(network, 'between')
+    const second = THREE[(seed + 1) % 3]
+    network.replaceDisk(second, `${second}2`, second)
+    repairUntilWhole(network, seed)
+    accept(network, 'after')
+    const third = THREE[(seed + 2) % 3]
+    network.replaceDisk(third, `${third}2`, third)
+    repairUntilWhole(network, seed)
+    network.run(2_000)
+    for (const identity of ['a2', 'b2', 'c2']) assert.ok(holdsAll(network, identity), `seed ${seed}: ${identity} lacks what was accepted`)
+  }
+})
+
+/** Lets the leader repair until three voters are there, none of them without its disk. */
+function repairUntilWhole (network: Network, seed: number): void {
+  for (let round = 0; round < 100; round += 1) {
+    network.run(200, network.repair)
+    const members = network.nodes.get(network.leader() ?? '')?.state.members ?? []
+    const whole = members.length === 3 && members.every(({ identity, role }) => role === 'voter' && network.nodes.has(identity))
+    if (whole) return
+  }
+  throw new Error(`seed ${seed}: the membership was not repaired`)
+}
+
+const MEMBERS: LogMember[] = THREE.map(identity => ({ ...member(identity), role: 'voter' }))
+
+function startWith (self: string, durable: Partial<DurableState>): ConsensusState {
+  const snapshot = { ...EMPTY_DURABLE_STATE.snapshot, members: MEMBERS }
+  return startConsensus(self, { ...EMPTY_DURABLE_STATE, snapshot, ...durable }, 0, () => 0)
+}
+
+function feed (state: ConsensusState, events: ConsensusEvent[], now: number): ConsensusState {
+  return events.reduce((current, event) => stepConsensus(current, event, now, () => 0).state, state)
+}
+
+test('a vote survives a restart', () => {
+  const vote = (from: string): ConsensusEvent => ({ kind: 'receive', from, message: { kind: 'vote', term: 4, lastIndex: 0, lastTerm: 0 } })
+  const { effects } = stepConsensus(startWith('a', {}), vote('b'), 10, () => 0)
+  const sent = effects.findIndex(({ kind }) => kind === 'send')
+  let durable: DurableState = EMPTY_DURABLE_STATE
+  for (const effect of effects.slice(0, sent)) if (effect.kind === 'persist') durable = applyPersist(durable, effect)
+  const again = stepConsensus(startWith('a', { term: durable.term, votedFor: durable.votedFor }), vote('c'), 20, () => 0)
+  const reply = again.effects.find(({ kind }) => kind === 'send')
+  assert.ok(reply?.kind === 'send' && reply.message.kind === 'vote reply' && !reply.message.granted)
+})
+
+test('an entry of an older term is not committed by counting', () => {
+  const log: LogEntry[] = [{ kind: 'command', index: 1, term: 2, command: 'old' }]
+  const elected = feed(startWith('a', { term: 3, log }), [
+    { kind: 'tick' },
+    { kind: 'receive', from: 'b', message: { kind: 'pre-vote reply', term: 3, campaignTerm: 4, granted: true } },
+    { kind: 'receive', from: 'b', message: { kind: 'vote reply', term: 4, granted: true } }
+  ], 5_000)
+  assert.is(elected.role, 'leader')
+  const held = (index: number): ConsensusEvent => ({ kind: 'receive', from: 'b', message: { kind: 'append reply', term: 4, success: true, index, round: 1 } })
+  const counted = feed(elected, [held(1)], 5_010)
+  assert.is(counted.commitIndex, 0)
+  assert.is(feed(counted, [held(2)], 5_020).commitIndex, 2)
+})
+
+test('one member alone serves', () => {
+  const network = createNetwork(8, ['a'], CALM)
+  elect(network)
+  accept(network, 'alone')
+  const request = network.confirm('a')
+  assert.is(network.answers.get(request), 'confirmed')
+})
+
+test.run()
--- /dev/null
+++ b/packages/decisions/src/node/consensus/__tests__/network.ts
@@ -0,0 +1,205 @@
+/** A network of members in virtual time: it loses, delays and doubles messages, and restarts members from what they had synced. */
+
+import { EMPTY_DURABLE_STATE, applyPersist, startConsensus, stepConsensus } from '../consensus.js'
+import { planMembership } from '../repair.js'
+import type { DurableState } from '../consensus.js'
+import type { Introduction } from '../repair.js'
+import type { ConsensusEffect, ConsensusEvent, ConsensusLimits, ConsensusMessage, ConsensusState, LogMember, RequestAnswer } from '../types.js'
+
+export const LIMITS: ConsensusLimits = { heartbeatMilliseconds: 50, electionMilliseconds: 300, maximumEntries: 4, maximumPart: 200 }
+
+export interface Faults {
+  drop: number
+  duplicate: number
+  maximumDelay: number
+  /** Chance that a crash strikes between two effects of one step. */
+  tear: number
+}
+
+export const CALM: Faults = { drop: 0, duplicate: 0, maximumDelay: 5, tear: 0 }
+export const ROUGH: Faults = { drop: 0.1, duplicate: 0.1, maximumDelay: 60, tear: 0.0005 }
+
+interface Node {
+  running: boolean
+  state: ConsensusState
+  durable: DurableState
+  /** Commands that the state machine holds, in order. */
+  machine: string[]
+}
+
+export type Answer = RequestAnswer | 'applied'
+
+export function randomOf (seed: number): () => number {
+  let value = seed >>> 0
+  return () => {
+    value = (value + 0x6D2B79F5) >>> 0
+    let mixed = Math.imul(value ^ (value >>> 15), value | 1)
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4294967296
+  }
+}
+
+export function member (identity: string, name = identity): Introduction {
+  return { identity, name, failureDomain: `domain-${name}`, host: '127.0.0.1', port: 1 }
+}
+
+export class Violation extends Error {}
+
+/** Members, the messages between them, and the record that the checks read. */
+export function createNetwork (seed: number, identities: string[], faults: Faults) {
+  const random = randomOf(seed)
+  const nodes = new Map<string, Node>()
+  const cuts = new Set<string>()
+  const answers = new Map<number, Answer>()
+  const leaderOfTerm = new Map<number, string>()
+  const appliedAt = new Map<number, string>()
+  const accepted: string[] = []
+  const introductions = new Map<string, Introduction>()
+  let queue: Array<{ at: number, from: string, to: string, message: ConsensusMessage }> = []
+  let now = 0
+  let nextRequest = 1
+  let tearing = faults.tear
+  /** Commands that a state machine holds once it has applied all that was accepted. */
+  let acceptedPlace = 0
+  const reads = new Map<number, number>()
+
+  function boot (identity: string, durable: DurableState): void {
+    const machine = durable.snapshot.data === '' ? [] : JSON.parse(durable.snapshot.data) as string[]
+    nodes.set(identity, { running: true, durable, machine, state: startConsensus(identity, durable, now, random, LIMITS) })
+  }
+
+  function send (from: string, to: string, message: ConsensusMessage): void {
+    const copies = random() < faults.duplicate ? 2 : 1
+    for (let copy = 0; copy < copies; copy += 1) {
+      if (random() < faults.drop) continue
+      queue.push({ at: now + 1 + random() * faults.maximumDelay, from, to, message: JSON.parse(JSON.stringify(message)) as ConsensusMessage })
+    }
+  }
+
+  const carryOut: { [Kind in ConsensusEffect['kind']]: (node: Node, effect: Extract<ConsensusEffect, { kind: Kind }>) => void } = {
+    persist: (node, effect) => { node.durable = applyPersist(node.durable, effect) },
+    send: ({ state }, { to, message }) => { send(state.self, to, message) },
+    apply: (node, { entry, request }) => {
+      const text = JSON.stringify(entry)
+      const known = appliedAt.get(entry.index)
+      if (known !== undefined && known !== text) throw new Violation(`entry ${entry.index} is ${known} and ${text}`)
+      appliedAt.set(entry.index, text)
+      if (entry.kind === 'command') node.machine.push(String(entry.command))
+      if (request === undefined || entry.kind !== 'command') return
+      accepted.push(String(entry.command))
+      acceptedPlace = Math.max(acceptedPlace, node.machine.length)
+      answers.set(request, 'applied')
+    },
+    restore: (node, { data }) => { node.machine = JSON.parse(data) as string[] },
+    answer: (node, { request, answer }) => {
+      answers.set(request, answer)
+      const due = reads.get(request) ?? 0
+      if (answer === 'confirmed' && node.machine.length < due) throw new Violation(`a read was confirmed at ${node.machine.length} commands, when ${due} were accepted before it`)
+    },
+    note: ({ state }, { note, term }) => {
+      if (note !== 'leads') return
+      const known = leaderOfTerm.get(term) ?? state.self
+      if (known !== state.self) throw new Violation(`term ${term} has two leaders: ${known} and ${state.self}`)
+      leaderOfTerm.set(term, state.self)
+    }
+  }
+
+  function step (identity: string, event: ConsensusEvent): void {
+    const node = nodes.get(identity)
+    if (node?.running !== true) return
+    const { state, effects } = stepConsensus(node.state, event, now, random)
+    node.state = state
+    for (const effect of effects) {
+      if (random() < tearing) {
+        node.running = false
+        return
+      }
+      const perform = carryOut[effect.kind] as (node: Node, effect: ConsensusEffect) => void
+      perform(node, effect)
+    }
+  }
+
+  function deliver (): void {
+    const due = queue.filter(({ at }) => at <= now).sort((left, right) => left.at - right.at)
+    queue = queue.filter(({ at }) => at > now)
+    for (const { from, to, message } of due) {
+      if (!cuts.has(`${from}>${to}`)) step(to, { kind: 'receive', from, message })
+    }
+  }
+
+  function request (identity: string, make: (request: number) => ConsensusEvent): number {
+    const number = nextRequest
+    nextRequest += 1
+    step(identity, make(number))
+    return number
+  }
+
+  const network = {
+    random,
+    nodes,
+    answers,
+    accepted,
+    introductions,
+    now: () => now,
+    /** Runs for some virtual milliseconds. */
+    run: (milliseconds: number, each: () => void = () => {}) => {
+      const end = now + milliseconds
+      while (now < end) {
+        now += 5
+        deliver()
+        for (const identity of nodes.keys()) step(identity, { kind: 'tick' })
+        each()
+      }
+    },
+    leader: () => [...nodes.values()].filter(({ running, state }) => running && state.role === 'leader').sort((left, right) => right.state.term - left.state.term)[0]?.state.self,
+    propose: (identity: string, command: string) => request(identity, number => ({ kind: 'propose', request: number, command })),
+    confirm: (identity: string) => request(identity, number => {
+      reads.set(number, acceptedPlace)
+      return { kind: 'confirm', request: number }
+    }),
+    change: (identity: string, change: Extract<ConsensusEvent, { kind: 'change membership' }>['change']) => request(identity, number => ({ kind: 'change membership', request: number, change })),
+    compact: (identity: string) => {
+      const node = nodes.get(identity)
+      if (node !== undefined) step(identity, { kind: 'compact', index: node.state.appliedIndex, data: JSON.stringify(node.machine) })
+    },
+    /** Lets the leader make the next change that its plan asks for. */
+    repair: () => {
+      const leader = nodes.get(network.leader() ?? '')
+      const change = leader === undefined ? undefined : planMembership(leader.state, [...introductions.values()], now)
+      if (leader !== undefined && change !== undefined) network.change(leader.state.self, change)
+    },
+    stop: (identity: string) => {
+      const node = nodes.get(identity)
+      if (node !== undefined) node.running = false
+    },
+    /** Starts again from what was synced. */
+    restart: (identity: string) => {
+      const node = nodes.get(identity)
+      if (node !== undefined) boot(identity, node.durable)
+    },
+    /** The disk of `identity` is gone; the instance comes back under another identity. */
+    replaceDisk: (identity: string, successor: string, name: string) => {
+      nodes.delete(identity)
+      introductions.delete(name)
+      introductions.set(name, member(successor, name))
+      boot(successor, EMPTY_DURABLE_STATE)
+    },
+    /** Messages from one to another are lost, until healed. */
+    cut: (from: string, to: string) => { cuts.add(`${from}>${to}`) },
+    heal: () => { cuts.clear() },
+    calmDown: () => {
+      tearing = 0
+      cuts.clear()
+      for (const [identity, { running }] of nodes) if (!running) network.restart(identity)
+    }
+  }
+
+  const members: LogMember[] = identities.map(identity => ({ ...member(identity), role: 'voter' }))
+  for (const [place, identity] of identities.entries()) {
+    // The founder alone knows the membership at first; the others hear it from the log.
+    boot(identity, place === 0 ? { ...EMPTY_DURABLE_STATE, snapshot: { ...EMPTY_DURABLE_STATE.snapshot, members } } : EMPTY_DURABLE_STATE)
+  }
+  return network
+}
+
+export type Network = ReturnType<typeof createNetwork>
--- /dev/null
+++ b/packages/decisions/src/node/consensus/consensus.ts
@@ -0,0 +1,117 @@
+/**
+ * Agreement on one log as a reducer: a state and an event make the next state
+ * and the effects that the process carries out, in order. It is the Raft
+ * algorithm with pre-vote, check-quorum, read-index and learners.
+ */
+
+import { receivePreVote, receivePreVoteReply, receiveTick, receiveVote, receiveVoteReply, resetElectionDeadline } from './election.js'
+import { receiveAppend, receiveInstallSnapshot } from './follower.js'
+import { entriesFrom, membersAt, termAt } from './log.js'
+import { receiveChange } from './membership.js'
+import { receiveAppendReply, receiveConfirm, receiveInstallSnapshotReply, receivePropose } from './replication.js'
+import { DEFAULT_LIMITS } from './types.js'
+import type { ConsensusEffect, ConsensusEvent, ConsensusLimits, ConsensusMessage, ConsensusState, LogEntry, LogMember, LogSnapshot, Step } from './types.js'
+
+/** What a member finds on its disk. */
+export interface DurableState {
+  term: number
+  votedFor: string
+  snapshot: LogSnapshot
+  log: LogEntry[]
+}
+
+export const EMPTY_DURABLE_STATE: DurableState = { term: 0, votedFor: '', snapshot: { index: 0, term: 0, members: [], data: '' }, log: [] }
+
+type Receivers = { [Kind in ConsensusMessage['kind']]: (step: Step, from: string, message: Extract<ConsensusMessage, { kind: Kind }>) => void }
+
+const RECEIVERS: Receivers = {
+  'pre-vote': receivePreVote,
+  'pre-vote reply': receivePreVoteReply,
+  vote: receiveVote,
+  'vote reply': receiveVoteReply,
+  append: receiveAppend,
+  'append reply': receiveAppendReply,
+  'install snapshot': receiveInstallSnapshot,
+  'install snapshot reply': receiveInstallSnapshotReply
+}
+
+type Handlers = { [Kind in ConsensusEvent['kind']]: (step: Step, event: Extract<ConsensusEvent, { kind: Kind }>) => void }
+
+const HANDLERS: Handlers = {
+  tick: receiveTick,
+  receive: (step, { from, message }) => {
+    const receive = RECEIVERS[message.kind] as (step: Step, from: string, message: ConsensusMessage) => void
+    receive(step, from, message)
+  },
+  propose: (step, { request, command }) => { receivePropose(step, request, command) },
+  confirm: (step, { request }) => { receiveConfirm(step, request) },
+  'change membership': (step, { request, change }) => { receiveChange(step, request, change) },
+  found: (step, { members }) => { found(step, members) },
+  compact: (step, { index, data }) => { compact(step, index, data) }
+}
+
+/** The founder alone holds the membership at first; the others hear it from the log. */
+function found (step: Step, members: LogMember[]): void {
+  const { state } = step
+  if (state.members.length > 0 || state.log.length > 0 || state.snapshot.index > 0) return
+  const snapshot: LogSnapshot = { index: 0, term: 0, members, data: '' }
+  Object.assign(state, { snapshot, members, electionDeadline: step.now })
+  step.effects.push({ kind: 'persist', snapshot, entries: [] })
+}
+
+function compact (step: Step, index: number, data: string): void {
+  const { state } = step
+  if (index <= state.snapshot.index || index > state.appliedIndex) return
+  const snapshot: LogSnapshot = { index, term: termAt(state, index) ?? 0, members: [...membersAt(state.snapshot, state.log, index)], data }
+  const log = entriesFrom(state, index + 1)
+  // Peers in the middle of the old snapshot begin with the new one.
+  const progress = new Map([...state.progress].map(([identity, peer]) => [identity, { ...peer, snapshotOffset: 0 }]))
+  Object.assign(state, { snapshot, log, progress })
+  step.effects.push({ kind: 'persist', snapshot, entries: log })
+}
+
+/** The state of a member that starts with what its disk holds. */
+export function startConsensus (self: string, durable: DurableState, now: number, random: () => number, limits: ConsensusLimits = DEFAULT_LIMITS): ConsensusState {
+  const { term, votedFor, snapshot, log } = durable
+  const state: ConsensusState = {
+    self,
+    limits,
+    role: 'follower',
+    term,
+    votedFor,
+    leader: '',
+    members: membersAt(snapshot, log),
+    snapshot,
+    log,
+    commitIndex: snapshot.index,
+    appliedIndex: snapshot.index,
+    electionDeadline: 0,
+    heardLeaderAt: -Infinity,
+    votes: [],
+    progress: new Map(),
+    heartbeatAt: 0,
+    round: 0,
+    termStartIndex: 0,
+    proposals: [],
+    changes: [],
+    reads: []
+  }
+  resetElectionDeadline({ state, effects: [], now, random })
+  return state
+}
+
+/** One step: the next state and the effects that make it true. */
+export function stepConsensus (before: ConsensusState, event: ConsensusEvent, now: number, random: () => number): { state: ConsensusState, effects: ConsensusEffect[] } {
+  const step: Step = { state: { ...before }, effects: [], now, random }
+  const handle = HANDLERS[event.kind] as (step: Step, event: ConsensusEvent) => void
+  handle(step, event)
+  return { state: step.state, effects: step.effects }
+}
+
+/** What a disk holds after an effect was persisted; the reader of the log file uses the same. */
+export function applyPersist (durable: DurableState, { vote, truncateFrom, entries = [], snapshot }: Extract<ConsensusEffect, { kind: 'persist' }>): DurableState {
+  const { term, votedFor } = vote ?? durable
+  if (snapshot !== undefined) return { term, votedFor, snapshot, log: [...entries] }
+  const kept = truncateFrom === undefined ? durable.log : durable.log.filter(({ index }) => index < truncateFrom)
+  return { term, votedFor, snapshot: durable.snapshot, log: [...kept, ...entries] }
+}
--- /dev/null
+++ b/packages/decisions/src/node/consensus/index.ts
@@ -0,0 +1,7 @@
+/** Agreement on one log: the reducer, its types, and the plans around it. */
+
+export * from './consensus.js'
+export * from './founding.js'
+export { isCaughtUp, isChanging } from './membership.js'
+export * from './repair.js'
+export * from './types.js'
--- /dev/null
+++ b/packages/decisions/src/node/consensus/log.ts
@@ -0,0 +1,62 @@
+/** Reading the log of a member: terms, places, majorities. */
+
+import type { ConsensusState, LogEntry, LogMember, LogSnapshot } from './types.js'
+
+export function lastIndex ({ log, snapshot }: ConsensusState): number {
+  return log.at(-1)?.index ?? snapshot.index
+}
+
+/** Term of the entry at `index`; undefined when it is not held. */
+export function termAt ({ log, snapshot }: ConsensusState, index: number): number | undefined {
+  if (index === snapshot.index) return snapshot.term
+  return log[index - snapshot.index - 1]?.term
+}
+
+export function lastTerm (state: ConsensusState): number {
+  return termAt(state, lastIndex(state)) ?? 0
+}
+
+export function entriesFrom ({ log, snapshot }: ConsensusState, index: number, limit = Infinity): LogEntry[] {
+  const start = index - snapshot.index - 1
+  return log.slice(start, start + limit)
+}
+
+/** The latest membership up to `index`. */
+export function membersAt (snapshot: LogSnapshot, log: readonly LogEntry[], index = Infinity): readonly LogMember[] {
+  for (let place = log.length - 1; place >= 0; place -= 1) {
+    const entry = log[place]
+    if (entry.kind === 'membership' && entry.index <= index) return entry.members
+  }
+  return snapshot.members
+}
+
+/** Index of the latest membership in the log. */
+export function membershipIndex ({ log, snapshot }: ConsensusState): number {
+  for (let place = log.length - 1; place >= 0; place -= 1) {
+    if (log[place].kind === 'membership') return log[place].index
+  }
+  return snapshot.index
+}
+
+export function votersOf (state: ConsensusState): string[] {
+  return state.members.filter(({ role }) => role === 'voter').map(({ identity }) => identity)
+}
+
+export function isVoter (state: ConsensusState): boolean {
+  return votersOf(state).includes(state.self)
+}
+
+export function othersOf (state: ConsensusState): string[] {
+  return state.members.map(({ identity }) => identity).filter(identity => identity !== state.self)
+}
+
+/** The highest value that a majority of the voters has reached. */
+export function reachedByMajority (state: ConsensusState, valueOf: (identity: string) => number): number {
+  const values = votersOf(state).map(valueOf).sort((left, right) => right - left)
+  if (values.length === 0) return -Infinity
+  return values[Math.floor(values.length / 2)]
+}
+
+export function isMajority (state: ConsensusState, identities: readonly string[]): boolean {
+  return reachedByMajority(state, identity => identities.includes(identity) ? 1 : 0) === 1
+}
--- /dev/null
+++ b/packages/decisions/src/node/consensus/repair.ts
@@ -0,0 +1,53 @@
+/**
+ * Which change of the membership a leader makes next. An instance that lost
+ * its disk comes back under another identity: it learns the log first, then
+ * the old identity goes, and only then does the new one count as a voter.
+ */
+
+import { isCaughtUp, isChanging } from './membership.js'
+import type { ConsensusState, LogMember, MembershipChange } from './types.js'
+
+/** An instance that runs, as it introduced itself. */
+export type Introduction = Omit<LogMember, 'role'>
+
+/** Silence after which an identity may be replaced, in milliseconds. */
+export const REPLACE_MILLISECONDS = 1_500
+
+function isSilent ({ progress, self }: ConsensusState, identity: string, now: number): boolean {
+  const heardAt = progress.get(identity)?.heardAt
+  return identity !== self && (heardAt === undefined || now - heardAt >= REPLACE_MILLISECONDS)
+}
+
+function planLearner (state: ConsensusState, learner: LogMember, now: number): MembershipChange | undefined {
+  if (isSilent(state, learner.identity, now) || !isCaughtUp(state, learner.identity)) return undefined
+  const older = state.members.find(({ name, identity }) => name === learner.name && identity !== learner.identity)
+  if (older === undefined) return { kind: 'promote', identity: learner.identity }
+  return isSilent(state, older.identity, now) ? { kind: 'remove', identity: older.identity } : undefined
+}
+
+function planIntroduction (state: ConsensusState, introduced: Introduction, now: number): MembershipChange | undefined {
+  const known = state.members.find(({ identity }) => identity === introduced.identity)
+  if (known !== undefined) {
+    const moved = known.host !== introduced.host || known.port !== introduced.port || known.name !== introduced.name || known.failureDomain !== introduced.failureDomain
+    return moved ? { kind: 'describe', member: introduced } : undefined
+  }
+  const older = state.members.filter(({ name }) => name === introduced.name)
+  if (older.length === 0 || !older.every(({ identity }) => isSilent(state, identity, now))) return undefined
+  const learner = older.find(({ role }) => role === 'learner')
+  // A learner that was lost again never counted; its place goes to the new one.
+  return learner === undefined ? { kind: 'add learner', member: introduced } : { kind: 'remove', identity: learner.identity }
+}
+
+/** The next change, if one is due; one at a time, each committed before the next. */
+export function planMembership (state: ConsensusState, introductions: readonly Introduction[], now: number): MembershipChange | undefined {
+  if (state.role !== 'leader' || isChanging(state)) return undefined
+  for (const introduced of introductions) {
+    const change = planIntroduction(state, introduced, now)
+    if (change !== undefined) return change
+  }
+  for (const learner of state.members.filter(({ role }) => role === 'learner')) {
+    const change = planLearner(state, learner, now)
+    if (change !== undefined) return change
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/decisions/src/node/consensus/replication.ts
@@ -0,0 +1,151 @@
+/** The leader's side: sending the log, counting who holds it, confirming that it still leads. */
+
+import { entriesFrom, lastIndex, membersAt, membershipIndex, othersOf, reachedByMajority, termAt } from './log.js'
+import { becomeFollower, initialProgress } from './election.js'
+import type { AppendReply, CommandEntry, ConsensusState, InstallSnapshotReply, LogEntry, MembershipEntry, PeerProgress, Step } from './types.js'
+
+type NewEntry = Omit<CommandEntry, 'index' | 'term'> | Omit<MembershipEntry, 'index' | 'term'>
+
+function setProgress (state: ConsensusState, identity: string, change: Partial<PeerProgress>): void {
+  const known = state.progress.get(identity)
+  if (known !== undefined) state.progress = new Map(state.progress).set(identity, { ...known, ...change })
+}
+
+function sendSnapshotPart (step: Step, to: string, { snapshotOffset }: PeerProgress): void {
+  const { term, snapshot, limits, round } = step.state
+  const { index, term: snapshotTerm, members, data } = snapshot
+  const part = data.slice(snapshotOffset, snapshotOffset + limits.maximumPart)
+  step.effects.push({ kind: 'send', to, message: { kind: 'install snapshot', term, index, snapshotTerm, members, offset: snapshotOffset, data: part, total: data.length, round } })
+}
+
+function sendEntries (step: Step, to: string): void {
+  const { state } = step
+  const peer = state.progress.get(to)
+  if (peer === undefined) return
+  const previousIndex = peer.nextIndex - 1
+  const previousTerm = termAt(state, previousIndex)
+  if (previousTerm === undefined) return sendSnapshotPart(step, to, peer)
+  const entries = entriesFrom(state, peer.nextIndex, state.limits.maximumEntries)
+  step.effects.push({ kind: 'send', to, message: { kind: 'append', term: state.term, previousIndex, previousTerm, entries, commitIndex: state.commitIndex, round: state.round } })
+  // Sent on trust: a lost message shows when the next one is refused.
+  if (entries.length > 0) setProgress(state, to, { nextIndex: peer.nextIndex + entries.length })
+}
+
+/** Sends to every other member, as a new round. */
+export function broadcast (step: Step): void {
+  const { state } = step
+  state.round += 1
+  state.heartbeatAt = step.now + state.limits.heartbeatMilliseconds
+  for (const to of othersOf(state)) sendEntries(step, to)
+  advanceCommit(step)
+}
+
+/** Appends to the leader's own log, on its disk first. */
+export function appendEntry (step: Step, fresh: NewEntry): LogEntry {
+  const { state } = step
+  const entry: LogEntry = { ...fresh, index: lastIndex(state) + 1, term: state.term }
+  state.log = [...state.log, entry]
+  step.effects.push({ kind: 'persist', entries: [entry] })
+  if (entry.kind === 'membership') adoptMembership(step)
+  broadcast(step)
+  return entry
+}
+
+function adoptMembership (step: Step): void {
+  const { state } = step
+  state.members = membersAt(state.snapshot, state.log)
+  state.progress = new Map(othersOf(state).map(identity => [identity, state.progress.get(identity) ?? initialProgress(step)]))
+}
+
+/** Applies what is committed, and answers who waited for it. */
+export function applyCommitted (step: Step): void {
+  const { state } = step
+  for (const entry of entriesFrom(state, state.appliedIndex + 1, state.commitIndex - state.appliedIndex)) {
+    const proposal = state.proposals.find(({ index }) => index === entry.index)
+    step.effects.push({ kind: 'apply', entry, request: proposal?.request })
+    const change = state.changes.find(({ index }) => index === entry.index)
+    if (change !== undefined) step.effects.push({ kind: 'answer', request: change.request, answer: 'changed' })
+  }
+  state.appliedIndex = state.commitIndex
+  state.proposals = state.proposals.filter(({ index }) => index > state.commitIndex)
+  state.changes = state.changes.filter(({ index }) => index > state.commitIndex)
+}
+
+function advanceCommit (step: Step): void {
+  const { state } = step
+  if (state.role !== 'leader') return
+  const held = reachedByMajority(state, identity => identity === state.self ? lastIndex(state) : state.progress.get(identity)?.matchIndex ?? 0)
+  // An entry of an older term may still be replaced, even if a majority holds it.
+  if (held > state.commitIndex && termAt(state, held) === state.term) {
+    state.commitIndex = held
+    applyCommitted(step)
+  }
+  settleReads(step)
+  const removed = state.members.every(({ identity }) => identity !== state.self)
+  if (removed && membershipIndex(state) <= state.commitIndex) becomeFollower(step, state.term, '')
+}
+
+function confirmedRound (state: ConsensusState): number {
+  return reachedByMajority(state, identity => identity === state.self ? state.round : state.progress.get(identity)?.round ?? 0)
+}
+
+function settleReads (step: Step): void {
+  const { state } = step
+  const confirmed = confirmedRound(state)
+  const settled = state.reads.filter(({ round, index }) => round <= confirmed && index <= state.appliedIndex)
+  for (const { request } of settled) step.effects.push({ kind: 'answer', request, answer: 'confirmed' })
+  if (settled.length > 0) state.reads = state.reads.filter(read => !settled.includes(read))
+  if (state.reads.some(({ round }) => round > state.round) && confirmed >= state.round) broadcast(step)
+}
+
+/** Confirms by a round that starts after the request; those that wait share one. */
+export function receiveConfirm (step: Step, request: number): void {
+  const { state } = step
+  if (state.role !== 'leader') {
+    step.effects.push({ kind: 'answer', request, answer: 'unconfirmed' })
+    return
+  }
+  state.reads = [...state.reads, { request, round: state.round + 1, index: Math.max(state.commitIndex, state.termStartIndex) }]
+  settleReads(step)
+}
+
+export function receivePropose (step: Step, request: number, command: unknown): void {
+  const { state } = step
+  if (state.role !== 'leader') {
+    step.effects.push({ kind: 'answer', request, answer: 'not leader' })
+    return
+  }
+  state.proposals = [...state.proposals, { request, index: lastIndex(state) + 1 }]
+  appendEntry(step, { kind: 'command', command })
+}
+
+/** Whether a reply speaks to this member as leader of its current term. */
+function acceptsReply (step: Step, from: string, { term, round }: { term: number, round: number }): boolean {
+  const { state } = step
+  if (term > state.term) becomeFollower(step, term, '')
+  const peer = state.progress.get(from)
+  if (state.role !== 'leader' || term !== state.term || peer === undefined) return false
+  setProgress(state, from, { heardAt: step.now, round: Math.max(peer.round, round) })
+  return true
+}
+
+export function receiveAppendReply (step: Step, from: string, message: AppendReply): void {
+  if (!acceptsReply(step, from, message)) return
+  const { state } = step
+  const { matchIndex, nextIndex } = state.progress.get(from) as PeerProgress
+  const matched = message.success ? Math.max(matchIndex, message.index) : matchIndex
+  const next = message.success ? Math.max(nextIndex, matched + 1) : Math.max(matched, message.index) + 1
+  setProgress(state, from, { matchIndex: matched, nextIndex: next, ...(message.success ? { snapshotOffset: 0 } : {}) })
+  if (next <= lastIndex(state)) sendEntries(step, from)
+  advanceCommit(step)
+}
+
+export function receiveInstallSnapshotReply (step: Step, from: string, message: InstallSnapshotReply): void {
+  if (!acceptsReply(step, from, message)) return
+  const { state } = step
+  const { snapshotOffset } = state.progress.get(from) as PeerProgress
+  const received = message.index === state.snapshot.index ? message.received : 0
+  setProgress(state, from, { snapshotOffset: received })
+  if (received !== snapshotOffset) sendEntries(step, from)
+  advanceCommit(step)
+}
--- a/packages/protocol/src/node/transport.ts
+++ b/packages/protocol/src/node/transport.ts
@@ -6,7 +6,7 @@
 import { createHash, timingSafeEqual } from 'node:crypto'
 import { createServer, createSecureServer } from 'node:http2'
 import { Code, ConnectError, createClient } from '@connectrpc/connect'
-import { connectNodeAdapter, createGrpcTransport } from '@connectrpc/connect-node'
+import { Http2SessionManager, connectNodeAdapter, createGrpcTransport } from '@connectrpc/connect-node'
 import type { Http2SecureServer, Http2Server, ServerHttp2Session } from 'node:http2'
 import type { DescService } from '@bufbuild/protobuf'
 import type { Client, ConnectRouter, Interceptor } from '@connectrpc/connect'
@@ -89,20 +89,26 @@
   }
 }
 
+/** A client that can let its connection go, so that the next call opens another. */
+export interface PeerLink<Service extends DescService> {
+  client: Client<Service>
+  reconnect: () => void
+}
+
 /**
- * A client of `service` at `host:port`. Pings find a connection that went
+ * A link to `service` at `host:port`. Pings find a connection that went
  * silent: an unanswered one closes it, and the next call opens another.
  */
-export function createPeerClient<Service extends DescService> (service: Service, host: string, port: number, credentials: PeerCredentials): Client<Service> {
+export function createPeerLink<Service extends DescService> (service: Service, host: string, port: number, credentials: PeerCredentials): PeerLink<Service> {
   const { tls } = credentials
-  const transport = createGrpcTransport({
-    baseUrl: `${tls === undefined ? 'http' : 'https'}://${host.includes(':') ? `[${host}]` : host}:${port}`,
-    interceptors: [sendSecret(credentials.secret)],
-    readMaxBytes: MAXIMUM_CALL_BYTES,
-    pingIntervalMs: 1_000,
-    pingTimeoutMs: 1_000,
-    pingIdleConnection: false,
-    ...(tls === undefined ? {} : { nodeOptions: { key: tls.key, cert: tls.certificate, ca: tls.authority, checkServerIdentity: () => undefined } })
-  })
-  return createClient(service, transport)
+  const baseUrl = `${tls === undefined ? 'http' : 'https'}://${host.includes(':') ? `[${host}]` : host}:${port}`
+  const nodeOptions = tls === undefined ? undefined : { key: tls.key, cert: tls.certificate, ca: tls.authority, checkServerIdentity: () => undefined }
+  const sessionManager = new Http2SessionManager(baseUrl, { pingIntervalMs: 1_000, pingTimeoutMs: 1_000, pingIdleConnection: false }, nodeOptions)
+  const transport = createGrpcTransport({ baseUrl, interceptors: [sendSecret(credentials.secret)], readMaxBytes: MAXIMUM_CALL_BYTES, sessionManager })
+  return { client: createClient(service, transport), reconnect: () => { sessionManager.abort() } }
+}
+
+/** A client of `service` at `host:port`, whose connection heals as that of a link. */
+export function createPeerClient<Service extends DescService> (service: Service, host: string, port: number, credentials: PeerCredentials): Client<Service> {
+  return createPeerLink(service, host, port, credentials).client
 }
