Answers to replies reach the peer, not the caller of nobody

Cause: a reply was handled like a call, so what the leader sent because of it went into an answer that nobody read; a follower that missed the first entry never got it (seen with three control processes: one stayed a learner at term 1).

--- a/packages/cyclamenusherd/src/node/process/control/consensusTask.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusTask.ts
@@ -57,7 +57,7 @@
   const emitter = new EventEmitter()
   const waiting = new Map<number, (answer: TaskAnswer<Result>) => void>()
   const introduced = new Map<string, { introduction: Introduction, at: number }>()
-  const links = createPeerLinks(identity, credentials, (from, messages) => { receive(from, messages) })
+  const links = createPeerLinks(identity, credentials, (from, messages) => { for (const message of messages) step({ kind: 'receive', from, message }) })
   let state = startConsensus(identity, durable, clock.now(), random)
   let nextRequest = 1
   let failed = false
