Histories of a group in virtual time, judged from outside

Found by it: a replica's reads were placed at the term of its log's last record with the position that reads show. Around a promotion a replica that held records of the new term, but did not show them yet, served reads that lack the session's own writes. A status row now has applied_term.

--- a/packages/cyclamenusherd/src/node/process/group/memberLink.ts
+++ b/packages/cyclamenusherd/src/node/process/group/memberLink.ts
@@ -67,6 +67,7 @@
     adoptedTerm: Number(row.adopted_term),
     logTerm: Number(row.log_term),
     position: Number(row.position),
+    appliedTerm: Number(row.applied_term ?? 0),
     appliedPosition: Number(row.applied_position),
     primaryMember: row.primary_member,
     heardMilliseconds: Number(row.heard_milliseconds),
--- a/packages/decisions/src/node/group/__tests__/failover.test.ts
+++ b/packages/decisions/src/node/group/__tests__/failover.test.ts
@@ -12,7 +12,7 @@
 const NOW = ASKED + 10
 
 function status (member: string, changes: Partial<MemberStatus> = {}): MemberStatus {
-  return { member, role: 'replica', adoptedTerm: 2, logTerm: 2, position: 10, appliedPosition: 10, primaryMember: 'one', heardMilliseconds: 0, primaryRefused: false, voting: true, incarnation: 'first', leaving: false, openTransactions: 0, ...changes }
+  return { member, role: 'replica', adoptedTerm: 2, logTerm: 2, position: 10, appliedTerm: 2, appliedPosition: 10, primaryMember: 'one', heardMilliseconds: 0, primaryRefused: false, voting: true, incarnation: 'first', leaving: false, openTransactions: 0, ...changes }
 }
 
 function answer (view: GroupView, at: number, ...statuses: MemberStatus[]): GroupView {
@@ -108,7 +108,7 @@
 })
 
 test('a group is formed only with every place there and empty', () => {
-  const empty = { adoptedTerm: 0, logTerm: 0, position: 0, appliedPosition: 0, primaryMember: '', heardMilliseconds: -1, voting: false }
+  const empty = { adoptedTerm: 0, logTerm: 0, position: 0, appliedTerm: 0, appliedPosition: 0, primaryMember: '', heardMilliseconds: -1, voting: false }
   assert.is(decideFailover(viewOf(status('one', empty), status('two', empty)), LIMITS, NOW).kind, 'none')
   assert.is(decideFailover(viewOf(status('one', empty), status('two', empty), status('three', empty)), LIMITS, NOW).kind, 'form')
   assert.is(decideFailover(viewOf(status('one', empty), status('two', empty), status('three', silent)), LIMITS, NOW).kind, 'none')
--- a/packages/decisions/src/node/group/__tests__/route.test.ts
+++ b/packages/decisions/src/node/group/__tests__/route.test.ts
@@ -5,7 +5,7 @@
 import type { GroupView, MemberStatus } from '../view.js'
 
 function status (member: string, changes: Partial<MemberStatus>): MemberStatus {
-  return { member, role: 'replica', adoptedTerm: 2, logTerm: 2, position: 10, appliedPosition: 10, primaryMember: 'one', heardMilliseconds: 0, primaryRefused: false, voting: true, incarnation: 'first', leaving: false, openTransactions: 0, ...changes }
+  return { member, role: 'replica', adoptedTerm: 2, logTerm: 2, position: 10, appliedTerm: 2, appliedPosition: 10, primaryMember: 'one', heardMilliseconds: 0, primaryRefused: false, voting: true, incarnation: 'first', leaving: false, openTransactions: 0, ...changes }
 }
 
 function viewOf (...statuses: MemberStatus[]): GroupView {
@@ -32,11 +32,17 @@
 })
 
 test('a higher position of an earlier term proves nothing', () => {
-  const view = viewOf(primary, status('two', { logTerm: 1, position: 99, appliedPosition: 99 }))
+  const view = viewOf(primary, status('two', { logTerm: 1, position: 99, appliedTerm: 1, appliedPosition: 99 }))
   const decision = decideRoute(view, { kind: 'session-read', token: { term: 2, position: 9 } }, new Map(), 200)
   assert.is(decision.kind === 'member' && decision.member, 'one')
 })
 
+test('a record that is held but not yet shown proves nothing to a read', () => {
+  const view = viewOf(primary, status('two', { appliedTerm: 1, appliedPosition: 8 }))
+  const decision = decideRoute(view, { kind: 'session-read', token: { term: 1, position: 9 } }, new Map(), 200)
+  assert.is(decision.kind === 'member' && decision.member, 'one')
+})
+
 test('a session from a later term never reads at the old primary', () => {
   const decision = decideRoute(viewOf(primary), { kind: 'session-read', token: { term: 3, position: 1 } }, new Map(), 200)
   assert.is(decision.kind, 'none')
--- a/packages/decisions/src/node/group/view.ts
+++ b/packages/decisions/src/node/group/view.ts
@@ -20,7 +20,9 @@
   logTerm: number
   /** Position of the last record that it holds. */
   position: number
-  /** Position of the last record that its reads show. */
+  /** Term of the last record that its reads show. */
+  appliedTerm: number
+  /** Position of that record. */
   appliedPosition: number
   /** The member that it follows; empty: none. */
   primaryMember: string
@@ -191,7 +193,7 @@
 
 /** Where reads of a member stand. */
 export function appliedPlace (status: MemberStatus): LogPosition {
-  return { term: status.logTerm, position: status.appliedPosition }
+  return { term: status.appliedTerm, position: status.appliedPosition }
 }
 
 /**
--- /dev/null
+++ b/packages/decisions/src/node/model/groupHistory.ts
@@ -0,0 +1,83 @@
+/** Judges a history of a group: what sessions asked and saw, and the logs in the end. */
+
+import type { MemberStatus } from '../group/view.js'
+
+export type HistoryItem =
+  | { kind: 'write', session: string, value: string, invokedAt: number, answeredAt?: number, outcome: 'acknowledged' | 'unknown' | 'not run' }
+  | { kind: 'read', session: string, values: string[], invokedAt: number, answeredAt: number }
+  | { kind: 'aged read', values: string[], decidedAt: number, maximumAgeMilliseconds: number }
+
+type WriteItem = Extract<HistoryItem, { kind: 'write' }>
+
+/** A member that became primary, with the log that it brought. */
+export interface Promotion {
+  term: number
+  member: string
+  values: string[]
+}
+
+/** A member at the end of the run. */
+export interface FinalLog {
+  status: MemberStatus
+  values: string[]
+}
+
+export interface GroupHistory {
+  history: readonly HistoryItem[]
+  promotions: readonly Promotion[]
+  logs: readonly FinalLog[]
+  /** When each value reached a primary's log. */
+  committedAt: ReadonlyMap<string, number>
+}
+
+function checkPromotions (promotions: readonly Promotion[]): string[] {
+  const terms = promotions.map(({ term }) => term)
+  return [...new Set(terms.filter((term, index) => terms.indexOf(term) !== index))].map(term => `two members were promoted in term ${term}`)
+}
+
+function checkEnd (writes: readonly WriteItem[], logs: readonly FinalLog[]): string[] {
+  const primaries = logs.filter(({ status }) => status.role === 'primary')
+  const term = Math.max(...logs.map(({ status }) => status.adoptedTerm))
+  const last = primaries.find(({ status }) => status.adoptedTerm === term)
+  if (last === undefined) return ['the group has no primary after all faults ended']
+  const held = new Set(last.values)
+  return writes.flatMap(({ value, outcome }) => {
+    if (outcome === 'acknowledged' && !held.has(value)) return [`acknowledged write "${value}" is lost`]
+    return outcome === 'not run' && held.has(value) ? [`write "${value}" was said not to have run`] : []
+  })
+}
+
+/**
+ * Every session sees what it wrote: what was acknowledged, and what lasted of
+ * the rest if a primary had it when the session was told that the outcome is
+ * not known. A message that arrives later takes effect like another's write.
+ */
+function checkSessions ({ history, committedAt }: GroupHistory, writes: readonly WriteItem[], lasting: ReadonlySet<string>): string[] {
+  return history.flatMap(item => {
+    if (item.kind !== 'read') return []
+    const seen = new Set(item.values)
+    return writes
+      .filter(({ session, answeredAt }) => session === item.session && answeredAt !== undefined && answeredAt <= item.invokedAt)
+      .filter(({ value, answeredAt }) => lasting.has(value) && (committedAt.get(value) ?? Infinity) <= (answeredAt ?? 0) && !seen.has(value))
+      .map(({ value, outcome }) => `${item.session} read at ${item.invokedAt} without its own write "${value}" (${outcome})`)
+  })
+}
+
+function checkAges (history: readonly HistoryItem[], writes: readonly WriteItem[]): string[] {
+  return history.flatMap(item => {
+    if (item.kind !== 'aged read') return []
+    const seen = new Set(item.values)
+    return writes
+      .filter(({ answeredAt, outcome }) => outcome === 'acknowledged' && answeredAt !== undefined && answeredAt < item.decidedAt - item.maximumAgeMilliseconds)
+      .filter(({ value }) => !seen.has(value))
+      .map(({ value }) => `a read at ${item.decidedAt} was older than ${item.maximumAgeMilliseconds} ms: it lacks "${value}"`)
+  })
+}
+
+/** What is wrong with a history; empty: nothing. */
+export function checkHistory (run: GroupHistory): string[] {
+  const { history, promotions, logs } = run
+  const writes = history.filter(item => item.kind === 'write')
+  const lasting = new Set(logs.find(({ status }) => status.role === 'primary')?.values)
+  return [...checkPromotions(promotions), ...checkEnd(writes, logs), ...checkSessions(run, writes, lasting), ...checkAges(history, writes)]
+}
--- /dev/null
+++ b/packages/decisions/src/node/model/world.ts
@@ -0,0 +1,150 @@
+/**
+ * Virtual time for models: processes that can die and freeze, and calls between
+ * them that can be late or lost. The same seed gives the same run.
+ */
+
+/** A process of a model; a restart makes another one. */
+export interface ModelProcess {
+  name: string
+  failureDomain: string
+  alive: boolean
+  /** Nothing happens at it before this time. */
+  frozenUntil: number
+}
+
+export interface World {
+  now: () => number
+  /** A number from 0 up to 1. */
+  random: () => number
+  /** A whole number from `least` to `most`. */
+  between: (least: number, most: number) => number
+  pick: <Item>(items: readonly Item[]) => Item
+  sleep: (owner: ModelProcess, milliseconds: number) => Promise<void>
+  /** Runs `work` at another process; undefined when no answer came in time. */
+  call: <Answer>(from: ModelProcess, to: ModelProcess, work: () => Answer, milliseconds: number) => Promise<Answer | undefined>
+  /** Cuts or mends one direction between two failure domains. */
+  setCut: (from: string, to: string, cut: boolean) => void
+  mendAll: () => void
+  isCut: (from: ModelProcess, to: ModelProcess) => boolean
+  at: (milliseconds: number, work: () => void) => void
+  /** Lets virtual time pass until `until`. */
+  run: (until: number) => Promise<void>
+}
+
+/** Share of messages that are late. */
+const LATE_SHARE = 0.02
+/** Longest delay of a late message, in milliseconds. */
+const LATE_MILLISECONDS = 2_500
+
+/** A random source from a seed (mulberry32). */
+export function createRandom (seed: number): () => number {
+  let state = seed >>> 0
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1)
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296
+  }
+}
+
+interface TimedWork {
+  time: number
+  order: number
+  work: () => void
+}
+
+function createQueue (): { push: (item: TimedWork) => void, pop: () => TimedWork | undefined, first: () => TimedWork | undefined } {
+  const heap: TimedWork[] = []
+  const isBefore = (left: TimedWork, right: TimedWork): boolean => left.time < right.time || (left.time === right.time && left.order < right.order)
+  function swap (left: number, right: number): void {
+    [heap[left], heap[right]] = [heap[right], heap[left]]
+  }
+  return {
+    first: () => heap[0],
+    push: item => {
+      heap.push(item)
+      let at = heap.length - 1
+      while (at > 0 && isBefore(heap[at], heap[(at - 1) >> 1])) {
+        swap(at, (at - 1) >> 1)
+        at = (at - 1) >> 1
+      }
+    },
+    pop: () => {
+      if (heap.length === 0) return undefined
+      swap(0, heap.length - 1)
+      const item = heap.pop()
+      for (let at = 0; ;) {
+        const children = [2 * at + 1, 2 * at + 2].filter(child => child < heap.length)
+        if (children.length === 0) break
+        const least = children.reduce((best, child) => isBefore(heap[child], heap[best]) ? child : best)
+        if (!isBefore(heap[least], heap[at])) break
+        swap(at, least)
+        at = least
+      }
+      return item
+    }
+  }
+}
+
+export function createWorld (seed: number): World {
+  const random = createRandom(seed)
+  const queue = createQueue()
+  const cuts = new Set<string>()
+  let time = 0
+  let order = 0
+
+  const between = (least: number, most: number): number => least + Math.floor(random() * (most - least + 1))
+  const latency = (): number => random() < LATE_SHARE ? between(3, LATE_MILLISECONDS) : between(1, 3)
+  const isCut = (from: ModelProcess, to: ModelProcess): boolean => cuts.has(`${from.failureDomain} ${to.failureDomain}`)
+
+  function at (milliseconds: number, work: () => void): void {
+    order += 1
+    queue.push({ time: time + milliseconds, order, work })
+  }
+
+  /** Runs `work` as soon as the process can; never, if it is dead by then. */
+  function resume (process: ModelProcess, work: () => void): void {
+    if (!process.alive) return
+    if (time >= process.frozenUntil) return work()
+    at(process.frozenUntil - time, () => { resume(process, work) })
+  }
+
+  return {
+    now: () => time,
+    random,
+    between,
+    pick: items => items[between(0, items.length - 1)],
+    at,
+    isCut,
+    setCut: (from, to, cut) => {
+      if (cut) cuts.add(`${from} ${to}`)
+      else cuts.delete(`${from} ${to}`)
+    },
+    mendAll: () => { cuts.clear() },
+    sleep: async (owner, milliseconds) => {
+      await new Promise<void>(resolve => { at(milliseconds, () => { resume(owner, resolve) }) })
+    },
+    call: async (from, to, work, milliseconds) => await new Promise(resolve => {
+      at(milliseconds, () => { resume(from, () => { resolve(undefined) }) })
+      at(latency(), () => {
+        if (isCut(from, to)) return
+        resume(to, () => {
+          const answer = work()
+          at(latency(), () => {
+            if (!isCut(to, from)) resume(from, () => { resolve(answer) })
+          })
+        })
+      })
+    }),
+    run: async until => {
+      for (let next = queue.first(); next !== undefined && next.time <= until; next = queue.first()) {
+        queue.pop()
+        time = next.time
+        next.work()
+        // Lets what waited for this go on before time passes.
+        await new Promise(resolve => { setImmediate(resolve) })
+      }
+      time = until
+    }
+  }
+}
--- a/packages/stand-ins/src/node/backend/server.ts
+++ b/packages/stand-ins/src/node/backend/server.ts
@@ -44,6 +44,8 @@
   adoptedTerm: number
   logTerm: number
   position: number
+  /** Term of the last record that reads show. */
+  appliedTerm: number
   appliedPosition: number
   primaryMember: string
   /** Milliseconds since the primary was last heard; -1: never. */
@@ -156,6 +158,7 @@
       adoptedTerm: log.adoptedTerm(),
       logTerm: last.term,
       position: last.position,
+      appliedTerm: log.records()[appliedPosition - 1]?.term ?? 0,
       appliedPosition,
       primaryMember: role === 'primary' ? options.member : primaryMember,
       heardMilliseconds: role === 'primary' ? 0 : heardAt < 0 ? -1 : Math.round(performance.now() - heardAt),
