--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -20,6 +20,8 @@
 export interface Callers {
   port: number
   count: () => number
+  /** Connections that have not shown their key yet. */
+  greeting: () => number
   /** Ends idle callers, and busy ones as they finish; resolves when all are gone. */
   drain: (milliseconds: number) => Promise<{ cut: number }>
   close: () => void
@@ -64,11 +66,15 @@
     plain.setNoDelay(true)
     plain.on('error', () => { plain.destroy() })
     if (callers.size + greeting.size >= maximumConnections) {
-      plain.end(refusalResponse(new RefusalError('too many connections', `this instance serves ${maximumConnections} callers already`, 'not run', 'Connect again: the balancer may choose another instance.'), 'FATAL'))
+      // Whoever floods is not waited for.
+      plain.resume()
+      plain.write(refusalResponse(new RefusalError('too many connections', `this instance serves ${maximumConnections} callers already`, 'not run', 'Connect again: the balancer may choose another instance.'), 'FATAL'))
+      plain.destroySoon()
       return
     }
     greeting.add(plain)
     const shaken = await shakeHands(plain, context, {
+      milliseconds: config.callers.handshakeMilliseconds,
       needsKey: ({ user }) => user !== OPEN_ACCOUNT,
       accept: identify,
       cancel: (processNumber, secret) => {
@@ -99,7 +105,7 @@
         metrics.callers.set(callers.size)
       }
     })
-    if (closed) return
+    if (closed || caller === undefined) return
     callers.set(processNumber, { caller, secret })
     metrics.callers.set(callers.size)
     logger.debug('A caller connected.', { account: accepted.identity.account, database: startup.database })
@@ -113,7 +119,9 @@
       if (identity.key === undefined) continue
       if (store.isValid(identity) && (fresh || !caller.isBusy())) continue
       logger.info('A caller was disconnected.', { account: identity.account, key: identity.key, reason: fresh ? 'key withdrawn' : 'rules not fresh' })
-      caller.end(new RefusalError('key refused', `the key of client account ${identity.account} is no longer valid`, 'stopped'))
+      // A commit may be on its way, so only an idle caller can be told that nothing of it lasts.
+      const busy = caller.isBusy()
+      caller.end(new RefusalError(busy ? 'outcome unknown' : 'key refused', `the key of client account ${identity.account} is no longer valid`, busy ? 'unknown' : 'stopped'))
     }
   }
 
@@ -145,6 +153,7 @@
   return {
     port: typeof address === 'object' && address !== null ? address.port : listen.port,
     count: () => callers.size,
+    greeting: () => greeting.size,
     drain,
     close: () => {
       clearInterval(timer)
--- a/packages/cyclamenusherd/src/node/process/config.ts
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -34,6 +34,8 @@
     maximumMessageBytes: number
     /** Time that a request may take, in milliseconds. @default 30000 */
     requestMilliseconds: number
+    /** Time that a caller has until its key is accepted, in milliseconds. @default 10000 */
+    handshakeMilliseconds: number
   }
   calls: {
     listen: Address
@@ -50,8 +52,10 @@
     user: string
     monitorUser: string
     password: string
-    /** Connections of this instance to one backend server. @default 5 */
+    /** Connections of all entry instances together to one backend server. @default 25 */
     connectionsPerServer: number
+    /** Connections of this instance alone to one backend server. @default undefined - its even part */
+    connectionsOfInstance?: number
     /** Time that a request waits for a connection, in milliseconds. @default 2000 */
     waitMilliseconds: number
     /** Time that a commit waits for a majority, in milliseconds. @default 5000 */
@@ -102,7 +106,8 @@
     tls_key: { kind: 'text', optional: true, description: 'file of its private key' },
     maximum_connections: { kind: 'number', minimum: 1, maximum: 100_000, unit: 'connections', default: 5000, description: 'connections of callers' },
     maximum_message_bytes: { kind: 'number', minimum: 1024, maximum: 1_073_741_824, unit: 'bytes', default: 16_777_216, description: 'longest message of a caller' },
-    request_milliseconds: milliseconds('time that a request may take', 30_000, 100, 3_600_000)
+    request_milliseconds: milliseconds('time that a request may take', 30_000, 100, 3_600_000),
+    handshake_milliseconds: milliseconds('time that a caller has until its key is accepted', 10_000, 100, 60_000)
   },
   calls: {
     listen: address('address for other instances, announcers and operators', '127.0.0.1:7432'),
@@ -119,7 +124,8 @@
     user: { kind: 'text', default: 'cyclamenusher', description: 'user of the system at backend servers' },
     monitor_user: { kind: 'text', default: 'cyclamenusher_monitor', description: 'user whose connections are reserved ones' },
     password_file: { kind: 'text', description: 'file with the password of both users' },
-    connections_per_server: { kind: 'number', minimum: 1, maximum: 1000, unit: 'connections', default: 5, description: 'connections of this instance to one backend server' },
+    connections_per_server: { kind: 'number', minimum: 1, maximum: 1000, unit: 'connections', default: 25, description: 'connections of all entry instances together to one backend server' },
+    connections_of_instance: { kind: 'number', minimum: 1, maximum: 1000, unit: 'connections', optional: true, description: 'connections of this instance to one backend server; its even part of connections_per_server without it' },
     wait_milliseconds: milliseconds('time that a request waits for a connection', 2_000, 10, 60_000),
     acknowledge_milliseconds: milliseconds('time that a commit waits for a majority', 5_000, 100, 60_000)
   },
@@ -254,7 +260,8 @@
       tlsKey: files.text('callers', 'tls_key'),
       maximumConnections: Number(callers.maximum_connections),
       maximumMessageBytes: Number(callers.maximum_message_bytes),
-      requestMilliseconds: Number(callers.request_milliseconds)
+      requestMilliseconds: Number(callers.request_milliseconds),
+      handshakeMilliseconds: Number(callers.handshake_milliseconds)
     },
     calls: {
       listen: parseAddress(String(calls.listen)),
@@ -272,6 +279,7 @@
       monitorUser: String(backend.monitor_user),
       password: files.secret('backend', 'password_file'),
       connectionsPerServer: Number(backend.connections_per_server),
+      connectionsOfInstance: backend.connections_of_instance === undefined ? undefined : Number(backend.connections_of_instance),
       waitMilliseconds: Number(backend.wait_milliseconds),
       acknowledgeMilliseconds: Number(backend.acknowledge_milliseconds)
     },
--- a/packages/cyclamenusherd/src/node/process/router.ts
+++ b/packages/cyclamenusherd/src/node/process/router.ts
@@ -1,8 +1,8 @@
 /** Finds the member and the connection for each request of this instance. */
 
-import { currentPrimary, decideRoute, mayRun } from '@cyclamenusher/decisions'
+import { connectionShare, currentPrimary, decideRoute, mayRun } from '@cyclamenusher/decisions'
 import { RefusalError } from '../request/refusal.js'
-import { createPool } from './pool.js'
+import { PoolWaitError, createPool } from './pool.js'
 import { createCoordinator } from './group/coordinator.js'
 import { createGroupMonitor } from './group/groupMonitor.js'
 import { createLeaseWatch } from './group/leaseWatch.js'
@@ -153,7 +153,8 @@
     known?.pool.close()
     const pool = createPool({
       target: { member, host: announcement.host, port: announcement.port, user: config.backend.user, password: config.backend.password, database: group },
-      limit: config.backend.connectionsPerServer,
+      limit: () => config.backend.connectionsOfInstance ?? connectionShare(config.backend.connectionsPerServer, config.instance.name, options.instances()),
+      weightOf: account => store.rules().accounts.get(account)?.weight ?? 1,
       clock,
       logger: logger.scope('pool'),
       onSize: size => { metrics.backendConnections.set({ member }, size) }
@@ -196,6 +197,7 @@
           const found = await take(pool, request, decision)
           if (found !== undefined) return found
         } catch (error) {
+          if (error instanceof PoolWaitError) throw new RefusalError('too many connections', error.message, 'not run', 'Try again, or ask the operators for more connections.')
           last = (error as Error).message
         }
       } else {
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -8,6 +8,7 @@
   ['packages/cyclamenusher', ['main']],
   ['packages/stand-ins', ['main', 'link/dialThroughLinks']],
   ['packages/measure', ['main', 'slopes/main']],
+  ['packages/prove', ['main']],
   ['playground', ['demo']]
 ]
 
