--- a/packages/cyclamenusherd/src/node/process/__tests__/pool.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/pool.test.ts
@@ -39,6 +39,7 @@
   const silentFrom = fake
   const connection: BackendConnection = {
     member: 'one',
+    server: '',
     prepared: new Set(),
     settings: NO_SETTINGS,
     marked: false,
@@ -150,6 +151,12 @@
   fake.pool.close()
 })
 
+test('a server that can\'t be reached in time is no full one', async () => {
+  const { pool } = createFake(5, { open: async () => await new Promise(() => {}) })
+  assert.instance(await rejection(pool.acquire('a', 10)), PoolConnectError)
+  pool.close()
+})
+
 test('waiters get new connections when all are gone', async () => {
   const fake = createFake(1, { limit: () => 1 })
   const held = await fake.pool.acquire('a', 1_000)
--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -16,6 +16,8 @@
 
 /** How often keys of connected callers are looked at, in milliseconds. */
 const KEY_CHECK_MILLISECONDS = 250
+/** How often a shutdown looks whether all callers are gone, in milliseconds. */
+const DRAIN_CHECK_MILLISECONDS = 20
 
 export interface Callers {
   port: number
@@ -47,6 +49,7 @@
   const callers = new Map<number, { caller: CallerConnection, secret: number }>()
   const greeting = new Set<Socket>()
   let nextProcessNumber = 1
+  let draining = false
 
   function identify ({ user, database }: CallerStartup, key: string | undefined): Accepted {
     const rule = store.rules().databases.get(database)
@@ -107,6 +110,7 @@
     })
     if (closed || caller === undefined) return
     callers.set(processNumber, { caller, secret })
+    if (draining) caller.drain()
     metrics.callers.set(callers.size)
     logger.debug('A caller connected.', { account: accepted.identity.account, database: startup.database })
   }
@@ -140,14 +144,23 @@
   const timer = setInterval(checkKeys, KEY_CHECK_MILLISECONDS)
   const address = server.address()
 
+  /** Ends every caller that is left, and says which. */
+  function cutAll (): number {
+    const left = [...callers.values()]
+    for (const { caller } of left) {
+      logger.warn('A caller was cut off by the shutdown.', { account: caller.identity.account, busy: caller.isBusy() })
+      caller.end(new RefusalError('shutting down', 'this instance is shutting down and can wait no longer', 'stopped'))
+    }
+    return left.length
+  }
+
   async function drain (milliseconds: number): Promise<{ cut: number }> {
+    draining = true
     server.close()
     for (const { caller } of callers.values()) caller.drain()
     const until = services.now() + milliseconds
-    while (callers.size > 0 && services.now() < until) await new Promise(resolve => setTimeout(resolve, 20))
-    const cut = callers.size
-    for (const { caller } of callers.values()) caller.end(new RefusalError('shutting down', 'this instance is shutting down and can wait no longer', 'unknown'))
-    return { cut }
+    while (callers.size + greeting.size > 0 && services.now() < until) await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MILLISECONDS))
+    return { cut: cutAll() }
   }
 
   return {
@@ -158,7 +171,8 @@
     close: () => {
       clearInterval(timer)
       server.close()
-      for (const { caller } of callers.values()) caller.end(new RefusalError('shutting down', 'this instance is shutting down', 'unknown'))
+      cutAll()
+      for (const socket of greeting) socket.destroy()
     }
   }
 }
--- a/packages/cyclamenusherd/src/node/process/pool.ts
+++ b/packages/cyclamenusherd/src/node/process/pool.ts
@@ -172,7 +172,8 @@
       }
       const timer = setTimeout(() => {
         waiters.remove(waiter)
-        reject(new PoolWaitError(`no connection to ${target.member} came free in ${milliseconds} ms`))
+        if (all.size === 0 && opening > 0) reject(new PoolConnectError(`${target.member} could not be reached in ${milliseconds} ms`))
+        else reject(new PoolWaitError(`no connection to ${target.member} came free in ${milliseconds} ms`))
       }, milliseconds)
       waiters.add(waiter)?.fail(new PoolWaitError(`too many requests wait for a connection to ${target.member}`))
       openForWaiters()
