Proofs of keys, rates, answers, departures and configurations on real processes

The stand-in's replica gives up a connection on which its primary is silent for 2 s (as wal_receiver_timeout does).

--- a/packages/prove/src/node/main.ts
+++ b/packages/prove/src/node/main.ts
@@ -15,6 +15,7 @@
   seed: number
   runs?: number
   faults?: string
+  scenario?: string
 }
 
 interface Tally {
@@ -61,7 +62,7 @@
   const wanted = new Set(names.length === 0 ? POINT_NAMES : names as PointName[])
   const tally: Tally = { broken: new Map(), judged: new Set(), runs: 0, operations: 0, faults: {} }
   for (const [name, { run, judges, runs }] of Object.entries(SCENARIOS)) {
-    if (!judges.some(point => wanted.has(point))) continue
+    if (!judges.some(point => wanted.has(point)) || (flags.scenario !== undefined && flags.scenario !== name)) continue
     for (let index = 0; index < (flags.runs ?? runs); index += 1) {
       const seed = flags.seed + index
       const startedAt = performance.now()
@@ -93,6 +94,7 @@
   .option('--list', 'list the points by name')
   .option('--seed <number>', 'seed of the first run; each further run takes the next', { default: 1 })
   .option('--runs <number>', 'runs of each scenario')
+  .option('--scenario <name>', 'run this scenario only')
   .option('--faults <names>', 'strike these faults, with commas between, instead of those that the seed picks')
   .example('npm run prove -- read-your-writes --seed 7 --runs 1')
   .action(prove)
--- a/packages/prove/src/node/points.ts
+++ b/packages/prove/src/node/points.ts
@@ -1,6 +1,11 @@
 /** The 13 points that must always hold, by short name, and what proves each. */
 
+import { runAccounts } from './scenarios/accounts.js'
+import { runAnswers } from './scenarios/answers.js'
+import { runConfiguration } from './scenarios/configuration.js'
 import { runData } from './scenarios/data.js'
+import { runDepartures } from './scenarios/departures.js'
+import { runRate } from './scenarios/rate.js'
 import type { Scenario } from './scenarios/scenario.js'
 
 /** What must always hold, by short name. */
@@ -33,5 +38,10 @@
 
 /** Runs of real processes. */
 export const SCENARIOS: Record<string, ScenarioPlan> = {
-  data: { run: runData, judges: ['read-your-writes', 'replaced-primary', 'transactions-apart', 'key-hidden', 'whole-answer', 'not-run', 'at-most-once'], runs: 6 }
+  data: { run: runData, judges: ['read-your-writes', 'replaced-primary', 'transactions-apart', 'key-hidden', 'whole-answer', 'not-run', 'at-most-once'], runs: 6 },
+  accounts: { run: runAccounts, judges: ['account-isolation', 'key-withdrawn', 'key-hidden', 'not-run'], runs: 2 },
+  rate: { run: runRate, judges: ['rate'], runs: 3 },
+  answers: { run: runAnswers, judges: ['whole-answer'], runs: 3 },
+  departures: { run: runDepartures, judges: ['leaving', 'graceful-shutdown', 'not-run'], runs: 3 },
+  configuration: { run: runConfiguration, judges: ['configuration'], runs: 3 }
 }
--- /dev/null
+++ b/packages/prove/src/node/scenarios/answers.ts
@@ -0,0 +1,107 @@
+/** Big results, cancels and timeouts on roaming sessions, while answers come late. */
+
+import { connect } from 'node:net'
+import { buildCancelRequest } from '@cyclamenusher/protocol'
+import { createSession } from '../callers/session.js'
+import { pause } from '../callers/work.js'
+import { checkAnswers } from '../checkers/index.js'
+import { BASE_PLAN, checkLively, strikeTogether, withStage } from './scenario.js'
+import type pg from 'pg'
+import type { Session } from '../callers/session.js'
+import type { FaultName } from '../faults/faults.js'
+import type { RandomSource } from '../random.js'
+import type { Scenario } from './scenario.js'
+
+const SESSIONS = 16
+const CALM_MILLISECONDS = 1_500
+const FAULT_MILLISECONDS = 2_500
+const LEAST_DONE = 100
+/** Deadline of a request at the instances, in milliseconds. */
+const REQUEST_MILLISECONDS = 1_500
+
+const ANSWER_FAULTS: FaultName[] = ['slow links', 'open connections silent for good', 'freeze replica', 'freeze primary', 'one-way silence', 'kill replica', 'kill primary']
+
+type Asker = (session: Session, random: RandomSource, unique: () => string) => Promise<void>
+
+async function ask (session: Session, statement: string, expected: string): Promise<void> {
+  await session.run({ kind: 'read', expected }, async (client, call) => {
+    const { rows } = await client.query<Record<string, string>>(statement)
+    call.given = rows.map(row => Object.values(row)[0]).join()
+  })
+}
+
+const echo: Asker = async (session, _random, unique) => {
+  const value = unique()
+  await ask(session, `select '${value}' as answer`, value)
+}
+
+const ASKERS: Asker[] = [
+  echo,
+  echo,
+  async (session, random) => {
+    const count = random.between(1, 20_000)
+    await ask(session, `select generate_series(1, ${count})`, Array.from({ length: count }, (_value, index) => index + 1).join())
+  },
+  async (session, random) => {
+    const width = random.between(1_000, 5_000)
+    const expected = Array.from({ length: 200 }, (_value, index) => `${index + 1}${'x'.repeat(width)}`).join()
+    await ask(session, `select repeat('x', ${width}) from generate_series(1, 200)`, expected)
+  },
+  async (session, random, unique) => {
+    // Stopped by the caller: the late answer must not reach the next request.
+    await session.run({ kind: 'read', expected: '' }, async (client, call) => {
+      const sleeping = client.query<Record<string, string>>(`select pg_sleep(${random.between(3, 30) / 100})`)
+      setTimeout(() => { cancel(client) }, random.between(10, 200))
+      const { rows } = await sleeping
+      call.given = rows.map(row => Object.values(row)[0]).join()
+    })
+    await echo(session, random, unique)
+  },
+  async (session, random, unique) => {
+    // Longer than the instances' deadline.
+    await ask(session, `select pg_sleep(${random.between(10, 30) / 10})`, '')
+    await echo(session, random, unique)
+  }
+]
+
+function cancel (client: pg.Client): void {
+  const { processID, secretKey, port, host } = client as unknown as { processID: number, secretKey: number, port: number, host: string }
+  const socket = connect(port, host, () => { socket.end(buildCancelRequest(processID, secretKey)) })
+  socket.on('error', () => {})
+}
+
+export const runAnswers: Scenario = async options => {
+  const settings = { ...BASE_PLAN.settings, callers: [`request_milliseconds = ${REQUEST_MILLISECONDS}`] }
+  return await withStage({ ...BASE_PLAN, settings }, options, async stage => {
+    const { deployment, history, random, unique } = stage
+    const [{ name: account, key }] = deployment.plan.accounts
+    let over = false
+    const working = Array.from({ length: SESSIONS }, async (_value, index) => {
+      const source = random.fork()
+      const session = createSession({ name: `session-${index + 1}`, account, key, database: 'padron', instances: () => deployment.entries, history, random: random.fork() })
+      while (!over) {
+        await source.pick(ASKERS)(session, source, unique)
+        if (source.chance(0.05)) session.vanish()
+        if (source.chance(0.1)) await session.roam()
+        await pause(source.between(1, 10))
+      }
+      await session.close()
+    })
+    await pause(CALM_MILLISECONDS)
+    for (let round = 0; round < 2; round += 1) {
+      const first = random.pick(ANSWER_FAULTS)
+      await strikeTogether(stage, options.faults ?? [first, random.pick(ANSWER_FAULTS.filter(name => name !== first))], FAULT_MILLISECONDS)
+      await pause(CALM_MILLISECONDS)
+    }
+    over = true
+    await Promise.all(working)
+    const { operations } = history
+    const done = operations.filter(({ kind, outcome }) => kind !== 'connect' && outcome === 'done').length
+    return {
+      violations: { 'whole-answer': [...checkLively(done, LEAST_DONE), ...checkAnswers(operations)] },
+      operations: operations.length,
+      done,
+      faults: stage.struck
+    }
+  })
+}
--- /dev/null
+++ b/packages/prove/src/node/scenarios/departures.ts
@@ -0,0 +1,107 @@
+/** A backend server leaves and entry instances shut down, under load. */
+
+import { createSession } from '../callers/session.js'
+import { pause } from '../callers/work.js'
+import { checkLeaving, checkNotRun, checkShutdown } from '../checkers/index.js'
+import { findPrimary } from '../faults/faults.js'
+import { BASE_PLAN, checkLively, readLogs, settle, withStage } from './scenario.js'
+import type { Shutdown } from '../checkers/index.js'
+import type { Session } from '../callers/session.js'
+import type { RandomSource } from '../random.js'
+import type { Scenario, Stage } from './scenario.js'
+
+const SESSIONS = 10
+const CALM_MILLISECONDS = 1_200
+/** Time within which a leaving server's new work must end, in milliseconds. */
+const LEAVING_MILLISECONDS = 4_000
+/** Time for which new work must then stay away, in milliseconds. */
+const WATCHED_MILLISECONDS = 3_000
+const LEAST_DONE = 150
+/** Time that an instance has for its graceful end, in milliseconds. */
+const END_MILLISECONDS = 15_000
+
+async function workOnce (session: Session, random: RandomSource, unique: () => string): Promise<void> {
+  if (random.chance(0.5)) {
+    await session.run({ kind: 'read' }, async (client, call) => {
+      const { rows: [{ member }] } = await client.query<{ member: string }>('select member_name()')
+      call.member = member
+    })
+    return
+  }
+  if (random.chance(0.3)) {
+    await session.run({ kind: 'read' }, async client => { await client.query(`select pg_sleep(${random.between(5, 50) / 100})`) })
+    return
+  }
+  const value = unique()
+  await session.run({ kind: 'transaction', values: [value] }, async (client, call) => {
+    await client.query('begin')
+    const { rows: [{ member }] } = await client.query<{ member: string }>('select member_name()')
+    call.member = member
+    await client.query(`insert into journal (value) values ('${value}')`)
+    await pause(random.between(0, 150))
+    await client.query('commit')
+  })
+}
+
+async function shutDown (stage: Stage): Promise<Shutdown> {
+  const { deployment, history, random } = stage
+  const entry = random.pick(deployment.entries)
+  const { child } = entry.process
+  const shutdown: Shutdown = { instance: entry.name, signalledAt: history.now() }
+  const ended = new Promise<void>(resolve => {
+    child.once('exit', code => {
+      shutdown.endedAt = history.now()
+      shutdown.exitCode = code
+      resolve()
+    })
+  })
+  child.kill('SIGTERM')
+  await Promise.race([ended, pause(END_MILLISECONDS)])
+  return shutdown
+}
+
+export const runDepartures: Scenario = async options => await withStage(BASE_PLAN, options, async stage => {
+  const { deployment, history, random, unique } = stage
+  const [{ name: account, key }] = deployment.plan.accounts
+  let over = false
+  const working = Array.from({ length: SESSIONS }, async (_value, index) => {
+    const source = random.fork()
+    const session = createSession({ name: `session-${index + 1}`, account, key, database: 'padron', instances: () => deployment.entries, history, random: random.fork() })
+    while (!over) {
+      await workOnce(session, source, unique)
+      if (source.chance(0.1)) await session.roam()
+      await pause(source.between(1, 20))
+    }
+    await session.close()
+  })
+  await pause(CALM_MILLISECONDS)
+  const primary = await findPrimary(stage)
+  const leaving = random.chance(0.5) ? primary : random.pick(deployment.servers.filter(server => server !== primary))
+  stage.struck.push(leaving === primary ? 'primary leaves' : 'replica leaves', 'graceful shutdown')
+  await deployment.administer(leaving, 'POST', '/faults', { leaving: true })
+  const leftAt = history.now()
+  await pause(random.between(0, 1_000))
+  const shutdown = await shutDown(stage)
+  const stopped = deployment.entries.find(({ name }) => name === shutdown.instance)
+  if (shutdown.endedAt !== undefined && stopped !== undefined) deployment.restartInstance(stopped)
+  await pause(Math.max(0, leftAt + LEAVING_MILLISECONDS + WATCHED_MILLISECONDS - history.now()))
+  const returnedAt = history.now()
+  await deployment.administer(leaving, 'POST', '/faults', { leaving: false })
+  over = true
+  await Promise.all(working)
+  await settle(stage)
+  const { operations } = history
+  const done = operations.filter(({ kind, outcome }) => kind !== 'connect' && outcome === 'done').length
+  const late = operations.filter(({ outcome, invokedAt, answeredAt }) => outcome === 'done' && invokedAt > leftAt + LEAVING_MILLISECONDS && answeredAt < returnedAt).length
+  const lively = checkLively(done, LEAST_DONE)
+  return {
+    violations: {
+      leaving: [...checkLively(late, LEAST_DONE / 3), ...checkLeaving(operations, leaving.member, leftAt, LEAVING_MILLISECONDS, returnedAt)],
+      'graceful-shutdown': [...lively, ...checkShutdown(operations, [shutdown])],
+      'not-run': [...lively, ...checkNotRun(operations, await readLogs(stage))]
+    },
+    operations: operations.length,
+    done,
+    faults: stage.struck
+  }
+})
--- a/packages/prove/src/node/scenarios/scenario.ts
+++ b/packages/prove/src/node/scenarios/scenario.ts
@@ -29,9 +29,12 @@
   operations: number
   /** Operations that were answered whole. */
   done: number
-  faults: FaultName[]
+  faults: StruckName[]
 }
 
+/** Faults of processes and links, and what a scenario does itself. */
+export type StruckName = FaultName | 'cut domain' | 'primary leaves' | 'replica leaves' | 'graceful shutdown'
+
 export type Scenario = (options: ScenarioOptions) => Promise<ScenarioResult>
 
 export interface Stage {
@@ -40,7 +43,7 @@
   random: RandomSource
   unique: () => string
   /** Faults struck so far. */
-  struck: FaultName[]
+  struck: StruckName[]
   strike: (name: FaultName) => Promise<Heal>
 }
 
@@ -64,7 +67,7 @@
 export async function withStage<Result> (plan: DeploymentPlan, { seed, programs }: ScenarioOptions, work: (stage: Stage) => Promise<Result>): Promise<Result> {
   const random = createRandom(seed)
   const deployment = await startDeployment({ ...plan, programs })
-  const struck: FaultName[] = []
+  const struck: StruckName[] = []
   let made = 0
   const stage: Stage = {
     deployment,
--- a/packages/stand-ins/src/node/backend/server.ts
+++ b/packages/stand-ins/src/node/backend/server.ts
@@ -16,6 +16,8 @@
 
 /** How often a primary tells its replicas that it lives, in milliseconds. */
 const HEARTBEAT_MILLISECONDS = 50
+/** Silence after which a replica gives up its connection to the primary, in milliseconds (wal_receiver_timeout). */
+const RECEIVER_TIMEOUT_MILLISECONDS = 2_000
 /** Pause before a replica connects to its primary again, in milliseconds. */
 const RECONNECT_MILLISECONDS = 20
 
@@ -251,6 +253,7 @@
     upstream = socket
     const lines = createInterface({ input: socket })
     let started = false
+    socket.setTimeout(RECEIVER_TIMEOUT_MILLISECONDS, () => { socket.destroy() })
     socket.on('connect', () => {
       socket.write(buildStartupMessage({ user: 'replication', replication: 'true' }))
       socket.write(`${JSON.stringify({ group: options.group, adoptedTerm: log.adoptedTerm(), runs: log.runs() })}\n`)
