--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -61,6 +61,7 @@
   limit?: number
   requestMilliseconds?: number
   maximumConnections?: number
+  handshakeMilliseconds?: number
   tls?: { certificate: string, key: string }
   services?: Partial<CallerServices>
 }
@@ -95,7 +96,8 @@
       tlsKey: options.tls?.key,
       maximumConnections: options.maximumConnections ?? 100,
       maximumMessageBytes: 1024 * 1024,
-      requestMilliseconds: options.requestMilliseconds ?? 5_000
+      requestMilliseconds: options.requestMilliseconds ?? 5_000,
+      handshakeMilliseconds: options.handshakeMilliseconds ?? 5_000
     }
   } as unknown as Config
 }
@@ -104,6 +106,8 @@
   await loadParser()
   const primary = await startServer('main-1', options.limit ?? 4)
   const replica = await startServer('main-2', options.limit ?? 4)
+  // A new member counts, and may be promoted, only once it is let in.
+  for (const { server } of [primary, replica]) server.admit(0, 0, server.incarnation)
   primary.server.adopt(1)
   primary.server.promote(1)
   replica.server.adopt(1)
