--- a/playground/src/demo.ts
+++ b/playground/src/demo.ts
@@ -12,7 +12,7 @@
 
 const FAILURE_DOMAINS = ['domain-a', 'domain-b', 'domain-c']
 /** Control instances. */
-const CONTROLS = 1
+const CONTROLS = 3
 /** Entry instances. */
 const ENTRIES = 8
 const DATABASES = ['deliveries', 'stock']
