--- /dev/null
+++ b/packages/protocol/src/node/__tests__/transport.test.ts
@@ -0,0 +1,66 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { generate } from 'selfsigned'
+import { ControlService } from '../../gen/cyclamenusher_pb.js'
+import { createPeerClient, listenForCalls } from '../transport.js'
+import type { CallServer, PeerCredentials, PeerTls } from '../transport.js'
+
+const SECRET = 'a secret of tests'
+
+async function createAuthority (): Promise<{ key: string, cert: string }> {
+  const made = await generate([{ name: 'commonName', value: 'authority' }], { keySize: 2048, algorithm: 'sha256', extensions: [{ name: 'basicConstraints', cA: true }] })
+  return { key: made.private, cert: made.cert }
+}
+
+async function createPeerTls (authority: { key: string, cert: string }): Promise<PeerTls> {
+  const made = await generate([{ name: 'commonName', value: 'instance' }], { keySize: 2048, algorithm: 'sha256', ca: authority })
+  return { certificate: made.cert, key: made.private, authority: authority.cert }
+}
+
+async function listen (credentials: PeerCredentials): Promise<CallServer> {
+  return await listenForCalls('127.0.0.1', 0, credentials, router => {
+    router.service(ControlService, { status: () => ({ instance: 'control-1' }) })
+  })
+}
+
+/** The instance's answer, or the code of the refusal. */
+async function ask (server: CallServer, credentials: PeerCredentials): Promise<string> {
+  const client = createPeerClient(ControlService, '127.0.0.1', server.port, credentials)
+  try {
+    return (await client.status({}, { timeoutMs: 3_000 })).instance
+  } catch (error) {
+    return `refused: ${(error as Error).message}`
+  }
+}
+
+test('a call with the shared secret is answered', async () => {
+  const server = await listen({ secret: SECRET })
+  assert.is(await ask(server, { secret: SECRET }), 'control-1')
+  await server.close()
+})
+
+test('a call with another secret is refused', async () => {
+  const server = await listen({ secret: SECRET })
+  assert.match(await ask(server, { secret: 'another secret' }), /refused: .*the shared secret is wrong/)
+  await server.close()
+})
+
+test('calls travel over mutual TLS', async () => {
+  const authority = await createAuthority()
+  const server = await listen({ secret: SECRET, tls: await createPeerTls(authority) })
+  assert.is(await ask(server, { secret: SECRET, tls: await createPeerTls(authority) }), 'control-1')
+  await server.close()
+})
+
+test('a certificate of another authority is refused, on either side', async () => {
+  const authority = await createAuthority()
+  const other = await createAuthority()
+  const server = await listen({ secret: SECRET, tls: await createPeerTls(authority) })
+  const stranger = await createPeerTls(other)
+  assert.match(await ask(server, { secret: SECRET, tls: { ...stranger, authority: authority.cert } }), /^refused/)
+  assert.match(await ask(server, { secret: SECRET, tls: { ...await createPeerTls(authority), authority: other.cert } }), /^refused/)
+  assert.match(await ask(server, { secret: SECRET }), /^refused/)
+  await server.close()
+})
+
+test.run()
