--- /dev/null
+++ b/packages/measure/src/node/model/__tests__/rateHistory.test.ts
@@ -0,0 +1,44 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { runRateHistory } from '../rateHistory.js'
+import type { RateMutation } from '@cyclamenusher/decisions'
+
+/** Each mechanism, with a seed that fails once it is taken out. */
+const MUTATIONS: Record<RateMutation, number> = {
+  'new home starts full': 41,
+  'no wait for earlier loans': 226,
+  'home without mandate': 1,
+  'restart keeps its name': 1,
+  'voter forgets its promises': 245,
+  'loans leave room': 15,
+  'room before refill': 20,
+  'expired loans are spent': 6,
+  'any reply is taken': 11,
+  'clocks are trusted': 2,
+  'splits overlap': 57
+}
+
+test('no account gets more than its rate and burst', () => {
+  for (let seed = 1; seed <= 24; seed += 1) {
+    const { violations, admitted } = runRateHistory({ seed })
+    assert.equal(violations, [], `seed ${seed}`)
+    assert.ok(admitted > 100, `seed ${seed} admits ${admitted}`)
+  }
+})
+
+test('a seed repeats its history', () => {
+  assert.equal(runRateHistory({ seed: 7 }), runRateHistory({ seed: 7 }))
+})
+
+for (const [mutation, seed] of Object.entries(MUTATIONS)) {
+  test(`fails when taken out: ${mutation}`, () => {
+    assert.equal(runRateHistory({ seed }).violations, [])
+    assert.ok(runRateHistory({ seed, mutation: mutation as RateMutation }).violations.length > 0)
+  })
+}
+
+test('an open route keeps its rate when failure domains change in a cut', () => {
+  assert.equal(runRateHistory({ seed: 80, openRouteInChange: true }).violations, [])
+})
+
+test.run()
