--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -16,10 +16,14 @@
 
 /** How often keys of connected callers are looked at, in milliseconds. */
 const KEY_CHECK_MILLISECONDS = 250
+/** How often a shutdown looks whether all callers are gone, in milliseconds. */
+const DRAIN_CHECK_MILLISECONDS = 20
 
 export interface Callers {
   port: number
   count: () => number
+  /** Connections that have not shown their key yet. */
+  greeting: () => number
   /** Ends idle callers, and busy ones as they finish; resolves when all are gone. */
   drain: (milliseconds: number) => Promise<{ cut: number }>
   close: () => void
@@ -45,6 +49,7 @@
   const callers = new Map<number, { caller: CallerConnection, secret: number }>()
   const greeting = new Set<Socket>()
   let nextProcessNumber = 1
+  let draining = false
 
   function identify ({ user, database }: CallerStartup, key: string | undefined): Accepted {
     const rule = store.rules().databases.get(database)
@@ -64,11 +69,15 @@
     plain.setNoDelay(true)
     plain.on('error', () => { plain.destroy() })
     if (callers.size + greeting.size >= maximumConnections) {
-      plain.end(refusalResponse(new RefusalError('too many connections', `this instance serves ${maximumConnections} callers already`, 'not run', 'Connect again: the balancer may choose another instance.'), 'FATAL'))
+      // Whoever floods is not waited for.
+      plain.resume()
+      plain.write(refusalResponse(new RefusalError('too many connections', `this instance serves ${maximumConnections} callers already`, 'not run', 'Connect again: the balancer may choose another instance.'), 'FATAL'))
+      plain.destroySoon()
       return
     }
     greeting.add(plain)
     const shaken = await shakeHands(plain, context, {
+      milliseconds: config.callers.handshakeMilliseconds,
       needsKey: ({ user }) => user !== OPEN_ACCOUNT,
       accept: identify,
       cancel: (processNumber, secret) => {
@@ -99,8 +108,9 @@
         metrics.callers.set(callers.size)
       }
     })
-    if (closed) return
+    if (closed || caller === undefined) return
     callers.set(processNumber, { caller, secret })
+    if (draining) caller.drain()
     metrics.callers.set(callers.size)
     logger.debug('A caller connected.', { account: accepted.identity.account, database: startup.database })
   }
@@ -113,7 +123,9 @@
       if (identity.key === undefined) continue
       if (store.isValid(identity) && (fresh || !caller.isBusy())) continue
       logger.info('A caller was disconnected.', { account: identity.account, key: identity.key, reason: fresh ? 'key withdrawn' : 'rules not fresh' })
-      caller.end(new RefusalError('key refused', `the key of client account ${identity.account} is no longer valid`, 'stopped'))
+      // A commit may be on its way, so only an idle caller can be told that nothing of it lasts.
+      const busy = caller.isBusy()
+      caller.end(new RefusalError(busy ? 'outcome unknown' : 'key refused', `the key of client account ${identity.account} is no longer valid`, busy ? 'unknown' : 'stopped'))
     }
   }
 
@@ -132,24 +144,35 @@
   const timer = setInterval(checkKeys, KEY_CHECK_MILLISECONDS)
   const address = server.address()
 
+  /** Ends every caller that is left, and says which. */
+  function cutAll (): number {
+    const left = [...callers.values()]
+    for (const { caller } of left) {
+      logger.warn('A caller was cut off by the shutdown.', { account: caller.identity.account, busy: caller.isBusy() })
+      caller.end(new RefusalError('shutting down', 'this instance is shutting down and can wait no longer', 'stopped'))
+    }
+    return left.length
+  }
+
   async function drain (milliseconds: number): Promise<{ cut: number }> {
+    draining = true
     server.close()
     for (const { caller } of callers.values()) caller.drain()
     const until = services.now() + milliseconds
-    while (callers.size > 0 && services.now() < until) await new Promise(resolve => setTimeout(resolve, 20))
-    const cut = callers.size
-    for (const { caller } of callers.values()) caller.end(new RefusalError('shutting down', 'this instance is shutting down and can wait no longer', 'unknown'))
-    return { cut }
+    while (callers.size + greeting.size > 0 && services.now() < until) await new Promise(resolve => setTimeout(resolve, DRAIN_CHECK_MILLISECONDS))
+    return { cut: cutAll() }
   }
 
   return {
     port: typeof address === 'object' && address !== null ? address.port : listen.port,
     count: () => callers.size,
+    greeting: () => greeting.size,
     drain,
     close: () => {
       clearInterval(timer)
       server.close()
-      for (const { caller } of callers.values()) caller.end(new RefusalError('shutting down', 'this instance is shutting down', 'unknown'))
+      cutAll()
+      for (const socket of greeting) socket.destroy()
     }
   }
 }
