--- a/packages/cyclamenusherd/src/node/process/__tests__/pool.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/pool.test.ts
@@ -39,6 +39,7 @@
   const silentFrom = fake
   const connection: BackendConnection = {
     member: 'one',
+    server: 'group/one/first',
     prepared: new Set(),
     settings: NO_SETTINGS,
     marked: false,
--- a/packages/decisions/src/node/session/token.ts
+++ b/packages/decisions/src/node/session/token.ts
@@ -38,17 +38,6 @@
   return advanced
 }
 
-/**
- * The token without a place in `group`: the session's next read there first asks
- * how far the group is. For a request whose outcome is not known, since it may
- * have written at a place that was never heard.
- */
-export function withoutGroup (token: SessionToken, group: string): SessionToken {
-  const rest = new Map(token)
-  rest.delete(group)
-  return rest
-}
-
 function sign (body: string, secret: string): string {
   return createHmac('sha256', secret).update(`session token ${body}`).digest().subarray(0, SIGNATURE_BYTES).toString('base64url')
 }
