--- /dev/null
+++ b/packages/measure/src/node/bench/main.ts
@@ -0,0 +1,152 @@
+/**
+ * `npm run bench`: statements through one entry instance beside the same client
+ * straight on the stand-in server, and the memory of idle connections.
+ */
+
+import { cac } from 'cac'
+import { startDeployment } from '@cyclamenusher/stand-ins'
+import { readUsage } from '../slopes/processUsage.js'
+import { connectAll, fillRows, runLoad } from './load.js'
+import type { Deployment } from '@cyclamenusher/stand-ins'
+import type { LoadFigures, StatementName, Target } from './load.js'
+
+const KEY = 'key of the benchmark'
+const CALLERS = [1, 16, 64]
+const STATEMENT_NAMES: readonly StatementName[] = ['read', 'write']
+const IDLE_COUNTS = [1_000, 5_000]
+/** Idle connections that are opened at once. */
+const OPENING_AT_ONCE = 50
+/** Time that memory gets to settle, in milliseconds. */
+const SETTLE_MILLISECONDS = 1_500
+/** Time before statements count, in milliseconds. */
+const WARM_UP_MILLISECONDS = 300
+
+interface Comparison {
+  statement: StatementName
+  callers: number
+  direct: LoadFigures
+  entry: LoadFigures
+}
+
+interface Flags {
+  seconds: number
+  idle: boolean
+}
+
+async function startBench (): Promise<Deployment> {
+  return await startDeployment({
+    failureDomains: ['domain-a'],
+    entries: 1,
+    controls: 1,
+    databases: ['bench'],
+    members: 3,
+    accounts: [{ name: 'account', key: KEY, rate: 1_000_000, burst: 1_000_000 }],
+    connectionLimit: 200,
+    openMilliseconds: 10,
+    lagMilliseconds: 0,
+    settings: { callers: ['maximum_connections = 6000'], backend: ['connections_per_server = 25'] }
+  })
+}
+
+async function findPrimary (deployment: Deployment): Promise<Target> {
+  for (const server of deployment.servers) {
+    const { role } = await deployment.administer(server, 'GET', '/state') as { role: string }
+    if (role === 'primary') return { port: server.port, user: 'cyclamenusher', password: 'system-password', database: 'bench' }
+  }
+  throw new Error('the group has no primary')
+}
+
+async function measure (target: Target, statement: StatementName, callers: number, milliseconds: number): Promise<LoadFigures> {
+  const clients = await connectAll(target, callers)
+  const figures = await runLoad(clients, statement, WARM_UP_MILLISECONDS, milliseconds)
+  await Promise.all(clients.map(async client => { await client.end() }))
+  return figures
+}
+
+function median (values: number[]): number {
+  return [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)]
+}
+
+function middle (runs: LoadFigures[]): LoadFigures {
+  return {
+    statementsPerSecond: median(runs.map(run => run.statementsPerSecond)),
+    p50Milliseconds: median(runs.map(run => run.p50Milliseconds)),
+    p99Milliseconds: median(runs.map(run => run.p99Milliseconds)),
+    errors: runs.reduce((sum, { errors }) => sum + errors, 0)
+  }
+}
+
+/** Takes turns between the two, so that a busy machine weighs on both alike. */
+async function compare (direct: Target, entry: Target, statement: StatementName, callers: number, seconds: number): Promise<Comparison> {
+  const runs: Array<{ direct: LoadFigures, entry: LoadFigures }> = []
+  for (let round = 0; round < 3; round += 1) {
+    runs.push({
+      direct: await measure(direct, statement, callers, seconds * 1000),
+      entry: await measure(entry, statement, callers, seconds * 1000)
+    })
+  }
+  return { statement, callers, direct: middle(runs.map(run => run.direct)), entry: middle(runs.map(run => run.entry)) }
+}
+
+async function measureIdle (deployment: Deployment, entry: Target): Promise<Array<{ connections: number, residentBytes: number, bytesEach: number }>> {
+  const processNumber = deployment.entries[0].process.child.pid ?? 0
+  const settle = async (): Promise<number> => {
+    await new Promise(resolve => setTimeout(resolve, SETTLE_MILLISECONDS))
+    return readUsage(processNumber).residentBytes
+  }
+  const base = await settle()
+  const clients: Awaited<ReturnType<typeof connectAll>> = []
+  const figures = []
+  for (const connections of IDLE_COUNTS) {
+    while (clients.length < connections) clients.push(...await connectAll(entry, Math.min(OPENING_AT_ONCE, connections - clients.length)))
+    const residentBytes = await settle()
+    figures.push({ connections, residentBytes, bytesEach: Math.round((residentBytes - base) / connections) })
+  }
+  return figures
+}
+
+function printComparison ({ statement, callers, direct, entry }: Comparison): void {
+  const show = ({ statementsPerSecond, p50Milliseconds, p99Milliseconds }: LoadFigures): string =>
+    `${String(statementsPerSecond).padStart(6)}/s  p50 ${p50Milliseconds.toFixed(2).padStart(6)} ms  p99 ${p99Milliseconds.toFixed(2).padStart(6)} ms`
+  console.log(`${statement.padEnd(5)} ${String(callers).padStart(2)} callers   direct ${show(direct)}   entry ${show(entry)}   ratio ${(entry.statementsPerSecond / direct.statementsPerSecond).toFixed(2)}`)
+}
+
+async function run ({ seconds, idle }: Flags): Promise<void> {
+  const deployment = await startBench()
+  const stop = (): void => { void deployment.close().then(() => process.exit(130)) }
+  process.once('SIGINT', stop)
+  process.once('SIGTERM', stop)
+  try {
+    const direct = await findPrimary(deployment)
+    const entry: Target = { port: deployment.entries[0].callers, user: 'account', password: KEY, database: 'bench' }
+    await fillRows(entry)
+    const idleFigures = idle ? await measureIdle(deployment, entry) : []
+    for (const { connections, residentBytes, bytesEach } of idleFigures) console.log(`idle ${connections} connections: ${(residentBytes / 1e6).toFixed(1)} MB, ${bytesEach} bytes each`)
+    const comparisons: Comparison[] = []
+    for (const statement of STATEMENT_NAMES) {
+      for (const callers of CALLERS) {
+        const comparison = await compare(direct, entry, statement, callers, seconds)
+        comparisons.push(comparison)
+        printComparison(comparison)
+      }
+    }
+    const ratios = Object.fromEntries(comparisons.map(({ statement, callers, direct: straight, entry: through }) =>
+      [`${statement}_${callers}`, Number((through.statementsPerSecond / straight.statementsPerSecond).toFixed(3))]))
+    const addedMilliseconds = Object.fromEntries(comparisons.map(({ statement, callers, direct: straight, entry: through }) =>
+      [`${statement}_${callers}`, Number((through.p50Milliseconds - straight.p50Milliseconds).toFixed(3))]))
+    console.log(JSON.stringify({ ratios, addedMilliseconds, idle: idleFigures, comparisons }))
+  } finally {
+    await deployment.close()
+  }
+}
+
+const program = cac('bench')
+program.command('', 'compare one entry instance with the stand-in server itself')
+  .option('--seconds <number>', 'time of each of the three runs a figure is the median of', { default: 1 })
+  .option('--no-idle', 'leave out the memory of idle connections')
+  .action(async (flags: Flags) => {
+    await run(flags)
+    process.exit(0)
+  })
+program.help()
+program.parse()
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -7,7 +7,7 @@
   ['packages/cyclamenusherd', ['main']],
   ['packages/cyclamenusher', ['main']],
   ['packages/stand-ins', ['main', 'link/dialThroughLinks']],
-  ['packages/measure', ['main', 'slopes/main']],
+  ['packages/measure', ['main', 'slopes/main', 'bench/main']],
   ['packages/prove', ['main']],
   ['playground', ['demo']]
 ]
