--- a/packages/cyclamenusherd/src/node/process/__tests__/settingsTable.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/settingsTable.test.ts
@@ -5,7 +5,7 @@
 
 test('the operators\' page lists every setting as it is checked', () => {
   const page = readFileSync('docs/OPERATORS.md', 'utf8')
-  assert.ok(page.includes(renderSettings()), 'put the output of cyclamenusherd --settings into docs/OPERATORS.md')
+  assert.ok(page.includes(renderSettings()), 'npm run settings-page writes the list into docs/OPERATORS.md anew')
 })
 
 test.run()
