Escrow of rate and burst between entry instances

Cause: each instance had rate / number of instances with a burst of its own: unsound when instances see different numbers of each other or restart, and wrongful under skew. Now each failure domain's home lends tokens under a mandate from a majority of control instances; see docs/design/rate.md. Known red: an open route while failure domains change in a cut.

--- a/packages/cyclamenusherd/src/node/connection/callerConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerConnection.ts
@@ -29,7 +29,7 @@
   requestMilliseconds: number
   now: () => number
   /** Whether this identity may run `need` now. @throws RefusalError */
-  admit: (identity: Identity, database: string, need: BatchNeed) => void
+  admit: (identity: Identity, database: string, need: BatchNeed) => Promise<void> | void
   /** Finds a member and a connection. @throws RefusalError when the request has not run */
   lease: (request: LeaseRequest) => Promise<Lease>
   /** The session's place in a group that it has not used yet. */
--- a/packages/cyclamenusherd/src/node/process/config.ts
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -49,6 +49,8 @@
     addresses: Address[]
     /** How long a rule is trusted without word from control, in milliseconds. @default 3000 */
     leaseMilliseconds: number
+    /** The control instance that promises shares of open routes in this failure domain. */
+    domainAddress?: Address
   }
   backend: {
     user: string
@@ -67,6 +69,12 @@
     /** Silence of a primary before its replicas call it failed, in milliseconds. @default 500 */
     silenceMilliseconds: number
   }
+  rates: {
+    /** Time that a request may wait for a token, in milliseconds. @default 80 */
+    waitMilliseconds: number
+    /** How long an instance may lend an account's tokens without word from control, in milliseconds. @default 1500 */
+    mandateMilliseconds: number
+  }
   metrics: { listen: Address }
   log: {
     level: 'error' | 'warn' | 'info' | 'debug'
@@ -121,7 +129,8 @@
   },
   control: {
     addresses: { kind: 'list', pattern: ADDRESS, shape: ADDRESS_SHAPE, description: 'addresses of the control instances' },
-    lease_milliseconds: milliseconds('how long rules are trusted without word from control', 3_000, 1_000, 60_000)
+    lease_milliseconds: milliseconds('how long rules are trusted without word from control', 3_000, 1_000, 60_000),
+    domain_address: { kind: 'text', pattern: ADDRESS, shape: ADDRESS_SHAPE, optional: true, description: 'control instance of this failure domain, the same for all its instances: open routes keep their share while the domain is cut off' }
   },
   backend: {
     user: { kind: 'text', default: 'cyclamenusher', description: 'user of the system at backend servers' },
@@ -135,6 +144,10 @@
   failover: {
     silence_milliseconds: milliseconds('silence of a primary before it counts as failed', 500, 200, 10_000)
   },
+  rates: {
+    wait_milliseconds: milliseconds('time that a request may wait for a token', 80, 0, 1_000),
+    mandate_milliseconds: milliseconds('how long an instance may lend tokens without word from control; the same on all instances', 1_500, 1_000, 30_000)
+  },
   metrics: { listen: address('address of the metrics and health pages', '127.0.0.1:9432') },
   log: {
     level: { kind: 'choice', choices: ['error', 'warn', 'info', 'debug'], default: 'info', description: 'least severe level that is written' },
@@ -196,6 +209,9 @@
   if (roles.includes('control') && !(control.addresses as string[]).includes(advertised)) {
     faults.push({ file, line: lineOf('control', 'addresses'), problem: `control.addresses lacks this control instance, ${advertised}`, remedy: 'List all control instances, in the same order on each, or set calls.advertise' })
   }
+  if (control.domain_address !== undefined && !(control.addresses as string[]).includes(String(control.domain_address))) {
+    faults.push({ file, line: lineOf('control', 'domain_address'), problem: `control.domain_address is ${String(control.domain_address)}, which is not in control.addresses`, remedy: 'Name the control instance of this failure domain' })
+  }
   if ((callers.tls_certificate === undefined) !== (callers.tls_key === undefined)) {
     faults.push({ file, line: lineOf('callers', 'tls_certificate'), problem: 'callers.tls_certificate and callers.tls_key go together', remedy: 'Set both or neither' })
   }
@@ -250,7 +266,7 @@
 }
 
 function assemble (file: string, values: Values, files: FileReader): Config {
-  const { instance, callers, calls, control, backend, failover, metrics, log, shutdown } = values
+  const { instance, callers, calls, control, backend, failover, rates, metrics, log, shutdown } = values
   const authority = files.text('calls', 'tls_authority')
   return {
     file,
@@ -280,7 +296,8 @@
     },
     control: {
       addresses: (control.addresses as string[]).map(parseAddress),
-      leaseMilliseconds: Number(control.lease_milliseconds)
+      leaseMilliseconds: Number(control.lease_milliseconds),
+      domainAddress: control.domain_address === undefined ? undefined : parseAddress(String(control.domain_address))
     },
     backend: {
       user: String(backend.user),
@@ -292,6 +309,7 @@
       acknowledgeMilliseconds: Number(backend.acknowledge_milliseconds)
     },
     failover: { silenceMilliseconds: Number(failover.silence_milliseconds) },
+    rates: { waitMilliseconds: Number(rates.wait_milliseconds), mandateMilliseconds: Number(rates.mandate_milliseconds) },
     metrics: { listen: parseAddress(String(metrics.listen)) },
     log: { level: log.level as Config['log']['level'], format: log.format as Config['log']['format'], decisions: log.decisions === true },
     shutdown: { graceMilliseconds: Number(shutdown.grace_milliseconds), drainMilliseconds: Number(shutdown.drain_milliseconds) }
--- a/packages/cyclamenusherd/src/node/process/entry.ts
+++ b/packages/cyclamenusherd/src/node/process/entry.ts
@@ -6,6 +6,7 @@
 import { createAdmission } from './admission.js'
 import { listenForCallers } from './callers.js'
 import { createDirectory } from './directory.js'
+import { createRateTask } from './rate/rateTask.js'
 import { createRouter } from './router.js'
 import { createRulesWatcher } from './rulesWatcher.js'
 import type { Client, ConnectRouter } from '@connectrpc/connect'
@@ -15,12 +16,15 @@
 import type { Config } from './config.js'
 import type { Logger } from './logger.js'
 import type { Metrics } from './metrics.js'
+import type { Peer } from './rulesWatcher.js'
 import type { MemberAnnouncement } from './directory.js'
 
 /** When backend servers are asked to announce themselves again, in milliseconds. */
 const ANNOUNCE_MILLISECONDS = 1_000
 /** Time that passing on an announcement may take, in milliseconds. */
 const FORWARD_MILLISECONDS = 1_000
+/** The peers before control has named any. */
+const NO_PEERS: readonly Peer[] = []
 
 export interface EntryRole {
   routes: (router: ConnectRouter) => void
@@ -64,7 +68,8 @@
   let draining = false
   const entries = (): readonly string[] => (watcher?.peers() ?? []).filter(({ role }) => role === 'entry').map(({ name }) => name)
   const router = createRouter({ config, store, directory, instances: entries, clock, logger, metrics })
-  const admission = createAdmission({ store, sharers: () => Math.max(1, entries().length), clock })
+  const rates = createRateTask({ config, store, peers: () => watcher?.peers() ?? NO_PEERS, credentials, clock, logger: logger.scope('rate') })
+  const admission = createAdmission({ store, takeToken: rates.take })
 
   function forward (announcement: Announcement): void {
     for (const { name, role, host, port } of watcher?.peers() ?? []) {
@@ -77,6 +82,7 @@
   }
 
   function routes (connect: ConnectRouter): void {
+    rates.routes(connect)
     connect.service(DirectoryService, {
       announce: ({ announcement, forwarded }) => {
         if (announcement === undefined) return { nextMilliseconds: ANNOUNCE_MILLISECONDS }
@@ -127,7 +133,7 @@
   return {
     routes,
     start,
-    isReady: () => !draining && callers !== undefined && store.number() > 0,
+    isReady: () => !draining && callers !== undefined && store.number() > 0 && rates.isReady(),
     drain: async () => {
       draining = true
       await new Promise(resolve => setTimeout(resolve, config.shutdown.graceMilliseconds))
@@ -135,6 +141,7 @@
     },
     close: () => {
       watcher?.close()
+      rates.close()
       callers?.close()
       router.close()
     }
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/rate/rateTask.ts
@@ -0,0 +1,200 @@
+/**
+ * Rate and burst of accounts at this instance: owns the agent that decides, and
+ * the calls to other entry instances and to the voters. Requests are told
+ * through promises; nothing here waits longer than the settings allow.
+ */
+
+import { randomUUID } from 'node:crypto'
+import { MandateService, RateService, createPeerClient } from '@cyclamenusher/protocol'
+import { DEFAULT_RATE_POLICY, createRateAgent } from '@cyclamenusher/decisions'
+import type { Client, ConnectRouter } from '@connectrpc/connect'
+import type { AccountKind, BucketLimits, RateEffect, RatePolicy, RateView } from '@cyclamenusher/decisions'
+import type { GrantRequest, PeerCredentials } from '@cyclamenusher/protocol'
+import type { RulesStore } from '../../version/rulesStore.js'
+import type { Clock } from '../clock.js'
+import type { Address, Config } from '../config.js'
+import type { ScopedLogger } from '../logger.js'
+import type { Peer } from '../rulesWatcher.js'
+
+/** How often requests that wait are looked after, in milliseconds. */
+const TICK_MILLISECONDS = 10
+/** Time that a voter may take to answer, in milliseconds. */
+const MANDATE_CALL_MILLISECONDS = 1_000
+/** Longest name that a call may carry, in characters. */
+const MAXIMUM_NAME_CHARACTERS = 256
+/** An instance without its seats takes callers after this time all the same, in milliseconds. */
+const READY_MILLISECONDS = 5_000
+
+export interface RateTask {
+  /** Takes a token; false: the account is over its rate. */
+  take: (kind: AccountKind, account: string) => Promise<boolean>
+  routes: (connect: ConnectRouter) => void
+  /** Whether this instance has the seats that it should have, or has waited long enough for them. */
+  isReady: () => boolean
+  close: () => void
+}
+
+export interface RateTaskOptions {
+  config: Config
+  store: RulesStore
+  /** Instances that control heard of lately; the same list as long as nothing changes. */
+  peers: () => readonly Peer[]
+  credentials: PeerCredentials
+  clock: Clock
+  logger: ScopedLogger
+}
+
+export function createRateTask (options: RateTaskOptions): RateTask {
+  const { config, store, peers, credentials, clock, logger } = options
+  const { name, failureDomain } = config.instance
+  const policy: RatePolicy = { ...DEFAULT_RATE_POLICY, waitMilliseconds: config.rates.waitMilliseconds, mandateMilliseconds: config.rates.mandateMilliseconds }
+  const voters = config.control.addresses.map(({ host, port }) => `${host}:${port}`)
+  const own = config.control.domainAddress
+  const openVoters = own === undefined ? voters : [`${own.host}:${own.port}`]
+  const views = createViewCache(name, failureDomain, peers, store)
+  const agent = createRateAgent({
+    name,
+    failureDomain,
+    incarnation: randomUUID(),
+    policy,
+    view: (): RateView => {
+      const { entries, domains } = views()
+      return {
+        entries,
+        domains,
+        limitsOf: (kind, account) => limitsOf(store, kind, account),
+        // What is open to all goes on in a failure domain that is cut off.
+        mayLend: kind => kind === 'open' || store.isFresh(),
+        voters: kind => kind === 'open' && domains.length > 0 ? openVoters : voters
+      }
+    }
+  })
+  const clients = new Map<string, Client<typeof RateService>>()
+  const voterClients = new Map(config.control.addresses.map(address => [`${address.host}:${address.port}`, createVoterClient(address)]))
+  const verdicts = new Map<number, (admitted: boolean) => void>()
+  const startedAt = clock.now()
+  let nextTicket = 1
+  let seats = ''
+
+  function createVoterClient ({ host, port }: Address): Client<typeof MandateService> {
+    return createPeerClient(MandateService, host, port, credentials)
+  }
+
+  function clientOf (lender: string): Client<typeof RateService> | undefined {
+    const peer = peers().find(candidate => candidate.name === lender && candidate.role === 'entry')
+    if (peer === undefined) return undefined
+    const address = `${peer.host}:${peer.port}`
+    const known = clients.get(address) ?? createPeerClient(RateService, peer.host, peer.port, credentials)
+    clients.set(address, known)
+    return known
+  }
+
+  function forgetClients (): void {
+    const live = new Set(peers().map(({ host, port }) => `${host}:${port}`))
+    for (const address of clients.keys()) if (!live.has(address)) clients.delete(address)
+  }
+
+  function settle (ticket: number, admitted: boolean): void {
+    verdicts.get(ticket)?.(admitted)
+    verdicts.delete(ticket)
+  }
+
+  type Handlers = { [Kind in RateEffect['kind']]: (effect: Extract<RateEffect, { kind: Kind }>) => void }
+  const HANDLERS: Handlers = {
+    admit: ({ ticket }) => { settle(ticket, true) },
+    refuse: ({ ticket }) => { settle(ticket, false) },
+    ask: effect => { void ask(effect) },
+    seek: effect => { void seek(effect) }
+  }
+
+  function perform (effects: readonly RateEffect[]): void {
+    for (const effect of effects) {
+      const handle = HANDLERS[effect.kind] as (effect: RateEffect) => void
+      handle(effect)
+    }
+  }
+
+  async function ask ({ lender, account, accountKind, request }: Extract<RateEffect, { kind: 'ask' }>): Promise<void> {
+    const { borrower, number, settled, wanted } = request
+    try {
+      const reply = await clientOf(lender)?.grant(
+        { account, borrower, requestNumber: BigInt(number), settled: BigInt(settled), wanted, open: accountKind === 'open' },
+        { timeoutMs: policy.askMilliseconds }
+      )
+      if (reply === undefined) return
+      perform(agent.receiveLoan(accountKind, account, lender, number, reply.home ? reply.granted : undefined, clock.now()))
+    } catch (error) {
+      // The tokens of an answer that got lost are lost too; the agent asks again.
+      logger.debug('An instance lent nothing.', { lender, account, error: (error as Error).message })
+    }
+  }
+
+  async function seek ({ voter, round, request }: Extract<RateEffect, { kind: 'seek' }>): Promise<void> {
+    try {
+      const reply = await voterClients.get(voter)?.mandate({ ...request, seats: [...request.seats], released: [...request.released] }, { timeoutMs: MANDATE_CALL_MILLISECONDS })
+      if (reply !== undefined) agent.receivePromise(voter, round, reply.promised, clock.now())
+    } catch (error) {
+      logger.debug('A control instance promised no seats.', { voter, error: (error as Error).message })
+    }
+  }
+
+  function tick (): void {
+    perform(agent.tick(clock.now()))
+    const held = agent.seats(clock.now()).length
+    if (String(held) === seats) return
+    seats = String(held)
+    forgetClients()
+    logger.info('This instance is home to the accounts of some seats.', { seats: held })
+  }
+
+  const timer = setInterval(tick, TICK_MILLISECONDS)
+
+  async function take (kind: AccountKind, account: string): Promise<boolean> {
+    const ticket = nextTicket
+    nextTicket += 1
+    return await new Promise<boolean>(resolve => {
+      verdicts.set(ticket, resolve)
+      perform(agent.arrive(kind, account, ticket, clock.now()))
+    })
+  }
+
+  function grant (request: GrantRequest): { granted: number, validMilliseconds: number, home: boolean } {
+    const { account, borrower, requestNumber, settled, wanted, open } = request
+    const known = account.length <= MAXIMUM_NAME_CHARACTERS && borrower.length <= MAXIMUM_NAME_CHARACTERS && Number.isFinite(wanted)
+    const kind = open ? 'open' : 'keyed'
+    if (!known || limitsOf(store, kind, account) === undefined) return { granted: 0, validMilliseconds: 0, home: false }
+    const tokens = agent.lend(kind, account, { borrower, number: Number(requestNumber), settled: Number(settled), returned: [], wanted }, clock.now())
+    return { granted: tokens ?? 0, validMilliseconds: policy.loanMilliseconds, home: tokens !== undefined }
+  }
+
+  return {
+    take,
+    routes: connect => { connect.service(RateService, { grant }) },
+    isReady: () => agent.settled(clock.now()) || clock.now() - startedAt > READY_MILLISECONDS,
+    close: () => {
+      clearInterval(timer)
+      for (const ticket of [...verdicts.keys()]) settle(ticket, false)
+    }
+  }
+}
+
+function limitsOf (store: RulesStore, kind: AccountKind, account: string): BucketLimits | undefined {
+  return kind === 'open' ? store.open(account) : store.rules().accounts.get(account)
+}
+
+/** The view's lists, made anew only when what they come from has changed. */
+function createViewCache (name: string, failureDomain: string, peers: () => readonly Peer[], store: RulesStore): () => Pick<RateView, 'entries' | 'domains'> {
+  let source: { peers: readonly Peer[], number: number } | undefined
+  let cached: Pick<RateView, 'entries' | 'domains'> = { entries: [], domains: [] }
+  return () => {
+    const now = { peers: peers(), number: store.number() }
+    if (source?.peers === now.peers && source.number === now.number) return cached
+    source = now
+    const others = now.peers.filter(peer => peer.role === 'entry' && peer.name !== name)
+    cached = {
+      entries: [{ name, failureDomain }, ...others.map(peer => ({ name: peer.name, failureDomain: peer.failureDomain }))],
+      domains: [...store.rules().failure_domains.keys()].sort()
+    }
+    return cached
+  }
+}
--- a/packages/cyclamenusherd/src/node/request/requestRunner.ts
+++ b/packages/cyclamenusherd/src/node/request/requestRunner.ts
@@ -289,7 +289,7 @@
       const lost = need === 'read' && !lease.backend.isOpen()
       if (!lost && need === 'read') {
         // The replica says that it writes after all, which takes the right to write.
-        services.admit(identity, database, 'write')
+        await services.admit(identity, database, 'write')
         need = 'write'
       }
       if (lost ? attempt >= MAXIMUM_READ_RETRIES : services.now() >= primaryUntil) {
@@ -358,7 +358,7 @@
       return true
     }
     if (need === 'setting' && session.transaction !== 'idle') throw new RefusalError('not supported', 'SET within a transaction would outlive it on a shared connection', 'not run', 'Use SET LOCAL.')
-    services.admit(identity, database, need === 'setting' ? 'read' : need)
+    await services.admit(identity, database, need === 'setting' ? 'read' : need)
     return await execute(batch, need)
   }
 
--- a/packages/decisions/src/node/rate/agent.ts
+++ b/packages/decisions/src/node/rate/agent.ts
@@ -58,6 +58,8 @@
   tick: (now: number) => RateEffect[]
   /** Seats that this instance holds and mints for now. */
   seats: (now: number) => string[]
+  /** Whether every seat that should be here is held and minted for. */
+  settled: (now: number) => boolean
   /** Requests that wait. */
   waiting: () => number
 }
@@ -321,6 +323,7 @@
     receivePromise,
     tick,
     seats: now => [...mandates.held.keys()].filter(seat => mintedSince(mandates, seat, now) !== undefined),
+    settled: now => soughtAt > -Infinity && [...sought].every(seat => mintedSince(mandates, seat, now) !== undefined),
     waiting: () => [...active].reduce((sum, { waiters }) => sum + waiters.length, 0)
   }
 }
--- a/packages/decisions/src/node/rules/rules.ts
+++ b/packages/decisions/src/node/rules/rules.ts
@@ -50,7 +50,12 @@
   burst: number
 }
 
+/** A failure domain that owns a part of each account's rate and burst. */
+export type FailureDomainRule = Record<string, never>
+
 export interface Rules {
+  /** Everybody splits rate and burst over these; none: one share for the whole fleet. */
+  failure_domains: ReadonlyMap<string, FailureDomainRule>
   accounts: ReadonlyMap<string, AccountRule>
   keys: ReadonlyMap<string, KeyRule>
   databases: ReadonlyMap<string, DatabaseRule>
@@ -85,6 +90,7 @@
 const AGE_FIELD: Field = { kind: 'number', minimum: 0, maximum: 3_600_000, unit: 'milliseconds', default: 0, description: 'age of data that reads may be served from' }
 
 const FIELDS: Record<RuleTable, Record<string, Field>> = {
+  failure_domains: {},
   accounts: {
     rate: { kind: 'number', minimum: 0, maximum: 1_000_000, unit: 'requests a second', description: 'requests a second over all instances' },
     burst: { kind: 'number', minimum: 1, maximum: 1_000_000, unit: 'requests', description: 'requests that may come at once' },
@@ -194,7 +200,7 @@
   }
   const entries = readToml(file, text)
   const faults: Fault[] = []
-  const rules = { accounts: new Map(), keys: new Map(), databases: new Map(), access: new Map(), open: new Map() }
+  const rules = { failure_domains: new Map(), accounts: new Map(), keys: new Map(), databases: new Map(), access: new Map(), open: new Map() }
   const lineOf = new Map<string, number>()
   if (entries.length > MAXIMUM_RULES) faults.push({ file, line: entries[MAXIMUM_RULES].line, problem: `the file has more than ${MAXIMUM_RULES} rules`, remedy: 'Take out rules that are no longer needed' })
   for (const entry of entries) {
@@ -216,4 +222,4 @@
   return { rules, lines, digest: digestLines(lines) }
 }
 
-export const EMPTY_RULES: Rules = { accounts: new Map(), keys: new Map(), databases: new Map(), access: new Map(), open: new Map() }
+export const EMPTY_RULES: Rules = { failure_domains: new Map(), accounts: new Map(), keys: new Map(), databases: new Map(), access: new Map(), open: new Map() }
