--- a/packages/measure/src/node/scenarios/index.ts
+++ b/packages/measure/src/node/scenarios/index.ts
@@ -1,5 +1,6 @@
 /** Every scenario by name. */
 
+import { rateScenario } from './rate.js'
 import type { Scenario } from '../scenario.js'
 
-export const SCENARIOS: readonly Scenario[] = []
+export const SCENARIOS: readonly Scenario[] = [rateScenario]
