Seats are given back at shutdown; silent lenders are asked less often

Cause: a restarted home's seats stood empty until its mandate ran out, and tokens asked of a lender that is cut off counted as on their way.

--- a/packages/cyclamenusherd/src/node/process/entry.ts
+++ b/packages/cyclamenusherd/src/node/process/entry.ts
@@ -137,7 +137,9 @@
     drain: async () => {
       draining = true
       await new Promise(resolve => setTimeout(resolve, config.shutdown.graceMilliseconds))
-      return await callers?.drain(config.shutdown.drainMilliseconds) ?? { cut: 0 }
+      const drained = await callers?.drain(config.shutdown.drainMilliseconds) ?? { cut: 0 }
+      await rates.release()
+      return drained
     },
     close: () => {
       watcher?.close()
--- a/packages/cyclamenusherd/src/node/process/rate/rateTask.ts
+++ b/packages/cyclamenusherd/src/node/process/rate/rateTask.ts
@@ -31,6 +31,8 @@
   routes: (connect: ConnectRouter) => void
   /** Whether this instance has the seats that it should have, or has waited long enough for them. */
   isReady: () => boolean
+  /** Gives the seats of this instance back; resolves when the voters know, or do not answer. */
+  release: () => Promise<void>
   close: () => void
 }
 
@@ -171,6 +173,10 @@
     take,
     routes: connect => { connect.service(RateService, { grant }) },
     isReady: () => agent.settled(clock.now()) || clock.now() - startedAt > READY_MILLISECONDS,
+    release: async () => {
+      clearInterval(timer)
+      await Promise.all(agent.release(clock.now()).map(async effect => { if (effect.kind === 'seek') await seek(effect) }))
+    },
     close: () => {
       clearInterval(timer)
       for (const ticket of [...verdicts.keys()]) settle(ticket, false)
--- a/packages/decisions/src/node/rate/agent.ts
+++ b/packages/decisions/src/node/rate/agent.ts
@@ -5,7 +5,7 @@
  */
 
 import { rankNodes } from '../group/rendezvous.js'
-import { buildAsk, demandOf, heldTokens, isShort, mayAsk, noteDemand, openBorrower, pendingTokens, receiveLoan, spendToken } from './borrower.js'
+import { buildAsk, demandOf, heldTokens, isShort, isSilent, mayAsk, noteDemand, openBorrower, pendingTokens, receiveLoan, spendToken } from './borrower.js'
 import { lendTokens, openLender, takeFromLender } from './lender.js'
 import { countVote, mintedSince, openMandates, startRound } from './mandate.js'
 import { WHOLE_FLEET, ownersOf, partOf, seatOf, seatsOf, splitName } from './share.js'
@@ -56,6 +56,8 @@
   receivePromise: (voter: string, round: number, seats: readonly string[], now: number) => void
   /** To be called every few milliseconds. */
   tick: (now: number) => RateEffect[]
+  /** Gives all seats back before the process ends: others need not wait for the mandate to run out. */
+  release: (now: number) => RateEffect[]
   /** Seats that this instance holds and mints for now. */
   seats: (now: number) => string[]
   /** Whether every seat that should be here is held and minted for. */
@@ -91,6 +93,7 @@
   /** Lenders that are opened again count from here: some were forgotten. */
   let forgottenAt = -Infinity
   let split = ''
+  let ending = false
   /** Instances by rank for each seat, and the view that they come from. */
   let rankings = new Map<string, string[]>()
   let rankedView: Pick<RateView, 'entries' | 'domains'> | undefined
@@ -182,7 +185,7 @@
   /** Tokens that the account lacks here, those on their way counted in. */
   function missingTokens (account: Account, now: number): number {
     const ahead = Math.floor(demandOf(account.borrower, now) * policy.aheadMilliseconds / 1000)
-    const held = heldTokens(account.borrower, now, policy) + pendingTokens(account.borrower)
+    const held = heldTokens(account.borrower, now, policy) + pendingTokens(account.borrower, now, policy)
     return Math.ceil(account.waiters.length + ahead - held)
   }
 
@@ -208,8 +211,10 @@
     const lenders = ownersOf(account.name, domains)
       .map(domain => homeIn(domain, account, now))
       .filter((lender): lender is string => lender !== undefined && lender !== name && mayAsk(account.borrower, lender, now, policy))
-    const wanted = Math.ceil(missing / Math.max(1, lenders.length))
-    return lenders.map(lender => ask(account, lender, wanted, now))
+    const answering = lenders.filter(lender => !isSilent(account.borrower, lender)).length
+    const wanted = Math.ceil(missing / Math.max(1, answering))
+    // One token shows whether a silent lender answers again.
+    return lenders.map(lender => ask(account, lender, isSilent(account.borrower, lender) ? 1 : wanted, now))
   }
 
   function ask (account: Account, lender: string, wanted: number, now: number): RateEffect {
@@ -269,7 +274,7 @@
   }
 
   function seek (now: number): RateEffect[] {
-    if (now - soughtAt < policy.renewMilliseconds) return []
+    if (ending || now - soughtAt < policy.renewMilliseconds) return []
     soughtAt = now
     const wanted = wantedSeats()
     const released = [...sought].filter(seat => !wanted.has(seat))
@@ -294,6 +299,17 @@
     }))
   }
 
+  function release (now: number): RateEffect[] {
+    ending = true
+    const released = [...sought]
+    sought = new Set()
+    mandates.held.clear()
+    mandates.rounds.clear()
+    const { voters } = view()
+    const round = startRound(mandates, now)
+    return [...new Set([...voters('keyed'), ...voters('open')])].map(voter => ({ kind: 'seek', voter, round, request: { holder: self, split, released, seats: [] } }))
+  }
+
   function receivePromise (voter: string, round: number, seats: readonly string[], now: number): void {
     const { voters } = view()
     const majorityOf = (seat: string): number => Math.floor(voters(kindOf(seat)).length / 2) + 1
@@ -322,6 +338,7 @@
     receiveLoan: takeLoan,
     receivePromise,
     tick,
+    release,
     seats: now => [...mandates.held.keys()].filter(seat => mintedSince(mandates, seat, now) !== undefined),
     settled: now => soughtAt > -Infinity && [...sought].every(seat => mintedSince(mandates, seat, now) !== undefined),
     waiting: () => [...active].reduce((sum, { waiters }) => sum + waiters.length, 0)
--- a/packages/decisions/src/node/rate/borrower.ts
+++ b/packages/decisions/src/node/rate/borrower.ts
@@ -21,6 +21,8 @@
   retryAt: number
   /** The last answer fell short of what was wanted. */
   short: boolean
+  /** Requests in a row that had no answer in time. */
+  silences: number
 }
 
 export interface Borrower {
@@ -72,29 +74,46 @@
 }
 
 function askOf (borrower: Borrower, lender: string): Ask {
-  const known = borrower.asks.get(lender) ?? { number: 0, pending: false, askedAt: -Infinity, wanted: 0, retryAt: -Infinity, short: false }
+  const known = borrower.asks.get(lender) ?? { number: 0, pending: false, askedAt: -Infinity, wanted: 0, retryAt: -Infinity, short: false, silences: 0 }
   borrower.asks.set(lender, known)
   return known
 }
 
-/** Whether the lender can be asked now; an answer that does not come is given up. */
+/** Gives up an answer that does not come; a lender that stays silent is asked ever less often. */
+function giveUp (ask: Ask, now: number, policy: RatePolicy): void {
+  if (!ask.pending || now - ask.askedAt < policy.askMilliseconds) return
+  ask.pending = false
+  ask.short = true
+  ask.silences += 1
+  ask.retryAt = now + Math.min(MAXIMUM_SILENCE_MILLISECONDS, policy.askMilliseconds * 2 ** ask.silences)
+}
+
+/** Longest pause before a silent lender is asked again, in milliseconds. */
+const MAXIMUM_SILENCE_MILLISECONDS = 1_000
+
+/** Whether the lender can be asked now. */
 export function mayAsk (borrower: Borrower, lender: string, now: number, policy: RatePolicy): boolean {
   const ask = askOf(borrower, lender)
-  if (ask.pending && now - ask.askedAt >= policy.askMilliseconds) {
-    ask.pending = false
-    ask.short = true
-  }
+  giveUp(ask, now, policy)
   return !ask.pending && now >= ask.retryAt
 }
 
+/** Whether the lender left the last request without an answer. */
+export function isSilent (borrower: Borrower, lender: string): boolean {
+  return askOf(borrower, lender).silences > 0
+}
+
 export function isShort (borrower: Borrower, lender: string): boolean {
   return askOf(borrower, lender).short
 }
 
-/** Tokens that are on their way, at most. */
-export function pendingTokens (borrower: Borrower): number {
+/** Tokens that are likely on their way, at most. */
+export function pendingTokens (borrower: Borrower, now: number, policy: RatePolicy): number {
   let sum = 0
-  for (const { pending, wanted } of borrower.asks.values()) if (pending) sum += wanted
+  for (const ask of borrower.asks.values()) {
+    giveUp(ask, now, policy)
+    if (ask.pending && ask.silences === 0) sum += ask.wanted
+  }
   return sum
 }
 
@@ -112,6 +131,7 @@
   const expected = ask.pending && ask.number === number
   if (!expected && policy.mutation !== 'any reply is taken') return
   ask.pending = false
+  ask.silences = 0
   ask.short = tokens < ask.wanted
   if (ask.short) ask.retryAt = now + policy.retryMilliseconds
   const until = ask.askedAt + policy.loanMilliseconds
--- a/packages/measure/src/node/model/rateFleet.ts
+++ b/packages/measure/src/node/model/rateFleet.ts
@@ -38,10 +38,13 @@
   drift?: number
 }
 
+/** How a process ends: it says so first, or it does not. */
+export type Ending = 'shutdown' | 'crash'
+
 export interface RateFleet {
   arrive: (entry: string, account: string, ticket: number) => 'taken' | 'down' | 'not fresh'
   /** Ends the instance; it starts again with the same name after `milliseconds`. */
-  restartEntry: (entry: string, milliseconds: number) => void
+  restartEntry: (entry: string, milliseconds: number, ending: Ending) => void
   restartVoter: (voter: string, milliseconds: number) => void
   /** Starts the instance anew while the process that had its name goes on for `milliseconds`. */
   replaceEntry: (entry: string, milliseconds: number) => void
@@ -189,9 +192,10 @@
       perform(node, node.agent.arrive(kind, account, ticket, node.clock()))
       return 'taken'
     },
-    restartEntry: (entry, milliseconds) => {
+    restartEntry: (entry, milliseconds, ending) => {
       const node = nodeOf(entry)
       if (!node.up) return
+      if (ending === 'shutdown') perform(node, node.agent.release(node.clock()))
       node.up = false
       timeline.after(milliseconds, () => {
         const started = startNode(node.place, node.incarnation + 1)
--- a/packages/measure/src/node/model/rateHistory.ts
+++ b/packages/measure/src/node/model/rateHistory.ts
@@ -92,7 +92,7 @@
 }
 
 const FAULTS: Record<string, Fault> = {
-  'restart of an entry instance': ({ fleet, random }) => { fleet.restartEntry(random.pick(ENTRIES).name, random.pick([5, 60, 300])) },
+  'restart of an entry instance': ({ fleet, random }) => { fleet.restartEntry(random.pick(ENTRIES).name, random.pick([5, 60, 300]), random.pick(['shutdown', 'crash'])) },
   'process replaced under its name': ({ fleet, random }) => { fleet.replaceEntry(random.pick(ENTRIES).name, random.between(100, 1_500)) },
   'restart of a voter': ({ fleet, random }) => { fleet.restartVoter(random.pick(VOTERS).name, random.pick([5, 200])) },
   'cut of a failure domain': ({ timeline, random, cut }) => {
--- a/packages/measure/src/node/model/rateTrial.ts
+++ b/packages/measure/src/node/model/rateTrial.ts
@@ -14,7 +14,7 @@
 import type { Timeline } from './timeline.js'
 
 export type RateSplit = 'escrow' | 'one home' | 'central bucket' | 'static shares'
-export type Demand = 'even' | 'skewed' | 'moving' | 'restarts' | 'cut'
+export type Demand = 'even' | 'skewed' | 'moving' | 'restarts' | 'crashes' | 'cut'
 
 export interface RateTrial {
   requests: number
@@ -69,12 +69,16 @@
   skewed: ({ entries }, account) => entries[account % entries.length],
   moving: ({ timeline, entries }, account) => entries[(account + Math.floor(timeline.now() / MOVE_MILLISECONDS) * 5) % entries.length],
   restarts: ({ random, entries }) => random.pick(entries),
+  crashes: ({ random, entries }) => random.pick(entries),
   cut: ({ random, entries }) => random.pick(entries)
 }
 
 const EVENTS: Partial<Record<Demand, (stage: Stage) => void>> = {
   restarts: ({ timeline, random, fleet, entries }) => {
-    timeline.every(1_000, () => { fleet.restartEntry(random.pick(entries).name, 300) })
+    timeline.every(1_000, () => { fleet.restartEntry(random.pick(entries).name, 300, 'shutdown') })
+  },
+  crashes: ({ timeline, random, fleet, entries }) => {
+    timeline.every(1_000, () => { fleet.restartEntry(random.pick(entries).name, 300, 'crash') })
   },
   cut: ({ timeline, cut, domains }) => {
     timeline.after(WARM_MILLISECONDS + 4_000, () => { cut.add(domains[2]) })
--- a/packages/measure/src/node/scenarios/rate.ts
+++ b/packages/measure/src/node/scenarios/rate.ts
@@ -4,7 +4,7 @@
 import type { Demand, RateSplit } from '../model/rateTrial.js'
 import type { Figures, Scenario } from '../scenario.js'
 
-const DEMANDS: readonly Demand[] = ['even', 'skewed', 'moving', 'restarts', 'cut']
+const DEMANDS: readonly Demand[] = ['even', 'skewed', 'moving', 'restarts', 'crashes', 'cut']
 const SPLITS: readonly RateSplit[] = ['escrow', 'one home', 'central bucket', 'static shares']
 
 function round (value: number): number {
