Sessions between processes outlive a GOAWAY; control tests over loopback

Cause: the library's HTTP/2 session manager takes its error listener off before the error of a session that it destroys is emitted: a GOAWAY of a stopping peer ended the calling process ("Unhandled 'error' event", seen in the new tests of control instances). Ruled out: our abort alone, the same happens when the next call replaces the session. A small manager of our own keeps a listener on each session, pings while calls are under way, and bounds the opening.

--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/control/__tests__/controlInstances.ts
@@ -0,0 +1,125 @@
+/** Control instances in this process, over loopback, with data folders that tests can lose. */
+
+import { mkdtempSync, rmSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { listenForCalls } from '@cyclamenusher/protocol'
+import { systemClock } from '../../clock.js'
+import { openConsensusLog } from '../consensusLog.js'
+import { createControlService } from '../controlService.js'
+import type { ConfigurationCommand, SubmitOutcome } from '@cyclamenusher/decisions'
+import type { CallServer } from '@cyclamenusher/protocol'
+import type { ScopedLogger } from '../../logger.js'
+import type { ConsensusLog } from '../consensusLog.js'
+import type { ControlService } from '../controlService.js'
+import type { Disk } from '../logStorage.js'
+
+const HOST = '127.0.0.1'
+const CREDENTIALS = { secret: 'a secret of the tests' }
+/** Generous: it only bounds a test that would hang. */
+const DEADLINE_MILLISECONDS = 15_000
+
+export interface Instance {
+  name: string
+  folder: string
+  log: ConsensusLog<ConfigurationCommand, SubmitOutcome>
+  service: ControlService
+  calls: CallServer
+}
+
+/** A logger that keeps its sentences. */
+export function keepLines (lines: string[]): ScopedLogger {
+  const keep = (sentence: string): void => { lines.push(sentence) }
+  return { error: keep, warn: keep, info: keep, debug: keep }
+}
+
+export function temporaryFolder (): string {
+  return mkdtempSync(join(tmpdir(), 'cyclamenusher-control-'))
+}
+
+export function rules (rate: number): string {
+  return `accounts.clinic = { rate = ${rate}, burst = 4 } # asked for by a test\n`
+}
+
+async function freePort (): Promise<number> {
+  return await new Promise(resolve => {
+    const server = createServer().listen(0, HOST, () => {
+      const address = server.address()
+      server.close(() => { resolve(typeof address === 'object' && address !== null ? address.port : 0) })
+    })
+  })
+}
+
+export async function until (what: string, attempt: () => boolean | Promise<boolean>): Promise<void> {
+  const deadline = Date.now() + DEADLINE_MILLISECONDS
+  while (!await attempt()) {
+    if (Date.now() > deadline) throw new Error(`it never came: ${what}`)
+    await new Promise(resolve => setTimeout(resolve, 25))
+  }
+}
+
+export async function createInstances (count: number) {
+  const root = temporaryFolder()
+  const ports = await Promise.all(Array.from({ length: count }, freePort))
+  const addresses = ports.map(port => ({ host: HOST, port }))
+  const running = new Map<string, Instance>()
+  const lines: string[] = []
+  const logger = keepLines(lines)
+
+  async function start (place: number, disk?: Disk): Promise<Instance> {
+    const name = `control-${place + 1}`
+    const folder = join(root, name)
+    const service = createControlService(systemClock, logger)
+    const log = openConsensusLog({ name, failureDomain: `domain-${place}`, address: addresses[place], addresses, dataFolder: folder, machine: service.machine, credentials: CREDENTIALS, clock: systemClock, logger, disk })
+    service.attach(log)
+    const calls = await listenForCalls(HOST, ports[place], CREDENTIALS, log.routes)
+    const instance = { name, folder, log, service, calls }
+    running.set(name, instance)
+    return instance
+  }
+
+  async function stop (instance: Instance): Promise<void> {
+    running.delete(instance.name)
+    await instance.calls.close()
+    await instance.log.close()
+  }
+
+  function leader (): Instance | undefined {
+    return [...running.values()].find(({ log }) => log.isLeader())
+  }
+
+  /** Submits at the leader until the outcome is known. */
+  async function submit (number: number, content: string, operator = 'test') {
+    let answer: Awaited<ReturnType<ControlService['submit']>> | undefined
+    await until(`an answer to number ${number}`, async () => {
+      answer = await leader()?.service.submit({ $typeName: 'cyclamenusher.v1.SubmitRequest', number: BigInt(number), content, operator })
+      return answer !== undefined && answer.outcome !== 'not leader' && answer.outcome !== 'unknown'
+    })
+    return answer as NonNullable<typeof answer>
+  }
+
+  /** Waits until each of `count` instances votes, and `gone` is no member. */
+  async function untilRepaired (count: number, gone?: string): Promise<void> {
+    await until(`${count} voters`, () => {
+      const { members } = leader()?.log.status() ?? { members: [] }
+      const voters = members.filter(({ role }) => role === 'voter')
+      return members.length === count && voters.length === count && members.every(({ identity }) => identity !== gone)
+    })
+  }
+
+  return {
+    lines,
+    running,
+    start,
+    stop,
+    leader,
+    submit,
+    untilRepaired,
+    loseDisk: ({ folder }: Instance) => { rmSync(folder, { recursive: true, force: true }) },
+    close: async () => {
+      await Promise.all([...running.values()].map(stop))
+      rmSync(root, { recursive: true, force: true })
+    }
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/node/callSession.ts
@@ -0,0 +1,95 @@
+/**
+ * The HTTP/2 session below a link: opened on demand, checked by pings while
+ * calls are under way, replaced when it fails. Every session keeps a listener
+ * for its errors, which the library's own manager takes off too early: an error
+ * after a GOAWAY would end the process.
+ */
+
+import { connect } from 'node:http2'
+import { Code, ConnectError } from '@connectrpc/connect'
+import type { ClientHttp2Session, ClientHttp2Stream, OutgoingHttpHeaders, SecureClientSessionOptions } from 'node:http2'
+import type { GrpcTransportOptions } from '@connectrpc/connect-node'
+
+/** Interval of pings while calls are under way; an unanswered one ends the session, in milliseconds. */
+const PING_MILLISECONDS = 1_000
+/** Time that opening a session may take, in milliseconds. */
+const CONNECT_MILLISECONDS = 2_000
+
+type SessionManager = NonNullable<GrpcTransportOptions['sessionManager']>
+
+export interface CallSession extends SessionManager {
+  /** Ends the session with its calls; the next call opens another. */
+  abort: () => void
+}
+
+interface OpenSession {
+  session: ClientHttp2Session
+  connected: Promise<void>
+  streams: Set<ClientHttp2Stream>
+}
+
+function watchSession ({ session, streams }: OpenSession): void {
+  let answered = true
+  const timer = setInterval(() => {
+    if (!answered) {
+      session.destroy(new ConnectError('the connection went silent', Code.Unavailable))
+      return
+    }
+    if (streams.size === 0) return
+    answered = false
+    session.ping(() => { answered = true })
+  }, PING_MILLISECONDS)
+  timer.unref()
+  session.once('close', () => { clearInterval(timer) })
+}
+
+function openSession (authority: string, options: SecureClientSessionOptions | undefined): OpenSession {
+  const session = connect(authority, options)
+  session.on('error', () => {})
+  const connected = new Promise<void>((resolve, reject) => {
+    const fail = (reason: string): void => { reject(new ConnectError(reason, Code.Unavailable)) }
+    const timer = setTimeout(() => { session.destroy(new Error('no connection in time')) }, CONNECT_MILLISECONDS)
+    session.once('connect', () => {
+      clearTimeout(timer)
+      resolve()
+    })
+    session.once('error', error => { fail(error.message) })
+    session.once('close', () => {
+      clearTimeout(timer)
+      fail('the connection was closed')
+    })
+  })
+  connected.catch(() => {})
+  const open = { session, connected, streams: new Set<ClientHttp2Stream>() }
+  watchSession(open)
+  return open
+}
+
+export function createCallSession (authority: string, options?: SecureClientSessionOptions): CallSession {
+  let current: OpenSession | undefined
+
+  function ready (): OpenSession {
+    const usable = current !== undefined && !current.session.closed && !current.session.destroyed
+    if (current === undefined || !usable) current = openSession(authority, options)
+    return current
+  }
+
+  return {
+    authority,
+    request: async (method, path, headers, requestOptions) => {
+      const open = ready()
+      await open.connected
+      if (open.session.closed || open.session.destroyed) throw new ConnectError('the connection was closed', Code.Unavailable)
+      const all: OutgoingHttpHeaders = { ...headers, ':method': method, ':path': path }
+      const stream = open.session.request(all, requestOptions)
+      open.streams.add(stream)
+      stream.once('close', () => { open.streams.delete(stream) })
+      return stream
+    },
+    notifyResponseByteRead: () => {},
+    abort: () => {
+      current?.session.destroy()
+      current = undefined
+    }
+  }
+}
