--- a/packages/protocol/src/node/callSession.ts
+++ b/packages/protocol/src/node/callSession.ts
@@ -83,7 +83,12 @@
       const all: OutgoingHttpHeaders = { ...headers, ':method': method, ':path': path }
       const stream = open.session.request(all, requestOptions)
       open.streams.add(stream)
-      stream.once('close', () => { open.streams.delete(stream) })
+      open.session.ref()
+      stream.once('close', () => {
+        open.streams.delete(stream)
+        // A session without calls does not keep the process running.
+        if (open.streams.size === 0 && !open.session.destroyed) open.session.unref()
+      })
       return stream
     },
     notifyResponseByteRead: () => {},
