--- a/packages/cyclamenusher/src/node/connection.ts
+++ b/packages/cyclamenusher/src/node/connection.ts
@@ -1,9 +1,10 @@
 /** Calls of the command line to control and entry instances. */
 
 import { readFileSync } from 'node:fs'
+import { Code, ConnectError } from '@connectrpc/connect'
 import { ControlService, OperatorService, createPeerClient } from '@cyclamenusher/protocol'
 import { CommandError } from './errors.js'
-import type { SubmitReply } from '@cyclamenusher/protocol'
+import type { ChangeMemberReply, ControlMember, SubmitReply } from '@cyclamenusher/protocol'
 
 /** Time that one call may take, in milliseconds. */
 const CALL_MILLISECONDS = 5_000
@@ -26,20 +27,33 @@
   commitIndex: number
   number: number
   voters: string[]
+  members: MemberLine[]
+  candidates: MemberLine[]
   instances: Array<{ name: string, failureDomain: string, address: string }>
 }
 
+export interface MemberLine {
+  name: string
+  role: string
+  failureDomain: string
+  address: string
+  identity: string
+}
+
 export interface HistoryLine {
   number: number
   digest: string
   operator: string
   acceptedAt: string
+  /** The rules of the number; empty where they were not asked for, or are no longer kept. */
+  content: string
 }
 
 export interface Connection {
   submit: (number: bigint, content: string, operator: string) => Promise<SubmitReply>
   statusOfAll: () => Promise<ControlStatus[]>
-  history: (from: number, limit: number) => Promise<HistoryLine[]>
+  history: (from: number, limit: number, withContent: boolean) => Promise<HistoryLine[]>
+  changeMember: (action: 'add' | 'remove', name: string) => Promise<ChangeMemberReply>
   explain: (request: { account: string, database: string, statement: string, sessionToken: string }) => Promise<string>
   drain: (group: string, member: string) => Promise<string>
 }
@@ -63,27 +77,63 @@
   })
 }
 
+/** Whether a call that failed may have reached its server. */
+function mayHaveArrived (error: unknown): boolean {
+  if (!(error instanceof ConnectError)) return true
+  if (error.code === Code.Unauthenticated || error.code === Code.InvalidArgument) return false
+  return !/ECONNREFUSED|EHOSTUNREACH|ENETUNREACH|no connection in time/.test(error.message)
+}
+
+function memberLine ({ name, role, failureDomain, host, port, identity }: ControlMember): MemberLine {
+  return { name, role: role === '' ? 'candidate' : role, failureDomain, address: `${host}:${port}`, identity }
+}
+
 export function createConnection (flags: ConnectionFlags): Connection {
   const credentials = { secret: readSecret(flags.secretFile) }
   const control = () => parseAddresses(flags.control, 'control').map(({ host, port }) => createPeerClient(ControlService, host, port, credentials))
   const entry = () => parseAddresses(flags.entry, 'entry').map(({ host, port }) => createPeerClient(OperatorService, host, port, credentials))[0]
 
-  async function submit (number: bigint, content: string, operator: string): Promise<SubmitReply> {
+  /** Repeats a call over the control instances until one that leads has answered. */
+  async function askLeader<Reply extends { outcome: string }> (call: (client: ReturnType<typeof control>[number]) => Promise<Reply>): Promise<{ reply?: Reply, unsure: boolean, error?: Error }> {
     const clients = control()
-    let last: SubmitReply | undefined
-    let lastError: Error | undefined
-    // The same number and content may be sent again: it gets its first answer.
+    const result: { reply?: Reply, unsure: boolean, error?: Error } = { unsure: false }
     for (let attempt = 0; attempt < LEADER_ROUNDS * clients.length; attempt += 1) {
       try {
-        last = await clients[attempt % clients.length].submit({ number, content, operator }, { timeoutMs: CALL_MILLISECONDS })
-        if (last.outcome !== 'not leader') return last
+        const reply = await call(clients[attempt % clients.length])
+        if (reply.outcome !== 'not leader' && reply.outcome !== 'unknown') return { reply, unsure: false }
+        result.reply = reply
+        result.unsure ||= reply.outcome === 'unknown'
       } catch (error) {
-        lastError = error as Error
+        result.error = error as Error
+        result.unsure ||= mayHaveArrived(error)
       }
       if (attempt % clients.length === clients.length - 1) await new Promise(resolve => setTimeout(resolve, ROUND_MILLISECONDS))
     }
-    if (last !== undefined) return last
-    throw new CommandError('unreachable', `no control instance answered: ${lastError?.message ?? ''}`, 'Check --control and --secret-file')
+    return result
+  }
+
+  /** The same number and content may be sent again: it gets its first answer. */
+  async function submit (number: bigint, content: string, operator: string): Promise<SubmitReply> {
+    const { reply, unsure, error } = await askLeader(async client => await client.submit({ number, content, operator }, { timeoutMs: CALL_MILLISECONDS }))
+    if (unsure) throw new CommandError('unknown', `whether configuration ${number} was accepted is not known`, 'Apply it again with the same number and content: it gets its first answer')
+    if (reply === undefined) throw new CommandError('unreachable', `no control instance answered: ${error?.message ?? ''}`, 'Check --control and --secret-file')
+    return reply
+  }
+
+  async function changeMember (action: 'add' | 'remove', name: string): Promise<ChangeMemberReply> {
+    const { reply, unsure, error } = await askLeader(async client => await client.changeMember({ action, name }, { timeoutMs: CALL_MILLISECONDS }))
+    if (unsure) throw new CommandError('unknown', `what became of the change of ${name} is not known`, 'Look at cyclamenusher member list, then try again')
+    if (reply === undefined) throw new CommandError('unreachable', `no control instance answered: ${error?.message ?? ''}`, 'Check --control and --secret-file')
+    return reply
+  }
+
+  /** The newest history that any control instance holds. */
+  async function history (from: number, limit: number, withContent: boolean): Promise<HistoryLine[]> {
+    const answers = await Promise.allSettled(control().map(async client => await client.history({ fromNumber: BigInt(from), limit, withContent }, { timeoutMs: CALL_MILLISECONDS })))
+    const replies = answers.flatMap(answer => answer.status === 'fulfilled' ? [answer.value.items] : [])
+    if (replies.length === 0) throw new CommandError('unreachable', `no control instance answered: ${String((answers[0] as PromiseRejectedResult).reason)}`, 'Check --control and --secret-file')
+    const newest = replies.reduce((best, items) => (items.at(-1)?.number ?? 0n) > (best.at(-1)?.number ?? 0n) ? items : best)
+    return newest.map(({ number, digest, operator, acceptedAt, content }) => ({ number: Number(number), digest, operator, acceptedAt: new Date(Number(acceptedAt)).toISOString(), content }))
   }
 
   async function statusOfAll (): Promise<ControlStatus[]> {
@@ -98,6 +148,8 @@
       commitIndex: Number(reply.commitIndex),
       number: Number(reply.number),
       voters: reply.voters,
+      members: reply.members.map(memberLine),
+      candidates: reply.candidates.map(memberLine),
       instances: reply.instances.map(({ name, failureDomain, host, port }) => ({ name, failureDomain, address: `${host}:${port}` }))
     }))
   }
@@ -105,10 +157,8 @@
   return {
     submit,
     statusOfAll,
-    history: async (from, limit) => {
-      const { items } = await control()[0].history({ fromNumber: BigInt(from), limit }, { timeoutMs: CALL_MILLISECONDS })
-      return items.map(({ number, digest, operator, acceptedAt }) => ({ number: Number(number), digest, operator, acceptedAt: new Date(Number(acceptedAt)).toISOString() }))
-    },
+    history,
+    changeMember,
     explain: async request => (await entry().explain(request, { timeoutMs: CALL_MILLISECONDS })).decision,
     drain: async (group, member) => (await entry().drain({ group, member }, { timeoutMs: CALL_MILLISECONDS })).message
   }
--- a/packages/cyclamenusher/src/node/output.ts
+++ b/packages/cyclamenusher/src/node/output.ts
@@ -1,12 +1,13 @@
 /** Output for people and for scripts. */
 
-export function print (flags: { json?: boolean }, value: unknown, text: string): void {
-  console.log(flags.json === true ? JSON.stringify(value) : text)
+/** JSON where a script asked for it, else the text. */
+export function formatValue (flags: { json?: boolean }, value: unknown, text: string): string {
+  return flags.json === true ? JSON.stringify(value) : text
 }
 
 /** Columns of text, each as wide as its widest value. */
-export function printRows (head: string[], rows: Array<Array<string | number>>): void {
+export function formatRows (head: string[], rows: Array<Array<string | number>>): string {
   const table = [head, ...rows].map(row => row.map(String))
   const widths = head.map((_name, column) => Math.max(...table.map(row => row[column].length)))
-  for (const row of table) console.log(row.map((value, column) => value.padEnd(widths[column])).join('  ').trimEnd())
+  return table.map(row => row.map((value, column) => value.padEnd(widths[column])).join('  ').trimEnd()).join('\n')
 }
--- /dev/null
+++ b/packages/cyclamenusher/src/node/program.ts
@@ -0,0 +1,75 @@
+/** The operators' command line: its commands, flags and examples. */
+
+import { cac } from 'cac'
+import { FaultyFileError } from '@cyclamenusher/decisions'
+import { apply, check, drain, explain, history, member, status } from './commands.js'
+import { CommandError, EXIT_CODES } from './errors.js'
+import type { CAC } from 'cac'
+import type { Surroundings } from './commands.js'
+
+/** The message and exit code of a command that failed. */
+function describe (error: unknown): { message: string, code: number } {
+  if (error instanceof FaultyFileError) return { message: error.message, code: EXIT_CODES.invalid }
+  const known = error instanceof CommandError ? error : new CommandError('unreachable', (error as Error).message, 'Check the addresses and the secret file')
+  return { message: known.message, code: EXIT_CODES[known.kind] }
+}
+
+function describeCommands (program: CAC, surroundings: Surroundings): void {
+  program.option('--control <addresses>', 'control instances, HOST:PORT with commas between')
+  program.option('--entry <address>', 'an entry instance, HOST:PORT')
+  program.option('--secret-file <file>', 'file with the secret of the system')
+  program.option('--json', 'answer with JSON')
+  program.command('check <file>', 'check a rules file without sending it').action(check.bind(undefined, surroundings))
+  program.command('apply <file>', 'submit a rules file')
+    .option('--number <number>', 'the configuration number that this change makes')
+    .option('--operator <name>', 'who submits it (default: your user name)')
+    .action(apply.bind(undefined, surroundings))
+  program.command('status', 'show the control instances and who is connected').action(status.bind(undefined, surroundings))
+  program.command('history', 'list accepted configurations')
+    .option('--from <number>', 'first number')
+    .option('--limit <count>', 'most numbers to list (default: 100)')
+    .option('--number <number>', 'show the rules of this number')
+    .action(history.bind(undefined, surroundings))
+  program.command('member <action> [name]', 'list the control instances, add one or remove one (list, add, remove)').action(member.bind(undefined, surroundings))
+  program.command('explain <statement>', 'tell where an entry instance would run a statement')
+    .option('--account <name>', 'client account')
+    .option('--database <name>', 'database')
+    .option('--token <text>', 'session token')
+    .action(explain.bind(undefined, surroundings))
+  program.command('drain', 'let an entry instance, or a backend server, take no new work')
+    .option('--group <name>', 'group of the backend server')
+    .option('--member <name>', 'the backend server')
+    .action(drain.bind(undefined, surroundings))
+  program.example('cyclamenusher check rules.toml')
+  program.example('cyclamenusher apply rules.toml --number 12 --control 127.0.0.1:7100 --secret-file secret')
+  program.example('cyclamenusher status --control 127.0.0.1:7100,127.0.0.1:7101 --secret-file secret --json')
+  program.example('cyclamenusher history --number 11 --control 127.0.0.1:7100 --secret-file secret > rules.toml')
+  program.example('cyclamenusher member add control-4 --control 127.0.0.1:7100 --secret-file secret')
+  program.example('cyclamenusher explain "select 1" --account clinic --database padron --entry 127.0.0.1:7001 --secret-file secret')
+  program.example('cyclamenusher drain --entry 127.0.0.1:7001 --secret-file secret')
+}
+
+/** Runs one command line; resolves with its exit code. */
+export async function runProgram (argv: string[], surroundings: Surroundings): Promise<number> {
+  const program = cac('cyclamenusher')
+  describeCommands(program, surroundings)
+  program.help()
+  program.version('0.1.0')
+  try {
+    program.parse(argv, { run: false })
+    if (program.options.help === true || program.options.version === true) return EXIT_CODES.success
+    if (program.matchedCommand === undefined) throw new CommandError('usage', `there is no command ${program.args[0] ?? ''}`.trim(), 'See cyclamenusher --help')
+  } catch (error) {
+    const { message } = error instanceof CommandError ? error : new CommandError('usage', (error as Error).message, 'See cyclamenusher --help')
+    surroundings.writeError(message)
+    return EXIT_CODES.usage
+  }
+  try {
+    return await program.runMatchedCommand() as number
+  } catch (error) {
+    const usage = error instanceof Error && error.name === 'CACError'
+    const { message, code } = describe(usage ? new CommandError('usage', error.message, 'See cyclamenusher --help') : error)
+    surroundings.writeError(message)
+    return code
+  }
+}
--- a/packages/cyclamenusherd/src/node/process/control/__tests__/logStorage.test.ts
+++ b/packages/cyclamenusherd/src/node/process/control/__tests__/logStorage.test.ts
@@ -52,7 +52,11 @@
   for (let missing = 1; missing <= last; missing += 1) {
     writeFileSync(file, whole)
     truncateSync(file, whole.length - missing)
-    assert.equal(reopen(folder), [1, 2], `${missing} bytes are missing`)
+    const storage = openLogStorage(folder, logger)
+    assert.equal(storage.durable.log.map(({ index }) => index), [1, 2], `${missing} bytes are missing`)
+    storage.persist({ kind: 'persist', entries: [entry(3)] })
+    storage.close()
+    assert.equal(reopen(folder), [1, 2, 3], `${missing} bytes were missing`)
   }
   assert.ok(lines.includes('A record that was not wholly written was cut off.'))
   writeFileSync(file, whole)
--- a/packages/cyclamenusherd/src/node/process/control/controlService.ts
+++ b/packages/cyclamenusherd/src/node/process/control/controlService.ts
@@ -1,7 +1,7 @@
 /** The control service: submissions, history, and the watch that carries rules to all instances. */
 
 import { createHash } from 'node:crypto'
-import { FaultyFileError, INITIAL_CONFIGURATION, applyCommand, changeSince, diffRules, judgeSubmission, linesOf, parseRules } from '@cyclamenusher/decisions'
+import { FaultyFileError, INITIAL_CONFIGURATION, applyCommand, changeSince, diffRules, judgeSubmission, linesAt, linesOf, parseRules } from '@cyclamenusher/decisions'
 import type { ConfigurationCommand, ConfigurationState, ParsedRules, RuleLine, SubmitOutcome } from '@cyclamenusher/decisions'
 import type { ChangeMemberRequest, HistoryRequest, SubmitRequest, WatchRequest } from '@cyclamenusher/protocol'
 import type { Clock } from '../clock.js'
@@ -236,7 +236,7 @@
     return [...instances.values()].map(({ name, failureDomain, role, host, port }) => ({ name, failureDomain, role, host, port }))
   }
 
-  function history ({ fromNumber, limit }: HistoryRequest): ReturnType<ControlService['history']> {
+  function history ({ fromNumber, limit, withContent }: HistoryRequest): ReturnType<ControlService['history']> {
     const items = state.history.filter(({ number }) => number >= Number(fromNumber)).slice(0, limit === 0 ? 100 : limit)
     return {
       items: items.map(({ number, digest, operator, acceptedAt }) => ({
@@ -244,7 +244,7 @@
         digest,
         operator,
         acceptedAt: BigInt(acceptedAt),
-        content: number === state.number ? [...state.lines.values()].join('\n') : ''
+        content: withContent ? (linesAt(state, number) ?? []).map(({ text }) => text).join('\n') : ''
       }))
     }
   }
--- a/packages/decisions/src/node/configuration/state.ts
+++ b/packages/decisions/src/node/configuration/state.ts
@@ -35,13 +35,22 @@
   | { kind: 'out of order', next: number }
   | { kind: 'forgotten', oldest: number }
 
+/** What one number changed. */
+export interface ConfigurationDelta {
+  number: number
+  removed: string[]
+  added: RuleLine[]
+  /** The lines that it took out or replaced, so that the number before can be shown. */
+  before: RuleLine[]
+}
+
 export interface ConfigurationState {
   number: number
   lines: ReadonlyMap<string, string>
   /** Newest last. */
   history: readonly ConfigurationRecord[]
   /** Newest last; they let an instance that is behind catch up without the whole text. */
-  deltas: ReadonlyArray<{ number: number, removed: string[], added: RuleLine[] }>
+  deltas: readonly ConfigurationDelta[]
 }
 
 /** Numbers whose digests are kept, so that a resent change gets its first answer. */
@@ -67,6 +76,11 @@
   const judged = judgeSubmission(state, number, digest)
   if (judged !== 'new') return { state, outcome: judged }
   const lines = new Map(state.lines)
+  const touched = [...removed, ...added.map(({ identity }) => identity)]
+  const before = touched.flatMap(identity => {
+    const text = lines.get(identity)
+    return text === undefined ? [] : [{ identity, text }]
+  })
   for (const identity of removed) lines.delete(identity)
   for (const { identity, text } of added) lines.set(identity, text)
   return {
@@ -74,7 +88,7 @@
       number,
       lines,
       history: [...state.history, { number, digest, operator, acceptedAt }].slice(-MAXIMUM_HISTORY),
-      deltas: [...state.deltas, { number, removed, added }].slice(-MAXIMUM_DELTAS)
+      deltas: [...state.deltas, { number, removed, added, before }].slice(-MAXIMUM_DELTAS)
     },
     outcome: { kind: 'accepted', number }
   }
@@ -84,6 +98,18 @@
   return [...state.lines].map(([identity, text]) => ({ identity, text }))
 }
 
+/** The lines of an older number; undefined when they are no longer kept. */
+export function linesAt (state: ConfigurationState, number: number): RuleLine[] | undefined {
+  const oldest = state.deltas[0]?.number ?? state.number + 1
+  if (number > state.number || number < oldest - 1) return undefined
+  const lines = new Map(state.lines)
+  for (const { added, before } of state.deltas.slice(number + 1 - oldest).reverse()) {
+    for (const { identity } of added) lines.delete(identity)
+    for (const { identity, text } of before) lines.set(identity, text)
+  }
+  return [...lines].map(([identity, text]) => ({ identity, text }))
+}
+
 /** The change from `known` to the newest number; undefined: send the whole text. */
 export function changeSince (state: ConfigurationState, known: number): { removed: string[], added: RuleLine[] } | undefined {
   const oldest = state.deltas[0]?.number ?? state.number + 1
