Log lines and small frames leave in one write

Cause (node inspector profile of an entry instance at 1 to 64 callers): a fifth of its busy time went into one console write for each decision line and writev calls for each message. Lines now leave together after 10 ms or 64 kB, and at exit; small pieces are copied into one write. Ruled out: the pool's order of lending (connection wait is not what grows).

--- a/packages/cyclamenusherd/src/node/connection/backendConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/backendConnection.ts
@@ -7,6 +7,7 @@
 import pg from 'pg'
 import { buildCancelRequest, buildFrame, createFrameSplitter, FRONTEND } from '@cyclamenusher/protocol'
 import { connect } from 'node:net'
+import { writePieces } from '../request/byteRuns.js'
 import type { Socket } from 'node:net'
 import type { Frame } from '@cyclamenusher/protocol'
 import type { SettingValues } from '@cyclamenusher/decisions'
@@ -124,14 +125,7 @@
     settings: NO_SETTINGS,
     marked: false,
     usedAt: 0,
-    send: pieces => {
-      if (pieces.length === 1) return socket.write(pieces[0])
-      let flowing = true
-      socket.cork()
-      for (const piece of pieces) flowing = socket.write(piece)
-      socket.uncork()
-      return flowing
-    },
+    send: pieces => writePieces(socket, pieces),
     onDrain: listener => { socket.once('drain', listener) },
     receive: next => { receiver = next },
     pauseReading: () => { socket.pause() },
--- a/packages/cyclamenusherd/src/node/process/logger.ts
+++ b/packages/cyclamenusherd/src/node/process/logger.ts
@@ -1,5 +1,6 @@
 /** Logs: short sentences with a fixed prefix for each part of the process. */
 
+import { Writable } from 'node:stream'
 import { createLogger as createWinston, format, transports } from 'winston'
 import type { Logger as WinstonLogger } from 'winston'
 import type { Config } from './config.js'
@@ -43,20 +44,79 @@
 }
 
 const FORMATS = {
-  lines: () => format.combine(format.timestamp(), format.printf(info => formatLine(info as Line))),
+  lines: () => format.printf(info => formatLine({ ...info as Line, timestamp: timestamp() })),
   json: () => format.combine(format.timestamp(), format.json())
 }
 
+let stampedAt = 0
+let stamp = ''
+
+/** The time as a line shows it, written out once a millisecond. */
+function timestamp (): string {
+  const now = Date.now()
+  if (now !== stampedAt) {
+    stampedAt = now
+    stamp = new Date(now).toISOString()
+  }
+  return stamp
+}
+
+/** Time that lines may wait to be written together, in milliseconds. */
+const BATCH_MILLISECONDS = 10
+/** Characters that are written without waiting longer. */
+const BATCH_CHARACTERS = 64 * 1024
+
+interface BatchedOutput {
+  stream: Writable
+  flush: () => void
+}
+
+/** Gathers lines, because a write of each line costs more than the line. */
+function createBatchedOutput (output: NodeJS.WritableStream): BatchedOutput {
+  let waiting = ''
+  let timer: NodeJS.Timeout | undefined
+
+  function flush (): void {
+    clearTimeout(timer)
+    timer = undefined
+    if (waiting === '') return
+    const lines = waiting
+    waiting = ''
+    output.write(lines)
+  }
+
+  const stream = new Writable({
+    decodeStrings: false,
+    write: (line: string, _encoding, done) => {
+      waiting += line
+      if (waiting.length >= BATCH_CHARACTERS) flush()
+      else timer ??= setTimeout(flush, BATCH_MILLISECONDS)
+      done()
+    }
+  })
+  return { stream, flush }
+}
+
 function createScope (winston: WinstonLogger, scope: LogScope): ScopedLogger {
   const write = (level: string) => (sentence: string, facts?: LogFacts): void => { winston.log(level, sentence, { scope, facts }) }
   return { error: write('error'), warn: write('warn'), info: write('info'), debug: write('debug') }
 }
 
 export function createLogger (options: Config['log']): Logger {
+  const { stream, flush } = createBatchedOutput(process.stdout)
   const winston = createWinston({
     level: options.level,
     format: FORMATS[options.format](),
-    transports: [new transports.Console({ stderrLevels: [] })]
+    transports: [new transports.Stream({ stream })]
   })
-  return { scope: scope => createScope(winston, scope), close: () => { winston.close() } }
+  // The last lines say why a process ended.
+  process.once('exit', flush)
+  return {
+    scope: scope => createScope(winston, scope),
+    close: () => {
+      flush()
+      process.off('exit', flush)
+      winston.close()
+    }
+  }
 }
--- a/packages/cyclamenusherd/src/node/request/byteRuns.ts
+++ b/packages/cyclamenusherd/src/node/request/byteRuns.ts
@@ -1,4 +1,21 @@
-/** Collects frames for one write; frames that lie side by side in memory go out as one piece. */
+/** Collects frames for one write: frames that lie side by side in memory go out as one piece. */
+
+import type { Socket } from 'node:net'
+
+/** Bytes up to which copying pieces together costs less than writing them apart. */
+const COPY_BYTES = 16 * 1024
+
+/** Writes pieces in one go. False: the socket's buffer is full. */
+export function writePieces (socket: Socket, pieces: readonly Buffer[]): boolean {
+  if (pieces.length === 1) return socket.write(pieces[0])
+  const total = pieces.reduce((sum, { length }) => sum + length, 0)
+  if (total <= COPY_BYTES) return socket.write(Buffer.concat(pieces, total))
+  let flowing = true
+  socket.cork()
+  for (const piece of pieces) flowing = socket.write(piece)
+  socket.uncork()
+  return flowing
+}
 
 export interface ByteRuns {
   add: (bytes: Buffer) => void
--- a/packages/cyclamenusherd/src/node/request/statementRequest.ts
+++ b/packages/cyclamenusherd/src/node/request/statementRequest.ts
@@ -6,7 +6,7 @@
 
 import { BACKEND, FRONTEND, buildParameterStatus, buildReadyForQuery, readErrorResponse, readParameterStatus, readTransactionState } from '@cyclamenusher/protocol'
 import { PRELIMINARY_FRAMES, buildCloseStatement, buildParse, confirmStatement, renameStatement } from './batch.js'
-import { createByteRuns } from './byteRuns.js'
+import { createByteRuns, writePieces } from './byteRuns.js'
 import { createReplyPlan } from './replyPlan.js'
 import type { Socket } from 'node:net'
 import type { Frame, TransactionState } from '@cyclamenusher/protocol'
@@ -88,6 +88,7 @@
   const plan = createReplyPlan()
   const passing = createByteRuns()
   const held = createByteRuns()
+  const sending = createByteRuns()
   let readyFrame: Buffer | undefined
   let holding = false
   let answered = false
@@ -112,10 +113,7 @@
   function write (buffers: readonly Buffer[]): void {
     if (buffers.length === 0 || caller.destroyed) return
     answered = true
-    let flowing = true
-    if (buffers.length > 1) caller.cork()
-    for (const buffer of buffers) flowing = caller.write(buffer)
-    if (buffers.length > 1) caller.uncork()
+    const flowing = writePieces(caller, buffers)
     if (flowing || waitingForDrain) return
     // The caller reads slower than the server answers, so the server has to wait.
     waitingForDrain = true
@@ -184,7 +182,6 @@
     if (plan.readyOwed() > 0) return pass(frame)
     readyFrame = frame.bytes
     backend.receive(undefined)
-    if (!notPrimary) write(passing.take())
     settle({ transaction: readTransactionState(frame), committed, errorCode, notPrimary })
   }
 
@@ -275,7 +272,8 @@
       partial = true
       if (batch.messages.at(-1)?.type !== FRONTEND.flush) out.push(FLUSH)
     }
-    const flowing = backend.send(out)
+    for (const bytes of out) sending.add(bytes)
+    const flowing = backend.send(sending.take())
     if (partial && !passing.isEmpty()) write(passing.take())
     return flowing
   }
@@ -284,10 +282,10 @@
     send,
     done,
     flush: token => {
-      const buffers = [...passing.take(), ...held.take()]
-      if (token !== undefined) buffers.push(buildParameterStatus(SESSION_PARAMETER, token))
-      if (readyFrame !== undefined) buffers.push(readyFrame)
-      write(buffers)
+      for (const bytes of held.take()) passing.add(bytes)
+      if (token !== undefined) passing.add(buildParameterStatus(SESSION_PARAMETER, token))
+      if (readyFrame !== undefined) passing.add(readyFrame)
+      write(passing.take())
     },
     replace: (error, transaction, token) => {
       held.take()
--- a/packages/measure/src/node/bench/main.ts
+++ b/packages/measure/src/node/bench/main.ts
@@ -26,11 +26,14 @@
   callers: number
   direct: LoadFigures
   entry: LoadFigures
+  /** Processor time of the entry instance for each statement, in microseconds. */
+  entryProcessorMicroseconds: number
 }
 
 interface Flags {
   seconds: number
   idle: boolean
+  only?: string
 }
 
 async function startBench (): Promise<Deployment> {
@@ -77,15 +80,24 @@
 }
 
 /** Takes turns between the two, so that a busy machine weighs on both alike. */
-async function compare (direct: Target, entry: Target, statement: StatementName, callers: number, seconds: number): Promise<Comparison> {
+async function compare (direct: Target, entry: Target, processNumber: number, statement: StatementName, callers: number, seconds: number): Promise<Comparison> {
   const runs: Array<{ direct: LoadFigures, entry: LoadFigures }> = []
+  const processor: number[] = []
   for (let round = 0; round < 3; round += 1) {
-    runs.push({
-      direct: await measure(direct, statement, callers, seconds * 1000),
-      entry: await measure(entry, statement, callers, seconds * 1000)
-    })
+    const straight = await measure(direct, statement, callers, seconds * 1000)
+    const before = readUsage(processNumber).processorSeconds
+    const through = await measure(entry, statement, callers, seconds * 1000)
+    const statements = through.statementsPerSecond * (seconds + WARM_UP_MILLISECONDS / 1000)
+    processor.push((readUsage(processNumber).processorSeconds - before) / statements * 1e6)
+    runs.push({ direct: straight, entry: through })
+  }
+  return {
+    entryProcessorMicroseconds: Math.round(median(processor)),
+    statement,
+    callers,
+    direct: middle(runs.map(run => run.direct)),
+    entry: middle(runs.map(run => run.entry))
   }
-  return { statement, callers, direct: middle(runs.map(run => run.direct)), entry: middle(runs.map(run => run.entry)) }
 }
 
 async function measureIdle (deployment: Deployment, entry: Target): Promise<Array<{ connections: number, residentBytes: number, bytesEach: number }>> {
@@ -105,13 +117,13 @@
   return figures
 }
 
-function printComparison ({ statement, callers, direct, entry }: Comparison): void {
+function printComparison ({ statement, callers, direct, entry, entryProcessorMicroseconds }: Comparison): void {
   const show = ({ statementsPerSecond, p50Milliseconds, p99Milliseconds }: LoadFigures): string =>
     `${String(statementsPerSecond).padStart(6)}/s  p50 ${p50Milliseconds.toFixed(2).padStart(6)} ms  p99 ${p99Milliseconds.toFixed(2).padStart(6)} ms`
-  console.log(`${statement.padEnd(5)} ${String(callers).padStart(2)} callers   direct ${show(direct)}   entry ${show(entry)}   ratio ${(entry.statementsPerSecond / direct.statementsPerSecond).toFixed(2)}`)
+  console.log(`${statement.padEnd(5)} ${String(callers).padStart(2)} callers   direct ${show(direct)}   entry ${show(entry)}   ratio ${(entry.statementsPerSecond / direct.statementsPerSecond).toFixed(2)}   processor ${entryProcessorMicroseconds} µs each`)
 }
 
-async function run ({ seconds, idle }: Flags): Promise<void> {
+async function run ({ seconds, idle, only }: Flags): Promise<void> {
   const deployment = await startBench()
   const stop = (): void => { void deployment.close().then(() => process.exit(130)) }
   process.once('SIGINT', stop)
@@ -123,9 +135,9 @@
     const idleFigures = idle ? await measureIdle(deployment, entry) : []
     for (const { connections, residentBytes, bytesEach } of idleFigures) console.log(`idle ${connections} connections: ${(residentBytes / 1e6).toFixed(1)} MB, ${bytesEach} bytes each`)
     const comparisons: Comparison[] = []
-    for (const statement of STATEMENT_NAMES) {
+    for (const statement of STATEMENT_NAMES.filter(name => only === undefined || name === only)) {
       for (const callers of CALLERS) {
-        const comparison = await compare(direct, entry, statement, callers, seconds)
+        const comparison = await compare(direct, entry, deployment.entries[0].process.child.pid ?? 0, statement, callers, seconds)
         comparisons.push(comparison)
         printComparison(comparison)
       }
@@ -144,6 +156,7 @@
 program.command('', 'compare one entry instance with the stand-in server itself')
   .option('--seconds <number>', 'time of each of the three runs a figure is the median of', { default: 1 })
   .option('--no-idle', 'leave out the memory of idle connections')
+  .option('--only <statement>', 'read or write; both without it')
   .action(async (flags: Flags) => {
     await run(flags)
     process.exit(0)
