--- a/packages/stand-ins/src/node/backend/server.ts
+++ b/packages/stand-ins/src/node/backend/server.ts
@@ -16,6 +16,8 @@
 
 /** How often a primary tells its replicas that it lives, in milliseconds. */
 const HEARTBEAT_MILLISECONDS = 50
+/** Silence after which a replica gives up its connection to the primary, in milliseconds (wal_receiver_timeout). */
+const RECEIVER_TIMEOUT_MILLISECONDS = 2_000
 /** Pause before a replica connects to its primary again, in milliseconds. */
 const RECONNECT_MILLISECONDS = 20
 
@@ -44,6 +46,8 @@
   adoptedTerm: number
   logTerm: number
   position: number
+  /** Term of the last record that reads show. */
+  appliedTerm: number
   appliedPosition: number
   primaryMember: string
   /** Milliseconds since the primary was last heard; -1: never. */
@@ -156,6 +160,7 @@
       adoptedTerm: log.adoptedTerm(),
       logTerm: last.term,
       position: last.position,
+      appliedTerm: log.records()[appliedPosition - 1]?.term ?? 0,
       appliedPosition,
       primaryMember: role === 'primary' ? options.member : primaryMember,
       heardMilliseconds: role === 'primary' ? 0 : heardAt < 0 ? -1 : Math.round(performance.now() - heardAt),
@@ -251,6 +256,7 @@
     upstream = socket
     const lines = createInterface({ input: socket })
     let started = false
+    socket.setTimeout(RECEIVER_TIMEOUT_MILLISECONDS, () => { socket.destroy() })
     socket.on('connect', () => {
       socket.write(buildStartupMessage({ user: 'replication', replication: 'true' }))
       socket.write(`${JSON.stringify({ group: options.group, adoptedTerm: log.adoptedTerm(), runs: log.runs() })}\n`)
