--- a/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
@@ -161,6 +161,15 @@
   assert.is((await right.query('select 1')).rows.length, 1)
 })
 
+withHarness('a transaction that waits too long is ended', { idleTransactionMilliseconds: 50 }, async harness => {
+  const caller = await harness.connect()
+  await caller.query('begin')
+  await caller.query('insert into visits (id, value) values (\'1\', \'a\')')
+  const code = await new Promise(resolve => { caller.once('error', (error: Error & { code?: string }) => { resolve(error.code) }) })
+  assert.is(code, '25P03')
+  await eventually('the connection is gone', () => harness.primary.registry.open === 0)
+})
+
 withHarness('a key withdrawn in mid-transaction', { limit: 1 }, async harness => {
   const caller = await harness.connect()
   await caller.query('begin')
--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -62,6 +62,7 @@
   requestMilliseconds?: number
   maximumConnections?: number
   handshakeMilliseconds?: number
+  idleTransactionMilliseconds?: number
   tls?: { certificate: string, key: string }
   services?: Partial<CallerServices>
 }
@@ -97,7 +98,8 @@
       maximumConnections: options.maximumConnections ?? 100,
       maximumMessageBytes: 1024 * 1024,
       requestMilliseconds: options.requestMilliseconds ?? 5_000,
-      handshakeMilliseconds: options.handshakeMilliseconds ?? 5_000
+      handshakeMilliseconds: options.handshakeMilliseconds ?? 5_000,
+      idleTransactionMilliseconds: options.idleTransactionMilliseconds ?? 5_000
     }
   } as unknown as Config
 }
--- a/packages/cyclamenusherd/src/node/connection/callerConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerConnection.ts
@@ -57,6 +57,9 @@
   secret: number
   rest: Buffer
   services: CallerServices
+  /** Time that a transaction may wait for its next request, in milliseconds. */
+  idleTransactionMilliseconds: number
+  onRefused: (error: RefusalError) => void
   onClosed: () => void
 }
 
@@ -132,6 +135,7 @@
     session = createCallerSession(options.parameters, services.tokenSecret)
   } catch (error) {
     const refusal = error instanceof RefusalError ? error : new RefusalError('protocol broken', (error as Error).message)
+    options.onRefused(refusal)
     socket.resume()
     socket.end(refusalResponse(refusal, 'FATAL'))
     return undefined
@@ -161,13 +165,16 @@
       skipping = true
       collected = []
       collectedBytes = 0
+      options.onRefused(error)
       if (!closed) socket.write(refusalResponse(error))
     }
   })
+  let idleTransaction: NodeJS.Timeout | undefined
 
   function close (): void {
     if (closed) return
     closed = true
+    clearTimeout(idleTransaction)
     runner.stop()
     socket.destroySoon()
     options.onClosed()
@@ -176,6 +183,7 @@
   function end (error: RefusalError): void {
     if (closed) return
     const known = runner.mayHaveCommitted() ? new RefusalError(error.kind, error.message, 'unknown', error.hint) : error
+    options.onRefused(known)
     if (!socket.destroyed) socket.write(refusalResponse(known, 'FATAL'))
     close()
     // A caller that does not read must not keep the socket.
@@ -237,6 +245,7 @@
     collectedBytes = 0
     await runner.failTransaction()
     if (closed) return
+    options.onRefused(refusal)
     skipping = !ended
     // The caller's last token may lack a write that lasts: the new one makes its next read ask first.
     if (refusal.runState === 'unknown') socket.write(buildParameterStatus(SESSION_SETTING, session.tokenText()))
@@ -257,11 +266,21 @@
     return true
   }
 
+  /** A transaction that waits for its caller keeps a scarce connection, so the wait has a bound. */
+  function watchTransaction (): void {
+    if (closed || !runner.holdsConnection()) return
+    idleTransaction = setTimeout(() => {
+      end(new RefusalError('idle in transaction', 'the transaction waited too long for its next request', 'stopped', 'Send a transaction\'s requests without a pause.'))
+    }, options.idleTransactionMilliseconds)
+  }
+
   async function work (): Promise<void> {
     if (running) return
     running = true
+    clearTimeout(idleTransaction)
     while (!closed && await workOnce()) endIfDrained()
     running = false
+    watchTransaction()
     if (!closed && socket.isPaused()) socket.resume()
   }
 
--- a/packages/cyclamenusherd/src/node/connection/callerHandshake.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerHandshake.ts
@@ -33,6 +33,7 @@
   needsKey: (startup: CallerStartup) => boolean
   /** Accepts or refuses; called once. @throws RefusalError */
   accept: (startup: CallerStartup, key: string | undefined) => Accepted
+  refused: (error: RefusalError) => void
   /** Another connection's request is to be cancelled. */
   cancel: (processNumber: number, secret: number) => void
 }
@@ -187,6 +188,7 @@
   } catch (error) {
     source.finish()
     const refusal = error instanceof RefusalError ? error : new RefusalError('protocol broken', 'the start-up could not be understood')
+    handlers.refused(refusal)
     if (!socket.destroyed) {
       socket.resume()
       socket.end(refusalResponse(refusal, 'FATAL'))
--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -4,7 +4,7 @@
 import { randomInt } from 'node:crypto'
 import { createCallerConnection } from '../connection/callerConnection.js'
 import { createCallerContext, shakeHands } from '../connection/callerHandshake.js'
-import { RefusalError, refusalResponse } from '../request/refusal.js'
+import { REFUSAL_CODES, RefusalError, refusalResponse } from '../request/refusal.js'
 import { OPEN_ACCOUNT } from './admission.js'
 import type { Server, Socket } from 'node:net'
 import type { CallerConnection, CallerServices } from '../connection/callerConnection.js'
@@ -65,6 +65,12 @@
     return { identity, group: rule.group }
   }
 
+  function recordRefusal (error: RefusalError, account?: string, database?: string): void {
+    const code = REFUSAL_CODES[error.kind]
+    metrics.refusals.inc({ code })
+    logger.info('A request was refused.', { account, database, code, reason: error.message, ran: error.runState })
+  }
+
   async function accept (plain: Socket): Promise<void> {
     plain.setNoDelay(true)
     plain.on('error', () => { plain.destroy() })
@@ -78,6 +84,7 @@
     greeting.add(plain)
     const shaken = await shakeHands(plain, context, {
       milliseconds: config.callers.handshakeMilliseconds,
+      refused: error => { recordRefusal(error) },
       needsKey: ({ user }) => user !== OPEN_ACCOUNT,
       accept: identify,
       cancel: (processNumber, secret) => {
@@ -102,6 +109,8 @@
       secret,
       rest,
       services,
+      idleTransactionMilliseconds: config.callers.idleTransactionMilliseconds,
+      onRefused: error => { recordRefusal(error, accepted.identity.account, startup.database) },
       onClosed: () => {
         closed = true
         callers.delete(processNumber)
--- a/packages/cyclamenusherd/src/node/process/config.ts
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -36,6 +36,8 @@
     requestMilliseconds: number
     /** Time that a caller has until its key is accepted, in milliseconds. @default 10000 */
     handshakeMilliseconds: number
+    /** Time that a transaction may wait for its next request, in milliseconds. @default 60000 */
+    idleTransactionMilliseconds: number
   }
   calls: {
     listen: Address
@@ -109,7 +111,8 @@
     maximum_connections: { kind: 'number', minimum: 1, maximum: 100_000, unit: 'connections', default: 5000, description: 'connections of callers' },
     maximum_message_bytes: { kind: 'number', minimum: 1024, maximum: 1_073_741_824, unit: 'bytes', default: 16_777_216, description: 'longest message of a caller' },
     request_milliseconds: milliseconds('time that a request may take', 30_000, 100, 3_600_000),
-    handshake_milliseconds: milliseconds('time that a caller has until its key is accepted', 10_000, 100, 60_000)
+    handshake_milliseconds: milliseconds('time that a caller has until its key is accepted', 10_000, 100, 60_000),
+    idle_transaction_milliseconds: milliseconds('time that a transaction may wait for its next request', 60_000, 100, 3_600_000)
   },
   calls: {
     listen: address('address for other instances, announcers and operators', '127.0.0.1:7432'),
@@ -268,7 +271,8 @@
       maximumConnections: Number(callers.maximum_connections),
       maximumMessageBytes: Number(callers.maximum_message_bytes),
       requestMilliseconds: Number(callers.request_milliseconds),
-      handshakeMilliseconds: Number(callers.handshake_milliseconds)
+      handshakeMilliseconds: Number(callers.handshake_milliseconds),
+      idleTransactionMilliseconds: Number(callers.idle_transaction_milliseconds)
     },
     calls: {
       listen: parseAddress(String(calls.listen)),
--- a/packages/cyclamenusherd/src/node/process/router.ts
+++ b/packages/cyclamenusherd/src/node/process/router.ts
@@ -205,7 +205,6 @@
       }
       await openGroup(request.group).monitor.nextChange(100)
     }
-    metrics.refusals.inc({ code: '57P03' })
     throw new RefusalError('no server', `no backend server of ${request.group} can serve the request: ${last}`, 'not run', 'Try again; if it lasts, look at the failover lines of the log.')
   }
 
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/request/__tests__/statementRequest.test.ts
@@ -0,0 +1,187 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { PassThrough } from 'node:stream'
+import { NO_SETTINGS, loadParser } from '@cyclamenusher/decisions'
+import { BACKEND, FRONTEND, buildCommandComplete, buildErrorResponse, buildFrame, buildParameterStatus, buildReadyForQuery, cString } from '@cyclamenusher/protocol'
+import { mayCommit, needOf, readExtendedBatch, readSimpleQuery } from '../batch.js'
+import { createReplyPlan } from '../replyPlan.js'
+import { CopyError, createStatementRequest } from '../statementRequest.js'
+import type { Socket } from 'node:net'
+import type { BackendConnection, FrameReceiver } from '../../connection/backendConnection.js'
+import type { Batch } from '../batch.js'
+import type { StatementRequest } from '../statementRequest.js'
+
+test.before(loadParser)
+
+interface Bench {
+  request: StatementRequest
+  /** Frames that the server answers. */
+  answer: (...frames: Buffer[]) => void
+  lose: () => void
+  /** Type bytes of what the caller has got. */
+  got: () => string
+  sent: Buffer[]
+}
+
+function query (text: string): Batch {
+  return readSimpleQuery({ type: FRONTEND.query, bytes: buildFrame(FRONTEND.query, cString(text)) })
+}
+
+function extended (...types: number[]): Batch {
+  const bodies: Record<number, Buffer> = {
+    [FRONTEND.parse]: Buffer.concat([cString(''), cString('insert into t values (1)'), Buffer.alloc(2)]),
+    [FRONTEND.bind]: Buffer.concat([cString(''), cString(''), Buffer.alloc(6)]),
+    [FRONTEND.execute]: Buffer.concat([cString(''), Buffer.alloc(4)])
+  }
+  const frames = types.map(type => ({ type, bytes: buildFrame(type, bodies[type] ?? Buffer.alloc(0)) }))
+  return readExtendedBatch(frames, new Map(), new Map())
+}
+
+function createBench (options: { mayCommit?: boolean, inTransaction?: boolean } = {}): Bench {
+  const caller = new PassThrough()
+  const seen: Buffer[] = []
+  caller.on('data', (chunk: Buffer) => { seen.push(chunk) })
+  let receiver: FrameReceiver | undefined
+  const sent: Buffer[] = []
+  const backend = {
+    prepared: new Set<string>(),
+    settings: NO_SETTINGS,
+    isOpen: () => true,
+    send: (pieces: readonly Buffer[]) => sent.push(...pieces) > 0,
+    receive: (next: FrameReceiver | undefined) => { receiver = next },
+    pauseReading: () => {},
+    resumeReading: () => {}
+  } as unknown as BackendConnection
+  const request = createStatementRequest({ caller: caller as unknown as Socket, backend, prepared: new Map(), mayCommit: options.mayCommit ?? false, inTransaction: options.inTransaction ?? false })
+  return {
+    request,
+    sent,
+    answer: (...frames) => {
+      const current = receiver
+      for (const bytes of frames) receiver?.onFrame({ type: bytes[0], bytes })
+      current?.onChunkEnd()
+    },
+    lose: () => { receiver?.onClosed() },
+    got: () => {
+      const bytes = Buffer.concat(seen)
+      let types = ''
+      for (let offset = 0; offset < bytes.length; offset += 1 + bytes.readUInt32BE(offset + 1)) types += String.fromCharCode(bytes[offset])
+      return types
+    }
+  }
+}
+
+async function settled (): Promise<void> {
+  await new Promise(resolve => setImmediate(resolve))
+}
+
+const PREPARED = [buildFrame(BACKEND.parseComplete), buildFrame(BACKEND.bindComplete)]
+const INSERTED = buildCommandComplete('INSERT 0 1')
+
+for (const type of [BACKEND.copyInResponse, BACKEND.copyOutResponse, BACKEND.copyBothResponse]) {
+  test(`a server that wants to copy is left: ${String.fromCharCode(type)}`, async () => {
+    const { request, answer, got } = createBench()
+    request.send(query('call my_copy()'))
+    answer(buildFrame(type, Buffer.alloc(3)))
+    const error = await request.done.catch((reason: Error) => reason)
+    assert.instance(error, CopyError)
+    assert.is(got(), '')
+  })
+}
+
+test('the end of a commit is held back, its rows are not', async () => {
+  const { request, answer, got } = createBench({ mayCommit: true })
+  request.send(query('insert into t values (1) returning a'))
+  answer(buildFrame(BACKEND.rowDescription, Buffer.alloc(2)), buildFrame(BACKEND.dataRow, Buffer.alloc(2)), buildParameterStatus('cyclamenusher.position', '3/7'), INSERTED, buildReadyForQuery('idle'))
+  assert.equal((await request.done).committed, { term: 3, position: 7 })
+  await settled()
+  assert.is(got(), 'TD')
+  request.flush('token')
+  await settled()
+  assert.is(got(), 'TDCSZ')
+})
+
+test('before Sync nothing is committed and nothing is held', async () => {
+  const { request, answer, got } = createBench({ mayCommit: true })
+  request.send(extended(FRONTEND.parse, FRONTEND.bind, FRONTEND.execute, FRONTEND.flush))
+  answer(...PREPARED, INSERTED)
+  await settled()
+  assert.is(got(), '12C')
+  request.send(extended(FRONTEND.sync))
+  answer(buildParameterStatus('cyclamenusher.position', '1/2'), buildReadyForQuery('idle'))
+  assert.equal((await request.done).committed, { term: 1, position: 2 })
+})
+
+test('after an error the server skips what was sent later', async () => {
+  const { request, answer } = createBench({ mayCommit: true })
+  request.send(extended(FRONTEND.parse, FRONTEND.flush))
+  answer(buildErrorResponse({ severity: 'ERROR', code: '42601', message: 'no' }))
+  request.send(extended(FRONTEND.parse, FRONTEND.bind, FRONTEND.execute, FRONTEND.sync))
+  answer(buildReadyForQuery('idle'))
+  assert.is((await request.done).errorCode, '42601')
+})
+
+test('a server that ends itself is a lost one', async () => {
+  const { request, answer, lose, got } = createBench()
+  request.send(query('select 1'))
+  answer(buildErrorResponse({ severity: 'FATAL', code: '57P01', message: 'terminating connection' }))
+  lose()
+  assert.is(await request.done.catch((error: Error) => error.name), 'ConnectionLostError')
+  assert.is(got(), '')
+  assert.not(request.hasAnswered())
+})
+
+test('a wrong member\'s whole answer is kept back', async () => {
+  const { request, answer, got } = createBench({ mayCommit: true })
+  request.send(extended(FRONTEND.parse, FRONTEND.bind, FRONTEND.execute, FRONTEND.sync))
+  answer(...PREPARED)
+  answer(buildErrorResponse({ severity: 'ERROR', code: '25006', message: 'not the primary' }))
+  answer(buildReadyForQuery('idle'))
+  assert.ok((await request.done).notPrimary)
+  await settled()
+  assert.is(got(), '')
+})
+
+test('within a transaction a wrong member is the caller\'s to know', async () => {
+  const { request, answer } = createBench({ inTransaction: true })
+  request.send(query('insert into t values (1)'))
+  answer(buildErrorResponse({ severity: 'ERROR', code: '25006', message: 'not the primary' }), buildReadyForQuery('failed'))
+  assert.not((await request.done).notPrimary)
+})
+
+const COMMITS: Array<[text: string, inTransaction: boolean, commits: boolean]> = [
+  ['insert into t values (1)', false, true],
+  ['insert into t values (1)', true, false],
+  ['commit', true, true],
+  ['rollback', true, false],
+  ['select 1', false, false],
+  ['begin', false, false],
+  ['begin; insert into t values (1)', false, false],
+  ['begin; insert into t values (1); commit', false, true],
+  ['rollback; insert into t values (1)', true, true]
+]
+for (const [text, inTransaction, commits] of COMMITS) {
+  test(`may ${commits ? '' : 'not '}commit ${inTransaction ? 'in' : 'outside'} a transaction: ${text}`, () => {
+    assert.is(mayCommit(query(text), inTransaction), commits)
+  })
+}
+
+test('what a batch needs', () => {
+  assert.is(needOf(query('select 1; select 2')), 'read')
+  assert.is(needOf(query('select 1; delete from t')), 'write')
+  assert.is(needOf(query('set timezone to \'UTC\'')), 'setting')
+  assert.is(needOf(extended(FRONTEND.sync)), 'empty')
+  assert.throws(() => needOf(query('select 1; set timezone to \'UTC\'')), /must come alone/)
+})
+
+test('swallowed replies do not shift the others', () => {
+  const plan = createReplyPlan()
+  plan.expect(FRONTEND.close, 'swallow')
+  plan.expect(FRONTEND.parse, 'swallow')
+  plan.expect(FRONTEND.bind, 'pass')
+  plan.expect(FRONTEND.sync, 'pass')
+  assert.equal([BACKEND.closeComplete, BACKEND.parseComplete, BACKEND.bindComplete, BACKEND.readyForQuery].map(plan.next), ['swallow', 'swallow', 'pass', 'pass'])
+  assert.is(plan.readyOwed(), 0)
+})
+
+test.run()
--- a/packages/cyclamenusherd/src/node/request/refusal.ts
+++ b/packages/cyclamenusherd/src/node/request/refusal.ts
@@ -24,6 +24,7 @@
   'statement exists': '42P05',
   'transaction failed': '25P02',
   'setting refused': '22023',
+  'idle in transaction': '25P03',
   'limit exceeded': '54000'
 } as const
 
--- a/packages/cyclamenusherd/src/node/request/requestRunner.ts
+++ b/packages/cyclamenusherd/src/node/request/requestRunner.ts
@@ -34,6 +34,8 @@
   failTransaction: () => Promise<void>
   /** A batch has begun whose Sync is still to come. */
   isOpen: () => boolean
+  /** A transaction or an open batch keeps a connection. */
+  holdsConnection: () => boolean
   /** Whether stopping now leaves it open if work is committed. */
   mayHaveCommitted: () => boolean
   cancel: () => void
@@ -384,6 +386,7 @@
     run,
     failTransaction,
     isOpen: () => open,
+    holdsConnection: () => open || pinned !== undefined,
     mayHaveCommitted: () => acknowledging || current?.mayCommit === true,
     cancel: () => {
       stopWaiting?.(new RefusalError('timeout', 'canceling statement due to user request'))
