--- a/packages/cyclamenusherd/src/node/connection/callerConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerConnection.ts
@@ -174,7 +174,7 @@
 
   function end (error: RefusalError): void {
     if (closed) return
-    const known = runner.mayHaveCommitted() ? new RefusalError(error.kind, error.message, 'unknown', error.hint) : error
+    const known = runner.mayHaveCommitted() ? new RefusalError('outcome unknown', error.message, 'unknown', error.hint) : error
     if (!socket.destroyed) socket.write(refusalResponse(known, 'FATAL'))
     close()
     // A caller that does not read must not keep the socket.
--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -119,9 +119,7 @@
       if (identity.key === undefined) continue
       if (store.isValid(identity) && (fresh || !caller.isBusy())) continue
       logger.info('A caller was disconnected.', { account: identity.account, key: identity.key, reason: fresh ? 'key withdrawn' : 'rules not fresh' })
-      // A commit may be on its way, so only an idle caller can be told that nothing of it lasts.
-      const busy = caller.isBusy()
-      caller.end(new RefusalError(busy ? 'outcome unknown' : 'key refused', `the key of client account ${identity.account} is no longer valid`, busy ? 'unknown' : 'stopped'))
+      caller.end(new RefusalError('key refused', `the key of client account ${identity.account} is no longer valid`, 'stopped'))
     }
   }
 
--- a/packages/prove/src/node/main.ts
+++ b/packages/prove/src/node/main.ts
@@ -1,6 +1,7 @@
 /** Proves what must always hold: `npm run prove`. */
 
 import { cac } from 'cac'
+import { MUTATIONS, buildMutant } from './mutations.js'
 import { POINTS, POINT_NAMES, SCENARIOS } from './points.js'
 import type { FaultName } from './faults/faults.js'
 import type { Violation } from './history.js'
@@ -16,6 +17,7 @@
   runs?: number
   faults?: string
   scenario?: string
+  mutated?: boolean
 }
 
 interface Tally {
@@ -48,6 +50,30 @@
   return broken
 }
 
+/** Runs each point's mutant: its proof must fail. */
+async function proveMutants (points: readonly PointName[], flags: Flags): Promise<void> {
+  const caught: PointName[] = []
+  for (const point of points) {
+    const mutation = MUTATIONS[point]
+    if (mutation === undefined) {
+      console.log(`MISSED ${point}: there is no mutation of it`)
+      continue
+    }
+    const daemon = await buildMutant(point, mutation)
+    for (let index = 0; index < (flags.runs ?? 3) && !caught.includes(point); index += 1) {
+      const seed = flags.seed + index
+      const result = await SCENARIOS[mutation.scenario].run({ seed, faults: mutation.faults, programs: { daemon } })
+      // Too little work is a broken run too, but shows nothing of the mechanism.
+      const violations = (result.violations[point] ?? []).filter(({ problem }) => !problem.startsWith('only '))
+      console.log(`${violations.length > 0 ? 'caught' : 'missed'} ${point} seed ${seed}: ${mutation.name} (${result.operations} operations, faults: ${result.faults.join(', ') || 'none'})`)
+      show(point, violations)
+      if (violations.length > 0) caught.push(point)
+    }
+  }
+  console.log(JSON.stringify({ mutations: points.length, caught: caught.length, missed: points.filter(point => !caught.includes(point)) }))
+  if (caught.length < points.length) process.exitCode = 1
+}
+
 async function prove (names: string[], flags: Flags): Promise<void> {
   if (flags.list === true) {
     for (const name of POINT_NAMES) console.log(name)
@@ -60,6 +86,7 @@
     return
   }
   const wanted = new Set(names.length === 0 ? POINT_NAMES : names as PointName[])
+  if (flags.mutated === true) return await proveMutants([...wanted], flags)
   const tally: Tally = { broken: new Map(), judged: new Set(), runs: 0, operations: 0, faults: {} }
   for (const [name, { run, judges, runs }] of Object.entries(SCENARIOS)) {
     if (!judges.some(point => wanted.has(point)) || (flags.scenario !== undefined && flags.scenario !== name)) continue
@@ -94,6 +121,7 @@
   .option('--list', 'list the points by name')
   .option('--seed <number>', 'seed of the first run; each further run takes the next', { default: 1 })
   .option('--runs <number>', 'runs of each scenario')
+  .option('--mutated', 'take the mechanism of each point out: its proof must fail')
   .option('--scenario <name>', 'run this scenario only')
   .option('--faults <names>', 'strike these faults, with commas between, instead of those that the seed picks')
   .example('npm run prove -- read-your-writes --seed 7 --runs 1')
--- /dev/null
+++ b/packages/prove/src/node/mutations.ts
@@ -0,0 +1,162 @@
+/**
+ * For each point a daemon with its mechanism taken out, so that the proof can be
+ * seen to fail. A mutation replaces text of the source while it is bundled, and
+ * says so when the text is not there any more.
+ */
+
+import { readFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { build } from 'esbuild'
+import { WORKSPACE_FOLDER } from '@cyclamenusher/stand-ins'
+import type { Plugin } from 'esbuild'
+import type { FaultName } from './faults/faults.js'
+import type { PointName } from './points.js'
+
+export interface Edit {
+  /** Below `packages`. */
+  file: string
+  find: string
+  replace: string
+}
+
+export interface Mutation {
+  /** What the daemon no longer does. */
+  name: string
+  edits: Edit[]
+  /** Scenario that shows it, and the faults that bring it out. @default undefined - those of the seed */
+  scenario: string
+  faults?: FaultName[]
+}
+
+const DAEMON = 'cyclamenusherd/src/node'
+const DECISIONS = 'decisions/src/node'
+
+export const MUTATIONS: Partial<Record<PointName, Mutation>> = {
+  'read-your-writes': {
+    name: 'replicas serve whatever the session has seen',
+    scenario: 'data',
+    faults: ['replica far behind'],
+    edits: [{ file: `${DECISIONS}/group/route.ts`, find: '.filter(({ status }) => includesPosition(appliedPlace(status), token))', replace: '.filter(() => token !== undefined)' }]
+  },
+  'replaced-primary': {
+    name: 'the primary\'s own word acknowledges a commit',
+    scenario: 'data',
+    faults: ['cut domain of primary'],
+    edits: [{ file: `${DAEMON}/process/group/groupMonitor.ts`, find: "if (majorityHolds(current, at)) return 'held'", replace: "if (majorityHolds(current, at) || at.term > 0) return 'held'" }]
+  },
+  'transactions-apart': {
+    name: 'a connection goes back to the pool in the middle of a transaction',
+    scenario: 'data',
+    faults: ['slow links'],
+    edits: [
+      { file: `${DAEMON}/request/requestRunner.ts`, find: 'if (pinned !== undefined) drop(pinned, false)', replace: 'if (pinned !== undefined) drop(pinned, true)' },
+      { file: `${DAEMON}/process/pool.ts`, find: '!connection.isReusable()', replace: '!connection.isOpen()' }
+    ]
+  },
+  'account-isolation': {
+    name: 'any valid key opens any account',
+    scenario: 'accounts',
+    edits: [{ file: `${DAEMON}/version/rulesStore.ts`, find: 'if (found === undefined || found.account !== account) return undefined', replace: 'if (found === undefined) return undefined' }]
+  },
+  'key-hidden': {
+    name: 'the key is passed to the backend server as the application\'s name',
+    scenario: 'accounts',
+    edits: [
+      { file: `${DAEMON}/process/callers.ts`, find: 'const rule = store.rules().databases.get(database)', replace: 'const rule = store.rules().databases.get(database); (globalThis as any).lastKey = key' },
+      { file: `${DAEMON}/connection/backendConnection.ts`, find: 'new pg.Client({ host,', replace: 'new pg.Client({ application_name: (globalThis as any).lastKey, host,' }
+    ]
+  },
+  'key-withdrawn': {
+    name: 'the key is looked at only when the caller connects',
+    scenario: 'accounts',
+    edits: [
+      { file: `${DAEMON}/process/callers.ts`, find: 'if (identity.key === undefined) continue', replace: 'if (identity.account !== undefined) continue' },
+      { file: `${DAEMON}/process/admission.ts`, find: 'if (!store.isValid(identity)) throw', replace: 'if (identity.account === undefined) throw' }
+    ]
+  },
+  rate: {
+    name: 'each instance counts for itself alone',
+    scenario: 'rate',
+    edits: [{ file: `${DAEMON}/process/admission.ts`, find: 'const share = Math.max(1, sharers())', replace: 'const share = Math.max(1, 0 * sharers())' }]
+  },
+  'whole-answer': {
+    name: 'a connection is lent again after its request ran out of time',
+    scenario: 'answers',
+    faults: ['slow links'],
+    edits: [
+      { file: `${DAEMON}/request/requestRunner.ts`, find: 'drop(running.lease, false)', replace: 'drop(running.lease, true)' },
+      { file: `${DAEMON}/request/requestRunner.ts`, find: 'drop(current.lease, false)', replace: 'drop(current.lease, true)' },
+      { file: `${DAEMON}/process/pool.ts`, find: '!connection.isReusable()', replace: '!connection.isOpen()' }
+    ]
+  },
+  'not-run': {
+    name: 'an outcome that nobody knows is called "not run"',
+    scenario: 'data',
+    faults: ['slow links', 'kill primary'],
+    edits: [{ file: `${DAEMON}/request/requestRunner.ts`, find: "'the backend server was lost before it said whether the work was committed', 'unknown')", replace: "'the backend server was lost before it said whether the work was committed', 'not run')" }]
+  },
+  'at-most-once': {
+    name: 'a write is sent again after its server was lost',
+    scenario: 'data',
+    faults: ['slow links', 'kill primary'],
+    edits: [{ file: `${DAEMON}/request/requestRunner.ts`, find: "const again = need === 'read' && !running.wasInTransaction", replace: 'const again = !running.wasInTransaction' }]
+  },
+  leaving: {
+    name: 'a leaving server is used like any other',
+    scenario: 'departures',
+    edits: [
+      { file: `${DECISIONS}/group/route.ts`, find: '&& !status.leaving', replace: '' },
+      { file: `${DECISIONS}/group/failover.ts`, find: 'status.leaving', replace: '(status.leaving && status.position < 0)' }
+    ]
+  },
+  'graceful-shutdown': {
+    name: 'a shutdown waits for nobody',
+    scenario: 'departures',
+    edits: [{ file: `${DAEMON}/process/callers.ts`, find: 'const until = services.now() + milliseconds', replace: 'const until = services.now() - milliseconds' }]
+  },
+  configuration: {
+    name: 'instances keep the configuration that they have',
+    scenario: 'configuration',
+    edits: [{ file: `${DAEMON}/version/rulesStore.ts`, find: 'const changed = message.number > number', replace: 'const changed = message.number > number && number < 4' }]
+  }
+}
+
+function createMutator (edits: readonly Edit[]): { plugin: Plugin, missing: () => Edit[] } {
+  const missing = new Set(edits)
+  const plugin: Plugin = {
+    name: 'mutate',
+    setup: ({ onLoad, onResolve }) => {
+      onResolve({ filter: /^[^./]/ }, ({ path, kind }) => kind === 'entry-point' || path.startsWith('@cyclamenusher/') ? undefined : { path, external: true })
+      onLoad({ filter: /\.ts$/ }, ({ path }) => {
+        const own = edits.filter(({ file }) => path === join(WORKSPACE_FOLDER, 'packages', file))
+        let contents = readFileSync(path, 'utf8')
+        for (const edit of own) {
+          if (!contents.includes(edit.find)) continue
+          missing.delete(edit)
+          contents = contents.replaceAll(edit.find, edit.replace)
+        }
+        return { contents, loader: 'ts' }
+      })
+    }
+  }
+  return { plugin, missing: () => [...missing] }
+}
+
+/** Bundles the daemon with the mutation in it. @throws Error when it no longer fits the source */
+export async function buildMutant (point: PointName, { edits }: Mutation): Promise<string> {
+  const outfile = join(WORKSPACE_FOLDER, 'packages/cyclamenusherd/dist/mutants', point, 'main.js')
+  const { plugin, missing } = createMutator(edits)
+  await build({
+    entryPoints: [join(WORKSPACE_FOLDER, 'packages/cyclamenusherd/src/node/main.ts')],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    format: 'esm',
+    target: 'node20',
+    plugins: [plugin],
+    logLevel: 'warning'
+  })
+  const [unfit] = missing()
+  if (unfit !== undefined) throw new Error(`the mutation of ${point} does not fit ${unfit.file} any more: "${unfit.find}" is not there`)
+  return outfile
+}
--- a/packages/stand-ins/src/node/backend/connection.ts
+++ b/packages/stand-ins/src/node/backend/connection.ts
@@ -80,6 +80,7 @@
       return
     }
     if (rest.length > 0) socket.unshift(rest)
+    remember(registry, message)
     startSession(socket, server, registry, readStartupParameters(message))
   }
   socket.on('data', onData)
--- a/packages/stand-ins/src/node/fleet/fleet.ts
+++ b/packages/stand-ins/src/node/fleet/fleet.ts
@@ -16,17 +16,18 @@
   return folder
 }
 
-const ROOT = findRoot()
+/** The folder that holds the workspace. */
+export const WORKSPACE_FOLDER = findRoot()
 const PROGRAMS = {
-  daemon: join(ROOT, 'packages/cyclamenusherd/dist/main.js'),
-  operator: join(ROOT, 'packages/cyclamenusher/dist/main.js'),
-  standIns: join(ROOT, 'packages/stand-ins/dist/main.js')
+  daemon: join(WORKSPACE_FOLDER, 'packages/cyclamenusherd/dist/main.js'),
+  operator: join(WORKSPACE_FOLDER, 'packages/cyclamenusher/dist/main.js'),
+  standIns: join(WORKSPACE_FOLDER, 'packages/stand-ins/dist/main.js')
 }
 
 export type Program = keyof typeof PROGRAMS
 
 /** Where the module lies that sends a process's connections through links. */
-const DIAL_THROUGH_LINKS = join(ROOT, 'packages/stand-ins/dist/link/dialThroughLinks.js')
+const DIAL_THROUGH_LINKS = join(WORKSPACE_FOLDER, 'packages/stand-ins/dist/link/dialThroughLinks.js')
 
 export interface StartOptions {
   /** Where the process reaches the others through links. @default undefined - directly */
