Proofs see their mechanisms missing: lost answers while the primary lives

Ruled out: more delay. What was missing is a fault that loses the answer and keeps the server: its connections are closed while links are slow.

Links let arrive what was on its way when one end closes; before, it was dropped.

--- a/packages/prove/src/node/faults/faults.ts
+++ b/packages/prove/src/node/faults/faults.ts
@@ -93,6 +93,9 @@
 }
 
 const NOTHING: Heal = async () => {}
+/** How often connections are closed in one strike, and the longest pause between, in milliseconds. */
+const CLOSE_TIMES = 4
+const CLOSE_PAUSE_MILLISECONDS = 300
 
 export const FAULTS = {
   'kill primary': async context => await killServer(context, await findPrimary(context)),
@@ -116,6 +119,15 @@
     networkOf(context).loseOpen(context.random.pick(context.deployment.plan.failureDomains))
     return NOTHING
   },
+  'connections to primary closed': async context => {
+    // What is on its way at that moment is lost, answers to commits among it.
+    const { port } = await findPrimary(context)
+    for (let time = 0; time < CLOSE_TIMES; time += 1) {
+      for (const link of networkOf(context).linksTo(port)) link.closeOpen()
+      await new Promise(resolve => setTimeout(resolve, context.random.between(100, CLOSE_PAUSE_MILLISECONDS)))
+    }
+    return NOTHING
+  },
   'slow links': async context => {
     networkOf(context).setDelay(context.random.between(5, 60))
     return async () => { networkOf(context).setDelay(0) }
--- a/packages/prove/src/node/main.ts
+++ b/packages/prove/src/node/main.ts
@@ -50,6 +50,10 @@
   return broken
 }
 
+function describe ({ outcomes }: ScenarioResult): string {
+  return Object.entries(outcomes).map(([outcome, count]) => `${count} ${outcome}`).join(', ')
+}
+
 /** Runs each point's mutant: its proof must fail. */
 async function proveMutants (points: readonly PointName[], flags: Flags): Promise<void> {
   const caught: PointName[] = []
@@ -65,7 +69,7 @@
       const result = await SCENARIOS[mutation.scenario].run({ seed, faults: mutation.faults, programs: { daemon } })
       // Too little work is a broken run too, but shows nothing of the mechanism.
       const violations = (result.violations[point] ?? []).filter(({ problem }) => !problem.startsWith('only '))
-      console.log(`${violations.length > 0 ? 'caught' : 'missed'} ${point} seed ${seed}: ${mutation.name} (${result.operations} operations, faults: ${result.faults.join(', ') || 'none'})`)
+      console.log(`${violations.length > 0 ? 'caught' : 'missed'} ${point} seed ${seed}: ${mutation.name} (${describe(result)}, faults: ${result.faults.join(', ') || 'none'})`)
       show(point, violations)
       if (violations.length > 0) caught.push(point)
     }
@@ -97,7 +101,7 @@
         const result = await run({ seed, faults: flags.faults?.split(',') as FaultName[] | undefined })
         const broken = add(tally, result, wanted)
         const seconds = ((performance.now() - startedAt) / 1000).toFixed(1)
-        console.log(`${broken.length === 0 ? 'held  ' : 'BROKEN'} ${name} seed ${seed}: ${result.operations} operations, ${result.done} answered whole, ${seconds} s, faults: ${result.faults.join(', ') || 'none'}`)
+        console.log(`${broken.length === 0 ? 'held  ' : 'BROKEN'} ${name} seed ${seed}: ${result.operations} operations, ${describe(result)}, ${seconds} s, faults: ${result.faults.join(', ') || 'none'}`)
         for (const point of broken) show(point, result.violations[point] ?? [])
       } catch (error) {
         // A run that could not be judged proves nothing, so its points don't count as held.
--- a/packages/prove/src/node/mutations.ts
+++ b/packages/prove/src/node/mutations.ts
@@ -92,22 +92,19 @@
   'not-run': {
     name: 'an outcome that nobody knows is called "not run"',
     scenario: 'data',
-    faults: ['slow links', 'kill primary'],
+    faults: ['slow links', 'connections to primary closed'],
     edits: [{ file: `${DAEMON}/request/requestRunner.ts`, find: "'the backend server was lost before it said whether the work was committed', 'unknown')", replace: "'the backend server was lost before it said whether the work was committed', 'not run')" }]
   },
   'at-most-once': {
     name: 'a write is sent again after its server was lost',
     scenario: 'data',
-    faults: ['slow links', 'kill primary'],
+    faults: ['slow links', 'connections to primary closed'],
     edits: [{ file: `${DAEMON}/request/requestRunner.ts`, find: "const again = need === 'read' && !running.wasInTransaction", replace: 'const again = !running.wasInTransaction' }]
   },
   leaving: {
     name: 'a leaving server is used like any other',
     scenario: 'departures',
-    edits: [
-      { file: `${DECISIONS}/group/route.ts`, find: '&& !status.leaving', replace: '' },
-      { file: `${DECISIONS}/group/failover.ts`, find: 'status.leaving', replace: '(status.leaving && status.position < 0)' }
-    ]
+    edits: [{ file: `${DAEMON}/process/group/memberLink.ts`, find: 'leaving: readFlag(row.leaving)', replace: "leaving: row.leaving === 'never'" }]
   },
   'graceful-shutdown': {
     name: 'a shutdown waits for nobody',
--- a/packages/prove/src/node/scenarios/accounts.ts
+++ b/packages/prove/src/node/scenarios/accounts.ts
@@ -4,7 +4,7 @@
 import { createSession } from '../callers/session.js'
 import { pause } from '../callers/work.js'
 import { checkIsolation, checkKeysHidden, checkNotRun, checkWithdrawn } from '../checkers/index.js'
-import { BASE_PLAN, checkLively, findReceived, readLogs, settle, withStage } from './scenario.js'
+import { BASE_PLAN, checkLively, countOutcomes, findReceived, readLogs, settle, withStage } from './scenario.js'
 import type { KeyRecord } from '../checkers/index.js'
 import type { Session } from '../callers/session.js'
 import type { Scenario, Stage } from './scenario.js'
@@ -116,6 +116,7 @@
     },
     operations: operations.length,
     done,
+    outcomes: countOutcomes(operations),
     faults: stage.struck
   }
 })
--- a/packages/prove/src/node/scenarios/answers.ts
+++ b/packages/prove/src/node/scenarios/answers.ts
@@ -5,7 +5,7 @@
 import { createSession } from '../callers/session.js'
 import { pause } from '../callers/work.js'
 import { checkAnswers } from '../checkers/index.js'
-import { BASE_PLAN, checkLively, strikeTogether, withStage } from './scenario.js'
+import { BASE_PLAN, checkLively, countOutcomes, strikeTogether, withStage } from './scenario.js'
 import type pg from 'pg'
 import type { Session } from '../callers/session.js'
 import type { FaultName } from '../faults/faults.js'
@@ -101,6 +101,7 @@
       violations: { 'whole-answer': [...checkLively(done, LEAST_DONE), ...checkAnswers(operations)] },
       operations: operations.length,
       done,
+      outcomes: countOutcomes(operations),
       faults: stage.struck
     }
   })
--- a/packages/prove/src/node/scenarios/configuration.ts
+++ b/packages/prove/src/node/scenarios/configuration.ts
@@ -118,6 +118,7 @@
     },
     operations: probes.length + submissions.length,
     done: judged,
+    outcomes: { done: judged },
     faults: stage.struck
   }
 })
--- a/packages/prove/src/node/scenarios/data.ts
+++ b/packages/prove/src/node/scenarios/data.ts
@@ -4,7 +4,7 @@
 import { checkAcknowledged, checkAnswers, checkAtMostOnce, checkKeysHidden, checkLeaks, checkNotRun, checkReadYourWrites, checkTransactions } from '../checkers/index.js'
 import { createSession } from '../callers/session.js'
 import { get, pause, workUntil } from '../callers/work.js'
-import { BASE_PLAN, checkLively, findReceived, readLogs, readPrimaryLog, settle, strikeTogether, withStage } from './scenario.js'
+import { BASE_PLAN, checkLively, countOutcomes, findReceived, readLogs, readPrimaryLog, settle, strikeTogether, withStage } from './scenario.js'
 import type { Worker } from '../callers/work.js'
 import type { FaultName } from '../faults/faults.js'
 import type { RandomSource } from '../random.js'
@@ -20,7 +20,7 @@
 
 const DATA_FAULTS: FaultName[] = [
   'kill primary', 'freeze primary', 'isolate primary from replicas', 'cut domain of primary', 'one-way silence',
-  'open connections silent for good', 'slow links', 'replica far behind', 'kill replica', 'freeze replica', 'rival promotion',
+  'open connections silent for good', 'connections to primary closed', 'slow links', 'replica far behind', 'kill replica', 'freeze replica', 'rival promotion',
   'kill entry instance', 'freeze entry instance', 'kill control instance'
 ]
 
@@ -82,6 +82,7 @@
     },
     operations: operations.length,
     done,
+    outcomes: countOutcomes(operations),
     faults: stage.struck
   }
 })
--- a/packages/prove/src/node/scenarios/departures.ts
+++ b/packages/prove/src/node/scenarios/departures.ts
@@ -4,7 +4,7 @@
 import { pause } from '../callers/work.js'
 import { checkLeaving, checkNotRun, checkShutdown } from '../checkers/index.js'
 import { findPrimary } from '../faults/faults.js'
-import { BASE_PLAN, checkLively, readLogs, settle, withStage } from './scenario.js'
+import { BASE_PLAN, checkLively, countOutcomes, readLogs, settle, withStage } from './scenario.js'
 import type { Shutdown } from '../checkers/index.js'
 import type { Session } from '../callers/session.js'
 import type { RandomSource } from '../random.js'
@@ -102,6 +102,7 @@
     },
     operations: operations.length,
     done,
+    outcomes: countOutcomes(operations),
     faults: stage.struck
   }
 })
--- a/packages/prove/src/node/scenarios/rate.ts
+++ b/packages/prove/src/node/scenarios/rate.ts
@@ -3,7 +3,7 @@
 import { createSession } from '../callers/session.js'
 import { pause } from '../callers/work.js'
 import { checkRate } from '../checkers/index.js'
-import { BASE_PLAN, checkLively, strikeTogether, withStage } from './scenario.js'
+import { BASE_PLAN, checkLively, countOutcomes, strikeTogether, withStage } from './scenario.js'
 import type { FaultName } from '../faults/faults.js'
 import type { Session } from '../callers/session.js'
 import type { Scenario } from './scenario.js'
@@ -58,6 +58,7 @@
     violations: { rate: [...checkLively(done, LEAST_DONE), ...checkRate(operations, limits)] },
     operations: operations.length,
     done,
+    outcomes: countOutcomes(operations),
     faults: stage.struck
   }
 })
--- a/packages/prove/src/node/scenarios/scenario.ts
+++ b/packages/prove/src/node/scenarios/scenario.ts
@@ -8,7 +8,7 @@
 import type { Deployment, DeploymentPlan, ProgramFiles } from '@cyclamenusher/stand-ins'
 import type { CommittedRecord } from '../checkers/log.js'
 import type { FaultName, Heal } from '../faults/faults.js'
-import type { History, Violation } from '../history.js'
+import type { History, Operation, Outcome, Violation } from '../history.js'
 import type { PointName } from '../points.js'
 import type { RandomSource } from '../random.js'
 
@@ -29,6 +29,8 @@
   operations: number
   /** Operations that were answered whole. */
   done: number
+  /** Operations by outcome. */
+  outcomes: Partial<Record<Outcome, number>>
   faults: StruckName[]
 }
 
@@ -149,6 +151,13 @@
   return found
 }
 
+/** How the requests of a history ended; attempts to connect don't count. */
+export function countOutcomes (operations: readonly Operation[]): Partial<Record<Outcome, number>> {
+  const counts: Partial<Record<Outcome, number>> = {}
+  for (const { kind, outcome } of operations) if (kind !== 'connect') counts[outcome] = (counts[outcome] ?? 0) + 1
+  return counts
+}
+
 /** A run in which little was answered shows nothing. */
 export function checkLively (done: number, least: number): Violation[] {
   return done >= least ? [] : [{ problem: `only ${done} operations were answered, fewer than the ${least} that a run needs to show anything`, operations: [] }]
--- a/packages/stand-ins/src/node/link/link.ts
+++ b/packages/stand-ins/src/node/link/link.ts
@@ -49,6 +49,8 @@
 
 interface Pipe {
   setState: (state: LinkState) => void
+  /** Its source is gone: what is on its way still arrives, then the end. */
+  finish: () => void
 }
 
 /** Carries one direction of one connection. */
@@ -57,6 +59,7 @@
   let queue: Array<{ chunk: Buffer | undefined, due: number }> = []
   let heldBytes = 0
   let timer: NodeJS.Timeout | undefined
+  let ended = false
 
   function pump (): void {
     clearTimeout(timer)
@@ -80,7 +83,8 @@
   }
 
   function take (chunk: Buffer | undefined): void {
-    if (state === 'lost') return
+    if (state === 'lost' || ended) return
+    ended = chunk === undefined
     queue.push({ chunk, due: performance.now() + delay() })
     heldBytes += chunk?.length ?? 0
     if (heldBytes > MAXIMUM_HELD_BYTES) from.pause()
@@ -91,6 +95,7 @@
   from.on('end', () => { take(undefined) })
   to.on('drain', pump)
   return {
+    finish: () => { take(undefined) },
     setState: next => {
       if (state === 'lost') return
       state = next
@@ -111,10 +116,6 @@
   let delayMilliseconds = 0
   const delay = (): number => delayMilliseconds
 
-  function isPassing (): boolean {
-    return states.forward === 'passing' && states.back === 'passing'
-  }
-
   const server = createServer({ allowHalfOpen: true }, near => {
     near.on('error', () => { near.destroy() })
     if (refusing) {
@@ -127,16 +128,15 @@
     const pipes = { forward: createPipe(near, far, states.forward, delay), back: createPipe(far, near, states.back, delay) }
     const connection = { near, far, pipes }
     open.add(connection)
-    const forget = (other: Socket) => (): void => {
-      // The end of a connection doesn't cross a link that carries nothing.
-      if (isPassing()) {
-        other.destroySoon()
-        open.delete(connection)
-      }
-      if (near.destroyed && far.destroyed) open.delete(connection)
-    }
-    near.on('close', forget(far))
-    far.on('close', forget(near))
+    const forget = (): void => { if (near.destroyed && far.destroyed) open.delete(connection) }
+    near.on('close', () => {
+      pipes.forward.finish()
+      forget()
+    })
+    far.on('close', () => {
+      pipes.back.finish()
+      forget()
+    })
   })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
@@ -157,14 +157,6 @@
     setState: (state, directions = BOTH_DIRECTIONS) => {
       for (const direction of directions) states[direction] = state
       for (const { pipes } of open) for (const direction of directions) pipes[direction].setState(state)
-      if (!isPassing()) return
-      // Ends that were reached meanwhile are told now.
-      for (const connection of open) {
-        if (!connection.near.destroyed && !connection.far.destroyed) continue
-        connection.near.destroy()
-        connection.far.destroy()
-        open.delete(connection)
-      }
     },
     loseOpen: (directions = BOTH_DIRECTIONS) => {
       for (const { pipes } of open) for (const direction of directions) pipes[direction].setState('lost')
