--- a/packages/cyclamenusherd/src/node/process/control/consensusTask.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusTask.ts
@@ -23,6 +23,11 @@
 /** Time after which an introduction that was not repeated counts no more, in milliseconds. */
 const INTRODUCTION_MILLISECONDS = 5_000
 
+/** Requests that wait for an answer; more are turned away. */
+const MAXIMUM_WAITING = 20_000
+/** Introductions that are remembered; more are left out. */
+const MAXIMUM_INTRODUCTIONS = 64
+
 export type TaskAnswer<Result> = { kind: 'answered', answer: RequestAnswer } | { kind: 'applied', result: Result }
 
 export interface ConsensusTask<Result> {
@@ -147,7 +152,7 @@
   }
 
   async function request (make: (request: number) => ConsensusEvent): Promise<TaskAnswer<Result>> {
-    if (failed || closed) return { kind: 'answered', answer: 'not leader' }
+    if (failed || closed || waiting.size >= MAXIMUM_WAITING) return { kind: 'answered', answer: 'not leader' }
     const number = nextRequest
     nextRequest += 1
     return await new Promise(resolve => {
@@ -181,7 +186,10 @@
     },
     receive,
     found: members => { step({ kind: 'found', members }) },
-    introduce: introduction => { introduced.set(introduction.name, { introduction, at: clock.now() }) },
+    introduce: introduction => {
+      if (!introduced.has(introduction.name) && introductions().length >= MAXIMUM_INTRODUCTIONS) return
+      introduced.set(introduction.name, { introduction, at: clock.now() })
+    },
     introductions,
     state: () => state,
     hasFailed: () => failed,
