--- a/packages/cyclamenusherd/src/node/request/requestRunner.ts
+++ b/packages/cyclamenusherd/src/node/request/requestRunner.ts
@@ -34,6 +34,8 @@
   failTransaction: () => Promise<void>
   /** A batch has begun whose Sync is still to come. */
   isOpen: () => boolean
+  /** A transaction or an open batch keeps a connection. */
+  holdsConnection: () => boolean
   /** Whether stopping now leaves it open if work is committed. */
   mayHaveCommitted: () => boolean
   cancel: () => void
@@ -289,7 +291,7 @@
       const lost = need === 'read' && !lease.backend.isOpen()
       if (!lost && need === 'read') {
         // The replica says that it writes after all, which takes the right to write.
-        services.admit(identity, database, 'write')
+        await services.admit(identity, database, 'write')
         need = 'write'
       }
       if (lost ? attempt >= MAXIMUM_READ_RETRIES : services.now() >= primaryUntil) {
@@ -358,7 +360,7 @@
       return true
     }
     if (need === 'setting' && session.transaction !== 'idle') throw new RefusalError('not supported', 'SET within a transaction would outlive it on a shared connection', 'not run', 'Use SET LOCAL.')
-    services.admit(identity, database, need === 'setting' ? 'read' : need)
+    await services.admit(identity, database, need === 'setting' ? 'read' : need)
     return await execute(batch, need)
   }
 
@@ -384,6 +386,7 @@
     run,
     failTransaction,
     isOpen: () => open,
+    holdsConnection: () => open || pinned !== undefined,
     mayHaveCommitted: () => acknowledging || current?.mayCommit === true,
     cancel: () => {
       stopWaiting?.(new RefusalError('timeout', 'canceling statement due to user request'))
