--- a/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
@@ -3,21 +3,13 @@
 import { connect } from 'node:net'
 import { buildCancelRequest } from '@cyclamenusher/protocol'
 import { RefusalError } from '../../request/refusal.js'
-import { codeOf, eventually, startHarness } from './harness.js'
+import { codeOf, eventually, useHarness } from './harness.js'
 import type { Socket } from 'node:net'
 import type { Harness, HarnessOptions } from './harness.js'
 
 /** Gives the test a harness of its own. */
 function withHarness (name: string, options: HarnessOptions, body: (harness: Harness) => Promise<void>): void {
-  test(name, async () => {
-    const harness = await startHarness(options)
-    try {
-      await body(harness)
-      await eventually('a connection stayed lent', () => harness.lent() === 0)
-    } finally {
-      await harness.close()
-    }
-  })
+  test(name, async () => { await useHarness(options, body) })
 }
 
 function cut ({ primary }: Harness): void {
@@ -165,8 +157,9 @@
   const caller = await harness.connect()
   await caller.query('begin')
   await caller.query('insert into visits (id, value) values (\'1\', \'a\')')
-  const code = await new Promise(resolve => { caller.once('error', (error: Error & { code?: string }) => { resolve(error.code) }) })
-  assert.is(code, '25P03')
+  let code: string | undefined
+  caller.once('error', (error: Error & { code?: string }) => { code = error.code })
+  await eventually('it is ended', () => code === '25P03')
   await eventually('the connection is gone', () => harness.primary.registry.open === 0)
 })
 
--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -158,7 +158,7 @@
     withdrawKey: () => { rule(2, 1, ['keys.alfa-key'], []) },
     lent: () => primary.pool.busy() + replica.pool.busy(),
     close: async () => {
-      await Promise.all(clients.map(async client => { await client.end().catch(() => {}) }))
+      await Promise.all(clients.map(async client => { if (isOpen(client)) await client.end().catch(() => {}) }))
       callers.close()
       for (const { server, listener, sockets, pool } of [primary, replica]) {
         pool.close()
@@ -170,6 +170,21 @@
   }
 }
 
+function isOpen (client: pg.Client): boolean {
+  return !(client as unknown as { connection: { stream: Socket } }).connection.stream.destroyed
+}
+
+/** Gives `body` a harness of its own, and checks that no connection stays lent. */
+export async function useHarness (options: HarnessOptions, body: (harness: Harness) => Promise<void>): Promise<void> {
+  const harness = await startHarness(options)
+  try {
+    await body(harness)
+    await eventually('a connection stayed lent', () => harness.lent() === 0)
+  } finally {
+    await harness.close()
+  }
+}
+
 /** Repeats until `attempt` holds. @throws Error after `milliseconds` */
 export async function eventually (problem: string, attempt: () => boolean, milliseconds = 3_000): Promise<void> {
   const deadline = performance.now() + milliseconds
--- a/packages/cyclamenusherd/src/node/connection/__tests__/shutdown.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/shutdown.test.ts
@@ -1,14 +1,13 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { codeOf, eventually, startHarness } from './harness.js'
+import { codeOf, eventually, useHarness } from './harness.js'
 import type pg from 'pg'
 
 async function ending (caller: pg.Client): Promise<string> {
   return await new Promise(resolve => { caller.once('error', (error: Error & { code?: string }) => { resolve(error.code ?? error.message) }) })
 }
 
-test('idle callers are told, running work ends', async () => {
-  const harness = await startHarness()
+test('idle callers are told, running work ends', async () => await useHarness({}, async harness => {
   const [idle, running, transaction] = [await harness.connect(), await harness.connect(), await harness.connect()]
   const told = ending(idle)
   await transaction.query('begin')
@@ -24,11 +23,9 @@
   assert.is(await last, '57P01')
   assert.equal(await drained, { cut: 0 })
   assert.ok(await codeOf(harness.connect()), 'nobody new is taken')
-  await harness.close()
-})
+}))
 
-test('the bound cuts what is left', async () => {
-  const harness = await startHarness()
+test('the bound cuts what is left', async () => await useHarness({}, async harness => {
   const [read, write] = [await harness.connect(), await harness.connect()]
   await write.query('begin')
   await write.query('insert into visits (id, value) values (\'1\', \'a\')')
@@ -38,11 +35,9 @@
   assert.is(await failed, '57P01')
   await eventually('all is free', () => harness.lent() === 0)
   assert.is(harness.primary.server.status().position, 1)
-  await harness.close()
-})
+}))
 
-test('a write that is cut says that it may have run', async () => {
-  const harness = await startHarness()
+test('a write that is cut says that it may have run', async () => await useHarness({}, async harness => {
   const caller = await harness.connect()
   await caller.query('select 1')
   harness.primary.server.setFaults({ frozen: true })
@@ -50,7 +45,6 @@
   await eventually('it is lent', () => harness.lent() === 1)
   await harness.callers.drain(20)
   assert.match(String(await answer), /not known/)
-  await harness.close()
-})
+}))
 
 test.run()
