One budget for incomplete requests; a gone caller's request never starts

Cause: each caller could keep one message of the largest size incomplete, so memory grew with callers; and a caller that left while a connection took over its settings still had its statement sent (found by reading, then by the test). callers.maximum_input_bytes bounds all callers together (54000). Prepared texts are copied, so that they don't keep the chunk that they came in.

--- a/packages/cyclamenusherd/src/node/connection/__tests__/bounds.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/bounds.test.ts
@@ -176,6 +176,25 @@
   harness.primary.server.setFaults({ frozen: false })
 })
 
+served('incomplete requests share one budget', async () => {
+  const sockets = await Promise.all(Array.from({ length: 20 }, login))
+  const answers = sockets.map(readAll)
+  // Each announces nearly 1 MB and keeps the last byte back.
+  const head = Buffer.from([FRONTEND.query, 0, 0x0e, 0xff, 0xff])
+  const ended = new Set<number>()
+  for (const [index, socket] of sockets.entries()) {
+    socket.once('close', () => { ended.add(index) })
+    socket.write(Buffer.concat([head, Buffer.alloc(0x0effff - 5)]))
+  }
+  await eventually('some are ended', () => ended.size >= 8)
+  assert.ok(ended.size < 20, 'the others stay')
+  for (const socket of sockets) socket.destroy()
+  assert.ok((await Promise.all(answers)).filter(answer => codeIn(answer) === '54000').length >= 8)
+  const caller = await harness.connect()
+  assert.is((await caller.query(`select '${'x'.repeat(900_000)}'`)).rows.length, 1, 'the budget is free again')
+  await caller.end()
+})
+
 test('TLS is spoken, 1.2 and later only', async () => {
   const { cert, private: key } = await generate([{ name: 'commonName', value: 'localhost' }])
   const secure = await startHarness({ tls: { certificate: cert, key } })
--- a/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
@@ -153,6 +153,17 @@
   assert.is((await right.query('select 1')).rows.length, 1)
 })
 
+withHarness('a caller that goes away while its settings are set runs nothing', { limit: 1 }, async harness => {
+  const caller = await harness.connect({ application_name: 'leaves' })
+  harness.primary.server.setFaults({ answerMilliseconds: 50 })
+  void codeOf(caller.query('insert into visits (id, value) values (\'1\', \'a\')'))
+  await eventually('it is lent', () => harness.lent() === 1)
+  await new Promise(resolve => setTimeout(resolve, 20))
+  streamOf(caller).destroy()
+  await eventually('it is free', () => harness.lent() === 0)
+  assert.is(harness.primary.server.status().position, 1)
+})
+
 withHarness('a transaction that waits too long is ended', { idleTransactionMilliseconds: 50 }, async harness => {
   const caller = await harness.connect()
   await caller.query('begin')
--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -97,6 +97,7 @@
       tlsKey: options.tls?.key,
       maximumConnections: options.maximumConnections ?? 100,
       maximumMessageBytes: 1024 * 1024,
+      maximumInputBytes: 10 * 1024 * 1024,
       requestMilliseconds: options.requestMilliseconds ?? 5_000,
       handshakeMilliseconds: options.handshakeMilliseconds ?? 5_000,
       idleTransactionMilliseconds: options.idleTransactionMilliseconds ?? 5_000
--- a/packages/cyclamenusherd/src/node/connection/callerConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerConnection.ts
@@ -8,6 +8,7 @@
 import { readExtendedBatch, readSimpleQuery } from '../request/batch.js'
 import { RefusalError, refusalResponse } from '../request/refusal.js'
 import { createRequestRunner } from '../request/requestRunner.js'
+import { createFrameQueue } from './callerInput.js'
 import { createCallerSession } from './callerSession.js'
 import type { Socket } from 'node:net'
 import type { LogPosition } from '@cyclamenusher/decisions'
@@ -15,6 +16,7 @@
 import type { Batch, BatchNeed } from '../request/batch.js'
 import type { Identity } from '../version/rulesStore.js'
 import type { BackendConnection } from './backendConnection.js'
+import type { InputBudget } from './callerInput.js'
 import type { CallerSession } from './callerSession.js'
 
 /** A backend connection lent to a request, with what giving it back takes. */
@@ -57,6 +59,7 @@
   secret: number
   rest: Buffer
   services: CallerServices
+  inputBudget: InputBudget
   /** Time that a transaction may wait for its next request, in milliseconds. */
   idleTransactionMilliseconds: number
   onRefused: (error: RefusalError) => void
@@ -74,10 +77,6 @@
   isBusy: () => boolean
 }
 
-/** Frames that may wait while a request runs. */
-const MAXIMUM_QUEUED_FRAMES = 10_000
-/** Bytes that may wait while a request runs. */
-const MAXIMUM_QUEUED_BYTES = 256 * 1024
 /** Messages of a batch that are sent on before its Sync has come. */
 const MAXIMUM_COLLECTED_FRAMES = 5_000
 const MAXIMUM_COLLECTED_BYTES = 1024 * 1024
@@ -97,37 +96,6 @@
   buildParameterStatus('standard_conforming_strings', 'on')
 ])
 
-/** Frames that wait to be made into batches, and how much of them may. */
-interface FrameQueue {
-  add: (frame: Frame) => void
-  take: () => Frame | undefined
-  isFull: () => boolean
-}
-
-function createFrameQueue (): FrameQueue {
-  let frames: Frame[] = []
-  let first = 0
-  let bytes = 0
-  return {
-    add: frame => {
-      frames.push(frame)
-      bytes += frame.bytes.length
-    },
-    take: () => {
-      const frame = frames[first]
-      if (frame === undefined) return undefined
-      first += 1
-      bytes -= frame.bytes.length
-      if (first === frames.length) {
-        frames = []
-        first = 0
-      }
-      return frame
-    },
-    isFull: () => frames.length - first > MAXIMUM_QUEUED_FRAMES || bytes > MAXIMUM_QUEUED_BYTES
-  }
-}
-
 export function createCallerConnection (options: CallerConnectionOptions): CallerConnection | undefined {
   const { socket, identity, services } = options
   let session: CallerSession
@@ -151,6 +119,8 @@
   let skipping = false
   /** The batch that was read last ended, so that ReadyForQuery follows even an error. */
   let ended = true
+  /** What this caller has taken of the budget. */
+  let inputBytes = 0
   let running = false
   let draining = false
   let closed = false
@@ -175,6 +145,8 @@
     if (closed) return
     closed = true
     clearTimeout(idleTransaction)
+    options.inputBudget.take(-inputBytes)
+    inputBytes = 0
     runner.stop()
     socket.destroySoon()
     options.onClosed()
@@ -280,10 +252,21 @@
     clearTimeout(idleTransaction)
     while (!closed && await workOnce()) endIfDrained()
     running = false
+    countInput()
     watchTransaction()
     if (!closed && socket.isPaused()) socket.resume()
   }
 
+  /** Keeps the account of what waits here; a caller that overdraws the budget is ended. */
+  function countInput (): void {
+    if (closed) return
+    const bytes = splitter.pendingBytes() + queue.byteLength() + collectedBytes
+    const more = bytes - inputBytes
+    inputBytes = bytes
+    if (more === 0 || options.inputBudget.take(more)) return
+    end(new RefusalError('limit exceeded', 'this instance holds too many incomplete requests', 'not run', 'Try again, or send smaller messages.'))
+  }
+
   const splitter = createFrameSplitter(services.maximumMessageBytes, frame => { queue.add(frame) })
 
   function receive (chunk: Buffer): void {
@@ -293,6 +276,7 @@
       return end(new RefusalError('protocol broken', (error as Error).message))
     }
     void work()
+    countInput()
     // What a caller sends ahead of its answers waits in its own buffers.
     if (running && queue.isFull()) socket.pause()
   }
--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:net'
 import { randomInt } from 'node:crypto'
 import { createCallerConnection } from '../connection/callerConnection.js'
+import { createInputBudget } from '../connection/callerInput.js'
 import { createCallerContext, shakeHands } from '../connection/callerHandshake.js'
 import { REFUSAL_CODES, RefusalError, refusalResponse } from '../request/refusal.js'
 import { OPEN_ACCOUNT } from './admission.js'
@@ -47,6 +48,7 @@
   const { tlsCertificate, tlsKey, listen, maximumConnections } = config.callers
   const context = createCallerContext(tlsCertificate === undefined || tlsKey === undefined ? undefined : { certificate: tlsCertificate, key: tlsKey })
   const callers = new Map<number, { caller: CallerConnection, secret: number }>()
+  const inputBudget = createInputBudget(config.callers.maximumInputBytes)
   const greeting = new Set<Socket>()
   let nextProcessNumber = 1
   let draining = false
@@ -109,6 +111,7 @@
       secret,
       rest,
       services,
+      inputBudget,
       idleTransactionMilliseconds: config.callers.idleTransactionMilliseconds,
       onRefused: error => { recordRefusal(error, accepted.identity.account, startup.database) },
       onClosed: () => {
--- a/packages/cyclamenusherd/src/node/process/config.ts
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -32,6 +32,8 @@
     maximumConnections: number
     /** Longest message of a caller, in bytes. @default 16777216 */
     maximumMessageBytes: number
+    /** Memory for requests that are not complete yet, over all callers, in bytes. @default 268435456 */
+    maximumInputBytes: number
     /** Time that a request may take, in milliseconds. @default 30000 */
     requestMilliseconds: number
     /** Time that a caller has until its key is accepted, in milliseconds. @default 10000 */
@@ -118,6 +120,7 @@
     tls_key: { kind: 'text', optional: true, description: 'file of its private key' },
     maximum_connections: { kind: 'number', minimum: 1, maximum: 100_000, unit: 'connections', default: 5000, description: 'connections of callers' },
     maximum_message_bytes: { kind: 'number', minimum: 1024, maximum: 1_073_741_824, unit: 'bytes', default: 16_777_216, description: 'longest message of a caller' },
+    maximum_input_bytes: { kind: 'number', minimum: 1_048_576, maximum: 17_179_869_184, unit: 'bytes', default: 268_435_456, description: 'memory for requests that are not complete yet, over all callers' },
     request_milliseconds: milliseconds('time that a request may take', 30_000, 100, 3_600_000),
     handshake_milliseconds: milliseconds('time that a caller has until its key is accepted', 10_000, 100, 60_000),
     idle_transaction_milliseconds: milliseconds('time that a transaction may wait for its next request', 60_000, 100, 3_600_000)
@@ -286,6 +289,7 @@
       tlsKey: files.text('callers', 'tls_key'),
       maximumConnections: Number(callers.maximum_connections),
       maximumMessageBytes: Number(callers.maximum_message_bytes),
+      maximumInputBytes: Number(callers.maximum_input_bytes),
       requestMilliseconds: Number(callers.request_milliseconds),
       handshakeMilliseconds: Number(callers.handshake_milliseconds),
       idleTransactionMilliseconds: Number(callers.idle_transaction_milliseconds)
--- a/packages/cyclamenusherd/src/node/request/batch.ts
+++ b/packages/cyclamenusherd/src/node/request/batch.ts
@@ -77,7 +77,8 @@
 function readPrepared (frame: Frame): [name: string, statement: PreparedStatement] {
   const [name, next] = readCString(frame.bytes, FRAME_HEADER_BYTES)
   const [text] = readCString(frame.bytes, next)
-  const content = frame.bytes.subarray(next)
+  // A copy: a view would keep the whole chunk that it arrived in.
+  const content = Buffer.from(frame.bytes.subarray(next))
   const digest = name === '' ? '' : createHash('sha256').update(content).digest('hex').slice(0, NAME_DIGEST_CHARACTERS)
   return [name, { serverName: name === '' ? '' : `cyclamenusher_${digest}`, content, text, statements: classifyText(text) }]
 }
--- a/packages/cyclamenusherd/src/node/request/ownStatement.ts
+++ b/packages/cyclamenusherd/src/node/request/ownStatement.ts
@@ -4,6 +4,9 @@
 import { ConnectionLostError } from './statementRequest.js'
 import type { BackendConnection } from '../connection/backendConnection.js'
 
+/** Time that a statement of the system's own may take, in milliseconds. */
+export const OWN_STATEMENT_MILLISECONDS = 1_000
+
 /** The server answered a statement of the system's own with an error. */
 export class OwnStatementError extends Error {
   override readonly name = 'OwnStatementError'
--- a/packages/cyclamenusherd/src/node/request/requestRunner.ts
+++ b/packages/cyclamenusherd/src/node/request/requestRunner.ts
@@ -4,11 +4,12 @@
  * fails. It owns the connection that a transaction holds.
  */
 
-import { SESSION_SETTING, settingStatements } from '@cyclamenusher/decisions'
+import { SESSION_SETTING } from '@cyclamenusher/decisions'
 import { buildReadyForQuery } from '@cyclamenusher/protocol'
 import { mayCommit, mayMark, needOf } from './batch.js'
 import { buildLocalReply } from './localReply.js'
-import { OwnStatementError, runOwnStatement } from './ownStatement.js'
+import { createLeasing } from './leasing.js'
+import { OWN_STATEMENT_MILLISECONDS, runOwnStatement } from './ownStatement.js'
 import { RefusalError, refusalResponse } from './refusal.js'
 import { ConnectionLostError, CopyError, createStatementRequest } from './statementRequest.js'
 import type { Socket } from 'node:net'
@@ -24,8 +25,6 @@
 const PRIMARY_MILLISECONDS = 7_000
 /** Pause before such a request is sent again, in milliseconds. */
 const PRIMARY_PAUSE_MILLISECONDS = 20
-/** Time that a statement of the system's own may take, in milliseconds. */
-const OWN_STATEMENT_MILLISECONDS = 1_000
 
 export interface RequestRunner {
   /** Runs a batch, or a further part of one. False: the server takes no more for now. @throws RefusalError */
@@ -69,27 +68,14 @@
   deadline: NodeJS.Timeout
 }
 
-/** A lease that can be given back any number of times, and counts once. */
-function once (lease: Lease): Lease {
-  let released = false
-  return {
-    backend: lease.backend,
-    release: clean => {
-      if (released) return
-      released = true
-      lease.release(clean)
-    }
-  }
-}
-
 export function createRequestRunner (options: RequestRunnerOptions): RequestRunner {
   const { caller, session, identity, database, group, services } = options
+  const leasing = createLeasing(options)
   let pinned: Lease | undefined
   let current: Running | undefined
   let open = false
   let acknowledging = false
   let stopped = false
-  let stopWaiting: ((error: Error) => void) | undefined
 
   function reply (bytes: Buffer): void {
     if (!caller.destroyed) caller.write(bytes)
@@ -100,61 +86,6 @@
     lease.release(clean)
   }
 
-  /** Waits for `pending`, but no longer than the request may take or the caller wants it. */
-  async function borrow (pending: Promise<Lease>, milliseconds: number): Promise<Lease> {
-    let timer: NodeJS.Timeout | undefined
-    const interrupted = new Promise<never>((_resolve, reject) => {
-      stopWaiting = reject
-      timer = setTimeout(() => { reject(new RefusalError('timeout', 'the request waited for a backend server until its time was over')) }, Math.max(1, milliseconds))
-    })
-    try {
-      return once(await Promise.race([pending, interrupted]))
-    } catch (error) {
-      pending.then(late => { late.release(true) }, () => {})
-      throw error
-    } finally {
-      clearTimeout(timer)
-      stopWaiting = undefined
-    }
-  }
-
-  async function sessionPlace (need: BatchNeed): Promise<ReturnType<CallerSession['place']>> {
-    const known = session.place(group)
-    if (known !== undefined || need !== 'read' || identity.key === undefined) return known
-    // Without a token the session may have written anywhere: learn how far the group is.
-    const place = await services.confirmPlace(group)
-    session.advance(group, place)
-    return place
-  }
-
-  async function findLease (need: BatchNeed, until: number): Promise<Lease> {
-    if (pinned !== undefined) return pinned
-    const asked = need === 'setting' ? 'read' : need
-    const token = await sessionPlace(need)
-    const lease = await borrow(services.lease({ identity, database, group, need: asked, token }), until - services.now())
-    if (stopped) {
-      lease.release(true)
-      throw new RefusalError('timeout', 'the caller is gone')
-    }
-    return lease
-  }
-
-  /** Makes the session's settings those of the connection. False: the connection was lost meanwhile. */
-  async function takeOver ({ backend, release }: Lease): Promise<boolean> {
-    const statements = settingStatements(backend.settings, session.settings())
-    if (statements === '') return true
-    try {
-      await runOwnStatement(backend, statements, OWN_STATEMENT_MILLISECONDS)
-      backend.settings = session.settings()
-      return true
-    } catch (error) {
-      // The server took none of them, so the connection is as it was.
-      release(error instanceof OwnStatementError)
-      if (error instanceof OwnStatementError) throw new RefusalError('setting refused', `the server refused the session's settings: ${error.message}`, 'not run', 'RESET the setting, or leave it out of the connection string.')
-      return false
-    }
-  }
-
   function start (batch: Batch, need: BatchNeed, lease: Lease, until: number, startedAt: number): Running {
     const wasInTransaction = session.transaction !== 'idle'
     const commits = need !== 'setting' && (mayCommit(batch, wasInTransaction) || (!batch.complete && need === 'write' && !wasInTransaction))
@@ -274,13 +205,17 @@
     const primaryUntil = startedAt + Math.min(PRIMARY_MILLISECONDS, services.requestMilliseconds)
     let need = firstNeed
     for (let attempt = 0; ; attempt += 1) {
-      const lease = await findLease(need, until)
+      const lease = pinned ?? await leasing.find(need, until)
       if (!lease.backend.isOpen()) {
         if (lease === pinned) throw pinnedLost(lease)
         lease.release(false)
         continue
       }
-      if (lease !== pinned && !await takeOver(lease)) continue
+      if (lease !== pinned && !await leasing.takeOver(lease)) continue
+      if (stopped) {
+        drop(lease, lease !== pinned)
+        throw new RefusalError('timeout', 'the caller is gone')
+      }
       const running = start(batch, need, lease, until, startedAt)
       const flowing = running.request.send(batch)
       if (!batch.complete) {
@@ -389,12 +324,12 @@
     holdsConnection: () => open || pinned !== undefined,
     mayHaveCommitted: () => acknowledging || current?.mayCommit === true,
     cancel: () => {
-      stopWaiting?.(new RefusalError('timeout', 'canceling statement due to user request'))
+      leasing.interrupt(new RefusalError('timeout', 'canceling statement due to user request'))
       current?.lease.backend.cancel()
     },
     stop: () => {
       stopped = true
-      stopWaiting?.(new RefusalError('timeout', 'the caller is gone'))
+      leasing.stop()
       // Whatever runs for a caller that is gone must not reach the next one.
       if (current !== undefined) {
         clearTimeout(current.deadline)
