--- a/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
@@ -3,21 +3,13 @@
 import { connect } from 'node:net'
 import { buildCancelRequest } from '@cyclamenusher/protocol'
 import { RefusalError } from '../../request/refusal.js'
-import { codeOf, eventually, startHarness } from './harness.js'
+import { codeOf, eventually, useHarness } from './harness.js'
 import type { Socket } from 'node:net'
 import type { Harness, HarnessOptions } from './harness.js'
 
 /** Gives the test a harness of its own. */
 function withHarness (name: string, options: HarnessOptions, body: (harness: Harness) => Promise<void>): void {
-  test(name, async () => {
-    const harness = await startHarness(options)
-    try {
-      await body(harness)
-      await eventually('a connection stayed lent', () => harness.lent() === 0)
-    } finally {
-      await harness.close()
-    }
-  })
+  test(name, async () => { await useHarness(options, body) })
 }
 
 function cut ({ primary }: Harness): void {
@@ -161,12 +153,24 @@
   assert.is((await right.query('select 1')).rows.length, 1)
 })
 
+withHarness('a caller that goes away while its settings are set runs nothing', { limit: 1 }, async harness => {
+  const caller = await harness.connect({ application_name: 'leaves' })
+  harness.primary.server.setFaults({ answerMilliseconds: 50 })
+  void codeOf(caller.query('insert into visits (id, value) values (\'1\', \'a\')'))
+  await eventually('it is lent', () => harness.lent() === 1)
+  await new Promise(resolve => setTimeout(resolve, 20))
+  streamOf(caller).destroy()
+  await eventually('it is free', () => harness.lent() === 0)
+  assert.is(harness.primary.server.status().position, 1)
+})
+
 withHarness('a transaction that waits too long is ended', { idleTransactionMilliseconds: 50 }, async harness => {
   const caller = await harness.connect()
   await caller.query('begin')
   await caller.query('insert into visits (id, value) values (\'1\', \'a\')')
-  const code = await new Promise(resolve => { caller.once('error', (error: Error & { code?: string }) => { resolve(error.code) }) })
-  assert.is(code, '25P03')
+  let code: string | undefined
+  caller.once('error', (error: Error & { code?: string }) => { code = error.code })
+  await eventually('it is ended', () => code === '25P03')
   await eventually('the connection is gone', () => harness.primary.registry.open === 0)
 })
 
