--- a/packages/stand-ins/src/node/fleet/deployment.ts
+++ b/packages/stand-ins/src/node/fleet/deployment.ts
@@ -108,6 +108,7 @@
 function buildRules (plan: DeploymentPlan): Map<string, string> {
   const lines = new Map<string, string>()
   const add = (table: string, name: string, fields: string): void => { lines.set(`${table}.${name}`, `${table}.${name} = { ${fields} } # asked for by the deployment`) }
+  for (const failureDomain of plan.failureDomains) add('failure_domains', failureDomain, '')
   for (const { name, key, rate, burst, weight } of plan.accounts) {
     add('accounts', name, `rate = ${rate}, burst = ${burst}, weight = ${weight ?? 1}`)
     add('keys', `${name}-key`, `account = "${name}", digest = "${digestOf(key)}"`)
@@ -143,6 +144,12 @@
   let number = 0
   const startOptions = (failureDomain: string): { linkHost?: string } => ({ linkHost: network?.hostOf(failureDomain) })
 
+  /** The control instance of the same failure domain, where each has one. */
+  function ownControl (index: number): string[] {
+    if (plan.controls < plan.failureDomains.length) return []
+    return [`domain_address = "${controlAddresses[index % plan.failureDomains.length]}"`]
+  }
+
   async function prepareInstance (role: 'entry' | 'control', index: number): Promise<Omit<InstanceProcess, 'process'>> {
     const name = `${role}-${index + 1}`
     const callers = await fleet.freePort()
@@ -153,7 +160,7 @@
       instance: [`name = "${name}"`, `failure_domain = "${domainOf(index)}"`, `roles = ["${role}"]`, ...(role === 'control' ? [`data_folder = "${name}-data"`] : [])],
       callers: [`listen = "${HOST}:${callers}"`, 'clear_text_keys = true'],
       calls: [`listen = "${HOST}:${calls}"`, 'secret_file = "secret"'],
-      control: [`addresses = [${controlAddresses.map(address => `"${address}"`).join(', ')}]`],
+      control: [`addresses = [${controlAddresses.map(address => `"${address}"`).join(', ')}]`, ...ownControl(index)],
       backend: ['password_file = "password"'],
       metrics: [`listen = "${HOST}:${metrics}"`]
     }
