A caller whose key can't be vouched for is told so, not that its key is bad

Seen to fail first: 'a transaction under rules that may be old ends, and the key is not blamed' got 28P01 in place of 57P03 before the change; 19 of 19 in failureAnswers pass after it.

--- a/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
@@ -185,6 +185,26 @@
   assert.is(harness.primary.server.status().position, 1)
 })
 
+withHarness('a transaction under rules that may be old ends, and the key is not blamed', { limit: 1 }, async harness => {
+  const caller = await harness.connect()
+  await caller.query('begin')
+  await caller.query('insert into visits (id, value) values (\'1\', \'a\')')
+  const ended = new Promise<{ code: string }>(resolve => { caller.once('error', resolve) })
+  harness.outliveLease()
+  assert.is((await ended).code, '57P03')
+  await eventually('the connection is gone', () => harness.primary.registry.open === 0)
+  assert.is(harness.primary.server.status().position, 1)
+})
+
+withHarness('an idle caller stays while the rules may be old', {}, async harness => {
+  const caller = await harness.connect()
+  await caller.query('select 1')
+  harness.outliveLease()
+  // Longer than keys are looked at, so that a look falls within.
+  await new Promise(resolve => setTimeout(resolve, 600))
+  assert.is(harness.callers.count(), 1)
+})
+
 withHarness('no connection in time is said so', { services: { lease: async () => { throw new RefusalError('too many connections', 'none came free') } } }, async harness => {
   const caller = await harness.connect()
   const error = await caller.query('insert into visits (id, value) values (\'1\', \'a\')').catch((reason: { code: string, detail: string }) => reason)
--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -51,6 +51,8 @@
   /** Who serves a request; a test may change it. */
   choose: { member: (request: LeaseRequest) => HarnessServer }
   connect: (options?: pg.ClientConfig) => Promise<pg.Client>
+  /** The rules are no longer known to be fresh. */
+  outliveLease: () => void
   withdrawKey: () => void
   lent: () => number
   close: () => Promise<void>
@@ -105,6 +107,9 @@
   } as unknown as Config
 }
 
+/** How long the rules of a harness are trusted, in milliseconds. */
+const RULES_LEASE_MILLISECONDS = 60_000
+
 export async function startHarness (options: HarnessOptions = {}): Promise<Harness> {
   await loadParser()
   const primary = await startServer('main-1', options.limit ?? 4)
@@ -115,7 +120,8 @@
   primary.server.promote(1)
   replica.server.adopt(1)
   replica.server.follow(1, HOST, primary.port)
-  const store = createRulesStore({ now: () => performance.now() }, 60_000)
+  let aged = 0
+  const store = createRulesStore({ now: () => performance.now() + aged }, RULES_LEASE_MILLISECONDS)
   const rule = (number: number, baseNumber: number, removed: string[], added: string[]): void => {
     store.update({ number, baseNumber, removed, added, fresh: true, ageMilliseconds: 0, askedAt: performance.now() })
   }
@@ -156,6 +162,7 @@
     services,
     choose,
     connect,
+    outliveLease: () => { aged = RULES_LEASE_MILLISECONDS },
     withdrawKey: () => { rule(2, 1, ['keys.alfa-key'], []) },
     lent: () => primary.pool.busy() + replica.pool.busy(),
     close: async () => {
--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -127,15 +127,24 @@
     logger.debug('A caller connected.', { account: accepted.identity.account, database: startup.database })
   }
 
+  /** Why a caller must go now, if it must. */
+  function keyProblem (caller: CallerConnection, fresh: boolean): RefusalError | undefined {
+    const { identity } = caller
+    if (identity.key === undefined) return undefined
+    if (!store.isValid(identity)) return new RefusalError('key refused', `the key of client account ${identity.account} is no longer valid`, 'stopped')
+    // An idle caller may stay: its next request is refused, or served once the rules are fresh again.
+    if (fresh || !caller.isBusy()) return undefined
+    return new RefusalError('rules not fresh', 'this instance can no longer tell whether the key stands', 'stopped', 'Connect through another failure domain, or try again.')
+  }
+
   /** Ends callers whose key was withdrawn, or can no longer be vouched for. */
   function checkKeys (): void {
     const fresh = store.isFresh()
     for (const { caller } of callers.values()) {
-      const { identity } = caller
-      if (identity.key === undefined) continue
-      if (store.isValid(identity) && (fresh || !caller.isBusy())) continue
-      logger.info('A caller was disconnected.', { account: identity.account, key: identity.key, reason: fresh ? 'key withdrawn' : 'rules not fresh' })
-      caller.end(new RefusalError('key refused', `the key of client account ${identity.account} is no longer valid`, 'stopped'))
+      const problem = keyProblem(caller, fresh)
+      if (problem === undefined) continue
+      logger.info('A caller was disconnected.', { account: caller.identity.account, key: caller.identity.key, reason: problem.message })
+      caller.end(problem)
     }
   }
 
