Tests of failures wait for what happened, not for a time

Cause: four tests slept or gave 50 to 150 ms where a busy machine may take longer (none had failed yet). They now wait until the stand-in has received the request, which a frozen server never answers.

--- a/packages/cyclamenusherd/src/node/connection/__tests__/bounds.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/bounds.test.ts
@@ -11,7 +11,7 @@
 
 let harness: Harness
 
-test.before(async () => { harness = await startHarness({ maximumConnections: 30, handshakeMilliseconds: 150 }) })
+test.before(async () => { harness = await startHarness({ maximumConnections: 30, handshakeMilliseconds: 800 }) })
 test.after(async () => { await harness.close() })
 /** A test after which the instance must still serve. */
 function served (name: string, body: () => Promise<void>): void {
@@ -71,7 +71,7 @@
 served('a slow-writing caller is ended', async () => {
   const socket = open()
   const closed = readAll(socket)
-  const message = startup('user', 'alfa')
+  const message = startup('user', 'alfa', 'application_name', 'x'.repeat(200))
   let sent = 0
   const timer = setInterval(() => { if (sent < message.length) socket.write(message.subarray(sent, sent += 1)) }, 20)
   await closed
--- a/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
@@ -16,11 +16,16 @@
   for (const socket of primary.sockets) socket.destroy()
 }
 
+function hasReceived ({ primary }: Harness, text: string): boolean {
+  return Buffer.concat(primary.registry.received).includes(text)
+}
+
 withHarness('a lost read runs elsewhere', {}, async harness => {
   const caller = await harness.connect()
   await caller.query('select 1')
-  const answer = caller.query('select pg_sleep(0.2)')
-  await eventually('it runs', () => harness.primary.registry.statements === 2)
+  harness.primary.server.setFaults({ frozen: true })
+  const answer = caller.query('select \'moved\'')
+  await eventually('it is sent', () => hasReceived(harness, 'moved'))
   harness.choose.member = () => harness.replica
   cut(harness)
   assert.is((await answer).rows.length, 1)
@@ -35,13 +40,12 @@
   }
   const caller = await harness.connect()
   await caller.query('insert into visits (id, value) values (\'1\', \'a\')')
+  harness.primary.server.setFaults({ frozen: true })
   const answer = codeOf(caller.query('update visits set value = \'b\' where id = \'1\''))
-  harness.primary.server.setFaults({ answerMilliseconds: 100 })
-  await eventually('it is lent', () => harness.lent() === 1)
-  await new Promise(resolve => setTimeout(resolve, 20))
+  await eventually('it is sent', () => hasReceived(harness, 'update visits'))
   cut(harness)
   assert.is(await answer, '08007')
-  harness.primary.server.setFaults({ answerMilliseconds: 0 })
+  harness.primary.server.setFaults({ frozen: false })
   await caller.query('select value from visits where id = \'1\'')
   assert.is(confirmed, 1, 'the place is asked for anew')
 })
@@ -98,20 +102,20 @@
   await answer
 })
 
-withHarness('the deadline of a read: 57014', { requestMilliseconds: 100 }, async harness => {
+withHarness('the deadline of a read: 57014', { requestMilliseconds: 400 }, async harness => {
   const caller = await harness.connect()
   assert.is(await codeOf(caller.query('select pg_sleep(5)')), '57014')
   assert.equal((await caller.query('select 1')).rows.length, 1)
 })
 
-withHarness('the deadline of a write: 08007', { requestMilliseconds: 100 }, async harness => {
+withHarness('the deadline of a write: 08007', { requestMilliseconds: 400 }, async harness => {
   const caller = await harness.connect()
   await caller.query('select 1')
   harness.primary.server.setFaults({ frozen: true })
   assert.is(await codeOf(caller.query('insert into visits (id, value) values (\'1\', \'a\')')), '08007')
 })
 
-withHarness('a late answer reaches nobody', { requestMilliseconds: 100, limit: 1 }, async harness => {
+withHarness('a late answer reaches nobody', { requestMilliseconds: 400, limit: 1 }, async harness => {
   const [left, right] = [await harness.connect(), await harness.connect()]
   await left.query('select 1')
   harness.primary.server.setFaults({ frozen: true })
@@ -155,16 +159,17 @@
 
 withHarness('a caller that goes away while its settings are set runs nothing', { limit: 1 }, async harness => {
   const caller = await harness.connect({ application_name: 'leaves' })
-  harness.primary.server.setFaults({ answerMilliseconds: 50 })
+  harness.primary.server.setFaults({ frozen: true })
   void codeOf(caller.query('insert into visits (id, value) values (\'1\', \'a\')'))
-  await eventually('it is lent', () => harness.lent() === 1)
-  await new Promise(resolve => setTimeout(resolve, 20))
+  await eventually('the settings are sent', () => hasReceived(harness, 'SET application_name'))
   streamOf(caller).destroy()
+  await eventually('the caller is gone', () => harness.callers.count() === 0)
+  harness.primary.server.setFaults({ frozen: false })
   await eventually('it is free', () => harness.lent() === 0)
   assert.is(harness.primary.server.status().position, 1)
 })
 
-withHarness('a transaction that waits too long is ended', { idleTransactionMilliseconds: 50 }, async harness => {
+withHarness('a transaction that waits too long is ended', { idleTransactionMilliseconds: 300 }, async harness => {
   const caller = await harness.connect()
   await caller.query('begin')
   await caller.query('insert into visits (id, value) values (\'1\', \'a\')')
