--- a/packages/cyclamenusherd/src/node/process/config.ts
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -1,6 +1,7 @@
 /** The settings of an instance: read from TOML, checked once, every fault named. */
 
 import { readFileSync } from 'node:fs'
+import { isIP } from 'node:net'
 import { dirname, resolve } from 'node:path'
 import { FaultyFileError, entriesBelow, readToml, resolveFields } from '@cyclamenusher/decisions'
 import type { Fault, Field, TomlValue } from '@cyclamenusher/decisions'
@@ -95,8 +96,18 @@
 const ADDRESS = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/
 const ADDRESS_SHAPE = 'an IP number and a port, as "127.0.0.1:6432"'
 
+/** Names of instances and failure domains. */
+const NAME = /^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$/
+const NAME_SHAPE = 'a name of letters, digits, ".", "_" and "-"'
+const HIGHEST_PORT = 65_535
+
+function isAddress (text: string): boolean {
+  const { host, port } = parseAddress(text)
+  return isIP(host) !== 0 && port <= HIGHEST_PORT
+}
+
 function address (description: string, fallback?: string): Field {
-  return { kind: 'text', pattern: ADDRESS, shape: ADDRESS_SHAPE, description, default: fallback }
+  return { kind: 'text', pattern: ADDRESS, accepts: isAddress, shape: ADDRESS_SHAPE, description, default: fallback }
 }
 
 function milliseconds (description: string, fallback: number, minimum: number, maximum: number): Field {
@@ -106,8 +117,8 @@
 /** Every setting, by table; docs/OPERATORS.md lists the same. */
 export const SETTINGS: Record<string, Record<string, Field>> = {
   instance: {
-    name: { kind: 'text', pattern: /^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$/, shape: 'a name of letters, digits, ".", "_" and "-"', description: 'name of the instance, unlike any other' },
-    failure_domain: { kind: 'text', description: 'failure domain that the instance is in' },
+    name: { kind: 'text', pattern: NAME, shape: NAME_SHAPE, description: 'name of the instance, unlike any other' },
+    failure_domain: { kind: 'text', pattern: NAME, shape: NAME_SHAPE, description: 'failure domain that the instance is in' },
     roles: { kind: 'list', choices: ['entry', 'control'], default: ['entry'], description: 'what the instance does' },
     data_folder: { kind: 'text', optional: true, description: 'folder on a disk; a control instance needs one' }
   },
@@ -131,9 +142,9 @@
     tls_authority: { kind: 'text', optional: true, description: 'certificate that signed those of the other instances' }
   },
   control: {
-    addresses: { kind: 'list', pattern: ADDRESS, shape: ADDRESS_SHAPE, description: 'addresses of the control instances' },
+    addresses: { kind: 'list', pattern: ADDRESS, accepts: isAddress, shape: ADDRESS_SHAPE, description: 'addresses of the control instances' },
     lease_milliseconds: milliseconds('how long rules are trusted without word from control', 3_000, 1_000, 60_000),
-    domain_address: { kind: 'text', pattern: ADDRESS, shape: ADDRESS_SHAPE, optional: true, description: 'control instance of this failure domain, the same for all its instances: open routes keep their share while the domain is cut off' }
+    domain_address: { kind: 'text', pattern: ADDRESS, accepts: isAddress, shape: ADDRESS_SHAPE, optional: true, description: 'control instance of this failure domain, the same for all its instances: open routes keep their share while the domain is cut off' }
   },
   backend: {
     user: { kind: 'text', default: 'cyclamenusher', description: 'user of the system at backend servers' },
@@ -209,10 +220,11 @@
     faults.push({ file, line: lineOf('instance', 'roles'), problem: 'a control instance has no instance.data_folder', remedy: 'Name a folder on its disk' })
   }
   const advertised = String(calls.advertise ?? calls.listen)
-  if (roles.includes('control') && !(control.addresses as string[]).includes(advertised)) {
+  const addresses = control.addresses as string[] | undefined
+  if (roles.includes('control') && addresses?.includes(advertised) === false) {
     faults.push({ file, line: lineOf('control', 'addresses'), problem: `control.addresses lacks this control instance, ${advertised}`, remedy: 'List all control instances, in the same order on each, or set calls.advertise' })
   }
-  if (control.domain_address !== undefined && !(control.addresses as string[]).includes(String(control.domain_address))) {
+  if (control.domain_address !== undefined && addresses?.includes(String(control.domain_address)) === false) {
     faults.push({ file, line: lineOf('control', 'domain_address'), problem: `control.domain_address is ${String(control.domain_address)}, which is not in control.addresses`, remedy: 'Name the control instance of this failure domain' })
   }
   if ((callers.tls_certificate === undefined) !== (callers.tls_key === undefined)) {
@@ -251,8 +263,7 @@
   const lineOf = (table: string, name: string): number =>
     (entries.find(({ path }) => path[0] === table && path[1] === name) ?? entries.find(({ path }) => path[0] === table))?.line ?? 1
   for (const { path, line } of entries) {
-    if (path.length === 2 && SETTINGS[path[0]] !== undefined) continue
-    if (SETTINGS[path[0]] !== undefined && path.length > 2) continue
+    if (path.length >= 2 && Object.hasOwn(SETTINGS, path[0])) continue
     faults.push({ file, line, problem: `there is no setting ${path.join('.')}`, remedy: `Tables are ${Object.keys(SETTINGS).join(', ')}` })
   }
   for (const [table, fields] of Object.entries(SETTINGS)) {
@@ -260,7 +271,6 @@
     values[table] = resolved.values
     faults.push(...resolved.faults)
   }
-  if (faults.length > 0) throw new FaultyFileError(faults)
   faults.push(...checkTogether(file, values, lineOf))
   const files = createFileReader(file, values, lineOf, faults)
   const config = assemble(file, values, files)
@@ -299,7 +309,7 @@
         : { certificate: files.text('calls', 'tls_certificate') ?? '', key: files.text('calls', 'tls_key') ?? '', authority }
     },
     control: {
-      addresses: (control.addresses as string[]).map(parseAddress),
+      addresses: ((control.addresses ?? []) as string[]).map(parseAddress),
       leaseMilliseconds: Number(control.lease_milliseconds),
       domainAddress: control.domain_address === undefined ? undefined : parseAddress(String(control.domain_address))
     },
--- a/packages/cyclamenusherd/src/node/version/__tests__/rulesStore.test.ts
+++ b/packages/cyclamenusherd/src/node/version/__tests__/rulesStore.test.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { createRulesStore } from '../rulesStore.js'
@@ -59,4 +60,37 @@
   assert.is(store.rules().accounts.get('clinic')?.rate, 9)
 })
 
+function keyLine (name: string, key: string): string {
+  return `keys."${name}" = { account = "clinic", digest = "sha256:${createHash('sha256').update(key).digest('hex')}" } # asked for by Ana`
+}
+
+test('a key opens its account only, and is not kept', () => {
+  const { store, tell } = createStore()
+  tell({ added: [line(1), keyLine('one', 'secret-of-one')] })
+  assert.is(store.identify('clinic', 'wrong'), undefined)
+  assert.is(store.identify('other', 'secret-of-one'), undefined)
+  const identity = store.identify('clinic', 'secret-of-one')
+  assert.is(identity?.key, 'one')
+  assert.not.match(JSON.stringify(identity), /secret-of-one/)
+})
+
+test('a withdrawn key stands no longer', () => {
+  const { store, tell } = createStore()
+  tell({ added: [line(1), keyLine('one', 'first')] })
+  const identity = store.identify('clinic', 'first')
+  assert.is(store.isValid(identity ?? { account: '' }), true)
+  tell({ number: 2, baseNumber: 1, removed: ['keys.one'], added: [] })
+  assert.is(store.isValid(identity ?? { account: '' }), false)
+})
+
+test('another key under the same name withdraws the one before', () => {
+  const { store, tell } = createStore()
+  tell({ added: [line(1), keyLine('one', 'first')] })
+  const identity = store.identify('clinic', 'first')
+  tell({ number: 2, baseNumber: 1, removed: [], added: [keyLine('one', 'second')] })
+  assert.is(store.isValid(identity ?? { account: '' }), false)
+  assert.is(store.identify('clinic', 'first'), undefined)
+  assert.is(store.identify('clinic', 'second')?.key, 'one')
+})
+
 test.run()
--- a/packages/decisions/src/node/settings/fields.ts
+++ b/packages/decisions/src/node/settings/fields.ts
@@ -21,7 +21,9 @@
 export interface TextField extends FieldBase<string> {
   kind: 'text'
   pattern?: RegExp
-  /** What the pattern asks for, as a message says it. */
+  /** Checks what a pattern can't say. */
+  accepts?: (text: string) => boolean
+  /** What pattern and check ask for, as a message says it. */
   shape?: string
 }
 
@@ -38,6 +40,7 @@
   kind: 'list'
   choices?: readonly string[]
   pattern?: RegExp
+  accepts?: (text: string) => boolean
   shape?: string
 }
 
@@ -46,8 +49,9 @@
 type Problem = { problem: string, remedy: string } | undefined
 type Checks = { [Kind in Field['kind']]: (field: Extract<Field, { kind: Kind }>, value: TomlValue, name: string) => Problem }
 
-function checkPattern (text: string, field: { pattern?: RegExp, shape?: string }, name: string): Problem {
-  if (field.pattern === undefined || field.pattern.test(text)) return undefined
+function checkPattern (text: string, field: { pattern?: RegExp, accepts?: (text: string) => boolean, shape?: string }, name: string): Problem {
+  const fits = field.pattern === undefined || field.pattern.test(text)
+  if (fits && (field.accepts === undefined || field.accepts(text))) return undefined
   return { problem: `${name} is "${text}"`, remedy: `Write ${field.shape ?? `text that matches ${field.pattern}`}` }
 }
 
@@ -99,14 +103,14 @@
   const faults: Fault[] = []
   const values: Record<string, TomlValue | undefined> = {}
   for (const { name, value, line } of entries) {
-    const field = fields[name]
+    const field = Object.hasOwn(fields, name) ? fields[name] : undefined
     if (field === undefined) {
       faults.push({ file, line, problem: `${tableName} has no field ${name}`, remedy: nearestName(name, Object.keys(fields)) })
       continue
     }
     const problem = checkField(field, value, `${tableName}.${name}`)
-    if (problem !== undefined) faults.push({ file, line, ...problem })
-    values[name] = value
+    if (problem === undefined) values[name] = value
+    else faults.push({ file, line, ...problem })
   }
   for (const [name, field] of Object.entries(fields)) {
     if (values[name] !== undefined) continue
