--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:net'
 import { randomInt } from 'node:crypto'
 import { createCallerConnection } from '../connection/callerConnection.js'
+import { createInputBudget } from '../connection/callerInput.js'
 import { createCallerContext, shakeHands } from '../connection/callerHandshake.js'
 import { REFUSAL_CODES, RefusalError, refusalResponse } from '../request/refusal.js'
 import { OPEN_ACCOUNT } from './admission.js'
@@ -47,6 +48,7 @@
   const { tlsCertificate, tlsKey, listen, maximumConnections } = config.callers
   const context = createCallerContext(tlsCertificate === undefined || tlsKey === undefined ? undefined : { certificate: tlsCertificate, key: tlsKey })
   const callers = new Map<number, { caller: CallerConnection, secret: number }>()
+  const inputBudget = createInputBudget(config.callers.maximumInputBytes)
   const greeting = new Set<Socket>()
   let nextProcessNumber = 1
   let draining = false
@@ -109,6 +111,7 @@
       secret,
       rest,
       services,
+      inputBudget,
       idleTransactionMilliseconds: config.callers.idleTransactionMilliseconds,
       onRefused: error => { recordRefusal(error, accepted.identity.account, startup.database) },
       onClosed: () => {
@@ -132,9 +135,7 @@
       if (identity.key === undefined) continue
       if (store.isValid(identity) && (fresh || !caller.isBusy())) continue
       logger.info('A caller was disconnected.', { account: identity.account, key: identity.key, reason: fresh ? 'key withdrawn' : 'rules not fresh' })
-      // A commit may be on its way, so only an idle caller can be told that nothing of it lasts.
-      const busy = caller.isBusy()
-      caller.end(new RefusalError(busy ? 'outcome unknown' : 'key refused', `the key of client account ${identity.account} is no longer valid`, busy ? 'unknown' : 'stopped'))
+      caller.end(new RefusalError('key refused', `the key of client account ${identity.account} is no longer valid`, 'stopped'))
     }
   }
 
