--- a/packages/stand-ins/src/node/fleet/deployment.ts
+++ b/packages/stand-ins/src/node/fleet/deployment.ts
@@ -115,6 +115,7 @@
       add('access', `${name}-${database}`, `account = "${name}", database = "${database}", write = true, maximum_age_milliseconds = ${plan.maximumAgeMilliseconds ?? 0}`)
     }
   }
+  for (const failureDomain of plan.failureDomains) add('failure_domains', failureDomain, '')
   for (const database of plan.databases) add('databases', database, `group = "${database}", members = ${plan.members}`)
   for (const [database, age] of Object.entries(plan.open ?? {})) add('open', database, `database = "${database}", maximum_age_milliseconds = ${age}, rate = 1000, burst = 1000`)
   return lines
@@ -143,6 +144,12 @@
   let number = 0
   const startOptions = (failureDomain: string): { linkHost?: string } => ({ linkHost: network?.hostOf(failureDomain) })
 
+  /** The control instance of the same failure domain, where each has one. */
+  function domainControl (index: number): string[] {
+    if (plan.controls < plan.failureDomains.length) return []
+    return [`domain_address = "${controlAddresses[index % plan.failureDomains.length]}"`]
+  }
+
   async function prepareInstance (role: 'entry' | 'control', index: number): Promise<Omit<InstanceProcess, 'process'>> {
     const name = `${role}-${index + 1}`
     const callers = await fleet.freePort()
@@ -153,7 +160,7 @@
       instance: [`name = "${name}"`, `failure_domain = "${domainOf(index)}"`, `roles = ["${role}"]`, ...(role === 'control' ? [`data_folder = "${name}-data"`] : [])],
       callers: [`listen = "${HOST}:${callers}"`, 'clear_text_keys = true'],
       calls: [`listen = "${HOST}:${calls}"`, 'secret_file = "secret"'],
-      control: [`addresses = [${controlAddresses.map(address => `"${address}"`).join(', ')}]`],
+      control: [`addresses = [${controlAddresses.map(address => `"${address}"`).join(', ')}]`, ...domainControl(index)],
       backend: ['password_file = "password"'],
       metrics: [`listen = "${HOST}:${metrics}"`]
     }
