Entry instances of a large failure domain get their rules through two relays

Cause: one held request from each of 3,900 entry instances would be 7,800 calls a second at one leader. Today's deployments stay below it and ask directly. A hold is now 500 ms and a call 1 s, which leaves more of the lease for a retry.

--- a/packages/cyclamenusherd/src/node/process/config.ts
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -49,6 +49,8 @@
   }
   control: {
     addresses: Address[]
+    /** Entry instances of a failure domain above which they ask control through two relays of their own. @default 16 */
+    relayAbove: number
     /** How long a rule is trusted without word from control, in milliseconds. @default 3000 */
     leaseMilliseconds: number
     /** The control instance that promises shares of open routes in this failure domain. */
@@ -132,6 +134,7 @@
   },
   control: {
     addresses: { kind: 'list', pattern: ADDRESS, shape: ADDRESS_SHAPE, description: 'addresses of the control instances' },
+    relay_above: { kind: 'number', minimum: 1, maximum: 100_000, unit: 'entry instances', default: 16, description: 'entry instances of a failure domain above which two of them relay rules to the others' },
     lease_milliseconds: milliseconds('how long rules are trusted without word from control', 3_000, 1_000, 60_000),
     domain_address: { kind: 'text', pattern: ADDRESS, shape: ADDRESS_SHAPE, optional: true, description: 'control instance of this failure domain, the same for all its instances: open routes keep their share while the domain is cut off' }
   },
@@ -300,6 +303,7 @@
     },
     control: {
       addresses: (control.addresses as string[]).map(parseAddress),
+      relayAbove: Number(control.relay_above),
       leaseMilliseconds: Number(control.lease_milliseconds),
       domainAddress: control.domain_address === undefined ? undefined : parseAddress(String(control.domain_address))
     },
--- a/packages/cyclamenusherd/src/node/process/control/__tests__/controlService.test.ts
+++ b/packages/cyclamenusherd/src/node/process/control/__tests__/controlService.test.ts
@@ -30,7 +30,8 @@
     instance: { $typeName: 'cyclamenusher.v1.Instance', name, failureDomain: 'a', role: 'entry', host: '127.0.0.1', port: 1 },
     knownNumber: 0n,
     holdMilliseconds: 0,
-    knownInstances: known
+    knownInstances: known,
+    behind: []
   })
   return { service, log, pass: milliseconds => { now += milliseconds }, watch }
 }
--- a/packages/cyclamenusherd/src/node/process/control/controlService.ts
+++ b/packages/cyclamenusherd/src/node/process/control/controlService.ts
@@ -13,6 +13,8 @@
 const INSTANCE_MILLISECONDS = 5_000
 /** Longest time that a watch is held, in milliseconds. */
 const MAXIMUM_HOLD_MILLISECONDS = 2_000
+/** Instances that may watch through one relay; more must ask control themselves. */
+const MAXIMUM_BEHIND = 2_000
 /** Time in which a new leader hears of the instances, before it tells of them, in milliseconds. */
 const GATHER_MILLISECONDS = 2_000
 
@@ -132,9 +134,12 @@
     return answerOutcome(outcome.result, Number(number))
   }
 
-  function noteInstance (request: WatchRequest): void {
-    const { instance } = request
-    if (instance === undefined) return
+  function noteInstances ({ instance, behind }: WatchRequest): void {
+    if (instance !== undefined) noteInstance(instance)
+    for (const relayed of behind.slice(0, MAXIMUM_BEHIND)) noteInstance(relayed)
+  }
+
+  function noteInstance (instance: KnownInstance): void {
     const known = instances.get(instance.name)
     const differs = known?.host !== instance.host || known.port !== instance.port || known.failureDomain !== instance.failureDomain
     if (differs) logger.info('An instance joined.', { instance: instance.name, failureDomain: instance.failureDomain })
@@ -170,7 +175,7 @@
 
   async function watch (request: WatchRequest): Promise<WatchAnswer> {
     const leads = noteLeadership()
-    if (leads) noteInstance(request)
+    if (leads) noteInstances(request)
     if (leads) forgetSilent()
     if (leads && !isNews(request)) await sleep(Math.min(request.holdMilliseconds, MAXIMUM_HOLD_MILLISECONDS))
     const fresh = log !== undefined && leads && await log.confirmCurrent()
--- a/packages/cyclamenusherd/src/node/process/entry.ts
+++ b/packages/cyclamenusherd/src/node/process/entry.ts
@@ -1,13 +1,14 @@
 /** The entry role: callers on one side, backend servers on the other. */
 
 import { loadParser } from '@cyclamenusher/decisions'
-import { DirectoryService, OperatorService, createPeerClient } from '@cyclamenusher/protocol'
+import { ControlService, DirectoryService, OperatorService, createPeerClient } from '@cyclamenusher/protocol'
 import { createRulesStore } from '../version/rulesStore.js'
 import { createAdmission } from './admission.js'
 import { listenForCallers } from './callers.js'
 import { createDirectory } from './directory.js'
 import { createRateTask } from './rate/rateTask.js'
 import { createRouter } from './router.js'
+import { createRulesRelay } from './rulesRelay.js'
 import { createRulesWatcher } from './rulesWatcher.js'
 import type { Client, ConnectRouter } from '@connectrpc/connect'
 import type { Announcement, PeerCredentials } from '@cyclamenusher/protocol'
@@ -66,6 +67,7 @@
   let watcher: ReturnType<typeof createRulesWatcher> | undefined
   let callers: Callers | undefined
   let draining = false
+  const relay = createRulesRelay({ store, peers: () => watcher?.peers() ?? NO_PEERS, peersRevision: () => watcher?.peersRevision() ?? 0n, clock })
   const entries = (): readonly string[] => (watcher?.peers() ?? []).filter(({ role }) => role === 'entry').map(({ name }) => name)
   const router = createRouter({ config, store, directory, instances: entries, clock, logger, metrics })
   const rates = createRateTask({ config, store, peers: () => watcher?.peers() ?? NO_PEERS, credentials, clock, logger: logger.scope('rate') })
@@ -83,6 +85,8 @@
 
   function routes (connect: ConnectRouter): void {
     rates.routes(connect)
+    // An instance that is also a control instance answers watches as that.
+    if (!config.instance.roles.includes('control')) connect.service(ControlService, { watch: relay.watch })
     connect.service(DirectoryService, {
       announce: ({ announcement, forwarded }) => {
         if (announcement === undefined) return { nextMilliseconds: ANNOUNCE_MILLISECONDS }
@@ -106,7 +110,7 @@
 
   async function start (callsPort: number): Promise<void> {
     await loadParser()
-    watcher = createRulesWatcher({ config, callsPort, store, credentials, clock, logger: logger.scope('rules') })
+    watcher = createRulesWatcher({ config, callsPort, store, credentials, clock, logger: logger.scope('rules'), behind: relay.behind })
     callers = await listenForCallers({
       config,
       store,
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/rulesRelay.ts
@@ -0,0 +1,117 @@
+/**
+ * Passes the rules of this entry instance on to others of its failure domain.
+ * It states how old its proof is, so that nobody takes the rules for newer.
+ */
+
+import { diffRules } from '@cyclamenusher/decisions'
+import type { RuleLine } from '@cyclamenusher/decisions'
+import type { WatchRequest } from '@cyclamenusher/protocol'
+import type { RulesStore } from '../version/rulesStore.js'
+import type { Clock } from './clock.js'
+import type { Peer } from './rulesWatcher.js'
+
+/** Versions that are kept, so that a watcher gets what changed since its own. */
+const MAXIMUM_VERSIONS = 4
+/** Longest time that a watch is held, in milliseconds. */
+const MAXIMUM_HOLD_MILLISECONDS = 1_000
+/** Watches that are held at once; more are answered at once, as not fresh. */
+const MAXIMUM_WATCHES = 2_000
+/** Age of a proof above which the watcher had better ask control, in milliseconds. */
+const MAXIMUM_AGE_MILLISECONDS = 1_000
+/** Time after which a watcher that has not asked again counts as gone, in milliseconds. */
+const WATCHER_MILLISECONDS = 3_000
+
+export interface RelayedAnswer {
+  number: bigint
+  baseNumber: bigint
+  removed: string[]
+  added: string[]
+  fresh: boolean
+  ageMilliseconds: number
+  instances: Peer[]
+  instancesRevision: bigint
+}
+
+export interface RulesRelay {
+  watch: (request: WatchRequest) => Promise<RelayedAnswer>
+  /** Instances that watch through this one. */
+  behind: () => Peer[]
+}
+
+export interface RulesRelayOptions {
+  store: RulesStore
+  peers: () => readonly Peer[]
+  peersRevision: () => bigint
+  clock: Clock
+}
+
+export function createRulesRelay ({ store, peers, peersRevision, clock }: RulesRelayOptions): RulesRelay {
+  const watchers = new Map<string, { peer: Peer, seenAt: number }>()
+  const sleepers = new Set<() => void>()
+  let versions: Array<{ number: number, lines: readonly RuleLine[] }> = []
+
+  void store.versions.observe(() => { for (const wake of [...sleepers]) wake() })
+
+  /** Keeps each version that some watcher is told of. */
+  function rememberVersion (): void {
+    if (versions.at(-1)?.number === store.number()) return
+    versions = [...versions, { number: store.number(), lines: store.lines() }].slice(-MAXIMUM_VERSIONS)
+  }
+
+  async function sleep (milliseconds: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const wake = (): void => {
+        clearTimeout(timer)
+        sleepers.delete(wake)
+        resolve()
+      }
+      const timer = setTimeout(wake, milliseconds)
+      sleepers.add(wake)
+    })
+  }
+
+  /** What leads from the watcher's version to this instance's; the whole where that is not known. */
+  function changeSince (known: number): { base: number, removed: string[], added: readonly RuleLine[] } {
+    if (known === store.number()) return { base: known, removed: [], added: [] }
+    const held = versions.find(({ number }) => number === known)
+    if (held === undefined) return { base: 0, removed: [], added: store.lines() }
+    return { base: known, ...diffRules(held.lines, store.lines()) }
+  }
+
+  async function watch (request: WatchRequest): Promise<RelayedAnswer> {
+    const arrivedAt = clock.now()
+    const { instance, knownNumber, knownInstances, holdMilliseconds } = request
+    if (instance !== undefined) {
+      const { name, failureDomain, role, host, port } = instance
+      watchers.set(name, { peer: { name, failureDomain, role, host, port }, seenAt: arrivedAt })
+    }
+    const busy = sleepers.size >= MAXIMUM_WATCHES
+    const ahead = Number(knownNumber) > store.number()
+    // Another list of instances is no news: two lists that differ for a moment would send a watcher to and fro.
+    const news = Number(knownNumber) !== store.number() || knownInstances === 0n
+    if (!busy && !news) await sleep(Math.min(holdMilliseconds, MAXIMUM_HOLD_MILLISECONDS))
+    // The watcher counts from when it asked, so a proof made since then is not old.
+    const age = Math.max(0, arrivedAt - store.provenAt())
+    rememberVersion()
+    const { base, removed, added } = changeSince(Number(knownNumber))
+    const revision = peersRevision()
+    return {
+      number: BigInt(store.number()),
+      baseNumber: BigInt(base),
+      removed,
+      added: added.map(({ text }) => text),
+      fresh: !busy && !ahead && age <= MAXIMUM_AGE_MILLISECONDS,
+      ageMilliseconds: Number.isFinite(age) ? Math.ceil(age) : 0,
+      instances: knownInstances === revision ? [] : [...peers()],
+      instancesRevision: revision
+    }
+  }
+
+  function behind (): Peer[] {
+    const oldest = clock.now() - WATCHER_MILLISECONDS
+    for (const [name, { seenAt }] of watchers) if (seenAt < oldest) watchers.delete(name)
+    return [...watchers.values()].map(({ peer }) => peer)
+  }
+
+  return { watch, behind }
+}
--- a/packages/cyclamenusherd/src/node/process/rulesWatcher.ts
+++ b/packages/cyclamenusherd/src/node/process/rulesWatcher.ts
@@ -1,6 +1,7 @@
 /** Keeps the rules of this instance current: asks control again and again, holding each request. */
 
 import { ControlService, createPeerLink } from '@cyclamenusher/protocol'
+import { chooseRelay } from '@cyclamenusher/decisions'
 import { pause } from './clock.js'
 import type { Instance, PeerCredentials, PeerLink, WatchReply } from '@cyclamenusher/protocol'
 import type { RulesStore } from '../version/rulesStore.js'
@@ -9,9 +10,11 @@
 import type { ScopedLogger } from './logger.js'
 
 /** How long control may hold a request, in milliseconds; well below the lease. */
-const HOLD_MILLISECONDS = 700
+const HOLD_MILLISECONDS = 500
 /** Time that one request may take, in milliseconds. */
-const CALL_MILLISECONDS = 1_200
+const CALL_MILLISECONDS = 1_000
+/** Time in which control is asked directly after a relay did not help, in milliseconds. */
+const DIRECT_MILLISECONDS = 5_000
 /** Pause after a request that failed, in milliseconds. */
 const RETRY_MILLISECONDS = 100
 
@@ -26,6 +29,8 @@
 export interface RulesWatcher {
   /** Instances that control heard of lately. */
   peers: () => readonly Peer[]
+  /** Revision of that list. */
+  peersRevision: () => bigint
   close: () => void
 }
 
@@ -36,10 +41,12 @@
   credentials: PeerCredentials
   clock: Clock
   logger: ScopedLogger
+  /** Instances that watch through this one. */
+  behind: () => readonly Peer[]
 }
 
 export function createRulesWatcher (options: RulesWatcherOptions): RulesWatcher {
-  const { config, callsPort, store, credentials, clock, logger } = options
+  const { config, callsPort, store, credentials, clock, logger, behind } = options
   const self: Omit<Instance, '$typeName'> = {
     name: config.instance.name,
     failureDomain: config.instance.failureDomain,
@@ -63,7 +70,8 @@
     return known
   }
 
-  function receive (reply: WatchReply, askedAt: number): void {
+  /** Takes an answer; true when it helped. */
+  function receive (reply: WatchReply, askedAt: number): boolean {
     const outcome = store.update({
       number: Number(reply.number),
       baseNumber: Number(reply.baseNumber),
@@ -75,9 +83,11 @@
     })
     if (outcome === 'changed') logger.info('A configuration is in force.', { number: Number(reply.number), lines: reply.added.length, removed: reply.removed.length })
     // A leader that is cut off hears of few instances, and does not know it.
-    if (!reply.fresh || reply.instancesRevision === instancesRevision || reply.instances.length === 0) return
+    const helped = reply.fresh && outcome !== 'refused'
+    if (!helped || reply.instancesRevision === instancesRevision || reply.instances.length === 0) return helped
     instancesRevision = reply.instancesRevision
     peers = reply.instances.map(({ name, failureDomain, role, host, port }) => ({ name, failureDomain, role, host, port }))
+    return true
   }
 
   /** Asks one control instance; true when it proved that it is current. */
@@ -89,12 +99,13 @@
         instance: self,
         knownNumber: BigInt(store.number()),
         holdMilliseconds: store.isFresh() ? HOLD_MILLISECONDS : 0,
-        knownInstances: instancesRevision
+        knownInstances: instancesRevision,
+        behind: [...behind()]
       }, { timeoutMs: CALL_MILLISECONDS })
       if (closed) return true
-      receive(reply, askedAt)
+      const helped = receive(reply, askedAt)
       hint = reply.leader === undefined ? undefined : { host: reply.leader.host, port: reply.leader.port }
-      return reply.fresh
+      return helped
     } catch (error) {
       logger.debug('A control instance did not answer.', { address: `${address.host}:${address.port}`, error: (error as Error).message })
       // The connection may be silent for good while new ones work.
@@ -106,7 +117,17 @@
 
   async function run (): Promise<void> {
     let leader: Address | undefined
+    let directUntil = 0
+    let source = ''
     while (!closed) {
+      const relay = clock.now() < directUntil ? undefined : chooseRelay(self, peers, config.control.relayAbove)
+      const next = relay?.name ?? 'control'
+      if (next !== source) logger.info('The source of the rules changes.', { source: next })
+      source = next
+      if (relay !== undefined) {
+        if (!await ask(relay)) directUntil = clock.now() + DIRECT_MILLISECONDS
+        continue
+      }
       const asked = leader ?? addresses[turn % addresses.length]
       if (await ask(asked)) {
         leader = asked
@@ -127,5 +148,5 @@
   }
 
   void run()
-  return { peers: () => peers, close }
+  return { peers: () => peers, peersRevision: () => instancesRevision, close }
 }
--- a/packages/cyclamenusherd/src/node/version/rulesStore.ts
+++ b/packages/cyclamenusherd/src/node/version/rulesStore.ts
@@ -8,7 +8,7 @@
 import { EMPTY_RULES, applyDelta } from '@cyclamenusher/decisions'
 import { fromEvent } from 'most'
 import type { Stream } from 'most'
-import type { AccessRule, OpenRule, ParsedRules, Rules } from '@cyclamenusher/decisions'
+import type { AccessRule, OpenRule, ParsedRules, RuleLine, Rules } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 
 /** What one reply of control says of the rules. */
@@ -35,6 +35,9 @@
 export interface RulesStore {
   number: () => number
   rules: () => Rules
+  lines: () => readonly RuleLine[]
+  /** When the rules were last known to be current, on the clock of this instance. */
+  provenAt: () => number
   /** Whether the rules are known to be current within the lease. */
   isFresh: () => boolean
   update: (update: RulesUpdate) => 'changed' | 'unchanged' | 'refused'
@@ -70,7 +73,7 @@
   let current: ParsedRules = { rules: EMPTY_RULES, lines: [], digest: '' }
   let index = indexRules(EMPTY_RULES)
   let number = 0
-  let freshUntil = -Infinity
+  let provenAt = -Infinity
   const emitter = new EventEmitter()
   emitter.setMaxListeners(0)
 
@@ -85,7 +88,7 @@
       index = indexRules(current.rules)
       number = message.number
     }
-    if (message.fresh) freshUntil = Math.max(freshUntil, message.askedAt + leaseMilliseconds - message.ageMilliseconds)
+    if (message.fresh) provenAt = Math.max(provenAt, message.askedAt - message.ageMilliseconds)
     if (changed) emitter.emit('version', number)
     return changed ? 'changed' : 'unchanged'
   }
@@ -102,7 +105,9 @@
   return {
     number: () => number,
     rules: () => current.rules,
-    isFresh: () => clock.now() < freshUntil,
+    lines: () => current.lines,
+    provenAt: () => provenAt,
+    isFresh: () => clock.now() < provenAt + leaseMilliseconds,
     update,
     identify,
     isValid: ({ account, key }) => key === undefined || current.rules.keys.get(key)?.account === account,
