--- a/packages/cyclamenusherd/src/node/process/rulesRelay.ts
+++ b/packages/cyclamenusherd/src/node/process/rulesRelay.ts
@@ -32,6 +32,12 @@
   instancesRevision: bigint
 }
 
+interface Change {
+  base: number
+  removed: string[]
+  added: readonly RuleLine[]
+}
+
 export interface RulesRelay {
   watch: (request: WatchRequest) => Promise<RelayedAnswer>
   /** Instances that watch through this one. */
@@ -49,12 +55,15 @@
   const watchers = new Map<string, { peer: Peer, seenAt: number }>()
   const sleepers = new Set<() => void>()
   let versions: Array<{ number: number, lines: readonly RuleLine[] }> = []
+  /** Changes to the newest version, by the version that they start from. */
+  const changes = new Map<number, Change>()
 
   void store.versions.observe(() => { for (const wake of [...sleepers]) wake() })
 
   /** Keeps each version that some watcher is told of. */
   function rememberVersion (): void {
     if (versions.at(-1)?.number === store.number()) return
+    changes.clear()
     versions = [...versions, { number: store.number(), lines: store.lines() }].slice(-MAXIMUM_VERSIONS)
   }
 
@@ -71,11 +80,13 @@
   }
 
   /** What leads from the watcher's version to this instance's; the whole where that is not known. */
-  function changeSince (known: number): { base: number, removed: string[], added: readonly RuleLine[] } {
-    if (known === store.number()) return { base: known, removed: [], added: [] }
+  function changeSince (known: number): Change {
+    const newest = versions.at(-1)?.lines ?? []
     const held = versions.find(({ number }) => number === known)
-    if (held === undefined) return { base: 0, removed: [], added: store.lines() }
-    return { base: known, ...diffRules(held.lines, store.lines()) }
+    if (held === undefined) return { base: 0, removed: [], added: newest }
+    const change = changes.get(known) ?? { base: known, ...diffRules(held.lines, newest) }
+    changes.set(known, change)
+    return change
   }
 
   async function watch (request: WatchRequest): Promise<RelayedAnswer> {
--- a/packages/cyclamenusherd/src/node/version/rulesStore.ts
+++ b/packages/cyclamenusherd/src/node/version/rulesStore.ts
@@ -8,7 +8,7 @@
 import { EMPTY_RULES, NO_RULES, applyDelta } from '@cyclamenusher/decisions'
 import { fromEvent } from 'most'
 import type { Stream } from 'most'
-import type { AccessRule, OpenRule, ParsedRules, RuleLine, Rules } from '@cyclamenusher/decisions'
+import type { AccessRule, OpenRule, RuleLine, Rules } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 
 /** What one reply of control says of the rules. */
@@ -113,7 +113,7 @@
   return {
     number: () => number,
     rules: () => current.rules,
-    lines: () => current.lines,
+    lines: () => [...current.lines].map(([identity, text]) => ({ identity, text })),
     provenAt: () => provenAt,
     isFresh: () => clock.now() < provenAt + leaseMilliseconds,
     update,
