The gap of a failover measured, its detection cut; explain and drain for operators

Cause of the longest gaps, from the log lines of each trial: a killed primary behind a link that accepts and closes was noticed by silence only, and after a cut the instances that rank first for a group could be the ones in the cut failure domain. Now a replica reports two connections in a row that ended unanswered like refused ones, and the instances in the primary's own failure domain rank last. Ruled out: waiting for a frozen member's grant, and connections to the new primary (they are warmed). OperatorService explains with the statement's own class, the token, the account's access and the members' state, and drains a member or the instance.

--- a/packages/cyclamenusherd/src/node/process/entry.ts
+++ b/packages/cyclamenusherd/src/node/process/entry.ts
@@ -1,11 +1,12 @@
 /** The entry role: callers on one side, backend servers on the other. */
 
 import { loadParser } from '@cyclamenusher/decisions'
-import { DirectoryService, OperatorService, createPeerClient } from '@cyclamenusher/protocol'
+import { DirectoryService, createPeerClient } from '@cyclamenusher/protocol'
 import { createRulesStore } from '../version/rulesStore.js'
 import { createAdmission } from './admission.js'
 import { listenForCallers } from './callers.js'
 import { createDirectory } from './directory.js'
+import { createOperatorService } from './operatorService.js'
 import { createRouter } from './router.js'
 import { createRulesWatcher } from './rulesWatcher.js'
 import type { Client, ConnectRouter } from '@connectrpc/connect'
@@ -16,6 +17,7 @@
 import type { Logger } from './logger.js'
 import type { Metrics } from './metrics.js'
 import type { MemberAnnouncement } from './directory.js'
+import type { Peer } from './rulesWatcher.js'
 
 /** When backend servers are asked to announce themselves again, in milliseconds. */
 const ANNOUNCE_MILLISECONDS = 1_000
@@ -37,6 +39,8 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  /** Stops the instance as SIGTERM does. */
+  requestStop: () => void
 }
 
 function readAnnouncement (message: Announcement): MemberAnnouncement {
@@ -55,17 +59,19 @@
   }
 }
 
-export function createEntryRole ({ config, credentials, clock, logger, metrics }: EntryOptions): EntryRole {
+export function createEntryRole ({ config, credentials, clock, logger, metrics, requestStop }: EntryOptions): EntryRole {
   const store = createRulesStore(clock, config.control.leaseMilliseconds)
   const directory = createDirectory(clock, logger.scope('directory'))
   const peers = new Map<string, Client<typeof DirectoryService>>()
   let watcher: ReturnType<typeof createRulesWatcher> | undefined
   let callers: Callers | undefined
   let draining = false
-  const entries = (): readonly string[] => (watcher?.peers() ?? []).filter(({ role }) => role === 'entry').map(({ name }) => name)
+  const entries = (): readonly Peer[] => (watcher?.peers() ?? []).filter(({ role }) => role === 'entry')
   const router = createRouter({ config, store, directory, instances: entries, clock, logger, metrics })
   const admission = createAdmission({ store, sharers: () => Math.max(1, entries().length), clock })
 
+  const operatorRoutes = createOperatorService({ store, router, tokenSecret: config.calls.secret, clock, logger: logger.scope('process'), requestStop })
+
   function forward (announcement: Announcement): void {
     for (const { name, role, host, port } of watcher?.peers() ?? []) {
       if (role !== 'entry' || name === config.instance.name) continue
@@ -89,13 +95,7 @@
         announcements: directory.members(group).map(member => ({ ...member, term: BigInt(member.term), logTerm: BigInt(member.logTerm), position: BigInt(member.position), sequence: BigInt(member.sequence) }))
       })
     })
-    connect.service(OperatorService, {
-      explain: request => {
-        const group = store.rules().databases.get(request.database)?.group ?? ''
-        const decision = router.explain({ identity: { account: request.account, key: '' }, database: request.database, group, need: 'read', token: undefined })
-        return { decision: JSON.stringify(decision) }
-      }
-    })
+    operatorRoutes(connect)
   }
 
   async function start (callsPort: number): Promise<void> {
--- a/packages/cyclamenusherd/src/node/process/group/coordinator.ts
+++ b/packages/cyclamenusherd/src/node/process/group/coordinator.ts
@@ -4,7 +4,7 @@
  * only who goes first.
  */
 
-import { GRANT_MILLISECONDS, choosePrimary, decideFailover, hasVote, highestTerm, majorityOf, nextTerm, rankNodes } from '@cyclamenusher/decisions'
+import { GRANT_MILLISECONDS, choosePrimary, currentPrimary, decideFailover, hasVote, highestTerm, majorityOf, nextTerm, rankNodes } from '@cyclamenusher/decisions'
 import { pause } from '../clock.js'
 import type { FailoverDecision, FailoverLimits, MemberStatus } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
@@ -16,17 +16,23 @@
 /** How often a group is looked at, in milliseconds. */
 const TICK_MILLISECONDS = 20
 /** Head start of each rank over the next, in milliseconds. */
-const RANK_MILLISECONDS = 300
+const RANK_MILLISECONDS = 200
 /** Longest head start, in milliseconds. */
 const MAXIMUM_RANK_DELAY_MILLISECONDS = 1_500
 /** Time that a majority waits for the other members' logs, in milliseconds. */
 const STRAGGLER_MILLISECONDS = 30
 
+/** An instance that may coordinate. */
+export interface CoordinatorInstance {
+  name: string
+  failureDomain: string
+}
+
 export interface CoordinatorOptions {
   monitor: GroupMonitor
-  self: string
-  /** Names of the live entry instances. */
-  instances: () => readonly string[]
+  self: CoordinatorInstance
+  /** The live entry instances. */
+  instances: () => readonly CoordinatorInstance[]
   /** Whether the rules name the group, so that its number of places is known. */
   isKnown: () => boolean
   limits: FailoverLimits
@@ -47,9 +53,19 @@
   let needed: { since: number, term: number } | undefined
   let working = false
 
+  function primaryDomain (): string | undefined {
+    const primary = currentPrimary(monitor.view())
+    return primary === undefined ? undefined : monitor.member(primary.status.member)?.failureDomain
+  }
+
   function rankDelay (): number {
-    const names = new Set([...options.instances(), self])
-    const rank = rankNodes(group, [...names]).indexOf(self)
+    const others = options.instances().filter(({ name }) => name !== self.name)
+    const domainOf = new Map([...others, self].map(({ name, failureDomain }) => [name, failureDomain]))
+    const ranked = rankNodes(group, [...domainOf.keys()])
+    // A primary often fails together with its failure domain, and with the instances there.
+    const failing = primaryDomain()
+    const away = ranked.filter(name => domainOf.get(name) !== failing)
+    const rank = [...away, ...ranked.filter(name => domainOf.get(name) === failing)].indexOf(self.name)
     return Math.min(rank * RANK_MILLISECONDS, MAXIMUM_RANK_DELAY_MILLISECONDS)
   }
 
--- a/packages/cyclamenusherd/src/node/process/group/leaseWatch.ts
+++ b/packages/cyclamenusherd/src/node/process/group/leaseWatch.ts
@@ -9,7 +9,7 @@
 import type { BackendConnection } from '../../connection/backendConnection.js'
 
 /** Time that a replaced primary has to answer by itself, in milliseconds. */
-const ANSWER_MILLISECONDS = 100
+const ANSWER_MILLISECONDS = 50
 
 export interface LeaseWatch {
   /** Watches a connection lent for writes in `term`; the result ends the watch. */
--- a/packages/cyclamenusherd/src/node/process/instance.ts
+++ b/packages/cyclamenusherd/src/node/process/instance.ts
@@ -22,7 +22,7 @@
   const metrics = createMetrics()
   const credentials = { secret: config.calls.secret, tls: config.calls.tls }
   const { roles } = config.instance
-  const entry = roles.includes('entry') ? createEntryRole({ config, credentials, clock, logger, metrics }) : undefined
+  const entry = roles.includes('entry') ? createEntryRole({ config, credentials, clock, logger, metrics, requestStop: () => { process.kill(process.pid, 'SIGTERM') } }) : undefined
   const control = roles.includes('control') ? createControlRole(config, clock, logger) : undefined
   const calls = await listenForCalls(config.calls.listen.host, config.calls.listen.port, credentials, router => {
     entry?.routes(router)
--- a/packages/cyclamenusherd/src/node/process/router.ts
+++ b/packages/cyclamenusherd/src/node/process/router.ts
@@ -12,7 +12,7 @@
 import type { Clock } from './clock.js'
 import type { Config } from './config.js'
 import type { Directory } from './directory.js'
-import type { Coordinator } from './group/coordinator.js'
+import type { Coordinator, CoordinatorInstance } from './group/coordinator.js'
 import type { GroupMonitor } from './group/groupMonitor.js'
 import type { LeaseWatch } from './group/leaseWatch.js'
 import type { Logger } from './logger.js'
@@ -51,7 +51,8 @@
   config: Config
   store: RulesStore
   directory: Directory
-  instances: () => readonly string[]
+  /** The live entry instances. */
+  instances: () => readonly CoordinatorInstance[]
   clock: Clock
   logger: Logger
   metrics: Metrics
@@ -98,7 +99,7 @@
     })
     const coordinator = createCoordinator({
       monitor,
-      self: config.instance.name,
+      self: { name: config.instance.name, failureDomain: config.instance.failureDomain },
       instances: options.instances,
       isKnown: () => placesOf(group) !== undefined,
       limits: { silenceMilliseconds: config.failover.silenceMilliseconds, answerMilliseconds: ANSWER_MILLISECONDS },
@@ -153,7 +154,7 @@
     known?.pool.close()
     const pool = createPool({
       target: { member, host: announcement.host, port: announcement.port, user: config.backend.user, password: config.backend.password, database: group },
-      limit: () => config.backend.connectionsOfInstance ?? connectionShare(config.backend.connectionsPerServer, config.instance.name, options.instances()),
+      limit: () => config.backend.connectionsOfInstance ?? connectionShare(config.backend.connectionsPerServer, config.instance.name, options.instances().map(({ name }) => name)),
       weightOf: account => store.rules().accounts.get(account)?.weight ?? 1,
       clock,
       logger: logger.scope('pool'),
--- /dev/null
+++ b/packages/measure/src/node/scenarios/failover.ts
@@ -0,0 +1,188 @@
+/** The gap in service when a primary fails, of real processes, with its parts. */
+
+import { startDeployment, until } from '@cyclamenusher/stand-ins'
+import { gapAfter, startWriter } from './writers.js'
+import type { Deployment, ServerProcess } from '@cyclamenusher/stand-ins'
+import type { Figures, Scenario, ScenarioOptions } from '../scenario.js'
+import type { Writer } from './writers.js'
+
+/** Failures of each kind, for the product and for each way that it is compared with. */
+const TRIALS = { product: 20, compared: 6 }
+/** Time that a group has to settle after a failure, in milliseconds. */
+const SETTLE_MILLISECONDS = 20_000
+/** Time with writes before and after a failure, in milliseconds. */
+const CALM_MILLISECONDS = 400
+/** Time that a failure lasts, in milliseconds. */
+const FAILURE_MILLISECONDS = 2_500
+/** Pauses of a primary that should change nothing, in milliseconds. */
+const SHORT_PAUSES = [50, 100, 150, 200, 300, 400]
+const DATABASE = 'measured'
+const ACCOUNT = { name: 'writer', key: 'writer-key', rate: 100_000, burst: 100_000 }
+
+type FailureKind = 'killed' | 'cut off' | 'frozen'
+
+/** Ways to notice a failed primary: how long it may be silent, and whether replicas tell of refused connections. */
+const POLICIES: Record<string, { silenceMilliseconds?: number, refusals: boolean }> = {
+  product: { refusals: true },
+  'fixed 200': { silenceMilliseconds: 200, refusals: false },
+  'fixed 500': { silenceMilliseconds: 500, refusals: false },
+  'fixed 1000': { silenceMilliseconds: 1_000, refusals: false },
+  'observers 200': { silenceMilliseconds: 200, refusals: true },
+  'observers 300': { silenceMilliseconds: 300, refusals: true },
+  'observers 500': { silenceMilliseconds: 500, refusals: true }
+}
+
+interface State {
+  role: string
+  adoptedTerm: number
+  logTerm: number
+  primaryMember: string
+  voting: boolean
+}
+
+interface Gap {
+  whole: number
+  detect: number
+  fence: number
+  redirect: number
+}
+
+async function pause (milliseconds: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, milliseconds))
+}
+
+async function statesOf (deployment: Deployment): Promise<Array<{ server: ServerProcess, state: State }>> {
+  return await Promise.all(deployment.servers.map(async server => ({ server, state: await deployment.administer(server, 'GET', '/state') as State })))
+}
+
+async function settle (deployment: Deployment): Promise<ServerProcess> {
+  let primary: ServerProcess | undefined
+  await until(Date.now() + SETTLE_MILLISECONDS, 'the group did not settle', async () => {
+    const states = await statesOf(deployment)
+    const found = states.filter(({ state }) => state.role === 'primary')
+    primary = found[0]?.server
+    const term = found[0]?.state.adoptedTerm
+    return found.length === 1 && states.every(({ state }) => state.voting && state.primaryMember === primary?.member && state.logTerm === term)
+  })
+  return primary!
+}
+
+type Strike = (deployment: Deployment, primary: ServerProcess) => Promise<() => void>
+
+const STRIKES: Record<FailureKind, Strike> = {
+  killed: async (deployment, primary) => {
+    await deployment.fleet.end(primary.process, 'SIGKILL')
+    return () => { deployment.restartServer(primary) }
+  },
+  'cut off': async (deployment, { failureDomain }) => {
+    deployment.network?.cut(failureDomain)
+    return () => { deployment.network?.heal(failureDomain) }
+  },
+  frozen: async (_deployment, { process: { child } }) => {
+    child.kill('SIGSTOP')
+    return () => { child.kill('SIGCONT') }
+  }
+}
+
+/** Times of the first log lines after `from` that hold `sentence`, over all entry instances. */
+function firstLine (deployment: Deployment, sentence: string, from: number): { at: number, line: string } | undefined {
+  const found = deployment.entries.flatMap(({ process }) => process.output().split('\n'))
+    .filter(line => line.includes(sentence))
+    .map(line => ({ at: Date.parse(line.slice(0, line.indexOf(' '))), line }))
+    .filter(({ at }) => at >= from)
+    .sort((left, right) => left.at - right.at)
+  return found[0]
+}
+
+/** A gap with its parts; they are whole milliseconds of the wall clock that all processes share. */
+function measureGap (deployment: Deployment, writers: readonly Writer[], faultAt: number): Gap | undefined {
+  const begun = firstLine(deployment, 'A promotion begins.', faultAt)
+  const promoted = firstLine(deployment, 'A member was promoted.', faultAt)
+  const gaps = writers.flatMap(writer => gapAfter(writer, faultAt) ?? [])
+  if (begun === undefined || promoted === undefined || gaps.length === 0) return undefined
+  const worst = gaps.reduce((left, right) => left.milliseconds >= right.milliseconds ? left : right)
+  return { whole: worst.milliseconds, detect: begun.at - faultAt, fence: promoted.at - begun.at, redirect: worst.endedAt - promoted.at }
+}
+
+async function failOnce (deployment: Deployment, kind: FailureKind): Promise<Gap | undefined> {
+  const primary = await settle(deployment)
+  // Callers in a failure domain that is cut off can't write before it heals, whatever is decided.
+  const reached = deployment.entries.filter(entry => kind !== 'cut off' || entry.failureDomain !== primary.failureDomain).slice(0, 3)
+  const writers = reached.map(({ failureDomain, callers, name }) => startWriter({ failureDomain, port: callers, account: ACCOUNT.name, key: ACCOUNT.key, database: DATABASE, name: `${name}-${Date.now()}` }))
+  await pause(CALM_MILLISECONDS)
+  const faultAt = Date.now()
+  const heal = await STRIKES[kind](deployment, primary)
+  await pause(FAILURE_MILLISECONDS)
+  const gap = measureGap(deployment, writers, faultAt)
+  heal()
+  await Promise.all(writers.map(async writer => { await writer.stop() }))
+  return gap
+}
+
+function summarize (values: readonly number[]): { p50: number, worst: number } {
+  const sorted = [...values].sort((left, right) => left - right)
+  return { p50: Math.round(sorted[Math.floor((sorted.length - 1) / 2)] ?? NaN), worst: Math.round(sorted.at(-1) ?? NaN) }
+}
+
+async function measureKind (deployment: Deployment, kind: FailureKind, trials: number): Promise<Record<string, number | string>> {
+  const gaps: Gap[] = []
+  for (let trial = 0; trial < trials; trial += 1) {
+    const gap = await failOnce(deployment, kind)
+    if (gap !== undefined) gaps.push(gap)
+    console.error(`${kind} ${trial + 1} of ${trials}: ${JSON.stringify(gap)}`)
+  }
+  const parts = (['whole', 'detect', 'fence', 'redirect'] as const).map(part => [part, summarize(gaps.map(gap => gap[part]))] as const)
+  const entries = parts.flatMap(([part, { p50, worst }]) => [[`${part} p50 ms`, p50], [`${part} worst ms`, worst]])
+  return { trials, measured: gaps.length, ...Object.fromEntries(entries) }
+}
+
+/** Promotions that short pauses of a healthy primary cause. */
+async function countFalseAlarms (deployment: Deployment): Promise<Record<string, number>> {
+  const alarms: Record<string, number> = {}
+  for (const milliseconds of SHORT_PAUSES) {
+    for (let repeat = 0; repeat < 3; repeat += 1) {
+      const primary = await settle(deployment)
+      primary.process.child.kill('SIGSTOP')
+      await pause(milliseconds)
+      primary.process.child.kill('SIGCONT')
+      await pause(CALM_MILLISECONDS)
+      const now = await settle(deployment)
+      alarms[`${milliseconds} ms`] = (alarms[`${milliseconds} ms`] ?? 0) + (now === primary ? 0 : 1)
+    }
+  }
+  return alarms
+}
+
+async function run ({ deployment: measured, policy = 'product' }: ScenarioOptions): Promise<Figures> {
+  const { silenceMilliseconds, refusals } = POLICIES[policy]
+  const deployment = await startDeployment({
+    failureDomains: measured.failureDomains,
+    entries: measured.entries,
+    controls: 3,
+    databases: [DATABASE],
+    members: measured.members,
+    accounts: [ACCOUNT],
+    connectionLimit: measured.connectionLimit,
+    openMilliseconds: measured.openMilliseconds,
+    lagMilliseconds: 5,
+    links: true,
+    settings: { log: ['decisions = false'], ...(silenceMilliseconds === undefined ? {} : { failover: [`silence_milliseconds = ${silenceMilliseconds}`] }) }
+  })
+  try {
+    deployment.network?.setDelay(measured.domainMilliseconds)
+    for (const server of deployment.servers) await deployment.administer(server, 'POST', '/faults', { hidesRefusal: !refusals })
+    const figures: Figures = {}
+    for (const kind of Object.keys(STRIKES) as FailureKind[]) figures[kind] = await measureKind(deployment, kind, policy === 'product' ? TRIALS.product : TRIALS.compared)
+    figures['promotions after 3 pauses each'] = await countFalseAlarms(deployment)
+    return figures
+  } finally {
+    await deployment.close()
+  }
+}
+
+export const FAILOVER: Scenario = {
+  name: 'failover',
+  description: 'gap between acknowledged writes when a primary is killed, cut off or frozen, and false alarms',
+  policies: Object.keys(POLICIES),
+  run
+}
--- a/packages/measure/src/node/scenarios/index.ts
+++ b/packages/measure/src/node/scenarios/index.ts
@@ -1,5 +1,6 @@
 /** Every scenario by name. */
 
+import { FAILOVER } from './failover.js'
 import type { Scenario } from '../scenario.js'
 
-export const SCENARIOS: readonly Scenario[] = []
+export const SCENARIOS: readonly Scenario[] = [FAILOVER]
--- a/packages/stand-ins/src/node/backend/server.ts
+++ b/packages/stand-ins/src/node/backend/server.ts
@@ -20,6 +20,8 @@
 const RECEIVER_TIMEOUT_MILLISECONDS = 2_000
 /** Pause before a replica connects to its primary again, in milliseconds. */
 const RECONNECT_MILLISECONDS = 20
+/** Connections in a row that end before the primary says anything, after which it counts as refusing. */
+const REFUSED_CONNECTIONS = 2
 
 export interface BackendServerOptions {
   group: string
@@ -73,6 +75,8 @@
   /** Answers no statement of a caller's until it is taken back. */
   frozen: boolean
   leaving: boolean
+  /** Tells nobody that its primary refuses connections. */
+  hidesRefusal: boolean
   /** Delay before each answer, in milliseconds. */
   answerMilliseconds: number
 }
@@ -114,12 +118,14 @@
 export function createBackendServer (options: BackendServerOptions): BackendServer {
   const log = openServerLog(options.dataFolder)
   const store = createStore()
-  const faults: ServerFaults = { isolated: false, lagMilliseconds: options.lagMilliseconds, frozen: false, leaving: false, answerMilliseconds: 0 }
+  const faults: ServerFaults = { isolated: false, lagMilliseconds: options.lagMilliseconds, frozen: false, leaving: false, hidesRefusal: false, answerMilliseconds: 0 }
   const incarnation = randomUUID()
   let role: ServerRole = 'replica'
   /** The term that `adopt` granted to a coordinator which has not yet promoted anyone. */
   let grantedTerm = 0
   let primaryRefused = false
+  /** Connections in a row that ended before the primary said anything. */
+  let unanswered = 0
   let primaryMember = ''
   let heardAt = -1
   let appliedPosition = 0
@@ -164,7 +170,7 @@
       appliedPosition,
       primaryMember: role === 'primary' ? options.member : primaryMember,
       heardMilliseconds: role === 'primary' ? 0 : heardAt < 0 ? -1 : Math.round(performance.now() - heardAt),
-      primaryRefused,
+      primaryRefused: primaryRefused && !faults.hidesRefusal,
       voting: log.isVoting(),
       incarnation,
       leaving: faults.leaving,
@@ -201,6 +207,7 @@
     clearTimeout(retry)
     following = undefined
     primaryRefused = false
+    unanswered = 0
     upstream?.destroy()
     upstream = undefined
   }
@@ -256,6 +263,7 @@
     upstream = socket
     const lines = createInterface({ input: socket })
     let started = false
+    let answered = false
     socket.setTimeout(RECEIVER_TIMEOUT_MILLISECONDS, () => { socket.destroy() })
     socket.on('connect', () => {
       socket.write(buildStartupMessage({ user: 'replication', replication: 'true' }))
@@ -264,6 +272,8 @@
     lines.on('line', line => {
       if (upstream !== socket || faults.isolated) return
       const message = JSON.parse(line) as ReplicationMessage
+      unanswered = 0
+      answered = true
       // Records join on to the log only behind the start, which drops what the primary lacks.
       started = started || message.kind === 'start'
       if (started) receive(message)
@@ -276,6 +286,9 @@
       if (upstream !== socket) return
       upstream = undefined
       if (following === undefined) return
+      // Something between the two may accept a connection that the primary's host refuses.
+      if (!answered) unanswered += 1
+      if (unanswered >= REFUSED_CONNECTIONS) primaryRefused = true
       retry = setTimeout(connectUpstream, RECONNECT_MILLISECONDS)
     })
   }
