--- a/packages/measure/src/node/scenarios/index.ts
+++ b/packages/measure/src/node/scenarios/index.ts
@@ -1,6 +1,7 @@
 /** Every scenario by name. */
 
 import { FAILOVER } from './failover.js'
+import { REPLICA_READS } from './replicaReads.js'
 import type { Scenario } from '../scenario.js'
 
-export const SCENARIOS: readonly Scenario[] = [FAILOVER]
+export const SCENARIOS: readonly Scenario[] = [FAILOVER, REPLICA_READS]
