--- a/packages/measure/src/node/scenarios/index.ts
+++ b/packages/measure/src/node/scenarios/index.ts
@@ -1,6 +1,7 @@
 /** Every scenario by name. */
 
+import { accountsScenario } from './accounts.js'
 import { rateScenario } from './rate.js'
 import type { Scenario } from '../scenario.js'
 
-export const SCENARIOS: readonly Scenario[] = [rateScenario]
+export const SCENARIOS: readonly Scenario[] = [rateScenario, accountsScenario]
