--- a/packages/measure/src/node/scenarios/failover.ts
+++ b/packages/measure/src/node/scenarios/failover.ts
@@ -180,7 +180,7 @@
   }
 }
 
-export const FAILOVER: Scenario = {
+export const failoverScenario: Scenario = {
   name: 'failover',
   description: 'gap between acknowledged writes when a primary is killed, cut off or frozen, and false alarms',
   policies: Object.keys(POLICIES),
--- a/packages/measure/src/node/scenarios/index.ts
+++ b/packages/measure/src/node/scenarios/index.ts
@@ -1,8 +1,9 @@
 /** Every scenario by name. */
 
-import { FAILOVER } from './failover.js'
+import { accountsScenario } from './accounts.js'
+import { failoverScenario } from './failover.js'
 import { rateScenario } from './rate.js'
-import { REPLICA_READS } from './replicaReads.js'
+import { replicaReadsScenario } from './replicaReads.js'
 import type { Scenario } from '../scenario.js'
 
-export const SCENARIOS: readonly Scenario[] = [FAILOVER, REPLICA_READS, rateScenario]
+export const SCENARIOS: readonly Scenario[] = [failoverScenario, replicaReadsScenario, accountsScenario, rateScenario]
--- a/packages/measure/src/node/scenarios/replicaReads.ts
+++ b/packages/measure/src/node/scenarios/replicaReads.ts
@@ -91,7 +91,7 @@
   }
 }
 
-export const REPLICA_READS: Scenario = {
+export const replicaReadsScenario: Scenario = {
   name: 'replica-reads',
   description: 'share of reads served by replicas, with lag, for sessions that write one time in ten',
   policies: ['product'],
