--- a/packages/cyclamenusherd/src/node/connection/callerConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerConnection.ts
@@ -8,6 +8,7 @@
 import { readExtendedBatch, readSimpleQuery } from '../request/batch.js'
 import { RefusalError, refusalResponse } from '../request/refusal.js'
 import { createRequestRunner } from '../request/requestRunner.js'
+import { createFrameQueue } from './callerInput.js'
 import { createCallerSession } from './callerSession.js'
 import type { Socket } from 'node:net'
 import type { LogPosition } from '@cyclamenusher/decisions'
@@ -15,6 +16,7 @@
 import type { Batch, BatchNeed } from '../request/batch.js'
 import type { Identity } from '../version/rulesStore.js'
 import type { BackendConnection } from './backendConnection.js'
+import type { InputBudget } from './callerInput.js'
 import type { CallerSession } from './callerSession.js'
 
 /** A backend connection lent to a request, with what giving it back takes. */
@@ -30,7 +32,7 @@
   requestMilliseconds: number
   now: () => number
   /** Whether this identity may run `need` now. @throws RefusalError */
-  admit: (identity: Identity, database: string, need: BatchNeed) => void
+  admit: (identity: Identity, database: string, need: BatchNeed) => Promise<void> | void
   /** Finds a member and a connection. @throws RefusalError when the request has not run */
   lease: (request: LeaseRequest) => Promise<Lease>
   /** The session's place in a group that it has not used yet. */
@@ -57,6 +59,10 @@
   secret: number
   rest: Buffer
   services: CallerServices
+  inputBudget: InputBudget
+  /** Time that a transaction may wait for its next request, in milliseconds. */
+  idleTransactionMilliseconds: number
+  onRefused: (error: RefusalError) => void
   onClosed: () => void
 }
 
@@ -71,10 +77,6 @@
   isBusy: () => boolean
 }
 
-/** Frames that may wait while a request runs. */
-const MAXIMUM_QUEUED_FRAMES = 10_000
-/** Bytes that may wait while a request runs. */
-const MAXIMUM_QUEUED_BYTES = 256 * 1024
 /** Messages of a batch that are sent on before its Sync has come. */
 const MAXIMUM_COLLECTED_FRAMES = 5_000
 const MAXIMUM_COLLECTED_BYTES = 1024 * 1024
@@ -94,37 +96,6 @@
   buildParameterStatus('standard_conforming_strings', 'on')
 ])
 
-/** Frames that wait to be made into batches, and how much of them may. */
-interface FrameQueue {
-  add: (frame: Frame) => void
-  take: () => Frame | undefined
-  isFull: () => boolean
-}
-
-function createFrameQueue (): FrameQueue {
-  let frames: Frame[] = []
-  let first = 0
-  let bytes = 0
-  return {
-    add: frame => {
-      frames.push(frame)
-      bytes += frame.bytes.length
-    },
-    take: () => {
-      const frame = frames[first]
-      if (frame === undefined) return undefined
-      first += 1
-      bytes -= frame.bytes.length
-      if (first === frames.length) {
-        frames = []
-        first = 0
-      }
-      return frame
-    },
-    isFull: () => frames.length - first > MAXIMUM_QUEUED_FRAMES || bytes > MAXIMUM_QUEUED_BYTES
-  }
-}
-
 export function createCallerConnection (options: CallerConnectionOptions): CallerConnection | undefined {
   const { socket, identity, services } = options
   let session: CallerSession
@@ -132,6 +103,7 @@
     session = createCallerSession(options.parameters, services.tokenSecret)
   } catch (error) {
     const refusal = error instanceof RefusalError ? error : new RefusalError('protocol broken', (error as Error).message)
+    options.onRefused(refusal)
     socket.resume()
     socket.end(refusalResponse(refusal, 'FATAL'))
     return undefined
@@ -147,6 +119,8 @@
   let skipping = false
   /** The batch that was read last ended, so that ReadyForQuery follows even an error. */
   let ended = true
+  /** What this caller has taken of the budget. */
+  let inputBytes = 0
   let running = false
   let draining = false
   let closed = false
@@ -161,13 +135,18 @@
       skipping = true
       collected = []
       collectedBytes = 0
+      options.onRefused(error)
       if (!closed) socket.write(refusalResponse(error))
     }
   })
+  let idleTransaction: NodeJS.Timeout | undefined
 
   function close (): void {
     if (closed) return
     closed = true
+    clearTimeout(idleTransaction)
+    options.inputBudget.take(-inputBytes)
+    inputBytes = 0
     runner.stop()
     socket.destroySoon()
     options.onClosed()
@@ -175,7 +154,8 @@
 
   function end (error: RefusalError): void {
     if (closed) return
-    const known = runner.mayHaveCommitted() ? new RefusalError(error.kind, error.message, 'unknown', error.hint) : error
+    const known = runner.mayHaveCommitted() ? new RefusalError('outcome unknown', error.message, 'unknown', error.hint) : error
+    options.onRefused(known)
     if (!socket.destroyed) socket.write(refusalResponse(known, 'FATAL'))
     close()
     // A caller that does not read must not keep the socket.
@@ -237,6 +217,7 @@
     collectedBytes = 0
     await runner.failTransaction()
     if (closed) return
+    options.onRefused(refusal)
     skipping = !ended
     // The caller's last token may lack a write that lasts: the new one makes its next read ask first.
     if (refusal.runState === 'unknown') socket.write(buildParameterStatus(SESSION_SETTING, session.tokenText()))
@@ -257,14 +238,35 @@
     return true
   }
 
+  /** A transaction that waits for its caller keeps a scarce connection, so the wait has a bound. */
+  function watchTransaction (): void {
+    if (closed || !runner.holdsConnection()) return
+    idleTransaction = setTimeout(() => {
+      end(new RefusalError('idle in transaction', 'the transaction waited too long for its next request', 'stopped', 'Send a transaction\'s requests without a pause.'))
+    }, options.idleTransactionMilliseconds)
+  }
+
   async function work (): Promise<void> {
     if (running) return
     running = true
+    clearTimeout(idleTransaction)
     while (!closed && await workOnce()) endIfDrained()
     running = false
+    countInput()
+    watchTransaction()
     if (!closed && socket.isPaused()) socket.resume()
   }
 
+  /** Keeps the account of what waits here; a caller that overdraws the budget is ended. */
+  function countInput (): void {
+    if (closed) return
+    const bytes = splitter.pendingBytes() + queue.byteLength() + collectedBytes
+    const more = bytes - inputBytes
+    inputBytes = bytes
+    if (more === 0 || options.inputBudget.take(more)) return
+    end(new RefusalError('limit exceeded', 'this instance holds too many incomplete requests', 'not run', 'Try again, or send smaller messages.'))
+  }
+
   const splitter = createFrameSplitter(services.maximumMessageBytes, frame => { queue.add(frame) })
 
   function receive (chunk: Buffer): void {
@@ -274,6 +276,7 @@
       return end(new RefusalError('protocol broken', (error as Error).message))
     }
     void work()
+    countInput()
     // What a caller sends ahead of its answers waits in its own buffers.
     if (running && queue.isFull()) socket.pause()
   }
--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -3,8 +3,9 @@
 import { createServer } from 'node:net'
 import { randomInt } from 'node:crypto'
 import { createCallerConnection } from '../connection/callerConnection.js'
+import { createInputBudget } from '../connection/callerInput.js'
 import { createCallerContext, shakeHands } from '../connection/callerHandshake.js'
-import { RefusalError, refusalResponse } from '../request/refusal.js'
+import { REFUSAL_CODES, RefusalError, refusalResponse } from '../request/refusal.js'
 import { OPEN_ACCOUNT } from './admission.js'
 import type { Server, Socket } from 'node:net'
 import type { CallerConnection, CallerServices } from '../connection/callerConnection.js'
@@ -47,6 +48,7 @@
   const { tlsCertificate, tlsKey, listen, maximumConnections } = config.callers
   const context = createCallerContext(tlsCertificate === undefined || tlsKey === undefined ? undefined : { certificate: tlsCertificate, key: tlsKey })
   const callers = new Map<number, { caller: CallerConnection, secret: number }>()
+  const inputBudget = createInputBudget(config.callers.maximumInputBytes)
   const greeting = new Set<Socket>()
   let nextProcessNumber = 1
   let draining = false
@@ -65,6 +67,12 @@
     return { identity, group: rule.group }
   }
 
+  function recordRefusal (error: RefusalError, account?: string, database?: string): void {
+    const code = REFUSAL_CODES[error.kind]
+    metrics.refusals.inc({ code })
+    logger.info('A request was refused.', { account, database, code, reason: error.message, ran: error.runState })
+  }
+
   async function accept (plain: Socket): Promise<void> {
     plain.setNoDelay(true)
     plain.on('error', () => { plain.destroy() })
@@ -78,6 +86,7 @@
     greeting.add(plain)
     const shaken = await shakeHands(plain, context, {
       milliseconds: config.callers.handshakeMilliseconds,
+      refused: error => { recordRefusal(error) },
       needsKey: ({ user }) => user !== OPEN_ACCOUNT,
       accept: identify,
       cancel: (processNumber, secret) => {
@@ -102,6 +111,9 @@
       secret,
       rest,
       services,
+      inputBudget,
+      idleTransactionMilliseconds: config.callers.idleTransactionMilliseconds,
+      onRefused: error => { recordRefusal(error, accepted.identity.account, startup.database) },
       onClosed: () => {
         closed = true
         callers.delete(processNumber)
@@ -115,17 +127,24 @@
     logger.debug('A caller connected.', { account: accepted.identity.account, database: startup.database })
   }
 
+  /** Why a caller must go now, if it must. */
+  function keyProblem (caller: CallerConnection, fresh: boolean): RefusalError | undefined {
+    const { identity } = caller
+    if (identity.key === undefined) return undefined
+    if (!store.isValid(identity)) return new RefusalError('key refused', `the key of client account ${identity.account} is no longer valid`, 'stopped')
+    // An idle caller may stay: its next request is refused, or served once the rules are fresh again.
+    if (fresh || !caller.isBusy()) return undefined
+    return new RefusalError('rules not fresh', 'this instance can no longer tell whether the key stands', 'stopped', 'Connect through another failure domain, or try again.')
+  }
+
   /** Ends callers whose key was withdrawn, or can no longer be vouched for. */
   function checkKeys (): void {
     const fresh = store.isFresh()
     for (const { caller } of callers.values()) {
-      const { identity } = caller
-      if (identity.key === undefined) continue
-      if (store.isValid(identity) && (fresh || !caller.isBusy())) continue
-      logger.info('A caller was disconnected.', { account: identity.account, key: identity.key, reason: fresh ? 'key withdrawn' : 'rules not fresh' })
-      // A commit may be on its way, so only an idle caller can be told that nothing of it lasts.
-      const busy = caller.isBusy()
-      caller.end(new RefusalError(busy ? 'outcome unknown' : 'key refused', `the key of client account ${identity.account} is no longer valid`, busy ? 'unknown' : 'stopped'))
+      const problem = keyProblem(caller, fresh)
+      if (problem === undefined) continue
+      logger.info('A caller was disconnected.', { account: caller.identity.account, key: caller.identity.key, reason: problem.message })
+      caller.end(problem)
     }
   }
 
--- a/packages/cyclamenusherd/src/node/process/config.ts
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -1,6 +1,7 @@
 /** The settings of an instance: read from TOML, checked once, every fault named. */
 
 import { readFileSync } from 'node:fs'
+import { isIP } from 'node:net'
 import { dirname, resolve } from 'node:path'
 import { FaultyFileError, entriesBelow, readToml, resolveFields } from '@cyclamenusher/decisions'
 import type { Fault, Field, TomlValue } from '@cyclamenusher/decisions'
@@ -32,10 +33,14 @@
     maximumConnections: number
     /** Longest message of a caller, in bytes. @default 16777216 */
     maximumMessageBytes: number
+    /** Memory for requests that are not complete yet, over all callers, in bytes. @default 268435456 */
+    maximumInputBytes: number
     /** Time that a request may take, in milliseconds. @default 30000 */
     requestMilliseconds: number
     /** Time that a caller has until its key is accepted, in milliseconds. @default 10000 */
     handshakeMilliseconds: number
+    /** Time that a transaction may wait for its next request, in milliseconds. @default 60000 */
+    idleTransactionMilliseconds: number
   }
   calls: {
     listen: Address
@@ -49,6 +54,8 @@
     addresses: Address[]
     /** How long a rule is trusted without word from control, in milliseconds. @default 3000 */
     leaseMilliseconds: number
+    /** The control instance that promises shares of open routes in this failure domain. */
+    domainAddress?: Address
   }
   backend: {
     user: string
@@ -67,6 +74,12 @@
     /** Silence of a primary before its replicas call it failed, in milliseconds. @default 500 */
     silenceMilliseconds: number
   }
+  rates: {
+    /** Time that a request may wait for a token, in milliseconds. @default 80 */
+    waitMilliseconds: number
+    /** How long an instance may lend an account's tokens without word from control, in milliseconds. @default 1500 */
+    mandateMilliseconds: number
+  }
   metrics: { listen: Address }
   log: {
     level: 'error' | 'warn' | 'info' | 'debug'
@@ -85,8 +98,18 @@
 const ADDRESS = /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/
 const ADDRESS_SHAPE = 'an IP number and a port, as "127.0.0.1:6432"'
 
+/** Names of instances and failure domains. */
+const NAME = /^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$/
+const NAME_SHAPE = 'a name of letters, digits, ".", "_" and "-"'
+const HIGHEST_PORT = 65_535
+
+function isAddress (text: string): boolean {
+  const { host, port } = parseAddress(text)
+  return isIP(host) !== 0 && port <= HIGHEST_PORT
+}
+
 function address (description: string, fallback?: string): Field {
-  return { kind: 'text', pattern: ADDRESS, shape: ADDRESS_SHAPE, description, default: fallback }
+  return { kind: 'text', pattern: ADDRESS, accepts: isAddress, shape: ADDRESS_SHAPE, description, default: fallback }
 }
 
 function milliseconds (description: string, fallback: number, minimum: number, maximum: number): Field {
@@ -96,8 +119,8 @@
 /** Every setting, by table; docs/OPERATORS.md lists the same. */
 export const SETTINGS: Record<string, Record<string, Field>> = {
   instance: {
-    name: { kind: 'text', pattern: /^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$/, shape: 'a name of letters, digits, ".", "_" and "-"', description: 'name of the instance, unlike any other' },
-    failure_domain: { kind: 'text', description: 'failure domain that the instance is in' },
+    name: { kind: 'text', pattern: NAME, shape: NAME_SHAPE, description: 'name of the instance, unlike any other' },
+    failure_domain: { kind: 'text', pattern: NAME, shape: NAME_SHAPE, description: 'failure domain that the instance is in' },
     roles: { kind: 'list', choices: ['entry', 'control'], default: ['entry'], description: 'what the instance does' },
     data_folder: { kind: 'text', optional: true, description: 'folder on a disk; a control instance needs one' }
   },
@@ -108,8 +131,10 @@
     tls_key: { kind: 'text', optional: true, description: 'file of its private key' },
     maximum_connections: { kind: 'number', minimum: 1, maximum: 100_000, unit: 'connections', default: 5000, description: 'connections of callers' },
     maximum_message_bytes: { kind: 'number', minimum: 1024, maximum: 1_073_741_824, unit: 'bytes', default: 16_777_216, description: 'longest message of a caller' },
+    maximum_input_bytes: { kind: 'number', minimum: 1_048_576, maximum: 17_179_869_184, unit: 'bytes', default: 268_435_456, description: 'memory for requests that are not complete yet, over all callers' },
     request_milliseconds: milliseconds('time that a request may take', 30_000, 100, 3_600_000),
-    handshake_milliseconds: milliseconds('time that a caller has until its key is accepted', 10_000, 100, 60_000)
+    handshake_milliseconds: milliseconds('time that a caller has until its key is accepted', 10_000, 100, 60_000),
+    idle_transaction_milliseconds: milliseconds('time that a transaction may wait for its next request', 60_000, 100, 3_600_000)
   },
   calls: {
     listen: address('address for other instances, announcers and operators', '127.0.0.1:7432'),
@@ -120,8 +145,9 @@
     tls_authority: { kind: 'text', optional: true, description: 'certificate that signed those of the other instances' }
   },
   control: {
-    addresses: { kind: 'list', pattern: ADDRESS, shape: ADDRESS_SHAPE, description: 'addresses of the control instances' },
-    lease_milliseconds: milliseconds('how long rules are trusted without word from control', 3_000, 1_000, 60_000)
+    addresses: { kind: 'list', pattern: ADDRESS, accepts: isAddress, shape: ADDRESS_SHAPE, description: 'addresses of the control instances' },
+    lease_milliseconds: milliseconds('how long rules are trusted without word from control', 3_000, 1_000, 60_000),
+    domain_address: { kind: 'text', pattern: ADDRESS, accepts: isAddress, shape: ADDRESS_SHAPE, optional: true, description: 'control instance of this failure domain, the same for all its instances: open routes keep their share while the domain is cut off' }
   },
   backend: {
     user: { kind: 'text', default: 'cyclamenusher', description: 'user of the system at backend servers' },
@@ -135,6 +161,10 @@
   failover: {
     silence_milliseconds: milliseconds('silence of a primary before it counts as failed', 500, 200, 10_000)
   },
+  rates: {
+    wait_milliseconds: milliseconds('time that a request may wait for a token', 80, 0, 1_000),
+    mandate_milliseconds: milliseconds('how long an instance may lend tokens without word from control; the same on all instances', 1_500, 1_000, 30_000)
+  },
   metrics: { listen: address('address of the metrics and health pages', '127.0.0.1:9432') },
   log: {
     level: { kind: 'choice', choices: ['error', 'warn', 'info', 'debug'], default: 'info', description: 'least severe level that is written' },
@@ -193,9 +223,13 @@
     faults.push({ file, line: lineOf('instance', 'roles'), problem: 'a control instance has no instance.data_folder', remedy: 'Name a folder on its disk' })
   }
   const advertised = String(calls.advertise ?? calls.listen)
-  if (roles.includes('control') && !(control.addresses as string[]).includes(advertised)) {
+  const addresses = control.addresses as string[] | undefined
+  if (roles.includes('control') && addresses?.includes(advertised) === false) {
     faults.push({ file, line: lineOf('control', 'addresses'), problem: `control.addresses lacks this control instance, ${advertised}`, remedy: 'List all control instances, in the same order on each, or set calls.advertise' })
   }
+  if (control.domain_address !== undefined && addresses?.includes(String(control.domain_address)) === false) {
+    faults.push({ file, line: lineOf('control', 'domain_address'), problem: `control.domain_address is ${String(control.domain_address)}, which is not in control.addresses`, remedy: 'Name the control instance of this failure domain' })
+  }
   if ((callers.tls_certificate === undefined) !== (callers.tls_key === undefined)) {
     faults.push({ file, line: lineOf('callers', 'tls_certificate'), problem: 'callers.tls_certificate and callers.tls_key go together', remedy: 'Set both or neither' })
   }
@@ -232,8 +266,7 @@
   const lineOf = (table: string, name: string): number =>
     (entries.find(({ path }) => path[0] === table && path[1] === name) ?? entries.find(({ path }) => path[0] === table))?.line ?? 1
   for (const { path, line } of entries) {
-    if (path.length === 2 && SETTINGS[path[0]] !== undefined) continue
-    if (SETTINGS[path[0]] !== undefined && path.length > 2) continue
+    if (path.length >= 2 && Object.hasOwn(SETTINGS, path[0])) continue
     faults.push({ file, line, problem: `there is no setting ${path.join('.')}`, remedy: `Tables are ${Object.keys(SETTINGS).join(', ')}` })
   }
   for (const [table, fields] of Object.entries(SETTINGS)) {
@@ -241,7 +274,6 @@
     values[table] = resolved.values
     faults.push(...resolved.faults)
   }
-  if (faults.length > 0) throw new FaultyFileError(faults)
   faults.push(...checkTogether(file, values, lineOf))
   const files = createFileReader(file, values, lineOf, faults)
   const config = assemble(file, values, files)
@@ -250,7 +282,7 @@
 }
 
 function assemble (file: string, values: Values, files: FileReader): Config {
-  const { instance, callers, calls, control, backend, failover, metrics, log, shutdown } = values
+  const { instance, callers, calls, control, backend, failover, rates, metrics, log, shutdown } = values
   const authority = files.text('calls', 'tls_authority')
   return {
     file,
@@ -267,8 +299,10 @@
       tlsKey: files.text('callers', 'tls_key'),
       maximumConnections: Number(callers.maximum_connections),
       maximumMessageBytes: Number(callers.maximum_message_bytes),
+      maximumInputBytes: Number(callers.maximum_input_bytes),
       requestMilliseconds: Number(callers.request_milliseconds),
-      handshakeMilliseconds: Number(callers.handshake_milliseconds)
+      handshakeMilliseconds: Number(callers.handshake_milliseconds),
+      idleTransactionMilliseconds: Number(callers.idle_transaction_milliseconds)
     },
     calls: {
       listen: parseAddress(String(calls.listen)),
@@ -279,8 +313,9 @@
         : { certificate: files.text('calls', 'tls_certificate') ?? '', key: files.text('calls', 'tls_key') ?? '', authority }
     },
     control: {
-      addresses: (control.addresses as string[]).map(parseAddress),
-      leaseMilliseconds: Number(control.lease_milliseconds)
+      addresses: ((control.addresses ?? []) as string[]).map(parseAddress),
+      leaseMilliseconds: Number(control.lease_milliseconds),
+      domainAddress: control.domain_address === undefined ? undefined : parseAddress(String(control.domain_address))
     },
     backend: {
       user: String(backend.user),
@@ -292,6 +327,7 @@
       acknowledgeMilliseconds: Number(backend.acknowledge_milliseconds)
     },
     failover: { silenceMilliseconds: Number(failover.silence_milliseconds) },
+    rates: { waitMilliseconds: Number(rates.wait_milliseconds), mandateMilliseconds: Number(rates.mandate_milliseconds) },
     metrics: { listen: parseAddress(String(metrics.listen)) },
     log: { level: log.level as Config['log']['level'], format: log.format as Config['log']['format'], decisions: log.decisions === true },
     shutdown: { graceMilliseconds: Number(shutdown.grace_milliseconds), drainMilliseconds: Number(shutdown.drain_milliseconds) }
--- a/packages/cyclamenusherd/src/node/process/entry.ts
+++ b/packages/cyclamenusherd/src/node/process/entry.ts
@@ -1,12 +1,15 @@
 /** The entry role: callers on one side, backend servers on the other. */
 
+import { Code, ConnectError } from '@connectrpc/connect'
 import { loadParser } from '@cyclamenusher/decisions'
 import { DirectoryService, createPeerClient } from '@cyclamenusher/protocol'
 import { createRulesStore } from '../version/rulesStore.js'
 import { createAdmission } from './admission.js'
+import { AnnouncementError, readAnnouncement } from './announcement.js'
 import { listenForCallers } from './callers.js'
 import { createDirectory } from './directory.js'
 import { createOperatorService } from './operatorService.js'
+import { createRateTask } from './rate/rateTask.js'
 import { createRouter } from './router.js'
 import { createRulesWatcher } from './rulesWatcher.js'
 import type { Client, ConnectRouter } from '@connectrpc/connect'
@@ -23,6 +26,8 @@
 const ANNOUNCE_MILLISECONDS = 1_000
 /** Time that passing on an announcement may take, in milliseconds. */
 const FORWARD_MILLISECONDS = 1_000
+/** The peers before control has named any. */
+const NO_PEERS: readonly Peer[] = []
 
 export interface EntryRole {
   routes: (router: ConnectRouter) => void
@@ -43,19 +48,13 @@
   requestStop: () => void
 }
 
-function readAnnouncement (message: Announcement): MemberAnnouncement {
-  return {
-    group: message.group,
-    member: message.member,
-    role: message.role,
-    term: Number(message.term),
-    logTerm: Number(message.logTerm),
-    position: Number(message.position),
-    host: message.host,
-    port: message.port,
-    failureDomain: message.failureDomain,
-    leaving: message.leaving,
-    sequence: Number(message.sequence)
+/** Reads an announcement; the caller hears what is wrong with it. */
+function takeAnnouncement (message: Announcement): MemberAnnouncement {
+  try {
+    return readAnnouncement(message)
+  } catch (error) {
+    if (error instanceof AnnouncementError) throw new ConnectError(error.message, Code.InvalidArgument)
+    throw error
   }
 }
 
@@ -68,7 +67,8 @@
   let draining = false
   const entries = (): readonly Peer[] => (watcher?.peers() ?? []).filter(({ role }) => role === 'entry')
   const router = createRouter({ config, store, directory, instances: entries, clock, logger, metrics })
-  const admission = createAdmission({ store, sharers: () => Math.max(1, entries().length), clock })
+  const rates = createRateTask({ config, store, peers: () => watcher?.peers() ?? NO_PEERS, credentials, clock, logger: logger.scope('rate') })
+  const admission = createAdmission({ store, takeToken: rates.take })
 
   const operatorRoutes = createOperatorService({ store, router, tokenSecret: config.calls.secret, clock, logger: logger.scope('process'), requestStop })
 
@@ -83,10 +83,11 @@
   }
 
   function routes (connect: ConnectRouter): void {
+    rates.routes(connect)
     connect.service(DirectoryService, {
       announce: ({ announcement, forwarded }) => {
         if (announcement === undefined) return { nextMilliseconds: ANNOUNCE_MILLISECONDS }
-        const news = directory.announce(readAnnouncement(announcement))
+        const news = directory.announce(takeAnnouncement(announcement))
         if (news) router.refresh(announcement.group)
         if (news && !forwarded) forward(announcement)
         return { nextMilliseconds: ANNOUNCE_MILLISECONDS }
@@ -127,14 +128,17 @@
   return {
     routes,
     start,
-    isReady: () => !draining && callers !== undefined && store.number() > 0,
+    isReady: () => !draining && callers !== undefined && store.number() > 0 && rates.isReady(),
     drain: async () => {
       draining = true
       await new Promise(resolve => setTimeout(resolve, config.shutdown.graceMilliseconds))
-      return await callers?.drain(config.shutdown.drainMilliseconds) ?? { cut: 0 }
+      const drained = await callers?.drain(config.shutdown.drainMilliseconds) ?? { cut: 0 }
+      await rates.release()
+      return drained
     },
     close: () => {
       watcher?.close()
+      rates.close()
       callers?.close()
       router.close()
     }
--- a/packages/decisions/src/node/rules/rules.ts
+++ b/packages/decisions/src/node/rules/rules.ts
@@ -50,7 +50,12 @@
   burst: number
 }
 
+/** A failure domain that owns a part of each account's rate and burst. */
+export type FailureDomainRule = Record<string, never>
+
 export interface Rules {
+  /** Everybody splits rate and burst over these; none: one share for the whole fleet. */
+  failure_domains: ReadonlyMap<string, FailureDomainRule>
   accounts: ReadonlyMap<string, AccountRule>
   keys: ReadonlyMap<string, KeyRule>
   databases: ReadonlyMap<string, DatabaseRule>
@@ -85,6 +90,7 @@
 const AGE_FIELD: Field = { kind: 'number', minimum: 0, maximum: 3_600_000, unit: 'milliseconds', default: 0, description: 'age of data that reads may be served from' }
 
 const FIELDS: Record<RuleTable, Record<string, Field>> = {
+  failure_domains: {},
   accounts: {
     rate: { kind: 'number', minimum: 0, maximum: 1_000_000, unit: 'requests a second', description: 'requests a second over all instances' },
     burst: { kind: 'number', minimum: 1, maximum: 1_000_000, unit: 'requests', description: 'requests that may come at once' },
@@ -183,18 +189,24 @@
   return hash.digest('hex')
 }
 
+interface ReadRules {
+  rules: Rules
+  lines: RuleLine[]
+  lineOf: Map<string, number>
+}
+
 /**
- * Reads a rules text.
+ * Reads rule lines, each by itself; whether they fit together is not checked.
  *
  * @throws FaultyFileError with every fault, each with its line and remedy
  */
-export function parseRules (file: string, text: string): ParsedRules {
+export function readRuleLines (file: string, text: string): ReadRules {
   if (Buffer.byteLength(text) > MAXIMUM_RULES_BYTES) {
     throw new FaultyFileError([{ file, line: 1, problem: `the file has more than ${MAXIMUM_RULES_BYTES} bytes`, remedy: 'Take out rules that are no longer needed' }])
   }
   const entries = readToml(file, text)
   const faults: Fault[] = []
-  const rules = { accounts: new Map(), keys: new Map(), databases: new Map(), access: new Map(), open: new Map() }
+  const rules = { failure_domains: new Map(), accounts: new Map(), keys: new Map(), databases: new Map(), access: new Map(), open: new Map() }
   const lineOf = new Map<string, number>()
   if (entries.length > MAXIMUM_RULES) faults.push({ file, line: entries[MAXIMUM_RULES].line, problem: `the file has more than ${MAXIMUM_RULES} rules`, remedy: 'Take out rules that are no longer needed' })
   for (const entry of entries) {
@@ -210,10 +222,19 @@
     rules[table].set(name, resolved.values)
   }
   if (faults.length > 0) throw new FaultyFileError(faults)
+  return { rules, lines: entries.map(normalLine), lineOf }
+}
+
+/**
+ * Reads a rules text.
+ *
+ * @throws FaultyFileError with every fault, each with its line and remedy
+ */
+export function parseRules (file: string, text: string): ParsedRules {
+  const { rules, lines, lineOf } = readRuleLines(file, text)
   const references = checkReferences(file, rules, lineOf)
   if (references.length > 0) throw new FaultyFileError(references)
-  const lines = entries.map(normalLine)
   return { rules, lines, digest: digestLines(lines) }
 }
 
-export const EMPTY_RULES: Rules = { accounts: new Map(), keys: new Map(), databases: new Map(), access: new Map(), open: new Map() }
+export const EMPTY_RULES: Rules = { failure_domains: new Map(), accounts: new Map(), keys: new Map(), databases: new Map(), access: new Map(), open: new Map() }
