--- a/packages/cyclamenusherd/src/node/process/rate/rateTask.ts
+++ b/packages/cyclamenusherd/src/node/process/rate/rateTask.ts
@@ -165,7 +165,7 @@
     const known = account.length <= MAXIMUM_NAME_CHARACTERS && borrower.length <= MAXIMUM_NAME_CHARACTERS && Number.isFinite(wanted)
     const kind = open ? 'open' : 'keyed'
     if (!known || limitsOf(store, kind, account) === undefined) return { granted: 0, validMilliseconds: 0, home: false }
-    const tokens = agent.lend(kind, account, { borrower, number: Number(requestNumber), settled: Number(settled), returned: [], wanted }, clock.now())
+    const tokens = agent.lend(kind, account, { borrower, number: Number(requestNumber), settled: Number(settled), wanted }, clock.now())
     return { granted: tokens ?? 0, validMilliseconds: policy.loanMilliseconds, home: tokens !== undefined }
   }
 
--- a/packages/decisions/src/node/rate/borrower.ts
+++ b/packages/decisions/src/node/rate/borrower.ts
@@ -1,7 +1,7 @@
 /** One account's borrowed tokens at one instance, and what it may ask its lenders. */
 
 import { ROUNDING } from './lender.js'
-import type { LoanRequest, ReturnedTokens } from './lender.js'
+import type { LoanRequest } from './lender.js'
 import type { RatePolicy } from './policy.js'
 
 /** Tokens of one loan that are not spent. */
@@ -119,12 +119,12 @@
   return sum
 }
 
-export function buildAsk (borrower: Borrower, lender: string, name: string, wanted: number, now: number, returned: readonly ReturnedTokens[] = []): LoanRequest {
+export function buildAsk (borrower: Borrower, lender: string, name: string, wanted: number, now: number): LoanRequest {
   const ask = askOf(borrower, lender)
   ask.number += 1
   Object.assign(ask, { pending: true, askedAt: now, wanted })
   const open = borrower.lots.filter(lot => lot.lender === lender).map(({ number }) => number)
-  return { borrower: name, number: ask.number, settled: Math.min(ask.number, ...open), returned, wanted }
+  return { borrower: name, number: ask.number, settled: Math.min(ask.number, ...open), wanted }
 }
 
 /** Takes an answer; one that is no longer waited for is dropped with its tokens. */
--- a/packages/decisions/src/node/rate/lender.ts
+++ b/packages/decisions/src/node/rate/lender.ts
@@ -17,20 +17,13 @@
   until: number
 }
 
-/** Tokens that a borrower gives back, of the loan with this number. */
-export interface ReturnedTokens {
-  number: number
-  tokens: number
-}
-
 export interface LoanRequest {
   /** Name and incarnation of the borrower. */
   borrower: string
   /** Rises with each request of one borrower to one lender. */
   number: number
-  /** Every loan below this number is spent, expired or given back. */
+  /** Every loan below this number is spent or expired. */
   settled: number
-  returned: readonly ReturnedTokens[]
   wanted: number
 }
 
@@ -73,15 +66,9 @@
   addTokens(lender, share, now, policy)
 }
 
-/** Forgets what the borrower has spent, and takes back what it returns. */
-function settleLoans (lender: Lender, { borrower, settled, returned }: LoanRequest): void {
-  const back = new Map(returned.map(({ number, tokens }) => [number, tokens]))
-  lender.loans = lender.loans.filter(loan => {
-    if (loan.borrower !== borrower || (loan.number >= settled && !back.has(loan.number))) return true
-    // A loan is settled once: the same return again finds nothing to settle.
-    lender.tokens += Math.min(loan.tokens, Math.max(0, back.get(loan.number) ?? 0))
-    return false
-  })
+/** Forgets what the borrower has spent: it leaves room again. */
+function settleLoans (lender: Lender, { borrower, settled }: LoanRequest): void {
+  lender.loans = lender.loans.filter(loan => loan.borrower !== borrower || loan.number >= settled)
 }
 
 function rememberNumber (lender: Lender, borrower: string, number: number): void {
