--- a/packages/stand-ins/src/node/fleet/deployment.ts
+++ b/packages/stand-ins/src/node/fleet/deployment.ts
@@ -108,7 +108,6 @@
 function buildRules (plan: DeploymentPlan): Map<string, string> {
   const lines = new Map<string, string>()
   const add = (table: string, name: string, fields: string): void => { lines.set(`${table}.${name}`, `${table}.${name} = { ${fields} } # asked for by the deployment`) }
-  for (const failureDomain of plan.failureDomains) add('failure_domains', failureDomain, '')
   for (const { name, key, rate, burst, weight } of plan.accounts) {
     add('accounts', name, `rate = ${rate}, burst = ${burst}, weight = ${weight ?? 1}`)
     add('keys', `${name}-key`, `account = "${name}", digest = "${digestOf(key)}"`)
@@ -116,6 +115,7 @@
       add('access', `${name}-${database}`, `account = "${name}", database = "${database}", write = true, maximum_age_milliseconds = ${plan.maximumAgeMilliseconds ?? 0}`)
     }
   }
+  for (const failureDomain of plan.failureDomains) add('failure_domains', failureDomain, '')
   for (const database of plan.databases) add('databases', database, `group = "${database}", members = ${plan.members}`)
   for (const [database, age] of Object.entries(plan.open ?? {})) add('open', database, `database = "${database}", maximum_age_milliseconds = ${age}, rate = 1000, burst = 1000`)
   return lines
@@ -145,7 +145,7 @@
   const startOptions = (failureDomain: string): { linkHost?: string } => ({ linkHost: network?.hostOf(failureDomain) })
 
   /** The control instance of the same failure domain, where each has one. */
-  function ownControl (index: number): string[] {
+  function domainControl (index: number): string[] {
     if (plan.controls < plan.failureDomains.length) return []
     return [`domain_address = "${controlAddresses[index % plan.failureDomains.length]}"`]
   }
@@ -160,7 +160,7 @@
       instance: [`name = "${name}"`, `failure_domain = "${domainOf(index)}"`, `roles = ["${role}"]`, ...(role === 'control' ? [`data_folder = "${name}-data"`] : [])],
       callers: [`listen = "${HOST}:${callers}"`, 'clear_text_keys = true'],
       calls: [`listen = "${HOST}:${calls}"`, 'secret_file = "secret"'],
-      control: [`addresses = [${controlAddresses.map(address => `"${address}"`).join(', ')}]`, ...ownControl(index)],
+      control: [`addresses = [${controlAddresses.map(address => `"${address}"`).join(', ')}]`, ...domainControl(index)],
       backend: ['password_file = "password"'],
       metrics: [`listen = "${HOST}:${metrics}"`]
     }
