--- a/packages/prove/src/node/mutations.ts
+++ b/packages/prove/src/node/mutations.ts
@@ -70,7 +70,7 @@
     name: 'the key is looked at only when the caller connects',
     scenario: 'accounts',
     edits: [
-      { file: `${DAEMON}/process/callers.ts`, find: 'if (identity.key === undefined) continue', replace: 'if (identity.account !== undefined) continue' },
+      { file: `${DAEMON}/process/callers.ts`, find: 'if (identity.key === undefined) return undefined', replace: 'if (identity.account !== undefined) return undefined' },
       { file: `${DAEMON}/process/admission.ts`, find: 'if (!store.isValid(identity)) throw', replace: 'if (identity.account === undefined) throw' }
     ]
   },
