A change of the membership waits for the one before it

Cause: member remove right after a promotion was refused, because the promotion was not committed yet. It now waits up to 2 s for its turn. Seen to fail first: the new test of adding and removing an instance was red ("refused") before.

--- a/packages/cyclamenusherd/src/node/process/control/__tests__/consensusLog.test.ts
+++ b/packages/cyclamenusherd/src/node/process/control/__tests__/consensusLog.test.ts
@@ -74,7 +74,7 @@
       SYSTEM_DISK.sync(descriptor)
     }
   }
-  const faulty = await instances.start(0, disk)
+  const faulty = await instances.start(0, { disk })
   await instances.start(1)
   await instances.start(2)
   await instances.submit(1, rules(1))
@@ -86,11 +86,28 @@
   await instances.close()
 })
 
-test('a fourth instance waits until it is added', async () => {
+test('a fourth instance votes once it is added', async () => {
+  const instances = await createInstances(4)
+  for (const place of [0, 1, 2]) await instances.start(place, { listed: 3 })
+  await instances.submit(1, rules(1))
+  const added = await instances.start(3)
+  await until('a candidate', () => instances.leader()?.log.status().candidates.some(({ name }) => name === 'control-4') === true)
+  assert.is(added.log.status().role, 'learner')
+  assert.is(await instances.leader()?.log.changeMember('add', 'control-9'), 'no candidate')
+  assert.is(await instances.leader()?.log.changeMember('add', 'control-4'), 'changed')
+  await instances.untilRepaired(4)
+  await until('the state arrived', () => added.service.number() === 1)
+  const gone = instances.leader()?.name === 'control-2' ? 'control-3' : 'control-2'
+  assert.is(await instances.leader()?.log.changeMember('remove', gone), 'changed')
+  assert.is((await instances.submit(2, rules(2))).outcome, 'accepted')
+  await instances.untilRepaired(3)
+  await instances.close()
+})
+
+test('the last voter is not removed', async () => {
   const instances = await createInstances(1)
   const first = await instances.start(0)
   await instances.submit(1, rules(1))
-  assert.is(await first.log.changeMember('add', 'control-9'), 'no candidate')
   assert.is(await first.log.changeMember('remove', 'control-1'), 'refused')
   await instances.close()
 })
--- a/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
@@ -10,7 +10,7 @@
 import { openLogStorage } from './logStorage.js'
 import { decodeMessages, encodeMessages } from './peerLinks.js'
 import type { ConnectRouter } from '@connectrpc/connect'
-import type { DiskReport, Introduction, LogMember } from '@cyclamenusher/decisions'
+import type { DiskReport, Introduction, LogMember, MembershipChange, RequestAnswer } from '@cyclamenusher/decisions'
 import type { ControlMember, IntroduceReply, PeerCredentials, PeerLink } from '@cyclamenusher/protocol'
 import type { Clock } from '../clock.js'
 import type { Address } from '../config.js'
@@ -25,6 +25,9 @@
 const INTRODUCE_CALL_MILLISECONDS = 500
 /** Time after which a proposal counts as unknown, in milliseconds. */
 const PROPOSE_MILLISECONDS = 4_000
+/** Time that a change of the membership waits for the one before it, in milliseconds. */
+const TURN_MILLISECONDS = 2_000
+const TURN_PAUSE_MILLISECONDS = 50
 /** Time after which a confirmation counts as failed, in milliseconds. */
 const CONFIRM_MILLISECONDS = 1_000
 
@@ -144,6 +147,17 @@
     return task.introductions().filter(({ identity }) => members.every(member => member.identity !== identity))
   }
 
+  /** Waits a while for a change that is under way. */
+  async function changeInTurn (change: MembershipChange): Promise<RequestAnswer> {
+    const deadline = clock.now() + TURN_MILLISECONDS
+    let answer = await task.change(change)
+    while (answer === 'not now' && clock.now() < deadline) {
+      await pause(TURN_PAUSE_MILLISECONDS)
+      answer = await task.change(change)
+    }
+    return answer
+  }
+
   async function changeMember (action: 'add' | 'remove', target: string): Promise<ChangeOutcome> {
     if (task.state().role !== 'leader') return 'not leader'
     const candidate = candidates().find(introduction => introduction.name === target)
@@ -152,7 +166,7 @@
     if (action === 'add' && candidate === undefined) return 'no candidate'
     if (action === 'remove' && member === undefined) return 'no member'
     const change = action === 'add' ? { kind: 'add learner', member: candidate as Introduction } as const : { kind: 'remove', identity: member?.identity ?? '' } as const
-    const answer = await within(PROPOSE_MILLISECONDS, task.change(change), 'unknown')
+    const answer = await within(PROPOSE_MILLISECONDS, changeInTurn(change), 'unknown')
     return answer === 'changed' || answer === 'not leader' || answer === 'unknown' ? answer : 'refused'
   }
 
