--- a/packages/cyclamenusherd/src/node/version/rulesStore.ts
+++ b/packages/cyclamenusherd/src/node/version/rulesStore.ts
@@ -8,7 +8,7 @@
 import { EMPTY_RULES, NO_RULES, applyDelta } from '@cyclamenusher/decisions'
 import { fromEvent } from 'most'
 import type { Stream } from 'most'
-import type { AccessRule, OpenRule, Rules } from '@cyclamenusher/decisions'
+import type { AccessRule, OpenRule, RuleLine, Rules } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 
 /** What one reply of control says of the rules. */
@@ -37,6 +37,9 @@
 export interface RulesStore {
   number: () => number
   rules: () => Rules
+  lines: () => readonly RuleLine[]
+  /** When the rules were last known to be current, on the clock of this instance. */
+  provenAt: () => number
   /** Whether the rules are known to be current within the lease. */
   isFresh: () => boolean
   update: (update: RulesUpdate) => 'changed' | 'unchanged' | 'refused'
@@ -72,7 +75,7 @@
   let current = NO_RULES
   let index = indexRules(EMPTY_RULES)
   let number = 0
-  let freshUntil = -Infinity
+  let provenAt = -Infinity
   const emitter = new EventEmitter()
   emitter.setMaxListeners(0)
 
@@ -87,7 +90,7 @@
       index = indexRules(current.rules)
       number = message.number
     }
-    if (message.fresh) freshUntil = Math.max(freshUntil, message.askedAt + leaseMilliseconds - message.ageMilliseconds)
+    if (message.fresh) provenAt = Math.max(provenAt, message.askedAt - message.ageMilliseconds)
     if (changed) emitter.emit('version', number)
     return changed ? 'changed' : 'unchanged'
   }
@@ -110,7 +113,9 @@
   return {
     number: () => number,
     rules: () => current.rules,
-    isFresh: () => clock.now() < freshUntil,
+    lines: () => [...current.lines].map(([identity, text]) => ({ identity, text })),
+    provenAt: () => provenAt,
+    isFresh: () => clock.now() < provenAt + leaseMilliseconds,
     update,
     identify,
     isValid,
