--- a/packages/cyclamenusherd/src/node/process/entry.ts
+++ b/packages/cyclamenusherd/src/node/process/entry.ts
@@ -2,14 +2,16 @@
 
 import { Code, ConnectError } from '@connectrpc/connect'
 import { loadParser } from '@cyclamenusher/decisions'
-import { DirectoryService, OperatorService, createPeerClient } from '@cyclamenusher/protocol'
+import { ControlService, DirectoryService, createPeerClient } from '@cyclamenusher/protocol'
 import { createRulesStore } from '../version/rulesStore.js'
 import { createAdmission } from './admission.js'
 import { AnnouncementError, readAnnouncement } from './announcement.js'
 import { listenForCallers } from './callers.js'
 import { createDirectory } from './directory.js'
+import { createOperatorService } from './operatorService.js'
 import { createRateTask } from './rate/rateTask.js'
 import { createRouter } from './router.js'
+import { createRulesRelay } from './rulesRelay.js'
 import { createRulesWatcher } from './rulesWatcher.js'
 import type { Client, ConnectRouter } from '@connectrpc/connect'
 import type { Announcement, PeerCredentials } from '@cyclamenusher/protocol'
@@ -18,8 +20,8 @@
 import type { Config } from './config.js'
 import type { Logger } from './logger.js'
 import type { Metrics } from './metrics.js'
-import type { Peer } from './rulesWatcher.js'
 import type { MemberAnnouncement } from './directory.js'
+import type { Peer } from './rulesWatcher.js'
 
 /** When backend servers are asked to announce themselves again, in milliseconds. */
 const ANNOUNCE_MILLISECONDS = 1_000
@@ -43,6 +45,8 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  /** Stops the instance as SIGTERM does. */
+  requestStop: () => void
 }
 
 /** Reads an announcement; the caller hears what is wrong with it. */
@@ -55,18 +59,21 @@
   }
 }
 
-export function createEntryRole ({ config, credentials, clock, logger, metrics }: EntryOptions): EntryRole {
+export function createEntryRole ({ config, credentials, clock, logger, metrics, requestStop }: EntryOptions): EntryRole {
   const store = createRulesStore(clock, config.control.leaseMilliseconds)
   const directory = createDirectory(clock, logger.scope('directory'))
   const peers = new Map<string, Client<typeof DirectoryService>>()
   let watcher: ReturnType<typeof createRulesWatcher> | undefined
   let callers: Callers | undefined
   let draining = false
-  const entries = (): readonly string[] => (watcher?.peers() ?? []).filter(({ role }) => role === 'entry').map(({ name }) => name)
+  const relay = createRulesRelay({ store, peers: () => watcher?.peers() ?? NO_PEERS, peersRevision: () => watcher?.peersRevision() ?? 0n, clock })
+  const entries = (): readonly Peer[] => (watcher?.peers() ?? NO_PEERS).filter(({ role }) => role === 'entry')
   const router = createRouter({ config, store, directory, instances: entries, clock, logger, metrics })
   const rates = createRateTask({ config, store, peers: () => watcher?.peers() ?? NO_PEERS, credentials, clock, logger: logger.scope('rate') })
   const admission = createAdmission({ store, takeToken: rates.take })
 
+  const operatorRoutes = createOperatorService({ store, router, tokenSecret: config.calls.secret, clock, logger: logger.scope('process'), requestStop })
+
   function forward (announcement: Announcement): void {
     for (const { name, role, host, port } of watcher?.peers() ?? []) {
       if (role !== 'entry' || name === config.instance.name) continue
@@ -79,6 +86,8 @@
 
   function routes (connect: ConnectRouter): void {
     rates.routes(connect)
+    // An instance that is also a control instance answers watches as that.
+    if (!config.instance.roles.includes('control')) connect.service(ControlService, { watch: relay.watch })
     connect.service(DirectoryService, {
       announce: ({ announcement, forwarded }) => {
         if (announcement === undefined) return { nextMilliseconds: ANNOUNCE_MILLISECONDS }
@@ -91,18 +100,12 @@
         announcements: directory.members(group).map(member => ({ ...member, term: BigInt(member.term), logTerm: BigInt(member.logTerm), position: BigInt(member.position), sequence: BigInt(member.sequence) }))
       })
     })
-    connect.service(OperatorService, {
-      explain: request => {
-        const group = store.rules().databases.get(request.database)?.group ?? ''
-        const decision = router.explain({ identity: { account: request.account, key: '' }, database: request.database, group, need: 'read', token: undefined })
-        return { decision: JSON.stringify(decision) }
-      }
-    })
+    operatorRoutes(connect)
   }
 
   async function start (callsPort: number): Promise<void> {
     await loadParser()
-    watcher = createRulesWatcher({ config, callsPort, store, credentials, clock, logger: logger.scope('rules') })
+    watcher = createRulesWatcher({ config, callsPort, store, credentials, clock, logger: logger.scope('rules'), behind: relay.behind })
     callers = await listenForCallers({
       config,
       store,
--- a/packages/measure/src/node/scenarios/index.ts
+++ b/packages/measure/src/node/scenarios/index.ts
@@ -1,7 +1,9 @@
 /** Every scenario by name. */
 
 import { accountsScenario } from './accounts.js'
+import { failoverScenario } from './failover.js'
 import { rateScenario } from './rate.js'
+import { replicaReadsScenario } from './replicaReads.js'
 import type { Scenario } from '../scenario.js'
 
-export const SCENARIOS: readonly Scenario[] = [rateScenario, accountsScenario]
+export const SCENARIOS: readonly Scenario[] = [failoverScenario, replicaReadsScenario, accountsScenario, rateScenario]
