--- a/packages/prove/src/node/faults/faults.ts
+++ b/packages/prove/src/node/faults/faults.ts
@@ -94,8 +94,8 @@
 
 const NOTHING: Heal = async () => {}
 /** How often connections are closed in one strike, and the longest pause between, in milliseconds. */
-const CLOSE_TIMES = 4
-const CLOSE_PAUSE_MILLISECONDS = 300
+const CLOSE_TIMES = 10
+const CLOSE_PAUSE_MILLISECONDS = 200
 
 export const FAULTS = {
   'kill primary': async context => await killServer(context, await findPrimary(context)),
