The demonstration says what its gap in a cut is measured over

Cause: the gap was labelled 'outside', but the callers roam through all instances, those of the cut failure domain too, where a write waits for a primary before it is refused; so up to 2.4 s stood for all callers waiting inside at once.

--- a/playground/src/demo.ts
+++ b/playground/src/demo.ts
@@ -176,7 +176,7 @@
   return {
     what: `${domain} is cut off for 4.5 s`,
     held: inside === 'served' && keyedCode !== 'accepted' && Number.isFinite(healed),
-    figures: `inside: open read ${inside}, keyed write refused with ${keyedCode}; outside: longest gap ${Math.round(gap)} ms; healed after ${Math.round(healed)} ms`
+    figures: `inside: open read ${inside}, keyed write refused with ${keyedCode}; longest gap over all callers, who roam in and out: ${Math.round(gap)} ms; healed after ${Math.round(healed)} ms`
   }
 }
 
