--- /dev/null
+++ b/packages/cyclamenusher/src/node/__tests__/connection.test.ts
@@ -0,0 +1,45 @@
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { generate } from 'selfsigned'
+import { ControlService, listenForCalls } from '@cyclamenusher/protocol'
+import { createConnection } from '../connection.js'
+import { CommandError } from '../errors.js'
+
+const SECRET = 'a secret of tests'
+const folder = mkdtempSync(join(tmpdir(), 'cyclamenusher-connection-'))
+
+function write (name: string, text: string): string {
+  const file = join(folder, name)
+  writeFileSync(file, text)
+  return file
+}
+
+test('instances with mutual TLS are reached with certificates, and not without', async () => {
+  const authority = await generate([{ name: 'commonName', value: 'authority' }], { keySize: 2048, algorithm: 'sha256', extensions: [{ name: 'basicConstraints', cA: true }] })
+  const made = await generate([{ name: 'commonName', value: 'instance' }], { keySize: 2048, algorithm: 'sha256', ca: { key: authority.private, cert: authority.cert } })
+  const tls = { certificate: made.cert, key: made.private, authority: authority.cert }
+  const server = await listenForCalls('127.0.0.1', 0, { secret: SECRET, tls }, router => {
+    router.service(ControlService, { status: () => ({ instance: 'control-1' }) })
+  })
+  const flags = { control: `127.0.0.1:${server.port}`, secretFile: write('secret', SECRET) }
+  const files = { tlsCertificate: write('certificate.pem', tls.certificate), tlsKey: write('key.pem', tls.key), tlsAuthority: write('authority.pem', tls.authority) }
+  const [status] = await createConnection({ ...flags, ...files }).statusOfAll()
+  assert.is(status.instance, 'control-1')
+  let refused = false
+  await createConnection(flags).statusOfAll().catch(() => { refused = true })
+  assert.ok(refused)
+  await server.close()
+})
+
+test('one certificate file without the others is wrong use', () => {
+  assert.throws(
+    () => createConnection({ secretFile: write('secret', SECRET), tlsKey: write('key.pem', 'x') }),
+    (error: Error) => error instanceof CommandError && error.kind === 'usage' && /all of --tls-certificate/.test(error.message)
+  )
+})
+
+test.after(() => { rmSync(folder, { recursive: true, force: true }) })
+test.run()
--- a/packages/cyclamenusher/src/node/connection.ts
+++ b/packages/cyclamenusher/src/node/connection.ts
@@ -4,7 +4,7 @@
 import { Code, ConnectError } from '@connectrpc/connect'
 import { ControlService, OperatorService, createPeerClient } from '@cyclamenusher/protocol'
 import { CommandError } from './errors.js'
-import type { ChangeMemberReply, ControlMember, SubmitReply } from '@cyclamenusher/protocol'
+import type { ChangeMemberReply, ControlMember, PeerTls, SubmitReply } from '@cyclamenusher/protocol'
 
 /** Time that one call may take, in milliseconds. */
 const CALL_MILLISECONDS = 5_000
@@ -17,6 +17,9 @@
   control?: string
   entry?: string
   secretFile?: string
+  tlsCertificate?: string
+  tlsKey?: string
+  tlsAuthority?: string
 }
 
 export interface ControlStatus {
@@ -58,12 +61,29 @@
   drain: (group: string, member: string) => Promise<string>
 }
 
-function readSecret (file: string | undefined): string {
-  if (file === undefined) throw new CommandError('usage', 'no secret file was given', 'Name it with --secret-file FILE')
+function readNamedFile (file: string, purpose: string): string {
   try {
-    return readFileSync(file, 'utf8').trim()
+    return readFileSync(file, 'utf8')
   } catch (error) {
-    throw new CommandError('usage', `${file} can't be read (${(error as NodeJS.ErrnoException).code})`, 'Name the file with the secret of the system')
+    throw new CommandError('usage', `${file} can't be read (${(error as NodeJS.ErrnoException).code})`, `Name the file with ${purpose}`)
+  }
+}
+
+function readSecret (file: string | undefined): string {
+  if (file === undefined) throw new CommandError('usage', 'no secret file was given', 'Name it with --secret-file FILE')
+  return readNamedFile(file, 'the secret of the system').trim()
+}
+
+/** The certificates for mutual TLS; undefined when none were named. */
+function readTls ({ tlsCertificate, tlsKey, tlsAuthority }: ConnectionFlags): PeerTls | undefined {
+  if (tlsCertificate === undefined && tlsKey === undefined && tlsAuthority === undefined) return undefined
+  if (tlsCertificate === undefined || tlsKey === undefined || tlsAuthority === undefined) {
+    throw new CommandError('usage', 'mutual TLS takes three files', 'Name all of --tls-certificate, --tls-key and --tls-authority, or none')
+  }
+  return {
+    certificate: readNamedFile(tlsCertificate, 'the certificate'),
+    key: readNamedFile(tlsKey, 'the certificate\'s private key'),
+    authority: readNamedFile(tlsAuthority, 'the authority\'s certificate')
   }
 }
 
@@ -89,7 +109,7 @@
 }
 
 export function createConnection (flags: ConnectionFlags): Connection {
-  const credentials = { secret: readSecret(flags.secretFile) }
+  const credentials = { secret: readSecret(flags.secretFile), tls: readTls(flags) }
   const control = () => parseAddresses(flags.control, 'control').map(({ host, port }) => createPeerClient(ControlService, host, port, credentials))
   const entry = () => parseAddresses(flags.entry, 'entry').map(({ host, port }) => createPeerClient(OperatorService, host, port, credentials))[0]
 
--- a/packages/cyclamenusherd/src/node/request/refusal.ts
+++ b/packages/cyclamenusherd/src/node/request/refusal.ts
@@ -19,7 +19,6 @@
   timeout: '57014',
   'server lost': '08006',
   'outcome unknown': '08007',
-  'syntax error': '42601',
   'statement unknown': '26000',
   'statement exists': '42P05',
   'transaction failed': '25P02',
