--- a/packages/cyclamenusherd/src/node/process/__tests__/config.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/config.test.ts
@@ -5,7 +5,8 @@
 import fc from 'fast-check'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { SETTINGS, resolveConfig } from '../config.js'
+import { resolveConfig } from '../config.js'
+import { SETTINGS } from '../settings.js'
 import type { Config } from '../config.js'
 
 const EXAMPLES = new URL('../../../../../../playground/', import.meta.url).pathname
--- a/packages/cyclamenusherd/src/node/process/control/controlService.ts
+++ b/packages/cyclamenusherd/src/node/process/control/controlService.ts
@@ -2,6 +2,7 @@
 
 import { createHash } from 'node:crypto'
 import { FaultyFileError, INITIAL_CONFIGURATION, applyCommand, changeSince, diffRules, judgeSubmission, linesAt, linesOf, parseRules } from '@cyclamenusher/decisions'
+import { createHeldRequests } from '../heldRequests.js'
 import type { ConfigurationCommand, ConfigurationState, ParsedRules, RuleLine, SubmitOutcome } from '@cyclamenusher/decisions'
 import type { ChangeMemberRequest, HistoryRequest, SubmitRequest, WatchRequest } from '@cyclamenusher/protocol'
 import type { Clock } from '../clock.js'
@@ -88,24 +89,20 @@
   let instancesRevision = 1n
   let leadsSince: number | undefined
   const instances = new Map<string, KnownInstance & { seenAt: number }>()
-  const sleepers = new Set<() => void>()
-
-  function wake (): void {
-    for (const sleeper of sleepers) sleeper()
-  }
+  const held = createHeldRequests()
 
   const machine: StateMachine<ConfigurationCommand, SubmitOutcome> = {
     apply: command => {
       const applied = applyCommand(state, command)
       state = applied.state
-      if (applied.outcome.kind === 'accepted') wake()
+      if (applied.outcome.kind === 'accepted') held.release()
       return applied.outcome
     },
     snapshot: () => JSON.stringify({ ...state, lines: [...state.lines] }),
     restore: snapshot => {
       const restored = JSON.parse(snapshot) as Omit<ConfigurationState, 'lines'> & { lines: Array<[string, string]> }
       state = { ...restored, lines: new Map(restored.lines) }
-      wake()
+      held.release()
     }
   }
 
@@ -163,23 +160,11 @@
     return Number(request.knownNumber) !== state.number || (tellsInstances(request) && request.knownInstances !== instancesRevision)
   }
 
-  async function sleep (milliseconds: number): Promise<void> {
-    await new Promise<void>(resolve => {
-      const wakeUp = (): void => {
-        clearTimeout(timer)
-        sleepers.delete(wakeUp)
-        resolve()
-      }
-      const timer = setTimeout(wakeUp, milliseconds)
-      sleepers.add(wakeUp)
-    })
-  }
-
   async function watch (request: WatchRequest): Promise<WatchAnswer> {
     const leads = noteLeadership()
     if (leads) noteInstances(request)
     if (leads) forgetSilent()
-    if (leads && !isNews(request)) await sleep(Math.min(request.holdMilliseconds, MAXIMUM_HOLD_MILLISECONDS))
+    if (leads && !isNews(request)) await held.hold(Math.min(request.holdMilliseconds, MAXIMUM_HOLD_MILLISECONDS))
     const fresh = log !== undefined && leads && await log.confirmCurrent()
     const tells = leads && tellsInstances(request)
     const known = Number(request.knownNumber)
--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -5,7 +5,7 @@
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import type { Histogram } from 'hdr-histogram-js'
 import type { Server } from 'node:http'
-import type { Address } from './config.js'
+import type { Address } from './address.js'
 
 /** Longest latency that is told apart, in microseconds. */
 const HIGHEST_MICROSECONDS = 60_000_000
--- a/packages/cyclamenusherd/src/node/process/rate/rateTask.ts
+++ b/packages/cyclamenusherd/src/node/process/rate/rateTask.ts
@@ -12,7 +12,8 @@
 import type { GrantRequest, PeerCredentials } from '@cyclamenusher/protocol'
 import type { RulesStore } from '../../version/rulesStore.js'
 import type { Clock } from '../clock.js'
-import type { Address, Config } from '../config.js'
+import type { Address } from '../address.js'
+import type { Config } from '../config.js'
 import type { ScopedLogger } from '../logger.js'
 import type { Peer } from '../rulesWatcher.js'
 
--- a/packages/cyclamenusherd/src/node/process/rulesRelay.ts
+++ b/packages/cyclamenusherd/src/node/process/rulesRelay.ts
@@ -4,6 +4,7 @@
  */
 
 import { diffRules } from '@cyclamenusher/decisions'
+import { createHeldRequests } from './heldRequests.js'
 import type { RuleLine } from '@cyclamenusher/decisions'
 import type { WatchRequest } from '@cyclamenusher/protocol'
 import type { RulesStore } from '../version/rulesStore.js'
@@ -53,12 +54,12 @@
 
 export function createRulesRelay ({ store, peers, peersRevision, clock }: RulesRelayOptions): RulesRelay {
   const watchers = new Map<string, { peer: Peer, seenAt: number }>()
-  const sleepers = new Set<() => void>()
+  const held = createHeldRequests()
   let versions: Array<{ number: number, lines: readonly RuleLine[] }> = []
   /** Changes to the newest version, by the version that they start from. */
   const changes = new Map<number, Change>()
 
-  void store.versions.observe(() => { for (const wake of [...sleepers]) wake() })
+  void store.versions.observe(held.release)
 
   /** Keeps each version that some watcher is told of. */
   function rememberVersion (): void {
@@ -67,18 +68,6 @@
     versions = [...versions, { number: store.number(), lines: store.lines() }].slice(-MAXIMUM_VERSIONS)
   }
 
-  async function sleep (milliseconds: number): Promise<void> {
-    await new Promise<void>(resolve => {
-      const wake = (): void => {
-        clearTimeout(timer)
-        sleepers.delete(wake)
-        resolve()
-      }
-      const timer = setTimeout(wake, milliseconds)
-      sleepers.add(wake)
-    })
-  }
-
   /** What leads from the watcher's version to this instance's; the whole where that is not known. */
   function changeSince (known: number): Change {
     const newest = versions.at(-1)?.lines ?? []
@@ -96,11 +85,11 @@
       const { name, failureDomain, role, host, port } = instance
       watchers.set(name, { peer: { name, failureDomain, role, host, port }, seenAt: arrivedAt })
     }
-    const busy = sleepers.size >= MAXIMUM_WATCHES
+    const busy = held.count() >= MAXIMUM_WATCHES
     const ahead = Number(knownNumber) > store.number()
     // Another list of instances is no news: two lists that differ for a moment would send a watcher to and fro.
     const news = Number(knownNumber) !== store.number() || knownInstances === 0n
-    if (!busy && !news) await sleep(Math.min(holdMilliseconds, MAXIMUM_HOLD_MILLISECONDS))
+    if (!busy && !news) await held.hold(Math.min(holdMilliseconds, MAXIMUM_HOLD_MILLISECONDS))
     // The watcher counts from when it asked, so a proof made since then is not old.
     const age = Math.max(0, arrivedAt - store.provenAt())
     rememberVersion()
--- a/packages/cyclamenusherd/src/node/process/rulesWatcher.ts
+++ b/packages/cyclamenusherd/src/node/process/rulesWatcher.ts
@@ -6,7 +6,8 @@
 import type { Instance, PeerCredentials, PeerLink, WatchReply } from '@cyclamenusher/protocol'
 import type { RulesStore } from '../version/rulesStore.js'
 import type { Clock } from './clock.js'
-import type { Address, Config } from './config.js'
+import type { Address } from './address.js'
+import type { Config } from './config.js'
 import type { ScopedLogger } from './logger.js'
 
 /** How long control may hold a request, in milliseconds; well below the lease. */
--- a/packages/cyclamenusherd/src/node/process/settingsTable.ts
+++ b/packages/cyclamenusherd/src/node/process/settingsTable.ts
@@ -1,6 +1,6 @@
 /** The settings as a table in Markdown, made from the same fields that check them. */
 
-import { SETTINGS } from './config.js'
+import { SETTINGS } from './settings.js'
 import type { Field } from '@cyclamenusher/decisions'
 
 type Describers = { [Kind in Field['kind']]: (field: Extract<Field, { kind: Kind }>) => string }
