Measurements of real processes share how a deployment is started

Cause: the failover and replica-reads scenarios each had the same plan of a deployment and its closing.

--- a/packages/measure/src/node/scenarios/failover.ts
+++ b/packages/measure/src/node/scenarios/failover.ts
@@ -1,6 +1,7 @@
 /** The gap in service when a primary fails, of real processes, with its parts. */
 
-import { startDeployment, until } from '@cyclamenusher/stand-ins'
+import { until } from '@cyclamenusher/stand-ins'
+import { withRealDeployment } from '../realDeployment.js'
 import { gapAfter, startWriter } from './writers.js'
 import type { Deployment, ServerProcess } from '@cyclamenusher/stand-ins'
 import type { Figures, Scenario, ScenarioOptions } from '../scenario.js'
@@ -155,29 +156,14 @@
 
 async function run ({ deployment: measured, policy = 'product' }: ScenarioOptions): Promise<Figures> {
   const { silenceMilliseconds, refusals } = POLICIES[policy]
-  const deployment = await startDeployment({
-    failureDomains: measured.failureDomains,
-    entries: measured.entries,
-    controls: 3,
-    databases: [DATABASE],
-    members: measured.members,
-    accounts: [ACCOUNT],
-    connectionLimit: measured.connectionLimit,
-    openMilliseconds: measured.openMilliseconds,
-    lagMilliseconds: 5,
-    links: true,
-    settings: { log: ['decisions = false'], ...(silenceMilliseconds === undefined ? {} : { failover: [`silence_milliseconds = ${silenceMilliseconds}`] }) }
-  })
-  try {
-    deployment.network?.setDelay(measured.domainMilliseconds)
+  const settings = silenceMilliseconds === undefined ? undefined : { failover: [`silence_milliseconds = ${silenceMilliseconds}`] }
+  return await withRealDeployment({ measured, database: DATABASE, account: ACCOUNT, lagMilliseconds: 5, settings }, async deployment => {
     for (const server of deployment.servers) await deployment.administer(server, 'POST', '/faults', { hidesRefusal: !refusals })
     const figures: Figures = {}
     for (const kind of Object.keys(STRIKES) as FailureKind[]) figures[kind] = await measureKind(deployment, kind, policy === 'product' ? TRIALS.product : TRIALS.compared)
     figures['promotions after 3 pauses each'] = await countFalseAlarms(deployment)
     return figures
-  } finally {
-    await deployment.close()
-  }
+  })
 }
 
 export const failoverScenario: Scenario = {
--- a/packages/measure/src/node/scenarios/replicaReads.ts
+++ b/packages/measure/src/node/scenarios/replicaReads.ts
@@ -1,8 +1,9 @@
 /** The share of reads that replicas serve, of those that the rules allow there. */
 
 import pg from 'pg'
-import { callHttp, startDeployment } from '@cyclamenusher/stand-ins'
+import { callHttp } from '@cyclamenusher/stand-ins'
 import { createRandom } from '../model/random.js'
+import { withRealDeployment } from '../realDeployment.js'
 import type { Deployment } from '@cyclamenusher/stand-ins'
 import type { Random } from '../model/random.js'
 import type { Figures, Scenario, ScenarioOptions } from '../scenario.js'
@@ -87,27 +88,11 @@
 }
 
 async function run ({ deployment: measured, seed }: ScenarioOptions): Promise<Figures> {
-  const deployment = await startDeployment({
-    failureDomains: measured.failureDomains,
-    entries: measured.entries,
-    controls: 3,
-    databases: [DATABASE],
-    members: measured.members,
-    accounts: [ACCOUNT],
-    connectionLimit: measured.connectionLimit,
-    openMilliseconds: measured.openMilliseconds,
-    lagMilliseconds: LAGS[0],
-    links: true,
-    settings: { log: ['decisions = false'] }
-  })
-  try {
-    deployment.network?.setDelay(measured.domainMilliseconds)
+  return await withRealDeployment({ measured, database: DATABASE, account: ACCOUNT, lagMilliseconds: LAGS[0] }, async deployment => {
     const figures: Figures = {}
     for (const lag of LAGS) figures[`lag ${lag} ms`] = await measureLag(deployment, lag, seed)
     return figures
-  } finally {
-    await deployment.close()
-  }
+  })
 }
 
 export const replicaReadsScenario: Scenario = {
