Replicas are asked soon after a commit, so that sessions read there sooner

An instance learnt that a replica shows a commit only with its next sample, up to 100 ms later; sessions that are nearer read more often within that time, and were sent to the primary. Ruled out: the lag itself (5 ms against pauses of up to 40 ms) and the wait for a majority, which tells what replicas hold, not what their reads show. Change: all members are asked 10 ms after a commit is acknowledged and after a read finds no replica at the session's place, once for all of that time.

--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/group/__tests__/delayedAction.test.ts
@@ -0,0 +1,32 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createDelayedAction } from '../delayedAction.js'
+
+async function runs (times: () => number, wanted: number): Promise<void> {
+  while (times() < wanted) await new Promise(resolve => setTimeout(resolve, 1))
+}
+
+test('requests that come together run the action once, later ones again', async () => {
+  let times = 0
+  const action = createDelayedAction(5, () => { times += 1 })
+  action.request()
+  action.request()
+  action.request()
+  assert.is(times, 0)
+  await runs(() => times, 1)
+  action.request()
+  await runs(() => times, 2)
+  assert.is(times, 2)
+  action.close()
+})
+
+test('a closed action does not run', async () => {
+  let times = 0
+  const action = createDelayedAction(1, () => { times += 1 })
+  action.request()
+  action.close()
+  await new Promise(resolve => setTimeout(resolve, 20))
+  assert.is(times, 0)
+})
+
+test.run()
--- a/packages/cyclamenusherd/src/node/process/group/groupMonitor.ts
+++ b/packages/cyclamenusherd/src/node/process/group/groupMonitor.ts
@@ -6,6 +6,7 @@
 
 import { EventEmitter } from 'node:events'
 import { confirmedSince, createGroupView, currentPrimary, forgetMember, highestTerm, majorityHolds, recordStatus, recordUnreachable, resizeGroup } from '@cyclamenusher/decisions'
+import { createDelayedAction } from './delayedAction.js'
 import { createMemberLink } from './memberLink.js'
 import type { GroupView, LogPosition, PrimarySample } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
@@ -19,6 +20,9 @@
 /** The same while the group has no primary, in milliseconds. */
 const UNSETTLED_MILLISECONDS = 20
 
+/** Time after which replicas are asked whether they show a new commit, in milliseconds. */
+const LEARN_MILLISECONDS = 10
+
 export type AcknowledgeOutcome = 'held' | 'replaced' | 'timeout'
 
 export interface GroupMonitor {
@@ -37,6 +41,8 @@
   nextChange: (milliseconds: number) => Promise<void>
   /** Asks every member for its state now. */
   poke: () => void
+  /** Asks every member soon: replicas are about to show what they do not show yet. */
+  learnSoon: () => void
   order: (member: string, statement: string) => Promise<MemberAnswer>
   close: () => void
 }
@@ -108,6 +114,8 @@
     for (const { link } of links.values()) link.poke()
   }
 
+  const learning = createDelayedAction(LEARN_MILLISECONDS, pokeAll)
+
   function setMembers (announcements: readonly MemberAnnouncement[]): void {
     for (const announcement of announcements) {
       const known = links.get(announcement.member)
@@ -183,12 +191,14 @@
       })
     },
     poke: pokeAll,
+    learnSoon: learning.request,
     order: async (member, statement) => {
       const known = links.get(member)
       if (known === undefined) throw new Error(`no link to ${member}`)
       return await known.link.order(statement)
     },
     close: () => {
+      learning.close()
       for (const { link } of links.values()) link.close()
     }
   }
--- a/packages/cyclamenusherd/src/node/process/router.ts
+++ b/packages/cyclamenusherd/src/node/process/router.ts
@@ -222,6 +222,7 @@
       return undefined
     }
     metrics.routes.inc({ role: request.need, reason: decision.reason })
+    if (decision.reason === 'primary holds the session') monitor.learnSoon()
     if (config.log.decisions) {
       routeLog.info('A request was routed.', { account: request.identity.account, database: request.database, need: request.need, member: decision.member, reason: decision.reason, term: decision.term })
     }
@@ -245,8 +246,11 @@
 
   async function acknowledge (group: string, at: LogPosition): Promise<'held' | 'replaced' | 'timeout'> {
     const askedAt = clock.now()
-    const outcome = await openGroup(group).monitor.acknowledge(at, config.backend.acknowledgeMilliseconds)
+    const { monitor } = openGroup(group)
+    const outcome = await monitor.acknowledge(at, config.backend.acknowledgeMilliseconds)
     metrics.recordLatency('acknowledge', clock.now() - askedAt)
+    // The session's next read can go to a replica as soon as one is known to show the commit.
+    monitor.learnSoon()
     return outcome
   }
 
