--- a/packages/stand-ins/src/node/backend/administration.ts
+++ b/packages/stand-ins/src/node/backend/administration.ts
@@ -5,7 +5,7 @@
 
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { ConnectionRegistry } from './connection.js'
+import type { ConnectionRegistry } from './registry.js'
 import type { BackendServer, ServerFaults } from './server.js'
 
 type Route = (url: URL, body: string) => unknown
--- a/packages/stand-ins/src/node/backend/connection.ts
+++ b/packages/stand-ins/src/node/backend/connection.ts
@@ -4,9 +4,11 @@
   BACKEND, FRONTEND, STARTUP_CODE, buildBackendKeyData, buildCommandComplete, buildDataRow, buildErrorResponse, buildFrame,
   buildParameterStatus, buildReadyForQuery, buildRowDescription, createFrameSplitter, readCString, readStartupParameters
 } from '@cyclamenusher/protocol'
+import { remember } from './registry.js'
 import { StatementError, bindParameters, runStatement } from './statements.js'
 import type { Socket } from 'node:net'
 import type { Frame } from '@cyclamenusher/protocol'
+import type { ConnectionRegistry } from './registry.js'
 import type { BackendServer } from './server.js'
 import type { SessionState, StatementResult } from './statements.js'
 
@@ -15,29 +17,6 @@
 /** Rows are written in batches of this many, so that a slow reader holds the producer. */
 const ROWS_A_BATCH = 200
 
-/** What all connections of one stand-in share. */
-export interface ConnectionRegistry {
-  /** Open connections for callers' work. */
-  open: number
-  /** Counts every connection ever opened for callers' work. */
-  opened: number
-  nextProcessNumber: number
-  cancels: Map<number, { secret: number, cancel: () => void }>
-  /** User and password that a connection must bring. */
-  users: Map<string, string>
-  /** Users whose connections come out of the reserved ones. */
-  reservedUsers: Set<string>
-  /** Everything that callers sent, newest last, for checks that a key never shows. */
-  received: Buffer[]
-  statements: number
-  /** Sessions of callers' work. */
-  sessions: Set<SessionState>
-}
-
-export function createConnectionRegistry (users: Map<string, string>, reservedUsers: Set<string>): ConnectionRegistry {
-  return { open: 0, opened: 0, nextProcessNumber: 1, cancels: new Map(), users, reservedUsers, received: [], statements: 0, sessions: new Set() }
-}
-
 interface Prepared { text: string }
 interface Portal {
   text: string
@@ -45,11 +24,6 @@
   rows?: Iterator<Array<string | null>>
 }
 
-/** Callers' transactions that are open, and statements that run outside of one. */
-export function countTransactions (registry: ConnectionRegistry): number {
-  return [...registry.sessions].filter(({ transaction, busy }) => busy || transaction !== 'idle').length
-}
-
 /** Reads the first message, answers TLS and cancel requests, then serves the connection. */
 export function serveConnection (socket: Socket, server: BackendServer, registry: ConnectionRegistry): void {
   socket.setNoDelay(true)
@@ -408,11 +382,3 @@
   remember(registry, Buffer.from(JSON.stringify(parameters)))
   socket.write(buildFrame(BACKEND.authentication, Uint8Array.of(0, 0, 0, 3)))
 }
-
-/** Chunks kept for checks of what a server saw. */
-const REMEMBERED_CHUNKS = 20_000
-
-function remember (registry: ConnectionRegistry, chunk: Buffer): void {
-  registry.received.push(Buffer.from(chunk))
-  if (registry.received.length > REMEMBERED_CHUNKS) registry.received.splice(0, REMEMBERED_CHUNKS / 2)
-}
--- a/packages/stand-ins/src/node/main.ts
+++ b/packages/stand-ins/src/node/main.ts
@@ -6,7 +6,8 @@
 import { createBalancer } from './balancer/balancer.js'
 import { createAnnouncer } from './announcer/announcer.js'
 import { listenForAdministration } from './backend/administration.js'
-import { countTransactions, createConnectionRegistry, serveConnection } from './backend/connection.js'
+import { serveConnection } from './backend/connection.js'
+import { countTransactions, createConnectionRegistry } from './backend/registry.js'
 import { createBackendServer } from './backend/server.js'
 
 interface BackendFlags {
