--- a/packages/prove/src/node/scenarios/answers.ts
+++ b/packages/prove/src/node/scenarios/answers.ts
@@ -15,7 +15,7 @@
 const SESSIONS = 16
 const CALM_MILLISECONDS = 1_500
 const FAULT_MILLISECONDS = 2_500
-const LEAST_DONE = 100
+const LEAST_DONE = 150
 /** Deadline of a request at the instances, in milliseconds. */
 const REQUEST_MILLISECONDS = 1_500
 
