feat(decisions): declarations, group control under leases, and read placement as pure functions

Cause: the users' platform has no operators' rules file and no list of instances; servers announce themselves to control only, and a primary is replaced through the platform's call. The decisions for that were missing.

The consensus log gains automatic membership (new names join as learners and take the place of voters that are gone), a quiet time after a restart in which no vote is given, and the time since which no other member can lead.

--- a/packages/cyclamenusherd/src/node/process/control/__tests__/controlInstances.ts
+++ b/packages/cyclamenusherd/src/node/process/control/__tests__/controlInstances.ts
@@ -72,7 +72,7 @@
     const name = `control-${place + 1}`
     const folder = join(root, name)
     const service = createControlService(systemClock, logger)
-    const log = openConsensusLog({ name, failureDomain: `domain-${place}`, address: addresses[place], addresses: addresses.slice(0, listed), dataFolder: folder, machine: service.machine, credentials: CREDENTIALS, clock: systemClock, logger, disk })
+    const log = openConsensusLog({ name, failureDomain: `domain-${place}`, address: addresses[place], addresses: () => addresses.slice(0, listed), dataFolder: folder, machine: service.machine, credentials: CREDENTIALS, clock: systemClock, logger, disk })
     service.attach(log)
     const calls = await listenForCalls(HOST, ports[place], CREDENTIALS, log.routes)
     const instance = { name, folder, log, service, calls }
--- a/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
@@ -4,13 +4,13 @@
  */
 
 import { ConsensusService, createPeerLink } from '@cyclamenusher/protocol'
-import { decideFounding, isCaughtUp } from '@cyclamenusher/decisions'
+import { MANUAL_MEMBERSHIP, decideFounding, isCaughtUp } from '@cyclamenusher/decisions'
 import { pause } from '../clock.js'
 import { createConsensusTask } from './consensusTask.js'
 import { openLogStorage } from './logStorage.js'
 import { decodeMessages, encodeMessages } from './peerLinks.js'
 import type { ConnectRouter } from '@connectrpc/connect'
-import type { DiskReport, Introduction, LogMember, MembershipChange, RequestAnswer } from '@cyclamenusher/decisions'
+import type { DiskReport, Introduction, LogMember, MembershipChange, MembershipPolicy, RequestAnswer } from '@cyclamenusher/decisions'
 import type { ControlMember, IntroduceReply, PeerCredentials, PeerLink } from '@cyclamenusher/protocol'
 import type { Clock } from '../clock.js'
 import type { Address } from '../address.js'
@@ -36,8 +36,14 @@
   failureDomain: string
   /** Where the other control instances reach this one. */
   address: Address
-  /** All control instances; the first founds the log. */
-  addresses: readonly Address[]
+  /** Control instances that are known from outside the log, read at each introduction; the first founds the log. */
+  addresses: () => readonly Address[]
+  /** Whether this instance may found a log where none is. @default true */
+  mayFound?: boolean
+  /** @default operators add and remove members */
+  membership?: MembershipPolicy
+  /** @default COMPACT_ENTRIES */
+  compactEntries?: number
   dataFolder: string
   machine: StateMachine<Command, Result>
   credentials: PeerCredentials
@@ -52,6 +58,9 @@
   /** The leader, when it is known. */
   leader: () => LogMember | undefined
   isLeader: () => boolean
+  /** Whether no other member can lead at this moment, by a majority's word and both clocks. */
+  isLeading: () => boolean
+  term: () => number
 }
 
 /** The outcome of `work`, or `late` when it takes too long. */
@@ -72,9 +81,12 @@
   const storage = openLogStorage(options.dataFolder, logger, options.disk)
   const self: Introduction = { identity: storage.identity, name, failureDomain, host: address.host, port: address.port }
   const isOwn = ({ host, port }: Address): boolean => host === address.host && port === address.port
-  const others = addresses.filter(other => !isOwn(other)).map(({ host, port }) => createPeerLink(ConsensusService, host, port, credentials))
-  const isFirst = addresses.length > 0 && isOwn(addresses[0])
-  const task: ConsensusTask<Result> = createConsensusTask({ storage, machine, credentials, clock, random: Math.random, logger })
+  const links = new Map<string, PeerLink<typeof ConsensusService>>()
+  /** Members that other instances told of, for one that holds no log yet. */
+  let told: readonly Address[] = []
+  const [first] = addresses()
+  const isFirst = first !== undefined && isOwn(first) && options.mayFound !== false
+  const task: ConsensusTask<Result> = createConsensusTask({ storage, machine, credentials, clock, random: Math.random, logger, membership: options.membership ?? MANUAL_MEMBERSHIP, compactEntries: options.compactEntries })
   let closed = false
 
   function isEmpty (): boolean {
@@ -87,6 +99,25 @@
     return known !== undefined && known.host === self.host && known.port === self.port && known.name === self.name
   }
 
+  function linkTo ({ host, port }: Address): PeerLink<typeof ConsensusService> {
+    const key = `${host}:${port}`
+    const link = links.get(key) ?? createPeerLink(ConsensusService, host, port, credentials)
+    links.set(key, link)
+    return link
+  }
+
+  /** All other control instances that are known in any way. */
+  function others (): Address[] {
+    const known = new Map([...addresses(), ...told, ...task.state().members].map(({ host, port }) => [`${host}:${port}`, { host, port }]))
+    return [...known.values()].filter(other => !isOwn(other))
+  }
+
+  /** A member that was removed while it was away still believes the log that it holds. */
+  function isHeard (): boolean {
+    const { role, leader: known } = task.state()
+    return role === 'leader' || known !== ''
+  }
+
   async function ask (link: PeerLink<typeof ConsensusService>): Promise<IntroduceReply | undefined> {
     try {
       return await link.client.introduce({ self: { ...self, role: '' } }, { timeoutMs: INTRODUCE_CALL_MILLISECONDS })
@@ -104,14 +135,16 @@
   /** Introduces this instance until it is a member; founds the log where that is due. */
   async function join (): Promise<void> {
     while (!closed && !task.hasFailed()) {
-      if (!isMember()) await introduceOnce()
+      if (!isMember() || !isHeard()) await introduceOnce()
       await pause(INTRODUCE_MILLISECONDS)
     }
   }
 
   async function introduceOnce (): Promise<void> {
     task.introduce(self)
-    const replies = await Promise.all(others.map(ask))
+    const replies = await Promise.all(others().map(async other => await ask(linkTo(other))))
+    const members = replies.flatMap(reply => reply?.members ?? [])
+    if (members.length > 0) told = members.map(({ host, port }) => ({ host, port }))
     if (closed || !isEmpty()) return
     const reports = replies.map((reply): DiskReport | undefined => reply?.self === undefined ? undefined : { ...readIntroduction(reply.self), empty: reply.empty })
     const decision = decideFounding(self, isFirst, reports)
@@ -125,7 +158,7 @@
       deliver: ({ from, to, body }) => ({ body: encodeMessages(to === self.identity ? task.receive(from, decodeMessages(body)) : []) }),
       introduce: ({ self: other }) => {
         if (other !== undefined) task.introduce(readIntroduction(other))
-        return { self: { ...self, role: '' }, empty: isEmpty() }
+        return { self: { ...self, role: '' }, empty: isEmpty(), members: [...task.state().members] }
       }
     })
   }
@@ -173,6 +206,8 @@
   const log: ConsensusLog<Command, Result> = {
     routes,
     leader,
+    isLeading: task.isLeading,
+    term: () => task.state().term,
     isLeader: () => task.state().role === 'leader' && !task.hasFailed(),
     propose: async command => {
       const answer = await within(PROPOSE_MILLISECONDS, task.propose(command), { kind: 'answered', answer: 'unknown' })
@@ -189,7 +224,7 @@
     close: async () => {
       closed = true
       task.close()
-      for (const link of others) link.reconnect()
+      for (const link of links.values()) link.reconnect()
     }
   }
   void join()
--- a/packages/cyclamenusherd/src/node/process/control/consensusTask.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusTask.ts
@@ -5,9 +5,10 @@
 
 import { EventEmitter } from 'node:events'
 import { fromEvent, merge, periodic } from 'most'
-import { planMembership, startConsensus, stepConsensus } from '@cyclamenusher/decisions'
+import { leadershipConfirmedSince, planMembership, startConsensus, stepConsensus } from '@cyclamenusher/decisions'
+import { createSuspensionWatch } from '../suspension.js'
 import { createPeerLinks } from './peerLinks.js'
-import type { ConsensusEffect, ConsensusEvent, ConsensusMessage, ConsensusState, Introduction, LogMember, MembershipChange, RequestAnswer } from '@cyclamenusher/decisions'
+import type { ConsensusEffect, ConsensusEvent, ConsensusMessage, ConsensusState, Introduction, LogMember, MembershipChange, MembershipPolicy, RequestAnswer } from '@cyclamenusher/decisions'
 import type { PeerCredentials } from '@cyclamenusher/protocol'
 import type { Clock } from '../clock.js'
 import type { ScopedLogger } from '../logger.js'
@@ -18,8 +19,10 @@
 const TICK_MILLISECONDS = 25
 /** Applied entries after which the log is cut behind a snapshot. */
 const COMPACT_ENTRIES = 256
-/** Entries after which a leader no longer waits for slow members with that. */
-const COMPACT_ENTRIES_AT_MOST = 1_024
+/** A leader no longer waits for slow members with that after so many times as many. */
+const COMPACT_LAG_FACTOR = 4
+/** Part of an election timeout that a leader keeps for itself, in milliseconds: clocks that run apart, and the way of a message. */
+const LEADING_MARGIN_MILLISECONDS = 100
 /** Time after which an introduction that was not repeated counts no more, in milliseconds. */
 const INTRODUCTION_MILLISECONDS = 5_000
 
@@ -41,6 +44,8 @@
   introduce: (introduction: Introduction) => void
   introductions: () => Introduction[]
   state: () => ConsensusState
+  /** Whether no other member can lead at this moment. */
+  isLeading: () => boolean
   hasFailed: () => boolean
   close: () => void
 }
@@ -52,13 +57,18 @@
   clock: Clock
   random: () => number
   logger: ScopedLogger
+  membership: MembershipPolicy
+  /** Applied entries after which the log is cut behind a snapshot. @default COMPACT_ENTRIES */
+  compactEntries?: number
 }
 
 type Performers = { [Kind in ConsensusEffect['kind']]: (effect: Extract<ConsensusEffect, { kind: Kind }>) => void }
 
 export function createConsensusTask<Command, Result> (options: TaskOptions<Command, Result>): ConsensusTask<Result> {
   const { storage, machine, credentials, clock, random, logger } = options
+  const { compactEntries = COMPACT_ENTRIES } = options
   const { identity, durable } = storage
+  const suspension = createSuspensionWatch(clock)
   const emitter = new EventEmitter()
   const waiting = new Map<number, (answer: TaskAnswer<Result>) => void>()
   const introduced = new Map<string, { introduction: Introduction, at: number }>()
@@ -127,7 +137,7 @@
     const { appliedIndex, snapshot, progress } = state
     const due = appliedIndex - snapshot.index
     const followersHold = [...progress.values()].every(({ matchIndex }) => matchIndex >= appliedIndex)
-    if (due < COMPACT_ENTRIES || (!followersHold && due < COMPACT_ENTRIES_AT_MOST)) return
+    if (due < compactEntries || (!followersHold && due < compactEntries * COMPACT_LAG_FACTOR)) return
     step({ kind: 'compact', index: appliedIndex, data: machine.snapshot() })
   }
 
@@ -138,13 +148,21 @@
   }
 
   function repairMembership (): void {
-    const change = planMembership(state, introductions(), clock.now())
+    const change = planMembership(state, introductions(), clock.now(), options.membership)
     if (change === undefined) return
     logger.info('The membership changes.', { change: change.kind, member: 'member' in change ? change.member.name : nameOf(change.identity) })
     void request(number => ({ kind: 'change membership', request: number, change }))
   }
 
+  function isLeading (): boolean {
+    if (failed || state.role !== 'leader') return false
+    const since = leadershipConfirmedSince(state)
+    if (since <= suspension.lastAt()) return false
+    return clock.now() < since + state.limits.electionMilliseconds - LEADING_MARGIN_MILLISECONDS
+  }
+
   function tick (): void {
+    suspension.lastAt()
     step({ kind: 'tick' })
     if (failed || closed) return
     compactWhenDue()
@@ -192,6 +210,7 @@
     },
     introductions,
     state: () => state,
+    isLeading,
     hasFailed: () => failed,
     close: () => {
       closed = true
--- a/packages/cyclamenusherd/src/node/process/control/controlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/control/controlRole.ts
@@ -22,7 +22,7 @@
     name,
     failureDomain,
     address: config.calls.advertise,
-    addresses: config.control.addresses,
+    addresses: () => config.control.addresses,
     dataFolder,
     machine: service.machine,
     credentials: { secret: config.calls.secret, tls: config.calls.tls },
--- a/packages/decisions/src/node/consensus/consensus.ts
+++ b/packages/decisions/src/node/consensus/consensus.ts
@@ -91,6 +91,8 @@
     progress: new Map(),
     heartbeatAt: 0,
     round: 0,
+    roundTimes: [],
+    quietUntil: term > 0 ? now + limits.electionMilliseconds : -Infinity,
     termStartIndex: 0,
     proposals: [],
     changes: [],
--- a/packages/decisions/src/node/consensus/election.ts
+++ b/packages/decisions/src/node/consensus/election.ts
@@ -60,7 +60,7 @@
 function becomeLeader (step: Step): void {
   const { state } = step
   const progress = new Map(othersOf(state).map(identity => [identity, initialProgress(step)]))
-  Object.assign(state, { role: 'leader', leader: state.self, votes: [], progress, round: 0, termStartIndex: lastIndex(state) + 1 })
+  Object.assign(state, { role: 'leader', leader: state.self, votes: [], progress, round: 0, roundTimes: [], termStartIndex: lastIndex(state) + 1 })
   step.effects.push({ kind: 'note', note: 'leads', term: state.term, leader: state.self })
   // Only an entry of the own term may be counted for a commit; restating the
   // membership as that entry also tells it to members that hold none yet.
@@ -69,7 +69,7 @@
 
 /** A leader that others hear is not to be replaced. */
 function hearsLeader ({ state, now }: Step): boolean {
-  if (state.role === 'leader') return true
+  if (state.role === 'leader' || now < state.quietUntil) return true
   return state.leader !== '' && now - state.heardLeaderAt < state.limits.electionMilliseconds
 }
 
--- a/packages/decisions/src/node/consensus/repair.ts
+++ b/packages/decisions/src/node/consensus/repair.ts
@@ -13,25 +13,55 @@
 /** Silence after which an identity may be replaced, in milliseconds. */
 export const REPLACE_MILLISECONDS = 1_500
 
+/** Silence after which a voter gives its place to a learner that waits, in milliseconds: longer than a restart. */
+const GIVE_WAY_MILLISECONDS = 3_000
+/** Silence after which a learner is forgotten, in milliseconds. */
+const FORGET_MILLISECONDS = 15_000
+
+/** How instances come and go without an operator. */
+export interface MembershipPolicy {
+  /** Instances with new names join by themselves, and replace voters that are gone. */
+  automatic: boolean
+  /** Voters wanted: two for each loss that is to be borne, and one. */
+  voters: number
+}
+
+/** Operators add and remove members; only a lost disk is repaired. */
+export const MANUAL_MEMBERSHIP: MembershipPolicy = { automatic: false, voters: Infinity }
+
+function silenceOf ({ progress, self }: ConsensusState, identity: string, now: number): number {
+  return identity === self ? 0 : now - (progress.get(identity)?.heardAt ?? -Infinity)
+}
+
 function isSilent ({ progress, self }: ConsensusState, identity: string, now: number): boolean {
   const heardAt = progress.get(identity)?.heardAt
   return identity !== self && (heardAt === undefined || now - heardAt >= REPLACE_MILLISECONDS)
 }
 
-function planLearner (state: ConsensusState, learner: LogMember, now: number): MembershipChange | undefined {
+function planLearner (state: ConsensusState, learner: LogMember, now: number, policy: MembershipPolicy): MembershipChange | undefined {
+  if (policy.automatic && silenceOf(state, learner.identity, now) > FORGET_MILLISECONDS) return { kind: 'remove', identity: learner.identity }
   if (isSilent(state, learner.identity, now) || !isCaughtUp(state, learner.identity)) return undefined
   const older = state.members.find(({ name, identity }) => name === learner.name && identity !== learner.identity)
-  if (older === undefined) return { kind: 'promote', identity: learner.identity }
+  if (older === undefined) return planPromotion(state, learner, now, policy)
   return isSilent(state, older.identity, now) ? { kind: 'remove', identity: older.identity } : undefined
 }
 
-function planIntroduction (state: ConsensusState, introduced: Introduction, now: number): MembershipChange | undefined {
+/** A learner becomes a voter where one is wanted, or where one has gone for good. */
+function planPromotion (state: ConsensusState, learner: LogMember, now: number, { voters: wanted }: MembershipPolicy): MembershipChange | undefined {
+  const voters = state.members.filter(({ role }) => role === 'voter')
+  if (voters.length < wanted) return { kind: 'promote', identity: learner.identity }
+  const gone = voters.find(({ identity }) => silenceOf(state, identity, now) > GIVE_WAY_MILLISECONDS)
+  return gone === undefined ? undefined : { kind: 'remove', identity: gone.identity }
+}
+
+function planIntroduction (state: ConsensusState, introduced: Introduction, now: number, policy: MembershipPolicy): MembershipChange | undefined {
   const known = state.members.find(({ identity }) => identity === introduced.identity)
   if (known !== undefined) {
     const moved = known.host !== introduced.host || known.port !== introduced.port || known.name !== introduced.name || known.failureDomain !== introduced.failureDomain
     return moved ? { kind: 'describe', member: introduced } : undefined
   }
   const older = state.members.filter(({ name }) => name === introduced.name)
+  if (policy.automatic && older.length === 0) return { kind: 'add learner', member: introduced }
   if (older.length === 0 || !older.every(({ identity }) => isSilent(state, identity, now))) return undefined
   const learner = older.find(({ role }) => role === 'learner')
   // A learner that was lost again never counted; its place goes to the new one.
@@ -39,14 +69,14 @@
 }
 
 /** The next change, if one is due; one at a time, each committed before the next. */
-export function planMembership (state: ConsensusState, introductions: readonly Introduction[], now: number): MembershipChange | undefined {
+export function planMembership (state: ConsensusState, introductions: readonly Introduction[], now: number, policy: MembershipPolicy = MANUAL_MEMBERSHIP): MembershipChange | undefined {
   if (state.role !== 'leader' || isChanging(state)) return undefined
   for (const introduced of introductions) {
-    const change = planIntroduction(state, introduced, now)
+    const change = planIntroduction(state, introduced, now, policy)
     if (change !== undefined) return change
   }
   for (const learner of state.members.filter(({ role }) => role === 'learner')) {
-    const change = planLearner(state, learner, now)
+    const change = planLearner(state, learner, now, policy)
     if (change !== undefined) return change
   }
   return undefined
--- a/packages/decisions/src/node/consensus/replication.ts
+++ b/packages/decisions/src/node/consensus/replication.ts
@@ -4,6 +4,9 @@
 import { becomeFollower, initialProgress } from './election.js'
 import type { AppendReply, CommandEntry, ConsensusState, InstallSnapshotReply, LogEntry, MembershipEntry, PeerProgress, Step } from './types.js'
 
+/** Rounds whose beginnings are kept; an older one proves nothing that lasts. */
+const MAXIMUM_ROUND_TIMES = 64
+
 type NewEntry = Omit<CommandEntry, 'index' | 'term'> | Omit<MembershipEntry, 'index' | 'term'>
 
 function setProgress (state: ConsensusState, identity: string, change: Partial<PeerProgress>): void {
@@ -35,6 +38,7 @@
 export function broadcast (step: Step): void {
   const { state } = step
   state.round += 1
+  state.roundTimes = [...state.roundTimes, { round: state.round, at: step.now }].slice(-MAXIMUM_ROUND_TIMES)
   state.heartbeatAt = step.now + state.limits.heartbeatMilliseconds
   for (const to of othersOf(state)) sendEntries(step, to)
   advanceCommit(step)
@@ -89,6 +93,16 @@
   return reachedByMajority(state, identity => identity === state.self ? state.round : state.progress.get(identity)?.round ?? 0)
 }
 
+/**
+ * When the latest round began that a majority has answered. No other member
+ * can lead until an election timeout after it.
+ */
+export function confirmedSince (state: ConsensusState): number {
+  if (state.role !== 'leader') return -Infinity
+  const confirmed = confirmedRound(state)
+  return state.roundTimes.findLast(({ round }) => round <= confirmed)?.at ?? -Infinity
+}
+
 function settleReads (step: Step): void {
   const { state } = step
   const confirmed = confirmedRound(state)
--- a/packages/decisions/src/node/consensus/types.ts
+++ b/packages/decisions/src/node/consensus/types.ts
@@ -177,6 +177,10 @@
   heartbeatAt: number
   /** Latest round of heartbeats that a leader sent. */
   round: number
+  /** When the latest rounds began; oldest first. */
+  roundTimes: ReadonlyArray<{ round: number, at: number }>
+  /** No vote is given before: a member that starts again does not know whom it heard. */
+  quietUntil: number
   /** First entry of the leader's own term. */
   termStartIndex: number
   proposals: ReadonlyArray<{ request: number, index: number }>
--- /dev/null
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -0,0 +1,369 @@
+/**
+ * How control keeps one primary for a group, as a reducer: it takes the primary
+ * out of use at every entry instance, waits until each has confirmed that or
+ * has lost its lease, and only then has another server promoted. Nothing is
+ * promoted while an entry instance may still use the old primary.
+ */
+
+import { comparePositions } from '../session/position.js'
+import type { LogPosition } from '../session/position.js'
+import type { KnownServer } from './directory.js'
+import type { PrimaryVerdict } from './evidence.js'
+import type { Designation } from './state.js'
+
+/** What a server answers when it is asked for its state. */
+export interface ServerStatus {
+  role: 'primary' | 'replica'
+  term: number
+  /** Newest record that it has received. */
+  received: LogPosition
+}
+
+/** Whether entry instances may send work to the primary. */
+export type PrimaryUse =
+  | 'open'
+  /** Running transactions end, no new one begins. */
+  | 'closing'
+  /** Nothing is sent, and no answer counts any more. */
+  | 'closed'
+
+/** What entry instances are told of a group. */
+export interface GroupBelief {
+  group: string
+  /** Number of the designation; 0: none yet. */
+  designation: number
+  /** The primary; undefined: none is known. */
+  member?: string
+  use: PrimaryUse
+  /** The primary's log term, once it is known. */
+  term: number
+}
+
+export type GroupPhase = 'unverified' | 'serving' | 'closing' | 'fenced' | 'choosing' | 'designating' | 'promoting' | 'awaiting'
+
+export interface GroupControl {
+  group: string
+  phase: GroupPhase
+  since: number
+  designation?: Designation
+  term: number
+  /** Birth of the primary when it was last found to lead. */
+  bornAt?: number
+  /** The server that is to be promoted. */
+  target?: string
+  /** Whether the primary is replaced while it still works. */
+  planned: boolean
+  statuses: ReadonlyMap<string, { status: ServerStatus, at: number }>
+  askedAt: number
+  orderedAt: number
+  /** Servers that could not be promoted, with when that is forgotten. */
+  passedOver: ReadonlyMap<string, number>
+  /** The primary before, which may not know yet that it was replaced. */
+  retired?: { member: string, until: number }
+  retiredAskedAt: number
+}
+
+export type GroupEvent =
+  | { kind: 'tick' }
+  | { kind: 'status', member: string, status: ServerStatus }
+  | { kind: 'designated', designation: Designation | undefined, accepted: boolean }
+  | { kind: 'promoted', member: string, outcome: PromotionOutcome }
+
+/** What became of the call that makes a server the primary. */
+export type PromotionOutcome = 'done' | 'refused' | 'unknown'
+
+export type GroupEffect =
+  | { kind: 'publish' }
+  | { kind: 'ask status', member: string }
+  | { kind: 'designate', member: string, after: number }
+  | { kind: 'promote', member: string }
+  | { kind: 'step down', member: string, term: number }
+
+/** What the process around a group knows, read at each step. */
+export interface GroupSurroundings {
+  now: number
+  servers: readonly KnownServer[]
+  verdict: PrimaryVerdict
+  /** Whether every entry instance has confirmed what was last published, or lost its lease. */
+  confirmed: boolean
+  /** Whether an entry instance still has work at a primary that is closing. */
+  busy: boolean
+  /** When leases that an earlier leader may have given are over. */
+  earlierLeasesOverAt: number
+  /** Replicas that hold a commit before it is acknowledged. */
+  synchronousReplicas: number
+}
+
+/** Pause between two questions for a server's state, in milliseconds: a third of the time that a promotion takes at best. */
+const ASK_MILLISECONDS = 150
+/** The same while only the last commits of a planned replacement are missing. */
+const CATCH_UP_MILLISECONDS = 25
+/** Time that servers have to answer before one is chosen among those that did, in milliseconds: two connection attempts. */
+const CHOOSE_MILLISECONDS = 300
+/** Time that running transactions have to end at a primary that is replaced, in milliseconds. */
+const CLOSING_MILLISECONDS = 700
+/** Time that a successor has to receive the last commits of a planned replacement, in milliseconds. */
+const HANDOVER_MILLISECONDS = 1_000
+/** Time after which the call for a promotion is made again, in milliseconds. */
+const PROMOTE_AGAIN_MILLISECONDS = 400
+/** Time that a promoted server has to lead before another is chosen, in milliseconds: several times a promotion's usual length. */
+const AWAIT_MILLISECONDS = 4_000
+/** How long a server that could not be promoted is passed over, in milliseconds. */
+const PASS_OVER_MILLISECONDS = 2_000
+/** How long a replaced primary is told to step down, in milliseconds. */
+const RETIRE_MILLISECONDS = 60_000
+/** Pause between two such orders, in milliseconds. */
+const RETIRE_AGAIN_MILLISECONDS = 500
+
+interface Step {
+  state: GroupControl
+  effects: GroupEffect[]
+  around: GroupSurroundings
+}
+
+export function openGroupControl (group: string, designation: Designation | undefined, now: number): GroupControl {
+  return { group, phase: 'unverified', since: now, designation, term: 0, planned: false, statuses: new Map(), askedAt: -Infinity, orderedAt: -Infinity, passedOver: new Map(), retiredAskedAt: -Infinity }
+}
+
+const USES: Record<GroupPhase, PrimaryUse> = {
+  unverified: 'closed', serving: 'open', closing: 'closing', fenced: 'closed', choosing: 'closed', designating: 'closed', promoting: 'closed', awaiting: 'closed'
+}
+
+export function beliefOf ({ group, designation, phase, term }: GroupControl): GroupBelief {
+  return { group, designation: designation?.number ?? 0, member: designation?.member, use: USES[phase], term }
+}
+
+function enter (step: Step, phase: GroupPhase, change: Partial<GroupControl> = {}): void {
+  const { state, around } = step
+  const before = beliefOf(state)
+  Object.assign(state, { phase, since: around.now, askedAt: -Infinity, orderedAt: -Infinity, ...change })
+  const after = beliefOf(state)
+  const told = before.use !== after.use || before.designation !== after.designation || before.term !== after.term
+  if (told) step.effects.push({ kind: 'publish' })
+}
+
+function primaryOf ({ state, around }: Step): KnownServer | undefined {
+  return around.servers.find(({ member }) => member === state.designation?.member)
+}
+
+/** Servers that could take over. */
+function candidatesOf ({ state, around }: Step): KnownServer[] {
+  return around.servers.filter(({ member, leaving }) => {
+    const passed = (state.passedOver.get(member) ?? -Infinity) > around.now
+    return member !== state.designation?.member && !leaving && !passed
+  })
+}
+
+function ask (step: Step, members: readonly string[], pause: number): void {
+  const { state, around } = step
+  if (around.now - state.askedAt < pause) return
+  state.askedAt = around.now
+  for (const member of members) step.effects.push({ kind: 'ask status', member })
+}
+
+/** A status that came after this phase began. */
+function freshStatus ({ state }: Step, member: string): ServerStatus | undefined {
+  const known = state.statuses.get(member)
+  return known !== undefined && known.at >= state.since ? known.status : undefined
+}
+
+function serve (step: Step, status: ServerStatus): void {
+  const primary = primaryOf(step)
+  enter(step, 'serving', { term: status.term, bornAt: primary?.bornAt, target: undefined, planned: false, passedOver: new Map() })
+}
+
+function tickUnverified (step: Step): void {
+  const { state, around } = step
+  if (state.designation === undefined) {
+    const first = around.servers.find(({ role }) => role === 'primary')
+    if (first === undefined || around.now - state.orderedAt < PROMOTE_AGAIN_MILLISECONDS) return
+    state.orderedAt = around.now
+    step.effects.push({ kind: 'designate', member: first.member, after: 0 })
+    return
+  }
+  const status = freshStatus(step, state.designation.member)
+  if (status?.role === 'primary') return serve(step, status)
+  if (status?.role === 'replica' || around.verdict === 'failed') return enter(step, 'fenced')
+  const primary = primaryOf(step)
+  // Nobody has announced the primary for as long as a server waits between announcements.
+  if (primary === undefined && around.now - state.since > AWAIT_MILLISECONDS && candidatesOf(step).length > 0) return enter(step, 'fenced')
+  ask(step, [state.designation.member], ASK_MILLISECONDS)
+}
+
+function tickServing (step: Step): void {
+  const { state, around } = step
+  const primary = primaryOf(step)
+  const reborn = primary !== undefined && primary.bornAt !== state.bornAt && primary.role === 'replica'
+  const others = candidatesOf(step).length > 0
+  if (around.verdict === 'failed' || reborn) return enter(step, 'fenced', { planned: false })
+  const gone = primary === undefined && around.verdict !== 'reachable'
+  if (gone && others) return enter(step, 'fenced', { planned: false })
+  if (primary?.leaving === true && others) return enter(step, 'closing', { planned: true })
+  retire(step)
+}
+
+/** Has the primary before step down, until it has. */
+function retire (step: Step): void {
+  const { state, around } = step
+  if (state.retired === undefined) return
+  const { member, until } = state.retired
+  const status = freshStatus(step, member)
+  const present = around.servers.some(server => server.member === member)
+  if (status?.role === 'replica' || around.now > until || !present) {
+    state.retired = undefined
+    return
+  }
+  if (around.now - state.retiredAskedAt < RETIRE_AGAIN_MILLISECONDS) return
+  state.retiredAskedAt = around.now
+  step.effects.push({ kind: 'step down', member, term: state.term })
+}
+
+function tickClosing (step: Step): void {
+  const { state, around } = step
+  if (around.verdict === 'failed') return enter(step, 'fenced', { planned: false })
+  const late = around.now - state.since > CLOSING_MILLISECONDS
+  if ((around.confirmed && !around.busy) || late) enter(step, 'fenced')
+}
+
+function tickFenced (step: Step): void {
+  const { state, around } = step
+  if (!around.confirmed || around.now < around.earlierLeasesOverAt) return
+  enter(step, 'choosing', { target: undefined })
+  ask(step, membersToAsk(step), state.planned ? CATCH_UP_MILLISECONDS : ASK_MILLISECONDS)
+}
+
+function membersToAsk (step: Step): string[] {
+  const old = step.state.designation?.member
+  const present = step.around.servers.some(({ member }) => member === old)
+  const candidates = candidatesOf(step).map(({ member }) => member)
+  return old !== undefined && present ? [...candidates, old] : candidates
+}
+
+/** Whether the primary has started again with its log, and nobody was promoted meanwhile. */
+function hasReturned (step: Step): ServerStatus | undefined {
+  const { state } = step
+  const primary = primaryOf(step)
+  if (primary === undefined || state.planned || primary.bornAt === state.bornAt || primary.leaving) return undefined
+  const status = freshStatus(step, primary.member)
+  return status?.role === 'primary' ? status : undefined
+}
+
+interface Choice {
+  member: string
+  status: ServerStatus
+}
+
+function bestChoice (step: Step, candidates: readonly KnownServer[]): Choice | undefined {
+  const answered = candidates.flatMap(({ member }): Choice[] => {
+    const status = freshStatus(step, member)
+    return status === undefined ? [] : [{ member, status }]
+  })
+  return answered.reduce<Choice | undefined>((best, choice) => best === undefined || comparePositions(choice.status.received, best.status.received) > 0 ? choice : best, undefined)
+}
+
+/** Whether enough replicas have answered that one of them holds every acknowledged commit. */
+function isCovered (step: Step, candidates: readonly KnownServer[]): boolean {
+  const { synchronousReplicas } = step.around
+  const answered = candidates.filter(({ member }) => freshStatus(step, member) !== undefined).length
+  if (answered === candidates.length) return true
+  if (synchronousReplicas > 0) return answered > candidates.length - synchronousReplicas
+  return step.around.now - step.state.since > CHOOSE_MILLISECONDS
+}
+
+function tickChoosing (step: Step): void {
+  const { state, around } = step
+  const returned = hasReturned(step)
+  if (returned !== undefined) return serve(step, returned)
+  const candidates = candidatesOf(step)
+  const best = bestChoice(step, candidates)
+  const old = state.designation === undefined ? undefined : freshStatus(step, state.designation.member)
+  const behind = best !== undefined && old !== undefined && comparePositions(best.status.received, old.received) < 0
+  const waits = state.planned && behind && around.now - state.since < HANDOVER_MILLISECONDS
+  if (best === undefined || waits || !isCovered(step, candidates)) {
+    return ask(step, membersToAsk(step), state.planned ? CATCH_UP_MILLISECONDS : ASK_MILLISECONDS)
+  }
+  enter(step, 'designating', { target: best.member })
+  state.orderedAt = around.now
+  step.effects.push({ kind: 'designate', member: best.member, after: state.designation?.number ?? 0 })
+}
+
+function tickDesignating (step: Step): void {
+  const { state, around } = step
+  // The log did not answer: what became of the order shows when it is made again.
+  if (around.now - state.orderedAt < AWAIT_MILLISECONDS || state.target === undefined) return
+  state.orderedAt = around.now
+  step.effects.push({ kind: 'designate', member: state.target, after: state.designation?.number ?? 0 })
+}
+
+function tickPromoting (step: Step): void {
+  const { state, around } = step
+  if (state.target === undefined || around.now - state.orderedAt < PROMOTE_AGAIN_MILLISECONDS) return
+  state.orderedAt = around.now
+  step.effects.push({ kind: 'promote', member: state.target })
+}
+
+function tickAwaiting (step: Step): void {
+  const { state, around } = step
+  if (state.target === undefined) return enter(step, 'fenced')
+  const status = freshStatus(step, state.target)
+  if (status?.role === 'primary') return serve(step, status)
+  if (around.now - state.since > AWAIT_MILLISECONDS) return passOver(step, state.target)
+  ask(step, [state.target], ASK_MILLISECONDS / 3)
+}
+
+/** The target can't take over: another is chosen. */
+function passOver (step: Step, member: string): void {
+  const { state, around } = step
+  enter(step, 'choosing', { target: undefined, planned: false, passedOver: new Map(state.passedOver).set(member, around.now + PASS_OVER_MILLISECONDS) })
+}
+
+const TICKS: Record<GroupPhase, (step: Step) => void> = {
+  unverified: tickUnverified,
+  serving: tickServing,
+  closing: tickClosing,
+  fenced: tickFenced,
+  choosing: tickChoosing,
+  designating: tickDesignating,
+  promoting: tickPromoting,
+  awaiting: tickAwaiting
+}
+
+function receiveDesignated (step: Step, { designation, accepted }: Extract<GroupEvent, { kind: 'designated' }>): void {
+  const { state, around } = step
+  if (designation === undefined) return
+  if (!accepted) return enter(step, 'unverified', { designation })
+  if (state.phase !== 'designating') return enter(step, 'unverified', { designation })
+  const before = state.designation?.member
+  const retired = before === undefined || before === designation.member ? state.retired : { member: before, until: around.now + RETIRE_MILLISECONDS }
+  enter(step, 'promoting', { designation, retired })
+  tickPromoting(step)
+}
+
+const OUTCOMES: Record<PromotionOutcome, (step: Step, member: string) => void> = {
+  done: step => { enter(step, 'awaiting') },
+  refused: passOver,
+  // The call is made again after a pause.
+  unknown: () => {}
+}
+
+type Receivers = { [Kind in GroupEvent['kind']]: (step: Step, event: Extract<GroupEvent, { kind: Kind }>) => void }
+
+const RECEIVERS: Receivers = {
+  tick: step => { TICKS[step.state.phase](step) },
+  status: (step, { member, status }) => {
+    step.state.statuses = new Map(step.state.statuses).set(member, { status, at: step.around.now })
+    TICKS[step.state.phase](step)
+  },
+  designated: receiveDesignated,
+  promoted: (step, { member, outcome }) => {
+    if (step.state.phase === 'promoting' && step.state.target === member) OUTCOMES[outcome](step, member)
+  }
+}
+
+/** One step: the next state, and what the process is to do. */
+export function stepGroupControl (before: GroupControl, event: GroupEvent, around: GroupSurroundings): { state: GroupControl, effects: GroupEffect[] } {
+  const step: Step = { state: { ...before }, effects: [], around }
+  const receive = RECEIVERS[event.kind] as (step: Step, event: GroupEvent) => void
+  receive(step, event)
+  return { state: step.state, effects: step.effects }
+}
--- /dev/null
+++ b/packages/decisions/src/node/fleet/state.ts
@@ -0,0 +1,66 @@
+/**
+ * The state that control instances agree on for a fleet that is declared by
+ * versioned documents: the newest document, and which server each group was
+ * last given as its primary.
+ */
+
+import type { DeclarationDocument } from '../declaration/declaration.js'
+
+/** Which server is the primary of a group, and the how manieth one. */
+export interface Designation {
+  group: string
+  member: string
+  /** Rises by one with each primary of the group. */
+  number: number
+}
+
+export type FleetCommand =
+  | { kind: 'declare', document: DeclarationDocument }
+  /** `after` is the number of the designation that it replaces; 0: the first. */
+  | { kind: 'designate', group: string, member: string, after: number }
+
+export type FleetOutcome =
+  | { kind: 'declared', version: number }
+  /** A higher or equal version is held; nothing changed. */
+  | { kind: 'overtaken', version: number }
+  | { kind: 'designated', designation: Designation }
+  /** Another designation came first. */
+  | { kind: 'conflict', designation: Designation | undefined }
+
+export interface FleetState {
+  document: DeclarationDocument | undefined
+  designations: ReadonlyMap<string, Designation>
+}
+
+export const INITIAL_FLEET_STATE: FleetState = { document: undefined, designations: new Map() }
+
+type Appliers = { [Kind in FleetCommand['kind']]: (state: FleetState, command: Extract<FleetCommand, { kind: Kind }>) => { state: FleetState, outcome: FleetOutcome } }
+
+const APPLIERS: Appliers = {
+  declare: (state, { document }) => {
+    const held = state.document?.version ?? -Infinity
+    if (document.version <= held) return { state, outcome: { kind: 'overtaken', version: held } }
+    return { state: { ...state, document }, outcome: { kind: 'declared', version: document.version } }
+  },
+  designate: (state, { group, member, after }) => {
+    const held = state.designations.get(group)
+    if ((held?.number ?? 0) !== after) return { state, outcome: { kind: 'conflict', designation: held } }
+    const designation = { group, member, number: after + 1 }
+    return { state: { ...state, designations: new Map(state.designations).set(group, designation) }, outcome: { kind: 'designated', designation } }
+  }
+}
+
+export function applyFleetCommand (state: FleetState, command: FleetCommand): { state: FleetState, outcome: FleetOutcome } {
+  const apply = APPLIERS[command.kind] as (state: FleetState, command: FleetCommand) => { state: FleetState, outcome: FleetOutcome }
+  return apply(state, command)
+}
+
+/** The state as the text of a snapshot. */
+export function encodeFleetState ({ document, designations }: FleetState): string {
+  return JSON.stringify({ document, designations: [...designations.values()] })
+}
+
+export function decodeFleetState (text: string): FleetState {
+  const { document, designations } = JSON.parse(text) as { document?: DeclarationDocument, designations: Designation[] }
+  return { document, designations: new Map(designations.map(designation => [designation.group, designation])) }
+}
--- /dev/null
+++ b/packages/decisions/src/node/placement/readNeed.ts
@@ -0,0 +1,42 @@
+/** Which position a server must hold to answer a read, by the policy of its route. */
+
+import { positionWithin } from '../session/positionHistory.js'
+import { comparePositions } from '../session/position.js'
+import type { LogPosition } from '../session/position.js'
+import type { PositionHistory } from '../session/positionHistory.js'
+import type { ReadPolicy } from '../declaration/declaration.js'
+
+/** Part of an age bound that is kept for the way to the server and its queue, in milliseconds. */
+const AGE_MARGIN_MILLISECONDS = 150
+
+export type ReadNeed =
+  /** Only the primary, under a lease, can show all that it must see. */
+  | { kind: 'primary' }
+  /** Any server that holds this position; the primary holds it always. */
+  | { kind: 'position', after: LogPosition }
+
+export interface ReadRequest {
+  policy: ReadPolicy
+  /** Oldest data that the read may see, in milliseconds. */
+  maximumStalenessMilliseconds?: number
+  /** Position of the session's last commit. */
+  sessionPosition?: LogPosition
+  history: PositionHistory
+  /** Log term of the present primary. */
+  term: number
+  now: number
+}
+
+/**
+ * What a server must hold for the read. A session's position of an earlier term
+ * may have been rolled back by a promotion, so nothing can be asked for by it:
+ * the primary answers, until the session has a position of this term.
+ */
+export function readNeed ({ policy, maximumStalenessMilliseconds, sessionPosition, history, term, now }: ReadRequest): ReadNeed {
+  if (policy === 'primary' || maximumStalenessMilliseconds === undefined) return { kind: 'primary' }
+  const aged = positionWithin(history, maximumStalenessMilliseconds - AGE_MARGIN_MILLISECONDS, now)
+  if (aged === undefined) return { kind: 'primary' }
+  if (policy === 'bounded staleness' || sessionPosition === undefined) return { kind: 'position', after: aged }
+  if (sessionPosition.term !== term) return { kind: 'primary' }
+  return { kind: 'position', after: comparePositions(sessionPosition, aged) > 0 ? sessionPosition : aged }
+}
--- /dev/null
+++ b/packages/decisions/src/node/placement/serverChoice.ts
@@ -0,0 +1,83 @@
+/**
+ * Which server a statement goes to: the one with the least expected wait.
+ *
+ * Load patterns: a slow server gets less work as its answers take longer, and
+ * is tried again as its average fades; a replica that lacks a position is left
+ * alone for the time it needs; servers of other failure domains are used when
+ * the near one is busier by more than the way costs.
+ */
+
+import { comparePositions } from '../session/position.js'
+import type { LogPosition } from '../session/position.js'
+
+export interface ServerLoad {
+  member: string
+  isPrimary: boolean
+  slots: number
+  /** Statements of this instance that wait for its answer. */
+  outstanding: number
+  /** Moving average of the time of a statement, in milliseconds. */
+  averageMilliseconds: number
+  /** Time of the last answer. */
+  answeredAt: number
+  /** It can't be reached, or refuses connections. */
+  failing: boolean
+  leaving: boolean
+  /** Not before this time, it can take another connection. */
+  pausedUntil: number
+  /** How a statement would get a connection. */
+  connection: ConnectionState
+  /** Position that it said it lacks, and when it may have it. */
+  lacks?: { position: LogPosition, until: number }
+}
+
+/** "match": an idle one of the account; "spare": room for another, or an idle one to replace; "none": all are in use. */
+export type ConnectionState = 'match' | 'spare' | 'none'
+
+/** Time that a new connection takes of a server's slot, in milliseconds: the deployments' own figure, rounded. */
+const CONNECT_COST_MILLISECONDS = 15
+/** Extra wait that the primary is charged for a read that a replica can answer, in milliseconds: writes have nowhere else to go. */
+const PRIMARY_COST_MILLISECONDS = 12
+/** Time after which an average says less and less, in milliseconds. */
+const FADE_MILLISECONDS = 2_000
+/** Average that is assumed of a server that was not heard, in milliseconds. */
+export const ASSUMED_MILLISECONDS = 20
+
+const CONNECTION_COSTS: Record<ConnectionState, number> = { match: 0, spare: CONNECT_COST_MILLISECONDS, none: Infinity }
+
+function fadedAverage ({ averageMilliseconds, answeredAt }: ServerLoad, now: number): number {
+  const idle = Math.max(0, now - answeredAt - FADE_MILLISECONDS)
+  const weight = FADE_MILLISECONDS / (FADE_MILLISECONDS + idle)
+  return averageMilliseconds * weight + ASSUMED_MILLISECONDS * (1 - weight)
+}
+
+/** Expected time until a statement is answered, in milliseconds; infinite: it can't be sent now. */
+export function expectedWait (server: ServerLoad, now: number, primaryCost: number): number {
+  if (server.failing || server.pausedUntil > now) return Infinity
+  const average = fadedAverage(server, now)
+  const queued = average * server.outstanding / Math.max(1, server.slots)
+  return average + queued + CONNECTION_COSTS[server.connection] + (server.isPrimary ? primaryCost : 0)
+}
+
+function lacksPosition ({ lacks, isPrimary }: ServerLoad, after: LogPosition, now: number): boolean {
+  return !isPrimary && lacks !== undefined && now < lacks.until && comparePositions(after, lacks.position) >= 0
+}
+
+/** The server for a read that needs a position; undefined: none can take it now. */
+export function chooseForRead (servers: readonly ServerLoad[], after: LogPosition, now: number): ServerLoad | undefined {
+  const able = servers.filter(server => !lacksPosition(server, after, now))
+  const staying = able.filter(({ leaving, isPrimary }) => !leaving || isPrimary)
+  return leastWait(staying, now)
+}
+
+function leastWait (servers: readonly ServerLoad[], now: number): ServerLoad | undefined {
+  let best: ServerLoad | undefined
+  let least = Infinity
+  for (const server of servers) {
+    const wait = expectedWait(server, now, PRIMARY_COST_MILLISECONDS)
+    if (wait >= least) continue
+    least = wait
+    best = server
+  }
+  return best
+}
--- /dev/null
+++ b/packages/decisions/src/node/placement/waitingLine.ts
@@ -0,0 +1,40 @@
+/**
+ * The line of requests that wait for a connection of one group.
+ *
+ * Load patterns: a burst, or a primary that is being replaced, makes requests
+ * wait. The most urgent priority goes first, among equals the one whose time
+ * ends first. One that can't be served in its time is refused at once, so that
+ * its caller can ask elsewhere while there is time left.
+ */
+
+export interface LineEntry {
+  priority: number
+  /** When its time is over. */
+  deadline: number
+  /** When it began to wait. */
+  since: number
+}
+
+/** Order in which entries are served: below zero, `left` comes first. */
+export function compareEntries (left: LineEntry, right: LineEntry): number {
+  return left.priority !== right.priority ? left.priority - right.priority : left.deadline - right.deadline
+}
+
+export interface LineLoad {
+  /** Entries that would be served before this one. */
+  ahead: number
+  /** Statements a second that the group lately finished for this instance. */
+  finishedPerSecond: number
+  /** Earliest time at which anything can be served. */
+  servedFrom: number
+}
+
+/** Requests that may wait while nothing is known of how fast they are served. */
+const MAXIMUM_AHEAD = 64
+
+/** Whether an entry that joins the line now can be expected to be served in its time. */
+export function canServeInTime ({ deadline }: LineEntry, { ahead, finishedPerSecond, servedFrom }: LineLoad, now: number): boolean {
+  if (servedFrom >= deadline) return false
+  if (finishedPerSecond <= 0) return ahead < MAXIMUM_AHEAD
+  return Math.max(now, servedFrom) + ahead / finishedPerSecond * 1000 < deadline
+}
--- a/packages/decisions/src/node/session/position.ts
+++ b/packages/decisions/src/node/session/position.ts
@@ -21,3 +21,8 @@
 export function laterPosition (left: LogPosition, right: LogPosition): LogPosition {
   return includesPosition(left, right) ? left : right
 }
+
+/** Orders places by term, then by position; below zero: `left` comes first. */
+export function comparePositions (left: LogPosition, right: LogPosition): number {
+  return left.term !== right.term ? left.term - right.term : left.position - right.position
+}
