--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 // neostandard carries the rules of Standard style, the formatting ones too:
 // `eslint --fix` is the formatter, `eslint` the linter.
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', 'packages/protocol/src/gen/**', 'coverage/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'target/**', 'packages/protocol/src/gen/**', 'coverage/**'] }),
   {
     rules: {
       '@typescript-eslint/consistent-type-imports': ['error', { prefer: 'type-imports', fixStyle: 'separate-type-imports' }],
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/attempt.ts
@@ -0,0 +1,54 @@
+/** One statement on one connection, within its time. */
+
+import { PreparationError, alignValues, statementText } from './preparation.js'
+import type { EngineServices } from './services.js'
+import type { Lent } from './groupPool.js'
+import type { Reply } from './serverConnection.js'
+import type { StatementContext } from './session.js'
+
+export type AttemptReply =
+  | Reply
+  /** The connection could not be prepared: the statement was not sent. */
+  | { kind: 'not sent', reason: string }
+  /** Its time is over; the connection was closed. */
+  | { kind: 'late' }
+
+/** Waits for a reply until the deadline, and closes the connection behind it. */
+export async function replyWithin (services: EngineServices, lent: Lent, deadline: number, reply: Promise<Reply>): Promise<Reply | { kind: 'late' }> {
+  const { clock } = services
+  const startedAt = clock.now()
+  let timer: NodeJS.Timeout | undefined
+  const late = new Promise<{ kind: 'late' }>(resolve => {
+    timer = setTimeout(() => { resolve({ kind: 'late' }) }, Math.max(0, deadline - startedAt))
+  })
+  const first = await Promise.race([reply, late])
+  clearTimeout(timer)
+  if (first.kind === 'late') {
+    lent.connection.close('a statement got no answer in its time')
+    lent.suspectIdle(startedAt)
+  } else {
+    lent.recordTime(clock.now() - startedAt)
+  }
+  return first
+}
+
+/**
+ * Runs a caller's statement on a connection that holds the session's values;
+ * `prefix` is what the text needs in front on this connection.
+ */
+export async function attempt (services: EngineServices, lent: Lent, { session, request, deadline }: StatementContext, prefix: (text: string) => string, mayReset: boolean): Promise<AttemptReply> {
+  const codec = services.codec()
+  const { connection } = lent
+  const shape = request.statement.kind === 'execute' ? session.prepared.get(request.statement.name) : undefined
+  let text: string
+  try {
+    await alignValues(connection, codec, session.values, mayReset)
+    text = await statementText(connection, codec, request, shape)
+  } catch (error) {
+    if (!(error instanceof PreparationError)) throw error
+    connection.close('it did not take a session\'s values')
+    return { kind: 'not sent', reason: error.message }
+  }
+  if (!connection.isOpen()) return { kind: 'not sent', reason: 'the connection is gone' }
+  return await replyWithin(services, lent, deadline, connection.run(request.id, prefix(text)))
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/callerListener.ts
@@ -0,0 +1,82 @@
+/** Takes callers' connections, and lets them go in order when the instance leaves. */
+
+import { createServer } from 'node:net'
+import { openCallerSession } from './callerSession.js'
+import { pause } from '../process/clock.js'
+import type { Server } from 'node:net'
+import type { Address } from '../process/address.js'
+import type { CallerSession } from './callerSession.js'
+import type { EngineServices } from './services.js'
+import type { CallerCodec } from './statement.js'
+
+/** Connections that the system may hold for the instance until it takes them. */
+const BACKLOG = 1_024
+/** Pause between two looks at sessions that are to end, in milliseconds. */
+const LEAVE_MILLISECONDS = 50
+
+export interface CallerListenerOptions {
+  listen: Address
+  createCodec: () => CallerCodec
+  services: EngineServices
+  /** Most callers at once. */
+  maximumConnections: number
+}
+
+/** When which part of leaving happens, in milliseconds from its start. */
+export interface LeavePlan {
+  /** New connections still come until then. */
+  closeIdleAfter: number
+  /** Open transactions have until then. */
+  endTransactionsAfter: number
+  /** All that is left is cut then. */
+  cutAfter: number
+}
+
+export interface CallerListener {
+  leave: (plan: LeavePlan) => Promise<{ cut: number }>
+  callers: () => number
+  close: () => void
+}
+
+export async function listenForSessions ({ listen, createCodec, services, maximumConnections }: CallerListenerOptions): Promise<CallerListener> {
+  const sessions = new Set<CallerSession>()
+  const server: Server = createServer({ noDelay: true }, socket => {
+    if (sessions.size >= maximumConnections) {
+      socket.destroy()
+      return
+    }
+    const session = openCallerSession({ socket, codec: createCodec(), services, onClose: () => { sessions.delete(session) } })
+    sessions.add(session)
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ host: listen.host, port: listen.port, backlog: BACKLOG }, resolve)
+  })
+
+  async function leave ({ closeIdleAfter, endTransactionsAfter, cutAfter }: LeavePlan): Promise<{ cut: number }> {
+    const { clock } = services
+    const startedAt = clock.now()
+    await pause(closeIdleAfter)
+    server.close()
+    for (const session of [...sessions]) session.closeIfIdle()
+    let ended = false
+    while (sessions.size > 0 && clock.now() - startedAt < cutAfter) {
+      await pause(LEAVE_MILLISECONDS)
+      if (ended || clock.now() - startedAt < endTransactionsAfter) continue
+      ended = true
+      for (const session of [...sessions]) session.endTransaction('the instance stops')
+    }
+    const cut = sessions.size
+    for (const session of [...sessions]) session.close()
+    return { cut }
+  }
+
+  return {
+    leave,
+    callers: () => sessions.size,
+    close: () => {
+      server.close()
+      for (const session of [...sessions]) session.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -0,0 +1,293 @@
+/** The servers of one group as requests see them: who may take a statement now, and the line of those that wait. */
+
+import { EMPTY_HISTORY, canServeInTime, chooseForRead, compareEntries, expectedWait, readNeed, recordPosition } from '@cyclamenusher/decisions'
+import { StatementFailure } from './errors.js'
+import { createServerPool } from './serverPool.js'
+import type { LogPosition, PositionHistory, ReadNeed, ReadRequest, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
+import type { Clock } from '../process/clock.js'
+import type { FleetLink } from '../process/fleet/fleetLink.js'
+import type { ScopedLogger } from '../process/logger.js'
+import type { ServerConnection } from './serverConnection.js'
+import type { ServerPool } from './serverPool.js'
+import type { ServerCodec } from './statement.js'
+
+/** Connections to a server that are left to control. */
+const CONTROL_CONNECTIONS = 2
+/** Connections beyond its even share that an instance may open while others leave room. */
+const SURPLUS_CONNECTIONS = 1
+/** Usual time from a primary's loss to its successor's first answer, in milliseconds: detection, fencing and the platform's promotion. */
+const REPLACEMENT_MILLISECONDS = 1_300
+/** Pause between two looks at the servers and the line, in milliseconds. */
+const TICK_MILLISECONDS = 50
+
+export interface LendRequest {
+  account: string
+  values: ReadonlyMap<string, string>
+  priority: number
+  deadline: number
+  need: ReadNeed
+  /** Members that this statement was tried at in vain. */
+  avoid: ReadonlySet<string>
+}
+
+export interface Lent {
+  connection: ServerConnection
+  isPrimary: boolean
+  /** Position to ask for; undefined: the primary answers under its lease. */
+  after?: LogPosition
+  /** Whether an answer of the primary counts; waits for a renewal of the lease until `deadline`. */
+  confirm: (deadline: number) => Promise<boolean>
+  recordPosition: (askedAt: number, position: LogPosition) => void
+  recordTime: (milliseconds: number) => void
+  recordLack: () => void
+  suspectIdle: (since: number) => void
+  release: (clean: boolean) => void
+}
+
+export interface GroupPool {
+  lend: (request: LendRequest) => Promise<Lent>
+  readNeed: (request: Pick<ReadRequest, 'policy' | 'maximumStalenessMilliseconds' | 'sessionPosition'>) => ReadNeed
+  /** What is known of each server lately used. */
+  sightings: () => Record<string, ServerSighting>
+  /** Whether a closing primary still has work from here. */
+  isBusy: () => boolean
+  /** Takes what changed in the fleet. */
+  refresh: () => void
+  waiting: () => number
+  connections: () => number
+  close: () => void
+}
+
+export interface GroupPoolOptions {
+  group: string
+  link: FleetLink
+  codec: () => ServerCodec
+  clock: Clock
+  logger: ScopedLogger
+}
+
+interface Waiter {
+  request: LendRequest
+  priority: number
+  deadline: number
+  since: number
+  resolve: (lent: Lent) => void
+  reject: (error: StatementFailure) => void
+}
+
+export function createGroupPool ({ group, link, codec, clock, logger }: GroupPoolOptions): GroupPool {
+  const pools = new Map<string, ServerPool>()
+  let line: Waiter[] = []
+  let history: PositionHistory = EMPTY_HISTORY
+  let designation = 0
+  let term = 0
+  let closedSince: number | undefined
+  let dispatching = false
+
+  function evenShare (): number {
+    const cap = link.declaration()?.group(group)?.connectionsPerServer ?? 1
+    return Math.max(1, Math.floor((cap - CONTROL_CONNECTIONS) / Math.max(1, link.entries())))
+  }
+
+  /** The primary, while it may be used. */
+  function usablePrimary (): string | undefined {
+    const belief = link.belief(group)
+    return belief?.use === 'open' && link.isLeased() ? belief.member : undefined
+  }
+
+  function refreshServers (): void {
+    const servers = link.servers(group)
+    for (const server of servers) {
+      const known = pools.get(server.member)
+      if (known !== undefined) {
+        known.update(server)
+        continue
+      }
+      pools.set(server.member, createServerPool({
+        server,
+        codec,
+        clock,
+        logger,
+        limit: () => evenShare() + SURPLUS_CONNECTIONS,
+        share: evenShare,
+        onChange: dispatch,
+        onFailing: reason => {
+          logger.warn('A backend server does not answer.', { group, member: server.member, reason, primary: server.member === link.belief(group)?.member })
+          link.poke()
+        }
+      }))
+    }
+    const present = new Set(servers.map(({ member }) => member))
+    for (const [member, pool] of pools) {
+      if (present.has(member)) continue
+      pool.close('the server is gone')
+      pools.delete(member)
+    }
+  }
+
+  function refreshPrimary (): void {
+    const belief = link.belief(group)
+    if (belief === undefined) return
+    if (belief.designation !== designation || belief.term !== term) {
+      // Positions of another primary's log prove nothing of this one's.
+      if (belief.designation !== designation) history = EMPTY_HISTORY
+      designation = belief.designation
+      term = belief.term
+    }
+    for (const [member, pool] of pools) {
+      const ended = belief.use === 'closed' || member !== belief.member
+      if (ended && pool.hasPrimaryWork()) pool.endPrimaryWork('the primary is being replaced')
+    }
+    if (belief.use === 'open') closedSince = undefined
+    else closedSince ??= clock.now()
+  }
+
+  /** Earliest time at which the primary can be expected to answer. */
+  function primaryFrom (now: number): number {
+    if (!link.isLeased()) return Infinity
+    if (usablePrimary() !== undefined) return now
+    return Math.max(now, (closedSince ?? now) + REPLACEMENT_MILLISECONDS)
+  }
+
+  function loadsFor (request: LendRequest, now: number): ServerLoad[] {
+    const primary = usablePrimary()
+    return [...pools].filter(([member]) => !request.avoid.has(member)).map(([, pool]) => pool.load(request.account, now, primary))
+  }
+
+  function choose (request: LendRequest, now: number): ServerLoad | undefined {
+    const loads = loadsFor(request, now)
+    if (request.need.kind === 'position') return chooseForRead(loads, request.need.after, now)
+    return loads.find(load => load.isPrimary && expectedWait(load, now, 0) < Infinity)
+  }
+
+  async function confirm (number: number, deadline: number): Promise<boolean> {
+    while (!link.isLeased()) {
+      if (clock.now() >= deadline) return false
+      await new Promise(resolve => setTimeout(resolve, TICK_MILLISECONDS))
+    }
+    const belief = link.belief(group)
+    return belief?.designation === number && belief.use !== 'closed'
+  }
+
+  function wrap (pool: ServerPool, connection: ServerConnection, request: LendRequest, isPrimary: boolean): Lent {
+    const number = designation
+    const after = request.need.kind === 'position' ? request.need.after : undefined
+    let released = false
+    if (after === undefined) pool.markPrimaryWork(connection)
+    return {
+      connection,
+      isPrimary,
+      after,
+      confirm: async deadline => await confirm(number, deadline),
+      recordPosition: (askedAt, position) => {
+        if (!isPrimary || number !== designation || !link.isLeased()) return
+        history = recordPosition(history, askedAt, position)
+      },
+      recordTime: pool.recordTime,
+      recordLack: () => { if (after !== undefined) pool.recordLack(after) },
+      suspectIdle: pool.suspectIdle,
+      release: clean => {
+        if (released) return
+        released = true
+        pool.release(connection, clean)
+      }
+    }
+  }
+
+  /** Statements a second that this instance's connections can carry, at the servers that a request may use. */
+  function servedPerSecond (request: LendRequest, now: number): number {
+    const loads = loadsFor(request, now).filter(load => !load.failing && (request.need.kind === 'position' || load.isPrimary))
+    return loads.reduce((sum, { averageMilliseconds }) => sum + (evenShare() + SURPLUS_CONNECTIONS) * 1000 / averageMilliseconds, 0)
+  }
+
+  async function openFor (waiter: Waiter, pool: ServerPool, isPrimary: boolean): Promise<void> {
+    try {
+      const connection = await pool.open(waiter.request.account)
+      waiter.resolve(wrap(pool, connection, waiter.request, isPrimary))
+    } catch {
+      // The pool has logged why; the request waits for another chance.
+      line.push(waiter)
+      dispatch()
+    }
+  }
+
+  /** Serves a waiter if any server can take it now. */
+  function serve (waiter: Waiter, now: number): boolean {
+    const chosen = choose(waiter.request, now)
+    const pool = chosen === undefined ? undefined : pools.get(chosen.member)
+    if (chosen === undefined || pool === undefined) return false
+    const idle = pool.takeIdle(waiter.request.account, waiter.request.values)
+    if (idle === undefined) void openFor(waiter, pool, chosen.isPrimary)
+    else waiter.resolve(wrap(pool, idle, waiter.request, chosen.isPrimary))
+    return true
+  }
+
+  /** Refuses those whose time is over, and those that can no longer be served in it. */
+  function refuseHopeless (now: number): void {
+    const hopeless = line.filter(({ deadline, request }) => deadline <= now || (request.need.kind === 'primary' && primaryFrom(now) >= deadline))
+    if (hopeless.length === 0) return
+    line = line.filter(waiter => !hopeless.includes(waiter))
+    for (const { reject, since } of hopeless) reject(refusal(now - since))
+  }
+
+  function refusal (waited: number): StatementFailure {
+    const belief = link.belief(group)
+    const reason = !link.isLeased() ? 'this instance has no word from control' : belief?.use === 'open' ? 'all connections are in use' : 'the primary is being replaced'
+    return new StatementFailure('busy', `${reason}; it waited ${Math.round(waited)} ms and did not run`)
+  }
+
+  function dispatch (): void {
+    if (dispatching) return
+    dispatching = true
+    const now = clock.now()
+    refuseHopeless(now)
+    line.sort(compareEntries)
+    const waiting = line
+    line = []
+    // Serving one may change what the next finds, so each is looked at anew.
+    line = [...line, ...waiting.filter(waiter => !serve(waiter, now))]
+    dispatching = false
+  }
+
+  const timer = setInterval(() => {
+    const now = clock.now()
+    for (const pool of pools.values()) pool.tick(now)
+    dispatch()
+  }, TICK_MILLISECONDS)
+
+  return {
+    lend: async request => {
+      const now = clock.now()
+      const entry = { priority: request.priority, deadline: request.deadline, since: now }
+      const ahead = line.filter(other => compareEntries(other, entry) <= 0).length
+      const servedFrom = request.need.kind === 'primary' ? primaryFrom(now) : now
+      if (!canServeInTime(entry, { ahead, servedPerSecond: servedPerSecond(request, now), servedFrom }, now)) throw refusal(0)
+      return await new Promise<Lent>((resolve, reject) => {
+        line.push({ request, ...entry, resolve, reject })
+        dispatch()
+      })
+    },
+    readNeed: request => readNeed({ ...request, history, term, now: clock.now() }),
+    sightings: () => {
+      const now = clock.now()
+      return Object.fromEntries([...pools].flatMap(([member, pool]) => {
+        const sighting = pool.sighting(now)
+        return sighting === undefined ? [] : [[member, sighting]]
+      }))
+    },
+    isBusy: () => link.belief(group)?.use === 'closing' && [...pools.values()].some(pool => pool.hasPrimaryWork()),
+    refresh: () => {
+      refreshServers()
+      refreshPrimary()
+      dispatch()
+    },
+    waiting: () => line.length,
+    connections: () => [...pools.values()].reduce((sum, pool) => sum + pool.connections(), 0),
+    close: () => {
+      clearInterval(timer)
+      for (const pool of pools.values()) pool.close('the instance stops')
+      for (const { reject, since } of line) reject(refusal(clock.now() - since))
+      line = []
+    }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/requestLog.ts
@@ -0,0 +1,58 @@
+/**
+ * One line for each decision that touches a request, bounded in volume: every
+ * failure up to a cap per second and kind, and one success in so many. What is
+ * left out is counted, and the count is logged.
+ */
+
+import type { LogFacts, ScopedLogger } from '../process/logger.js'
+import type { Clock } from '../process/clock.js'
+
+/** Lines of one kind in one second: enough to see a pattern, a hundredth of a core at most. */
+const LINES_PER_SECOND = 20
+/** Of successes, one in so many is logged. */
+const SUCCESS_SAMPLE = 50
+/** Time after which the counts of what was left out are logged, in milliseconds. */
+const WINDOW_MILLISECONDS = 1_000
+
+export interface RequestLog {
+  /** A statement was answered; `kind` names the outcome. */
+  answered: (kind: string, facts: LogFacts) => void
+  /** A decision on the way, such as a retry. */
+  decided: (kind: string, facts: LogFacts) => void
+  close: () => void
+}
+
+export function createRequestLog (logger: ScopedLogger, clock: Clock): RequestLog {
+  let windowStart = clock.now()
+  let lines = new Map<string, number>()
+  let leftOut = new Map<string, number>()
+  let successes = 0
+
+  function flush (): void {
+    if (leftOut.size > 0) logger.info('Lines were left out.', Object.fromEntries(leftOut))
+    lines = new Map()
+    leftOut = new Map()
+    windowStart = clock.now()
+  }
+
+  function write (kind: string, facts: LogFacts): void {
+    if (clock.now() - windowStart > WINDOW_MILLISECONDS) flush()
+    const count = (lines.get(kind) ?? 0) + 1
+    lines.set(kind, count)
+    if (count > LINES_PER_SECOND) {
+      leftOut.set(kind, (leftOut.get(kind) ?? 0) + 1)
+      return
+    }
+    logger.info(kind, facts)
+  }
+
+  return {
+    answered: (kind, facts) => {
+      if (kind !== 'complete') return write(kind, facts)
+      successes += 1
+      if (successes % SUCCESS_SAMPLE === 0) write(kind, { ...facts, sampled: SUCCESS_SAMPLE })
+    },
+    decided: write,
+    close: flush
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/serverConnection.ts
@@ -0,0 +1,180 @@
+/** One connection to a backend server, for one client account: it owns its socket, and runs one statement at a time. */
+
+import { connect } from 'node:net'
+import { OpenError } from './errors.js'
+import type { Socket } from 'node:net'
+import type { KnownServer, LogPosition } from '@cyclamenusher/decisions'
+import type { Clock } from '../process/clock.js'
+import type { FailureKind, ServerCodec, ServerMessage, SessionState } from './statement.js'
+
+/** Time that the packet which opens a connection has to be answered, in milliseconds: above any way between regions. */
+const CONNECT_MILLISECONDS = 250
+/** Time that a server has to accept a connection that is open, in milliseconds: it waits in the server's queue like a statement. */
+const START_MILLISECONDS = 1_000
+/** Idle time after which the system asks the far end whether it is there, in milliseconds. */
+const KEEPALIVE_MILLISECONDS = 1_000
+
+export type Reply =
+  | { kind: 'complete', rows: string[], digest: string, state: SessionState, position?: LogPosition, askedAt: number }
+  | { kind: 'failure', failure: FailureKind, explanation: string, state: SessionState, position?: LogPosition }
+  /** The connection is gone; nobody can tell whether the statement ran. */
+  | { kind: 'lost', reason: string }
+
+export interface ServerConnection {
+  readonly member: string
+  readonly account: string
+  /** Session values that the server holds. */
+  readonly values: Map<string, string>
+  /** Prepared statements that the server holds, by their name there. */
+  readonly prepared: Set<string>
+  run: (id: string, text: string) => Promise<Reply>
+  /** When the statement that runs was sent; undefined: none runs. */
+  runningSince: () => number | undefined
+  isOpen: () => boolean
+  lastUsedAt: () => number
+  close: (reason: string) => void
+}
+
+export interface ServerConnectionOptions {
+  server: KnownServer
+  account: string
+  codec: ServerCodec
+  clock: Clock
+  /** The server sent something. */
+  onBytes: () => void
+  onClose: (reason: string) => void
+}
+
+interface Running {
+  askedAt: number
+  rows: string[]
+  end?: { kind: 'complete', digest: string } | { kind: 'failure', failure: FailureKind, explanation: string }
+  resolve: (reply: Reply) => void
+}
+
+async function openSocket ({ host, port }: KnownServer): Promise<Socket> {
+  return await new Promise<Socket>((resolve, reject) => {
+    const socket = connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEPALIVE_MILLISECONDS })
+    const timer = setTimeout(() => { socket.destroy(new OpenError('no answer', 'the server did not answer in time')) }, CONNECT_MILLISECONDS)
+    socket.once('connect', () => {
+      clearTimeout(timer)
+      socket.removeAllListeners('error')
+      resolve(socket)
+    })
+    socket.once('error', error => {
+      clearTimeout(timer)
+      reject(error instanceof OpenError ? error : new OpenError('refused', error.message))
+    })
+  })
+}
+
+/** Whether the server's address answers at all. */
+export async function reaches (server: KnownServer): Promise<boolean> {
+  try {
+    const socket = await openSocket(server)
+    socket.destroy()
+    return true
+  } catch {
+    return false
+  }
+}
+
+/** Opens a connection. @throws OpenError */
+export async function openServerConnection (options: ServerConnectionOptions): Promise<ServerConnection> {
+  const { server, account, codec, clock } = options
+  const socket = await openSocket(server)
+  const values = new Map<string, string>()
+  const prepared = new Set<string>()
+  let running: Running | undefined
+  let opening: { resolve: () => void, reject: (error: OpenError) => void } | undefined
+  let lastUsedAt = clock.now()
+  let closedBecause: string | undefined
+
+  function close (reason: string): void {
+    if (closedBecause !== undefined) return
+    closedBecause = reason
+    socket.destroy()
+    running?.resolve({ kind: 'lost', reason })
+    running = undefined
+    opening?.reject(new OpenError('refused', reason))
+    opening = undefined
+    options.onClose(reason)
+  }
+
+  function finish (state: SessionState, position: LogPosition | undefined): void {
+    if (running?.end === undefined) return close('the server was ready without an answer')
+    const { rows, end, askedAt, resolve } = running
+    running = undefined
+    lastUsedAt = clock.now()
+    if (end.kind === 'complete') resolve({ kind: 'complete', rows, digest: end.digest, state, position, askedAt })
+    else resolve({ kind: 'failure', failure: end.failure, explanation: end.explanation, state, position })
+  }
+
+  function receiveOpening (message: ServerMessage): void {
+    if (message.kind === 'ready') {
+      opening?.resolve()
+      opening = undefined
+      return
+    }
+    if (message.kind === 'failure') opening?.reject(new OpenError(message.failure, message.explanation))
+    opening = undefined
+    close('the server refused the connection')
+  }
+
+  function receive (message: ServerMessage): void {
+    if (opening !== undefined) return receiveOpening(message)
+    if (running === undefined) return close(`the server sent ${message.kind} unasked`)
+    if (message.kind === 'row') running.rows.push(message.row)
+    else if (message.kind === 'complete' || message.kind === 'failure') running.end = message
+    else if (message.kind === 'ready') finish(message.state, message.position)
+    else close(message.reason)
+  }
+
+  socket.on('data', chunk => {
+    options.onBytes()
+    for (const message of codec.read(chunk)) {
+      if (closedBecause !== undefined) return
+      receive(message)
+    }
+  })
+  socket.on('error', error => { close(error.message) })
+  socket.on('close', () => { close('the server closed the connection') })
+
+  await new Promise<void>((resolve, reject) => {
+    const timer = setTimeout(() => {
+      opening = undefined
+      close('the server did not accept the connection in time')
+      reject(new OpenError('busy', 'the server did not accept the connection in time'))
+    }, START_MILLISECONDS)
+    opening = {
+      resolve: () => {
+        clearTimeout(timer)
+        resolve()
+      },
+      reject: error => {
+        clearTimeout(timer)
+        reject(error)
+      }
+    }
+    socket.write(codec.start(server.group, account, server.member), 'latin1')
+  })
+
+  return {
+    member: server.member,
+    account,
+    values,
+    prepared,
+    run: async (id, text) => {
+      if (closedBecause !== undefined) return { kind: 'lost', reason: closedBecause }
+      return await new Promise<Reply>(resolve => {
+        lastUsedAt = clock.now()
+        running = { askedAt: lastUsedAt, rows: [], resolve }
+        socket.write(codec.statement(id, text), 'latin1')
+      })
+    },
+    runningSince: () => running?.askedAt,
+    isOpen: () => closedBecause === undefined,
+    lastUsedAt: () => lastUsedAt,
+    close
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -0,0 +1,79 @@
+/** What sessions share in one process: the declaration in force, rates, groups, logs and counts. */
+
+import { createGroupPool } from './groupPool.js'
+import { createRateGate } from './rateGate.js'
+import type { FleetLink } from '../process/fleet/fleetLink.js'
+import type { Clock } from '../process/clock.js'
+import type { GroupPool } from './groupPool.js'
+import type { ServerCodec } from './statement.js'
+import type { RateGate } from './rateGate.js'
+import type { RequestLog } from './requestLog.js'
+import type { ScopedLogger } from '../process/logger.js'
+
+export interface EngineServices {
+  link: FleetLink
+  rates: RateGate
+  group: (name: string) => GroupPool
+  codec: () => ServerCodec
+  clock: Clock
+  log: RequestLog
+  /** Whether the instance is to stop: new operations are refused, idle sessions closed. */
+  isLeaving: () => boolean
+}
+
+export interface Engine extends EngineServices {
+  report: () => { demand: Record<string, number>, sightings: ReturnType<GroupPool['sightings']>, busy: string[] }
+  leave: () => void
+  close: () => void
+}
+
+export interface EngineOptions {
+  createLink: (report: Engine['report']) => FleetLink
+  codec: () => ServerCodec
+  clock: Clock
+  logger: ScopedLogger
+  log: RequestLog
+}
+
+export function createEngine ({ createLink, codec, clock, logger, log }: EngineOptions): Engine {
+  const groups = new Map<string, GroupPool>()
+  let leaving = false
+
+  function report (): ReturnType<Engine['report']> {
+    return {
+      demand: rates.demand(),
+      sightings: Object.assign({}, ...[...groups.values()].map(group => group.sightings())) as ReturnType<GroupPool['sightings']>,
+      busy: [...groups].filter(([, group]) => group.isBusy()).map(([name]) => name)
+    }
+  }
+
+  const link = createLink(() => report())
+  const rates = createRateGate(clock, link.part)
+
+  function group (name: string): GroupPool {
+    const known = groups.get(name)
+    if (known !== undefined) return known
+    const opened = createGroupPool({ group: name, link, codec, clock, logger })
+    groups.set(name, opened)
+    opened.refresh()
+    return opened
+  }
+
+  link.onChange(() => { for (const opened of groups.values()) opened.refresh() })
+  link.start()
+  return {
+    link,
+    rates,
+    group,
+    codec,
+    clock,
+    log,
+    isLeaving: () => leaving,
+    report,
+    leave: () => { leaving = true },
+    close: () => {
+      for (const opened of groups.values()) opened.close()
+      link.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/session.ts
@@ -0,0 +1,57 @@
+/** What a caller's session keeps between statements. */
+
+import type { ClientAccount, LogPosition, Route } from '@cyclamenusher/decisions'
+import type { Lent } from './groupPool.js'
+import type { PreparedShape, SessionState, StatementRequest } from './statement.js'
+
+/** Who an operation runs for, and by which route. */
+export interface Admitted {
+  route: Route
+  /** Name that servers are told. */
+  account: string
+}
+
+export interface Transaction extends Admitted {
+  readOnly: boolean
+  /** Its connection, from its first statement on. */
+  lent?: Lent
+  wrote: boolean
+  /** It was ended by the system while its caller was idle. */
+  ended?: string
+}
+
+export interface Session {
+  database: string
+  key: string
+  values: Map<string, string>
+  prepared: Map<string, PreparedShape>
+  state: SessionState
+  transaction?: Transaction
+  /** Position of the session's last commit. */
+  position?: LogPosition
+}
+
+/** What a caller is answered. */
+export interface Answer {
+  rows: readonly string[]
+  digest: string
+  position?: LogPosition
+}
+
+export interface StatementContext {
+  session: Session
+  request: StatementRequest
+  /** When the statement must be answered. */
+  deadline: number
+}
+
+/** Account that stands for callers of open routes without a known key. */
+export const OPEN_ACCOUNT = '-'
+
+export function openSession (database: string, key: string): Session {
+  return { database, key, values: new Map(), prepared: new Map(), state: 'idle' }
+}
+
+export function accountName (account: ClientAccount | undefined): string {
+  return account?.name ?? OPEN_ACCOUNT
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
@@ -0,0 +1,98 @@
+/** A control instance of a fleet: the replicated log, who leads, and the platform's calls. */
+
+import { listenForCalls } from '@cyclamenusher/protocol'
+import { createServerAdministration } from '../../engine/index.js'
+import { systemClock } from '../clock.js'
+import { openConsensusLog } from '../control/consensusLog.js'
+import { createLogger } from '../logger.js'
+import { createFleetControl } from './fleetControl.js'
+import { callHttp, listenForHttp } from './http.js'
+import type { Declaration, DeclarationDocument, PromotionOutcome } from '@cyclamenusher/decisions'
+import type { ServerCodec } from '../../engine/index.js'
+import type { RunningInstance } from '../instance.js'
+import type { FleetControlConfig } from './config.js'
+import type { FleetControl } from './fleetControl.js'
+import type { HttpCall, HttpHandler } from './http.js'
+import type { PromotionOrder, PromotionPort } from './ports.js'
+
+/** Applied entries after which the log is cut behind a snapshot: an entry may hold a whole document. */
+const COMPACT_ENTRIES = 32
+/** Pause between two looks at the disk's state, in milliseconds. */
+const DISK_MILLISECONDS = 500
+
+export interface FleetControlPorts {
+  createServerCodec: () => ServerCodec
+  createApi: (control: FleetControl) => HttpHandler
+  decodeDeclaration: (document: DeclarationDocument) => Declaration
+  buildPromotionCall: (order: PromotionOrder) => HttpCall
+  readPromotionStatus: (status: number) => PromotionOutcome
+}
+
+function createPromotionPort ({ promotion }: FleetControlConfig, { buildPromotionCall, readPromotionStatus }: FleetControlPorts): PromotionPort {
+  return {
+    promote: async (order, mayCall) => {
+      if (promotion === undefined) return 'unknown'
+      const status = await callHttp(promotion, buildPromotionCall(order), mayCall)
+      return status === undefined ? 'unknown' : readPromotionStatus(status)
+    }
+  }
+}
+
+export async function startFleetControl (config: FleetControlConfig, ports: FleetControlPorts, onFailure: () => void): Promise<RunningInstance> {
+  const logger = createLogger(config.log)
+  const log = logger.scope('process')
+  const clock = systemClock
+  const credentials = { secret: config.secret }
+  const administration = createServerAdministration(ports.createServerCodec, clock)
+  const control = createFleetControl({
+    name: config.name,
+    administration,
+    promotion: createPromotionPort(config, ports),
+    announceMilliseconds: config.announceMilliseconds,
+    decodeDeclaration: ports.decodeDeclaration,
+    credentials,
+    clock,
+    logger: logger.scope('fleet')
+  })
+  const consensus = openConsensusLog({
+    name: config.name,
+    failureDomain: config.failureDomain,
+    address: config.calls,
+    addresses: config.seeds,
+    mayFound: config.bootstrap,
+    membership: { automatic: true, voters: 2 * config.toleratedLosses + 1 },
+    compactEntries: COMPACT_ENTRIES,
+    dataFolder: config.dataFolder,
+    machine: control.machine,
+    credentials,
+    clock,
+    logger: logger.scope('control')
+  })
+  control.attach(consensus)
+  const calls = await listenForCalls(config.calls.host, config.calls.port, credentials, router => {
+    consensus.routes(router)
+    control.routes(router)
+  })
+  const api = await listenForHttp(config.api, ports.createApi(control), error => { log.warn('A call of the platform failed.', { reason: error.message }) })
+  log.info('The control instance runs.', { name: config.name, failureDomain: config.failureDomain, calls: `${config.calls.host}:${config.calls.port}`, api: `${config.api.host}:${config.api.port}`, bootstrap: config.bootstrap })
+  // What the disk holds is not known any more: only a new start can read it.
+  const timer = setInterval(() => { if (consensus.status().role === 'failed') onFailure() }, DISK_MILLISECONDS)
+
+  async function close (): Promise<void> {
+    clearInterval(timer)
+    control.close()
+    administration.close()
+    api.close()
+    await consensus.close()
+    await calls.close()
+    logger.close()
+  }
+
+  return {
+    stop: async () => {
+      log.info('The instance stops.')
+      await close()
+    },
+    abort: close
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -0,0 +1,223 @@
+/**
+ * The entry instance's side of its lease: it renews with the leader of control,
+ * keeps what it was told, and says whether that may still be acted on.
+ */
+
+import { randomUUID } from 'node:crypto'
+import { EventEmitter } from 'node:events'
+import { inflateSync } from 'node:zlib'
+import { fromEvent } from 'most'
+import { HOLD_MILLISECONDS, LEASE_MILLISECONDS, indexDeclaration, mergeServer, serversOf } from '@cyclamenusher/decisions'
+import { FleetService, createPeerLink } from '@cyclamenusher/protocol'
+import { pause } from '../clock.js'
+import { createSuspensionWatch } from '../suspension.js'
+import { decodeBody, encodeBody } from './bodies.js'
+import type { Stream } from 'most'
+import type { Declaration, DeclarationDocument, DeclarationIndex, GroupBelief, KnownServer, RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
+import type { PeerCredentials, PeerLink } from '@cyclamenusher/protocol'
+import type { Address } from '../address.js'
+import type { Clock } from '../clock.js'
+import type { ScopedLogger } from '../logger.js'
+
+/** Time that a renewal may take beyond its hold, in milliseconds: several ways between regions. */
+const ANSWER_MILLISECONDS = 400
+/** Pause after a control instance that gave no lease, in milliseconds. */
+const RETRY_MILLISECONDS = 40
+
+export interface FleetLinkOptions {
+  name: string
+  failureDomain: string
+  /** Control instances that the settings name, read at each turn. */
+  seeds: () => readonly Address[]
+  decodeDeclaration: (document: DeclarationDocument) => Declaration
+  /** What the instance reports with each renewal. */
+  report: () => Pick<RenewRequest, 'demand' | 'sightings' | 'busy'>
+  credentials: PeerCredentials
+  clock: Clock
+  logger: ScopedLogger
+}
+
+export interface FleetLink {
+  /** Begins to renew. */
+  start: () => void
+  declaration: () => DeclarationIndex | undefined
+  belief: (group: string) => GroupBelief | undefined
+  servers: (group: string) => KnownServer[]
+  /** Whether beliefs may be acted on at this moment. */
+  isLeased: () => boolean
+  /** When the lease ended or will end. */
+  leasedUntil: () => number
+  /** This instance's part of the rates, by account. */
+  part: (account: string) => number
+  entries: () => number
+  /** Reports now instead of with the next renewal. */
+  poke: () => void
+  /** Emits when anything that was told has changed. */
+  changes: Stream<string>
+  onChange: (listener: () => void) => void
+  close: () => void
+}
+
+export function createFleetLink (options: FleetLinkOptions): FleetLink {
+  const { name, failureDomain, seeds, credentials, clock, logger } = options
+  const incarnation = randomUUID()
+  const suspension = createSuspensionWatch(clock)
+  const emitter = new EventEmitter()
+  emitter.setMaxListeners(0)
+  const links = new Map<string, PeerLink<typeof FleetService>>()
+  let known: Address[] = []
+  let leader: Address | undefined
+  let turn = Math.floor(Math.random() * 1_000)
+  let knows = { term: 0, change: 0 }
+  /** The control instance that gave the lease last: it knows what this one knows. */
+  let grantedBy = ''
+  let beliefs = new Map<string, GroupBelief>()
+  const servers = new Map<string, KnownServer>()
+  let parts: Record<string, number> = {}
+  let index: DeclarationIndex | undefined
+  let entries = 1
+  /** When the request was sent that the lease counts from. */
+  let leasedFrom = -Infinity
+  let wasLeased = false
+  let current: AbortController | undefined
+  let poked = false
+  let closed = false
+
+  function leasedUntil (): number {
+    return leasedFrom <= suspension.lastAt() ? -Infinity : leasedFrom + LEASE_MILLISECONDS
+  }
+
+  function isLeased (): boolean {
+    return clock.now() < leasedUntil()
+  }
+
+  function linkTo ({ host, port }: Address): PeerLink<typeof FleetService> {
+    const key = `${host}:${port}`
+    const link = links.get(key) ?? createPeerLink(FleetService, host, port, credentials)
+    links.set(key, link)
+    return link
+  }
+
+  /** The leader, or else each control instance in turn. */
+  function nextTarget (): Address | undefined {
+    if (leader !== undefined) return leader
+    const all = [...new Map([...known, ...seeds()].map(address => [`${address.host}:${address.port}`, address])).values()]
+    turn += 1
+    return all[turn % Math.max(1, all.length)]
+  }
+
+  function buildRequest ({ host, port }: Address): RenewRequest {
+    return {
+      name,
+      incarnation,
+      failureDomain,
+      knows,
+      version: index?.version ?? -1,
+      ...options.report(),
+      holdMilliseconds: poked || !isLeased() ? 0 : HOLD_MILLISECONDS,
+      // Another leader learns what this instance knows and holds.
+      ...(grantedBy === `${host}:${port}` ? {} : { servers: [...servers.values()], parts })
+    }
+  }
+
+  function adoptDeclaration ({ version, deflated }: NonNullable<RenewGrant['declaration']>): void {
+    if (version <= (index?.version ?? -1)) return
+    const text = inflateSync(Buffer.from(deflated, 'base64')).toString('utf8')
+    index = indexDeclaration(options.decodeDeclaration({ version, text }))
+    logger.info('A declaration is in force here.', { version })
+  }
+
+  function adoptBeliefs (told: readonly GroupBelief[], whole: boolean): void {
+    const next = whole ? new Map<string, GroupBelief>() : new Map(beliefs)
+    for (const belief of told) {
+      const before = beliefs.get(belief.group)
+      next.set(belief.group, belief)
+      if (before?.use === belief.use && before.designation === belief.designation) continue
+      logger.info('The belief in a primary changed.', { group: belief.group, member: belief.member, designation: belief.designation, use: belief.use, term: belief.term })
+    }
+    beliefs = next
+  }
+
+  function adopt (grant: RenewGrant, sentAt: number): void {
+    if (grant.term < knows.term) return
+    const changed = grant.term !== knows.term || grant.change !== knows.change || grant.declaration !== undefined
+    if (grant.declaration !== undefined) adoptDeclaration(grant.declaration)
+    adoptBeliefs(grant.groups, grant.whole)
+    for (const server of grant.servers) mergeServer(servers, server)
+    if (grant.parts !== undefined) parts = grant.parts
+    knows = { term: grant.term, change: grant.change }
+    known = grant.control.length > 0 ? grant.control : known
+    entries = grant.entries
+    leasedFrom = Math.max(leasedFrom, sentAt)
+    if (changed || !wasLeased) emitter.emit('change', 'told')
+    if (!wasLeased) logger.info('The lease is held.', { term: grant.term, change: grant.change })
+    wasLeased = true
+  }
+
+  function noteLoss (): void {
+    if (!wasLeased || isLeased()) return
+    wasLeased = false
+    logger.warn('The lease is over.', { ago: Math.round(clock.now() - leasedFrom), leaseMilliseconds: LEASE_MILLISECONDS })
+    emitter.emit('change', 'lease')
+  }
+
+  async function renewOnce (target: Address): Promise<boolean> {
+    const link = linkTo(target)
+    const request = buildRequest(target)
+    poked = false
+    const sentAt = clock.now()
+    current = new AbortController()
+    try {
+      const { body } = await link.client.renew({ body: encodeBody(request) }, { timeoutMs: request.holdMilliseconds + ANSWER_MILLISECONDS, signal: current.signal })
+      const reply = decodeBody<RenewReply>(body)
+      if (reply.kind === 'granted') {
+        leader = target
+        grantedBy = `${target.host}:${target.port}`
+        adopt(reply, sentAt)
+        return true
+      }
+      leader = reply.leader === undefined || (reply.leader.host === target.host && reply.leader.port === target.port) ? undefined : reply.leader
+      return false
+    } catch (error) {
+      if (current.signal.aborted) return true
+      leader = undefined
+      link.reconnect()
+      logger.debug('A control instance did not renew the lease.', { address: `${target.host}:${target.port}`, reason: (error as Error).message })
+      return false
+    }
+  }
+
+  async function run (): Promise<void> {
+    while (!closed) {
+      const target = nextTarget()
+      const renewed = target !== undefined && await renewOnce(target)
+      noteLoss()
+      if (!renewed) await pause(RETRY_MILLISECONDS)
+    }
+  }
+
+  const timer = setInterval(noteLoss, RETRY_MILLISECONDS)
+  return {
+    start: () => { void run() },
+    declaration: () => index,
+    belief: group => beliefs.get(group),
+    servers: group => serversOf(servers, group),
+    isLeased,
+    leasedUntil,
+    part: account => parts[account] ?? 0,
+    entries: () => entries,
+    poke: () => {
+      if (poked) return
+      poked = true
+      current?.abort()
+    },
+    changes: fromEvent<string>('change', emitter),
+    onChange: listener => { emitter.on('change', listener) },
+    close: () => {
+      closed = true
+      clearInterval(timer)
+      current?.abort()
+      for (const link of links.values()) link.reconnect()
+    }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/fleet/groupTask.ts
@@ -0,0 +1,160 @@
+/** Carries out what the control of one group decides: questions to servers, designations, promotions. */
+
+import { beliefOf, judgePrimary, openGroupControl, stepGroupControl } from '@cyclamenusher/decisions'
+import type { Designation, FleetCommand, FleetOutcome, GroupBelief, GroupControl, GroupEffect, GroupEvent, GroupSurroundings, KnownServer, ServerSighting, ServerStatus } from '@cyclamenusher/decisions'
+import type { Clock } from '../clock.js'
+import type { ScopedLogger } from '../logger.js'
+import type { ProposeOutcome } from '../control/replicatedLog.js'
+import type { PromotionPort, ServerAdministration } from './ports.js'
+
+/** Time without an announcement after which a server counts as silent, in announcement intervals. */
+const SILENT_INTERVALS = 3
+
+/** Pause between two questions to a primary that is accused, in milliseconds: below the time that a failure must last to count. */
+const CHECK_MILLISECONDS = 150
+
+export interface GroupTaskOptions {
+  group: string
+  designation: Designation | undefined
+  holder: string
+  /** Fencing token of this leader. */
+  fence: number
+  administration: ServerAdministration
+  promotion: PromotionPort
+  propose: (command: FleetCommand) => Promise<ProposeOutcome<FleetOutcome>>
+  /** Whether this instance leads at this moment, and leases of an earlier leader are over. */
+  mayPromote: () => boolean
+  announceMilliseconds: number
+  surroundings: (group: string) => Omit<GroupSurroundings, 'verdict' | 'now'>
+  /** What entry instances see of a server. */
+  sightings: (member: string) => ServerSighting[]
+  announcedAt: (member: string) => number | undefined
+  publish: (belief: GroupBelief) => void
+  clock: Clock
+  logger: ScopedLogger
+}
+
+export interface GroupTask {
+  tick: () => void
+  /** Whether entry instances may use the primary, or it is known that they may not. */
+  settled: () => boolean
+  close: () => void
+}
+
+export function createGroupTask (options: GroupTaskOptions): GroupTask {
+  const { group, administration, promotion, propose, clock, logger } = options
+  const startedAt = clock.now()
+  let state: GroupControl = openGroupControl(group, options.designation, startedAt)
+  let closed = false
+  /** What control itself sees of servers. */
+  const answered = new Map<string, number>()
+  const failingSince = new Map<string, number>()
+  const asking = new Set<string>()
+
+  function ownSighting (member: string, now: number): ServerSighting {
+    const at = answered.get(member)
+    const since = failingSince.get(member)
+    return { ...(at === undefined ? {} : { answeredAgo: now - at }), ...(since === undefined ? {} : { failingFor: now - since }) }
+  }
+
+  /** Announcements that stay away speak against a server. */
+  function silence (member: string, now: number): ServerSighting[] {
+    const quiet = now - (options.announcedAt(member) ?? startedAt) - SILENT_INTERVALS * options.announceMilliseconds
+    return quiet > 0 ? [{ failingFor: quiet }] : []
+  }
+
+  function sightingsOf (member: string, now: number): ServerSighting[] {
+    return [...options.sightings(member), ownSighting(member, now), ...silence(member, now)]
+  }
+
+  function serverOf (member: string): KnownServer | undefined {
+    return options.surroundings(group).servers.find(server => server.member === member)
+  }
+
+  async function question (member: string, put: (server: KnownServer) => Promise<ServerStatus>): Promise<void> {
+    const server = serverOf(member)
+    if (server === undefined || asking.has(member)) return
+    asking.add(member)
+    const askedAt = clock.now()
+    try {
+      const status = await put(server)
+      answered.set(member, clock.now())
+      failingSince.delete(member)
+      step({ kind: 'status', member, status })
+    } catch (error) {
+      if (!failingSince.has(member)) failingSince.set(member, askedAt)
+      logger.debug('A backend server did not answer control.', { group, member, reason: (error as Error).message })
+    } finally {
+      asking.delete(member)
+    }
+  }
+
+  async function designate (member: string, after: number): Promise<void> {
+    const outcome = await propose({ kind: 'designate', group, member, after })
+    if (outcome.kind !== 'applied' || !('designation' in outcome.result)) {
+      logger.warn('A designation got no answer from the log.', { group, member, outcome: outcome.kind })
+      return
+    }
+    step({ kind: 'designated', designation: outcome.result.designation, accepted: outcome.result.kind === 'designated' })
+  }
+
+  async function promote (member: string): Promise<void> {
+    if (!options.mayPromote()) return
+    const outcome = await promotion.promote({ group, member, holder: options.holder, fence: options.fence }, options.mayPromote)
+    logger.info('A promotion was ordered.', { group, member, fence: options.fence, outcome })
+    step({ kind: 'promoted', member, outcome })
+  }
+
+  type Performers = { [Kind in GroupEffect['kind']]: (effect: Extract<GroupEffect, { kind: Kind }>) => void }
+  const PERFORMERS: Performers = {
+    publish: () => { options.publish(beliefOf(state)) },
+    'ask status': ({ member }) => { void question(member, administration.askStatus) },
+    designate: ({ member, after }) => { void designate(member, after) },
+    promote: ({ member }) => { void promote(member) },
+    'step down': ({ member, term }) => { void question(member, async server => await administration.stepDown(server, term)) }
+  }
+
+  function around (now: number): GroupSurroundings {
+    const primary = state.designation?.member
+    const sightings = primary === undefined ? [] : sightingsOf(primary, now)
+    return { ...options.surroundings(group), now, verdict: judgePrimary(sightings) }
+  }
+
+  function step (event: GroupEvent): void {
+    if (closed) return
+    const now = clock.now()
+    const { phase } = state
+    const surroundings = around(now)
+    const next = stepGroupControl(state, event, surroundings)
+    state = next.state
+    if (state.phase !== phase) {
+      logger.info('The control of a group moved on.', { group, from: phase, to: state.phase, primary: state.designation?.member, designation: state.designation?.number, target: state.target, verdict: surroundings.verdict, term: state.term })
+    }
+    for (const effect of next.effects) {
+      const perform = PERFORMERS[effect.kind] as (effect: GroupEffect) => void
+      perform(effect)
+    }
+  }
+
+  let checkedAt = -Infinity
+
+  /** An accusation by others is checked by a question of our own. */
+  function checkAccused (now: number): void {
+    const primary = state.designation?.member
+    if (primary === undefined || state.phase !== 'serving' || now - checkedAt < CHECK_MILLISECONDS) return
+    const accused = [...options.sightings(primary), ...silence(primary, now)].some(({ failingFor }) => failingFor !== undefined)
+    if (!accused && !failingSince.has(primary)) return
+    checkedAt = now
+    void question(primary, administration.askStatus)
+  }
+
+  options.publish(beliefOf(state))
+  return {
+    tick: () => {
+      checkAccused(clock.now())
+      step({ kind: 'tick' })
+    },
+    settled: () => state.phase !== 'unverified',
+    close: () => { closed = true }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/fleet/http.ts
@@ -0,0 +1,82 @@
+/** Plain HTTP towards the platform: small bodies, bounded in size and time. */
+
+import { createServer, request as sendRequest } from 'node:http'
+import { connect } from 'node:net'
+import type { Server } from 'node:http'
+import type { Address } from '../address.js'
+
+/** Largest body that is read, in bytes: several times the largest document that the platform allows. */
+const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
+/** Time that a call to the platform may take, in milliseconds. */
+const CALL_MILLISECONDS = 1_000
+const JSON_HEADERS = { 'content-type': 'application/json' }
+
+export interface HttpRequest {
+  method: string
+  path: string
+  body: string
+}
+
+export interface HttpAnswer {
+  status: number
+  body: string
+}
+
+export type HttpHandler = (request: HttpRequest) => Promise<HttpAnswer>
+
+export interface HttpCall extends HttpRequest {
+  headers: Record<string, string>
+}
+
+/** Serves `handler`; a body that is too large gets 413, an error 500. */
+export async function listenForHttp ({ host, port }: Address, handler: HttpHandler, onError: (error: Error) => void): Promise<Server> {
+  const server = createServer((request, response) => {
+    const chunks: Buffer[] = []
+    let size = 0
+    const answer = ({ status, body }: HttpAnswer): void => { response.writeHead(status, JSON_HEADERS).end(body) }
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size <= MAXIMUM_BODY_BYTES) chunks.push(chunk)
+    })
+    request.on('error', onError)
+    request.on('end', () => {
+      if (size > MAXIMUM_BODY_BYTES) return answer({ status: 413, body: '{}' })
+      const body = Buffer.concat(chunks).toString('utf8')
+      handler({ method: request.method ?? '', path: request.url ?? '', body }).then(answer, (error: Error) => {
+        onError(error)
+        answer({ status: 500, body: '{}' })
+      })
+    })
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(port, host, resolve)
+  })
+  return server
+}
+
+/**
+ * Sends one call and gives its status; undefined: it was not sent, or got no
+ * answer. `maySend` is asked once more when the connection stands.
+ */
+export async function callHttp ({ host, port }: Address, { method, path, headers, body }: HttpCall, maySend: () => boolean): Promise<number | undefined> {
+  return await new Promise<number | undefined>(resolve => {
+    const socket = connect({ host, port, noDelay: true })
+    const finish = (status: number | undefined): void => {
+      clearTimeout(timer)
+      socket.destroy()
+      resolve(status)
+    }
+    const timer = setTimeout(() => { finish(undefined) }, CALL_MILLISECONDS)
+    socket.once('error', () => { finish(undefined) })
+    socket.once('connect', () => {
+      if (!maySend()) return finish(undefined)
+      const call = sendRequest({ createConnection: () => socket, method, path, headers: { ...JSON_HEADERS, ...headers, host: `${host}:${port}`, 'content-length': Buffer.byteLength(body) } }, response => {
+        response.resume()
+        finish(response.statusCode)
+      })
+      call.once('error', () => { finish(undefined) })
+      call.end(body)
+    })
+  })
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/fleet/index.ts
@@ -0,0 +1,11 @@
+/** A fleet that is declared by versioned documents. */
+
+export * from './config.js'
+export * from './fleetControl.js'
+export * from './fleetControlRole.js'
+export * from './fleetEntry.js'
+export * from './http.js'
+export * from './ports.js'
+export * from './reloadingSettings.js'
+export type { RunningInstance } from '../instance.js'
+export type { PromotionOutcome } from '@cyclamenusher/decisions'
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -0,0 +1,174 @@
+/** One term of leading: it lives from the election to its end, and keeps what entry instances are told. */
+
+import { deflateSync } from 'node:zlib'
+import { LEASE_MILLISECONDS, serversOf } from '@cyclamenusher/decisions'
+import { createHeldRequests } from '../heldRequests.js'
+import { createEntryLeases } from './entryLeases.js'
+import { createGroupTask } from './groupTask.js'
+import { createLeaderDirectory } from './leaderDirectory.js'
+import type { AnnouncementVerdict, Declaration, FleetState, GroupSurroundings, RenewGrant, RenewRequest, ServerAnnouncement } from '@cyclamenusher/decisions'
+import type { Clock } from '../clock.js'
+import type { ScopedLogger } from '../logger.js'
+import type { GroupTask, GroupTaskOptions } from './groupTask.js'
+
+/** Pause between two looks at the groups, in milliseconds: small beside a promotion, and a fifth of a percent of a core. */
+const TICK_MILLISECONDS = 25
+/** Pause between two plans of the parts of rates, in milliseconds: demand is an average over about as long. */
+const PLAN_MILLISECONDS = 500
+/** Time that a new leader holds renewals while it asks primaries whether they lead, in milliseconds. */
+const SETTLE_MILLISECONDS = 400
+/** Time that a new leader waits for instances to tell which parts of rates they hold, in milliseconds: four renewals. */
+const REPORT_MILLISECONDS = 1_200
+/** Pause between two wholly new documents to one entry instance, in milliseconds: a storm of changes is told in steps. */
+const DOCUMENT_MILLISECONDS = 150
+
+export interface LeadershipOptions extends Pick<GroupTaskOptions, 'administration' | 'promotion' | 'propose' | 'announceMilliseconds' | 'holder'> {
+  term: number
+  state: () => FleetState
+  declaration: () => Declaration | undefined
+  isLeading: () => boolean
+  control: () => RenewGrant['control']
+  clock: Clock
+  logger: ScopedLogger
+}
+
+export interface Leadership {
+  renew: (request: RenewRequest) => Promise<RenewGrant | undefined>
+  announce: (announcement: ServerAnnouncement) => AnnouncementVerdict
+  signOff: (member: string, bornAt: number | undefined) => boolean
+  /** The state of the log has changed. */
+  refresh: () => void
+  close: () => void
+}
+
+export function startLeadership (options: LeadershipOptions): Leadership {
+  const { term, state, declaration, isLeading, clock, logger } = options
+  const startedAt = clock.now()
+  const held = createHeldRequests()
+  const directory = createLeaderDirectory(() => { held.release() })
+  const leases = createEntryLeases()
+  const groups = new Map<string, GroupTask>()
+  const documentsSentAt = new Map<string, number>()
+  let deflated: { version: number, deflated: string } | undefined
+  let plannedAt = -Infinity
+
+  function surroundings (group: string): Omit<GroupSurroundings, 'verdict' | 'now'> {
+    const now = clock.now()
+    const synchronousReplicas = declaration()?.groups.find(({ name }) => name === group)?.synchronousReplicas ?? 0
+    return {
+      servers: serversOf(directory.servers, group),
+      confirmed: leases.confirmed(directory.changeOf(group), now),
+      busy: leases.busy(group, now),
+      earlierLeasesOverAt: startedAt + LEASE_MILLISECONDS,
+      synchronousReplicas
+    }
+  }
+
+  function openGroups (): void {
+    for (const { name } of declaration()?.groups ?? []) {
+      if (groups.has(name)) continue
+      groups.set(name, createGroupTask({
+        ...options,
+        group: name,
+        designation: state().designations.get(name),
+        fence: term,
+        mayPromote: () => isLeading() && clock.now() - startedAt > LEASE_MILLISECONDS,
+        surroundings,
+        sightings: member => leases.sightings(member, clock.now()),
+        announcedAt: member => directory.announcedAt.get(member),
+        publish: directory.publish
+      }))
+    }
+  }
+
+  function plan (now: number): void {
+    if (now - plannedAt < PLAN_MILLISECONDS || now - startedAt < REPORT_MILLISECONDS) return
+    plannedAt = now
+    leases.plan(declaration()?.accounts.map(({ name }) => name) ?? [], directory.touch, now)
+  }
+
+  const timer = setInterval(() => {
+    const now = clock.now()
+    plan(now)
+    for (const group of groups.values()) group.tick()
+  }, TICK_MILLISECONDS)
+
+  function isSettled (): boolean {
+    return clock.now() - startedAt > SETTLE_MILLISECONDS || (groups.size > 0 && [...groups.values()].every(group => group.settled()))
+  }
+
+  function documentFor ({ name, version }: RenewRequest, now: number): RenewGrant['declaration'] {
+    const { document } = state()
+    if (document === undefined || document.version <= version) return undefined
+    if (now - (documentsSentAt.get(name) ?? -Infinity) < DOCUMENT_MILLISECONDS && version >= 0) return undefined
+    if (deflated?.version !== document.version) deflated = { version: document.version, deflated: deflateSync(document.text).toString('base64') }
+    return deflated
+  }
+
+  function knownBy (request: RenewRequest): number {
+    return request.knows.term === term ? request.knows.change : 0
+  }
+
+  function hasNews (request: RenewRequest): boolean {
+    return directory.change() > knownBy(request) || documentFor(request, clock.now()) !== undefined
+  }
+
+  function grant (request: RenewRequest, fresh: boolean): RenewGrant | undefined {
+    if (!isLeading()) return undefined
+    const now = clock.now()
+    const known = fresh ? 0 : knownBy(request)
+    const { parts, change } = leases.parts(request.name)
+    const document = documentFor(request, now)
+    if (document !== undefined) documentsSentAt.set(request.name, now)
+    leases.grant(request.name, now)
+    return {
+      kind: 'granted',
+      term,
+      change: directory.change(),
+      leaseMilliseconds: LEASE_MILLISECONDS,
+      whole: known === 0,
+      ...directory.since(known),
+      ...(change > known || known === 0 ? { parts } : {}),
+      ...(document === undefined ? {} : { declaration: document }),
+      entries: leases.count(now),
+      control: options.control()
+    }
+  }
+
+  openGroups()
+  return {
+    renew: async request => {
+      const fresh = leases.renew(request, knownBy(request), clock.now())
+      if (request.servers !== undefined) directory.merge(request.servers)
+      // An instance that is new waits for its parts of the rates.
+      if (fresh) plannedAt = -Infinity
+      if (fresh) logger.info('An entry instance renews its lease here.', { name: request.name, failureDomain: request.failureDomain, term })
+      const until = clock.now() + request.holdMilliseconds
+      while (!isSettled() && clock.now() - startedAt < SETTLE_MILLISECONDS) await held.hold(TICK_MILLISECONDS)
+      while (!hasNews(request) && clock.now() < until && isLeading()) await held.hold(until - clock.now())
+      return grant(request, fresh)
+    },
+    announce: announcement => {
+      const verdict = directory.announce(announcement, clock.now())
+      if (verdict === 'changed') {
+        const { member, group, role, leaving, host, port } = announcement
+        logger.info('A backend server announced a change.', { member, group, role, leaving, address: `${host}:${port}` })
+      }
+      return verdict
+    },
+    signOff: (member, bornAt) => {
+      const left = directory.signOff(member, bornAt)
+      if (left) logger.info('A backend server signed off.', { member })
+      return left
+    },
+    refresh: () => {
+      openGroups()
+      held.release()
+    },
+    close: () => {
+      clearInterval(timer)
+      for (const group of groups.values()) group.close()
+      held.release()
+    }
+  }
+}
--- a/packages/cyclamenusherd/src/node/process/logger.ts
+++ b/packages/cyclamenusherd/src/node/process/logger.ts
@@ -6,7 +6,7 @@
 import type { Config } from './config.js'
 
 /** A part of the process, as its log lines name it. */
-export type LogScope = 'process' | 'control' | 'rules' | 'directory' | 'monitor' | 'failover' | 'route' | 'pool' | 'caller' | 'rate'
+export type LogScope = 'process' | 'control' | 'rules' | 'directory' | 'monitor' | 'failover' | 'route' | 'pool' | 'caller' | 'rate' | 'fleet' | 'request' | 'platform'
 
 /** Facts of a line: they stand behind the sentence, or as fields of the JSON. */
 export type LogFacts = Record<string, string | number | boolean | undefined>
--- a/packages/decisions/src/node/fleet/evidence.ts
+++ b/packages/decisions/src/node/fleet/evidence.ts
@@ -1,11 +1,12 @@
 /**
- * Whether a primary has failed, from what entry instances see of it. A single
- * cut-off entry instance must not cause a promotion, nor a primary that only
- * control can't reach: the entry instances that can't reach it must outnumber
- * those that can.
+ * Whether a primary has failed, from what others see of it: the entry instances
+ * by their traffic, control by its own question and by announcements that stay
+ * away. One witness alone never decides, and those that can't reach it must
+ * outnumber those that can: so neither a cut-off entry instance nor a primary
+ * that only control can't reach causes a promotion.
  */
 
-/** What one entry instance sees of one server. */
+/** What one witness sees of one server. */
 export interface ServerSighting {
   /** Milliseconds since it last answered; undefined: never. */
   answeredAgo?: number
@@ -18,17 +19,17 @@
   failingMilliseconds: number
   /** An answer this recent speaks for the server, in milliseconds. */
   answeredMilliseconds: number
+  /** Witnesses needed at least. */
+  witnesses: number
 }
 
-export const DEFAULT_EVIDENCE_POLICY: EvidencePolicy = { failingMilliseconds: 250, answeredMilliseconds: 700 }
+export const DEFAULT_EVIDENCE_POLICY: EvidencePolicy = { failingMilliseconds: 200, answeredMilliseconds: 700, witnesses: 2 }
 
 export type PrimaryVerdict = 'reachable' | 'unknown' | 'failed'
 
-/** Judges the sightings of all entry instances that hold a lease. */
-export function judgePrimary (sightings: readonly ServerSighting[], entries: number, policy: EvidencePolicy = DEFAULT_EVIDENCE_POLICY): PrimaryVerdict {
+export function judgePrimary (sightings: readonly ServerSighting[], policy: EvidencePolicy = DEFAULT_EVIDENCE_POLICY): PrimaryVerdict {
   const failing = sightings.filter(({ failingFor }) => failingFor !== undefined && failingFor >= policy.failingMilliseconds).length
   const reaching = sightings.filter(({ answeredAgo, failingFor }) => failingFor === undefined && answeredAgo !== undefined && answeredAgo <= policy.answeredMilliseconds).length
-  if (failing === 0) return reaching > 0 ? 'reachable' : 'unknown'
-  if (entries > 1 && failing < 2) return 'unknown'
-  return failing > reaching ? 'failed' : 'reachable'
+  if (failing >= policy.witnesses && failing > reaching) return 'failed'
+  return reaching > 0 ? 'reachable' : 'unknown'
 }
--- /dev/null
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -0,0 +1,57 @@
+/** What entry instances and the leader of control tell each other. */
+
+import type { KnownServer } from './directory.js'
+import type { ServerSighting } from './evidence.js'
+import type { GroupBelief } from './groupControl.js'
+
+/** How long an entry instance may use what it was told, from when it asked, in milliseconds: bridges an election of control. */
+export const LEASE_MILLISECONDS = 2_000
+/** How long control holds a renewal that has no news, in milliseconds. */
+export const HOLD_MILLISECONDS = 300
+
+export interface ControlAddress {
+  host: string
+  port: number
+}
+
+export interface RenewRequest {
+  name: string
+  /** Differs each time that the process starts. */
+  incarnation: string
+  failureDomain: string
+  /** The newest change that the instance acts by, in the term of the leader that told it. */
+  knows: { term: number, change: number }
+  /** Version of the declaration that it holds; -1: none. */
+  version: number
+  /** Operations a second that lately asked, by client account. */
+  demand: Record<string, number>
+  /** What it sees of servers that it lately used or tried, by member. */
+  sightings: Record<string, ServerSighting>
+  /** Groups whose primary is closing and still has work from it. */
+  busy: string[]
+  holdMilliseconds: number
+  /** Only to a control instance that did not give the last lease: what the instance knows and holds. */
+  servers?: KnownServer[]
+  parts?: Record<string, number>
+}
+
+export interface RenewGrant {
+  kind: 'granted'
+  term: number
+  change: number
+  leaseMilliseconds: number
+  /** True: the lists are whole, and what they do not name is gone. */
+  whole: boolean
+  groups: GroupBelief[]
+  servers: KnownServer[]
+  /** The instance's parts of the accounts' rates; undefined: as before. */
+  parts?: Record<string, number>
+  /** A newer declaration, deflated, in base64. */
+  declaration?: { version: number, deflated: string }
+  /** Entry instances that hold a lease. */
+  entries: number
+  /** Control instances, to ask when this one is gone. */
+  control: ControlAddress[]
+}
+
+export type RenewReply = RenewGrant | { kind: 'not leader', leader?: ControlAddress }
--- a/packages/decisions/src/node/placement/waitingLine.ts
+++ b/packages/decisions/src/node/placement/waitingLine.ts
@@ -23,18 +23,18 @@
 export interface LineLoad {
   /** Entries that would be served before this one. */
   ahead: number
-  /** Statements a second that the group lately finished for this instance. */
-  finishedPerSecond: number
+  /** Statements a second that the connections can carry; 0: not known. */
+  servedPerSecond: number
   /** Earliest time at which anything can be served. */
   servedFrom: number
 }
 
-/** Requests that may wait while nothing is known of how fast they are served. */
+/** Requests that may wait while nobody can serve any: a second's worth at one instance. */
 const MAXIMUM_AHEAD = 64
 
 /** Whether an entry that joins the line now can be expected to be served in its time. */
-export function canServeInTime ({ deadline }: LineEntry, { ahead, finishedPerSecond, servedFrom }: LineLoad, now: number): boolean {
+export function canServeInTime ({ deadline }: LineEntry, { ahead, servedPerSecond, servedFrom }: LineLoad, now: number): boolean {
   if (servedFrom >= deadline) return false
-  if (finishedPerSecond <= 0) return ahead < MAXIMUM_AHEAD
-  return Math.max(now, servedFrom) + ahead / finishedPerSecond * 1000 < deadline
+  if (servedPerSecond <= 0) return ahead < MAXIMUM_AHEAD
+  return Math.max(now, servedFrom) + ahead / servedPerSecond * 1000 < deadline
 }
--- /dev/null
+++ b/scripts/build-platform.js
@@ -0,0 +1,14 @@
+// Bundles the program for the users' platform, with all that it needs, into target/.
+import { build } from 'esbuild'
+
+await build({
+  entryPoints: [{ in: 'platform/src/main.ts', out: 'platform' }],
+  outdir: 'target',
+  outExtension: { '.js': '.cjs' },
+  bundle: true,
+  platform: 'node',
+  format: 'cjs',
+  target: 'node20',
+  sourcemap: 'linked',
+  logLevel: 'warning'
+})
