--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -79,10 +79,10 @@
     }
   }
 
-  function begin (context: StatementContext, readOnly: boolean): Answer {
+  async function begin (context: StatementContext, readOnly: boolean): Promise<Answer> {
     const { session: own } = context
     if (own.transaction !== undefined) throw new StatementFailure('malformed', 'a transaction is open already')
-    own.transaction = { ...admitOperation(services, own), readOnly, wrote: false }
+    own.transaction = { ...await admitOperation(services, own), readOnly, wrote: false }
     own.state = 'in transaction'
     return OWN_ANSWER
   }
@@ -103,7 +103,7 @@
   async function runAccess (context: StatementContext, access: 'read' | 'write'): Promise<Answer> {
     const { session: own } = context
     if (own.transaction !== undefined) return await runInTransaction(services, context, own.transaction, access === 'write')
-    const admitted = admitOperation(services, own)
+    const admitted = await admitOperation(services, own)
     const run = access === 'read' ? runRead : runWrite
     return await run(services, context, admitted)
   }
@@ -114,7 +114,7 @@
 
   type Handlers = { [Kind in Statement['kind']]: (context: StatementContext, statement: Extract<Statement, { kind: Kind }>) => Answer | Promise<Answer> }
   const HANDLERS: Handlers = {
-    begin: (context, { readOnly }) => begin(context, readOnly),
+    begin: async (context, { readOnly }) => await begin(context, readOnly),
     commit: async context => await commitOpen(context),
     rollback,
     read: async context => await runAccess(context, 'read'),
--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -46,7 +46,7 @@
 
 export interface GroupPool {
   lend: (request: LendRequest) => Promise<Lent>
-  readNeed: (request: Pick<ReadRequest, 'policy' | 'maximumStalenessMilliseconds' | 'sessionPosition'>) => ReadNeed
+  readNeed: (request: Pick<ReadRequest, 'policy' | 'maximumStalenessMilliseconds' | 'session'>) => ReadNeed
   /** What is known of each server lately used. */
   sightings: () => Record<string, ServerSighting>
   /** Whether a closing primary still has work from here. */
@@ -156,7 +156,7 @@
 
   function choose (request: LendRequest, now: number): ServerLoad | undefined {
     const loads = loadsFor(request, now)
-    if (request.need.kind === 'position') return chooseForRead(loads, request.need.after, now)
+    if (request.need.kind === 'position') return chooseForRead(loads, request.need, now)
     return loads.find(load => load.isPrimary && expectedWait(load, now, 0) < Infinity)
   }
 
@@ -180,11 +180,13 @@
       after,
       confirm: async deadline => await confirm(number, deadline),
       recordPosition: (askedAt, position) => {
-        if (!isPrimary || number !== designation || !link.isLeased()) return
+        if (number !== designation) return
+        if (!isPrimary) return pool.recordPosition(history, position)
+        if (!link.isLeased()) return
         history = recordPosition(history, askedAt, position)
       },
       recordTime: pool.recordTime,
-      recordLack: () => { if (after !== undefined) pool.recordLack(after) },
+      recordLack: () => { if (request.need.kind === 'position') pool.recordLack(request.need) },
       suspectIdle: pool.suspectIdle,
       release: clean => {
         if (released) return
--- a/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
+++ b/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
@@ -24,9 +24,9 @@
 }
 
 /** Admits one operation. @throws StatementFailure */
-export function admitOperation (services: EngineServices, session: Session): Admitted {
+export async function admitOperation (services: EngineServices, session: Session): Promise<Admitted> {
   const { route, account } = resolveAccess(services, session)
-  if (account !== undefined && !services.rates.admit(account)) {
+  if (account !== undefined && !await services.rates.admit(account)) {
     throw new StatementFailure('too many', `client account ${account.name} is over its rate; the operation did not run`)
   }
   return { route, account: accountName(account) }
--- a/packages/cyclamenusherd/src/node/engine/rateGate.ts
+++ b/packages/cyclamenusherd/src/node/engine/rateGate.ts
@@ -1,17 +1,21 @@
-/** Takes a token of the client account's rate for each operation, from this instance's part. */
+/** Takes a token of the client account's rate for each operation: from this instance's part, or else from control's pool. */
 
-import { partLimits, take } from '@cyclamenusher/decisions'
-import type { Bucket, ClientAccount } from '@cyclamenusher/decisions'
+import { partLimits, refill, take } from '@cyclamenusher/decisions'
+import type { Bucket, BucketLimits, ClientAccount, RateTolerance } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 
 /** Time over which demand is averaged, in milliseconds: several renewals of the parts. */
 const DEMAND_MILLISECONDS = 2_000
 /** Demand below which an account is left out of the report, in operations a second. */
 const NO_DEMAND = 0.01
+/** Time for which control is not asked again after its pool was empty, in milliseconds: less than a caller's patience, more than a way to control. */
+const EMPTY_MILLISECONDS = 100
+/** Time whose demand is borrowed at once, in milliseconds: some ways to control. */
+const AHEAD_MILLISECONDS = 50
 
 export interface RateGate {
   /** Whether the operation may run. */
-  admit: (account: ClientAccount) => boolean
+  admit: (account: ClientAccount) => Promise<boolean>
   /** Operations a second that asked, by account. */
   demand: () => Record<string, number>
 }
@@ -20,23 +24,68 @@
   bucket: Bucket
   demand: number
   askedAt: number
+  /** Operations that wait for a loan. */
+  waiting: Array<(admitted: boolean) => void>
+  /** Control's pool was empty until lately. */
+  emptyUntil: number
 }
 
-export function createRateGate (clock: Clock, partOf: (account: string) => number): RateGate {
+export interface RateGateOptions {
+  clock: Clock
+  /** This instance's part of an account's limits, from 0 to 1. */
+  partOf: (account: string) => number
+  /** Borrows operations from control's pool; 0 when it has none or does not answer. */
+  borrow: (account: string, wanted: number) => Promise<number>
+  tolerance: RateTolerance
+}
+
+export function createRateGate ({ clock, partOf, borrow, tolerance }: RateGateOptions): RateGate {
+  const startedAt = clock.now()
   const accounts = new Map<string, AccountState>()
 
+  function stateOf (name: string, now: number): AccountState {
+    // Tokens count from the start of the process: a restart brings no new burst.
+    const known = accounts.get(name) ?? { bucket: { tokens: 0, refilledAt: startedAt }, demand: 0, askedAt: now, waiting: [], emptyUntil: -Infinity }
+    accounts.set(name, known)
+    return known
+  }
+
   function decayed ({ demand, askedAt }: AccountState, now: number): number {
     return demand * Math.exp((askedAt - now) / DEMAND_MILLISECONDS)
   }
 
+  function limitsOf ({ name, ratePerSecond, burst }: ClientAccount): BucketLimits {
+    return partLimits({ rate: ratePerSecond, burst }, partOf(name), tolerance)
+  }
+
+  async function borrowFor (account: ClientAccount, state: AccountState): Promise<void> {
+    const ahead = Math.ceil(state.demand * AHEAD_MILLISECONDS / 1000)
+    let tokens = await borrow(account.name, state.waiting.length + ahead)
+    if (tokens <= 0) state.emptyUntil = clock.now() + EMPTY_MILLISECONDS
+    const waiting = state.waiting.splice(0)
+    for (const admit of waiting) {
+      admit(tokens >= 1)
+      tokens -= tokens >= 1 ? 1 : 0
+    }
+    const now = clock.now()
+    const limits = limitsOf(account)
+    const full = refill(state.bucket, limits, now)
+    state.bucket = { ...full, tokens: Math.min(Math.max(limits.burst, full.tokens), full.tokens + tokens) }
+  }
+
   return {
-    admit: ({ name, ratePerSecond, burst }) => {
+    admit: async account => {
       const now = clock.now()
-      const limits = partLimits({ rate: ratePerSecond, burst }, partOf(name))
-      const known = accounts.get(name) ?? { bucket: { tokens: limits.burst, refilledAt: now }, demand: 0, askedAt: now }
-      const { bucket, taken } = take(known.bucket, limits, now)
-      accounts.set(name, { bucket, demand: decayed(known, now) + 1000 / DEMAND_MILLISECONDS, askedAt: now })
-      return taken
+      const state = stateOf(account.name, now)
+      Object.assign(state, { demand: decayed(state, now) + 1000 / DEMAND_MILLISECONDS, askedAt: now })
+      const { bucket, taken } = take(state.bucket, limitsOf(account), now)
+      state.bucket = bucket
+      if (taken) return true
+      if (now < state.emptyUntil) return false
+      return await new Promise<boolean>(resolve => {
+        state.waiting.push(resolve)
+        if (state.waiting.length === 1) void borrowFor(account, state)
+      })
     },
     demand: () => {
       const now = clock.now()
--- a/packages/cyclamenusherd/src/node/engine/reads.ts
+++ b/packages/cyclamenusherd/src/node/engine/reads.ts
@@ -3,6 +3,7 @@
 import { StatementFailure } from './errors.js'
 import { attempt } from './attempt.js'
 import { pause } from '../process/clock.js'
+import type { LogPosition } from '@cyclamenusher/decisions'
 import type { AttemptReply } from './attempt.js'
 import type { EngineServices } from './services.js'
 import type { GroupPool, Lent } from './groupPool.js'
@@ -20,10 +21,9 @@
 }
 
 /** Takes the position of an answer where the session's own belongs to an earlier term. */
-export function renewPosition (session: Session, lent: Lent, reply: { position?: { term: number, position: number } }): void {
-  const { position } = reply
-  if (!lent.isPrimary || position === undefined || session.position === undefined) return
-  if (session.position.term < position.term) session.position = position
+export function renewPosition (session: Session, lent: Lent, { position, askedAt }: { position?: LogPosition, askedAt: number }): void {
+  if (!lent.isPrimary || position === undefined || session.committed === undefined) return
+  if (session.committed.position.term < position.term) session.committed = { position, at: askedAt }
 }
 
 type Verdict = { kind: 'answer', answer: Answer } | { kind: 'again', reason: string }
@@ -66,7 +66,7 @@
   const group = services.group(route.group)
   const progress: ReadProgress = { avoid: new Set(), failedRuns: 0 }
   for (;;) {
-    const need = group.readNeed({ policy: route.readPolicy, maximumStalenessMilliseconds: route.maximumStalenessMilliseconds, sessionPosition: session.position })
+    const need = group.readNeed({ policy: route.readPolicy, maximumStalenessMilliseconds: route.maximumStalenessMilliseconds, session: session.committed })
     const lent = await group.lend({ account, values: session.values, priority: route.priority, deadline, need, avoid: progress.avoid })
     const { after } = lent
     const prefix = (text: string): string => after === undefined ? text : services.codec().after(after, text)
--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -1,9 +1,9 @@
 /** What one entry instance has to do with one backend server: its connections, how fast it answers, whether it answers at all. */
 
-import { ASSUMED_MILLISECONDS } from '@cyclamenusher/decisions'
+import { ASSUMED_MILLISECONDS, UNKNOWN_LAG, recordReplicaLack, recordReplicaPosition } from '@cyclamenusher/decisions'
 import { OpenError } from './errors.js'
 import { openServerConnection, reaches } from './serverConnection.js'
-import type { ConnectionState, KnownServer, LogPosition, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
+import type { ConnectionState, KnownServer, LogPosition, PositionHistory, PositionNeed, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 import type { ScopedLogger } from '../process/logger.js'
 import type { ServerConnection } from './serverConnection.js'
@@ -56,8 +56,10 @@
   markPrimaryWork: (connection: ServerConnection) => void
   release: (connection: ServerConnection, clean: boolean) => void
   recordTime: (milliseconds: number) => void
+  /** The server, as a replica, stands at a position. */
+  recordPosition: (history: PositionHistory, position: LogPosition) => void
   /** The server lacks a position. */
-  recordLack: (position: LogPosition) => void
+  recordLack: (need: PositionNeed) => void
   /** A statement got no answer on a connection: those that were idle meanwhile are suspect too. */
   suspectIdle: (since: number) => void
   hasPrimaryWork: () => boolean
@@ -88,6 +90,7 @@
   let triedAt = -Infinity
   let trying = false
   let closed = false
+  let lag = UNKNOWN_LAG
   let lacks: { position: LogPosition, until: number, pause: number } | undefined
 
   function total (): number {
@@ -129,17 +132,21 @@
     opening += 1
     const since = clock.now()
     try {
-      const connection: ServerConnection = await openServerConnection({
+      let opened: ServerConnection | undefined
+      const connection = await openServerConnection({
         server,
         account,
         codec: options.codec(),
         clock,
         onBytes: noteBytes,
         onClose: reason => {
+          // One that never stood is spoken of by the error of opening it.
+          if (opened === undefined) return
           noteFailure(clock.now(), reason)
-          forget(connection)
+          forget(opened)
         }
       })
+      opened = connection
       noteBytes()
       if (closed) connection.close('the server is no longer used')
       else pooled.push({ connection, lent: true, primaryWork: false })
@@ -203,7 +210,8 @@
       leaving: server.leaving,
       pausedUntil: -Infinity,
       connection: connectionState(account, now),
-      lacks
+      lacks,
+      lag
     }),
     takeIdle: (account, values) => {
       const idle = pooled.filter(entry => !entry.lent && entry.connection.account === account)
@@ -232,7 +240,9 @@
       average += (milliseconds - average) * AVERAGE_WEIGHT
       if (lacks !== undefined && lacks.until < clock.now()) lacks = undefined
     },
-    recordLack: position => {
+    recordPosition: (history, position) => { lag = recordReplicaPosition(lag, history, position, clock.now()) },
+    recordLack: ({ after: position, since }) => {
+      lag = recordReplicaLack(lag, since, clock.now())
       const again = lacks !== undefined && clock.now() < lacks.until + lacks.pause
       const pause = again && lacks !== undefined ? Math.min(LACK_MILLISECONDS_AT_MOST, lacks.pause * 2) : LACK_MILLISECONDS
       lacks = { position, until: clock.now() + pause, pause }
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -2,6 +2,7 @@
 
 import { createGroupPool } from './groupPool.js'
 import { createRateGate } from './rateGate.js'
+import type { RateTolerance } from '@cyclamenusher/decisions'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { Clock } from '../process/clock.js'
 import type { GroupPool } from './groupPool.js'
@@ -33,9 +34,10 @@
   clock: Clock
   logger: ScopedLogger
   log: RequestLog
+  tolerance: RateTolerance
 }
 
-export function createEngine ({ createLink, codec, clock, logger, log }: EngineOptions): Engine {
+export function createEngine ({ createLink, codec, clock, logger, log, tolerance }: EngineOptions): Engine {
   const groups = new Map<string, GroupPool>()
   let leaving = false
 
@@ -48,7 +50,7 @@
   }
 
   const link = createLink(() => report())
-  const rates = createRateGate(clock, link.part)
+  const rates = createRateGate({ clock, partOf: link.part, borrow: link.borrow, tolerance })
 
   function group (name: string): GroupPool {
     const known = groups.get(name)
--- a/packages/cyclamenusherd/src/node/engine/session.ts
+++ b/packages/cyclamenusherd/src/node/engine/session.ts
@@ -27,8 +27,8 @@
   prepared: Map<string, PreparedShape>
   state: SessionState
   transaction?: Transaction
-  /** Position of the session's last commit. */
-  position?: LogPosition
+  /** Position of the session's last commit, and when it was acknowledged. */
+  committed?: { position: LogPosition, at: number }
 }
 
 /** What a caller is answered. */
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -22,7 +22,7 @@
 
 function needOf (group: GroupPool, session: Session, { route, readOnly }: Transaction): ReadNeed {
   if (!readOnly) return { kind: 'primary' }
-  return group.readNeed({ policy: route.readPolicy, maximumStalenessMilliseconds: route.maximumStalenessMilliseconds, sessionPosition: session.position })
+  return group.readNeed({ policy: route.readPolicy, maximumStalenessMilliseconds: route.maximumStalenessMilliseconds, session: session.committed })
 }
 
 /** Begins the transaction at a server. @throws StatementFailure when none takes it in time */
@@ -123,8 +123,8 @@
     lent.release(reply.state === 'idle')
     if (!counts) throw new StatementFailure('in doubt', `primary ${connection.member} may have been replaced before it answered the commit`)
     if (reply.position !== undefined) {
-      if (transaction.wrote) session.position = reply.position
-      if (!transaction.readOnly || lent.isPrimary) lent.recordPosition(reply.askedAt, reply.position)
+      if (transaction.wrote) session.committed = { position: reply.position, at: services.clock.now() }
+      lent.recordPosition(reply.askedAt, reply.position)
       renewPosition(session, lent, reply)
     }
     return reply
--- a/packages/cyclamenusherd/src/node/engine/writes.ts
+++ b/packages/cyclamenusherd/src/node/engine/writes.ts
@@ -28,7 +28,7 @@
       lent.release(reply.state === 'idle')
       if (!counts) throw new StatementFailure('in doubt', `primary ${connection.member} may have been replaced before it answered`)
       if (reply.position !== undefined) {
-        session.position = reply.position
+        session.committed = { position: reply.position, at: services.clock.now() }
         lent.recordPosition(reply.askedAt, reply.position)
       }
       return reply
--- a/packages/cyclamenusherd/src/node/process/fleet/config.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/config.ts
@@ -1,5 +1,6 @@
 /** Settings of an instance in a fleet that is declared by versioned documents. */
 
+import type { RateTolerance } from '@cyclamenusher/decisions'
 import type { Address } from '../address.js'
 import type { Config } from '../config.js'
 
@@ -16,6 +17,8 @@
   metrics: Address
   /** Time from the signal to stop until the process is killed, in milliseconds. */
   graceMilliseconds: number
+  /** How far client accounts may exceed their rate. */
+  rateTolerance: RateTolerance
 }
 
 export interface FleetEntryConfig extends FleetInstanceConfig {
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -10,7 +10,7 @@
 import { decodeBody, encodeBody } from './bodies.js'
 import { startLeadership } from './leadership.js'
 import type { ConnectRouter } from '@connectrpc/connect'
-import type { Declaration, DeclarationDocument, FleetCommand, FleetOutcome, FleetState, LogMember, RenewReply, RenewRequest, ServerAnnouncement } from '@cyclamenusher/decisions'
+import type { Declaration, DeclarationDocument, FleetCommand, FleetOutcome, FleetState, LogMember, RateTolerance, RenewReply, RenewRequest, ServerAnnouncement } from '@cyclamenusher/decisions'
 import type { PeerCredentials, PeerLink } from '@cyclamenusher/protocol'
 import type { Clock } from '../clock.js'
 import type { ConsensusLog } from '../control/consensusLog.js'
@@ -53,6 +53,7 @@
   administration: ServerAdministration
   promotion: PromotionPort
   announceMilliseconds: number
+  rateTolerance: RateTolerance
   decodeDeclaration: (document: DeclarationDocument) => Declaration
   credentials: PeerCredentials
   clock: Clock
@@ -172,6 +173,7 @@
     routes: router => {
       router.service(FleetService, {
         renew: async ({ body }) => ({ body: encodeBody(await renew(decodeBody(body))) }),
+        borrow: ({ body }) => ({ body: encodeBody(leadership?.leads.lend(decodeBody(body)) ?? { granted: 0 }) }),
         declare: async ({ body }) => ({ body: encodeBody(log?.isLeader() === true ? await declareHere(decodeBody(body)) : 'unknown') }),
         current: async () => ({ body: encodeBody(await currentHere() ?? null) }),
         announce: ({ body }) => ({ body: encodeBody(notifyHere(decodeBody(body))) })
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
@@ -49,6 +49,7 @@
     administration,
     promotion: createPromotionPort(config, ports),
     announceMilliseconds: config.announceMilliseconds,
+    rateTolerance: config.rateTolerance,
     decodeDeclaration: ports.decodeDeclaration,
     credentials,
     clock,
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -32,6 +32,7 @@
     clock,
     logger: logger.scope('pool'),
     log: requestLog,
+    tolerance: config.rateTolerance,
     codec: ports.createServerCodec,
     createLink: report => createFleetLink({
       name: config.name,
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -13,7 +13,7 @@
 import { createSuspensionWatch } from '../suspension.js'
 import { decodeBody, encodeBody } from './bodies.js'
 import type { Stream } from 'most'
-import type { Declaration, DeclarationDocument, DeclarationIndex, GroupBelief, KnownServer, RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
+import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, GroupBelief, KnownServer, RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
 import type { PeerCredentials, PeerLink } from '@cyclamenusher/protocol'
 import type { Address } from '../address.js'
 import type { Clock } from '../clock.js'
@@ -21,6 +21,8 @@
 
 /** Time that a renewal may take beyond its hold, in milliseconds: several ways between regions. */
 const ANSWER_MILLISECONDS = 400
+/** Time that the leader has to lend, in milliseconds: less than a caller's patience. */
+const BORROW_MILLISECONDS = 100
 /** Pause after a control instance that gave no lease, in milliseconds. */
 const RETRY_MILLISECONDS = 40
 
@@ -49,6 +51,8 @@
   leasedUntil: () => number
   /** This instance's part of the rates, by account. */
   part: (account: string) => number
+  /** Borrows operations of an account from the leader's pool; 0: it has none, or does not answer. */
+  borrow: (account: string, wanted: number) => Promise<number>
   entries: () => number
   /** Reports now instead of with the next renewal. */
   poke: () => void
@@ -196,6 +200,18 @@
     }
   }
 
+  async function borrow (account: string, wanted: number): Promise<number> {
+    if (leader === undefined) return 0
+    const request: BorrowRequest = { account, wanted }
+    try {
+      const { body } = await linkTo(leader).client.borrow({ body: encodeBody(request) }, { timeoutMs: BORROW_MILLISECONDS })
+      return decodeBody<BorrowReply>(body).granted
+    } catch (error) {
+      logger.debug('Control lent nothing.', { account, reason: (error as Error).message })
+      return 0
+    }
+  }
+
   const timer = setInterval(noteLoss, RETRY_MILLISECONDS)
   return {
     start: () => { void run() },
@@ -205,6 +221,7 @@
     isLeased,
     leasedUntil,
     part: account => parts[account] ?? 0,
+    borrow,
     entries: () => entries,
     poke: () => {
       if (poked) return
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -6,7 +6,8 @@
 import { createEntryLeases } from './entryLeases.js'
 import { createGroupTask } from './groupTask.js'
 import { createLeaderDirectory } from './leaderDirectory.js'
-import type { AnnouncementVerdict, Declaration, FleetState, GroupSurroundings, RenewGrant, RenewRequest, ServerAnnouncement } from '@cyclamenusher/decisions'
+import { createRatePool } from './ratePool.js'
+import type { AnnouncementVerdict, BorrowReply, BorrowRequest, Declaration, FleetState, GroupSurroundings, RateTolerance, RenewGrant, RenewRequest, ServerAnnouncement } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
 import type { ScopedLogger } from '../logger.js'
 import type { GroupTask, GroupTaskOptions } from './groupTask.js'
@@ -28,11 +29,14 @@
   declaration: () => Declaration | undefined
   isLeading: () => boolean
   control: () => RenewGrant['control']
+  rateTolerance: RateTolerance
   clock: Clock
   logger: ScopedLogger
 }
 
 export interface Leadership {
+  /** Operations of an account from the pool. */
+  lend: (request: BorrowRequest) => BorrowReply
   renew: (request: RenewRequest) => Promise<RenewGrant | undefined>
   announce: (announcement: ServerAnnouncement) => AnnouncementVerdict
   signOff: (member: string, bornAt: number | undefined) => boolean
@@ -48,6 +52,7 @@
   const directory = createLeaderDirectory(() => { held.release() })
   const leases = createEntryLeases()
   const groups = new Map<string, GroupTask>()
+  const pool = createRatePool(declaration, options.rateTolerance, clock)
   const documentsSentAt = new Map<string, number>()
   let deflated: { version: number, deflated: string } | undefined
   let plannedAt = -Infinity
@@ -137,6 +142,7 @@
 
   openGroups()
   return {
+    lend: ({ account, wanted }) => ({ granted: isLeading() ? pool.lend(account, wanted) : 0 }),
     renew: async request => {
       const fresh = leases.renew(request, knownBy(request), clock.now())
       if (request.servers !== undefined) directory.merge(request.servers)
--- /dev/null
+++ b/packages/decisions/src/node/fleet/__tests__/evidence.test.ts
@@ -0,0 +1,33 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { judgePrimary } from '../evidence.js'
+
+const FAILING = { failingFor: 300 }
+const ANSWERED = { answeredAgo: 20 }
+
+test('one witness alone decides nothing', () => {
+  assert.is(judgePrimary([FAILING]), 'unknown')
+  assert.is(judgePrimary([FAILING, ANSWERED]), 'reachable')
+})
+
+test('two that fail outnumber none that reach', () => {
+  assert.is(judgePrimary([FAILING, FAILING]), 'failed')
+})
+
+test('control alone can not reach it', () => {
+  assert.is(judgePrimary([FAILING, FAILING, ANSWERED, ANSWERED, ANSWERED]), 'reachable')
+})
+
+test('most entry instances can not reach it', () => {
+  assert.is(judgePrimary([FAILING, FAILING, FAILING, ANSWERED, ANSWERED]), 'failed')
+})
+
+test('a short failure does not count', () => {
+  assert.is(judgePrimary([{ failingFor: 50 }, { failingFor: 50 }, { failingFor: 50 }]), 'unknown')
+})
+
+test('an old answer says nothing', () => {
+  assert.is(judgePrimary([FAILING, FAILING, { answeredAgo: 5_000 }]), 'failed')
+})
+
+test.run()
--- a/packages/decisions/src/node/fleet/messages.ts
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -55,3 +55,13 @@
 }
 
 export type RenewReply = RenewGrant | { kind: 'not leader', leader?: ControlAddress }
+
+/** An entry instance whose own part is spent asks for operations of an account. */
+export interface BorrowRequest {
+  account: string
+  wanted: number
+}
+
+export interface BorrowReply {
+  granted: number
+}
--- a/packages/decisions/src/node/fleet/rateShares.ts
+++ b/packages/decisions/src/node/fleet/rateShares.ts
@@ -54,7 +54,42 @@
   return granted
 }
 
-/** The bucket that a part of an account's limits makes. */
-export function partLimits ({ rate, burst }: BucketLimits, part: number): BucketLimits {
-  return { rate: rate * part, burst: burst * part }
+/** How far the operators let an account's operations exceed its rate and burst. */
+export interface RateTolerance {
+  /** Span over which operations are counted, in seconds. */
+  windowSeconds: number
+  /** Part of what the limits allow in that span. */
+  overage: number
+  /** Operations beside that. */
+  operations: number
+}
+
+export const NO_TOLERANCE: RateTolerance = { windowSeconds: 1, overage: 0, operations: 0 }
+
+/** Part of an account's limits that entry instances hold; the rest is a pool that control lends from at once. */
+const HELD_PART = 0.65
+/** Part of the tolerance that is used; the rest covers tokens that were spent on the way to a server. */
+const TOLERANCE_PART = 0.7
+
+function widened ({ rate, burst }: BucketLimits, { windowSeconds, overage, operations }: RateTolerance): BucketLimits {
+  return { rate, burst: burst + TOLERANCE_PART * (overage * (rate * windowSeconds + burst) + operations) }
+}
+
+function scaled ({ rate, burst }: BucketLimits, factor: number): BucketLimits {
+  return { rate: rate * factor, burst: burst * factor }
+}
+
+/** The bucket of an entry instance that holds a part of an account's limits. */
+export function partLimits (limits: BucketLimits, part: number, tolerance: RateTolerance): BucketLimits {
+  return scaled(widened(limits, tolerance), HELD_PART * part)
+}
+
+/**
+ * The bucket that control lends from to instances whose own is empty.
+ *
+ * Load pattern: a small account's operations come in bunches at one instance,
+ * whose part alone would refuse what the account's rate allows.
+ */
+export function poolLimits (limits: BucketLimits, tolerance: RateTolerance): BucketLimits {
+  return scaled(widened(limits, tolerance), 1 - HELD_PART)
 }
--- a/packages/decisions/src/node/placement/readNeed.ts
+++ b/packages/decisions/src/node/placement/readNeed.ts
@@ -12,15 +12,15 @@
 export type ReadNeed =
   /** Only the primary, under a lease, can show all that it must see. */
   | { kind: 'primary' }
-  /** Any server that holds this position; the primary holds it always. */
-  | { kind: 'position', after: LogPosition }
+  /** Any server that holds this position, which the primary reached at `since`; the primary holds it always. */
+  | { kind: 'position', after: LogPosition, since: number }
 
 export interface ReadRequest {
   policy: ReadPolicy
   /** Oldest data that the read may see, in milliseconds. */
   maximumStalenessMilliseconds?: number
-  /** Position of the session's last commit. */
-  sessionPosition?: LogPosition
+  /** Position of the session's last commit, and when it was acknowledged. */
+  session?: { position: LogPosition, at: number }
   history: PositionHistory
   /** Log term of the present primary. */
   term: number
@@ -32,11 +32,12 @@
  * may have been rolled back by a promotion, so nothing can be asked for by it:
  * the primary answers, until the session has a position of this term.
  */
-export function readNeed ({ policy, maximumStalenessMilliseconds, sessionPosition, history, term, now }: ReadRequest): ReadNeed {
+export function readNeed ({ policy, maximumStalenessMilliseconds, session, history, term, now }: ReadRequest): ReadNeed {
   if (policy === 'primary' || maximumStalenessMilliseconds === undefined) return { kind: 'primary' }
   const aged = positionWithin(history, maximumStalenessMilliseconds - AGE_MARGIN_MILLISECONDS, now)
   if (aged === undefined) return { kind: 'primary' }
-  if (policy === 'bounded staleness' || sessionPosition === undefined) return { kind: 'position', after: aged }
-  if (sessionPosition.term !== term) return { kind: 'primary' }
-  return { kind: 'position', after: comparePositions(sessionPosition, aged) > 0 ? sessionPosition : aged }
+  const bounded: ReadNeed = { kind: 'position', after: aged.position, since: aged.askedAt }
+  if (policy === 'bounded staleness' || session === undefined) return bounded
+  if (session.position.term !== term) return { kind: 'primary' }
+  return comparePositions(session.position, aged.position) > 0 ? { kind: 'position', after: session.position, since: session.at } : bounded
 }
--- a/packages/decisions/src/node/placement/serverChoice.ts
+++ b/packages/decisions/src/node/placement/serverChoice.ts
@@ -8,7 +8,10 @@
  */
 
 import { comparePositions } from '../session/position.js'
+import { expectsPosition } from './replicaLag.js'
 import type { LogPosition } from '../session/position.js'
+import type { ReadNeed } from './readNeed.js'
+import type { ReplicaLag } from './replicaLag.js'
 
 export interface ServerLoad {
   member: string
@@ -29,6 +32,7 @@
   connection: ConnectionState
   /** Position that it said it lacks, and when it may have it. */
   lacks?: { position: LogPosition, until: number }
+  lag: ReplicaLag
 }
 
 /** "match": an idle one of the account; "spare": room for another, or an idle one to replace; "none": all are in use. */
@@ -59,15 +63,24 @@
   return average + queued + CONNECTION_COSTS[server.connection] + (server.isPrimary ? primaryCost : 0)
 }
 
-function lacksPosition ({ lacks, isPrimary }: ServerLoad, after: LogPosition, now: number): boolean {
-  return !isPrimary && lacks !== undefined && now < lacks.until && comparePositions(after, lacks.position) >= 0
+function lacksPosition ({ lacks, isPrimary, lag }: ServerLoad, { after, since }: PositionNeed, now: number): boolean {
+  if (isPrimary) return false
+  if (lacks !== undefined && now < lacks.until && comparePositions(after, lacks.position) >= 0) return true
+  return !expectsPosition(lag, after, since, now)
 }
 
-/** The server for a read that needs a position; undefined: none can take it now. */
-export function chooseForRead (servers: readonly ServerLoad[], after: LogPosition, now: number): ServerLoad | undefined {
-  const able = servers.filter(server => !lacksPosition(server, after, now))
-  const staying = able.filter(({ leaving, isPrimary }) => !leaving || isPrimary)
-  return leastWait(staying, now)
+export type PositionNeed = Extract<ReadNeed, { kind: 'position' }>
+
+/**
+ * The server for a read that needs a position; undefined: none can take it now.
+ * Where the primary can't be used, a replica that may lack the position is
+ * asked all the same.
+ */
+export function chooseForRead (servers: readonly ServerLoad[], need: PositionNeed, now: number): ServerLoad | undefined {
+  const staying = servers.filter(({ leaving, isPrimary }) => !leaving || isPrimary)
+  const sure = leastWait(staying.filter(server => !lacksPosition(server, need, now)), now)
+  if (sure !== undefined || staying.some(({ isPrimary }) => isPrimary)) return sure
+  return leastWait(staying.filter(({ lacks }) => lacks === undefined || now >= lacks.until), now)
 }
 
 function leastWait (servers: readonly ServerLoad[], now: number): ServerLoad | undefined {
--- a/packages/decisions/src/node/session/positionHistory.ts
+++ b/packages/decisions/src/node/session/positionHistory.ts
@@ -8,7 +8,8 @@
 import { comparePositions } from './position.js'
 import type { LogPosition } from './position.js'
 
-interface Sample {
+/** A position of the primary's log, and when the question was sent that it answered. */
+export interface PositionSample {
   /** When the question was sent. */
   askedAt: number
   position: LogPosition
@@ -16,7 +17,7 @@
 
 export interface PositionHistory {
   /** Oldest first. */
-  samples: readonly Sample[]
+  samples: readonly PositionSample[]
 }
 
 export const EMPTY_HISTORY: PositionHistory = { samples: [] }
@@ -35,11 +36,6 @@
 }
 
 /** The position that holds all that was acknowledged `age` ago; undefined: not known. */
-export function positionWithin (history: PositionHistory, age: number, now: number): LogPosition | undefined {
-  return history.samples.find(({ askedAt }) => askedAt >= now - age)?.position
-}
-
-/** The newest position known. */
-export function newestPosition (history: PositionHistory): LogPosition | undefined {
-  return history.samples.at(-1)?.position
+export function positionWithin (history: PositionHistory, age: number, now: number): PositionSample | undefined {
+  return history.samples.find(({ askedAt }) => askedAt >= now - age)
 }
--- a/scripts/test.js
+++ b/scripts/test.js
@@ -62,7 +62,7 @@
 }
 
 const wanted = process.argv.slice(2)
-const files = ['packages', 'playground'].flatMap(findTests).filter(file => wanted.length === 0 || wanted.some(part => file.includes(part)))
+const files = ['packages', 'platform', 'playground'].flatMap(findTests).filter(file => wanted.length === 0 || wanted.some(part => file.includes(part)))
 const knownRed = readKnownRed()
 let passed = 0
 let failed = 0
