--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -17,8 +17,8 @@
 const SURPLUS_CONNECTIONS = 1
 /** Usual time from a primary's loss to its successor's first answer, in milliseconds: detection, fencing and the platform's promotion. */
 const REPLACEMENT_MILLISECONDS = 1_300
-/** Pause between two looks at the servers and the line, in milliseconds. */
-const TICK_MILLISECONDS = 50
+/** Pause between two looks at a lease that is to be renewed, in milliseconds. */
+const LEASE_PAUSE_MILLISECONDS = 20
 
 export interface LendRequest {
   account: string
@@ -51,6 +51,8 @@
   sightings: () => Record<string, ServerSighting>
   /** Whether a closing primary still has work from here. */
   isBusy: () => boolean
+  /** Looks at the servers and the line; to be called every few tens of milliseconds. */
+  tick: () => void
   /** Takes what changed in the fleet. */
   refresh: () => void
   waiting: () => number
@@ -163,7 +165,7 @@
   async function confirm (number: number, deadline: number): Promise<boolean> {
     while (!link.isLeased()) {
       if (clock.now() >= deadline) return false
-      await new Promise(resolve => setTimeout(resolve, TICK_MILLISECONDS))
+      await new Promise(resolve => setTimeout(resolve, LEASE_PAUSE_MILLISECONDS))
     }
     const belief = link.belief(group)
     return belief?.designation === number && belief.use !== 'closed'
@@ -251,12 +253,6 @@
     dispatching = false
   }
 
-  const timer = setInterval(() => {
-    const now = clock.now()
-    for (const pool of pools.values()) pool.tick(now)
-    dispatch()
-  }, TICK_MILLISECONDS)
-
   return {
     lend: async request => {
       const now = clock.now()
@@ -278,6 +274,11 @@
       }))
     },
     isBusy: () => link.belief(group)?.use === 'closing' && [...pools.values()].some(pool => pool.hasPrimaryWork()),
+    tick: () => {
+      const now = clock.now()
+      for (const pool of pools.values()) pool.tick(now)
+      if (line.length > 0) dispatch()
+    },
     refresh: () => {
       refreshServers()
       refreshPrimary()
@@ -286,7 +287,6 @@
     waiting: () => line.length,
     connections: () => [...pools.values()].reduce((sum, pool) => sum + pool.connections(), 0),
     close: () => {
-      clearInterval(timer)
       for (const pool of pools.values()) pool.close('the instance stops')
       for (const { reject, since } of line) reject(refusal(clock.now() - since))
       line = []
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -11,6 +11,9 @@
 import type { RequestLog } from './requestLog.js'
 import type { ScopedLogger } from '../process/logger.js'
 
+/** Pause between two looks at servers and lines, in milliseconds: a twentieth of a second of waiting at most, twenty wake-ups a second. */
+const TICK_MILLISECONDS = 50
+
 export interface EngineServices {
   link: FleetLink
   rates: RateGate
@@ -63,6 +66,7 @@
 
   link.onChange(() => { for (const opened of groups.values()) opened.refresh() })
   link.start()
+  const timer = setInterval(() => { for (const opened of groups.values()) opened.tick() }, TICK_MILLISECONDS)
   return {
     link,
     rates,
@@ -74,6 +78,7 @@
     report,
     leave: () => { leaving = true },
     close: () => {
+      clearInterval(timer)
       for (const opened of groups.values()) opened.close()
       link.close()
     }
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -22,7 +22,7 @@
 /** Time that the leader has to answer another control instance, in milliseconds: below the second that callers wait. */
 const FORWARD_MILLISECONDS = 800
 /** Pause between two looks at who leads, in milliseconds. */
-const WATCH_MILLISECONDS = 25
+const WATCH_MILLISECONDS = 50
 
 /** What became of a declaration. */
 export type DeclareOutcome =
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -23,6 +23,8 @@
 const ANSWER_MILLISECONDS = 400
 /** Time that the leader has to lend, in milliseconds: less than a caller's patience. */
 const BORROW_MILLISECONDS = 100
+/** Pause between two looks at whether the lease still holds, in milliseconds. */
+const LOSS_MILLISECONDS = 100
 /** Pause after a control instance that gave no lease, in milliseconds. */
 const RETRY_MILLISECONDS = 40
 
@@ -212,7 +214,7 @@
     }
   }
 
-  const timer = setInterval(noteLoss, RETRY_MILLISECONDS)
+  const timer = setInterval(noteLoss, LOSS_MILLISECONDS)
   return {
     start: () => { void run() },
     declaration: () => index,
