fix(pool): a connection that the instance closes itself is no evidence against its server

Cause: each eviction of an idle connection marked its server as failing, took it out of use until its address was tried, and told control.

Also: control remembers servers in its log, so a leader after a loss of power asks the primaries at once; elections after 450 to 900 ms; reads stay off the primary while replicas are less than 60 ms busier; an entry instance whose renewals are overdue is not ready.

--- a/packages/cyclamenusherd/src/node/engine/serverConnection.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverConnection.ts
@@ -42,7 +42,8 @@
   clock: Clock
   /** The server sent something. */
   onBytes: () => void
-  onClose: (reason: string) => void
+  /** `lost`: the far end or the network ended it, and not this instance. */
+  onClose: (reason: string, lost: boolean) => void
 }
 
 interface Running {
@@ -91,6 +92,10 @@
   let closedBecause: string | undefined
 
   function close (reason: string): void {
+    end(reason, false)
+  }
+
+  function end (reason: string, lost: boolean): void {
     if (closedBecause !== undefined) return
     closedBecause = reason
     socket.destroy()
@@ -98,7 +103,7 @@
     running = undefined
     opening?.reject(new OpenError('refused', reason))
     opening = undefined
-    options.onClose(reason)
+    options.onClose(reason, lost)
   }
 
   function finish (state: SessionState, position: LogPosition | undefined): void {
@@ -137,8 +142,8 @@
       receive(message)
     }
   })
-  socket.on('error', error => { close(error.message) })
-  socket.on('close', () => { close('the server closed the connection') })
+  socket.on('error', error => { end(error.message, true) })
+  socket.on('close', () => { end('the server closed the connection', true) })
 
   await new Promise<void>((resolve, reject) => {
     const timer = setTimeout(() => {
--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -132,21 +132,21 @@
     opening += 1
     const since = clock.now()
     try {
-      let opened: ServerConnection | undefined
+      const opened: { connection?: ServerConnection } = {}
       const connection = await openServerConnection({
         server,
         account,
         codec: options.codec(),
         clock,
         onBytes: noteBytes,
-        onClose: reason => {
+        onClose: (reason, lost) => {
           // One that never stood is spoken of by the error of opening it.
-          if (opened === undefined) return
-          noteFailure(clock.now(), reason)
-          forget(opened)
+          if (opened.connection === undefined) return
+          if (lost) noteFailure(clock.now(), reason)
+          forget(opened.connection)
         }
       })
-      opened = connection
+      opened.connection = connection
       noteBytes()
       if (closed) connection.close('the server is no longer used')
       else pooled.push({ connection, lent: true, primaryWork: false })
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -63,7 +63,7 @@
 export function createFleetControl (options: FleetControlOptions): FleetControl {
   const { name, logger, credentials } = options
   let state: FleetState = INITIAL_FLEET_STATE
-  let declaration: Declaration | undefined
+  let decoded: Declaration | undefined
   let log: ConsensusLog<FleetCommand, FleetOutcome> | undefined
   let leadership: { term: number, leads: Leadership } | undefined
   let link: { address: string, link: PeerLink<typeof FleetService> } | undefined
@@ -71,11 +71,17 @@
   function adopt (next: FleetState): void {
     const changed = next.document?.version !== state.document?.version
     state = next
-    if (changed && next.document !== undefined) declaration = options.decodeDeclaration(next.document)
     if (changed) logger.info('A declaration is in force.', { version: next.document?.version })
     leadership?.leads.refresh()
   }
 
+  /** Decoded once it is asked for: a start passes through many that are overtaken. */
+  function currentDeclaration (): Declaration | undefined {
+    const { document } = state
+    if (document !== undefined && decoded?.version !== document.version) decoded = options.decodeDeclaration(document)
+    return document === undefined ? undefined : decoded
+  }
+
   const machine: StateMachine<FleetCommand, FleetOutcome> = {
     apply: command => {
       const next = applyFleetCommand(state, command)
@@ -110,7 +116,7 @@
         holder: name,
         term,
         state: () => state,
-        declaration: () => declaration,
+        declaration: currentDeclaration,
         isLeading: () => current.isLeading() && current.term() === term,
         control: controlAddresses,
         propose: current.propose
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
@@ -18,8 +18,8 @@
 
 /** Applied entries after which the log is cut behind a snapshot: an entry may hold a whole document. */
 const COMPACT_ENTRIES = 32
-/** An entry may hold a whole document, so one message carries fewer of them; a heartbeat every quarter of an election timeout costs little of a small core. */
-const LIMITS: ConsensusLimits = { ...DEFAULT_LIMITS, heartbeatMilliseconds: 150, maximumEntries: 12 }
+/** An entry may hold a whole document, so one message carries fewer of them. The election timeout is several syncs of a slow disk; a quarter of it between heartbeats costs little of a small core. */
+const LIMITS: ConsensusLimits = { ...DEFAULT_LIMITS, heartbeatMilliseconds: 120, electionMilliseconds: 450, maximumEntries: 12 }
 /** Pause between two looks at the disk's state, in milliseconds. */
 const DISK_MILLISECONDS = 500
 
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -49,7 +49,7 @@
   /** Whether new callers are welcome: this instance can serve them. */
   function isReady (): boolean {
     const index = engine.link.declaration()
-    if (engine.isLeaving() || index === undefined || !engine.link.isLeased()) return false
+    if (engine.isLeaving() || index === undefined || !engine.link.isConnected()) return false
     return index.declaration.accounts.every(({ name }) => engine.link.part(name) > 0)
   }
 
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -23,6 +23,8 @@
 const ANSWER_MILLISECONDS = 400
 /** Time that the leader has to lend, in milliseconds: less than a caller's patience. */
 const BORROW_MILLISECONDS = 100
+/** Age of a lease at which its renewal is overdue, in milliseconds: two holds and the way. */
+const OVERDUE_MILLISECONDS = 1_350
 /** Pause between two looks at whether the lease still holds, in milliseconds. */
 const LOSS_MILLISECONDS = 100
 /** Pause after a control instance that gave no lease, in milliseconds. */
@@ -49,6 +51,8 @@
   servers: (group: string) => KnownServer[]
   /** Whether beliefs may be acted on at this moment. */
   isLeased: () => boolean
+  /** Whether renewals come as usual: callers are better off elsewhere when they do not. */
+  isConnected: () => boolean
   /** When the lease ended or will end. */
   leasedUntil: () => number
   /** This instance's part of the rates, by account. */
@@ -221,6 +225,7 @@
     belief: group => beliefs.get(group),
     servers: group => serversOf(servers, group),
     isLeased,
+    isConnected: () => isLeased() && clock.now() - leasedFrom < OVERDUE_MILLISECONDS,
     leasedUntil,
     part: account => parts[account] ?? 0,
     borrow,
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -18,8 +18,10 @@
 const PLAN_MILLISECONDS = 500
 /** Time that a new leader holds renewals while it asks primaries whether they lead, in milliseconds. */
 const SETTLE_MILLISECONDS = 400
-/** Time that a new leader waits for instances to tell which parts of rates they hold, in milliseconds: four renewals. */
-const REPORT_MILLISECONDS = 1_200
+/** Time that a new leader waits for instances to tell which parts of rates they hold, in milliseconds: several tries of one without a lease. */
+const REPORT_MILLISECONDS = 500
+/** Pause between two records of servers in the log, in milliseconds: a sync of the disk each. */
+const REMEMBER_MILLISECONDS = 1_000
 /** Pause between two wholly new documents to one entry instance, in milliseconds: a storm of changes is told in steps. */
 const DOCUMENT_MILLISECONDS = 150
 
@@ -56,6 +58,8 @@
   const documentsSentAt = new Map<string, number>()
   let deflated: { version: number, deflated: string } | undefined
   let plannedAt = -Infinity
+  let rememberedAt = startedAt
+  let rememberedChange = 0
 
   function surroundings (group: string): Omit<GroupSurroundings, 'verdict' | 'now'> {
     const now = clock.now()
@@ -92,9 +96,19 @@
     leases.plan(declaration()?.accounts.map(({ name }) => name) ?? [], directory.touch, now)
   }
 
+  /** Has the log remember servers that changed, some changes at a time. */
+  function remember (now: number): void {
+    if (now - rememberedAt < REMEMBER_MILLISECONDS || directory.change() === rememberedChange) return
+    const { servers } = directory.since(rememberedChange)
+    rememberedAt = now
+    rememberedChange = directory.change()
+    if (servers.length > 0) void options.propose({ kind: 'remember', servers })
+  }
+
   const timer = setInterval(() => {
     const now = clock.now()
     plan(now)
+    remember(now)
     for (const group of groups.values()) group.tick()
   }, TICK_MILLISECONDS)
 
@@ -140,6 +154,7 @@
     }
   }
 
+  directory.merge([...state().servers.values()])
   openGroups()
   return {
     lend: ({ account, wanted }) => ({ granted: isLeading() ? pool.lend(account, wanted) : 0 }),
--- a/packages/decisions/src/node/fleet/state.ts
+++ b/packages/decisions/src/node/fleet/state.ts
@@ -1,9 +1,11 @@
 /**
  * The state that control instances agree on for a fleet that is declared by
- * versioned documents: the newest document, and which server each group was
- * last given as its primary.
+ * versioned documents: the newest document, which server each group was last
+ * given as its primary, and where the servers were.
  */
 
+import { mergeServer } from './directory.js'
+import type { KnownServer } from './directory.js'
 import type { DeclarationDocument } from '../declaration/declaration.js'
 
 /** Which server is the primary of a group, and the how manieth one. */
@@ -15,11 +17,14 @@
 }
 
 export type FleetCommand =
+  /** Servers as the leader knows them, so that the next one can ask them at once. */
+  | { kind: 'remember', servers: KnownServer[] }
   | { kind: 'declare', document: DeclarationDocument }
   /** `after` is the number of the designation that it replaces; 0: the first. */
   | { kind: 'designate', group: string, member: string, after: number }
 
 export type FleetOutcome =
+  | { kind: 'remembered' }
   | { kind: 'declared', version: number }
   /** A higher or equal version is held; nothing changed. */
   | { kind: 'overtaken', version: number }
@@ -30,13 +35,19 @@
 export interface FleetState {
   document: DeclarationDocument | undefined
   designations: ReadonlyMap<string, Designation>
+  servers: ReadonlyMap<string, KnownServer>
 }
 
-export const INITIAL_FLEET_STATE: FleetState = { document: undefined, designations: new Map() }
+export const INITIAL_FLEET_STATE: FleetState = { document: undefined, designations: new Map(), servers: new Map() }
 
 type Appliers = { [Kind in FleetCommand['kind']]: (state: FleetState, command: Extract<FleetCommand, { kind: Kind }>) => { state: FleetState, outcome: FleetOutcome } }
 
 const APPLIERS: Appliers = {
+  remember: (state, { servers }) => {
+    const known = new Map(state.servers)
+    for (const server of servers) mergeServer(known, server)
+    return { state: { ...state, servers: known }, outcome: { kind: 'remembered' } }
+  },
   declare: (state, { document }) => {
     const held = state.document?.version ?? -Infinity
     if (document.version <= held) return { state, outcome: { kind: 'overtaken', version: held } }
@@ -56,11 +67,15 @@
 }
 
 /** The state as the text of a snapshot. */
-export function encodeFleetState ({ document, designations }: FleetState): string {
-  return JSON.stringify({ document, designations: [...designations.values()] })
+export function encodeFleetState ({ document, designations, servers }: FleetState): string {
+  return JSON.stringify({ document, designations: [...designations.values()], servers: [...servers.values()] })
 }
 
 export function decodeFleetState (text: string): FleetState {
-  const { document, designations } = JSON.parse(text) as { document?: DeclarationDocument, designations: Designation[] }
-  return { document, designations: new Map(designations.map(designation => [designation.group, designation])) }
+  const { document, designations, servers } = JSON.parse(text) as { document?: DeclarationDocument, designations: Designation[], servers: KnownServer[] }
+  return {
+    document,
+    designations: new Map(designations.map(designation => [designation.group, designation])),
+    servers: new Map(servers.map(server => [server.member, server]))
+  }
 }
--- a/packages/decisions/src/node/placement/serverChoice.ts
+++ b/packages/decisions/src/node/placement/serverChoice.ts
@@ -40,8 +40,8 @@
 
 /** Time that a new connection takes of a server's slot, in milliseconds: the deployments' own figure, rounded. */
 const CONNECT_COST_MILLISECONDS = 15
-/** Extra wait that the primary is charged for a read that a replica can answer, in milliseconds: writes have nowhere else to go. */
-const PRIMARY_COST_MILLISECONDS = 12
+/** Extra wait that the primary is charged for a read that a replica can answer, in milliseconds: writes have nowhere else to go, and wait behind long reads. */
+const PRIMARY_COST_MILLISECONDS = 60
 /** Time after which an average says less and less, in milliseconds. */
 const FADE_MILLISECONDS = 2_000
 /** Average that is assumed of a server that was not heard, in milliseconds. */
--- a/scripts/build-platform.js
+++ b/scripts/build-platform.js
@@ -6,6 +6,8 @@
   outdir: 'target',
   outExtension: { '.js': '.cjs' },
   bundle: true,
+  minifyWhitespace: true,
+  minifySyntax: true,
   platform: 'node',
   format: 'cjs',
   target: 'node20',
