--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleet.test.ts
@@ -0,0 +1,130 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createFleet, documentOf, until } from './fleetHarness.js'
+import type { FleetHarness } from './fleetHarness.js'
+
+let fleet: FleetHarness
+
+test.before.each(async () => { fleet = await createFleet() })
+test.after.each(async () => { await fleet.stop() })
+
+async function currentVersion (): Promise<number | undefined> {
+  return (await (await fleet.leader()).control.current())?.document?.version
+}
+
+test('the highest version is in force', async () => {
+  await fleet.declare(5)
+  const { control } = await fleet.leader()
+  assert.is(await control.declare(documentOf(3)), 'held')
+  assert.is(await control.declare(documentOf(5, { accounts: [] })), 'held')
+  assert.equal((await control.current())?.document, documentOf(5))
+  await fleet.declare(9)
+  assert.is(await currentVersion(), 9)
+})
+
+test('every control instance takes and reads declarations', async () => {
+  await fleet.declare(1)
+  for (const { control } of fleet.running.values()) {
+    await until('a read', async () => (await control.current())?.document?.version === 1)
+    assert.is(await control.declare(documentOf(1)), 'held')
+  }
+})
+
+test('a minority reads nothing back', async () => {
+  await fleet.declare(1)
+  const survivor = await fleet.leader()
+  await Promise.all([...fleet.running.values()].filter(instance => instance !== survivor).map(async instance => { await instance.stop() }))
+  assert.is(await survivor.control.current(), undefined)
+  assert.is(await survivor.control.declare(documentOf(2)), 'unknown')
+})
+
+test('what was held is there after all have started again', async () => {
+  for (let version = 1; version <= 80; version += 1) await fleet.declare(version)
+  await Promise.all([...fleet.running.values()].map(async instance => { await instance.stop() }))
+  await Promise.all([0, 1, 2].map(fleet.start))
+  await until('the newest version', async () => await currentVersion() === 80)
+})
+
+test('an instance that lost its disk takes part again', async () => {
+  await fleet.declare(1)
+  const lost = [...fleet.running].find(([, instance]) => !instance.isLeader())
+  assert.ok(lost)
+  await lost[1].stop()
+  fleet.loseDisk(lost[0])
+  await fleet.declare(2)
+  const again = await fleet.start(lost[0])
+  await until('its part', async () => (await again.control.current())?.document?.version === 2)
+})
+
+test('an entry instance hears of declaration, servers and primary', async () => {
+  await fleet.declare(1)
+  await fleet.announceGroup()
+  const link = fleet.joinEntry('entry-1')
+  await until('the belief', () => link.belief('g')?.use === 'open')
+  assert.is(link.declaration()?.version, 1)
+  assert.is(link.belief('g')?.member, 'p')
+  assert.equal(link.servers('g').map(({ member }) => member).sort(), ['p', 'r1', 'r2'])
+  await fleet.declare(2)
+  await until('the next version', () => link.declaration()?.version === 2)
+})
+
+test('parts of a rate never make more than the rate', async () => {
+  await fleet.declare(1)
+  const demand = { 'entry-1': 8, 'entry-2': 1 }
+  const links = Object.keys(demand).map(name => fleet.joinEntry(name, () => ({ demand: { clinic: demand[name as keyof typeof demand] }, sightings: {}, busy: [] })))
+  await until('parts', () => links.every(link => link.part('clinic') > 0))
+  await until('parts by demand', () => links[0].part('clinic') > links[1].part('clinic'))
+  for (let turn = 0; turn < 20; turn += 1) {
+    Object.assign(demand, { 'entry-1': demand['entry-2'], 'entry-2': demand['entry-1'] })
+    await new Promise(resolve => setTimeout(resolve, 30))
+    assert.ok(links.reduce((sum, link) => sum + link.part('clinic'), 0) <= 1 + 1e-9)
+  }
+})
+
+test('a primary that fails is replaced once every lease holder has closed it', async () => {
+  await fleet.declare(1)
+  await fleet.announceGroup()
+  let failing = false
+  const sightings = (): Record<string, { failingFor?: number, answeredAgo?: number }> => failing ? { p: { failingFor: 1_000 } } : { p: { answeredAgo: 1 } }
+  const links = ['entry-1', 'entry-2'].map(name => fleet.joinEntry(name, () => ({ demand: {}, sightings: sightings(), busy: [] })))
+  await until('beliefs', () => links.every(link => link.belief('g')?.use === 'open'))
+  const believed: Array<string | undefined> = []
+  fleet.onPromotion(({ member }) => {
+    believed.push(...links.map(link => link.isLeased() ? link.belief('g')?.use : 'no lease'))
+    fleet.statuses.set(member, { role: 'primary', term: 2, received: { term: 1, position: 9 } })
+  })
+  failing = true
+  fleet.statuses.delete('p')
+  for (const link of links) link.poke()
+  await until('the new primary', () => links.every(link => link.belief('g')?.use === 'open' && link.belief('g')?.member === 'r2'))
+  assert.not.ok(believed.includes('open'))
+  const { term } = await fleet.leader()
+  assert.equal(fleet.promotions.map(({ member, fence }) => [member, fence]), [['r2', term()]])
+})
+
+test('one witness does not replace a primary', async () => {
+  await fleet.declare(1)
+  await fleet.announceGroup()
+  const lost = fleet.joinEntry('entry-1', () => ({ demand: {}, sightings: { p: { failingFor: 5_000 } }, busy: [] }))
+  const fine = fleet.joinEntry('entry-2', () => ({ demand: {}, sightings: { p: { answeredAgo: 1 } }, busy: [] }))
+  await until('beliefs', () => [lost, fine].every(link => link.belief('g')?.use === 'open'))
+  for (let turn = 0; turn < 20; turn += 1) {
+    lost.poke()
+    await new Promise(resolve => setTimeout(resolve, 20))
+  }
+  assert.equal(fleet.promotions, [])
+})
+
+test('a new leader knows servers and designations', async () => {
+  await fleet.declare(1)
+  await fleet.announceGroup()
+  const link = fleet.joinEntry('entry-1')
+  await until('the belief', () => link.belief('g')?.use === 'open')
+  const before = await fleet.leader()
+  await before.stop()
+  const after = await fleet.leader()
+  assert.ok(after.term() > 0)
+  await until('the belief again', () => link.isLeased() && link.belief('g')?.use === 'open' && link.belief('g')?.designation === 1)
+})
+
+test.run()
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
@@ -0,0 +1,163 @@
+/** Control instances and entry links of one fleet in this process, over loopback, with servers that are only spoken of. */
+
+import { mkdtempSync, rmSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { NO_TOLERANCE } from '@cyclamenusher/decisions'
+import { listenForCalls } from '@cyclamenusher/protocol'
+import { systemClock } from '../../clock.js'
+import { openConsensusLog } from '../../control/consensusLog.js'
+import { createFleetControl } from '../fleetControl.js'
+import { createFleetLink } from '../fleetLink.js'
+import type { Declaration, KnownServer, RenewRequest, ServerAnnouncement, ServerStatus } from '@cyclamenusher/decisions'
+import type { CallServer } from '@cyclamenusher/protocol'
+import type { FleetControl } from '../fleetControl.js'
+import type { FleetLink } from '../fleetLink.js'
+import type { PromotionOrder } from '../ports.js'
+
+const HOST = '127.0.0.1'
+const CREDENTIALS = { secret: 'a secret of the tests' }
+/** Generous: it only bounds a test that would hang. */
+const DEADLINE_MILLISECONDS = 20_000
+
+export interface ControlInstance {
+  control: FleetControl
+  isLeader: () => boolean
+  term: () => number
+  stop: () => Promise<void>
+}
+
+export async function until (what: string, attempt: () => boolean | Promise<boolean>): Promise<void> {
+  const deadline = Date.now() + DEADLINE_MILLISECONDS
+  while (!await attempt()) {
+    if (Date.now() > deadline) throw new Error(`it never came: ${what}`)
+    await new Promise(resolve => setTimeout(resolve, 10))
+  }
+}
+
+async function freePort (): Promise<number> {
+  return await new Promise(resolve => {
+    const server = createServer().listen(0, HOST, () => {
+      const address = server.address()
+      server.close(() => { resolve(typeof address === 'object' && address !== null ? address.port : 0) })
+    })
+  })
+}
+
+export function announcement (member: string, change: Partial<ServerAnnouncement> = {}): ServerAnnouncement {
+  return { member, group: 'g', host: HOST, port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'replica', bornAt: 1, sequence: 1, ...change }
+}
+
+export function documentOf (version: number, change: Partial<Declaration> = {}): { version: number, text: string } {
+  const declaration: Declaration = { version, routes: [], groups: [{ name: 'g', connectionsPerServer: 10, synchronousReplicas: 0 }], accounts: [{ name: 'clinic', keys: ['k'], ratePerSecond: 10, burst: 10 }], idleTransactionMilliseconds: 1_000, ...change }
+  return { version, text: JSON.stringify(declaration) }
+}
+
+export async function createFleet (size = 3) {
+  const root = mkdtempSync(join(tmpdir(), 'cyclamenusher-fleet-'))
+  const addresses = (await Promise.all(Array.from({ length: size }, freePort))).map(port => ({ host: HOST, port }))
+  const running = new Map<number, ControlInstance>()
+  const links: FleetLink[] = []
+  const lines: string[] = []
+  const keep = (sentence: string): void => { lines.push(sentence) }
+  const logger = { error: keep, warn: keep, info: keep, debug: () => {} }
+  /** What servers answer to control; a server without a status does not answer. */
+  const statuses = new Map<string, ServerStatus>()
+  const promotions: PromotionOrder[] = []
+  let promote = (order: PromotionOrder): void => { statuses.set(order.member, { role: 'primary', term: 2, received: { term: 1, position: 10 } }) }
+
+  async function ask ({ member }: KnownServer): Promise<ServerStatus> {
+    const status = statuses.get(member)
+    if (status === undefined) throw new Error('no answer')
+    return status
+  }
+
+  async function start (place: number): Promise<ControlInstance> {
+    const control = createFleetControl({
+      name: `control-${place}`,
+      administration: { askStatus: ask, stepDown: async server => ({ ...await ask(server), role: 'replica' }), close: () => {} },
+      promotion: {
+        promote: async (order, mayCall) => {
+          if (!mayCall()) return 'unknown'
+          promotions.push(order)
+          promote(order)
+          return 'done'
+        }
+      },
+      announceMilliseconds: 60_000,
+      rateTolerance: NO_TOLERANCE,
+      decodeDeclaration: ({ text }) => JSON.parse(text) as Declaration,
+      credentials: CREDENTIALS,
+      clock: systemClock,
+      logger
+    })
+    const log = openConsensusLog({ name: `control-${place}`, failureDomain: `domain-${place}`, address: addresses[place], addresses: () => addresses, membership: { automatic: true, voters: 3 }, dataFolder: join(root, `control-${place}`), machine: control.machine, credentials: CREDENTIALS, clock: systemClock, logger })
+    control.attach(log)
+    const calls: CallServer = await listenForCalls(HOST, addresses[place].port, CREDENTIALS, router => {
+      log.routes(router)
+      control.routes(router)
+    })
+    const instance: ControlInstance = {
+      control,
+      isLeader: log.isLeading,
+      term: log.term,
+      stop: async () => {
+        running.delete(place)
+        control.close()
+        await log.close()
+        await calls.close()
+      }
+    }
+    running.set(place, instance)
+    return instance
+  }
+
+  function join_ (name: string, report: () => Pick<RenewRequest, 'demand' | 'sightings' | 'busy'> = () => ({ demand: {}, sightings: {}, busy: [] })): FleetLink {
+    const link = createFleetLink({ name, failureDomain: 'a', seeds: () => addresses, decodeDeclaration: ({ text }) => JSON.parse(text) as Declaration, report, credentials: CREDENTIALS, clock: systemClock, logger })
+    link.start()
+    links.push(link)
+    return link
+  }
+
+  async function leader (): Promise<ControlInstance> {
+    await until('a leader', () => [...running.values()].some(instance => instance.isLeader()))
+    return [...running.values()].find(instance => instance.isLeader()) as ControlInstance
+  }
+
+  /** Sends a document until it is held. */
+  async function declare (version: number, change: Partial<Declaration> = {}): Promise<void> {
+    await until(`version ${version}`, async () => await (await leader()).control.declare(documentOf(version, change)) === 'held')
+  }
+
+  await Promise.all(addresses.map(async (_, place) => await start(place)))
+  return {
+    running,
+    statuses,
+    promotions,
+    lines,
+    start,
+    leader,
+    declare,
+    joinEntry: join_,
+    onPromotion: (handler: (order: PromotionOrder) => void) => { promote = handler },
+    loseDisk: (place: number) => { rmSync(join(root, `control-${place}`), { recursive: true, force: true }) },
+    /** A group with a primary that says so, and two replicas. */
+    announceGroup: async () => {
+      statuses.set('p', { role: 'primary', term: 1, received: { term: 1, position: 10 } })
+      statuses.set('r1', { role: 'replica', term: 1, received: { term: 1, position: 8 } })
+      statuses.set('r2', { role: 'replica', term: 1, received: { term: 1, position: 9 } })
+      for (const [place, member] of ['p', 'r1', 'r2'].entries()) {
+        const role = member === 'p' ? 'primary' : 'replica'
+        await until(`the announcement of ${member}`, async () => await (await leader()).control.notify({ kind: 'announced', announcement: announcement(member, { role, port: place + 1 }) }))
+      }
+    },
+    stop: async () => {
+      for (const link of links) link.close()
+      await Promise.all([...running.values()].map(async instance => { await instance.stop() }))
+      rmSync(root, { recursive: true, force: true })
+    }
+  }
+}
+
+export type FleetHarness = Awaited<ReturnType<typeof createFleet>>
