--- a/packages/decisions/src/node/placement/__tests__/placement.test.ts
+++ b/packages/decisions/src/node/placement/__tests__/placement.test.ts
@@ -49,6 +49,11 @@
   assert.is(chooseForRead([load('slow', { averageMilliseconds: 90 }), load('other', { connection: 'spare' })], NEED, 1_000)?.member, 'other')
 })
 
+test('reads stay off the primary while replicas can take them', () => {
+  assert.is(chooseForRead([load('p', { isPrimary: true }), load('r', { outstanding: 6 })], NEED, 1_000)?.member, 'r')
+  assert.is(chooseForRead([load('p', { isPrimary: true }), load('r', { outstanding: 12 })], NEED, 1_000)?.member, 'p')
+})
+
 test('a slow server is tried again as its average fades', () => {
   const slow = load('slow', { averageMilliseconds: 400, answeredAt: 0 })
   const busy = load('busy', { outstanding: 15, answeredAt: 60_000 })
