--- a/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
@@ -31,8 +31,8 @@
   sightings: (member: string, now: number) => ServerSighting[]
   /** Entry instances that hold a lease. */
   count: (now: number) => number
-  /** Plans the parts of the accounts anew; `touch` numbers a change. */
-  plan: (accounts: readonly string[], touch: () => number, now: number) => void
+  /** Plans the parts of the accounts anew, `most` for each instance that holds less; `touch` numbers a change. */
+  plan: (accounts: readonly string[], most: number, touch: () => number, now: number) => void
   parts: (name: string) => { parts: Record<string, number>, change: number }
 }
 
@@ -65,7 +65,7 @@
     if (lease.applied >= lease.partsChange) lease.heldParts = new Map(lease.parts)
   }
 
-  function planAccount (account: string, touch: () => number, now: number): void {
+  function planAccount (account: string, most: number, touch: () => number, now: number): void {
     const holders = [...leases.values()].map((lease): ShareHolder => ({
       name: lease.name,
       demand: lease.leaseUntil > now ? lease.demand[account] ?? 0 : 0,
@@ -73,7 +73,7 @@
       present: lease.leaseUntil > now
     }))
     if (holders.length === 0) return
-    for (const [name, part] of planShares(holders)) {
+    for (const [name, part] of planShares(holders, most)) {
       const lease = leases.get(name)
       if (lease === undefined || (lease.parts.get(account) ?? 0) === part) continue
       lease.parts.set(account, part)
@@ -101,9 +101,9 @@
     busy: (group, now) => present(now).some(lease => lease.busy.has(group)),
     sightings: (member, now) => present(now).flatMap(({ sightings, heardAt }) => sightings[member] === undefined ? [] : [aged(sightings[member], now - heardAt)]),
     count: now => present(now).length,
-    plan: (accounts, touch, now) => {
+    plan: (accounts, most, touch, now) => {
       forgetGone(now)
-      for (const account of accounts) planAccount(account, touch, now)
+      for (const account of accounts) planAccount(account, most, touch, now)
     },
     parts: name => {
       const lease = leases.get(name)
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -1,7 +1,7 @@
 /** One term of leading: it lives from the election to its end, and keeps what entry instances are told. */
 
 import { deflateSync } from 'node:zlib'
-import { LEASE_MILLISECONDS, serversOf } from '@cyclamenusher/decisions'
+import { FIRST_PART, LEASE_MILLISECONDS, serversOf } from '@cyclamenusher/decisions'
 import { createHeldRequests } from '../heldRequests.js'
 import { createEntryLeases } from './entryLeases.js'
 import { createGroupTask } from './groupTask.js'
@@ -18,8 +18,10 @@
 const PLAN_MILLISECONDS = 500
 /** Time that a new leader holds renewals while it asks primaries whether they lead, in milliseconds. */
 const SETTLE_MILLISECONDS = 400
-/** Time that a new leader waits for instances to tell which parts of rates they hold, in milliseconds: several tries of one without a lease. */
-const REPORT_MILLISECONDS = 400
+/** Time in which instances tell a new leader which parts of rates they hold, in milliseconds: a renewal that found the leader before silent, and some tries. */
+const REPORT_MILLISECONDS = 800
+/** Time until an instance that is new gets its parts, in milliseconds: those that start together share a plan. */
+const FRESH_MILLISECONDS = 50
 /** Pause between two records of servers in the log, in milliseconds: a sync of the disk each. */
 const REMEMBER_MILLISECONDS = 1_000
 /** Pause between two wholly new documents to one entry instance, in milliseconds: a storm of changes is told in steps. */
@@ -91,9 +93,10 @@
   }
 
   function plan (now: number): void {
-    if (now - plannedAt < PLAN_MILLISECONDS || now - startedAt < REPORT_MILLISECONDS) return
+    if (now - plannedAt < PLAN_MILLISECONDS) return
     plannedAt = now
-    leases.plan(declaration()?.accounts.map(({ name }) => name) ?? [], directory.touch, now)
+    const most = now - startedAt < REPORT_MILLISECONDS ? FIRST_PART : 1
+    leases.plan(declaration()?.accounts.map(({ name }) => name) ?? [], most, directory.touch, now)
   }
 
   /** Has the log remember servers that changed, some changes at a time. */
@@ -162,7 +165,7 @@
       const fresh = leases.renew(request, knownBy(request), clock.now())
       if (request.servers !== undefined) directory.merge(request.servers)
       // An instance that is new waits for its parts of the rates.
-      if (fresh) plannedAt = -Infinity
+      if (fresh) plannedAt = Math.min(plannedAt, clock.now() - PLAN_MILLISECONDS + FRESH_MILLISECONDS)
       if (fresh) logger.info('An entry instance renews its lease here.', { name: request.name, failureDomain: request.failureDomain, term })
       const until = clock.now() + request.holdMilliseconds
       while (!isSettled() && clock.now() - startedAt < SETTLE_MILLISECONDS) await held.hold(TICK_MILLISECONDS)
--- a/packages/decisions/src/node/fleet/__tests__/rateShares.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/rateShares.test.ts
@@ -29,6 +29,13 @@
   assert.ok(sum(parts) <= 1 + 1e-9)
 })
 
+test('a leader that knows little grants little, and takes nothing away', () => {
+  const parts = planShares([holder('a', 30, 0), holder('b', 10, 0.4)], 0.12)
+  assert.ok((parts.get('a') ?? 0) > 0)
+  assert.ok((parts.get('a') ?? 0) <= 0.12)
+  assert.ok((parts.get('b') ?? 0) > 0.12)
+})
+
 test('moving demand never makes more than the rate', () => {
   let held = new Map([['a', 0], ['b', 0], ['c', 0]])
   for (let turn = 0; turn < 60; turn += 1) {
--- a/packages/decisions/src/node/fleet/rateShares.ts
+++ b/packages/decisions/src/node/fleet/rateShares.ts
@@ -34,12 +34,21 @@
   return holders.map(({ demand }) => total === 0 ? 1 / holders.length : even + (1 - EVEN_PART) * demand / total)
 }
 
+/**
+ * Most that an instance gets from a leader that does not know yet what others
+ * hold.
+ *
+ * Load pattern: a fleet that starts again as a whole, where nobody holds a part
+ * and every caller is back at once.
+ */
+export const FIRST_PART = 0.12
+
 /**
  * The parts to grant now, by name. A part shrinks at once and grows only by
- * what nobody may still hold.
+ * what nobody may still hold, and to `most` at most.
  */
-export function planShares (holders: readonly ShareHolder[]): Map<string, number> {
-  const wanted = wantedParts(holders)
+export function planShares (holders: readonly ShareHolder[], most = 1): Map<string, number> {
+  const wanted = wantedParts(holders).map((part, place) => Math.min(part, Math.max(most, holders[place].held)))
   let free = 1 - holders.reduce((sum, { held }) => sum + held, 0)
   const granted = new Map<string, number>()
   for (const [place, { name, held, present }] of holders.entries()) {
