fix(failover): entry instances outweigh control as witnesses; a leader that can't order promotions resigns

Ruled out: leases and confirmations (under 30 ms each).

Control has no say while an entry instance reaches the primary. A refused new connection pauses new ones and no longer marks a server as failing while others to it are open. A promotion that can't be sent for 0.7 s makes the leader resign. A server that was designated and never promoted is a candidate like others.

--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -122,13 +122,13 @@
 
   function connectionState (account: string, now: number): ConnectionState {
     if (pooled.some(entry => !entry.lent && entry.connection.account === account)) return 'match'
+    if (now < fullUntil) return 'none'
     const idle = pooled.some(({ lent }) => !lent)
-    if (idle) return 'spare'
-    return total() < options.limit() && now >= fullUntil ? 'spare' : 'none'
+    return idle || total() < options.limit() ? 'spare' : 'none'
   }
 
   async function open (account: string): Promise<ServerConnection> {
-    if (total() >= options.limit() || clock.now() < fullUntil) oldestIdle()?.connection.close('its place is needed for another client account')
+    if (total() >= options.limit()) oldestIdle()?.connection.close('its place is needed for another client account')
     opening += 1
     const since = clock.now()
     try {
@@ -142,8 +142,8 @@
         onClose: (reason, lost) => {
           // One that never stood is spoken of by the error of opening it.
           if (opened.connection === undefined) return
-          if (lost) noteFailure(clock.now(), reason)
           forget(opened.connection)
+          if (lost && pooled.length === 0) noteFailure(clock.now(), reason)
         }
       })
       opened.connection = connection
@@ -153,8 +153,10 @@
       return connection
     } catch (error) {
       const failure = error instanceof OpenError ? error.failure : 'refused'
-      if (failure === 'refused' || failure === 'no answer') noteFailure(since, (error as Error).message)
-      else fullUntil = clock.now() + FULL_MILLISECONDS
+      const unreachable = failure === 'refused' || failure === 'no answer'
+      fullUntil = clock.now() + (unreachable ? RETRY_MILLISECONDS : FULL_MILLISECONDS)
+      // A network that refuses new connections may leave the open ones alone.
+      if (unreachable && pooled.length === 0) noteFailure(since, (error as Error).message)
       logger.warn('A connection to a backend server was not opened.', { member: server.member, account, failure, reason: (error as Error).message, connections: pooled.length })
       throw error
     } finally {
--- a/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
@@ -62,6 +62,8 @@
   isLeader: () => boolean
   /** Whether no other member can lead at this moment, by a majority's word and both clocks. */
   isLeading: () => boolean
+  /** Leaves the lead to another member. */
+  resign: () => void
   term: () => number
 }
 
@@ -209,6 +211,7 @@
     routes,
     leader,
     isLeading: task.isLeading,
+    resign: task.resign,
     term: () => task.state().term,
     isLeader: () => task.state().role === 'leader' && !task.hasFailed(),
     propose: async command => {
--- a/packages/cyclamenusherd/src/node/process/control/consensusTask.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusTask.ts
@@ -46,6 +46,8 @@
   state: () => ConsensusState
   /** Whether no other member can lead at this moment. */
   isLeading: () => boolean
+  /** Leaves the lead to another member. */
+  resign: () => void
   hasFailed: () => boolean
   close: () => void
 }
@@ -212,6 +214,7 @@
     introductions,
     state: () => state,
     isLeading,
+    resign: () => { step({ kind: 'resign' }) },
     hasFailed: () => failed,
     close: () => {
       closed = true
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -119,7 +119,11 @@
         declaration: currentDeclaration,
         isLeading: () => current.isLeading() && current.term() === term,
         control: controlAddresses,
-        propose: current.propose
+        propose: current.propose,
+        resign: () => {
+          logger.warn('Promotions can\'t be ordered from here: another instance is to lead.', { term })
+          current.resign()
+        }
       })
     }
   }
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
@@ -36,8 +36,9 @@
   return {
     promote: async (order, mayCall) => {
       if (promotion === undefined) return 'unknown'
-      const status = await callHttp(promotion, buildPromotionCall(order), mayCall)
-      return status === undefined ? 'unknown' : readPromotionStatus(status)
+      const outcome = await callHttp(promotion, buildPromotionCall(order), mayCall)
+      if (outcome.kind === 'not sent') return 'not sent'
+      return outcome.kind === 'answered' ? readPromotionStatus(outcome.status) : 'unknown'
     }
   }
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/groupTask.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/groupTask.ts
@@ -1,7 +1,7 @@
 /** Carries out what the control of one group decides: questions to servers, designations, promotions. */
 
 import { beliefOf, judgePrimary, openGroupControl, stepGroupControl } from '@cyclamenusher/decisions'
-import type { Designation, FleetCommand, FleetOutcome, GroupBelief, GroupControl, GroupEffect, GroupEvent, GroupSurroundings, KnownServer, ServerSighting, ServerStatus } from '@cyclamenusher/decisions'
+import type { Designation, FleetCommand, FleetOutcome, GroupBelief, GroupControl, GroupEffect, GroupEvent, GroupSurroundings, KnownServer, PromotionOutcome, ServerSighting, ServerStatus } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
 import type { ScopedLogger } from '../logger.js'
 import type { ProposeOutcome } from '../control/replicatedLog.js'
@@ -13,6 +13,9 @@
 /** Pause between two questions to a primary that is accused, in milliseconds: below the time that a failure must last to count. */
 const CHECK_MILLISECONDS = 150
 
+/** Time for which no call for a promotion can be sent until the leader leaves the lead to another, in milliseconds: two more tries. */
+const UNSENT_MILLISECONDS = 700
+
 export interface GroupTaskOptions {
   group: string
   designation: Designation | undefined
@@ -25,6 +28,8 @@
   /** Whether this instance leads at this moment, and leases of an earlier leader are over. */
   mayPromote: () => boolean
   announceMilliseconds: number
+  /** Leaves the lead of control to another instance. */
+  resign: () => void
   surroundings: (group: string) => Omit<GroupSurroundings, 'verdict' | 'now'>
   /** What entry instances see of a server. */
   sightings: (member: string) => ServerSighting[]
@@ -46,6 +51,8 @@
   const startedAt = clock.now()
   let state: GroupControl = openGroupControl(group, options.designation, startedAt)
   let closed = false
+  /** Since when no call for a promotion could be sent. */
+  let unsentSince: number | undefined
   /** What control itself sees of servers. */
   const answered = new Map<string, number>()
   const failingSince = new Map<string, number>()
@@ -63,10 +70,6 @@
     return quiet > 0 ? [{ failingFor: quiet }] : []
   }
 
-  function sightingsOf (member: string, now: number): ServerSighting[] {
-    return [...options.sightings(member), ownSighting(member, now), ...silence(member, now)]
-  }
-
   function serverOf (member: string): KnownServer | undefined {
     return options.surroundings(group).servers.find(server => server.member === member)
   }
@@ -102,9 +105,20 @@
     if (!options.mayPromote()) return
     const outcome = await promotion.promote({ group, member, holder: options.holder, fence: options.fence }, options.mayPromote)
     logger.info('A promotion was ordered.', { group, member, fence: options.fence, outcome })
+    noteUnsent(outcome)
     step({ kind: 'promoted', member, outcome })
   }
 
+  /** Another leader may reach what orders promotions. */
+  function noteUnsent (outcome: PromotionOutcome): void {
+    const now = clock.now()
+    if (outcome !== 'not sent') unsentSince = undefined
+    else unsentSince ??= now
+    if (unsentSince === undefined || now - unsentSince < UNSENT_MILLISECONDS) return
+    unsentSince = undefined
+    options.resign()
+  }
+
   type Performers = { [Kind in GroupEffect['kind']]: (effect: Extract<GroupEffect, { kind: Kind }>) => void }
   const PERFORMERS: Performers = {
     publish: () => { options.publish(beliefOf(state)) },
@@ -116,8 +130,8 @@
 
   function around (now: number): GroupSurroundings {
     const primary = state.designation?.member
-    const sightings = primary === undefined ? [] : sightingsOf(primary, now)
-    return { ...options.surroundings(group), now, verdict: judgePrimary(sightings) }
+    const verdict = primary === undefined ? 'unknown' : judgePrimary(options.sightings(primary), [ownSighting(primary, now), ...silence(primary, now)])
+    return { ...options.surroundings(group), now, verdict }
   }
 
   function step (event: GroupEvent): void {
--- a/packages/cyclamenusherd/src/node/process/fleet/http.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/http.ts
@@ -55,27 +55,28 @@
   return server
 }
 
-/**
- * Sends one call and gives its status; undefined: it was not sent, or got no
- * answer. `maySend` is asked once more when the connection stands.
- */
-export async function callHttp ({ host, port }: Address, { method, path, headers, body }: HttpCall, maySend: () => boolean): Promise<number | undefined> {
-  return await new Promise<number | undefined>(resolve => {
+export type CallOutcome = { kind: 'answered', status: number } | { kind: 'not sent' | 'no answer' }
+
+/** Sends one call. `maySend` is asked once more when the connection stands. */
+export async function callHttp ({ host, port }: Address, { method, path, headers, body }: HttpCall, maySend: () => boolean): Promise<CallOutcome> {
+  return await new Promise<CallOutcome>(resolve => {
+    let sent = false
     const socket = connect({ host, port, noDelay: true })
-    const finish = (status: number | undefined): void => {
+    const finish = (status?: number): void => {
       clearTimeout(timer)
       socket.destroy()
-      resolve(status)
+      resolve(status === undefined ? { kind: sent ? 'no answer' : 'not sent' } : { kind: 'answered', status })
     }
-    const timer = setTimeout(() => { finish(undefined) }, CALL_MILLISECONDS)
-    socket.once('error', () => { finish(undefined) })
+    const timer = setTimeout(() => { finish() }, CALL_MILLISECONDS)
+    socket.once('error', () => { finish() })
     socket.once('connect', () => {
-      if (!maySend()) return finish(undefined)
+      if (!maySend()) return finish()
+      sent = true
       const call = sendRequest({ createConnection: () => socket, method, path, headers: { ...JSON_HEADERS, ...headers, host: `${host}:${port}`, 'content-length': Buffer.byteLength(body) } }, response => {
         response.resume()
         finish(response.statusCode)
       })
-      call.once('error', () => { finish(undefined) })
+      call.once('error', () => { finish() })
       call.end(body)
     })
   })
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -27,7 +27,7 @@
 /** Pause between two wholly new documents to one entry instance, in milliseconds: a storm of changes is told in steps. */
 const DOCUMENT_MILLISECONDS = 150
 
-export interface LeadershipOptions extends Pick<GroupTaskOptions, 'administration' | 'promotion' | 'propose' | 'announceMilliseconds' | 'holder'> {
+export interface LeadershipOptions extends Pick<GroupTaskOptions, 'administration' | 'promotion' | 'propose' | 'resign' | 'announceMilliseconds' | 'holder'> {
   term: number
   state: () => FleetState
   declaration: () => Declaration | undefined
--- a/packages/decisions/src/node/consensus/consensus.ts
+++ b/packages/decisions/src/node/consensus/consensus.ts
@@ -4,7 +4,7 @@
  * algorithm with pre-vote, check-quorum, read-index and learners.
  */
 
-import { receivePreVote, receivePreVoteReply, receiveTick, receiveVote, receiveVoteReply, resetElectionDeadline } from './election.js'
+import { receivePreVote, receivePreVoteReply, receiveResign, receiveTick, receiveVote, receiveVoteReply, resetElectionDeadline } from './election.js'
 import { receiveAppend, receiveInstallSnapshot } from './follower.js'
 import { entriesFrom, membersAt, termAt } from './log.js'
 import { receiveChange } from './membership.js'
@@ -43,6 +43,7 @@
     const receive = RECEIVERS[message.kind] as (step: Step, from: string, message: ConsensusMessage) => void
     receive(step, from, message)
   },
+  resign: receiveResign,
   propose: (step, { request, command }) => { receivePropose(step, request, command) },
   confirm: (step, { request }) => { receiveConfirm(step, request) },
   'change membership': (step, { request, change }) => { receiveChange(step, request, change) },
--- a/packages/decisions/src/node/consensus/election.ts
+++ b/packages/decisions/src/node/consensus/election.ts
@@ -115,6 +115,17 @@
   if (isMajority(state, state.votes)) becomeLeader(step)
 }
 
+/** Election timeouts that a member which resigned leaves to others. */
+const RESIGNED_TIMEOUTS = 6
+
+/** Leaves the lead: another member may reach what this one can't. */
+export function receiveResign (step: Step): void {
+  const { state } = step
+  if (state.role !== 'leader') return
+  becomeFollower(step, state.term, '')
+  state.electionDeadline = step.now + RESIGNED_TIMEOUTS * state.limits.electionMilliseconds
+}
+
 function checkQuorum (step: Step): void {
   const { state, now } = step
   const heardAt = reachedByMajority(state, identity => identity === state.self ? now : state.progress.get(identity)?.heardAt ?? -Infinity)
--- a/packages/decisions/src/node/consensus/types.ts
+++ b/packages/decisions/src/node/consensus/types.ts
@@ -109,6 +109,8 @@
   | { kind: 'propose', request: number, command: unknown }
   /** Asks a majority whether this member leads; answered after the call. */
   | { kind: 'confirm', request: number }
+  /** Leaves the lead to others, and does not run for it for a while. */
+  | { kind: 'resign' }
   | { kind: 'change membership', request: number, change: MembershipChange }
   /** Makes a log of these members, where nothing is held yet. */
   | { kind: 'found', members: LogMember[] }
--- a/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
@@ -167,6 +167,15 @@
   assert.is(group.asked('designate').length, 0)
 })
 
+test('a server that was designated and never promoted makes way for the one that still leads', () => {
+  const group = control({ confirmed: true })
+  group.around.servers = [server('p'), server('r1', { role: 'primary' }), server('r2')]
+  group.step({ kind: 'status', member: 'p', status: status('replica', 8) })
+  group.step({ kind: 'tick' }, 25)
+  for (const [member, answer] of [['p', status('replica', 8)], ['r1', status('primary', 12)], ['r2', status('replica', 9)]] as const) group.step({ kind: 'status', member, status: answer }, 5)
+  assert.equal(group.asked('designate'), [{ kind: 'designate', member: 'r1', after: 1 }])
+})
+
 test('the first primary is the one that says so', () => {
   const group = control()
   const fresh = stepGroupControl(openGroupControl('g', undefined, 0), { kind: 'tick' }, group.around)
--- a/packages/decisions/src/node/fleet/evidence.ts
+++ b/packages/decisions/src/node/fleet/evidence.ts
@@ -1,9 +1,9 @@
 /**
  * Whether a primary has failed, from what others see of it: the entry instances
  * by their traffic, control by its own question and by announcements that stay
- * away. One witness alone never decides, and those that can't reach it must
- * outnumber those that can: so neither a cut-off entry instance nor a primary
- * that only control can't reach causes a promotion.
+ * away. While any entry instance reaches it, those that can't must outnumber
+ * those that can, and control has no say: so neither a cut-off entry instance
+ * nor a control instance that is cut off itself causes a promotion.
  */
 
 /** What one witness sees of one server. */
@@ -27,9 +27,20 @@
 
 export type PrimaryVerdict = 'reachable' | 'unknown' | 'failed'
 
-export function judgePrimary (sightings: readonly ServerSighting[], policy: EvidencePolicy = DEFAULT_EVIDENCE_POLICY): PrimaryVerdict {
-  const failing = sightings.filter(({ failingFor }) => failingFor !== undefined && failingFor >= policy.failingMilliseconds).length
-  const reaching = sightings.filter(({ answeredAgo, failingFor }) => failingFor === undefined && answeredAgo !== undefined && answeredAgo <= policy.answeredMilliseconds).length
-  if (failing >= policy.witnesses && failing > reaching) return 'failed'
-  return reaching > 0 ? 'reachable' : 'unknown'
+function isFailing ({ failingFor }: ServerSighting, { failingMilliseconds }: EvidencePolicy): boolean {
+  return failingFor !== undefined && failingFor >= failingMilliseconds
+}
+
+function isReaching ({ answeredAgo, failingFor }: ServerSighting, { answeredMilliseconds }: EvidencePolicy): boolean {
+  return failingFor === undefined && answeredAgo !== undefined && answeredAgo <= answeredMilliseconds
+}
+
+/** `entries` are the sightings of entry instances, `control` those of control. */
+export function judgePrimary (entries: readonly ServerSighting[], control: readonly ServerSighting[], policy: EvidencePolicy = DEFAULT_EVIDENCE_POLICY): PrimaryVerdict {
+  const failing = entries.filter(sighting => isFailing(sighting, policy)).length
+  const reaching = entries.filter(sighting => isReaching(sighting, policy)).length
+  if (reaching > 0) return failing >= policy.witnesses && failing > reaching ? 'failed' : 'reachable'
+  if (control.some(sighting => isReaching(sighting, policy))) return failing >= policy.witnesses ? 'failed' : 'reachable'
+  const accusing = failing + control.filter(sighting => isFailing(sighting, policy)).length
+  return accusing >= policy.witnesses ? 'failed' : 'unknown'
 }
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -70,7 +70,7 @@
   | { kind: 'promoted', member: string, outcome: PromotionOutcome }
 
 /** What became of the call that makes a server the primary. */
-export type PromotionOutcome = 'done' | 'refused' | 'unknown'
+export type PromotionOutcome = 'done' | 'refused' | 'unknown' | 'not sent'
 
 export type GroupEffect =
   | { kind: 'publish' }
@@ -150,7 +150,9 @@
 function candidatesOf ({ state, around }: Step): KnownServer[] {
   return around.servers.filter(({ member, leaving }) => {
     const passed = (state.passedOver.get(member) ?? -Infinity) > around.now
-    return member !== state.designation?.member && !leaving && !passed
+    // One that was designated and never promoted is a replica like the others.
+    const leads = member === state.designation?.member && state.statuses.get(member)?.status.role !== 'replica'
+    return !leads && !leaving && !passed
   })
 }
 
@@ -236,7 +238,7 @@
   const old = step.state.designation?.member
   const present = step.around.servers.some(({ member }) => member === old)
   const candidates = candidatesOf(step).map(({ member }) => member)
-  return old !== undefined && present ? [...candidates, old] : candidates
+  return old !== undefined && present ? [...new Set([...candidates, old])] : candidates
 }
 
 /** Whether the primary has started again with its log, and nobody was promoted meanwhile. */
@@ -343,7 +345,8 @@
   done: step => { enter(step, 'awaiting') },
   refused: passOver,
   // The call is made again after a pause.
-  unknown: () => {}
+  unknown: () => {},
+  'not sent': () => {}
 }
 
 type Receivers = { [Kind in GroupEvent['kind']]: (step: Step, event: Extract<GroupEvent, { kind: Kind }>) => void }
