fix(limits): operations that come while a loan is on its way are no longer refused

Cause: a loan was asked for those that waited when it was sent; those that came meanwhile (about 3 ms) were refused although the pool had tokens.

--- a/packages/cyclamenusherd/src/node/engine/rateGate.ts
+++ b/packages/cyclamenusherd/src/node/engine/rateGate.ts
@@ -58,19 +58,26 @@
     return partLimits({ rate: ratePerSecond, burst }, partOf(name), tolerance)
   }
 
+  /** Admits as many of those that wait as there are tokens, and keeps what is left. */
+  function spend (account: ClientAccount, state: AccountState, tokens: number): void {
+    const admitted = state.waiting.splice(0, tokens)
+    for (const admit of admitted) admit(true)
+    const limits = limitsOf(account)
+    const full = refill(state.bucket, limits, clock.now())
+    const left = tokens - admitted.length
+    state.bucket = { ...full, tokens: Math.min(Math.max(limits.burst, full.tokens), full.tokens + left) }
+  }
+
+  /** Borrows until nobody waits any more, or the pool is empty. */
   async function borrowFor (account: ClientAccount, state: AccountState): Promise<void> {
-    const ahead = Math.ceil(state.demand * AHEAD_MILLISECONDS / 1000)
-    let tokens = await borrow(account.name, state.waiting.length + ahead)
-    if (tokens <= 0) state.emptyUntil = clock.now() + EMPTY_MILLISECONDS
-    const waiting = state.waiting.splice(0)
-    for (const admit of waiting) {
-      admit(tokens >= 1)
-      tokens -= tokens >= 1 ? 1 : 0
+    while (state.waiting.length > 0) {
+      const wanted = state.waiting.length + Math.ceil(state.demand * AHEAD_MILLISECONDS / 1000)
+      const tokens = await borrow(account.name, wanted)
+      spend(account, state, tokens)
+      if (tokens >= wanted) continue
+      state.emptyUntil = clock.now() + EMPTY_MILLISECONDS
+      for (const admit of state.waiting.splice(0)) admit(false)
     }
-    const now = clock.now()
-    const limits = limitsOf(account)
-    const full = refill(state.bucket, limits, now)
-    state.bucket = { ...full, tokens: Math.min(Math.max(limits.burst, full.tokens), full.tokens + tokens) }
   }
 
   return {
--- /dev/null
+++ b/packages/decisions/src/node/fleet/__tests__/state.test.ts
@@ -0,0 +1,54 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { INITIAL_FLEET_STATE, applyFleetCommand, decodeFleetState, encodeFleetState } from '../state.js'
+import type { FleetCommand, FleetOutcome, FleetState } from '../state.js'
+import type { KnownServer } from '../directory.js'
+
+const SERVER: KnownServer = { member: 'i-1', group: 'g', host: '10.0.0.1', port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'replica', bornAt: 1, sequence: 1, gone: false }
+
+function apply (commands: readonly FleetCommand[]): { state: FleetState, outcomes: FleetOutcome[] } {
+  let state = INITIAL_FLEET_STATE
+  const outcomes = commands.map(command => {
+    const next = applyFleetCommand(state, command)
+    state = next.state
+    return next.outcome
+  })
+  return { state, outcomes }
+}
+
+function declare (version: number, text = `text ${version}`): FleetCommand {
+  return { kind: 'declare', document: { version, text } }
+}
+
+test('the highest version holds, whatever comes first', () => {
+  const { state, outcomes } = apply([declare(5), declare(3), declare(7), declare(6)])
+  assert.equal(state.document, { version: 7, text: 'text 7' })
+  assert.equal(outcomes.map(({ kind }) => kind), ['declared', 'overtaken', 'declared', 'overtaken'])
+})
+
+test('other content under the version that is held changes nothing', () => {
+  assert.equal(apply([declare(5), declare(5, 'other')]).state.document, { version: 5, text: 'text 5' })
+})
+
+test('of two designations after the same one the first holds', () => {
+  const { state, outcomes } = apply([
+    { kind: 'designate', group: 'g', member: 'p', after: 0 },
+    { kind: 'designate', group: 'g', member: 'r1', after: 1 },
+    { kind: 'designate', group: 'g', member: 'r2', after: 1 }
+  ])
+  assert.equal(state.designations.get('g'), { group: 'g', member: 'r1', number: 2 })
+  assert.is(outcomes[2].kind, 'conflict')
+})
+
+test('servers are remembered by their own order', () => {
+  const { state } = apply([{ kind: 'remember', servers: [{ ...SERVER, sequence: 9, leaving: true }] }, { kind: 'remember', servers: [SERVER] }])
+  assert.is(state.servers.get('i-1')?.leaving, true)
+})
+
+test('a snapshot holds all of it', () => {
+  const { state } = apply([declare(5), { kind: 'designate', group: 'g', member: 'p', after: 0 }, { kind: 'remember', servers: [SERVER] }])
+  assert.equal(decodeFleetState(encodeFleetState(state)), state)
+  assert.equal(decodeFleetState(encodeFleetState(INITIAL_FLEET_STATE)), INITIAL_FLEET_STATE)
+})
+
+test.run()
