perf(fleet): the first to return after a loss of power leaves the others their connections

Cause: a new leader counted only the entry instances that had renewed already, so the first ones took their share for that of the whole fleet, and servers refused connections by the hundreds while the others came back. The log now remembers how many there are, for four seconds after an election.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleet.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleet.test.ts
@@ -127,4 +127,18 @@
   await until('the belief again', () => link.isLeased() && link.belief('g')?.use === 'open' && link.belief('g')?.designation === 1)
 })
 
+test('after all have started again the first to return does not take the others\' connections', async () => {
+  await fleet.declare(1)
+  const links = ['entry-1', 'entry-2', 'entry-3'].map(name => fleet.joinEntry(name))
+  await until('three that share', () => links.every(link => link.entries() === 3))
+  const { control } = await fleet.leader()
+  await until('the log to know', () => (JSON.parse(control.machine.snapshot()) as { entries: number }).entries === 3)
+  for (const link of links) link.close()
+  await Promise.all([...fleet.running.values()].map(async instance => { await instance.stop() }))
+  await Promise.all([0, 1, 2].map(fleet.start))
+  const first = fleet.joinEntry('entry-1')
+  await until('its lease', () => first.isLeased())
+  assert.is(first.entries(), 3)
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -124,7 +124,8 @@
       knows,
       version: index?.version ?? -1,
       ...options.report(),
-      holdMilliseconds: poked || !isLeased() ? 0 : HOLD_MILLISECONDS,
+      // One that may not lead is not waited for.
+      holdMilliseconds: poked || leader === undefined || !isLeased() ? 0 : HOLD_MILLISECONDS,
       // Another leader learns what this instance knows and holds.
       ...(grantedBy === `${host}:${port}` ? {} : { servers: [...servers.values()], parts })
     }
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -22,6 +22,8 @@
 const REPORT_MILLISECONDS = 800
 /** Time until an instance that is new gets its parts, in milliseconds: those that start together share a plan. */
 const FRESH_MILLISECONDS = 50
+/** Time that entry instances have to come back after an election, in milliseconds: a start and some tries. */
+const RETURN_MILLISECONDS = 4_000
 /** Pause between two records of servers in the log, in milliseconds: a sync of the disk each. */
 const REMEMBER_MILLISECONDS = 1_000
 /** Pause between two wholly new documents to one entry instance, in milliseconds: a storm of changes is told in steps. */
@@ -99,13 +101,20 @@
     leases.plan(declaration()?.accounts.map(({ name }) => name) ?? [], most, directory.touch, now)
   }
 
-  /** Has the log remember servers that changed, some changes at a time. */
+  /** Entry instances that share the servers: after a start, those that are still on their way count too. */
+  function sharing (now: number): number {
+    const expected = now - startedAt < RETURN_MILLISECONDS ? state().entries : 0
+    return Math.max(leases.count(now), expected)
+  }
+
+  /** Has the log remember what changed, some changes at a time. */
   function remember (now: number): void {
-    if (now - rememberedAt < REMEMBER_MILLISECONDS || directory.change() === rememberedChange) return
-    const { servers } = directory.since(rememberedChange)
+    if (now - rememberedAt < REMEMBER_MILLISECONDS) return
     rememberedAt = now
+    const entries = sharing(now)
+    const { servers } = directory.since(rememberedChange)
     rememberedChange = directory.change()
-    if (servers.length > 0) void options.propose({ kind: 'remember', servers })
+    if (servers.length > 0 || entries !== state().entries) void options.propose({ kind: 'remember', servers, entries })
   }
 
   const timer = setInterval(() => {
@@ -152,7 +161,7 @@
       ...directory.since(known),
       ...(change > known || known === 0 ? { parts } : {}),
       ...(document === undefined ? {} : { declaration: document }),
-      entries: leases.count(now),
+      entries: sharing(now),
       control: options.control()
     }
   }
--- a/packages/decisions/src/node/fleet/__tests__/state.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/state.test.ts
@@ -41,12 +41,13 @@
 })
 
 test('servers are remembered by their own order', () => {
-  const { state } = apply([{ kind: 'remember', servers: [{ ...SERVER, sequence: 9, leaving: true }] }, { kind: 'remember', servers: [SERVER] }])
+  const { state } = apply([{ kind: 'remember', servers: [{ ...SERVER, sequence: 9, leaving: true }], entries: 3 }, { kind: 'remember', servers: [SERVER], entries: 2 }])
   assert.is(state.servers.get('i-1')?.leaving, true)
+  assert.is(state.entries, 2)
 })
 
 test('a snapshot holds all of it', () => {
-  const { state } = apply([declare(5), { kind: 'designate', group: 'g', member: 'p', after: 0 }, { kind: 'remember', servers: [SERVER] }])
+  const { state } = apply([declare(5), { kind: 'designate', group: 'g', member: 'p', after: 0 }, { kind: 'remember', servers: [SERVER], entries: 4 }])
   assert.equal(decodeFleetState(encodeFleetState(state)), state)
   assert.equal(decodeFleetState(encodeFleetState(INITIAL_FLEET_STATE)), INITIAL_FLEET_STATE)
 })
--- a/packages/decisions/src/node/fleet/messages.ts
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -48,7 +48,7 @@
   parts?: Record<string, number>
   /** A newer declaration, deflated, in base64. */
   declaration?: { version: number, deflated: string }
-  /** Entry instances that hold a lease. */
+  /** Entry instances that share the servers. */
   entries: number
   /** Control instances, to ask when this one is gone. */
   control: ControlAddress[]
--- a/packages/decisions/src/node/fleet/state.ts
+++ b/packages/decisions/src/node/fleet/state.ts
@@ -17,8 +17,8 @@
 }
 
 export type FleetCommand =
-  /** Servers as the leader knows them, so that the next one can ask them at once. */
-  | { kind: 'remember', servers: KnownServer[] }
+  /** Servers as the leader knows them, so that the next one can ask them at once, and how many entry instances there are. */
+  | { kind: 'remember', servers: KnownServer[], entries: number }
   | { kind: 'declare', document: DeclarationDocument }
   /** `after` is the number of the designation that it replaces; 0: the first. */
   | { kind: 'designate', group: string, member: string, after: number }
@@ -36,17 +36,19 @@
   document: DeclarationDocument | undefined
   designations: ReadonlyMap<string, Designation>
   servers: ReadonlyMap<string, KnownServer>
+  /** Entry instances that lately held a lease. */
+  entries: number
 }
 
-export const INITIAL_FLEET_STATE: FleetState = { document: undefined, designations: new Map(), servers: new Map() }
+export const INITIAL_FLEET_STATE: FleetState = { document: undefined, designations: new Map(), servers: new Map(), entries: 0 }
 
 type Appliers = { [Kind in FleetCommand['kind']]: (state: FleetState, command: Extract<FleetCommand, { kind: Kind }>) => { state: FleetState, outcome: FleetOutcome } }
 
 const APPLIERS: Appliers = {
-  remember: (state, { servers }) => {
+  remember: (state, { servers, entries }) => {
     const known = new Map(state.servers)
     for (const server of servers) mergeServer(known, server)
-    return { state: { ...state, servers: known }, outcome: { kind: 'remembered' } }
+    return { state: { ...state, servers: known, entries }, outcome: { kind: 'remembered' } }
   },
   declare: (state, { document }) => {
     const held = state.document?.version ?? -Infinity
@@ -67,15 +69,16 @@
 }
 
 /** The state as the text of a snapshot. */
-export function encodeFleetState ({ document, designations, servers }: FleetState): string {
-  return JSON.stringify({ document, designations: [...designations.values()], servers: [...servers.values()] })
+export function encodeFleetState ({ document, designations, servers, entries }: FleetState): string {
+  return JSON.stringify({ document, designations: [...designations.values()], servers: [...servers.values()], entries })
 }
 
 export function decodeFleetState (text: string): FleetState {
-  const { document, designations, servers } = JSON.parse(text) as { document?: DeclarationDocument, designations: Designation[], servers: KnownServer[] }
+  const { document, designations, servers, entries } = JSON.parse(text) as { document?: DeclarationDocument, designations: Designation[], servers: KnownServer[], entries: number }
   return {
     document,
     designations: new Map(designations.map(designation => [designation.group, designation])),
-    servers: new Map(servers.map(server => [server.member, server]))
+    servers: new Map(servers.map(server => [server.member, server])),
+    entries
   }
 }
