fix(pool): a connection that opens after the primary was replaced is not used as the primary's

Cause: a request that needs the primary chose a server, opened a connection to it, and took the designation from after that. If the primary was replaced meanwhile (up to 1.3 s behind a full queue), a write went to the old primary and counted under the new designation. Also, a transaction counts as begun only if the lease still holds when the server answers its begin.

Ruled out: answers in flight (closed with the belief), idle connections (taken in the same turn). What nobody used any more is gone: a stream of changes, counts, a field of server loads.

--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -55,8 +55,6 @@
   tick: () => void
   /** Takes what changed in the fleet. */
   refresh: () => void
-  waiting: () => number
-  connections: () => number
   close: () => void
 }
 
@@ -162,17 +160,18 @@
     return loads.find(load => load.isPrimary && expectedWait(load, now, 0) < Infinity)
   }
 
-  async function confirm (number: number, deadline: number): Promise<boolean> {
+  async function confirm (member: string, number: number, deadline: number): Promise<boolean> {
     while (!link.isLeased()) {
       if (clock.now() >= deadline) return false
       await new Promise(resolve => setTimeout(resolve, LEASE_PAUSE_MILLISECONDS))
     }
     const belief = link.belief(group)
-    return belief?.designation === number && belief.use !== 'closed'
+    return belief?.member === member && belief.designation === number && belief.use !== 'closed'
   }
 
-  function wrap (pool: ServerPool, connection: ServerConnection, request: LendRequest, isPrimary: boolean): Lent {
+  function wrap (pool: ServerPool, connection: ServerConnection, request: LendRequest): Lent {
     const number = designation
+    const isPrimary = usablePrimary() === connection.member
     const after = request.need.kind === 'position' ? request.need.after : undefined
     let released = false
     if (after === undefined) pool.markPrimaryWork(connection)
@@ -180,7 +179,7 @@
       connection,
       isPrimary,
       after,
-      confirm: async deadline => await confirm(number, deadline),
+      confirm: async deadline => await confirm(connection.member, number, deadline),
       recordPosition: (askedAt, position) => {
         if (number !== designation) return
         if (!isPrimary) return pool.recordPosition(history, position)
@@ -204,15 +203,15 @@
     return loads.reduce((sum, { averageMilliseconds }) => sum + (evenShare() + SURPLUS_CONNECTIONS) * 1000 / averageMilliseconds, 0)
   }
 
-  async function openFor (waiter: Waiter, pool: ServerPool, isPrimary: boolean): Promise<void> {
-    try {
-      const connection = await pool.open(waiter.request.account)
-      waiter.resolve(wrap(pool, connection, waiter.request, isPrimary))
-    } catch {
-      // The pool has logged why; the request waits for another chance.
-      line.push(waiter)
-      dispatch()
-    }
+  /** Opens a connection for a waiter; it waits for another chance where that fails or comes too late. */
+  async function openFor (waiter: Waiter, pool: ServerPool): Promise<void> {
+    const connection = await pool.open(waiter.request.account).catch(() => undefined)
+    // The primary may have been replaced while the connection was opened.
+    const stillServes = waiter.request.need.kind === 'position' || usablePrimary() === connection?.member
+    if (connection !== undefined && stillServes) return waiter.resolve(wrap(pool, connection, waiter.request))
+    if (connection !== undefined) pool.release(connection, true)
+    line.push(waiter)
+    dispatch()
   }
 
   /** Serves a waiter if any server can take it now. */
@@ -221,8 +220,8 @@
     const pool = chosen === undefined ? undefined : pools.get(chosen.member)
     if (chosen === undefined || pool === undefined) return false
     const idle = pool.takeIdle(waiter.request.account, waiter.request.values)
-    if (idle === undefined) void openFor(waiter, pool, chosen.isPrimary)
-    else waiter.resolve(wrap(pool, idle, waiter.request, chosen.isPrimary))
+    if (idle === undefined) void openFor(waiter, pool)
+    else waiter.resolve(wrap(pool, idle, waiter.request))
     return true
   }
 
@@ -284,8 +283,6 @@
       refreshPrimary()
       dispatch()
     },
-    waiting: () => line.length,
-    connections: () => [...pools.values()].reduce((sum, pool) => sum + pool.connections(), 0),
     close: () => {
       for (const pool of pools.values()) pool.close('the instance stops')
       for (const { reject, since } of line) reject(refusal(clock.now() - since))
--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -67,7 +67,6 @@
   endPrimaryWork: (reason: string) => void
   sighting: (now: number) => ServerSighting | undefined
   tick: (now: number) => void
-  connections: () => number
   close: (reason: string) => void
 }
 
@@ -210,7 +209,6 @@
       answeredAt,
       failing: failingSince !== undefined,
       leaving: server.leaving,
-      pausedUntil: -Infinity,
       connection: connectionState(account, now),
       lacks,
       lag
@@ -270,7 +268,6 @@
       const silent = silentSince()
       if (silent !== undefined && now - silent > SILENCE_MILLISECONDS && now - triedAt > RETRY_MILLISECONDS) void tryAddress(silent)
     },
-    connections: total,
     close: reason => {
       closed = true
       for (const { connection } of [...pooled]) connection.close(reason)
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -47,7 +47,12 @@
 /** Undefined: the transaction has begun on the connection; else why not. */
 async function beginOn (services: EngineServices, lent: Lent, context: StatementContext): Promise<string | undefined> {
   const reply = await attempt(services, lent, context, text => text, true)
-  if (reply.kind === 'complete' && reply.state === 'in transaction') return undefined
+  if (reply.kind === 'complete' && reply.state === 'in transaction') {
+    // What it reads must hold all that was acknowledged before it began.
+    if (lent.after !== undefined || await lent.confirm(context.deadline)) return undefined
+    lent.release(false)
+    return 'the primary may have been replaced before it began'
+  }
   if (reply.kind === 'failure' && reply.failure === 'lagging') lent.recordLack()
   if (reply.kind === 'failure' && reply.failure === 'read only') services.link.poke()
   lent.release(reply.kind === 'failure' && reply.state === 'idle')
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -6,13 +6,11 @@
 import { randomUUID } from 'node:crypto'
 import { EventEmitter } from 'node:events'
 import { inflateSync } from 'node:zlib'
-import { fromEvent } from 'most'
 import { HOLD_MILLISECONDS, LEASE_MILLISECONDS, indexDeclaration, mergeServer, serversOf } from '@cyclamenusher/decisions'
 import { FleetService, createPeerLink } from '@cyclamenusher/protocol'
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
 import { decodeBody, encodeBody } from './bodies.js'
-import type { Stream } from 'most'
 import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, GroupBelief, KnownServer, RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
 import type { PeerCredentials, PeerLink } from '@cyclamenusher/protocol'
 import type { Address } from '../address.js'
@@ -62,8 +60,7 @@
   entries: () => number
   /** Reports now instead of with the next renewal. */
   poke: () => void
-  /** Emits when anything that was told has changed. */
-  changes: Stream<string>
+  /** Calls the listener when anything that was told has changed. */
   onChange: (listener: () => void) => void
   close: () => void
 }
@@ -160,7 +157,7 @@
     known = grant.control.length > 0 ? grant.control : known
     entries = grant.entries
     leasedFrom = Math.max(leasedFrom, sentAt)
-    if (changed || !wasLeased) emitter.emit('change', 'told')
+    if (changed || !wasLeased) emitter.emit('change')
     if (!wasLeased) logger.info('The lease is held.', { term: grant.term, change: grant.change })
     wasLeased = true
   }
@@ -169,7 +166,7 @@
     if (!wasLeased || isLeased()) return
     wasLeased = false
     logger.warn('The lease is over.', { ago: Math.round(clock.now() - leasedFrom), leaseMilliseconds: LEASE_MILLISECONDS })
-    emitter.emit('change', 'lease')
+    emitter.emit('change')
   }
 
   async function renewOnce (target: Address): Promise<boolean> {
@@ -236,7 +233,6 @@
       poked = true
       current?.abort()
     },
-    changes: fromEvent<string>('change', emitter),
     onChange: listener => { emitter.on('change', listener) },
     close: () => {
       closed = true
--- a/packages/decisions/src/node/placement/__tests__/placement.test.ts
+++ b/packages/decisions/src/node/placement/__tests__/placement.test.ts
@@ -13,7 +13,7 @@
 }
 
 function load (member: string, change: Partial<ServerLoad> = {}): ServerLoad {
-  return { member, isPrimary: false, slots: 3, outstanding: 0, averageMilliseconds: 20, answeredAt: 1_000, failing: false, leaving: false, pausedUntil: -Infinity, connection: 'match', lag: { milliseconds: 0 }, ...change }
+  return { member, isPrimary: false, slots: 3, outstanding: 0, averageMilliseconds: 20, answeredAt: 1_000, failing: false, leaving: false, connection: 'match', lag: { milliseconds: 0 }, ...change }
 }
 
 const NEED = { kind: 'position', after: { term: 1, position: 10 }, since: 0 } as const
--- a/packages/decisions/src/node/placement/serverChoice.ts
+++ b/packages/decisions/src/node/placement/serverChoice.ts
@@ -26,8 +26,6 @@
   /** It can't be reached, or refuses connections. */
   failing: boolean
   leaving: boolean
-  /** Not before this time, it can take another connection. */
-  pausedUntil: number
   /** How a statement would get a connection. */
   connection: ConnectionState
   /** Position that it said it lacks, and when it may have it. */
@@ -57,7 +55,7 @@
 
 /** Expected time until a statement is answered, in milliseconds; infinite: it can't be sent now. */
 export function expectedWait (server: ServerLoad, now: number, primaryCost: number): number {
-  if (server.failing || server.pausedUntil > now) return Infinity
+  if (server.failing) return Infinity
   const average = fadedAverage(server, now)
   const queued = average * server.outstanding / Math.max(1, server.slots)
   return average + queued + CONNECTION_COSTS[server.connection] + (server.isPrimary ? primaryCost : 0)
