refactor(placement): the field's words for the queue; a test says its setting once

Cause: a read of the whole change as a newcomer. No decision changes; tests of platform, placement and group control: all passed.

Looked at and left: two queues (fairQueue for client accounts, requestQueue by priority and deadline) answer other load patterns and were not compared.

--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -1,4 +1,4 @@
-/** The servers of one group as requests see them: who may take a statement now, and the line of those that wait. */
+/** The servers of one group as requests see them: who may take a statement now, and the queue of those that wait. */
 
 import { EMPTY_HISTORY, canServeInTime, chooseForRead, compareEntries, expectedWait, readNeed, recordPosition } from '@cyclamenusher/decisions'
 import { StatementFailure } from './errors.js'
@@ -51,7 +51,7 @@
   sightings: () => Record<string, ServerSighting>
   /** Whether a closing primary still has work from here. */
   isBusy: () => boolean
-  /** Looks at the servers and the line; to be called every few tens of milliseconds. */
+  /** Looks at the servers and the queue; to be called every few tens of milliseconds. */
   tick: () => void
   /** Takes what changed in the fleet. */
   refresh: () => void
@@ -77,7 +77,7 @@
 
 export function createGroupPool ({ group, link, codec, clock, logger }: GroupPoolOptions): GroupPool {
   const pools = new Map<string, ServerPool>()
-  let line: Waiter[] = []
+  let queue: Waiter[] = []
   let history: PositionHistory = EMPTY_HISTORY
   let designation = 0
   let term = 0
@@ -210,7 +210,7 @@
     const stillServes = waiter.request.need.kind === 'position' || usablePrimary() === connection?.member
     if (connection !== undefined && stillServes) return waiter.resolve(wrap(pool, connection, waiter.request))
     if (connection !== undefined) pool.release(connection, true)
-    line.push(waiter)
+    queue.push(waiter)
     dispatch()
   }
 
@@ -226,11 +226,11 @@
   }
 
   /** Refuses those whose time is over, and those that can no longer be served in it. */
-  function refuseHopeless (now: number): void {
-    const hopeless = line.filter(({ deadline, request }) => deadline <= now || (request.need.kind === 'primary' && primaryFrom(now) >= deadline))
-    if (hopeless.length === 0) return
-    line = line.filter(waiter => !hopeless.includes(waiter))
-    for (const { reject, since } of hopeless) reject(refusal(now - since))
+  function refuseUnservable (now: number): void {
+    const unservable = queue.filter(({ deadline, request }) => deadline <= now || (request.need.kind === 'primary' && primaryFrom(now) >= deadline))
+    if (unservable.length === 0) return
+    queue = queue.filter(waiter => !unservable.includes(waiter))
+    for (const { reject, since } of unservable) reject(refusal(now - since))
   }
 
   function refusal (waited: number): StatementFailure {
@@ -243,12 +243,12 @@
     if (dispatching) return
     dispatching = true
     const now = clock.now()
-    refuseHopeless(now)
-    line.sort(compareEntries)
-    const waiting = line
-    line = []
+    refuseUnservable(now)
+    queue.sort(compareEntries)
+    const waiting = queue
+    queue = []
     // Serving one may change what the next finds, so each is looked at anew.
-    line = [...line, ...waiting.filter(waiter => !serve(waiter, now))]
+    queue = [...queue, ...waiting.filter(waiter => !serve(waiter, now))]
     dispatching = false
   }
 
@@ -256,11 +256,11 @@
     lend: async request => {
       const now = clock.now()
       const entry = { priority: request.priority, deadline: request.deadline, since: now }
-      const ahead = line.filter(other => compareEntries(other, entry) <= 0).length
+      const ahead = queue.filter(other => compareEntries(other, entry) <= 0).length
       const servedFrom = request.need.kind === 'primary' ? primaryFrom(now) : now
       if (!canServeInTime(entry, { ahead, servedPerSecond: servedPerSecond(request, now), servedFrom }, now)) throw refusal(0)
       return await new Promise<Lent>((resolve, reject) => {
-        line.push({ request, ...entry, resolve, reject })
+        queue.push({ request, ...entry, resolve, reject })
         dispatch()
       })
     },
@@ -276,7 +276,7 @@
     tick: () => {
       const now = clock.now()
       for (const pool of pools.values()) pool.tick(now)
-      if (line.length > 0) dispatch()
+      if (queue.length > 0) dispatch()
     },
     refresh: () => {
       refreshServers()
@@ -285,8 +285,8 @@
     },
     close: () => {
       for (const pool of pools.values()) pool.close('the instance stops')
-      for (const { reject, since } of line) reject(refusal(clock.now() - since))
-      line = []
+      for (const { reject, since } of queue) reject(refusal(clock.now() - since))
+      queue = []
     }
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/reads.ts
+++ b/packages/cyclamenusherd/src/node/engine/reads.ts
@@ -56,7 +56,7 @@
 }
 
 /** Servers that were all tried in vain may be tried again. */
-function forgive (group: GroupPool, { avoid }: ReadProgress): void {
+function clearAvoided (group: GroupPool, { avoid }: ReadProgress): void {
   if (avoid.size >= Object.keys(group.sightings()).length) avoid.clear()
 }
 
@@ -74,6 +74,6 @@
     if (verdict.kind === 'answer') return verdict.answer
     services.log.decided('A read runs again.', { id: request.id, member: lent.connection.member, primary: lent.isPrimary, reason: verdict.reason, left: Math.round(deadline - services.clock.now()) })
     if (services.clock.now() >= deadline) throw new StatementFailure('busy', `no server answered in time; the last said ${verdict.reason}`)
-    forgive(group, progress)
+    clearAvoided(group, progress)
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -11,7 +11,7 @@
 import type { RequestLog } from './requestLog.js'
 import type { ScopedLogger } from '../process/logger.js'
 
-/** Pause between two looks at servers and lines, in milliseconds: a twentieth of a second of waiting at most, twenty wake-ups a second. */
+/** Pause between two looks at servers and queues, in milliseconds: a twentieth of a second of waiting at most, twenty wake-ups a second. */
 const TICK_MILLISECONDS = 50
 
 export interface EngineServices {
--- a/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
@@ -40,6 +40,15 @@
   return group
 }
 
+/** Its primary has failed, all have confirmed, and the replicas are being asked. */
+function choosing () {
+  const group = serving({ confirmed: true })
+  group.around.verdict = 'failed'
+  group.step({ kind: 'tick' })
+  group.step({ kind: 'tick' }, 25)
+  return group
+}
+
 test('an unverified primary is not open', () => {
   const group = control()
   assert.is(beliefOf(group.state()).use, 'closed')
@@ -79,10 +88,7 @@
 })
 
 test('a promotion follows its designation, and opens when the server leads', () => {
-  const group = serving({ confirmed: true })
-  group.around.verdict = 'failed'
-  group.step({ kind: 'tick' })
-  group.step({ kind: 'tick' }, 25)
+  const group = choosing()
   group.step({ kind: 'status', member: 'r1', status: status('replica', 8) })
   group.step({ kind: 'status', member: 'r2', status: status('replica', 9) })
   assert.is(group.asked('promote').length, 0)
@@ -96,10 +102,7 @@
 })
 
 test('the one before is told to step down', () => {
-  const group = serving({ confirmed: true })
-  group.around.verdict = 'failed'
-  group.step({ kind: 'tick' })
-  group.step({ kind: 'tick' }, 25)
+  const group = choosing()
   group.step({ kind: 'status', member: 'r1', status: status('replica', 9) })
   group.step({ kind: 'status', member: 'r2', status: status('replica', 8) })
   group.step({ kind: 'designated', designation: { group: 'g', member: 'r1', number: 2 }, accepted: true })
@@ -111,10 +114,7 @@
 })
 
 test('a server that can not be promoted is passed over', () => {
-  const group = serving({ confirmed: true })
-  group.around.verdict = 'failed'
-  group.step({ kind: 'tick' })
-  group.step({ kind: 'tick' }, 25)
+  const group = choosing()
   group.step({ kind: 'status', member: 'r1', status: status('replica', 8) })
   group.step({ kind: 'status', member: 'r2', status: status('replica', 9) })
   group.step({ kind: 'designated', designation: { group: 'g', member: 'r2', number: 2 }, accepted: true })
--- a/packages/decisions/src/node/placement/__tests__/placement.test.ts
+++ b/packages/decisions/src/node/placement/__tests__/placement.test.ts
@@ -4,7 +4,7 @@
 import { UNKNOWN_LAG, expectsPosition, recordReplicaLack, recordReplicaPosition } from '../replicaLag.js'
 import { readNeed } from '../readNeed.js'
 import { chooseForRead } from '../serverChoice.js'
-import { canServeInTime, compareEntries } from '../waitingLine.js'
+import { canServeInTime, compareEntries } from '../requestQueue.js'
 import type { PositionHistory } from '../../session/positionHistory.js'
 import type { ServerLoad } from '../serverChoice.js'
 
--- a/packages/decisions/src/node/placement/waitingLine.ts
+++ b/packages/decisions/src/node/placement/requestQueue.ts
@@ -1,5 +1,5 @@
 /**
- * The line of requests that wait for a connection of one group.
+ * The queue of requests that wait for a connection of one group.
  *
  * Load patterns: a burst, or a primary that is being replaced, makes requests
  * wait. The most urgent priority goes first, among equals the one whose time
@@ -7,7 +7,7 @@
  * its caller can ask elsewhere while there is time left.
  */
 
-export interface LineEntry {
+export interface QueuedRequest {
   priority: number
   /** When its time is over. */
   deadline: number
@@ -16,11 +16,11 @@
 }
 
 /** Order in which entries are served: below zero, `left` comes first. */
-export function compareEntries (left: LineEntry, right: LineEntry): number {
+export function compareEntries (left: QueuedRequest, right: QueuedRequest): number {
   return left.priority !== right.priority ? left.priority - right.priority : left.deadline - right.deadline
 }
 
-export interface LineLoad {
+export interface QueueLoad {
   /** Entries that would be served before this one. */
   ahead: number
   /** Statements a second that the connections can carry; 0: not known. */
@@ -32,8 +32,8 @@
 /** Requests that may wait while nobody can serve any: a second's worth at one instance. */
 const MAXIMUM_AHEAD = 64
 
-/** Whether an entry that joins the line now can be expected to be served in its time. */
-export function canServeInTime ({ deadline }: LineEntry, { ahead, servedPerSecond, servedFrom }: LineLoad, now: number): boolean {
+/** Whether an entry that joins the queue now can be expected to be served in its time. */
+export function canServeInTime ({ deadline }: QueuedRequest, { ahead, servedPerSecond, servedFrom }: QueueLoad, now: number): boolean {
   if (servedFrom >= deadline) return false
   if (servedPerSecond <= 0) return ahead < MAXIMUM_AHEAD
   return Math.max(now, servedFrom) + ahead / servedPerSecond * 1000 < deadline
