fix(reads): positions from before a suspension prove nothing of the age of data

Cause: a suspended machine's steady clock stands still, so a position that the primary was asked for before a suspension of seconds looked young enough for a bounded read after it, and a replica that far behind would have been accepted (STALE binds every machine). The lease already ended with the suspension; the history of positions did not. Ruled out: the lease covers it - a read with a position needs none.

--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -1,6 +1,6 @@
 /** The servers of one group as requests see them: who may take a statement now, and the queue of those that wait. */
 
-import { EMPTY_HISTORY, canServeInTime, chooseForRead, compareEntries, expectedWait, readNeed, recordPosition } from '@cyclamenusher/decisions'
+import { EMPTY_HISTORY, canServeInTime, chooseForRead, compareEntries, expectedWait, forgetPositionsUntil, readNeed, recordPosition } from '@cyclamenusher/decisions'
 import { StatementFailure } from './errors.js'
 import { createServerPool } from './serverPool.js'
 import type { LogPosition, PositionHistory, ReadNeed, ReadRequest, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
@@ -264,7 +264,10 @@
         dispatch()
       })
     },
-    readNeed: request => readNeed({ ...request, history, term, now: clock.now() }),
+    readNeed: request => {
+      history = forgetPositionsUntil(history, link.suspendedAt())
+      return readNeed({ ...request, history, term, now: clock.now() })
+    },
     sightings: () => {
       const now = clock.now()
       return Object.fromEntries([...pools].flatMap(([member, pool]) => {
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -53,6 +53,8 @@
   isConnected: () => boolean
   /** When the lease ended or will end. */
   leasedUntil: () => number
+  /** When a suspension last ended, on the steady clock: times from before it are older than they look. */
+  suspendedAt: () => number
   /** This instance's part of the rates, by account. */
   part: (account: string) => number
   /** Borrows operations of an account from the leader's pool; 0: it has none, or does not answer. */
@@ -225,6 +227,7 @@
     isLeased,
     isConnected: () => isLeased() && clock.now() - leasedFrom < OVERDUE_MILLISECONDS,
     leasedUntil,
+    suspendedAt: suspension.lastAt,
     part: account => parts[account] ?? 0,
     borrow,
     entries: () => entries,
--- a/packages/decisions/src/node/session/__tests__/positionHistory.test.ts
+++ b/packages/decisions/src/node/session/__tests__/positionHistory.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { EMPTY_HISTORY, positionWithin, recordPosition } from '../positionHistory.js'
+import { EMPTY_HISTORY, forgetPositionsUntil, positionWithin, recordPosition } from '../positionHistory.js'
 
 const at = (position: number, term = 1) => ({ term, position })
 
@@ -11,6 +11,13 @@
   assert.is(positionWithin(history, 10, 1_050), undefined)
 })
 
+test('what was asked before a suspension is forgotten', () => {
+  const history = [[0, 1], [500, 3], [1_000, 7]].reduce((known, [askedAt, position]) => recordPosition(known, askedAt, at(position)), EMPTY_HISTORY)
+  assert.equal(positionWithin(forgetPositionsUntil(history, 700), 5_000, 1_050)?.position, at(7))
+  assert.is(positionWithin(forgetPositionsUntil(history, 1_000), 5_000, 1_050), undefined)
+  assert.is(forgetPositionsUntil(history, -Infinity), history)
+})
+
 test('answers that overtook each other do not turn it back', () => {
   const history = recordPosition(recordPosition(EMPTY_HISTORY, 100, at(9)), 200, at(8))
   assert.equal(history.samples.map(({ position }) => position), [at(9)])
--- a/packages/decisions/src/node/session/positionHistory.ts
+++ b/packages/decisions/src/node/session/positionHistory.ts
@@ -35,6 +35,13 @@
   return { samples: [...history.samples, { askedAt, position }].slice(-MAXIMUM_SAMPLES) }
 }
 
+/** The history without questions sent up to a time, such as the end of a suspension that the steady clock did not count. */
+export function forgetPositionsUntil (history: PositionHistory, time: number): PositionHistory {
+  const [oldest] = history.samples
+  if (oldest === undefined || oldest.askedAt > time) return history
+  return { samples: history.samples.filter(({ askedAt }) => askedAt > time) }
+}
+
 /** The position that holds all that was acknowledged `age` ago; undefined: not known. */
 export function positionWithin (history: PositionHistory, age: number, now: number): PositionSample | undefined {
   return history.samples.find(({ askedAt }) => askedAt >= now - age)
