fix(failover): groups without a successor: a leaving primary is closed in time, one that works again is used

Ruled out: returning to it while a candidate answers - entry instances may be cut from it though control is not.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
@@ -87,6 +87,7 @@
       },
       announceMilliseconds: 60_000,
       rateTolerance: NO_TOLERANCE,
+      drainMilliseconds: 7_000,
       decodeDeclaration: ({ text }) => JSON.parse(text) as Declaration,
       credentials: CREDENTIALS,
       clock: systemClock,
--- a/packages/cyclamenusherd/src/node/process/fleet/config.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/config.ts
@@ -36,6 +36,8 @@
   toleratedLosses: number
   /** Time between two announcements of a server, in milliseconds. */
   announceMilliseconds: number
+  /** Time for which a server takes work after it has announced that it leaves, in milliseconds. */
+  drainMilliseconds: number
   /** Where promotions are ordered; undefined: nothing is promoted. */
   promotion?: Address
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -53,6 +53,7 @@
   administration: ServerAdministration
   promotion: PromotionPort
   announceMilliseconds: number
+  drainMilliseconds: number
   rateTolerance: RateTolerance
   decodeDeclaration: (document: DeclarationDocument) => Declaration
   credentials: PeerCredentials
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
@@ -54,6 +54,7 @@
     administration,
     promotion: createPromotionPort(config, ports),
     announceMilliseconds: config.announceMilliseconds,
+    drainMilliseconds: config.drainMilliseconds,
     rateTolerance: config.rateTolerance,
     decodeDeclaration: ports.decodeDeclaration,
     credentials,
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -36,6 +36,8 @@
   isLeading: () => boolean
   control: () => RenewGrant['control']
   rateTolerance: RateTolerance
+  /** Time for which a server takes work after it has announced that it leaves, in milliseconds. */
+  drainMilliseconds: number
   clock: Clock
   logger: ScopedLogger
 }
@@ -73,7 +75,8 @@
       confirmed: leases.confirmed(directory.changeOf(group), now),
       busy: leases.busy(group, now),
       earlierLeasesOverAt: startedAt + LEASE_MILLISECONDS,
-      synchronousReplicas
+      synchronousReplicas,
+      drainMilliseconds: options.drainMilliseconds
     }
   }
 
--- a/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
@@ -16,7 +16,7 @@
 
 /** A group under control, with a virtual clock and what it asked for. */
 function control (change: Partial<GroupSurroundings> = {}) {
-  const around: GroupSurroundings = { now: 0, servers: SERVERS, verdict: 'reachable', confirmed: false, busy: false, earlierLeasesOverAt: 0, synchronousReplicas: 0, ...change }
+  const around: GroupSurroundings = { now: 0, servers: SERVERS, verdict: 'reachable', confirmed: false, busy: false, earlierLeasesOverAt: 0, synchronousReplicas: 0, drainMilliseconds: 7_000, ...change }
   let state: GroupControl = openGroupControl('g', { group: 'g', member: 'p', number: 1 }, 0)
   const effects: GroupEffect[] = []
   return {
@@ -182,4 +182,44 @@
   assert.equal(fresh.effects, [{ kind: 'designate', member: 'p', after: 0 }])
 })
 
+test('a leaving primary without a successor is closed before its drain time ends', () => {
+  const group = serving({ confirmed: true })
+  group.around.servers = [server('p', { role: 'primary', leaving: true })]
+  group.step({ kind: 'tick' }, 25)
+  assert.is(beliefOf(group.state()).use, 'open')
+  group.step({ kind: 'tick' }, 4_000)
+  assert.is(beliefOf(group.state()).use, 'open')
+  group.step({ kind: 'tick' }, 1_000)
+  group.step({ kind: 'tick' }, 700)
+  assert.is(beliefOf(group.state()).use, 'closed')
+  group.around.servers = [...group.around.servers, server('r1')]
+  group.step({ kind: 'tick' }, 200)
+  group.step({ kind: 'status', member: 'r1', status: status('replica', 9) })
+  group.step({ kind: 'tick' }, 400)
+  assert.equal(group.asked('designate'), [{ kind: 'designate', member: 'r1', after: 1 }])
+})
+
+test('a primary that works again is used while no replica answers', () => {
+  const group = choosing()
+  group.step({ kind: 'tick' }, 400)
+  group.step({ kind: 'status', member: 'p', status: status('primary', 10) })
+  assert.is(beliefOf(group.state()).use, 'closed', 'its callers do not reach it yet')
+  group.around.verdict = 'reachable'
+  group.step({ kind: 'tick' }, 200)
+  group.step({ kind: 'status', member: 'p', status: status('primary', 11) })
+  assert.is(beliefOf(group.state()).use, 'open')
+  assert.is(group.asked('designate').length, 0)
+})
+
+test('a primary that stays after all is not closed', () => {
+  const group = serving({ confirmed: true })
+  group.around.servers = [server('p', { role: 'primary', leaving: true })]
+  group.step({ kind: 'tick' }, 25)
+  group.around.servers = [server('p', { role: 'primary' })]
+  group.step({ kind: 'tick' }, 25)
+  group.around.servers = [server('p', { role: 'primary', leaving: true })]
+  group.step({ kind: 'tick' }, 5_000)
+  assert.is(beliefOf(group.state()).use, 'open')
+})
+
 test.run()
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -6,6 +6,7 @@
  */
 
 import { comparePositions } from '../session/position.js'
+import { LEASE_MILLISECONDS } from './messages.js'
 import type { LogPosition } from '../session/position.js'
 import type { KnownServer } from './directory.js'
 import type { PrimaryVerdict } from './evidence.js'
@@ -49,6 +50,8 @@
   term: number
   /** Birth of the primary when it was last found to lead. */
   bornAt?: number
+  /** Since when the primary has wanted to leave, as far as this leader knows; undefined: it stays. */
+  leavingSince?: number
   /** The server that is to be promoted. */
   target?: string
   /** Whether the primary is replaced while it still works. */
@@ -92,6 +95,8 @@
   earlierLeasesOverAt: number
   /** Replicas that hold a commit before it is acknowledged. */
   synchronousReplicas: number
+  /** Time for which a server takes work after it has announced that it leaves. */
+  drainMilliseconds: number
 }
 
 /** Pause between two questions for a server's state, in milliseconds: a third of the time that a promotion takes at best. */
@@ -102,6 +107,8 @@
 const CHOOSE_MILLISECONDS = 300
 /** Time that running transactions have to end at a primary that is replaced, in milliseconds. */
 const CLOSING_MILLISECONDS = 700
+/** Part of the drain time in which a primary without a successor is taken out of use, in milliseconds: its transactions end, and an instance that hears nothing loses its lease. */
+const CLOSE_AHEAD_MILLISECONDS = CLOSING_MILLISECONDS + LEASE_MILLISECONDS
 /** Time that a successor has to receive the last commits of a planned replacement, in milliseconds. */
 const HANDOVER_MILLISECONDS = 1_000
 /** Time after which the call for a promotion is made again, in milliseconds. */
@@ -171,7 +178,7 @@
 
 function serve (step: Step, status: ServerStatus): void {
   const primary = primaryOf(step)
-  enter(step, 'serving', { term: status.term, bornAt: primary?.bornAt, target: undefined, planned: false, passedOver: new Map() })
+  enter(step, 'serving', { term: status.term, bornAt: primary?.bornAt, leavingSince: undefined, target: undefined, planned: false, passedOver: new Map() })
 }
 
 function tickUnverified (step: Step): void {
@@ -201,9 +208,16 @@
   const gone = primary === undefined && around.verdict !== 'reachable'
   if (gone && others) return enter(step, 'fenced', { planned: false })
   if (primary?.leaving === true && others) return enter(step, 'closing', { planned: true })
+  state.leavingSince = primary?.leaving === true ? state.leavingSince ?? around.now : undefined
+  if (outstaysDrain(step)) return enter(step, 'closing', { planned: false })
   retire(step)
 }
 
+/** Whether a primary that leaves without a successor has to be taken out of use, so that nothing reaches it after its drain time. */
+function outstaysDrain ({ state, around }: Step): boolean {
+  return state.leavingSince !== undefined && around.now - state.leavingSince > around.drainMilliseconds - CLOSE_AHEAD_MILLISECONDS
+}
+
 /** Has the primary before step down, until it has. */
 function retire (step: Step): void {
   const { state, around } = step
@@ -250,6 +264,17 @@
   return status?.role === 'primary' ? status : undefined
 }
 
+/** Whether the primary can be reached again as before while no candidate answers, so that nobody was or can be promoted. */
+function hasRecovered (step: Step, candidates: readonly KnownServer[]): ServerStatus | undefined {
+  const { state, around } = step
+  const primary = primaryOf(step)
+  if (primary === undefined || primary.leaving || around.verdict !== 'reachable') return undefined
+  const answered = candidates.some(({ member }) => freshStatus(step, member) !== undefined)
+  if (answered || around.now - state.since <= CHOOSE_MILLISECONDS) return undefined
+  const status = freshStatus(step, primary.member)
+  return status?.role === 'primary' ? status : undefined
+}
+
 interface Choice {
   member: string
   status: ServerStatus
@@ -274,9 +299,9 @@
 
 function tickChoosing (step: Step): void {
   const { state, around } = step
-  const returned = hasReturned(step)
-  if (returned !== undefined) return serve(step, returned)
   const candidates = candidatesOf(step)
+  const returned = hasReturned(step) ?? hasRecovered(step, candidates)
+  if (returned !== undefined) return serve(step, returned)
   const best = bestChoice(step, candidates)
   const old = state.designation === undefined ? undefined : freshStatus(step, state.designation.member)
   const behind = best !== undefined && old !== undefined && comparePositions(best.status.received, old.received) < 0
