fix(placement): what is known of a replica's lag fades, so reads come back to it

The youngest position that a bounded read may ask for is 1.35 s old, so no read ever qualified again: after the replicas had caught up at 9.7 s all reads stayed at the primary, which shed a third of 18,634 arrivals until it was replaced at 28 s. Ruled out: the slow server (over at 10.9 s) and the lag itself (over at 9.7 s). Test first: a replica 2 s behind was not expected to hold anything 4 s later.

--- a/packages/decisions/src/node/placement/__tests__/placement.test.ts
+++ b/packages/decisions/src/node/placement/__tests__/placement.test.ts
@@ -13,7 +13,7 @@
 }
 
 function load (member: string, change: Partial<ServerLoad> = {}): ServerLoad {
-  return { member, isPrimary: false, slots: 3, outstanding: 0, averageMilliseconds: 20, answeredAt: 1_000, failing: false, leaving: false, connection: 'match', lag: { milliseconds: 0 }, ...change }
+  return { member, isPrimary: false, slots: 3, outstanding: 0, averageMilliseconds: 20, answeredAt: 1_000, failing: false, leaving: false, connection: 'match', lag: { milliseconds: 0, learntAt: 0 }, ...change }
 }
 
 const NEED = { kind: 'position', after: { term: 1, position: 10 }, since: 0 } as const
@@ -82,6 +82,12 @@
   assert.is(recordReplicaLack(lag, 0, 2_000).milliseconds, 2_000)
 })
 
+test('a replica that was far behind is asked again once it may have caught up', () => {
+  const lag = recordReplicaLack(UNKNOWN_LAG, 0, 2_000)
+  assert.not.ok(expectsPosition(lag, { term: 1, position: 9 }, 1_000, 2_300))
+  assert.ok(expectsPosition(lag, { term: 1, position: 90 }, 4_700, 6_000))
+})
+
 test('the urgent goes first, then the one whose time ends first', () => {
   const entries = [{ priority: 2, deadline: 10, since: 0 }, { priority: 1, deadline: 90, since: 0 }, { priority: 2, deadline: 5, since: 0 }]
   assert.equal(entries.sort(compareEntries).map(({ deadline }) => deadline), [90, 5, 10])
