perf(consensus): members that all start again elect without waiting out a leader that can't be

Change: a pre-vote is answered 'started' where the quiet time alone speaks against it; if every voter has answered so (or granted), none of them leads, and the vote may be given at once. A starting member's own vote counts for unanimity only. Voters take turns by identity, so that votes are rarely split. Ruled out: a shorter quiet time (two leaders for a moment).

--- a/packages/decisions/src/node/consensus/__tests__/consensus.test.ts
+++ b/packages/decisions/src/node/consensus/__tests__/consensus.test.ts
@@ -71,6 +71,49 @@
   assert.ok(accepted > SEEDS.length * 20, `only ${accepted} commands were accepted: the storms prove little`)
 })
 
+test('members that all start again have a leader well before an election timeout', () => {
+  for (const seed of SEEDS) {
+    const network = createNetwork(seed, THREE, CALM)
+    elect(network)
+    accept(network, 'before')
+    for (const identity of THREE) network.stop(identity)
+    network.run(50)
+    for (const identity of THREE) network.restart(identity)
+    network.run(150)
+    assert.ok(network.leader(), `seed ${seed}`)
+    accept(network, 'after')
+  }
+})
+
+test('those that start again beside a leader that they can not hear wait out its lease', () => {
+  for (const seed of SEEDS) {
+    const network = createNetwork(seed, THREE, CALM)
+    const leader = elect(network)
+    accept(network, 'before')
+    const others = THREE.filter(identity => identity !== leader)
+    for (const other of others) {
+      network.cut(leader, other)
+      network.cut(other, leader)
+      network.restart(other)
+    }
+    network.run(2_000)
+    assert.ok(others.includes(network.leader() ?? ''), `seed ${seed}`)
+  }
+})
+
+test('one that starts again does not disturb a leader that others hear', () => {
+  const network = createNetwork(11, THREE, CALM)
+  const leader = elect(network)
+  const term = network.nodes.get(leader)?.state.term
+  for (const identity of THREE.filter(other => other !== leader)) {
+    network.stop(identity)
+    network.restart(identity)
+    network.run(1_000)
+  }
+  assert.is(network.leader(), leader)
+  assert.is(network.nodes.get(leader)?.state.term, term)
+})
+
 test('a leader that hears nobody steps down', () => {
   const network = createNetwork(1, THREE, CALM)
   const leader = elect(network)
--- a/packages/decisions/src/node/consensus/__tests__/network.ts
+++ b/packages/decisions/src/node/consensus/__tests__/network.ts
@@ -2,6 +2,7 @@
 
 import { EMPTY_DURABLE_STATE, applyPersist, startConsensus, stepConsensus } from '../consensus.js'
 import { planMembership } from '../repair.js'
+import { confirmedSince } from '../replication.js'
 import type { DurableState } from '../consensus.js'
 import type { Introduction } from '../repair.js'
 import type { ConsensusEffect, ConsensusEvent, ConsensusLimits, ConsensusMessage, ConsensusState, LogMember, RequestAnswer } from '../types.js'
@@ -127,6 +128,12 @@
     }
   }
 
+  /** What a leader grants lasts an election timeout from its last confirmed round: no other may lead meanwhile. */
+  function checkLeases (): void {
+    const leading = [...nodes.values()].filter(({ running, state }) => running && state.role === 'leader' && now < confirmedSince(state) + LIMITS.electionMilliseconds)
+    if (leading.length > 1) throw new Violation(`${leading.map(({ state }) => state.self).join(' and ')} lead at the same time`)
+  }
+
   function request (identity: string, make: (request: number) => ConsensusEvent): number {
     const number = nextRequest
     nextRequest += 1
@@ -148,6 +155,7 @@
         now += 5
         deliver()
         for (const identity of nodes.keys()) step(identity, { kind: 'tick' })
+        checkLeases()
         each()
       }
     },
--- a/packages/decisions/src/node/consensus/consensus.ts
+++ b/packages/decisions/src/node/consensus/consensus.ts
@@ -4,7 +4,7 @@
  * algorithm with pre-vote, check-quorum, read-index and learners.
  */
 
-import { receivePreVote, receivePreVoteReply, receiveResign, receiveTick, receiveVote, receiveVoteReply, resetElectionDeadline } from './election.js'
+import { receivePreVote, receivePreVoteReply, receiveResign, receiveTick, receiveVote, receiveVoteReply, scheduleElection } from './election.js'
 import { receiveAppend, receiveInstallSnapshot } from './follower.js'
 import { entriesFrom, membersAt, termAt } from './log.js'
 import { receiveChange } from './membership.js'
@@ -89,6 +89,7 @@
     electionDeadline: 0,
     heardLeaderAt: -Infinity,
     votes: [],
+    startedVotes: [],
     progress: new Map(),
     heartbeatAt: 0,
     round: 0,
@@ -99,7 +100,7 @@
     changes: [],
     reads: []
   }
-  resetElectionDeadline({ state, effects: [], now, random })
+  scheduleElection({ state, effects: [], now, random })
   return state
 }
 
--- a/packages/decisions/src/node/consensus/election.ts
+++ b/packages/decisions/src/node/consensus/election.ts
@@ -1,14 +1,34 @@
 /** Elections: pre-vote, vote, and when a member stops leading. */
 
-import { isMajority, isVoter, lastIndex, lastTerm, othersOf, reachedByMajority } from './log.js'
+import { isMajority, isVoter, lastIndex, lastTerm, othersOf, reachedByMajority, votersOf } from './log.js'
 import { appendEntry, broadcast } from './replication.js'
-import type { PeerProgress, PreVote, PreVoteReply, Step, Vote, VoteReply } from './types.js'
+import type { ConsensusState, PeerProgress, PreVote, PreVoteReply, Step, Vote, VoteReply } from './types.js'
 
 export function resetElectionDeadline (step: Step): void {
   const { electionMilliseconds } = step.state.limits
   step.state.electionDeadline = step.now + electionMilliseconds * (1 + step.random())
 }
 
+/** Part of the election timeout after which the first member that started lately asks whether all have. */
+const STARTED_PART = 0.1
+/** Such parts between one voter's turn and the next one's: a vote and its sync, so that votes are rarely split. */
+const TURN_PARTS = 2
+
+function isStarting ({ state, now }: Step): boolean {
+  return now < state.quietUntil
+}
+
+/**
+ * One that starts with a log asks soon: where all have started again, nobody leads
+ * and nobody's promise has to be waited out.
+ */
+export function scheduleElection (step: Step): void {
+  if (!isStarting(step)) return resetElectionDeadline(step)
+  const { state, now, random } = step
+  const turn = Math.max(0, votersOf(state).sort().indexOf(state.self))
+  state.electionDeadline = now + state.limits.electionMilliseconds * STARTED_PART * (1 + TURN_PARTS * turn + random())
+}
+
 /** Answers all that waits for this member as leader: nobody can tell what becomes of it. */
 function releaseRequests (step: Step): void {
   const { proposals, changes, reads } = step.state
@@ -36,20 +56,26 @@
 /** Asks whether an election could be won, without disturbing a leader that others hear. */
 function startPreVote (step: Step): void {
   const { state } = step
-  Object.assign(state, { role: 'pre-candidate', leader: '', votes: [state.self] })
-  resetElectionDeadline(step)
-  if (isMajority(state, state.votes)) return startElection(step)
+  const own = [state.self]
+  Object.assign(state, { role: 'pre-candidate', leader: '', votes: isStarting(step) ? [] : own, startedVotes: own })
+  scheduleElection(step)
+  if (isMajority(state, state.votes)) return startElection(step, false)
   const message: PreVote = { kind: 'pre-vote', term: state.term + 1, lastIndex: lastIndex(state), lastTerm: lastTerm(state) }
   for (const to of othersOf(state)) step.effects.push({ kind: 'send', to, message })
 }
 
-function startElection (step: Step): void {
+/** Whether every voter has said that it does not lead, and knows nothing newer. */
+function isUnanimous (state: ConsensusState): boolean {
+  return votersOf(state).every(identity => state.votes.includes(identity) || state.startedVotes.includes(identity))
+}
+
+function startElection (step: Step, unanimous: boolean): void {
   const { state } = step
   Object.assign(state, { role: 'candidate', term: state.term + 1, votedFor: state.self, leader: '', votes: [state.self] })
-  resetElectionDeadline(step)
+  scheduleElection(step)
   step.effects.push({ kind: 'persist', vote: { term: state.term, votedFor: state.self } })
   if (isMajority(state, state.votes)) return becomeLeader(step)
-  const message: Vote = { kind: 'vote', term: state.term, lastIndex: lastIndex(state), lastTerm: lastTerm(state) }
+  const message: Vote = { kind: 'vote', term: state.term, lastIndex: lastIndex(state), lastTerm: lastTerm(state), unanimous }
   for (const to of othersOf(state)) step.effects.push({ kind: 'send', to, message })
 }
 
@@ -69,7 +95,7 @@
 
 /** A leader that others hear is not to be replaced. */
 function hearsLeader ({ state, now }: Step): boolean {
-  if (state.role === 'leader' || now < state.quietUntil) return true
+  if (state.role === 'leader') return true
   return state.leader !== '' && now - state.heardLeaderAt < state.limits.electionMilliseconds
 }
 
@@ -81,21 +107,25 @@
 
 export function receivePreVote (step: Step, from: string, message: PreVote): void {
   const { state } = step
-  const granted = message.term > state.term && !hearsLeader(step) && isUpToDate(step, message)
-  step.effects.push({ kind: 'send', to: from, message: { kind: 'pre-vote reply', term: state.term, campaignTerm: message.term, granted } })
+  const agrees = message.term > state.term && !hearsLeader(step) && isUpToDate(step, message)
+  const started = isStarting(step)
+  step.effects.push({ kind: 'send', to: from, message: { kind: 'pre-vote reply', term: state.term, campaignTerm: message.term, granted: agrees && !started, started: agrees && started } })
 }
 
 export function receivePreVoteReply (step: Step, from: string, message: PreVoteReply): void {
   const { state } = step
   if (message.term > state.term) return becomeFollower(step, message.term, '')
-  if (state.role !== 'pre-candidate' || !message.granted || message.campaignTerm !== state.term + 1) return
-  state.votes = [...new Set([...state.votes, from])]
-  if (isMajority(state, state.votes)) startElection(step)
+  if (state.role !== 'pre-candidate' || message.campaignTerm !== state.term + 1) return
+  if (message.granted) state.votes = [...new Set([...state.votes, from])]
+  if (message.started === true) state.startedVotes = [...new Set([...state.startedVotes, from])]
+  if (isUnanimous(state)) return startElection(step, true)
+  if (isMajority(state, state.votes)) startElection(step, false)
 }
 
 export function receiveVote (step: Step, from: string, message: Vote): void {
   const { state } = step
-  if (message.term > state.term && hearsLeader(step)) return
+  const waits = hearsLeader(step) || (isStarting(step) && message.unanimous !== true)
+  if (message.term > state.term && waits) return
   if (message.term > state.term) becomeFollower(step, message.term, '')
   const free = state.votedFor === '' || state.votedFor === from
   const granted = message.term === state.term && state.role !== 'leader' && free && isUpToDate(step, message)
--- a/packages/decisions/src/node/consensus/types.ts
+++ b/packages/decisions/src/node/consensus/types.ts
@@ -47,8 +47,22 @@
 }
 
 export interface PreVote { kind: 'pre-vote', term: number, lastIndex: number, lastTerm: number }
-export interface PreVoteReply { kind: 'pre-vote reply', term: number, campaignTerm: number, granted: boolean }
-export interface Vote { kind: 'vote', term: number, lastIndex: number, lastTerm: number }
+export interface PreVoteReply {
+  kind: 'pre-vote reply'
+  term: number
+  campaignTerm: number
+  granted: boolean
+  /** True: not granted for the sole reason that the member started too lately to know whom it heard; it does not lead itself. */
+  started?: boolean
+}
+export interface Vote {
+  kind: 'vote'
+  term: number
+  lastIndex: number
+  lastTerm: number
+  /** True: every voter has said that it does not lead. */
+  unanimous?: boolean
+}
 export interface VoteReply { kind: 'vote reply', term: number, granted: boolean }
 
 export interface Append {
@@ -174,6 +188,8 @@
   heardLeaderAt: number
   /** Who granted the vote or pre-vote that is under way. */
   votes: readonly string[]
+  /** Who would have granted the pre-vote, had it not started lately. */
+  startedVotes: readonly string[]
   /** Of a leader: the other members. */
   progress: ReadonlyMap<string, PeerProgress>
   heartbeatAt: number
