feat(placement): statements at a server limited by its answers; objectives count under overload

Change: an adaptive limit per instance and server, priority before objective before deadline in the queue, refusal at once under lasting overload, refusals no longer counted as answers.

--- a/packages/cyclamenusherd/src/node/engine/attempt.ts
+++ b/packages/cyclamenusherd/src/node/engine/attempt.ts
@@ -26,8 +26,10 @@
   if (first.kind === 'late') {
     lent.connection.close('a statement got no answer in its time')
     lent.suspectIdle(startedAt)
-  } else {
+  } else if (first.kind === 'complete') {
     lent.recordTime(clock.now() - startedAt)
+  } else if (first.kind === 'failure' && first.failure === 'busy') {
+    lent.recordRefusal()
   }
   return first
 }
--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -174,7 +174,7 @@
 
   async function answer (own: Session, request: StatementRequest): Promise<void> {
     const startedAt = clock.now()
-    const context: StatementContext = { session: own, request, deadline: startedAt + statementMilliseconds(own) }
+    const context: StatementContext = { session: own, request, startedAt, deadline: startedAt + statementMilliseconds(own) }
     try {
       const { rows, digest, position } = await execute(context)
       noteAnswer(own, request, startedAt)
--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -1,9 +1,9 @@
 /** The servers of one group as requests see them: who may take a statement now, and the queue of those that wait. */
 
-import { EMPTY_HISTORY, canServeInTime, chooseForRead, compareEntries, expectedWait, forgetPositionsUntil, readNeed, recordPosition } from '@cyclamenusher/decisions'
+import { EMPTY_HISTORY, NO_PRESSURE, canServeInTime, chooseForRead, compareEntries, expectedWait, forgetPositionsUntil, isOverloaded, noteRefused, noteWaiting, readNeed, recordPosition, waitLimit } from '@cyclamenusher/decisions'
 import { StatementFailure } from './errors.js'
 import { createServerPool } from './serverPool.js'
-import type { LogPosition, PositionHistory, ReadNeed, ReadRequest, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
+import type { LogPosition, PositionHistory, QueuePressure, QueuedRequest, ReadNeed, ReadRequest, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { ScopedLogger } from '../process/logger.js'
@@ -24,6 +24,8 @@
   account: string
   values: ReadonlyMap<string, string>
   priority: number
+  /** When its answer is late. */
+  objective: number
   deadline: number
   need: ReadNeed
   /** Members that this statement was tried at in vain. */
@@ -39,6 +41,7 @@
   confirm: (deadline: number) => Promise<boolean>
   recordPosition: (askedAt: number, position: LogPosition) => void
   recordTime: (milliseconds: number) => void
+  recordRefusal: () => void
   recordLack: () => void
   suspectIdle: (since: number) => void
   release: (clean: boolean) => void
@@ -66,11 +69,8 @@
   logger: ScopedLogger
 }
 
-interface Waiter {
+interface Waiter extends QueuedRequest {
   request: LendRequest
-  priority: number
-  deadline: number
-  since: number
   resolve: (lent: Lent) => void
   reject: (error: StatementFailure) => void
 }
@@ -78,6 +78,7 @@
 export function createGroupPool ({ group, link, codec, clock, logger }: GroupPoolOptions): GroupPool {
   const pools = new Map<string, ServerPool>()
   let queue: Waiter[] = []
+  let pressure: QueuePressure = NO_PRESSURE
   let history: PositionHistory = EMPTY_HISTORY
   let designation = 0
   let term = 0
@@ -110,6 +111,7 @@
         logger,
         limit: () => evenShare() + SURPLUS_CONNECTIONS,
         share: evenShare,
+        instances: () => Math.max(1, link.entries()),
         onChange: dispatch,
         onFailing: reason => {
           logger.warn('A backend server does not answer.', { group, member: server.member, reason, primary: server.member === link.belief(group)?.member })
@@ -187,6 +189,7 @@
         history = recordPosition(history, askedAt, position)
       },
       recordTime: pool.recordTime,
+      recordRefusal: pool.recordRefusal,
       recordLack: () => { if (request.need.kind === 'position') pool.recordLack(request.need) },
       suspectIdle: pool.suspectIdle,
       release: clean => {
@@ -200,7 +203,7 @@
   /** Statements a second that this instance's connections can carry, at the servers that a request may use. */
   function servedPerSecond (request: LendRequest, now: number): number {
     const loads = loadsFor(request, now).filter(load => !load.failing && (request.need.kind === 'position' || load.isPrimary))
-    return loads.reduce((sum, { averageMilliseconds }) => sum + (evenShare() + SURPLUS_CONNECTIONS) * 1000 / averageMilliseconds, 0)
+    return loads.reduce((sum, { allowed, averageMilliseconds }) => sum + allowed * 1000 / averageMilliseconds, 0)
   }
 
   /** Opens a connection for a waiter; it waits for another chance where that fails or comes too late. */
@@ -227,8 +230,10 @@
 
   /** Refuses those whose time is over, and those that can no longer be served in it. */
   function refuseUnservable (now: number): void {
-    const unservable = queue.filter(({ deadline, request }) => deadline <= now || (request.need.kind === 'primary' && primaryFrom(now) >= deadline))
+    const overloaded = isOverloaded(pressure, now)
+    const unservable = queue.filter(waiter => waitLimit(waiter, overloaded) <= now || (waiter.request.need.kind === 'primary' && primaryFrom(now) >= waiter.deadline))
     if (unservable.length === 0) return
+    pressure = noteRefused(pressure, now)
     queue = queue.filter(waiter => !unservable.includes(waiter))
     for (const { reject, since } of unservable) reject(refusal(now - since))
   }
@@ -244,21 +249,26 @@
     dispatching = true
     const now = clock.now()
     refuseUnservable(now)
-    queue.sort(compareEntries)
+    queue.sort((left, right) => compareEntries(left, right, now))
     const waiting = queue
     queue = []
     // Serving one may change what the next finds, so each is looked at anew.
     queue = [...queue, ...waiting.filter(waiter => !serve(waiter, now))]
+    pressure = noteWaiting(pressure, queue.length, usablePrimary() !== undefined, now)
     dispatching = false
   }
 
   return {
     lend: async request => {
       const now = clock.now()
-      const entry = { priority: request.priority, deadline: request.deadline, since: now }
-      const ahead = queue.filter(other => compareEntries(other, entry) <= 0).length
+      const { priority, objective, deadline } = request
+      const entry: QueuedRequest = { priority, objective, deadline, since: now }
+      const ahead = queue.filter(other => compareEntries(other, entry, now) <= 0).length
       const servedFrom = request.need.kind === 'primary' ? primaryFrom(now) : now
-      if (!canServeInTime(entry, { ahead, servedPerSecond: servedPerSecond(request, now), servedFrom }, now)) throw refusal(0)
+      if (!canServeInTime(entry, { ahead, servedPerSecond: servedPerSecond(request, now), servedFrom, overloaded: isOverloaded(pressure, now) }, now)) {
+        pressure = noteRefused(pressure, now)
+        throw refusal(0)
+      }
       return await new Promise<Lent>((resolve, reject) => {
         queue.push({ request, ...entry, resolve, reject })
         dispatch()
--- a/packages/cyclamenusherd/src/node/engine/reads.ts
+++ b/packages/cyclamenusherd/src/node/engine/reads.ts
@@ -3,6 +3,7 @@
 import { StatementFailure } from './errors.js'
 import { attempt } from './attempt.js'
 import { pause } from '../process/clock.js'
+import { objectiveOf } from './session.js'
 import type { LogPosition } from '@cyclamenusher/decisions'
 import type { AttemptReply } from './attempt.js'
 import type { EngineServices } from './services.js'
@@ -67,7 +68,7 @@
   const progress: ReadProgress = { avoid: new Set(), failedRuns: 0 }
   for (;;) {
     const need = group.readNeed({ policy: route.readPolicy, maximumStalenessMilliseconds: route.maximumStalenessMilliseconds, session: session.committed })
-    const lent = await group.lend({ account, values: session.values, priority: route.priority, deadline, need, avoid: progress.avoid })
+    const lent = await group.lend({ account, values: session.values, priority: route.priority, objective: objectiveOf(context, route), deadline, need, avoid: progress.avoid })
     const { after } = lent
     const prefix = (text: string): string => after === undefined ? text : services.codec().after(after, text)
     const verdict = await judge(lent, context, await attempt(services, lent, context, prefix, true), progress)
--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -1,16 +1,14 @@
 /** What one entry instance has to do with one backend server: its connections, how fast it answers, whether it answers at all. */
 
-import { ASSUMED_MILLISECONDS, UNKNOWN_LAG, recordReplicaLack, recordReplicaPosition } from '@cyclamenusher/decisions'
+import { ASSUMED_MILLISECONDS, UNKNOWN_LAG, allowedStatements, openConcurrencyLimit, recordAnswer, recordRefusal, recordReplicaLack, recordReplicaPosition } from '@cyclamenusher/decisions'
 import { OpenError } from './errors.js'
 import { openServerConnection, reaches } from './serverConnection.js'
-import type { ConnectionState, KnownServer, LogPosition, PositionHistory, PositionNeed, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
+import type { ConcurrencyBounds, ConnectionState, KnownServer, LogPosition, PositionHistory, PositionNeed, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 import type { ScopedLogger } from '../process/logger.js'
 import type { ServerConnection } from './serverConnection.js'
 import type { ServerCodec } from './statement.js'
 
-/** Weight of a new time in the moving average. */
-const AVERAGE_WEIGHT = 0.2
 /** Silence of a server with statements outstanding after which its address is tried, in milliseconds: above a usual statement behind a full queue. */
 const SILENCE_MILLISECONDS = 350
 /** Pause between two tries of a server that fails, in milliseconds. */
@@ -39,6 +37,8 @@
   limit: () => number
   /** Its even share of the server's connections. */
   share: () => number
+  /** Instances that use the server. */
+  instances: () => number
   /** Something changed that may let a waiting request go on. */
   onChange: () => void
   /** It began to fail. */
@@ -55,7 +55,10 @@
   open: (account: string) => Promise<ServerConnection>
   markPrimaryWork: (connection: ServerConnection) => void
   release: (connection: ServerConnection, clean: boolean) => void
+  /** The server answered a statement. */
   recordTime: (milliseconds: number) => void
+  /** The server had no room for a statement. */
+  recordRefusal: () => void
   /** The server, as a replica, stands at a position. */
   recordPosition: (history: PositionHistory, position: LogPosition) => void
   /** The server lacks a position. */
@@ -82,7 +85,7 @@
   let { server } = options
   const pooled: Pooled[] = []
   let opening = 0
-  let average = ASSUMED_MILLISECONDS
+  let concurrency = openConcurrencyLimit(ASSUMED_MILLISECONDS, clock.now())
   let answeredAt = -Infinity
   let failingSince: number | undefined
   let fullUntil = -Infinity
@@ -92,6 +95,10 @@
   let lag = UNKNOWN_LAG
   let lacks: { position: LogPosition, until: number, pause: number } | undefined
 
+  function bounds (): ConcurrencyBounds {
+    return { least: Math.max(1, Math.ceil(server.slots / options.instances())), most: options.limit() }
+  }
+
   function total (): number {
     return pooled.length + opening
   }
@@ -205,7 +212,8 @@
       isPrimary: server.member === primary,
       slots: server.slots,
       outstanding: pooled.filter(({ connection }) => connection.runningSince() !== undefined).length + opening,
-      averageMilliseconds: average,
+      allowed: allowedStatements(concurrency, bounds()),
+      averageMilliseconds: concurrency.averageMilliseconds,
       answeredAt,
       failing: failingSince !== undefined,
       leaving: server.leaving,
@@ -237,9 +245,12 @@
       else options.onChange()
     },
     recordTime: milliseconds => {
-      average += (milliseconds - average) * AVERAGE_WEIGHT
-      if (lacks !== undefined && lacks.until < clock.now()) lacks = undefined
+      const now = clock.now()
+      concurrency = recordAnswer(concurrency, milliseconds, bounds(), now)
+      if (lacks !== undefined && lacks.until < now) lacks = undefined
+      options.onChange()
     },
+    recordRefusal: () => { concurrency = recordRefusal(concurrency, bounds(), clock.now()) },
     recordPosition: (history, position) => { lag = recordReplicaPosition(lag, history, position, clock.now()) },
     recordLack: ({ after: position, since }) => {
       lag = recordReplicaLack(lag, since, clock.now())
--- a/packages/cyclamenusherd/src/node/engine/session.ts
+++ b/packages/cyclamenusherd/src/node/engine/session.ts
@@ -45,6 +45,8 @@
 export interface StatementContext {
   session: Session
   request: StatementRequest
+  /** When the statement arrived. */
+  startedAt: number
   /** When the statement must be answered. */
   deadline: number
 }
@@ -52,6 +54,11 @@
 /** Account that stands for callers of open routes without a known key. */
 export const OPEN_ACCOUNT = '-'
 
+/** When the answer of a statement is late. */
+export function objectiveOf ({ startedAt, deadline }: StatementContext, { objectiveMilliseconds }: Route): number {
+  return objectiveMilliseconds === undefined ? deadline : startedAt + objectiveMilliseconds
+}
+
 export function openSession (database: string, key: string): Session {
   return { database, key, values: new Map(), prepared: new Map(), state: 'idle' }
 }
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -9,6 +9,7 @@
 import { OWN_ID } from './preparation.js'
 import { renewPosition } from './reads.js'
 import { CONFIRM_MILLISECONDS, NOT_RUN } from './writes.js'
+import { objectiveOf } from './session.js'
 import { pause } from '../process/clock.js'
 import type { ReadNeed } from '@cyclamenusher/decisions'
 import type { EngineServices } from './services.js'
@@ -26,16 +27,17 @@
 }
 
 /** Begins the transaction at a server. @throws StatementFailure when none takes it in time */
-async function beginAtServer (services: EngineServices, { session, request, deadline }: StatementContext, transaction: Transaction): Promise<Lent> {
+async function beginAtServer (services: EngineServices, context: StatementContext, transaction: Transaction): Promise<Lent> {
+  const { session, request, deadline } = context
   const { route, account, readOnly } = transaction
   const group = services.group(route.group)
   const codec = services.codec()
   const avoid = new Set<string>()
   for (;;) {
     const need = needOf(group, session, transaction)
-    const lent = await group.lend({ account, values: session.values, priority: route.priority, deadline, need, avoid })
+    const lent = await group.lend({ account, values: session.values, priority: route.priority, objective: objectiveOf(context, route), deadline, need, avoid })
     const begin = lent.after === undefined ? codec.begin(readOnly) : codec.after(lent.after, codec.begin(readOnly))
-    const reply = await beginOn(services, lent, { session, deadline, request: { id: transaction.beginId, text: begin, statement: { kind: 'read' } } })
+    const reply = await beginOn(services, lent, { ...context, request: { id: transaction.beginId, text: begin, statement: { kind: 'read' } } })
     if (reply === undefined) return lent
     services.log.decided('A transaction is begun again.', { id: request.id, member: lent.connection.member, reason: reply, left: Math.round(deadline - services.clock.now()) })
     if (lent.after !== undefined && !lent.isPrimary) avoid.add(lent.connection.member)
--- a/packages/cyclamenusherd/src/node/engine/writes.ts
+++ b/packages/cyclamenusherd/src/node/engine/writes.ts
@@ -3,6 +3,7 @@
 import { StatementFailure } from './errors.js'
 import { attempt } from './attempt.js'
 import { pause } from '../process/clock.js'
+import { objectiveOf } from './session.js'
 import type { EngineServices } from './services.js'
 import type { FailureKind } from './statement.js'
 import type { Admitted, Answer, StatementContext } from './session.js'
@@ -20,7 +21,7 @@
   const { session, request, deadline } = context
   const group = services.group(route.group)
   for (;;) {
-    const lent = await group.lend({ account, values: session.values, priority: route.priority, deadline, need: { kind: 'primary' }, avoid: new Set() })
+    const lent = await group.lend({ account, values: session.values, priority: route.priority, objective: objectiveOf(context, route), deadline, need: { kind: 'primary' }, avoid: new Set() })
     const { connection } = lent
     const reply = await attempt(services, lent, context, text => text, true)
     if (reply.kind === 'complete') {
--- a/packages/decisions/src/node/declaration/declaration.ts
+++ b/packages/decisions/src/node/declaration/declaration.ts
@@ -18,6 +18,8 @@
   maximumStalenessMilliseconds?: number
   /** Time that one statement may take, in milliseconds. */
   statementMilliseconds: number
+  /** Time within which an operation is to be answered, in milliseconds; a later answer is worth less. @default statementMilliseconds */
+  objectiveMilliseconds?: number
   /** 0 is the highest. */
   priority: number
   /** Whether callers need no key. */
--- a/packages/decisions/src/node/placement/__tests__/placement.test.ts
+++ b/packages/decisions/src/node/placement/__tests__/placement.test.ts
@@ -13,7 +13,7 @@
 }
 
 function load (member: string, change: Partial<ServerLoad> = {}): ServerLoad {
-  return { member, isPrimary: false, slots: 3, outstanding: 0, averageMilliseconds: 20, answeredAt: 1_000, failing: false, leaving: false, connection: 'match', lag: { milliseconds: 0, learntAt: 0 }, ...change }
+  return { member, isPrimary: false, slots: 3, allowed: 24, outstanding: 0, averageMilliseconds: 20, answeredAt: 1_000, failing: false, leaving: false, connection: 'match', lag: { milliseconds: 0, learntAt: 0 }, ...change }
 }
 
 const NEED = { kind: 'position', after: { term: 1, position: 10 }, since: 0 } as const
@@ -89,15 +89,15 @@
 })
 
 test('the urgent goes first, then the one whose time ends first', () => {
-  const entries = [{ priority: 2, deadline: 10, since: 0 }, { priority: 1, deadline: 90, since: 0 }, { priority: 2, deadline: 5, since: 0 }]
-  assert.equal(entries.sort(compareEntries).map(({ deadline }) => deadline), [90, 5, 10])
+  const entries = [{ priority: 2, objective: 9, deadline: 10, since: 0 }, { priority: 1, objective: 90, deadline: 90, since: 0 }, { priority: 2, objective: 9, deadline: 5, since: 0 }]
+  assert.equal(entries.sort((left, right) => compareEntries(left, right, 0)).map(({ deadline }) => deadline), [90, 5, 10])
 })
 
 test('what can not be served in time is refused at once', () => {
-  const entry = { priority: 1, deadline: 800, since: 0 }
-  assert.ok(canServeInTime(entry, { ahead: 10, servedPerSecond: 100, servedFrom: 0 }, 0))
-  assert.not.ok(canServeInTime(entry, { ahead: 100, servedPerSecond: 100, servedFrom: 0 }, 0))
-  assert.not.ok(canServeInTime(entry, { ahead: 0, servedPerSecond: 100, servedFrom: 1_300 }, 0))
+  const entry = { priority: 1, objective: 250, deadline: 800, since: 0 }
+  assert.ok(canServeInTime(entry, { ahead: 10, servedPerSecond: 100, servedFrom: 0, overloaded: false }, 0))
+  assert.not.ok(canServeInTime(entry, { ahead: 100, servedPerSecond: 100, servedFrom: 0, overloaded: false }, 0))
+  assert.not.ok(canServeInTime(entry, { ahead: 0, servedPerSecond: 100, servedFrom: 1_300, overloaded: false }, 0))
 })
 
 test.run()
--- a/packages/decisions/src/node/placement/serverChoice.ts
+++ b/packages/decisions/src/node/placement/serverChoice.ts
@@ -19,6 +19,8 @@
   slots: number
   /** Statements of this instance that wait for its answer. */
   outstanding: number
+  /** Statements of this instance that may wait for its answer, see concurrencyLimit.ts. */
+  allowed: number
   /** Moving average of the time of a statement, in milliseconds. */
   averageMilliseconds: number
   /** Time of the last answer. */
@@ -55,7 +57,7 @@
 
 /** Expected time until a statement is answered, in milliseconds; infinite: it can't be sent now. */
 export function expectedWait (server: ServerLoad, now: number, primaryCost: number): number {
-  if (server.failing) return Infinity
+  if (server.failing || server.outstanding >= server.allowed) return Infinity
   const average = fadedAverage(server, now)
   const queued = average * server.outstanding / Math.max(1, server.slots)
   return average + queued + CONNECTION_COSTS[server.connection] + (server.isPrimary ? primaryCost : 0)
--- /dev/null
+++ b/packages/measure/src/node/scenarios/overload.ts
@@ -0,0 +1,45 @@
+/** Ways in which work may wait for one server that many instances share, under loads that it can't run. */
+
+import { runOverload } from '../model/overload.js'
+import type { OverloadOutcome, WaitingPolicy } from '../model/overload.js'
+import type { Figures, Scenario } from '../scenario.js'
+
+const POLICIES: readonly WaitingPolicy[] = ['unlimited', 'first come', 'deadline order', 'adaptive']
+
+/** Loads beside what the server can run, over time in milliseconds. */
+const LOADS: Record<string, (time: number) => number> = {
+  'calm at 0.8': () => 0.8,
+  'lasting 1.3': () => 1.3,
+  'lasting 2.0': () => 2,
+  'burst of 1 s at 2.5': time => time >= 5_000 && time < 6_000 ? 2.5 : 0.8,
+  'spell of 5 s at 1.6': time => time >= 5_000 && time < 10_000 ? 1.6 : 0.8
+}
+/** Span whose operations are counted, in milliseconds. */
+const COUNTED = { from: 5_000, to: 15_000 } as const
+
+function shareOf (part: number, whole: number): number {
+  return Math.round(part / whole * 1000) / 1000
+}
+
+function figuresOf ({ asked, onTime, late, refused, expired, capacity }: OverloadOutcome): Record<string, number> {
+  return {
+    'on time, of what can be run': shareOf(onTime, Math.min(asked, capacity)),
+    late: shareOf(late, asked),
+    refused: shareOf(refused, asked),
+    expired: shareOf(expired, asked)
+  }
+}
+
+export const overloadScenario: Scenario = {
+  name: 'overload',
+  description: 'operations answered within their objective at a server that more arrives at than it can run, in virtual time',
+  policies: POLICIES,
+  run: async ({ seed, policy }) => {
+    const figures: Figures = {}
+    for (const way of POLICIES) {
+      if (policy !== undefined && way !== policy) continue
+      for (const [name, loadAt] of Object.entries(LOADS)) figures[`${way}, ${name}`] = figuresOf(runOverload({ seed, policy: way, loadAt }).between(COUNTED.from, COUNTED.to))
+    }
+    return figures
+  }
+}
