fix(engine): a defect ends one statement, not the process

Change: it is logged with its stack, answered as in doubt, which promises nothing, and the transaction is rolled back; the connection is closed.

--- a/packages/cyclamenusherd/src/node/engine/attempt.ts
+++ b/packages/cyclamenusherd/src/node/engine/attempt.ts
@@ -39,16 +39,16 @@
  * `prefix` is what the text needs in front on this connection.
  */
 export async function attempt (services: EngineServices, lent: Lent, { session, request, deadline }: StatementContext, prefix: (text: string) => string, mayReset: boolean): Promise<AttemptReply> {
-  const codec = services.codec()
   const { connection } = lent
   const shape = request.statement.kind === 'execute' ? session.prepared.get(request.statement.name) : undefined
   try {
+    const codec = services.codec()
     await prepareConnection(connection, codec, session.values, shape, mayReset)
+    if (!connection.isOpen()) return { kind: 'not sent', reason: 'the connection is gone' }
+    return await replyWithin(services, lent, deadline, connection.run(request.id, prefix(statementText(codec, request, shape))))
   } catch (error) {
+    connection.close('a statement could not be run on it')
     if (!(error instanceof PreparationError)) throw error
-    connection.close('it did not take a session\'s values')
     return { kind: 'not sent', reason: error.message }
   }
-  if (!connection.isOpen()) return { kind: 'not sent', reason: 'the connection is gone' }
-  return await replyWithin(services, lent, deadline, connection.run(request.id, prefix(statementText(codec, request, shape))))
 }
--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -172,6 +172,16 @@
     else log.answered('A statement failed.', { ...facts, failure: failure.kind, explanation: failure.message, leasedFor: Math.round(services.link.leasedUntil() - clock.now()) })
   }
 
+  /** A defect ends one statement: nobody can tell what it did, and its transaction is rolled back. */
+  function noteDefect (own: Session, { id }: StatementRequest, { message, stack }: Error): StatementFailure {
+    log.decided('A statement met a defect of the instance.', { id, reason: message, stack: stack ?? '' })
+    if (own.transaction !== undefined) {
+      endAtServer(services, own.transaction)
+      own.state = 'failed transaction'
+    }
+    return new StatementFailure('in doubt', `the instance failed: ${message}`)
+  }
+
   async function answer (own: Session, request: StatementRequest): Promise<void> {
     const startedAt = clock.now()
     const context: StatementContext = { session: own, request, startedAt, deadline: startedAt + statementMilliseconds(own) }
@@ -180,9 +190,9 @@
       noteAnswer(own, request, startedAt)
       write(codec.result(rows, digest) + codec.ready(own.state, position))
     } catch (error) {
-      if (!(error instanceof StatementFailure)) throw error
-      noteAnswer(own, request, startedAt, error)
-      write(codec.failure(error.kind, error.message) + codec.ready(own.state))
+      const failure = error instanceof StatementFailure ? error : noteDefect(own, request, error as Error)
+      noteAnswer(own, request, startedAt, failure)
+      write(codec.failure(failure.kind, failure.message) + codec.ready(own.state))
       // Another instance may have word from control; its callers' retries find it.
       if (!services.link.isLeased() && own.state === 'idle') closing = true
     }
