fix(limits): an entry instance's part of a rate ends when control may give it to others

Cause: control counts a part as held for 12 s from the last grant; the instance itself kept it for as long as it ran, so a cut longer than that could have let two instances spend the same part. Change: the part counts for 12 s from when the renewal was sent, and not across a suspension.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleet.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleet.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { SHARE_MILLISECONDS } from '@cyclamenusher/decisions'
 import { createFleet, documentOf, until } from './fleetHarness.js'
 import type { FleetHarness } from './fleetHarness.js'
 
@@ -81,6 +82,17 @@
   }
 })
 
+test('a part of a rate ends when control may give it to others', async () => {
+  await fleet.declare(1)
+  let ahead = 0
+  const link = fleet.joinEntry('entry-1', undefined, { now: () => performance.now() + ahead })
+  await until('its part', () => link.part('clinic') > 0)
+  await Promise.all([...fleet.running.values()].map(async instance => { await instance.stop() }))
+  assert.ok(link.part('clinic') > 0)
+  ahead = SHARE_MILLISECONDS
+  assert.is(link.part('clinic'), 0)
+})
+
 test('a primary that fails is replaced once every lease holder has closed it', async () => {
   await fleet.declare(1)
   await fleet.announceGroup()
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
@@ -13,6 +13,7 @@
 import type { Declaration, KnownServer, RenewRequest, ServerAnnouncement, ServerStatus } from '@cyclamenusher/decisions'
 import type { CallServer } from '@cyclamenusher/protocol'
 import type { FleetControl } from '../fleetControl.js'
+import type { Clock } from '../../clock.js'
 import type { FleetLink } from '../fleetLink.js'
 import type { PromotionOrder } from '../ports.js'
 
@@ -114,8 +115,8 @@
     return instance
   }
 
-  function join_ (name: string, report: () => Pick<RenewRequest, 'demand' | 'sightings' | 'busy'> = () => ({ demand: {}, sightings: {}, busy: [] })): FleetLink {
-    const link = createFleetLink({ name, failureDomain: 'a', seeds: () => addresses, decodeDeclaration: ({ text }) => JSON.parse(text) as Declaration, report, credentials: CREDENTIALS, clock: systemClock, logger })
+  function join_ (name: string, report: () => Pick<RenewRequest, 'demand' | 'sightings' | 'busy'> = () => ({ demand: {}, sightings: {}, busy: [] }), clock: Clock = systemClock): FleetLink {
+    const link = createFleetLink({ name, failureDomain: 'a', seeds: () => addresses, decodeDeclaration: ({ text }) => JSON.parse(text) as Declaration, report, credentials: CREDENTIALS, clock, logger })
     link.start()
     links.push(link)
     return link
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from 'node:crypto'
 import { EventEmitter } from 'node:events'
 import { inflateSync } from 'node:zlib'
-import { HOLD_MILLISECONDS, LEASE_MILLISECONDS, indexDeclaration, mergeServer, serversOf } from '@cyclamenusher/decisions'
+import { HOLD_MILLISECONDS, LEASE_MILLISECONDS, SHARE_MILLISECONDS, indexDeclaration, mergeServer, serversOf } from '@cyclamenusher/decisions'
 import { FleetService, createPeerLink } from '@cyclamenusher/protocol'
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
@@ -92,8 +92,13 @@
   let poked = false
   let closed = false
 
+  /** When something ends that control gave for a time; time in a suspension is not known. */
+  function heldUntil (milliseconds: number): number {
+    return leasedFrom <= suspension.lastAt() ? -Infinity : leasedFrom + milliseconds
+  }
+
   function leasedUntil (): number {
-    return leasedFrom <= suspension.lastAt() ? -Infinity : leasedFrom + LEASE_MILLISECONDS
+    return heldUntil(LEASE_MILLISECONDS)
   }
 
   function isLeased (): boolean {
@@ -228,7 +233,7 @@
     isConnected: () => isLeased() && clock.now() - leasedFrom < OVERDUE_MILLISECONDS,
     leasedUntil,
     suspendedAt: suspension.lastAt,
-    part: account => parts[account] ?? 0,
+    part: account => clock.now() < heldUntil(SHARE_MILLISECONDS) ? parts[account] ?? 0 : 0,
     borrow,
     entries: () => entries,
     poke: () => {
