perf(pool): idle connections take half of a server's room at most

Cause: after a loss of power a server counts the connections of instances that are gone for 3 s more. Change: the budget is a decision of its own (placement/connectionBudget.ts): an even part and one more may be open, half of the room may be idle.

--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -1,9 +1,9 @@
 /** The servers of one group as requests see them: who may take a statement now, and the queue of those that wait. */
 
-import { EMPTY_HISTORY, NO_PRESSURE, canServeInTime, chooseForRead, compareEntries, expectedWait, forgetPositionsUntil, isOverloaded, noteRefused, noteWaiting, readNeed, recordPosition, waitLimit } from '@cyclamenusher/decisions'
+import { EMPTY_HISTORY, NO_PRESSURE, canServeInTime, chooseForRead, compareEntries, expectedWait, forgetPositionsUntil, isOverloaded, noteRefused, noteWaiting, planConnections, readNeed, recordPosition, waitLimit } from '@cyclamenusher/decisions'
 import { StatementFailure } from './errors.js'
 import { createServerPool } from './serverPool.js'
-import type { LogPosition, PositionHistory, QueuePressure, QueuedRequest, ReadNeed, ReadRequest, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
+import type { ConnectionBudget, LogPosition, PositionHistory, QueuePressure, QueuedRequest, ReadNeed, ReadRequest, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { ScopedLogger } from '../process/logger.js'
@@ -11,10 +11,6 @@
 import type { ServerPool } from './serverPool.js'
 import type { ServerCodec } from './statement.js'
 
-/** Connections to a server that are left to control. */
-const CONTROL_CONNECTIONS = 2
-/** Connections beyond its even share that an instance may open while others leave room. */
-const SURPLUS_CONNECTIONS = 1
 /** Usual time from a primary's loss to its successor's first answer, in milliseconds: detection, fencing and the platform's promotion. */
 const REPLACEMENT_MILLISECONDS = 1_300
 /** Pause between two looks at a lease that is to be renewed, in milliseconds. */
@@ -85,9 +81,8 @@
   let closedSince: number | undefined
   let dispatching = false
 
-  function evenShare (): number {
-    const cap = link.declaration()?.group(group)?.connectionsPerServer ?? 1
-    return Math.max(1, Math.floor((cap - CONTROL_CONNECTIONS) / Math.max(1, link.entries())))
+  function budget (): ConnectionBudget {
+    return planConnections(link.declaration()?.group(group)?.connectionsPerServer ?? 0, link.entries())
   }
 
   /** The primary, while it may be used. */
@@ -109,8 +104,7 @@
         codec,
         clock,
         logger,
-        limit: () => evenShare() + SURPLUS_CONNECTIONS,
-        share: evenShare,
+        budget,
         instances: () => Math.max(1, link.entries()),
         onChange: dispatch,
         onFailing: reason => {
--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -3,7 +3,7 @@
 import { ASSUMED_MILLISECONDS, UNKNOWN_LAG, allowedStatements, openConcurrencyLimit, recordAnswer, recordRefusal, recordReplicaLack, recordReplicaPosition } from '@cyclamenusher/decisions'
 import { OpenError } from './errors.js'
 import { openServerConnection, reaches } from './serverConnection.js'
-import type { ConcurrencyBounds, ConnectionState, KnownServer, LogPosition, PositionHistory, PositionNeed, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
+import type { ConcurrencyBounds, ConnectionBudget, ConnectionState, KnownServer, LogPosition, PositionHistory, PositionNeed, ServerLoad, ServerSighting } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 import type { ScopedLogger } from '../process/logger.js'
 import type { ServerConnection } from './serverConnection.js'
@@ -18,7 +18,7 @@
 /** How long a replica that lacks a position is left alone at first and at most, in milliseconds: a commit's usual way to it, and a bound on how late its recovery shows. */
 const LACK_MILLISECONDS = 40
 const LACK_MILLISECONDS_AT_MOST = 600
-/** Idle time after which a connection beyond the instance's even share is closed, in milliseconds. */
+/** Idle time after which a connection beyond those that may stay idle is closed, in milliseconds. */
 const SURPLUS_IDLE_MILLISECONDS = 400
 
 interface Pooled {
@@ -34,9 +34,7 @@
   clock: Clock
   logger: ScopedLogger
   /** Connections that this instance may have to the server. */
-  limit: () => number
-  /** Its even share of the server's connections. */
-  share: () => number
+  budget: () => ConnectionBudget
   /** Instances that use the server. */
   instances: () => number
   /** Something changed that may let a waiting request go on. */
@@ -96,7 +94,7 @@
   let lacks: { position: LogPosition, until: number, pause: number } | undefined
 
   function bounds (): ConcurrencyBounds {
-    return { least: Math.max(1, Math.ceil(server.slots / options.instances())), most: options.limit() }
+    return { least: Math.max(1, Math.ceil(server.slots / options.instances())), most: options.budget().most }
   }
 
   function total (): number {
@@ -130,11 +128,11 @@
     if (pooled.some(entry => !entry.lent && entry.connection.account === account)) return 'match'
     if (now < fullUntil) return 'none'
     const idle = pooled.some(({ lent }) => !lent)
-    return idle || total() < options.limit() ? 'spare' : 'none'
+    return idle || total() < options.budget().most ? 'spare' : 'none'
   }
 
   async function open (account: string): Promise<ServerConnection> {
-    if (total() >= options.limit()) oldestIdle()?.connection.close('its place is needed for another client account')
+    if (total() >= options.budget().most) oldestIdle()?.connection.close('its place is needed for another client account')
     opening += 1
     const since = clock.now()
     try {
@@ -194,7 +192,7 @@
   }
 
   function closeSurplus (now: number): void {
-    if (total() <= options.share()) return
+    if (total() <= options.budget().idle) return
     const oldest = oldestIdle()
     if (oldest !== undefined && now - oldest.connection.lastUsedAt() > SURPLUS_IDLE_MILLISECONDS) oldest.connection.close('other instances may need its place')
   }
