perf(failover): a lease counts at the leader from when its renewal came, not from when it was granted

Cause: a renewal is held up to 400 ms. Change: leaseUntil is the arrival of the renewal plus the lease; the instance sent it earlier, so its own lease never ends later.

--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/entryLeases.test.ts
@@ -0,0 +1,33 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { HOLD_MILLISECONDS, LEASE_MILLISECONDS } from '@cyclamenusher/decisions'
+import { createEntryLeases } from '../entryLeases.js'
+import type { RenewRequest } from '@cyclamenusher/decisions'
+
+function renewal (name: string): RenewRequest {
+  return { name, incarnation: '1', failureDomain: 'a', knows: { term: 1, change: 0 }, version: 1, demand: {}, sightings: {}, busy: [], holdMilliseconds: HOLD_MILLISECONDS }
+}
+
+test('a lease counts from when its renewal came, however long that was held', () => {
+  const leases = createEntryLeases()
+  leases.renew(renewal('entry-1'), 0, 0)
+  leases.grant('entry-1', HOLD_MILLISECONDS)
+  assert.not.ok(leases.confirmed(1, LEASE_MILLISECONDS - 1))
+  assert.ok(leases.confirmed(1, LEASE_MILLISECONDS))
+})
+
+test('a renewal that was never granted gives no lease', () => {
+  const leases = createEntryLeases()
+  leases.renew(renewal('entry-1'), 0, 0)
+  assert.is(leases.count(1), 0)
+})
+
+test('a renewal that confirms a change is not waited for', () => {
+  const leases = createEntryLeases()
+  leases.renew(renewal('entry-1'), 0, 0)
+  leases.grant('entry-1', 0)
+  leases.renew(renewal('entry-1'), 1, 100)
+  assert.ok(leases.confirmed(1, 100))
+})
+
+test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
@@ -94,7 +94,8 @@
     grant: (name, now) => {
       const lease = leases.get(name)
       if (lease === undefined) return
-      lease.leaseUntil = now + LEASE_MILLISECONDS
+      // The instance counts from when it sent the renewal, which was before it came here.
+      lease.leaseUntil = lease.heardAt + LEASE_MILLISECONDS
       lease.partsUntil = now + SHARE_MILLISECONDS
     },
     confirmed: (change, now) => present(now).every(({ applied }) => applied >= change),
