--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -233,9 +233,13 @@
   }
 
   function refusal (waited: number): StatementFailure {
-    const belief = link.belief(group)
-    const reason = !link.isLeased() ? 'this instance has no word from control' : belief?.use === 'open' ? 'all connections are in use' : 'the primary is being replaced'
-    return new StatementFailure('busy', `${reason}; it waited ${Math.round(waited)} ms and did not run`)
+    return new StatementFailure('busy', `${refusalReason()}; it waited ${Math.round(waited)} ms behind ${queue.length} and did not run`)
+  }
+
+  function refusalReason (): string {
+    if (!link.isLeased()) return 'this instance has no word from control'
+    if (link.belief(group)?.use !== 'open') return 'the primary is being replaced'
+    return isOverloaded(pressure, clock.now()) ? 'more arrives than the servers can run' : 'all connections are in use'
   }
 
   function dispatch (): void {
