fix(limits): an instance that leads again is told which parts of rates are held

Cause: an entry instance reports its parts only to a control instance that did not give the last lease. One that stopped or stepped down and then leads again has forgotten them, so it counted them as free; parts of instances that it could not reach could be given twice for up to 12 s. Change: a reply 'not leader' or a failed renewal clears who knows. Ruled out: sending the parts with each renewal (76 accounts make 1.5 KB a call, over the 2 KB/s that control may cost a node). Found by reading.

--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
@@ -0,0 +1,65 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { FleetService, listenForCalls } from '@cyclamenusher/protocol'
+import { systemClock } from '../../clock.js'
+import { decodeBody, encodeBody } from '../bodies.js'
+import { createFleetLink } from '../fleetLink.js'
+import { until } from './fleetHarness.js'
+import type { RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
+
+const HOST = '127.0.0.1'
+const CREDENTIALS = { secret: 'a secret of the tests' }
+
+const GRANT: RenewGrant = { kind: 'granted', term: 1, change: 1, leaseMilliseconds: 1_500, whole: true, groups: [], servers: [], parts: { clinic: 0.4 }, entries: 1, control: [] }
+
+/** A link to one control instance whose replies the test gives. */
+async function connectLink (answer: (request: RenewRequest) => RenewReply) {
+  const requests: RenewRequest[] = []
+  const calls = await listenForCalls(HOST, 0, CREDENTIALS, router => {
+    router.service(FleetService, {
+      renew: async ({ body }) => {
+        const request = decodeBody<RenewRequest>(body)
+        requests.push(request)
+        await new Promise(resolve => setTimeout(resolve, 5))
+        return { body: encodeBody(answer(request)) }
+      }
+    })
+  })
+  const logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
+  const link = createFleetLink({ name: 'entry-1', failureDomain: 'a', seeds: () => [{ host: HOST, port: calls.port }], decodeDeclaration: () => { throw new Error('no declaration is sent here') }, report: () => ({ demand: {}, sightings: {}, busy: [] }), credentials: CREDENTIALS, clock: systemClock, logger })
+  link.start()
+  return {
+    requests,
+    stop: async () => {
+      link.close()
+      await calls.close()
+    }
+  }
+}
+
+test('a leader that is known is not told the parts again', async () => {
+  const { requests, stop } = await connectLink(() => GRANT)
+  await until('three renewals', () => requests.length >= 3)
+  await stop()
+  assert.equal(requests[0].parts, {})
+  assert.is(requests[2].parts, undefined)
+})
+
+for (const [what, lose] of Object.entries({
+  'answers that it does not lead': (): RenewReply => ({ kind: 'not leader' }),
+  'does not answer': (): RenewReply => { throw new Error('it was stopped') }
+})) {
+  test(`an instance that leads again after it ${what} is told the parts`, async () => {
+    let lost = false
+    const { requests, stop } = await connectLink(() => {
+      if (lost || requests.length !== 3) return GRANT
+      lost = true
+      return lose()
+    })
+    await until('renewals after the loss', () => requests.length >= 5)
+    await stop()
+    assert.equal(requests[3].parts, { clinic: 0.4 })
+  })
+}
+
+test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -78,7 +78,7 @@
   let leader: Address | undefined
   let turn = Math.floor(Math.random() * 1_000)
   let knows = { term: 0, change: 0 }
-  /** The control instance that gave the lease last: it knows what this one knows. */
+  /** The control instance that gave the lease last, and did not stop leading since: it knows what this one knows. */
   let grantedBy = ''
   let beliefs = new Map<string, GroupBelief>()
   const servers = new Map<string, KnownServer>()
@@ -191,10 +191,12 @@
         adopt(reply, sentAt)
         return true
       }
+      grantedBy = ''
       leader = reply.leader === undefined || (reply.leader.host === target.host && reply.leader.port === target.port) ? undefined : reply.leader
       return false
     } catch (error) {
       if (current.signal.aborted) return true
+      grantedBy = ''
       leader = undefined
       link.reconnect()
       logger.debug('A control instance did not renew the lease.', { address: `${target.host}:${target.port}`, reason: (error as Error).message })
