refactor(failover): types and the choice of a successor are modules of their own

Cause: groupControl.ts had grown to 397 lines with three jobs: what is told and kept, who could take over, and the phases.

--- a/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { beliefOf, openGroupControl, stepGroupControl } from '../groupControl.js'
-import type { GroupControl, GroupEffect, GroupEvent, GroupSurroundings, ServerStatus } from '../groupControl.js'
+import type { GroupControl, GroupEffect, GroupEvent, GroupSurroundings, ServerStatus } from '../groupTypes.js'
 import type { KnownServer } from '../directory.js'
 
 function server (member: string, change: Partial<KnownServer> = {}): KnownServer {
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -7,104 +7,14 @@
 
 import { comparePositions } from '../session/position.js'
 import { LEASE_MILLISECONDS } from './messages.js'
-import type { LogPosition } from '../session/position.js'
-import type { KnownServer } from './directory.js'
-import type { PrimaryVerdict } from './evidence.js'
+import { bestChoice, candidatesOf, freshStatus, hasRecovered, hasReturned, isCovered, membersToAsk, primaryOf } from './successor.js'
+import type { GroupBelief, GroupControl, GroupEffect, GroupEvent, GroupPhase, GroupStep, GroupSurroundings, PrimaryUse, PromotionOutcome, ServerStatus } from './groupTypes.js'
 import type { Designation } from './state.js'
 
-/** What a server answers when it is asked for its state. */
-export interface ServerStatus {
-  role: 'primary' | 'replica'
-  term: number
-  /** Newest record that it has received. */
-  received: LogPosition
-}
-
-/** Whether entry instances may send work to the primary. */
-export type PrimaryUse =
-  | 'open'
-  /** Running transactions end, no new one begins. */
-  | 'closing'
-  /** Nothing is sent, and no answer counts any more. */
-  | 'closed'
-
-/** What entry instances are told of a group. */
-export interface GroupBelief {
-  group: string
-  /** Number of the designation; 0: none yet. */
-  designation: number
-  /** The primary; undefined: none is known. */
-  member?: string
-  use: PrimaryUse
-  /** The primary's log term, once it is known. */
-  term: number
-}
-
-export type GroupPhase = 'unverified' | 'serving' | 'closing' | 'fenced' | 'choosing' | 'designating' | 'promoting' | 'awaiting'
-
-export interface GroupControl {
-  group: string
-  phase: GroupPhase
-  since: number
-  designation?: Designation
-  term: number
-  /** Birth of the primary when it was last found to lead. */
-  bornAt?: number
-  /** Since when the primary has wanted to leave, as far as this leader knows; undefined: it stays. */
-  leavingSince?: number
-  /** The server that is to be promoted. */
-  target?: string
-  /** Whether the primary is replaced while it still works. */
-  planned: boolean
-  statuses: ReadonlyMap<string, { status: ServerStatus, at: number }>
-  askedAt: number
-  orderedAt: number
-  /** Servers that could not be promoted, with when that is forgotten. */
-  passedOver: ReadonlyMap<string, number>
-  /** The primary before, which may not know yet that it was replaced. */
-  retired?: { member: string, until: number }
-  retiredAskedAt: number
-}
-
-export type GroupEvent =
-  | { kind: 'tick' }
-  | { kind: 'status', member: string, status: ServerStatus }
-  | { kind: 'designated', designation: Designation | undefined, accepted: boolean }
-  | { kind: 'promoted', member: string, outcome: PromotionOutcome }
-
-/** What became of the call that makes a server the primary. */
-export type PromotionOutcome = 'done' | 'refused' | 'unknown' | 'not sent'
-
-export type GroupEffect =
-  | { kind: 'publish' }
-  | { kind: 'ask status', member: string }
-  | { kind: 'designate', member: string, after: number }
-  | { kind: 'promote', member: string }
-  | { kind: 'step down', member: string, term: number }
-
-/** What the process around a group knows, read at each step. */
-export interface GroupSurroundings {
-  now: number
-  servers: readonly KnownServer[]
-  verdict: PrimaryVerdict
-  /** Whether every entry instance has confirmed what was last published, or lost its lease. */
-  confirmed: boolean
-  /** Whether an entry instance still has work at a primary that is closing. */
-  busy: boolean
-  /** When leases that an earlier leader may have given are over. */
-  earlierLeasesOverAt: number
-  /** Replicas that hold a commit before it is acknowledged. */
-  synchronousReplicas: number
-  /** Time for which a server takes work after it has announced that it leaves. */
-  drainMilliseconds: number
-}
-
 /** Pause between two questions for a server's state, in milliseconds: a third of the time that a promotion takes at best. */
 const ASK_MILLISECONDS = 150
 /** The same while only the last commits of a planned replacement are missing. */
 const CATCH_UP_MILLISECONDS = 25
-/** Time that servers have to answer before one is chosen among those that did, in milliseconds: two connection attempts. */
-const CHOOSE_MILLISECONDS = 300
 /** Time that running transactions have to end at a primary that is replaced, in milliseconds. */
 const CLOSING_MILLISECONDS = 700
 /** Part of the drain time in which a primary without a successor is taken out of use, in milliseconds: its transactions end, and an instance that hears nothing loses its lease. */
@@ -122,12 +32,6 @@
 /** Pause between two such orders, in milliseconds. */
 const RETIRE_AGAIN_MILLISECONDS = 500
 
-interface Step {
-  state: GroupControl
-  effects: GroupEffect[]
-  around: GroupSurroundings
-}
-
 export function openGroupControl (group: string, designation: Designation | undefined, now: number): GroupControl {
   return { group, phase: 'unverified', since: now, designation, term: 0, planned: false, statuses: new Map(), askedAt: -Infinity, orderedAt: -Infinity, passedOver: new Map(), retiredAskedAt: -Infinity }
 }
@@ -140,7 +44,7 @@
   return { group, designation: designation?.number ?? 0, member: designation?.member, use: USES[phase], term }
 }
 
-function enter (step: Step, phase: GroupPhase, change: Partial<GroupControl> = {}): void {
+function enter (step: GroupStep, phase: GroupPhase, change: Partial<GroupControl> = {}): void {
   const { state, around } = step
   const before = beliefOf(state)
   Object.assign(state, { phase, since: around.now, askedAt: -Infinity, orderedAt: -Infinity, ...change })
@@ -149,39 +53,19 @@
   if (told) step.effects.push({ kind: 'publish' })
 }
 
-function primaryOf ({ state, around }: Step): KnownServer | undefined {
-  return around.servers.find(({ member }) => member === state.designation?.member)
-}
-
-/** Servers that could take over. */
-function candidatesOf ({ state, around }: Step): KnownServer[] {
-  return around.servers.filter(({ member, leaving }) => {
-    const passed = (state.passedOver.get(member) ?? -Infinity) > around.now
-    // One that was designated and never promoted is a replica like the others.
-    const leads = member === state.designation?.member && state.statuses.get(member)?.status.role !== 'replica'
-    return !leads && !leaving && !passed
-  })
-}
-
-function ask (step: Step, members: readonly string[], pause: number): void {
+function ask (step: GroupStep, members: readonly string[], pause: number): void {
   const { state, around } = step
   if (around.now - state.askedAt < pause) return
   state.askedAt = around.now
   for (const member of members) step.effects.push({ kind: 'ask status', member })
 }
 
-/** A status that came after this phase began. */
-function freshStatus ({ state }: Step, member: string): ServerStatus | undefined {
-  const known = state.statuses.get(member)
-  return known !== undefined && known.at >= state.since ? known.status : undefined
-}
-
-function serve (step: Step, status: ServerStatus): void {
+function serve (step: GroupStep, status: ServerStatus): void {
   const primary = primaryOf(step)
   enter(step, 'serving', { term: status.term, bornAt: primary?.bornAt, leavingSince: undefined, target: undefined, planned: false, passedOver: new Map() })
 }
 
-function tickUnverified (step: Step): void {
+function tickUnverified (step: GroupStep): void {
   const { state, around } = step
   if (state.designation === undefined) {
     const first = around.servers.find(({ role }) => role === 'primary')
@@ -199,7 +83,7 @@
   ask(step, [state.designation.member], ASK_MILLISECONDS)
 }
 
-function tickServing (step: Step): void {
+function tickServing (step: GroupStep): void {
   const { state, around } = step
   const primary = primaryOf(step)
   const reborn = primary !== undefined && primary.bornAt !== state.bornAt && primary.role === 'replica'
@@ -214,12 +98,12 @@
 }
 
 /** Whether a primary that leaves without a successor has to be taken out of use, so that nothing reaches it after its drain time. */
-function outstaysDrain ({ state, around }: Step): boolean {
+function outstaysDrain ({ state, around }: GroupStep): boolean {
   return state.leavingSince !== undefined && around.now - state.leavingSince > around.drainMilliseconds - CLOSE_AHEAD_MILLISECONDS
 }
 
 /** Has the primary before step down, until it has. */
-function retire (step: Step): void {
+function retire (step: GroupStep): void {
   const { state, around } = step
   if (state.retired === undefined) return
   const { member, until } = state.retired
@@ -234,70 +118,21 @@
   step.effects.push({ kind: 'step down', member, term: state.term })
 }
 
-function tickClosing (step: Step): void {
+function tickClosing (step: GroupStep): void {
   const { state, around } = step
   if (around.verdict === 'failed') return enter(step, 'fenced', { planned: false })
   const late = around.now - state.since > CLOSING_MILLISECONDS
   if ((around.confirmed && !around.busy) || late) enter(step, 'fenced')
 }
 
-function tickFenced (step: Step): void {
+function tickFenced (step: GroupStep): void {
   const { state, around } = step
   if (!around.confirmed || around.now < around.earlierLeasesOverAt) return
   enter(step, 'choosing', { target: undefined })
   ask(step, membersToAsk(step), state.planned ? CATCH_UP_MILLISECONDS : ASK_MILLISECONDS)
 }
 
-function membersToAsk (step: Step): string[] {
-  const old = step.state.designation?.member
-  const present = step.around.servers.some(({ member }) => member === old)
-  const candidates = candidatesOf(step).map(({ member }) => member)
-  return old !== undefined && present ? [...new Set([...candidates, old])] : candidates
-}
-
-/** Whether the primary has started again with its log, and nobody was promoted meanwhile. */
-function hasReturned (step: Step): ServerStatus | undefined {
-  const { state } = step
-  const primary = primaryOf(step)
-  if (primary === undefined || state.planned || primary.bornAt === state.bornAt || primary.leaving) return undefined
-  const status = freshStatus(step, primary.member)
-  return status?.role === 'primary' ? status : undefined
-}
-
-/** Whether the primary can be reached again as before while no candidate answers, so that nobody was or can be promoted. */
-function hasRecovered (step: Step, candidates: readonly KnownServer[]): ServerStatus | undefined {
-  const { state, around } = step
-  const primary = primaryOf(step)
-  if (primary === undefined || primary.leaving || around.verdict !== 'reachable') return undefined
-  const answered = candidates.some(({ member }) => freshStatus(step, member) !== undefined)
-  if (answered || around.now - state.since <= CHOOSE_MILLISECONDS) return undefined
-  const status = freshStatus(step, primary.member)
-  return status?.role === 'primary' ? status : undefined
-}
-
-interface Choice {
-  member: string
-  status: ServerStatus
-}
-
-function bestChoice (step: Step, candidates: readonly KnownServer[]): Choice | undefined {
-  const answered = candidates.flatMap(({ member }): Choice[] => {
-    const status = freshStatus(step, member)
-    return status === undefined ? [] : [{ member, status }]
-  })
-  return answered.reduce<Choice | undefined>((best, choice) => best === undefined || comparePositions(choice.status.received, best.status.received) > 0 ? choice : best, undefined)
-}
-
-/** Whether enough replicas have answered that one of them holds every acknowledged commit. */
-function isCovered (step: Step, candidates: readonly KnownServer[]): boolean {
-  const { synchronousReplicas } = step.around
-  const answered = candidates.filter(({ member }) => freshStatus(step, member) !== undefined).length
-  if (answered === candidates.length) return true
-  if (synchronousReplicas > 0) return answered > candidates.length - synchronousReplicas
-  return step.around.now - step.state.since > CHOOSE_MILLISECONDS
-}
-
-function tickChoosing (step: Step): void {
+function tickChoosing (step: GroupStep): void {
   const { state, around } = step
   const candidates = candidatesOf(step)
   const returned = hasReturned(step) ?? hasRecovered(step, candidates)
@@ -314,7 +149,7 @@
   step.effects.push({ kind: 'designate', member: best.member, after: state.designation?.number ?? 0 })
 }
 
-function tickDesignating (step: Step): void {
+function tickDesignating (step: GroupStep): void {
   const { state, around } = step
   // The log did not answer: what became of the order shows when it is made again.
   if (around.now - state.orderedAt < AWAIT_MILLISECONDS || state.target === undefined) return
@@ -322,14 +157,14 @@
   step.effects.push({ kind: 'designate', member: state.target, after: state.designation?.number ?? 0 })
 }
 
-function tickPromoting (step: Step): void {
+function tickPromoting (step: GroupStep): void {
   const { state, around } = step
   if (state.target === undefined || around.now - state.orderedAt < PROMOTE_AGAIN_MILLISECONDS) return
   state.orderedAt = around.now
   step.effects.push({ kind: 'promote', member: state.target })
 }
 
-function tickAwaiting (step: Step): void {
+function tickAwaiting (step: GroupStep): void {
   const { state, around } = step
   if (state.target === undefined) return enter(step, 'fenced')
   const status = freshStatus(step, state.target)
@@ -339,12 +174,12 @@
 }
 
 /** The target can't take over: another is chosen. */
-function passOver (step: Step, member: string): void {
+function passOver (step: GroupStep, member: string): void {
   const { state, around } = step
   enter(step, 'choosing', { target: undefined, planned: false, passedOver: new Map(state.passedOver).set(member, around.now + PASS_OVER_MILLISECONDS) })
 }
 
-const TICKS: Record<GroupPhase, (step: Step) => void> = {
+const TICKS: Record<GroupPhase, (step: GroupStep) => void> = {
   unverified: tickUnverified,
   serving: tickServing,
   closing: tickClosing,
@@ -355,7 +190,7 @@
   awaiting: tickAwaiting
 }
 
-function receiveDesignated (step: Step, { designation, accepted }: Extract<GroupEvent, { kind: 'designated' }>): void {
+function receiveDesignated (step: GroupStep, { designation, accepted }: Extract<GroupEvent, { kind: 'designated' }>): void {
   const { state, around } = step
   if (designation === undefined) return
   if (!accepted) return enter(step, 'unverified', { designation })
@@ -366,7 +201,7 @@
   tickPromoting(step)
 }
 
-const OUTCOMES: Record<PromotionOutcome, (step: Step, member: string) => void> = {
+const OUTCOMES: Record<PromotionOutcome, (step: GroupStep, member: string) => void> = {
   done: step => { enter(step, 'awaiting') },
   refused: passOver,
   // The call is made again after a pause.
@@ -374,7 +209,7 @@
   'not sent': () => {}
 }
 
-type Receivers = { [Kind in GroupEvent['kind']]: (step: Step, event: Extract<GroupEvent, { kind: Kind }>) => void }
+type Receivers = { [Kind in GroupEvent['kind']]: (step: GroupStep, event: Extract<GroupEvent, { kind: Kind }>) => void }
 
 const RECEIVERS: Receivers = {
   tick: step => { TICKS[step.state.phase](step) },
@@ -390,8 +225,8 @@
 
 /** One step: the next state, and what the process is to do. */
 export function stepGroupControl (before: GroupControl, event: GroupEvent, around: GroupSurroundings): { state: GroupControl, effects: GroupEffect[] } {
-  const step: Step = { state: { ...before }, effects: [], around }
-  const receive = RECEIVERS[event.kind] as (step: Step, event: GroupEvent) => void
+  const step: GroupStep = { state: { ...before }, effects: [], around }
+  const receive = RECEIVERS[event.kind] as (step: GroupStep, event: GroupEvent) => void
   receive(step, event)
   return { state: step.state, effects: step.effects }
 }
--- a/packages/decisions/src/node/fleet/messages.ts
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -2,7 +2,7 @@
 
 import type { KnownServer } from './directory.js'
 import type { ServerSighting } from './evidence.js'
-import type { GroupBelief } from './groupControl.js'
+import type { GroupBelief } from './groupTypes.js'
 
 /** How long an entry instance may use what it was told, from when it asked, in milliseconds: bridges an election of control. */
 export const LEASE_MILLISECONDS = 1_500
