fix(limits): shares of rates reach each of many instances

Change: the smallest change is a quarter of an even share at most. With up to 12 instances, as on today's deployments, it stays 0.02.

--- a/packages/decisions/src/node/fleet/__tests__/rateShares.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/rateShares.test.ts
@@ -57,4 +57,13 @@
   assert.ok(most <= (80 * 5 + 80) * 1.1 + 20)
 })
 
+test('each of many instances gets a part, and it follows demand', () => {
+  const names = Array.from({ length: 71 }, (_value, index) => `entry-${index}`)
+  const first = planShares(names.map(name => holder(name, 0, 0)))
+  assert.ok([...first.values()].every(part => part > 0), 'an instance without a part')
+  assert.ok(sum(first) <= 1 + 1e-9)
+  const later = planShares(names.map((name, index) => holder(name, index === 0 ? 1 : 0, first.get(name) ?? 0)))
+  assert.ok((later.get('entry-1') ?? 1) < (first.get('entry-1') ?? 0))
+})
+
 test.run()
--- a/packages/decisions/src/node/fleet/rateShares.ts
+++ b/packages/decisions/src/node/fleet/rateShares.ts
@@ -14,8 +14,10 @@
 export const SHARE_MILLISECONDS = 12_000
 /** Part of the rate that is spread evenly, so that first requests anywhere find tokens. */
 const EVEN_PART = 0.3
-/** Change of a share, as part of the rate, below which it stays as it is. */
+/** Change of a share, as part of the rate, below which it stays as it is: each change is told to its holder. */
 const MINIMUM_CHANGE = 0.02
+/** The same as part of an even share, where many instances make shares small. */
+const MINIMUM_PART_OF_SHARE = 0.25
 
 export interface ShareHolder {
   name: string
@@ -49,10 +51,11 @@
  */
 export function planShares (holders: readonly ShareHolder[], most = 1): Map<string, number> {
   const wanted = wantedParts(holders).map((part, place) => Math.min(part, Math.max(most, holders[place].held)))
+  const minimumChange = Math.min(MINIMUM_CHANGE, MINIMUM_PART_OF_SHARE / holders.length)
   let free = 1 - holders.reduce((sum, { held }) => sum + held, 0)
   const granted = new Map<string, number>()
   for (const [place, { name, held, present }] of holders.entries()) {
-    if (!present || Math.abs(wanted[place] - held) < MINIMUM_CHANGE) {
+    if (!present || Math.abs(wanted[place] - held) < minimumChange) {
       granted.set(name, held)
       continue
     }
