fix(rate): the parts of an open route belong to voters, so no list of failure domains makes more of them

Change: where each domain has its own voter, the promise of each control instance brings its holder an equal part, one holder at a time; a home for the whole fleet has as many parts as promise, and waits out earlier loans when one more does. Ruled out: a new list in force only once every domain has confirmed it (two log entries and state that outlives restarts for the same bound); an end to open routes in a cut (they are to go on).

--- a/packages/cyclamenusherd/src/node/process/rate/rateTask.ts
+++ b/packages/cyclamenusherd/src/node/process/rate/rateTask.ts
@@ -68,7 +68,9 @@
         limitsOf: (kind, account) => limitsOf(store, kind, account),
         // What is open to all goes on in a failure domain that is cut off.
         mayLend: kind => kind === 'open' || store.isFresh(),
-        voters: kind => kind === 'open' && domains.length > 0 ? openVoters : voters
+        voters: kind => kind === 'open' && domains.length > 0 ? openVoters : voters,
+        // Without a voter in each failure domain a majority stands behind every part.
+        openParts: own === undefined ? undefined : voters.length
       }
     }
   })
--- a/packages/decisions/src/node/rate/agent.ts
+++ b/packages/decisions/src/node/rate/agent.ts
@@ -7,12 +7,12 @@
 import { rankNodes } from '../group/rendezvous.js'
 import { buildAsk, demandOf, heldTokens, isShort, isSilent, mayAsk, noteDemand, openBorrower, pendingTokens, receiveLoan, spendToken } from './borrower.js'
 import { lendTokens, openLender, takeFromLender } from './lender.js'
-import { countVote, mintedSince, openMandates, startRound } from './mandate.js'
+import { countVote, mintedSince, openMandates, promisingVoters, startRound } from './mandate.js'
 import { WHOLE_FLEET, ownersOf, partOf, seatOf, seatsOf, splitName } from './share.js'
 import type { BucketLimits } from './bucket.js'
 import type { Borrower } from './borrower.js'
 import type { Lender, LoanRequest } from './lender.js'
-import type { MandateRequest } from './mandate.js'
+import type { MandateRequest, SeatRules } from './mandate.js'
 import type { RatePolicy } from './policy.js'
 import type { AccountKind } from './share.js'
 
@@ -28,6 +28,13 @@
   mayLend: (kind: AccountKind) => boolean
   /** Voters for seats of this kind. */
   voters: (kind: AccountKind) => readonly string[]
+  /**
+   * Voters of the fleet, each of which brings an equal part of the tokens of open
+   * routes: so the parts never make more than the whole, whatever failure domains
+   * the rules name here and elsewhere. Undefined: the parts are those of the
+   * failure domains.
+   */
+  openParts?: number
 }
 
 export interface RateAgentOptions {
@@ -144,16 +151,27 @@
     const limits = limitsOf(account.kind, account.name)
     if (limits === undefined || !mayLend(account.kind)) return undefined
     if (domains.length > 0 && !domains.includes(failureDomain)) return undefined
-    const since = mintsSince(seatOf(account.kind, ownDomain(), account.name), now)
+    const seat = seatOf(account.kind, ownDomain(), account.name)
+    const since = mintsSince(seat, now)
     if (since === undefined) {
       account.lender = undefined
       return undefined
     }
-    const share = partOf(limits, Math.max(1, domains.length))
+    const share = ownPart(account.kind, limits, seat, now)
     account.lender ??= openLender(share, now, now - Math.max(since, forgottenAt), policy)
     return { lender: account.lender, share }
   }
 
+  /** The part of an account's limits that this instance mints as home of the seat. */
+  function ownPart (kind: AccountKind, limits: BucketLimits, seat: string, now: number): BucketLimits {
+    const { domains, openParts } = view()
+    const byDomain = kind === 'keyed' || openParts === undefined || policy.mutation === 'open parts by domain'
+    if (byDomain) return partOf(limits, Math.max(1, domains.length))
+    const { rate, burst } = partOf(limits, openParts)
+    const voters = promisingVoters(mandates, seat, now)
+    return { rate: rate * voters, burst: burst * voters }
+  }
+
   function mintsSince (seat: string, now: number): number | undefined {
     if (policy.mutation === 'home without mandate') return wantedSeats().has(seat) ? startedAt : undefined
     return mintedSince(mandates, seat, now)
@@ -315,9 +333,12 @@
   }
 
   function receivePromise (voter: string, round: number, seats: readonly string[], now: number): void {
-    const { voters } = view()
-    const majorityOf = (seat: string): number => Math.floor(voters(kindOf(seat)).length / 2) + 1
-    const gained = countVote(mandates, { voter, round, seats: seats.filter(seat => sought.has(seat) && voters(kindOf(seat)).includes(voter)) }, majorityOf, now, policy)
+    const { voters, openParts } = view()
+    const rules: SeatRules = {
+      majorityOf: seat => Math.floor(voters(kindOf(seat)).length / 2) + 1,
+      isPartOfVoter: seat => openParts !== undefined && kindOf(seat) === 'open'
+    }
+    const gained = countVote(mandates, { voter, round, seats: seats.filter(seat => sought.has(seat) && voters(kindOf(seat)).includes(voter)) }, rules, now, policy)
     if (gained.length === 0) return
     const fresh = new Set(gained)
     for (const account of accounts.values()) {
--- a/packages/decisions/src/node/rate/mandate.ts
+++ b/packages/decisions/src/node/rate/mandate.ts
@@ -66,6 +66,8 @@
   until: number
   /** Tokens are minted and lent from here on: earlier loans of other homes are over. */
   mintFrom: number
+  /** When the promise of each voter ends. */
+  promisedUntil: Map<string, number>
 }
 
 interface Round {
@@ -94,8 +96,31 @@
   return mandates.round
 }
 
-/** Counts a voter's promises; gives the seats that are newly held. */
-export function countVote (mandates: Mandates, vote: { voter: string, round: number, seats: readonly string[] }, majorityOf: (seat: string) => number, now: number, policy: RatePolicy): string[] {
+export interface SeatVote {
+  voter: string
+  round: number
+  seats: readonly string[]
+}
+
+export interface SeatRules {
+  /** Votes that make a mandate. */
+  majorityOf: (seat: string) => number
+  /** Whether each voter's promise brings a part of the tokens of its own. */
+  isPartOfVoter: (seat: string) => boolean
+}
+
+/** Takes the promises of a round; true: a voter promises that did not before. */
+function notePromises (held: HeldSeat, voters: ReadonlySet<string>, until: number, now: number): boolean {
+  const known = [...voters].every(voter => (held.promisedUntil.get(voter) ?? -Infinity) > now)
+  for (const voter of voters) held.promisedUntil.set(voter, Math.max(until, held.promisedUntil.get(voter) ?? -Infinity))
+  return !known
+}
+
+/**
+ * Counts a voter's promises; gives the seats that are newly held, or hold more
+ * than before: tokens of a voter that others may have lent are waited out.
+ */
+export function countVote (mandates: Mandates, vote: SeatVote, { majorityOf, isPartOfVoter }: SeatRules, now: number, policy: RatePolicy): string[] {
   const round = mandates.rounds.get(vote.round)
   if (round === undefined) return []
   const gained: string[] = []
@@ -105,18 +130,27 @@
     round.votes.set(seat, voters)
     const until = round.askedAt + policy.mandateMilliseconds
     if (voters.size < majorityOf(seat) || until <= now) continue
+    const wait = policy.mutation === 'no wait for earlier loans' ? 0 : outlast(policy.loanMilliseconds, policy)
     const known = mandates.held.get(seat)
     if (known !== undefined && now < known.until) {
       known.until = Math.max(known.until, until)
+      const more = notePromises(known, voters, until, now)
+      if (!more || !isPartOfVoter(seat)) continue
+      known.mintFrom = now + wait
+      gained.push(seat)
       continue
     }
-    const wait = policy.mutation === 'no wait for earlier loans' ? 0 : outlast(policy.loanMilliseconds, policy)
-    mandates.held.set(seat, { until, mintFrom: now + wait })
+    mandates.held.set(seat, { until, mintFrom: now + wait, promisedUntil: new Map([...voters].map(voter => [voter, until])) })
     gained.push(seat)
   }
   return gained
 }
 
+/** Voters whose promise of the seat still holds. */
+export function promisingVoters (mandates: Mandates, seat: string, now: number): number {
+  return [...mandates.held.get(seat)?.promisedUntil.values() ?? []].filter(until => until > now).length
+}
+
 /** Since when the seat's tokens are minted here; undefined: this instance is not its home now. */
 export function mintedSince (mandates: Mandates, seat: string, now: number): number | undefined {
   const held = mandates.held.get(seat)
--- a/packages/decisions/src/node/rate/policy.ts
+++ b/packages/decisions/src/node/rate/policy.ts
@@ -13,6 +13,7 @@
   | 'any reply is taken'
   | 'clocks are trusted'
   | 'splits overlap'
+  | 'open parts by domain'
 
 export interface RatePolicy {
   /** How long lent tokens may be spent, from when the borrower asked, in milliseconds. */
--- a/packages/measure/src/node/model/rateFleet.ts
+++ b/packages/measure/src/node/model/rateFleet.ts
@@ -118,7 +118,8 @@
       domains: node.rules.domains,
       limitsOf: (_kind, account) => node.rules.accounts.get(account),
       mayLend: kind => kind === 'open' || node.clock() < node.freshUntil,
-      voters: kind => kind === 'open' && node.rules.domains.length > 0 ? own : control
+      voters: kind => kind === 'open' && node.rules.domains.length > 0 ? own : control,
+      openParts: voters.length
     })
     return createRateAgent({ name: node.place.name, failureDomain: node.place.failureDomain, incarnation: String(node.incarnation), policy, view })
   }
--- a/packages/measure/src/node/model/rateHistory.ts
+++ b/packages/measure/src/node/model/rateHistory.ts
@@ -22,8 +22,7 @@
   /** @default 4000 */
   milliseconds?: number
   /**
-   * Failure domains change in a cut while an open route is used: there the
-   * product goes beyond the route's rate, see docs/design/rate.md.
+   * An open route is used while failure domains change in a cut.
    *
    * @default false
    */
