feat(cyclamenusher): trace finds the line that decided what became of a request

Not covered by it: access, replica behind, defect. The deciding line of an overload is the refusal itself.

--- a/packages/cyclamenusher/src/node/program.ts
+++ b/packages/cyclamenusher/src/node/program.ts
@@ -4,6 +4,7 @@
 import { FaultyFileError } from '@cyclamenusher/decisions'
 import { apply, check, drain, explain, history, member, status } from './commands.js'
 import { CommandError, EXIT_CODES } from './errors.js'
+import { trace } from './trace/traceCommand.js'
 import type { CAC } from 'cac'
 import type { Surroundings } from './commands.js'
 
@@ -43,12 +44,14 @@
     .option('--group <name>', 'group of the backend server')
     .option('--member <name>', 'the backend server')
     .action(drain.bind(undefined, surroundings))
+  program.command('trace <id> [...files]', 'find the cause of a request\'s failure in log files, or in standard input').action(trace.bind(undefined, surroundings))
   program.example('cyclamenusher check rules.toml')
   program.example('cyclamenusher apply rules.toml --number 12 --control 127.0.0.1:7100 --secret-file secret')
   program.example('cyclamenusher status --control 127.0.0.1:7100,127.0.0.1:7101 --secret-file secret --json')
   program.example('cyclamenusher history --number 11 --control 127.0.0.1:7100 --secret-file secret > rules.toml')
   program.example('cyclamenusher member add control-4 --control 127.0.0.1:7100 --secret-file secret')
   program.example('cyclamenusher explain "select 1" --account clinic --database padron --entry 127.0.0.1:7001 --secret-file secret')
+  program.example('cyclamenusher trace 18a98b52461fb712 entry-1.log entry-2.log control-1.log')
   program.example('cyclamenusher drain --entry 127.0.0.1:7001 --secret-file secret')
 }
 
--- /dev/null
+++ b/packages/cyclamenusher/src/node/trace/__tests__/trace.test.ts
@@ -0,0 +1,97 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { readFileSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
+import { runProgram } from '../../program.js'
+import { mergeLogLines, parseLogLines } from '../logLines.js'
+import { traceRequest } from '../traceRequest.js'
+import type { Trace, TraceCause } from '../traceRequest.js'
+
+/** Lines of a recorded day: a slow server that loses answers, replicas behind, a planned replacement at 28.3 s, a cut of a failure domain at 33.5 s. */
+const RECORDED = fileURLToPath(new URL('recorded.log', import.meta.url))
+const { lines, skipped } = mergeLogLines([parseLogLines(readFileSync(RECORDED, 'utf8'), 'recorded.log')])
+
+/** Failed requests, with what was done to them on that day and the line that shows it. */
+const INJECTED: Record<string, { cause: TraceCause, shownBy: string }> = {
+  fabff63f5dc23463: { cause: 'server silent', shownBy: 'A statement failed.' },
+  '7a094004d99f2c21': { cause: 'server silent', shownBy: 'A statement failed.' },
+  dfacb802a4252e67: { cause: 'overload', shownBy: 'A statement failed.' },
+  '508c2817e65dec7a': { cause: 'overload', shownBy: 'A statement failed.' },
+  '642a643c6ebb6f83': { cause: 'primary replaced', shownBy: 'The control of a group moved on.' },
+  '6b8931f3b8254055': { cause: 'primary replaced', shownBy: 'The control of a group moved on.' },
+  d152f88b89477abf: { cause: 'rate', shownBy: 'A declaration is in force here.' },
+  '5667316928bd0de6': { cause: 'rate', shownBy: 'A declaration is in force here.' },
+  f053e6ce378d080a: { cause: 'server silent', shownBy: 'A backend server does not answer.' },
+  ade722f62ca58583: { cause: 'server silent', shownBy: 'A backend server does not answer.' },
+  fbe12662c8717715: { cause: 'no lease', shownBy: 'The lease is over.' },
+  f40aefcf5986e51e: { cause: 'no lease', shownBy: 'The lease is over.' }
+}
+
+function traceOf (id: string): Trace {
+  const found = traceRequest(lines, id)
+  assert.ok(found, id)
+  return found
+}
+
+async function run (words: string[]): Promise<{ code: number, output: string, errors: string }> {
+  const output: string[] = []
+  const errors: string[] = []
+  const code = await runProgram(['node', 'cyclamenusher', ...words], { connect: () => { throw new Error('a trace connects to nothing') }, write: text => { output.push(text) }, writeError: text => { errors.push(text) } })
+  return { code, output: output.join('\n'), errors: errors.join('\n') }
+}
+
+test('the cause of at least nine in ten failed requests is found', () => {
+  const found = Object.entries(INJECTED).filter(([id, { cause }]) => traceOf(id).cause === cause)
+  assert.ok(found.length >= 0.9 * Object.keys(INJECTED).length, `${found.length}`)
+})
+
+for (const [id, { cause, shownBy }] of Object.entries(INJECTED)) {
+  test(`${cause}, ${id}`, () => {
+    const trace = traceOf(id)
+    assert.is(trace.cause, cause)
+    assert.ok(trace.deciding)
+    assert.is(trace.deciding.message, shownBy)
+    assert.ok(trace.lines.includes(trace.deciding))
+  })
+}
+
+test('lines come in order of time, with the beliefs of the instance that failed', () => {
+  const { lines: shown } = traceOf('f053e6ce378d080a')
+  assert.equal(shown.map(({ at }) => at), shown.map(({ at }) => at).sort((left, right) => left - right))
+  const own = shown.find(({ facts }) => facts.id === 'f053e6ce378d080a')
+  for (const message of ['The lease is held.', 'A declaration is in force here.']) assert.is(shown.find(line => line.message === message)?.process, own?.process)
+})
+
+test('cut off and strange lines are skipped and counted', () => {
+  assert.is(skipped, 2)
+  assert.equal(parseLogLines('{"message":"no time"}\n[1]\n', 'x'), { lines: [], skipped: 2 })
+})
+
+test('a file without prefixes names its process itself', () => {
+  const [line] = parseLogLines('{"message":"m","timestamp":"2026-01-01T00:00:00.000Z"}', 'entry-1.log').lines
+  assert.is(line.process, 'entry-1.log')
+})
+
+test('the command marks the deciding line', async () => {
+  const { code, output, errors } = await run(['trace', 'fbe12662c8717715', RECORDED])
+  assert.is(code, 0)
+  assert.match(output, /^> .*The lease is over\./m)
+  assert.match(output, /cause: no lease$/)
+  assert.match(errors, /2 lines were skipped/)
+})
+
+test('JSON for scripts', async () => {
+  const { output } = await run(['trace', 'd152f88b89477abf', RECORDED, '--json'])
+  assert.is((JSON.parse(output) as Trace).cause, 'rate')
+})
+
+test('an id that no line names, and a file that is not there', async () => {
+  const unknown = await run(['trace', 'nobody', RECORDED])
+  assert.is(unknown.code, 6)
+  assert.match(unknown.errors, /none of \d+ lines names request nobody\. Failures are logged up to 20/)
+  const missing = await run(['trace', 'nobody', 'nowhere.log'])
+  assert.is(missing.code, 2)
+  assert.match(missing.errors, /nowhere\.log can't be read \(ENOENT\)/)
+})
+
+test.run()
--- /dev/null
+++ b/packages/cyclamenusher/src/node/trace/logLines.ts
@@ -0,0 +1,56 @@
+/** Reads log lines of any number of instances, as `trace` needs them. */
+
+export type LogFacts = Readonly<Record<string, unknown>>
+
+export interface LogLine {
+  /** When it was written, in milliseconds since 1970. */
+  at: number
+  /** The process that wrote it. */
+  process: string
+  message: string
+  facts: LogFacts
+}
+
+export interface LogLines {
+  /** In order of time. */
+  lines: LogLine[]
+  /** Lines that are no whole log line of an instance. */
+  skipped: number
+}
+
+/** Words before the JSON, as collectors of logs put them there; the last one names the process. */
+function processIn (prefix: string, source: string): string {
+  return prefix.trim().split(/\s+/).at(-1) || source
+}
+
+function parseLine (text: string, source: string): LogLine | undefined {
+  const start = text.indexOf('{')
+  if (start === -1) return undefined
+  try {
+    const { message, timestamp, facts } = JSON.parse(text.slice(start)) as { message?: unknown, timestamp?: unknown, facts?: unknown }
+    const at = Date.parse(String(timestamp))
+    if (typeof message !== 'string' || Number.isNaN(at)) return undefined
+    return { at, process: processIn(text.slice(0, start), source), message, facts: (facts ?? {}) as LogFacts }
+  } catch {
+    // Counted by the caller: a line may be cut off where a process was killed.
+    return undefined
+  }
+}
+
+/** `source` names the process of lines that do not say it themselves, such as the name of their file. */
+export function parseLogLines (text: string, source: string): LogLines {
+  const lines: LogLine[] = []
+  let skipped = 0
+  for (const part of text.split('\n')) {
+    if (part.trim() === '') continue
+    const line = parseLine(part, source)
+    if (line === undefined) skipped += 1
+    else lines.push(line)
+  }
+  return { lines, skipped }
+}
+
+export function mergeLogLines (parts: readonly LogLines[]): LogLines {
+  const lines = parts.flatMap(part => part.lines).sort((left, right) => left.at - right.at)
+  return { lines, skipped: parts.reduce((sum, { skipped }) => sum + skipped, 0) }
+}
--- /dev/null
+++ b/packages/cyclamenusher/src/node/trace/traceCommand.ts
@@ -0,0 +1,33 @@
+/** `cyclamenusher trace ID [FILE ...]`: from a request's id to its cause, by log files or standard input. */
+
+import { readFileSync } from 'node:fs'
+import { basename } from 'node:path'
+import { CommandError, EXIT_CODES } from '../errors.js'
+import { formatValue } from '../output.js'
+import { formatTrace } from './formatTrace.js'
+import { mergeLogLines, parseLogLines } from './logLines.js'
+import { traceRequest } from './traceRequest.js'
+import type { CommonFlags, Surroundings } from '../commands.js'
+
+/** Descriptor of standard input. */
+const STANDARD_INPUT = 0
+
+function readLog (file: string | number): string {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch (error) {
+    throw new CommandError('usage', `${file === STANDARD_INPUT ? 'standard input' : file} can't be read (${(error as NodeJS.ErrnoException).code})`, 'Name log files of the instances, or pipe them in')
+  }
+}
+
+export async function trace ({ write, writeError }: Surroundings, id: string, files: string[], flags: CommonFlags): Promise<number> {
+  const sources = files.length === 0 ? [{ text: readLog(STANDARD_INPUT), source: 'standard input' }] : files.map(file => ({ text: readLog(file), source: basename(file) }))
+  const { lines, skipped } = mergeLogLines(sources.map(({ text, source }) => parseLogLines(text, source)))
+  if (skipped > 0) writeError(`${skipped} lines were skipped: they are no whole log lines of an instance.`)
+  const found = traceRequest(lines, id)
+  if (found === undefined) {
+    throw new CommandError('refused', `none of ${lines.length} lines names request ${id}`, 'Failures are logged up to 20 a second of each kind and one success in 50: look at "Lines were left out." near its time, and take the logs of all entry instances')
+  }
+  write(formatValue(flags, found, formatTrace(found)))
+  return EXIT_CODES.success
+}
