--- a/packages/cyclamenusher/src/node/trace/__tests__/trace.test.ts
+++ b/packages/cyclamenusher/src/node/trace/__tests__/trace.test.ts
@@ -5,6 +5,7 @@
 import { runProgram } from '../../program.js'
 import { mergeLogLines, parseLogLines } from '../logLines.js'
 import { traceRequest } from '../traceRequest.js'
+import type { LogLine } from '../logLines.js'
 import type { Trace, TraceCause } from '../traceRequest.js'
 
 /** Lines of a recorded day: a slow server that loses answers, replicas behind, a planned replacement at 28.3 s, a cut of a failure domain at 33.5 s. */
@@ -55,6 +56,42 @@
   })
 }
 
+function lineAt (at: number, message: string, facts: LogLine['facts']): LogLine {
+  return { at, process: 'entry-1', message, facts }
+}
+
+test('a key that a declaration withdrew', () => {
+  const declared = lineAt(1, 'A declaration is in force here.', { version: 9 })
+  const refused = lineAt(2, 'A statement failed.', { id: 'x', failure: 'key refused', explanation: 'no client account has this key' })
+  const trace = traceRequest([declared, refused], 'x')
+  assert.is(trace?.cause, 'access')
+  assert.is(trace?.deciding, declared)
+})
+
+test('a defect is named with its line', () => {
+  const met = lineAt(1, 'A statement met a defect of the instance.', { id: 'x', reason: 'a defect' })
+  const failed = lineAt(1, 'A statement failed.', { id: 'x', failure: 'in doubt', explanation: 'the instance failed: a defect' })
+  const trace = traceRequest([met, failed], 'x')
+  assert.is(trace?.cause, 'defect')
+  assert.is(trace?.deciding, met)
+})
+
+test('where the last word says little, the retries before it tell', () => {
+  const again = lineAt(1, 'A read runs again.', { id: 'x', member: 'm', reason: 'lagging: m' })
+  const failed = lineAt(2, 'A statement failed.', { id: 'x', failure: 'timeout', explanation: 'm' })
+  assert.is(traceRequest([again, failed], 'x')?.cause, 'replica behind')
+})
+
+test('a success that was sampled', () => {
+  assert.is(traceRequest([lineAt(1, 'complete', { id: 'x' })], 'x')?.cause, 'served')
+})
+
+test('logs that are not JSON', async () => {
+  const { code, errors } = await run(['trace', 'x', fileURLToPath(import.meta.url)])
+  assert.is(code, 2)
+  assert.match(errors, /log\.format = "json"/)
+})
+
 test('lines come in order of time, with the beliefs of the instance that failed', () => {
   const { lines: shown } = traceOf('f053e6ce378d080a')
   assert.equal(shown.map(({ at }) => at), shown.map(({ at }) => at).sort((left, right) => left - right))
--- a/packages/cyclamenusher/src/node/trace/traceCommand.ts
+++ b/packages/cyclamenusher/src/node/trace/traceCommand.ts
@@ -24,6 +24,7 @@
   const sources = files.length === 0 ? [{ text: readLog(STANDARD_INPUT), source: 'standard input' }] : files.map(file => ({ text: readLog(file), source: basename(file) }))
   const { lines, skipped } = mergeLogLines(sources.map(({ text, source }) => parseLogLines(text, source)))
   if (skipped > 0) writeError(`${skipped} lines were skipped: they are no whole log lines of an instance.`)
+  if (lines.length === 0) throw new CommandError('usage', 'there is no log line of an instance to read', 'Log with log.format = "json", and name files that hold such lines')
   const found = traceRequest(lines, id)
   if (found === undefined) {
     throw new CommandError('refused', `none of ${lines.length} lines names request ${id}`, 'Failures are logged up to 20 a second of each kind and one success in 50: look at "Lines were left out." near its time, and take the logs of all entry instances')
