--- a/packages/cyclamenusher/src/node/trace/__tests__/trace.test.ts
+++ b/packages/cyclamenusher/src/node/trace/__tests__/trace.test.ts
@@ -9,8 +9,8 @@
 import type { Trace, TraceCause } from '../traceRequest.js'
 
 /** Lines of a recorded day: a slow server that loses answers, replicas behind, a planned replacement at 28.3 s, a cut of a failure domain at 33.5 s. */
-const RECORDED = fileURLToPath(new URL('recorded.log', import.meta.url))
-const { lines, skipped } = mergeLogLines([parseLogLines(readFileSync(RECORDED, 'utf8'), 'recorded.log')])
+const RECORDED = fileURLToPath(new URL('recorded.jsonl', import.meta.url))
+const { lines, skipped } = mergeLogLines([parseLogLines(readFileSync(RECORDED, 'utf8'), 'recorded.jsonl')])
 
 /** Failed requests, with what was done to them on that day and the line that shows it. */
 const INJECTED: Record<string, { cause: TraceCause, shownBy: string }> = {
