--- a/packages/protocol/src/node/callSession.ts
+++ b/packages/protocol/src/node/callSession.ts
@@ -18,6 +18,8 @@
 type SessionManager = NonNullable<GrpcTransportOptions['sessionManager']>
 
 export interface CallSessionManager extends SessionManager {
+  /** Opens a stream that stays open. It is not checked with pings: its user notices a silent connection by what it waits for. */
+  openStream: (path: string, headers: OutgoingHttpHeaders) => Promise<ClientHttp2Stream>
   /** Closes the session and its calls; the next call opens a new session. */
   abort: () => void
 }
@@ -25,7 +27,10 @@
 interface OpenSession {
   session: ClientHttp2Session
   connected: Promise<void>
+  /** Streams of calls in progress. */
   streams: Set<ClientHttp2Stream>
+  /** Number of message streams. */
+  messageStreams: number
 }
 
 function startKeepalivePings ({ session, streams }: OpenSession): void {
@@ -60,7 +65,7 @@
     })
   })
   connected.catch(() => {})
-  const open = { session, connected, streams: new Set<ClientHttp2Stream>() }
+  const open = { session, connected, streams: new Set<ClientHttp2Stream>(), messageStreams: 0 }
   startKeepalivePings(open)
   return open
 }
@@ -74,20 +79,40 @@
     return current
   }
 
+  /** A session without streams does not keep the process running. */
+  function unrefIfUnused ({ session, streams, messageStreams }: OpenSession): void {
+    if (streams.size === 0 && messageStreams === 0 && !session.destroyed) session.unref()
+  }
+
+  async function connectedSession (): Promise<OpenSession> {
+    const open = ensureSession()
+    await open.connected
+    if (open.session.closed || open.session.destroyed) throw new ConnectError('the connection was closed', Code.Unavailable)
+    return open
+  }
+
   return {
     authority,
+    openStream: async (path, headers) => {
+      const open = await connectedSession()
+      const stream = open.session.request({ ...headers, ':method': 'POST', ':path': path })
+      open.messageStreams += 1
+      open.session.ref()
+      stream.once('close', () => {
+        open.messageStreams -= 1
+        unrefIfUnused(open)
+      })
+      return stream
+    },
     request: async (method, path, headers, requestOptions) => {
-      const open = ensureSession()
-      await open.connected
-      if (open.session.closed || open.session.destroyed) throw new ConnectError('the connection was closed', Code.Unavailable)
+      const open = await connectedSession()
       const allHeaders: OutgoingHttpHeaders = { ...headers, ':method': method, ':path': path }
       const stream = open.session.request(allHeaders, requestOptions)
       open.streams.add(stream)
       open.session.ref()
       stream.once('close', () => {
         open.streams.delete(stream)
-        // A session without calls does not keep the process running.
-        if (open.streams.size === 0 && !open.session.destroyed) open.session.unref()
+        unrefIfUnused(open)
       })
       return stream
     },
--- /dev/null
+++ b/packages/protocol/src/node/messageStream.ts
@@ -0,0 +1,108 @@
+/**
+ * Long-lived streams of messages between two processes, each on one HTTP/2 stream. A
+ * message is preceded by its length as four bytes, most significant first. A frame that
+ * can't be read, or a handler that throws, ends the stream and nothing else.
+ */
+
+import type { ClientHttp2Stream, ServerHttp2Stream } from 'node:http2'
+
+/** Largest message of a stream, in bytes: a declaration is the largest. */
+export const MAXIMUM_STREAM_MESSAGE_BYTES = 16 * 1024 * 1024
+/** Bytes that may wait for a reader before the stream is ended, so that a reader that has stopped holds no memory. */
+const MAXIMUM_UNSENT_BYTES = 32 * 1024 * 1024
+const LENGTH_BYTES = 4
+const HTTP_OK = 200
+
+export interface MessageStreamHandlers {
+  message: (body: Buffer) => void
+  /** Called once, when the stream has ended for whatever reason. */
+  closed: (reason: string) => void
+}
+
+export interface MessageStream {
+  /** Sends a message; without effect once the stream has ended. */
+  send: (body: Uint8Array) => void
+  close: (reason: string) => void
+  isOpen: () => boolean
+}
+
+/** A message is longer than a stream carries. */
+export class MessageLengthError extends Error {
+  override name = 'MessageLengthError'
+}
+
+/** Returns a function that takes the bytes of a stream as they arrive, and returns the messages that are complete. It throws a MessageLengthError. */
+export function createMessageReader (maximumBytes = MAXIMUM_STREAM_MESSAGE_BYTES): (chunk: Buffer) => Buffer[] {
+  let chunks: Buffer[] = []
+  let available = 0
+  /** Bytes from which another message may be complete. */
+  let needed = LENGTH_BYTES
+  return chunk => {
+    chunks.push(chunk)
+    available += chunk.length
+    if (available < needed) return []
+    let bytes = chunks.length === 1 ? chunk : Buffer.concat(chunks)
+    const messages: Buffer[] = []
+    while (bytes.length >= LENGTH_BYTES) {
+      const length = bytes.readUInt32BE(0)
+      if (length > maximumBytes) throw new MessageLengthError(`a message of ${length} bytes is announced; at most ${maximumBytes} are allowed`)
+      if (bytes.length < LENGTH_BYTES + length) break
+      messages.push(bytes.subarray(LENGTH_BYTES, LENGTH_BYTES + length))
+      bytes = bytes.subarray(LENGTH_BYTES + length)
+    }
+    chunks = bytes.length === 0 ? [] : [bytes]
+    available = bytes.length
+    needed = bytes.length < LENGTH_BYTES ? LENGTH_BYTES : LENGTH_BYTES + bytes.readUInt32BE(0)
+    return messages
+  }
+}
+
+function frameMessage (body: Uint8Array): Buffer {
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length)
+  frame.writeUInt32BE(body.length, 0)
+  frame.set(body, LENGTH_BYTES)
+  return frame
+}
+
+/** Reads and writes messages on an HTTP/2 stream. `attach` gets the stream before any message arrives. */
+export function createMessageStream (stream: ClientHttp2Stream | ServerHttp2Stream, attach: (messages: MessageStream) => MessageStreamHandlers): MessageStream {
+  const read = createMessageReader()
+  let open = true
+
+  function close (reason: string): void {
+    if (!open) return
+    open = false
+    stream.destroy()
+    handlers.closed(reason)
+  }
+
+  const messages: MessageStream = {
+    send: body => {
+      if (!open) return
+      if (stream.destroyed || stream.writableLength > MAXIMUM_UNSENT_BYTES) return close('the other side does not read')
+      stream.write(frameMessage(body))
+    },
+    close,
+    isOpen: () => open
+  }
+  const handlers = attach(messages)
+
+  stream.on('data', (chunk: Buffer) => {
+    try {
+      for (const message of read(chunk)) {
+        if (!open) return
+        handlers.message(message)
+      }
+    } catch (error) {
+      close((error as Error).message)
+    }
+  })
+  // `response` is an event of the client's end only.
+  stream.on('response', (headers: { ':status'?: number }) => {
+    if (headers[':status'] !== HTTP_OK) close(`the stream was refused with status ${headers[':status']}`)
+  })
+  stream.on('error', error => { close(error.message) })
+  stream.on('end', () => { close('the other side ended the stream') })
+  stream.on('close', () => { close('the stream was closed') })
+  return messages
+}
--- a/packages/protocol/src/node/transport.ts
+++ b/packages/protocol/src/node/transport.ts
@@ -8,13 +8,21 @@
 import { Code, ConnectError, createClient } from '@connectrpc/connect'
 import { connectNodeAdapter, createGrpcTransport } from '@connectrpc/connect-node'
 import { createCallSessionManager } from './callSession.js'
-import type { Http2SecureServer, Http2Server, ServerHttp2Session } from 'node:http2'
+import { createMessageStream } from './messageStream.js'
+import type { Http2SecureServer, Http2Server, Http2ServerRequest, Http2ServerResponse, ServerHttp2Session } from 'node:http2'
 import type { DescService } from '@bufbuild/protobuf'
 import type { Client, ConnectRouter, Interceptor } from '@connectrpc/connect'
+import type { MessageStream, MessageStreamHandlers } from './messageStream.js'
 
 /** Header that carries the shared secret. */
 const SECRET_HEADER = 'x-cyclamenusher-secret'
 
+/** Path of message streams; the name of the stream follows. */
+const STREAM_PATH = '/cyclamenusher.streams/'
+const HTTP_OK = 200
+const HTTP_UNAUTHENTICATED = 401
+const HTTP_NOT_FOUND = 404
+
 /** Largest message between two processes, in bytes. */
 export const MAXIMUM_CALL_BYTES = 16 * 1024 * 1024
 
@@ -40,11 +48,16 @@
   return createHash('sha256').update(text).digest()
 }
 
-function requireSecret (secret: string): Interceptor {
+/** Returns whether a text is the shared secret, in a time that does not depend on the text. */
+function createSecretCheck (secret: string): (given: string) => boolean {
   const expected = digest(secret)
+  return given => timingSafeEqual(digest(given), expected)
+}
+
+function requireSecret (secret: string): Interceptor {
+  const isSecret = createSecretCheck(secret)
   return next => async request => {
-    const given = digest(request.header.get(SECRET_HEADER) ?? '')
-    if (!timingSafeEqual(given, expected)) {
+    if (!isSecret(request.header.get(SECRET_HEADER) ?? '')) {
       throw new ConnectError('the shared secret is wrong: give both sides the same secret file', Code.Unauthenticated)
     }
     return await next(request)
@@ -58,13 +71,32 @@
   }
 }
 
-/** Serves the services that `routes` registers on `host:port`; port 0 selects a free port. */
-export async function listenForCalls (host: string, port: number, credentials: PeerCredentials, routes: (router: ConnectRouter) => void): Promise<CallServer> {
-  const handler = connectNodeAdapter({
+/** By name, what accepts message streams of that name. */
+export type StreamRoutes = ReadonlyMap<string, (stream: MessageStream) => MessageStreamHandlers>
+
+type RequestHandler = (request: Http2ServerRequest, response: Http2ServerResponse) => void
+
+/** Accepts the requests for message streams, and passes on all others. */
+function acceptStreams (streams: StreamRoutes, secret: string, handleCall: RequestHandler): RequestHandler {
+  const isSecret = createSecretCheck(secret)
+  return (request, response) => {
+    if (!request.url.startsWith(STREAM_PATH)) return handleCall(request, response)
+    const { stream } = response
+    const accept = streams.get(request.url.slice(STREAM_PATH.length))
+    const isAuthenticated = isSecret(String(request.headers[SECRET_HEADER] ?? ''))
+    if (!isAuthenticated || accept === undefined) return stream.respond({ ':status': isAuthenticated ? HTTP_NOT_FOUND : HTTP_UNAUTHENTICATED }, { endStream: true })
+    stream.respond({ ':status': HTTP_OK })
+    createMessageStream(stream, accept)
+  }
+}
+
+/** Serves the services that `routes` registers and the message streams on `host:port`; port 0 selects a free port. */
+export async function listenForCalls (host: string, port: number, credentials: PeerCredentials, routes: (router: ConnectRouter) => void, streams: StreamRoutes = new Map()): Promise<CallServer> {
+  const handler = acceptStreams(streams, credentials.secret, connectNodeAdapter({
     routes,
     interceptors: [requireSecret(credentials.secret)],
     readMaxBytes: MAXIMUM_CALL_BYTES
-  })
+  }))
   const { tls } = credentials
   const server: Http2Server | Http2SecureServer = tls === undefined
     ? createServer(handler)
@@ -93,6 +125,8 @@
 /** A client with a function that closes its connection, so that the next call opens a new one. */
 export interface PeerLink<Service extends DescService> {
   client: Client<Service>
+  /** Opens a message stream. @throws ConnectError if there is no connection */
+  openStream: (name: string, attach: (stream: MessageStream) => MessageStreamHandlers) => Promise<MessageStream>
   reconnect: () => void
 }
 
@@ -106,7 +140,11 @@
   const nodeOptions = tls === undefined ? undefined : { key: tls.key, cert: tls.certificate, ca: tls.authority, checkServerIdentity: () => undefined }
   const sessionManager = createCallSessionManager(baseUrl, nodeOptions)
   const transport = createGrpcTransport({ baseUrl, interceptors: [sendSecret(credentials.secret)], readMaxBytes: MAXIMUM_CALL_BYTES, sessionManager })
-  return { client: createClient(service, transport), reconnect: () => { sessionManager.abort() } }
+  return {
+    client: createClient(service, transport),
+    openStream: async (name, attach) => createMessageStream(await sessionManager.openStream(`${STREAM_PATH}${name}`, { [SECRET_HEADER]: credentials.secret }), attach),
+    reconnect: () => { sessionManager.abort() }
+  }
 }
 
 /** Creates a client of `service` at `host:port`. It replaces a failed connection, as a link does. */
