--- a/scripts/test.js
+++ b/scripts/test.js
@@ -76,8 +76,10 @@
   console.log(`${verdict.padEnd(4)} ${file} (${filePassed} passed${failures.length > 0 ? `, ${failures.length} failed` : ''}${problem === undefined ? '' : `, ${problem}`})`)
   if (verdict === 'FAIL') console.log(output)
 }
-for (const { file, name } of knownRed) {
-  if (!files.includes(file) && pathParts.length === 0) console.log(`KNOWN-RED.txt names ${file} (${name}), which does not exist: remove the entry.`)
+for (const { file, name, rest } of knownRed) {
+  // Entries of the bench name a day, not a file.
+  if (file === 'bench') console.log(`known red: bench :: ${name} :: ${rest}`)
+  else if (!files.includes(file) && pathParts.length === 0) console.log(`KNOWN-RED.txt names ${file} (${name}), which does not exist: remove the entry.`)
 }
 if (files.length === 0) failed += 1
 console.log(`${passed} passed, ${failed} failed`)
