--- a/packages/decisions/src/node/fleet/rateLenders.ts
+++ b/packages/decisions/src/node/fleet/rateLenders.ts
@@ -7,7 +7,7 @@
  * share of one part in seventy holds less than one operation and admits none.
  */
 
-import { rankNodes } from '../group/rendezvous.js'
+import { rankManyNodes } from '../group/rendezvous.js'
 import { computeShareLimits } from './rateShares.js'
 import type { BucketLimits } from '../rate/bucket.js'
 import type { RateTolerance } from './rateShares.js'
@@ -39,7 +39,7 @@
   if (count >= candidates.length) return candidates.map(({ name }) => name)
   const domains = new Map(candidates.map(({ name, failureDomain }) => [name, failureDomain]))
   const usedByDomain = new Map<string, number>()
-  const ranked = rankNodes(account, [...domains.keys()]).map((name, rank) => {
+  const ranked = rankManyNodes(account, [...domains.keys()]).map((name, rank) => {
     const domain = domains.get(name) ?? ''
     const round = usedByDomain.get(domain) ?? 0
     usedByDomain.set(domain, round + 1)
@@ -53,6 +53,6 @@
   if (lenders.some(lender => lender.name === name)) return undefined
   const near = lenders.filter(lender => lender.failureDomain === failureDomain)
   const eligible = near.length > 0 ? near : lenders
-  const [chosen] = rankNodes(`${account}\0${name}`, eligible.map(lender => lender.name))
+  const [chosen] = rankManyNodes(`${account}\0${name}`, eligible.map(lender => lender.name))
   return eligible.find(lender => lender.name === chosen)
 }
