--- a/packages/cyclamenusherd/src/node/engine/attempt.ts
+++ b/packages/cyclamenusherd/src/node/engine/attempt.ts
@@ -1,7 +1,7 @@
 /** Runs one statement on one connection, until its deadline. */
 
 import { PreparationError, prepareConnection, buildStatementText } from './preparation.js'
-import type { EngineServices } from './services.js'
+import type { LocalServices } from './operations.js'
 import type { AcquiredConnection } from './groupPool.js'
 import type { Reply } from './serverConnection.js'
 import type { StatementContext } from './session.js'
@@ -14,7 +14,7 @@
   | { kind: 'late' }
 
 /** Waits for a reply until the deadline, and closes the connection if none has arrived by then. */
-export async function awaitReply (services: EngineServices, acquired: AcquiredConnection, deadline: number, reply: Promise<Reply>): Promise<Reply | { kind: 'late' }> {
+export async function awaitReply (services: LocalServices, acquired: AcquiredConnection, deadline: number, reply: Promise<Reply>): Promise<Reply | { kind: 'late' }> {
   const { clock } = services
   const startedAt = clock.now()
   let timer: NodeJS.Timeout | undefined
@@ -39,7 +39,7 @@
  * the session's values. `addPrefix` adds what the text needs in front of it on this
  * connection; `mayReset` allows a reset of the connection's session.
  */
-export async function attemptStatement (services: EngineServices, acquired: AcquiredConnection, { session, request, deadline }: StatementContext, addPrefix: (text: string) => string, mayReset: boolean): Promise<AttemptReply> {
+export async function attemptStatement (services: LocalServices, acquired: AcquiredConnection, { session, request, deadline }: StatementContext, addPrefix: (text: string) => string, mayReset: boolean): Promise<AttemptReply> {
   const { connection } = acquired
   const definition = request.statement.kind === 'execute' ? session.prepared.get(request.statement.name) : undefined
   try {
--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -2,11 +2,8 @@
 
 import { StatementFailure } from './errors.js'
 import { admitOperation, resolveAccess } from './operationAdmission.js'
-import { runRead } from './reads.js'
 import { createSession } from './session.js'
 import { INTERNAL_DIGEST } from './statement.js'
-import { commitTransaction, rollBackTransaction, runInTransaction, beginInBackground } from './transactions.js'
-import { runWrite } from './writes.js'
 import type { Socket } from 'node:net'
 import type { EngineServices } from './services.js'
 import type { StatementResult, Session, StatementContext } from './session.js'
@@ -40,7 +37,7 @@
 const EMPTY_RESULT: StatementResult = { rows: [], digest: INTERNAL_DIGEST }
 
 export function startCallerSession ({ socket, codec, services, onClose }: CallerSessionOptions): CallerSession {
-  const { clock, log } = services
+  const { clock, log, operations } = services
   const messages: CallerMessage[] = []
   let startedSession: Session | undefined
   let processing = false
@@ -58,7 +55,7 @@
     closed = true
     clearTimeout(idleTimer)
     clearTimeout(startTimer)
-    if (startedSession?.transaction !== undefined && !processing) rollBackTransaction(services, startedSession.transaction)
+    if (startedSession?.transaction !== undefined && !processing) operations.rollBack(startedSession.transaction)
     socket.end()
     socket.destroySoon()
     onClose()
@@ -85,12 +82,12 @@
     if (session.transaction !== undefined) throw new StatementFailure('malformed', 'a transaction is open already')
     session.transaction = { ...await admitOperation(services, session), beginId: context.request.id, readOnly, wrote: false }
     session.state = 'in transaction'
-    beginInBackground(services, context, session.transaction)
+    operations.begin(context, session.transaction)
     return EMPTY_RESULT
   }
 
   function rollback ({ session, request }: StatementContext): StatementResult {
-    if (session.transaction !== undefined) rollBackTransaction(services, session.transaction, request.id)
+    if (session.transaction !== undefined) operations.rollBack(session.transaction, request.id)
     session.transaction = undefined
     session.state = 'idle'
     return EMPTY_RESULT
@@ -99,15 +96,13 @@
   async function commitIfOpen (context: StatementContext): Promise<StatementResult> {
     const { session } = context
     if (session.transaction === undefined) return EMPTY_RESULT
-    return await commitTransaction(services, context, session.transaction)
+    return await operations.commit(context, session.transaction)
   }
 
   async function runOperation (context: StatementContext, access: 'read' | 'write'): Promise<StatementResult> {
     const { session } = context
-    if (session.transaction !== undefined) return await runInTransaction(services, context, session.transaction, access === 'write')
-    const operation = await admitOperation(services, session)
-    const run = access === 'read' ? runRead : runWrite
-    return await run(services, context, operation)
+    if (session.transaction !== undefined) return await operations.continue(context, session.transaction, access === 'write')
+    return await operations.run(context, await admitOperation(services, session), access)
   }
 
   function requireCapacity (entries: ReadonlyMap<string, unknown>): void {
@@ -177,7 +172,7 @@
   function handleDefect (session: Session, { id }: StatementRequest, { message, stack }: Error): StatementFailure {
     log.logDecision('A statement met a defect of the instance.', { id, reason: message, stack: stack ?? '' })
     if (session.transaction !== undefined) {
-      rollBackTransaction(services, session.transaction)
+      operations.rollBack(session.transaction)
       session.state = 'failed transaction'
     }
     return new StatementFailure('in doubt', `the instance failed: ${message}`)
@@ -215,7 +210,7 @@
   function endTransaction (reason: string): void {
     if (processing || startedSession?.transaction === undefined) return
     startedSession.transaction.endReason = reason
-    rollBackTransaction(services, startedSession.transaction)
+    operations.rollBack(startedSession.transaction)
   }
 
   type MessageHandlers = { [Kind in CallerMessage['kind']]: (message: Extract<CallerMessage, { kind: Kind }>) => void | Promise<void> }
@@ -240,7 +235,7 @@
     }
     processing = false
     // The caller may have disconnected while its statement ran.
-    if (closed && startedSession?.transaction !== undefined) rollBackTransaction(services, startedSession.transaction)
+    if (closed && startedSession?.transaction !== undefined) operations.rollBack(startedSession.transaction)
     if (closeWhenIdle) closeIfIdle()
     if (!closed) restartIdleTimer()
   }
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -0,0 +1,262 @@
+/**
+ * Runs each operation at the instance that holds the connections to the group's servers
+ * for the operation's account: at another one over a stream, or here.
+ *
+ * What a refusal or a lost answer means stays as it is without the hop: an answer lost
+ * between two instances is as unknown as one lost at a server, and only what was not
+ * sent, or was refused by the holder before it ran, is sent again. Reads may run twice.
+ */
+
+import { orderHolders } from '@cyclamenusher/decisions'
+import { FleetService, createPeerLink } from '@cyclamenusher/protocol'
+import { StatementFailure } from '../errors.js'
+import { requireNotEnded } from '../transactions.js'
+import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
+import { createHolderLink } from './holderLink.js'
+import type { GroupHolder } from '@cyclamenusher/decisions'
+import type { MessageStream, PeerCredentials } from '@cyclamenusher/protocol'
+import type { ScopedLogger } from '../../process/logger.js'
+import type { LocalServices, OperationRunner } from '../operations.js'
+import type { AdmittedOperation, StatementContext, StatementResult, Transaction } from '../session.js'
+import type { ForwardedStatement, HolderReply } from './messages.js'
+import type { ForwardOutcome, HolderLink } from './holderLink.js'
+
+/** Interval at which holders are watched, in milliseconds. */
+const TICK_INTERVAL_MILLISECONDS = 25
+/** Time by which a holder's own answer to a statement without an answer may be later than the deadline, in milliseconds. */
+const REPLY_GRACE_MILLISECONDS = 60
+
+/** A transaction that runs at a holder, over one stream. */
+export interface ForwardedTransaction {
+  number: number
+  link: HolderLink
+  stream: MessageStream
+}
+
+export interface ForwardingRunner extends OperationRunner {
+  close: () => void
+}
+
+export interface ForwardingOptions {
+  services: LocalServices
+  local: OperationRunner
+  credentials: PeerCredentials
+  logger: ScopedLogger
+}
+
+type ReadEvent = { kind: 'silent' } | { kind: 'outcome', outcome: ForwardOutcome, attempt: Promise<ReadEvent> }
+
+export function createForwardingRunner ({ services, local, credentials, logger }: ForwardingOptions): ForwardingRunner {
+  const { link, clock, log } = services
+  const holderLinks = new Map<string, HolderLink>()
+  /** Holders in order of preference, by group and account; valid for the list from which they were ordered. */
+  const orders = new Map<string, { list: readonly GroupHolder[], ordered: GroupHolder[] }>()
+  let lastTransaction = 0
+
+  function listHolders ({ route, account }: AdmittedOperation): GroupHolder[] {
+    const list = link.holders(route.group)
+    const key = `${route.group}\0${account}`
+    const known = orders.get(key)
+    if (known?.list === list) return known.ordered
+    const ordered = orderHolders(account, list)
+    orders.set(key, { list, ordered })
+    return ordered
+  }
+
+  function ensureHolderLink ({ name, host, port }: GroupHolder): HolderLink {
+    const key = `${name} ${host}:${port}`
+    const existing = holderLinks.get(key)
+    if (existing !== undefined) return existing
+    const created = createHolderLink({ name, link: createPeerLink(FleetService, host, port, credentials), clock, logger })
+    holderLinks.set(key, created)
+    return created
+  }
+
+  /** The link to the holder that is to run the operation; undefined: this instance runs it. */
+  function chooseHolder (operation: AdmittedOperation, excluded: ReadonlySet<HolderLink>): HolderLink | undefined {
+    for (const holder of listHolders(operation)) {
+      if (holder.name === link.name) return undefined
+      const holderLink = ensureHolderLink(holder)
+      if (!excluded.has(holderLink) && holderLink.isUsable()) return holderLink
+    }
+    return undefined
+  }
+
+  function buildStatement ({ session, request, startedAt, deadline }: StatementContext): ForwardedStatement {
+    const now = clock.now()
+    const { id, text, statement } = request
+    const definition = statement.kind === 'execute' ? session.prepared.get(statement.name) : undefined
+    return {
+      id,
+      text,
+      ...(statement.kind === 'execute' && definition !== undefined ? { execution: { parameters: statement.parameters, definition } } : {}),
+      values: [...session.values],
+      ...(session.lastCommit === undefined ? {} : { lastCommit: { position: session.lastCommit.position, agoMilliseconds: now - session.lastCommit.at } }),
+      sentAt: now,
+      epoch: Math.max(0, link.resumedAt()),
+      elapsedMilliseconds: now - startedAt,
+      remainingMilliseconds: Math.max(0, deadline - now)
+    }
+  }
+
+  /** Takes over what the holder answered. @throws StatementFailure */
+  function adoptReply ({ session }: StatementContext, reply: Extract<HolderReply, { kind: 'result' | 'failure' }>): StatementResult {
+    if (reply.kind === 'failure') throw new StatementFailure(reply.failure, reply.explanation)
+    if (reply.lastCommit !== undefined) session.lastCommit = { position: reply.lastCommit.position, at: clock.now() - reply.lastCommit.agoMilliseconds }
+    const { rows, digest, position } = reply
+    return { rows, digest, position }
+  }
+
+  /** Takes over the answer to a commit or a single write, if no later primary is designated. @throws StatementFailure */
+  async function adoptCommit (context: StatementContext, { route }: AdmittedOperation, reply: Extract<HolderReply, { kind: 'result' | 'failure' }>): Promise<StatementResult> {
+    if (reply.kind === 'result' && reply.primary !== undefined && !await services.group(route.group).confirmDesignation(reply.primary, context.deadline + CONFIRM_GRACE_MILLISECONDS)) {
+      throw new StatementFailure('in doubt', `primary ${reply.primary.member} may have been replaced before its answer arrived`)
+    }
+    return adoptReply(context, reply)
+  }
+
+  /** Why another holder is to try, although this one was chosen; undefined: its reply is final. */
+  function findReasonToTryAnother (outcome: ForwardOutcome): string | undefined {
+    if (outcome.kind === 'not sent') return outcome.reason
+    if (outcome.kind !== 'reply' || outcome.reply.kind !== 'failure') return undefined
+    return outcome.reply.failure === 'busy' && !outcome.reply.canServe ? outcome.reply.explanation : undefined
+  }
+
+  async function send (holder: HolderLink, context: StatementContext, operation: AdmittedOperation, access: 'read' | 'write', onSilent?: () => void): Promise<ForwardOutcome> {
+    const stream = await holder.open()
+    if (stream === undefined) return { kind: 'not sent', reason: 'the holder was not reached' }
+    const grace = access === 'write' ? CONFIRM_GRACE_MILLISECONDS : 0
+    const outcome = await holder.request(stream, number => ({ kind: 'run', number, access, operation: describeOperation(operation), statement: buildStatement(context) }), context.deadline + grace + REPLY_GRACE_MILLISECONDS, onSilent)
+    if (findReasonToTryAnother(outcome) !== undefined) holder.recordRefusal()
+    return outcome
+  }
+
+  function describeOperation ({ route, account }: AdmittedOperation): AdmittedOperation {
+    const { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority } = route
+    return { route: { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority }, account }
+  }
+
+  async function runWriteElsewhere (context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
+    const excluded = new Set<HolderLink>()
+    for (;;) {
+      const holder = chooseHolder(operation, excluded)
+      if (holder === undefined) return await local.run(context, operation, 'write')
+      const outcome = await send(holder, context, operation, 'write')
+      const reason = findReasonToTryAnother(outcome)
+      if (reason === undefined) {
+        if (outcome.kind === 'reply') return await adoptCommit(context, operation, outcome.reply)
+        throw new StatementFailure('in doubt', outcome.kind === 'lost' ? `the holder of the connections was lost: ${outcome.reason}` : 'the holder of the connections did not answer in time')
+      }
+      excluded.add(holder)
+      logRetry(context, reason)
+      if (clock.now() >= context.deadline) throw new StatementFailure('busy', `the write did not run: ${reason}`)
+    }
+  }
+
+  function logRetry ({ request, deadline }: StatementContext, reason: string): void {
+    log.logDecision('An operation is sent to another holder.', { id: request.id, reason, left: Math.round(deadline - clock.now()) })
+  }
+
+  /** Starts a read at a holder. `silent` settles when the holder has stopped answering; its answer still counts if it comes. */
+  function startRead (holder: HolderLink, context: StatementContext, operation: AdmittedOperation): { attempt: Promise<ReadEvent>, silent: Promise<ReadEvent> } {
+    let reportSilence: () => void = () => {}
+    const silent = new Promise<ReadEvent>(resolve => { reportSilence = () => { resolve({ kind: 'silent' }) } })
+    const attempt: Promise<ReadEvent> = send(holder, context, operation, 'read', reportSilence).then(outcome => ({ kind: 'outcome', outcome, attempt }))
+    return { attempt, silent }
+  }
+
+  /** Runs a read at a holder, and at another one as well when that one stops answering; the first answer counts. */
+  async function runReadElsewhere (context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
+    const excluded = new Set<HolderLink>()
+    const attempts = new Set<Promise<ReadEvent>>()
+    for (;;) {
+      const holder = chooseHolder(operation, excluded)
+      if (holder === undefined) return await local.run(context, operation, 'read')
+      excluded.add(holder)
+      const { attempt, silent } = startRead(holder, context, operation)
+      attempts.add(attempt)
+      let event = await Promise.race([...attempts, silent])
+      while (event.kind === 'outcome') {
+        const { outcome } = event
+        attempts.delete(event.attempt)
+        const reason = outcome.kind === 'lost' ? outcome.reason : findReasonToTryAnother(outcome)
+        if (outcome.kind === 'reply' && reason === undefined) return adoptReply(context, outcome.reply)
+        if (outcome.kind === 'late' || clock.now() >= context.deadline) throw new StatementFailure('timeout', 'no holder of the connections answered in time')
+        logRetry(context, reason ?? '')
+        // An earlier attempt may still be answered, while the newest is over.
+        if (event.attempt === attempt || attempts.size === 0) break
+        event = await Promise.race([...attempts, silent])
+      }
+    }
+  }
+
+  async function openTransaction (context: StatementContext, transaction: Transaction): Promise<ForwardedTransaction | undefined> {
+    const excluded = new Set<HolderLink>()
+    for (let holder = chooseHolder(transaction, excluded); holder !== undefined; holder = chooseHolder(transaction, excluded)) {
+      excluded.add(holder)
+      const stream = await holder.open()
+      if (stream === undefined) continue
+      lastTransaction += 1
+      const { beginId, readOnly } = transaction
+      const statement = { ...buildStatement(context), id: beginId }
+      holder.post(stream, { kind: 'begin', transaction: lastTransaction, readOnly, operation: describeOperation(transaction), statement })
+      return { number: lastTransaction, link: holder, stream }
+    }
+    return undefined
+  }
+
+  function rollBack (transaction: Transaction, id?: string): void {
+    if (transaction.forwarded === undefined) return local.rollBack(transaction, id)
+    void transaction.forwarded.then(forwarded => {
+      if (forwarded === undefined) return local.rollBack(transaction, id)
+      forwarded.link.post(forwarded.stream, { kind: 'roll back', transaction: forwarded.number, ...(id === undefined ? {} : { id }) })
+    })
+  }
+
+  async function continueTransaction (context: StatementContext, transaction: Transaction, isWrite: boolean): Promise<StatementResult> {
+    const { session } = context
+    const forwarded = await transaction.forwarded
+    if (forwarded === undefined) return await local.continue(context, transaction, isWrite)
+    requireNotEnded(session, transaction)
+    const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'continue', number, transaction: forwarded.number, isWrite, statement: buildStatement(context) }), context.deadline + REPLY_GRACE_MILLISECONDS)
+    if (outcome.kind !== 'reply') {
+      // Without its commit, which is not sent any more, the transaction keeps nothing.
+      session.state = 'failed transaction'
+      rollBack(transaction)
+      throw new StatementFailure('aborted', `the holder of the transaction's connection ${outcome.kind === 'late' ? 'did not answer in time' : `was lost: ${outcome.reason}`}`)
+    }
+    if (outcome.reply.kind === 'failure') session.state = 'failed transaction'
+    const result = adoptReply(context, outcome.reply)
+    transaction.wrote ||= isWrite
+    return result
+  }
+
+  async function commitTransaction (context: StatementContext, transaction: Transaction): Promise<StatementResult> {
+    const { session } = context
+    const forwarded = await transaction.forwarded
+    if (forwarded === undefined) return await local.commit(context, transaction)
+    session.transaction = undefined
+    session.state = 'idle'
+    if (transaction.endReason !== undefined) throw new StatementFailure('aborted', transaction.endReason)
+    const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'commit', number, transaction: forwarded.number, statement: buildStatement(context) }), context.deadline + CONFIRM_GRACE_MILLISECONDS + REPLY_GRACE_MILLISECONDS)
+    if (outcome.kind === 'reply') return await adoptCommit(context, transaction, outcome.reply)
+    if (outcome.kind === 'not sent') throw new StatementFailure('aborted', `the commit was not sent: ${outcome.reason}`)
+    throw new StatementFailure(transaction.wrote ? 'in doubt' : 'aborted', `the answer to the commit ${outcome.kind === 'late' ? 'did not come in time' : `was lost: ${outcome.reason}`}`)
+  }
+
+  const timer = setInterval(() => { for (const holder of holderLinks.values()) holder.tick() }, TICK_INTERVAL_MILLISECONDS)
+  return {
+    run: async (context, operation, access) => access === 'read' ? await runReadElsewhere(context, operation) : await runWriteElsewhere(context, operation),
+    begin: (context, transaction) => {
+      if (chooseHolder(transaction, new Set()) === undefined) return local.begin(context, transaction)
+      transaction.forwarded = openTransaction(context, transaction)
+    },
+    continue: continueTransaction,
+    commit: commitTransaction,
+    rollBack,
+    close: () => {
+      clearInterval(timer)
+      for (const holder of holderLinks.values()) holder.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -0,0 +1,161 @@
+/** Sends operations to one instance that holds a group's connections, and notices when it does not answer. */
+
+import { UNKNOWN_HOLDER, isHolderUsable, recordHolderAnswer, recordHolderFailure, watchHolder } from '@cyclamenusher/decisions'
+import { HOLDER_STREAM, decodeHolderReply } from './messages.js'
+import type { HolderHealth } from '@cyclamenusher/decisions'
+import type { FleetService, MessageStream, MessageStreamHandlers, PeerLink } from '@cyclamenusher/protocol'
+import type { Clock } from '../../process/clock.js'
+import type { ScopedLogger } from '../../process/logger.js'
+import type { HolderReply, HolderRequest } from './messages.js'
+
+/** Time within which a stream must be open, in milliseconds: a connection between regions and its first round trip. */
+const OPEN_TIMEOUT_MILLISECONDS = 150
+
+export type ForwardOutcome =
+  | { kind: 'reply', reply: Extract<HolderReply, { kind: 'result' | 'failure' }> }
+  /** The request was not sent. */
+  | { kind: 'not sent', reason: string }
+  /** The stream ended before the reply. */
+  | { kind: 'lost', reason: string }
+  /** No reply by the deadline. */
+  | { kind: 'late' }
+
+export interface HolderLink {
+  /** Whether new operations may be sent to the holder. */
+  isUsable: () => boolean
+  /** The stream to the holder, opened on demand; undefined if it can't be opened in time. */
+  open: () => Promise<MessageStream | undefined>
+  /** Sends a request on the stream; `onSilent` is called when the holder seems to have stopped answering, which it may still do. */
+  request: (stream: MessageStream, build: (number: number) => HolderRequest, deadline: number, onSilent?: () => void) => Promise<ForwardOutcome>
+  /** Sends a message that has no reply. */
+  post: (stream: MessageStream, request: HolderRequest) => void
+  /** Notes that the holder refused because it can't serve at present. */
+  recordRefusal: () => void
+  /** Gives up what is late, and probes the holder when it owes an answer. */
+  tick: () => void
+  close: () => void
+}
+
+interface OutstandingRequest {
+  sentAt: number
+  deadline: number
+  stream: MessageStream
+  onSilent?: () => void
+  finish: (outcome: ForwardOutcome) => void
+}
+
+export interface HolderLinkOptions {
+  name: string
+  link: Pick<PeerLink<typeof FleetService>, 'openStream' | 'reconnect'>
+  clock: Clock
+  logger: ScopedLogger
+}
+
+export function createHolderLink ({ name, link, clock, logger }: HolderLinkOptions): HolderLink {
+  let health: HolderHealth = UNKNOWN_HOLDER
+  let current: MessageStream | undefined
+  let opening: Promise<MessageStream | undefined> | undefined
+  let lastNumber = 0
+  const outstanding = new Map<number, OutstandingRequest>()
+
+  function write (stream: MessageStream, request: HolderRequest): void {
+    stream.send(Buffer.from(JSON.stringify(request), 'utf8'))
+  }
+
+  function finish (number: number, outcome: ForwardOutcome): void {
+    const request = outstanding.get(number)
+    outstanding.delete(number)
+    request?.finish(outcome)
+  }
+
+  type ReplyHandlers = { [Kind in HolderReply['kind']]: (reply: Extract<HolderReply, { kind: Kind }>) => void }
+  const REPLY_HANDLERS: ReplyHandlers = {
+    result: reply => { finish(reply.number, { kind: 'reply', reply }) },
+    failure: reply => { finish(reply.number, { kind: 'reply', reply }) },
+    alive: () => {},
+    leaving: () => { health = { ...health, leaving: true } }
+  }
+
+  function attach (stream: MessageStream): MessageStreamHandlers {
+    return {
+      message: body => {
+        const reply = decodeHolderReply(body)
+        if (health.silent) logger.info('A holder answers again.', { holder: name })
+        health = recordHolderAnswer(health, clock.now())
+        const handle = REPLY_HANDLERS[reply.kind] as (reply: HolderReply) => void
+        handle(reply)
+      },
+      closed: reason => {
+        if (current === stream) current = undefined
+        // Another process may answer at the address by now.
+        health = recordHolderFailure({ ...health, leaving: false, silent: false, probedAt: -Infinity }, clock.now())
+        logger.info('The stream to a holder ended.', { holder: name, reason, outstanding: outstanding.size })
+        for (const [number, request] of [...outstanding]) if (request.stream === stream) finish(number, { kind: 'lost', reason })
+      }
+    }
+  }
+
+  async function openStream (): Promise<MessageStream | undefined> {
+    let timer: NodeJS.Timeout | undefined
+    let isLate = false
+    const late = new Promise<undefined>(resolve => {
+      timer = setTimeout(() => {
+        isLate = true
+        resolve(undefined)
+      }, OPEN_TIMEOUT_MILLISECONDS)
+    })
+    const stream = await Promise.race([late, link.openStream(HOLDER_STREAM, attach).then(opened => {
+      // Nobody waits for it any more.
+      if (isLate) opened.close('it was opened too late')
+      return opened
+    }).catch((error: Error) => {
+      logger.debug('A holder was not reached.', { holder: name, reason: error.message })
+      return undefined
+    })])
+    clearTimeout(timer)
+    if (stream === undefined) {
+      health = recordHolderFailure(health, clock.now())
+      link.reconnect()
+    }
+    return stream
+  }
+
+  async function open (): Promise<MessageStream | undefined> {
+    if (current?.isOpen() === true) return current
+    opening ??= openStream().finally(() => { opening = undefined })
+    current = await opening
+    return current
+  }
+
+  function tick (): void {
+    const now = clock.now()
+    let oldestSentAt: number | undefined
+    for (const [number, request] of [...outstanding]) {
+      if (now >= request.deadline) finish(number, { kind: 'late' })
+      else oldestSentAt = Math.min(oldestSentAt ?? Infinity, request.sentAt)
+    }
+    const wasSilent = health.silent
+    const watched = watchHolder(health, oldestSentAt, now)
+    health = watched.health
+    if (watched.probe && current !== undefined) write(current, { kind: 'probe' })
+    if (wasSilent || !health.silent) return
+    logger.warn('A holder does not answer.', { holder: name, outstanding: outstanding.size })
+    for (const { onSilent } of [...outstanding.values()]) onSilent?.()
+  }
+
+  return {
+    isUsable: () => isHolderUsable(health, clock.now()),
+    open,
+    request: async (stream, build, deadline, onSilent) => await new Promise<ForwardOutcome>(resolve => {
+      if (!stream.isOpen()) return resolve({ kind: 'not sent', reason: 'the stream to the holder has ended' })
+      lastNumber += 1
+      const number = lastNumber
+      outstanding.set(number, { sentAt: clock.now(), deadline, stream, onSilent, finish: resolve })
+      write(stream, build(number))
+    }),
+    post: write,
+    recordRefusal: () => { health = recordHolderFailure(health, clock.now()) },
+    tick,
+    close: () => { link.reconnect() }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -0,0 +1,210 @@
+/** Runs the operations that other instances send to this one, because it holds the connections to their group's servers. */
+
+import { measureDelay } from '@cyclamenusher/decisions'
+import { pause } from '../../process/clock.js'
+import { StatementFailure } from '../errors.js'
+import { createSession } from '../session.js'
+import { decodeHolderRequest } from './messages.js'
+import type { ClockOffset } from '@cyclamenusher/decisions'
+import type { MessageStream, MessageStreamHandlers } from '@cyclamenusher/protocol'
+import type { Clock } from '../../process/clock.js'
+import type { ScopedLogger } from '../../process/logger.js'
+import type { DrainPlan } from '../callerListener.js'
+import type { LocalServices, OperationRunner } from '../operations.js'
+import type { Session, StatementContext, StatementResult, Transaction } from '../session.js'
+import type { ForwardedStatement, HolderReply, HolderRequest } from './messages.js'
+
+/** Requests of one instance that may run at once; further ones are refused. */
+const MAXIMUM_RUNNING_REQUESTS = 2_000
+/** Transactions of one instance that may be open at once. */
+const MAXIMUM_TRANSACTIONS = 2_000
+/** Interval at which the remaining work is checked while draining, in milliseconds. */
+const DRAIN_POLL_INTERVAL_MILLISECONDS = 50
+/** Name under which a session of this instance knows the one statement that it executes. */
+const STATEMENT_NAME = 'forwarded'
+
+export interface HolderService {
+  /** Accepts the stream of another instance. */
+  accept: (stream: MessageStream) => MessageStreamHandlers
+  /** Tells the other instances that this one stops, so that they send new operations elsewhere. */
+  startLeaving: () => void
+  /** Resolves once no work of other instances is left, by the plan at the latest. */
+  drain: (plan: DrainPlan) => Promise<void>
+}
+
+export interface HolderServiceOptions {
+  runner: OperationRunner
+  services: LocalServices
+  clock: Clock
+  logger: ScopedLogger
+}
+
+interface ForwardedSession {
+  session: Session
+  transaction: Transaction
+  running: boolean
+}
+
+interface CallingInstance {
+  stream: MessageStream
+  transactions: Map<number, ForwardedSession>
+  running: number
+  offset?: ClockOffset
+}
+
+function adoptStatement (session: Session, { values, execution, lastCommit }: ForwardedStatement, now: number): void {
+  session.values = new Map(values)
+  session.prepared = execution === undefined ? new Map() : new Map([[STATEMENT_NAME, execution.definition]])
+  session.lastCommit = lastCommit === undefined ? undefined : { position: lastCommit.position, at: now - lastCommit.agoMilliseconds }
+}
+
+export function createHolderService ({ runner, services, clock, logger }: HolderServiceOptions): HolderService {
+  const instances = new Set<CallingInstance>()
+  let leaving = false
+
+  function createContext (instance: CallingInstance, session: Session, statement: ForwardedStatement, access: 'read' | 'write'): StatementContext {
+    const now = clock.now()
+    const { offset, delayMilliseconds } = measureDelay(instance.offset, statement, now)
+    instance.offset = offset
+    const { id, text, execution, elapsedMilliseconds, remainingMilliseconds } = statement
+    adoptStatement(session, statement, now)
+    return {
+      session,
+      request: { id, text, statement: execution === undefined ? { kind: access } : { kind: 'execute', name: STATEMENT_NAME, parameters: execution.parameters } },
+      startedAt: now - elapsedMilliseconds - delayMilliseconds,
+      deadline: now + remainingMilliseconds - delayMilliseconds
+    }
+  }
+
+  function buildFailure (number: number, id: string, session: Session, error: unknown): HolderReply {
+    if (!(error instanceof StatementFailure)) {
+      const { message, stack } = error as Error
+      services.log.logDecision('A statement met a defect of the instance.', { id, reason: message, stack: stack ?? '' })
+      return { kind: 'failure', number, failure: 'in doubt', explanation: `the instance failed: ${message}`, state: session.state, canServe: true }
+    }
+    return { kind: 'failure', number, failure: error.kind, explanation: error.message, state: session.state, canServe: services.link.isLeased() }
+  }
+
+  /** Runs a statement and sends the reply. */
+  async function answer (instance: CallingInstance, number: number, context: StatementContext, run: () => Promise<StatementResult>): Promise<void> {
+    const { session, request } = context
+    const { lastCommit } = session
+    instance.running += 1
+    let reply: HolderReply
+    try {
+      if (context.deadline <= clock.now()) throw new StatementFailure('busy', 'the statement was held up on its way until its deadline, and did not run')
+      const { rows, digest, position, primary } = await run()
+      reply = {
+        kind: 'result',
+        number,
+        rows,
+        digest,
+        position,
+        primary,
+        state: session.state,
+        ...(session.lastCommit === undefined || session.lastCommit === lastCommit ? {} : { lastCommit: { position: session.lastCommit.position, agoMilliseconds: clock.now() - session.lastCommit.at } })
+      }
+    } catch (error) {
+      reply = buildFailure(number, request.id, session, error)
+    }
+    instance.running -= 1
+    send(instance.stream, reply)
+  }
+
+  function send (stream: MessageStream, reply: HolderReply): void {
+    stream.send(Buffer.from(JSON.stringify(reply), 'utf8'))
+  }
+
+  async function runInSession (instance: CallingInstance, { number, transaction, statement }: Extract<HolderRequest, { kind: 'continue' | 'commit' }>, access: 'read' | 'write', run: (context: StatementContext, transaction: Transaction) => Promise<StatementResult>): Promise<void> {
+    const found = instance.transactions.get(transaction)
+    if (found === undefined) return send(instance.stream, { kind: 'failure', number, failure: 'aborted', explanation: 'this transaction is not open here', state: 'failed transaction', canServe: true })
+    const context = createContext(instance, found.session, statement, access)
+    found.running = true
+    await answer(instance, number, context, async () => await run(context, found.transaction))
+    found.running = false
+  }
+
+  type RequestHandlers = { [Kind in HolderRequest['kind']]: (instance: CallingInstance, request: Extract<HolderRequest, { kind: Kind }>) => void }
+  const REQUEST_HANDLERS: RequestHandlers = {
+    run: (instance, { number, access, operation, statement }) => {
+      const context = createContext(instance, createSession('', ''), statement, access)
+      if (instance.running >= MAXIMUM_RUNNING_REQUESTS) return send(instance.stream, buildFailure(number, statement.id, context.session, new StatementFailure('busy', 'too many statements of one instance run here')))
+      void answer(instance, number, context, async () => await runner.run(context, operation, access))
+    },
+    begin: (instance, { transaction: number, readOnly, operation, statement }) => {
+      // The first statement of a transaction that is not open here is told so.
+      if (instance.transactions.size >= MAXIMUM_TRANSACTIONS) return
+      const session = createSession('', '')
+      const transaction: Transaction = { ...operation, beginId: statement.id, readOnly, wrote: false }
+      session.transaction = transaction
+      session.state = 'in transaction'
+      instance.transactions.set(number, { session, transaction, running: false })
+      runner.begin(createContext(instance, session, statement, 'read'), transaction)
+    },
+    continue: (instance, request) => {
+      void runInSession(instance, request, request.isWrite ? 'write' : 'read', async (context, transaction) => await runner.continue(context, transaction, request.isWrite))
+    },
+    commit: (instance, request) => {
+      const found = instance.transactions.get(request.transaction)
+      void runInSession(instance, request, 'write', async (context, transaction) => await runner.commit(context, transaction)).then(() => {
+        instance.transactions.delete(request.transaction)
+        // A commit that was held up until its deadline did not run.
+        if (found?.session.transaction !== undefined) runner.rollBack(found.transaction)
+      })
+    },
+    'roll back': (instance, { transaction: number, id }) => {
+      const found = instance.transactions.get(number)
+      instance.transactions.delete(number)
+      if (found !== undefined) runner.rollBack(found.transaction, id)
+    },
+    probe: ({ stream }) => { send(stream, { kind: 'alive' }) }
+  }
+
+  function accept (stream: MessageStream): MessageStreamHandlers {
+    const instance: CallingInstance = { stream, transactions: new Map(), running: 0 }
+    instances.add(instance)
+    if (leaving) send(stream, { kind: 'leaving' })
+    return {
+      message: body => {
+        const request = decodeHolderRequest(body)
+        const handle = REQUEST_HANDLERS[request.kind] as (instance: CallingInstance, request: HolderRequest) => void
+        handle(instance, request)
+      },
+      closed: reason => {
+        instances.delete(instance)
+        if (instance.running + instance.transactions.size > 0) logger.info('An instance went away while its work ran here.', { reason, statements: instance.running, transactions: instance.transactions.size })
+        for (const { transaction } of instance.transactions.values()) runner.rollBack(transaction)
+      }
+    }
+  }
+
+  function endIdleTransactions (): void {
+    for (const { transactions } of instances) {
+      for (const { transaction, running } of transactions.values()) {
+        if (running || transaction.endReason !== undefined) continue
+        transaction.endReason = 'the instance stops'
+        runner.rollBack(transaction)
+      }
+    }
+  }
+
+  function countWork (): number {
+    return [...instances].reduce((sum, { running, transactions }) => sum + running + [...transactions.values()].filter(({ transaction }) => transaction.endReason === undefined).length, 0)
+  }
+
+  return {
+    accept,
+    startLeaving: () => {
+      leaving = true
+      for (const { stream } of instances) send(stream, { kind: 'leaving' })
+    },
+    drain: async ({ closeIdleAfter, endTransactionsAfter, forceCloseAfter }) => {
+      const startedAt = clock.now()
+      await pause(closeIdleAfter)
+      while (countWork() > 0 && clock.now() - startedAt < forceCloseAfter) {
+        if (clock.now() - startedAt >= endTransactionsAfter) endIdleTransactions()
+        await pause(DRAIN_POLL_INTERVAL_MILLISECONDS)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
@@ -0,0 +1,110 @@
+/**
+ * Messages between an instance that serves callers and one that holds the connections to
+ * a group's servers. Times are sent as durations, because the clocks of two instances
+ * have nothing in common; the time of sending serves to notice a message that was held
+ * up. The caller's key is never sent.
+ */
+
+import type { LogPosition, SendTime } from '@cyclamenusher/decisions'
+import type { AdmittedOperation } from '../session.js'
+import type { FailureKind, SessionState, StatementDefinition } from '../statement.js'
+
+/** A statement with what its session has set. */
+export interface ForwardedStatement extends SendTime {
+  id: string
+  text: string
+  /** Undefined: the text is sent as it is. Otherwise, a prepared statement is executed. */
+  execution?: { parameters: string, definition: StatementDefinition }
+  values: Array<[string, string]>
+  /** Position of the session's last commit, and how long ago the commit was acknowledged. */
+  lastCommit?: { position: LogPosition, agoMilliseconds: number }
+  /** Time since the statement arrived, and until its deadline. */
+  elapsedMilliseconds: number
+  remainingMilliseconds: number
+}
+
+export type HolderRequest =
+  | { kind: 'run', number: number, access: 'read' | 'write', operation: AdmittedOperation, statement: ForwardedStatement }
+  /** Begins a transaction without an answer; its number identifies it on this stream. */
+  | { kind: 'begin', transaction: number, readOnly: boolean, operation: AdmittedOperation, statement: ForwardedStatement }
+  | { kind: 'continue', number: number, transaction: number, isWrite: boolean, statement: ForwardedStatement }
+  | { kind: 'commit', number: number, transaction: number, statement: ForwardedStatement }
+  | { kind: 'roll back', transaction: number, id?: string }
+  | { kind: 'probe' }
+
+export type HolderReply =
+  | {
+    kind: 'result'
+    number: number
+    rows: readonly string[]
+    digest: string
+    position?: LogPosition
+    state: SessionState
+    lastCommit?: { position: LogPosition, agoMilliseconds: number }
+    /** The primary whose answer this is, where only a primary's counts. */
+    primary?: { member: string, designation: number }
+  }
+  /** `canServe` is false where the holder has no lease, so that another one may serve. */
+  | { kind: 'failure', number: number, failure: FailureKind, explanation: string, state: SessionState, canServe: boolean }
+  | { kind: 'alive' }
+  | { kind: 'leaving' }
+
+export const HOLDER_STREAM = 'operations'
+
+type Fields = Record<string, unknown>
+type FieldCheck = (value: unknown) => boolean
+
+const isText: FieldCheck = value => typeof value === 'string'
+const isNumber: FieldCheck = value => Number.isFinite(value)
+const isOptional = (check: FieldCheck): FieldCheck => value => value === undefined || check(value)
+const hasFields = (checks: Record<string, FieldCheck>): FieldCheck => value => typeof value === 'object' && value !== null && Object.entries(checks).every(([field, check]) => check((value as Fields)[field]))
+
+const isPosition = hasFields({ term: isNumber, position: isNumber })
+const isCommit = hasFields({ position: isPosition, agoMilliseconds: isNumber })
+const isValuePair: FieldCheck = value => Array.isArray(value) && value.length === 2 && value.every(isText)
+const isStatement = hasFields({
+  id: isText,
+  text: isText,
+  execution: isOptional(hasFields({ parameters: isText, definition: hasFields({ access: isText, text: isText }) })),
+  values: value => Array.isArray(value) && value.every(isValuePair),
+  lastCommit: isOptional(isCommit),
+  sentAt: isNumber,
+  epoch: isNumber,
+  elapsedMilliseconds: isNumber,
+  remainingMilliseconds: isNumber
+})
+const isOperation = hasFields({ account: isText, route: hasFields({ group: isText, readPolicy: isText, priority: isNumber }) })
+
+const REQUEST_CHECKS: Record<HolderRequest['kind'], FieldCheck> = {
+  run: hasFields({ number: isNumber, access: isText, operation: isOperation, statement: isStatement }),
+  begin: hasFields({ transaction: isNumber, operation: isOperation, statement: isStatement }),
+  continue: hasFields({ number: isNumber, transaction: isNumber, statement: isStatement }),
+  commit: hasFields({ number: isNumber, transaction: isNumber, statement: isStatement }),
+  'roll back': hasFields({ transaction: isNumber, id: isOptional(isText) }),
+  probe: () => true
+}
+
+const REPLY_CHECKS: Record<HolderReply['kind'], FieldCheck> = {
+  result: hasFields({ number: isNumber, rows: value => Array.isArray(value) && value.every(isText), digest: isText, position: isOptional(isPosition), state: isText, lastCommit: isOptional(isCommit), primary: isOptional(hasFields({ member: isText, designation: isNumber })) }),
+  failure: hasFields({ number: isNumber, failure: isText, explanation: isText, state: isText }),
+  alive: () => true,
+  leaving: () => true
+}
+
+function decode<Message> (body: Buffer, checks: Record<string, FieldCheck>): Message {
+  const value = JSON.parse(body.toString('utf8')) as Fields | null
+  const kind = value?.kind
+  if (typeof kind !== 'string' || !Object.hasOwn(checks, kind)) throw new Error('a message about operations is of no known kind')
+  if (!checks[kind](value)) throw new Error(`a message about operations of kind ${kind} lacks a field`)
+  return value as Message
+}
+
+/** @throws Error if the message is not valid */
+export function decodeHolderRequest (body: Buffer): HolderRequest {
+  return decode<HolderRequest>(body, REQUEST_CHECKS)
+}
+
+/** @throws Error if the message is not valid */
+export function decodeHolderReply (body: Buffer): HolderReply {
+  return decode<HolderReply>(body, REPLY_CHECKS)
+}
--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -32,6 +32,8 @@
 /** A connection in use by one statement or transaction, until it is released to its pool. */
 export interface AcquiredConnection {
   connection: ServerConnection
+  /** Number of the designation of the group's primary when the connection was acquired. */
+  designation: number
   isPrimary: boolean
   /** Position that the server must hold to answer; undefined: only the primary can answer, confirmed by `confirmPrimary`. */
   requiredPosition?: LogPosition
@@ -47,6 +49,8 @@
 
 export interface GroupPool {
   acquire: (request: ConnectionRequest) => Promise<AcquiredConnection>
+  /** Whether a commit that another instance has received from a primary may be acknowledged: no later primary is designated here, under a lease, for which this waits until `deadline`. */
+  confirmDesignation: (primary: { member: string, designation: number }, deadline: number) => Promise<boolean>
   resolveReadRequirement: (request: Pick<ReadRequest, 'policy' | 'maximumStalenessMilliseconds' | 'session'>) => ReadRequirement
   /** Observations of the servers that have answered or failed, by member. */
   sightings: () => Record<string, ServerObservation>
@@ -84,8 +88,15 @@
   let primaryClosedSince: number | undefined
   let dispatching = false
 
+  /** Number of instances that share the connections to the group's servers: its holders, or all while no holders are known. An instance that is none of them keeps to the smallest share. */
+  function countConnectingInstances (): number {
+    const holders = link.holders(group)
+    const isHolder = holders.some(({ name }) => name === link.name)
+    return Math.max(1, isHolder ? holders.length : link.entryCount())
+  }
+
   function computeBudget (): ConnectionBudget {
-    return planConnections(link.declaration()?.group(group)?.connectionsPerServer ?? 0, link.entryCount())
+    return planConnections(link.declaration()?.group(group)?.connectionsPerServer ?? 0, countConnectingInstances())
   }
 
   /** The primary, if it is open for work and this instance holds its lease. */
@@ -108,7 +119,7 @@
         clock,
         logger,
         budget: computeBudget,
-        instances: () => Math.max(1, link.entryCount()),
+        instances: countConnectingInstances,
         onChange: dispatch,
         onFailing: reason => {
           logger.warn('A backend server does not answer.', { group, member: server.member, reason, primary: server.member === link.primaryAssignment(group)?.member })
@@ -159,11 +170,24 @@
     return loads.find(load => load.isPrimary && estimateWait(load, now, 0) < Infinity)
   }
 
-  async function confirmPrimary (member: string, expectedDesignation: number, deadline: number): Promise<boolean> {
+  async function awaitLease (deadline: number): Promise<boolean> {
     while (!link.isLeased()) {
       if (clock.now() >= deadline) return false
       await new Promise(resolve => setTimeout(resolve, LEASE_POLL_INTERVAL_MILLISECONDS))
     }
+    return true
+  }
+
+  async function confirmDesignation (primary: { member: string, designation: number }, deadline: number): Promise<boolean> {
+    if (!await awaitLease(deadline)) return false
+    const assignment = link.primaryAssignment(group)
+    // The holder may have learned of a designation earlier.
+    if (assignment === undefined || assignment.designation < primary.designation) return true
+    return assignment.designation === primary.designation && assignment.member === primary.member && assignment.use !== 'closed'
+  }
+
+  async function confirmPrimary (member: string, expectedDesignation: number, deadline: number): Promise<boolean> {
+    if (!await awaitLease(deadline)) return false
     const assignment = link.primaryAssignment(group)
     return assignment?.member === member && assignment.designation === expectedDesignation && assignment.use !== 'closed'
   }
@@ -176,6 +200,7 @@
     if (requiredPosition === undefined) pool.markPrimaryWork(connection)
     return {
       connection,
+      designation: acquiredDesignation,
       isPrimary,
       requiredPosition,
       confirmPrimary: async deadline => await confirmPrimary(connection.member, acquiredDesignation, deadline),
@@ -275,6 +300,7 @@
         dispatch()
       })
     },
+    confirmDesignation,
     resolveReadRequirement: request => {
       history = dropPositionsUntil(history, link.resumedAt())
       return resolveReadRequirement({ ...request, history, term, now: clock.now() })
--- a/packages/cyclamenusherd/src/node/engine/reads.ts
+++ b/packages/cyclamenusherd/src/node/engine/reads.ts
@@ -6,7 +6,7 @@
 import { computeObjective } from './session.js'
 import type { LogPosition } from '@cyclamenusher/decisions'
 import type { AttemptReply } from './attempt.js'
-import type { EngineServices } from './services.js'
+import type { LocalServices } from './operations.js'
 import type { GroupPool, AcquiredConnection } from './groupPool.js'
 import type { AdmittedOperation, StatementResult, Session, StatementContext } from './session.js'
 
@@ -62,7 +62,7 @@
 }
 
 /** Runs a read until it has a valid answer. @throws StatementFailure */
-export async function runRead (services: EngineServices, context: StatementContext, { route, account }: AdmittedOperation): Promise<StatementResult> {
+export async function runRead (services: LocalServices, context: StatementContext, { route, account }: AdmittedOperation): Promise<StatementResult> {
   const { session, request, deadline } = context
   const group = services.group(route.group)
   const progress: ReadProgress = { excluded: new Set(), failedRuns: 0 }
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -1,11 +1,17 @@
 /** Services that all sessions of a process share: the declaration in force, rate limits, groups and the request log. */
 
+import { createForwardingRunner } from './forwarding/forwarding.js'
+import { createHolderService } from './forwarding/holderService.js'
 import { createGroupPool } from './groupPool.js'
+import { createLocalRunner } from './operations.js'
 import { createRateGate } from './rateGate.js'
 import type { RateTolerance } from '@cyclamenusher/decisions'
+import type { PeerCredentials } from '@cyclamenusher/protocol'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { Clock } from '../process/clock.js'
+import type { HolderService } from './forwarding/holderService.js'
 import type { GroupPool } from './groupPool.js'
+import type { OperationRunner } from './operations.js'
 import type { ServerCodec } from './statement.js'
 import type { RateGate } from './rateGate.js'
 import type { RequestLog } from './requestLog.js'
@@ -17,6 +23,8 @@
 export interface EngineServices {
   link: FleetLink
   rates: RateGate
+  /** Runs callers' operations, here or at the instances that hold the connections. */
+  operations: OperationRunner
   group: (name: string) => GroupPool
   codec: () => ServerCodec
   clock: Clock
@@ -27,8 +35,10 @@
 
 export interface Engine extends EngineServices {
   /** State that the instance reports to control: demand by account, observations of servers by member, and groups whose primary is being closed but still runs work. */
-  report: () => { demand: Record<string, number>, sightings: ReturnType<GroupPool['sightings']>, busy: string[] }
+  report: () => { demand: Record<string, number>, sightings: ReturnType<GroupPool['sightings']>, busy: string[], holds: boolean }
   startDraining: () => void
+  /** Runs operations of other instances. */
+  holder: HolderService
   close: () => void
 }
 
@@ -39,9 +49,11 @@
   logger: ScopedLogger
   log: RequestLog
   tolerance: RateTolerance
+  /** Credentials of streams to other instances. */
+  credentials: PeerCredentials
 }
 
-export function createEngine ({ createLink, codec, clock, logger, log, tolerance }: EngineOptions): Engine {
+export function createEngine ({ createLink, codec, clock, logger, log, tolerance, credentials }: EngineOptions): Engine {
   const groups = new Map<string, GroupPool>()
   let draining = false
 
@@ -49,7 +61,8 @@
     return {
       demand: rates.demand(),
       sightings: Object.assign({}, ...[...groups.values()].map(group => group.sightings())) as ReturnType<GroupPool['sightings']>,
-      busy: [...groups].filter(([, group]) => group.isBusy()).map(([name]) => name)
+      busy: [...groups].filter(([, group]) => group.isBusy()).map(([name]) => name),
+      holds: !draining
     }
   }
 
@@ -65,21 +78,32 @@
     return created
   }
 
+  const local = { link, group, codec, clock, log }
+  const runner = createLocalRunner(local)
+  const operations = createForwardingRunner({ services: local, local: runner, credentials, logger })
+  const holder = createHolderService({ runner, services: local, clock, logger })
+
   link.onChange(() => { for (const pool of groups.values()) pool.refresh() })
   link.start()
   const timer = setInterval(() => { for (const pool of groups.values()) pool.tick() }, TICK_INTERVAL_MILLISECONDS)
   return {
     link,
     rates,
+    operations,
+    holder,
     group,
     codec,
     clock,
     log,
     isDraining: () => draining,
     report,
-    startDraining: () => { draining = true },
+    startDraining: () => {
+      draining = true
+      holder.startLeaving()
+    },
     close: () => {
       clearInterval(timer)
+      operations.close()
       for (const pool of groups.values()) pool.close()
       link.close()
     }
--- a/packages/cyclamenusherd/src/node/engine/session.ts
+++ b/packages/cyclamenusherd/src/node/engine/session.ts
@@ -1,12 +1,16 @@
 /** State of a caller's session that lasts between statements. */
 
 import type { ClientAccount, LogPosition, Route } from '@cyclamenusher/decisions'
+import type { ForwardedTransaction } from './forwarding/forwarding.js'
 import type { AcquiredConnection } from './groupPool.js'
 import type { StatementDefinition, SessionState, StatementRequest } from './statement.js'
 
+/** The part of a route that decides how an operation runs. */
+export type OperationRoute = Pick<Route, 'group' | 'readPolicy' | 'maximumStalenessMilliseconds' | 'objectiveMilliseconds' | 'priority'>
+
 /** An operation that may run: its route, and the account that it runs for. */
 export interface AdmittedOperation {
-  route: Route
+  route: OperationRoute
   /** Account name that is sent to backend servers. */
   account: string
 }
@@ -20,6 +24,8 @@
   /** Settles when the attempt to begin the transaction in the background has succeeded or failed. */
   beginning?: Promise<void>
   wrote: boolean
+  /** The transaction at the holder that runs it; undefined, or resolved with undefined: this instance runs it. */
+  forwarded?: Promise<ForwardedTransaction | undefined>
   /** Why the instance ended the transaction while its caller was idle; undefined: it did not. */
   endReason?: string
 }
@@ -40,6 +46,8 @@
   rows: readonly string[]
   digest: string
   position?: LogPosition
+  /** The primary that committed, and its designation. */
+  primary?: { member: string, designation: number }
 }
 
 export interface StatementContext {
@@ -55,7 +63,7 @@
 export const ANONYMOUS_ACCOUNT = '-'
 
 /** Time after which the answer to a statement is late, but still useful; the deadline where the route has no objective. */
-export function computeObjective ({ startedAt, deadline }: StatementContext, { objectiveMilliseconds }: Route): number {
+export function computeObjective ({ startedAt, deadline }: StatementContext, { objectiveMilliseconds }: OperationRoute): number {
   return objectiveMilliseconds === undefined ? deadline : startedAt + objectiveMilliseconds
 }
 
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -13,7 +13,7 @@
 import { computeObjective } from './session.js'
 import { pause } from '../process/clock.js'
 import type { ReadRequirement } from '@cyclamenusher/decisions'
-import type { EngineServices } from './services.js'
+import type { LocalServices } from './operations.js'
 import type { GroupPool, AcquiredConnection } from './groupPool.js'
 import type { StatementResult, Session, StatementContext, Transaction } from './session.js'
 
@@ -28,7 +28,7 @@
 }
 
 /** Begins the transaction at a server. @throws StatementFailure if no server has begun it by the deadline */
-async function beginAtServer (services: EngineServices, context: StatementContext, transaction: Transaction): Promise<AcquiredConnection> {
+async function beginAtServer (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<AcquiredConnection> {
   const { session, request, deadline } = context
   const { route, account, readOnly } = transaction
   const group = services.group(route.group)
@@ -48,7 +48,7 @@
 }
 
 /** Begins the transaction on the connection. Returns why that failed; undefined: it has begun. */
-async function beginOnConnection (services: EngineServices, acquired: AcquiredConnection, context: StatementContext): Promise<string | undefined> {
+async function beginOnConnection (services: LocalServices, acquired: AcquiredConnection, context: StatementContext): Promise<string | undefined> {
   const reply = await attemptStatement(services, acquired, context, text => text, true)
   if (reply.kind === 'complete' && reply.state === 'in transaction') {
     // The transaction must see every commit that was acknowledged before it began.
@@ -67,7 +67,7 @@
  * Begins the transaction in the background, before its caller's first statement
  * arrives. If that fails, the first statement tries again.
  */
-export function beginInBackground (services: EngineServices, context: StatementContext, transaction: Transaction): void {
+export function beginInBackground (services: LocalServices, context: StatementContext, transaction: Transaction): void {
   transaction.beginning = beginAtServer(services, context, transaction).then(
     acquired => { transaction.acquired = acquired },
     (error: Error) => { services.log.logDecision('A transaction could not begin before its first statement.', { id: context.request.id, reason: error.message }) }
@@ -75,12 +75,12 @@
 }
 
 /** Rolls back at the server and releases the connection; `id` is that of the caller's rollback statement, if there is one. */
-export function rollBackTransaction (services: EngineServices, transaction: Transaction, id = INTERNAL_STATEMENT_ID): void {
+export function rollBackTransaction (services: LocalServices, transaction: Transaction, id = INTERNAL_STATEMENT_ID): void {
   if (transaction.beginning === undefined) return rollBackOnConnection(services, transaction, id)
   void transaction.beginning.then(() => { rollBackOnConnection(services, transaction, id) })
 }
 
-function rollBackOnConnection (services: EngineServices, transaction: Transaction, id: string): void {
+function rollBackOnConnection (services: LocalServices, transaction: Transaction, id: string): void {
   const { acquired } = transaction
   if (acquired === undefined) return
   transaction.acquired = undefined
@@ -98,14 +98,15 @@
   return failure
 }
 
-function requireNotEnded (session: Session, transaction: Transaction): void {
+/** @throws StatementFailure if the instance has ended the transaction while its caller was idle */
+export function requireNotEnded (session: Session, transaction: Transaction): void {
   if (transaction.endReason === undefined) return
   session.state = 'failed transaction'
   throw new StatementFailure('aborted', transaction.endReason)
 }
 
 /** Runs a read or a write in the transaction. @throws StatementFailure */
-export async function runInTransaction (services: EngineServices, context: StatementContext, transaction: Transaction, isWrite: boolean): Promise<StatementResult> {
+export async function runInTransaction (services: LocalServices, context: StatementContext, transaction: Transaction, isWrite: boolean): Promise<StatementResult> {
   const { session } = context
   requireNotEnded(session, transaction)
   await transaction.beginning
@@ -122,7 +123,7 @@
   return reply
 }
 
-async function beginNow (services: EngineServices, context: StatementContext, transaction: Transaction): Promise<AcquiredConnection> {
+async function beginNow (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<AcquiredConnection> {
   try {
     transaction.acquired = await beginAtServer(services, context, transaction)
     return transaction.acquired
@@ -133,7 +134,7 @@
 }
 
 /** Commits the transaction; the session is idle afterwards, whatever the result. @throws StatementFailure */
-export async function commitTransaction (services: EngineServices, context: StatementContext, transaction: Transaction): Promise<StatementResult> {
+export async function commitTransaction (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<StatementResult> {
   const { session } = context
   session.transaction = undefined
   session.state = 'idle'
@@ -152,7 +153,7 @@
       acquired.recordPosition(reply.askedAt, reply.position)
       adoptNewerTerm(session, acquired, reply)
     }
-    return reply
+    return transaction.wrote ? { ...reply, primary: { member: connection.member, designation: acquired.designation } } : reply
   }
   acquired.release(reply.kind === 'failure' && reply.state === 'idle')
   if (reply.kind === 'not sent') throw new StatementFailure('aborted', `the commit was not sent: ${reply.reason}`)
--- a/packages/cyclamenusherd/src/node/engine/writes.ts
+++ b/packages/cyclamenusherd/src/node/engine/writes.ts
@@ -4,7 +4,7 @@
 import { attemptStatement } from './attempt.js'
 import { pause } from '../process/clock.js'
 import { computeObjective } from './session.js'
-import type { EngineServices } from './services.js'
+import type { LocalServices } from './operations.js'
 import type { FailureKind } from './statement.js'
 import type { AdmittedOperation, StatementResult, StatementContext } from './session.js'
 
@@ -17,7 +17,7 @@
 export const NOT_RUN_FAILURES: ReadonlySet<FailureKind> = new Set(['busy', 'statement unknown', 'lagging', 'read only', 'wrong server', 'too many'])
 
 /** Runs a write at the primary. @throws StatementFailure */
-export async function runWrite (services: EngineServices, context: StatementContext, { route, account }: AdmittedOperation): Promise<StatementResult> {
+export async function runWrite (services: LocalServices, context: StatementContext, { route, account }: AdmittedOperation): Promise<StatementResult> {
   const { session, request, deadline } = context
   const group = services.group(route.group)
   for (;;) {
@@ -32,7 +32,7 @@
         session.lastCommit = { position: reply.position, at: services.clock.now() }
         acquired.recordPosition(reply.askedAt, reply.position)
       }
-      return reply
+      return { ...reply, primary: { member: connection.member, designation: acquired.designation } }
     }
     acquired.release(reply.kind === 'failure' && reply.state === 'idle')
     if (reply.kind === 'late') throw new StatementFailure('in doubt', `primary ${connection.member} did not answer in time`)
--- a/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
@@ -1,12 +1,14 @@
 /** The leases that the leader has granted to entry instances, and the rate shares that the instances hold. */
 
 import { LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, chooseLenders, countLenders, findLender, planShares } from '@cyclamenusher/decisions'
+import type { AvailableHolder } from './groupHolders.js'
 import type { ClientAccount, ControlAddress, RateTolerance, RenewRequest, ServerObservation, ShareHolder } from '@cyclamenusher/decisions'
 
 interface EntryLease {
   name: string
   failureDomain: string
   lendsAt?: ControlAddress
+  holds: boolean
   incarnation: string
   leaseUntil: number
   /** When the last renewal request arrived. */
@@ -42,6 +44,8 @@
   listObservations: (member: string, now: number) => ServerObservation[]
   /** Number of entry instances that hold a lease. */
   count: (now: number) => number
+  /** Instances with a lease that hold connections for others. */
+  listHolders: (now: number) => AvailableHolder[]
   /** Whether an instance has reported shares that an earlier leader granted. */
   hasReportedShares: () => boolean
   /** Chooses the lenders of the accounts and plans their shares; no share grows beyond `maximumShare`. Calls `recordChange` for each modified share or choice, to number the change. Returns whether the plan is the first one of an instance. */
@@ -69,9 +73,9 @@
   change: number
 }
 
-function createLease ({ name, incarnation, failureDomain, lendsAt, parts = {} }: RenewRequest, now: number): EntryLease {
+function createLease ({ name, incarnation, failureDomain, lendsAt, holds = false, parts = {} }: RenewRequest, now: number): EntryLease {
   const heldShares = new Map(Object.entries(parts))
-  return { name, incarnation, failureDomain, lendsAt, leaseUntil: -Infinity, renewedAt: now, appliedChange: 0, demand: {}, observations: {}, busy: new Set(), shares: new Map(heldShares), sharesChange: 0, heldShares, sharesUntil: now + SHARE_VALIDITY_MILLISECONDS }
+  return { name, incarnation, failureDomain, lendsAt, holds, leaseUntil: -Infinity, renewedAt: now, appliedChange: 0, demand: {}, observations: {}, busy: new Set(), shares: new Map(heldShares), sharesChange: 0, heldShares, sharesUntil: now + SHARE_VALIDITY_MILLISECONDS }
 }
 
 export function createEntryLeases (tolerance: RateTolerance): EntryLeases {
@@ -141,7 +145,7 @@
       const lease = isNew ? createLease(request, now) : existing
       leases.set(request.name, lease)
       if (isNew && lease.heldShares.size > 0) sharesReported = true
-      Object.assign(lease, { appliedChange, renewedAt: now, lendsAt: request.lendsAt, demand: request.demand, observations: request.sightings, busy: new Set(request.busy) })
+      Object.assign(lease, { appliedChange, renewedAt: now, lendsAt: request.lendsAt, holds: request.holds === true, demand: request.demand, observations: request.sightings, busy: new Set(request.busy) })
       confirmShares(lease)
       return isNew
     },
@@ -156,6 +160,7 @@
     busy: (group, now) => listActiveLeases(now).some(lease => lease.busy.has(group)),
     listObservations: (member, now) => listActiveLeases(now).flatMap(({ observations, renewedAt }) => observations[member] === undefined ? [] : [addAge(observations[member], now - renewedAt)]),
     count: now => listActiveLeases(now).length,
+    listHolders: now => listActiveLeases(now).flatMap(({ name, failureDomain, lendsAt, holds }) => holds && lendsAt !== undefined ? [{ name, failureDomain, ...lendsAt }] : []),
     hasReportedShares: () => sharesReported,
     planShares: (accounts, maximumShare, recordChange, now) => {
       removeExpired(now)
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -39,6 +39,7 @@
     log: requestLog,
     tolerance: config.rateTolerance,
     codec: ports.createServerCodec,
+    credentials,
     createLink: report => createFleetLink({
       name: config.name,
       failureDomain: config.failureDomain,
@@ -67,7 +68,7 @@
 
   const calls = await listenForCalls(config.calls.host, config.calls.port, credentials, router => {
     router.service(FleetService, { borrow: async ({ body }) => ({ body: encodeBody(await lend(decodeBody(body))) }) })
-  }, createFleetStreams({ borrow: lend }, logger.scope('fleet')))
+  }, createFleetStreams({ borrow: lend, operations: engine.holder.accept }, logger.scope('fleet')))
   const callers = await listenForSessions({ listen: config.callers, createCodec: ports.createCallerCodec, services: engine, maximumConnections: config.maximumCallers })
   const readiness = await listenForHttp(config.readiness, async () => ({ status: isReady() ? 200 : 503, body: '{}' }), error => { log.warn('A request to the readiness address failed.', { reason: error.message }) })
   log.info('The entry instance runs.', { name: config.name, failureDomain: config.failureDomain, callers: `${config.callers.host}:${config.callers.port}` })
@@ -90,7 +91,8 @@
       log.info('The instance starts to drain.', { callers: callers.callers(), graceMilliseconds: config.graceMilliseconds })
       engine.startDraining()
       const { graceMilliseconds } = config
-      const result = await callers.drain({ closeIdleAfter: BALANCER_REACTION_MILLISECONDS, endTransactionsAfter: graceMilliseconds * TRANSACTION_GRACE_FRACTION, forceCloseAfter: graceMilliseconds * CUT_GRACE_FRACTION })
+      const plan = { closeIdleAfter: BALANCER_REACTION_MILLISECONDS, endTransactionsAfter: graceMilliseconds * TRANSACTION_GRACE_FRACTION, forceCloseAfter: graceMilliseconds * CUT_GRACE_FRACTION }
+      const [result] = await Promise.all([callers.drain(plan), engine.holder.drain(plan)])
       log.info('The instance stops.', { cut: result.cut })
       await close()
     },
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -11,7 +11,7 @@
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
 import { LOAN_STREAM, RENEWAL_STREAM } from './fleetStreams.js'
-import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, PrimaryAssignment, KnownServer, RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
+import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, GroupHolder, PrimaryAssignment, KnownServer, RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
 import type { PeerCredentials, StreamCaller } from '@cyclamenusher/protocol'
 import type { Address } from '../address.js'
 import type { Clock } from '../clock.js'
@@ -45,7 +45,7 @@
   seeds: () => readonly Address[]
   decodeDeclaration: (document: DeclarationDocument) => Declaration
   /** Returns what the instance reports with each renewal. */
-  report: () => Pick<RenewRequest, 'demand' | 'sightings' | 'busy'>
+  report: () => Pick<RenewRequest, 'demand' | 'sightings' | 'busy' | 'holds'>
   /** Where other entry instances borrow from this one; undefined if it does not lend. */
   lendsAt?: Address
   credentials: PeerCredentials
@@ -53,12 +53,18 @@
   logger: ScopedLogger
 }
 
+const NO_HOLDERS: readonly GroupHolder[] = []
+
 export interface FleetLink {
+  /** Name of this instance. */
+  name: string
   /** Starts to renew the lease. */
   start: () => void
   declaration: () => DeclarationIndex | undefined
   primaryAssignment: (group: string) => PrimaryAssignment | undefined
   servers: (group: string) => KnownServer[]
+  /** Instances that hold the connections to the group's servers; the same list until they change. */
+  holders: (group: string) => readonly GroupHolder[]
   /** Whether the lease is valid, so that the published assignments may be used. */
   isLeased: () => boolean
   /** Whether renewals succeed in time. If not, new callers should be sent to other instances. */
@@ -108,6 +114,7 @@
   let lenders = new Map<string, Address | null>()
   /** Until when lenders that did not answer are passed over, by address. */
   const failedLendersUntil = new Map<string, number>()
+  let holders = new Map<string, GroupHolder[]>()
   let declarationIndex: DeclarationIndex | undefined
   let entryCount = 1
   /** When the renewal request was sent from which the lease counts. */
@@ -194,6 +201,7 @@
     for (const server of grant.servers) mergeServer(servers, server)
     if (grant.parts !== undefined) shares = grant.parts
     if (grant.lenders !== undefined) lenders = new Map([...(grant.whole ? [] : lenders), ...Object.entries(grant.lenders)])
+    if (grant.holders !== undefined) holders = new Map([...(grant.whole ? [] : holders), ...Object.entries(grant.holders)])
     applied = { term: grant.term, change: grant.change }
     controlAddresses = grant.control.length > 0 ? grant.control : controlAddresses
     entryCount = grant.entries
@@ -289,10 +297,12 @@
 
   const timer = setInterval(detectLeaseLoss, LEASE_CHECK_INTERVAL_MILLISECONDS)
   return {
+    name,
     start: () => { void renewUntilClosed() },
     declaration: () => declarationIndex,
     primaryAssignment: group => assignments.get(group),
     servers: group => listGroupServers(servers, group),
+    holders: group => holders.get(group) ?? NO_HOLDERS,
     isLeased,
     isConnected: () => isLeased() && clock.now() - leaseStartedAt < RENEWAL_OVERDUE_MILLISECONDS,
     leasedUntil,
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetStreams.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetStreams.ts
@@ -1,8 +1,9 @@
-/** The streams of calls between the instances of a fleet: renewals of leases and loans of rates. */
+/** The streams of calls between the instances of a fleet: renewals of leases, loans of rates, and operations at the instances that hold connections. */
 
 import { acceptStreamCalls } from '@cyclamenusher/protocol'
+import { HOLDER_STREAM } from '../../engine/index.js'
 import type { BorrowReply, BorrowRequest, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
-import type { StreamRoutes } from '@cyclamenusher/protocol'
+import type { MessageStream, MessageStreamHandlers, StreamRoutes } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../logger.js'
 
 export const RENEWAL_STREAM = 'renewals'
@@ -42,13 +43,16 @@
 export interface FleetStreamHandlers {
   renew?: (request: RenewRequest, signal: AbortSignal) => Promise<RenewReply>
   borrow: (request: BorrowRequest) => Promise<BorrowReply> | BorrowReply
+  /** Accepts the operations of another instance. */
+  operations?: (stream: MessageStream) => MessageStreamHandlers
 }
 
 /** The streams that an instance accepts; only a control instance renews leases. */
-export function createFleetStreams ({ renew, borrow }: FleetStreamHandlers, logger: ScopedLogger): StreamRoutes {
+export function createFleetStreams ({ renew, borrow, operations }: FleetStreamHandlers, logger: ScopedLogger): StreamRoutes {
   const logRefusal = (stream: string) => (reason: string): void => { logger.warn('A stream was ended, because a request on it could not be answered.', { stream, reason }) }
   const loans = acceptStreamCalls(async request => await borrow(checkFields<BorrowRequest>('loan', request, LOAN_FIELDS)), logRefusal(LOAN_STREAM))
   const streams = new Map([[LOAN_STREAM, loans]])
+  if (operations !== undefined) streams.set(HOLDER_STREAM, operations)
   if (renew !== undefined) streams.set(RENEWAL_STREAM, acceptStreamCalls(async (request, signal) => await renew(checkFields<RenewRequest>('renewal', request, RENEWAL_FIELDS), signal), logRefusal(RENEWAL_STREAM)))
   return streams
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -4,6 +4,7 @@
 import { INITIAL_SHARE, LEASE_MILLISECONDS, listGroupServers } from '@cyclamenusher/decisions'
 import { createHeldRequests } from '../heldRequests.js'
 import { createEntryLeases } from './entryLeases.js'
+import { createGroupHolders } from './groupHolders.js'
 import { createGroupTask } from './groupTask.js'
 import { createLeaderDirectory } from './leaderDirectory.js'
 import { createLeaderLoad } from './leaderLoad.js'
@@ -63,6 +64,7 @@
   const heldRenewals = createHeldRequests()
   const directory = createLeaderDirectory(() => { heldRenewals.release() })
   const leases = createEntryLeases(options.rateTolerance)
+  const holders = createGroupHolders()
   const groupTasks = new Map<string, GroupTask>()
   const load = createLeaderLoad(logger, clock)
   const pool = createRatePool(declaration, options.rateTolerance, clock)
@@ -115,6 +117,7 @@
     if (awaitsReturn(now)) return
     sharesPlannedAt = now
     const maximumShare = now - startedAt < SHARE_REPORT_MILLISECONDS ? INITIAL_SHARE : 1
+    holders.plan([...groupTasks.keys()], group => listGroupServers(directory.servers, group).map(({ failureDomain }) => failureDomain), leases.listHolders(now), directory.recordChange)
     const includesNew = leases.planShares(declaration()?.accounts ?? [], maximumShare, directory.recordChange, now)
     if (includesNew) heldRenewals.release()
   }
@@ -174,6 +177,7 @@
     const document = selectDocument(request, now)
     if (document !== undefined) documentsSentAt.set(request.name, now)
     leases.grant(request.name, now)
+    const groupHolders = holders.changesSince(knownChange)
     const lenders = leases.lendersOf(request.name, knownChange)
     return {
       kind: 'granted',
@@ -184,6 +188,7 @@
       ...directory.changesSince(knownChange),
       ...(sharesChange > knownChange || knownChange === 0 ? { parts: shares } : {}),
       ...(lenders === undefined ? {} : { lenders }),
+      ...(groupHolders === undefined ? {} : { holders: groupHolders }),
       ...(document === undefined ? {} : { declaration: document }),
       entries: countEntries(now),
       control: options.controlAddresses()
--- /dev/null
+++ b/packages/decisions/src/node/fleet/__tests__/groupHolders.test.ts
@@ -0,0 +1,108 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { UNKNOWN_HOLDER, chooseHolders, isHolderUsable, measureDelay, orderHolders, recordHolderAnswer, recordHolderFailure, watchHolder } from '../groupHolders.js'
+import type { HolderCandidate } from '../groupHolders.js'
+
+function createCandidates (count: number, domains = 5): HolderCandidate[] {
+  return Array.from({ length: count }, (_, index) => ({ name: `entry-${index}`, failureDomain: `domain-${index % domains}` }))
+}
+
+const SERVER_DOMAINS = ['domain-0', 'domain-1', 'domain-2']
+
+for (const instances of [9, 71, 195, 1_000]) {
+  // A server takes 135 connections; with one each for every instance, no account's connection is ever found open.
+  test(`the connections of a server are spread over all of ${instances} instances`, () => {
+    assert.is(chooseHolders('g', SERVER_DOMAINS, createCandidates(instances)).length, 6)
+  })
+
+  test(`holders are in the failure domains of the servers at ${instances} instances`, () => {
+    const domains = chooseHolders('g', SERVER_DOMAINS, createCandidates(instances, 4)).map(({ failureDomain }) => failureDomain)
+    for (const domain of SERVER_DOMAINS) assert.ok(domains.includes(domain))
+    if (instances >= 71) assert.ok(domains.every(domain => SERVER_DOMAINS.includes(domain)))
+  })
+
+  // If one instance held the connections of many groups, it would be the next bottleneck.
+  test(`a few of ${instances} instances hold the connections of many groups`, () => {
+    const candidates = createCandidates(instances)
+    const held = new Map<string, number>()
+    for (let group = 0; group < instances; group += 1) {
+      const domains = [0, 1, 2].map(index => `domain-${(group + index) % 5}`)
+      for (const { name } of chooseHolders(`group-${group}`, domains, candidates)) held.set(name, (held.get(name) ?? 0) + 1)
+    }
+    assert.ok(Math.max(...held.values()) <= 6 * 4, `${Math.max(...held.values())}`)
+  })
+}
+
+test('few instances are all holders', () => {
+  assert.is(chooseHolders('g', SERVER_DOMAINS, createCandidates(3)).length, 3)
+  assert.is(chooseHolders('g', [], createCandidates(30)).length, 2)
+})
+
+// If every account moved when one instance left, all connections would be opened anew.
+test('accounts move between holders when another instance leaves', () => {
+  const candidates = createCandidates(195)
+  const before = chooseHolders('g', SERVER_DOMAINS, candidates)
+  const left = before[0]
+  const after = chooseHolders('g', SERVER_DOMAINS, candidates.filter(candidate => candidate !== left))
+  assert.is(before.filter(holder => after.includes(holder)).length, 5)
+  for (let account = 0; account < 100; account += 1) {
+    const [first, second] = orderHolders(`account-${account}`, before)
+    const [now] = orderHolders(`account-${account}`, after)
+    if (first !== left) assert.ok(now === first || !before.includes(now))
+    else assert.ok(now === second || !before.includes(now))
+  }
+})
+
+test('accounts are spread over the holders', () => {
+  const holders = chooseHolders('g', SERVER_DOMAINS, createCandidates(195))
+  const counts = new Map<string, number>()
+  for (let account = 0; account < 600; account += 1) {
+    const [{ name }] = orderHolders(`account-${account}`, holders)
+    counts.set(name, (counts.get(name) ?? 0) + 1)
+  }
+  assert.ok([...counts.values()].every(count => count > 60 && count < 140), [...counts.values()].join())
+})
+
+test('a holder that answers is not probed', () => {
+  const health = recordHolderAnswer(UNKNOWN_HOLDER, 1_000)
+  assert.not.ok(watchHolder(health, 990, 1_050).probe)
+  assert.not.ok(watchHolder(health, undefined, 9_000).probe)
+})
+
+test('a holder with old work is probed, and is silent without an answer', () => {
+  const probed = watchHolder(recordHolderAnswer(UNKNOWN_HOLDER, 1_000), 1_010, 1_071)
+  assert.ok(probed.probe)
+  assert.ok(isHolderUsable(watchHolder(probed.health, 1_010, 1_160).health, 1_160))
+  const silent = watchHolder(probed.health, 1_010, 1_161).health
+  assert.not.ok(isHolderUsable(silent, 1_161))
+  assert.ok(isHolderUsable(recordHolderAnswer(silent, 1_300), 1_300))
+})
+
+// A holder without outstanding work was never asked again.
+test('a silent holder is forgotten after its work is over', () => {
+  const probed = watchHolder(recordHolderAnswer(UNKNOWN_HOLDER, 0), 0, 60).health
+  const silent = watchHolder(probed, 0, 150).health
+  assert.not.ok(watchHolder(silent, undefined, 309).probe)
+  assert.ok(watchHolder(silent, undefined, 310).probe)
+})
+
+test('a holder whose connection failed is used again after a pause', () => {
+  const failed = recordHolderFailure(UNKNOWN_HOLDER, 1_000)
+  assert.not.ok(isHolderUsable(failed, 1_299))
+  assert.ok(isHolderUsable(failed, 1_300))
+})
+
+test('a message that was held up is late by what the fastest one took less', () => {
+  const first = measureDelay(undefined, { sentAt: 100, epoch: 0 }, 5_002)
+  assert.is(first.delayMilliseconds, 0)
+  assert.is(measureDelay(first.offset, { sentAt: 200, epoch: 0 }, 8_102).delayMilliseconds, 3_000)
+  assert.is(measureDelay(first.offset, { sentAt: 300, epoch: 0 }, 5_201).delayMilliseconds, 0)
+})
+
+// The sender's clock stands still while it is suspended, and all later messages looked late.
+test('messages are late for good after their sender was suspended', () => {
+  const first = measureDelay(undefined, { sentAt: 100, epoch: 0 }, 5_002)
+  assert.is(measureDelay(first.offset, { sentAt: 200, epoch: 150 }, 9_000).delayMilliseconds, 0)
+})
+
+test.run()
--- /dev/null
+++ b/packages/decisions/src/node/fleet/groupHolders.ts
@@ -0,0 +1,125 @@
+/**
+ * Chooses the entry instances that hold the connections to a group's servers. All other
+ * instances send the group's operations to them. Each account of a group has one holder
+ * as long as that one answers.
+ *
+ * Load patterns:
+ * - More instances than connections, and more client accounts than connections. If
+ *   every instance connects itself, nearly every statement opens a connection, which
+ *   occupies a slot of the server longer than the statement does.
+ * - Few statements at each of many instances. None of them knows how busy a server is
+ *   or which position the primary has reached; a few holders see enough to know.
+ */
+
+import { rankManyNodes } from '../group/rendezvous.js'
+
+/** Holders in each failure domain that has a server of the group: one can be lost, and the other one still shares the domain's fate with its servers only. */
+const HOLDERS_PER_FAILURE_DOMAIN = 2
+
+export interface HolderCandidate {
+  name: string
+  failureDomain: string
+}
+
+/**
+ * Chooses the holders of a group: instances of the failure domains of its servers,
+ * and others where these are too few.
+ */
+export function chooseHolders<Candidate extends HolderCandidate> (group: string, serverDomains: readonly string[], candidates: readonly Candidate[]): Candidate[] {
+  const domains = new Set(serverDomains)
+  const byName = new Map(candidates.map(candidate => [candidate.name, candidate]))
+  const ranked = rankManyNodes(group, [...byName.keys()]).flatMap(name => byName.get(name) ?? [])
+  const near = [...domains].flatMap(domain => ranked.filter(({ failureDomain }) => failureDomain === domain).slice(0, HOLDERS_PER_FAILURE_DOMAIN))
+  const missing = HOLDERS_PER_FAILURE_DOMAIN * Math.max(1, domains.size) - near.length
+  return [...near, ...ranked.filter(candidate => !near.includes(candidate)).slice(0, Math.max(0, missing))]
+}
+
+/** Orders the holders of a group by preference for an account: the first one is used while it answers. */
+export function orderHolders<Holder extends { name: string }> (account: string, holders: readonly Holder[]): Holder[] {
+  const byName = new Map(holders.map(holder => [holder.name, holder]))
+  return rankManyNodes(account, [...byName.keys()]).flatMap(name => byName.get(name) ?? [])
+}
+
+/** Time without a word from a holder with work outstanding after which it is asked whether it still answers, in milliseconds: longer than most statements. */
+const PROBE_AFTER_MILLISECONDS = 60
+/** Time without an answer to that question after which the holder counts as silent, in milliseconds: a busy instance answers within a few tens. */
+const SILENT_AFTER_PROBE_MILLISECONDS = 90
+/** Interval between two such questions to a silent holder, in milliseconds. */
+const PROBE_INTERVAL_MILLISECONDS = 250
+/** How long a holder is not used after its connection failed or it refused because it can't serve, in milliseconds. */
+const FAILURE_PAUSE_MILLISECONDS = 300
+
+/** What an instance has noticed of a holder. */
+export interface HolderHealth {
+  /** When the holder last sent anything. */
+  heardAt: number
+  /** When it was last asked whether it answers; -Infinity: never. */
+  probedAt: number
+  /** Until when it is not used, because a connection failed or it can't serve. */
+  pausedUntil: number
+  /** Whether it has said that it stops. */
+  leaving: boolean
+  /** Whether it owes an answer to a probe for too long. */
+  silent: boolean
+}
+
+export const UNKNOWN_HOLDER: HolderHealth = { heardAt: -Infinity, probedAt: -Infinity, pausedUntil: -Infinity, leaving: false, silent: false }
+
+export function recordHolderAnswer (health: HolderHealth, now: number): HolderHealth {
+  return { ...health, heardAt: now, silent: false }
+}
+
+export function recordHolderFailure (health: HolderHealth, now: number): HolderHealth {
+  return { ...health, pausedUntil: now + FAILURE_PAUSE_MILLISECONDS }
+}
+
+/** Whether new operations may be sent to the holder. */
+export function isHolderUsable ({ pausedUntil, leaving, silent }: HolderHealth, now: number): boolean {
+  return !leaving && !silent && now >= pausedUntil
+}
+
+/**
+ * Decides whether to probe a holder, and whether it counts as silent; `oldestSentAt` is
+ * when the oldest operation without an answer was sent, undefined if there is none.
+ *
+ * Load pattern: instances that freeze or turn slow for seconds while their connections
+ * stay open.
+ */
+export function watchHolder (health: HolderHealth, oldestSentAt: number | undefined, now: number): { health: HolderHealth, probe: boolean } {
+  const owesAnswer = health.probedAt > health.heardAt
+  const silent = owesAnswer && now - health.probedAt >= SILENT_AFTER_PROBE_MILLISECONDS
+  if (health.silent || silent) {
+    const probe = now - health.probedAt >= PROBE_INTERVAL_MILLISECONDS
+    // The time of the first unanswered probe says since when the holder is silent; later ones only look for its return.
+    return { health: { ...health, silent: true, probedAt: probe ? now : health.probedAt }, probe }
+  }
+  if (owesAnswer || oldestSentAt === undefined) return { health, probe: false }
+  const probe = now - Math.max(health.heardAt, oldestSentAt) >= PROBE_AFTER_MILLISECONDS
+  return { health: probe ? { ...health, probedAt: now } : health, probe }
+}
+
+/** When a message was sent, on the steady clock of its sender; the epoch changes when that clock has stood still. */
+export interface SendTime {
+  sentAt: number
+  epoch: number
+}
+
+/** Smallest difference seen between the receiver's clock at arrival and the sender's at sending, in milliseconds. */
+export interface ClockOffset {
+  epoch: number
+  least: number
+}
+
+/**
+ * Returns how much longer than the fastest message of the stream a message took, in
+ * milliseconds. The clocks of two instances have nothing in common, but their difference
+ * stays the same.
+ *
+ * Load pattern: an instance that wakes after seconds finds operations in its sockets
+ * whose callers have long been told that the outcome is unknown.
+ */
+export function measureDelay (offset: ClockOffset | undefined, { sentAt, epoch }: SendTime, now: number): { offset: ClockOffset, delayMilliseconds: number } {
+  const difference = now - sentAt
+  const least = offset === undefined || offset.epoch !== epoch ? difference : Math.min(offset.least, difference)
+  return { offset: { epoch, least }, delayMilliseconds: difference - least }
+}
--- a/packages/decisions/src/node/fleet/messages.ts
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -14,6 +14,11 @@
   port: number
 }
 
+/** An entry instance that holds the connections to a group's servers. */
+export interface GroupHolder extends ControlAddress {
+  name: string
+}
+
 export interface RenewRequest {
   name: string
   /** Identifies the run of the process; differs after each restart. */
@@ -31,6 +36,8 @@
   busy: string[]
   /** Where other entry instances reach this one to borrow; undefined if it does not lend. */
   lendsAt?: ControlAddress
+  /** Whether the instance, reached at `lendsAt`, holds connections for others; not while it drains. @default false */
+  holds?: boolean
   /** How long control may hold the renewal, in milliseconds. */
   holdMilliseconds: number
   /** The servers that the instance knows; sent only to a control instance that did not grant the last lease. */
@@ -52,6 +59,8 @@
   parts?: Record<string, number>
   /** By account, the entry instance from which this one borrows; null: it borrows from control. Holds only changes, unless `whole`. Undefined: not planned yet, and what the instance knows stays. */
   lenders?: Record<string, ControlAddress | null>
+  /** By group, the instances that hold the connections to its servers; only those that have changed, unless `whole`. Undefined: not planned yet, and what the instance knows stays. */
+  holders?: Record<string, GroupHolder[]>
   /** A newer declaration, compressed with deflate and encoded in base64. */
   declaration?: { version: number, deflated: string }
   /** Number of entry instances that share the servers. */
--- a/packages/decisions/src/node/placement/connectionBudget.ts
+++ b/packages/decisions/src/node/placement/connectionBudget.ts
@@ -3,9 +3,9 @@
  *
  * Load patterns:
  * - A server accepts few connections from all instances together, fewer than there
- *   are pairs of instance and client account. Each instance opens up to its even
- *   share, and one more while others leave connections free. It closes connections
- *   that it does not use.
+ *   are client accounts. Each instance that holds connections to it opens up to its
+ *   even share, and one more while others leave connections free. It closes
+ *   connections that it does not use.
  * - After a power loss a server still counts the connections of the lost instances
  *   for some seconds. Connections that were idle then are not available when all
  *   instances return at once, so idle connections take at most half of the total.
