feat(engine): a statement's log line says where its time went

The answer to a calm statement took 80 ms where the work takes 6 to 30, and no log told whether it waited for its account's rate, for a connection, or between two instances. The fields admission, acquisition and atHolder say so, in milliseconds.

--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -102,7 +102,9 @@
   async function runOperation (context: StatementContext, access: 'read' | 'write'): Promise<StatementResult> {
     const { session } = context
     if (session.transaction !== undefined) return await operations.continue(context, session.transaction, access === 'write')
-    return await operations.run(context, await admitOperation(services, session), access)
+    const operation = await admitOperation(services, session)
+    context.timing.admission = clock.now() - context.startedAt
+    return await operations.run(context, operation, access)
   }
 
   function requireCapacity (entries: ReadonlyMap<string, unknown>): void {
@@ -155,8 +157,9 @@
     return services.link.declaration()?.routeOf(session.database)?.statementMilliseconds ?? START_TIMEOUT_MILLISECONDS
   }
 
-  function logOutcome (session: Session, request: StatementRequest, startedAt: number, failure?: StatementFailure): void {
+  function logOutcome ({ session, request, startedAt, timing }: StatementContext, failure?: StatementFailure): void {
     const facts = {
+      ...Object.fromEntries(Object.entries(timing).map(([part, milliseconds]) => [part, Math.round(milliseconds)])),
       id: request.id,
       statement: request.statement.kind,
       database: session.database,
@@ -180,14 +183,14 @@
 
   async function answerStatement (session: Session, request: StatementRequest): Promise<void> {
     const startedAt = clock.now()
-    const context: StatementContext = { session, request, startedAt, deadline: startedAt + findStatementTimeout(session) }
+    const context: StatementContext = { timing: {}, session, request, startedAt, deadline: startedAt + findStatementTimeout(session) }
     try {
       const { rows, digest, position } = await execute(context)
-      logOutcome(session, request, startedAt)
+      logOutcome(context)
       write(codec.result(rows, digest) + codec.ready(session.state, position))
     } catch (error) {
       const failure = error instanceof StatementFailure ? error : handleDefect(session, request, error as Error)
-      logOutcome(session, request, startedAt, failure)
+      logOutcome(context, failure)
       write(codec.failure(failure.kind, failure.message) + codec.ready(session.state))
       // Another instance may still hold a lease; callers that reconnect can reach it.
       if (!services.link.isLeased() && session.state === 'idle') closeWhenIdle = true
--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -100,9 +100,10 @@
   }
 
   /** Takes over what the holder answered. @throws StatementFailure */
-  function adoptReply ({ session }: StatementContext, reply: Extract<HolderReply, { kind: 'result' | 'failure' }>): StatementResult {
+  function adoptReply ({ session, timing }: StatementContext, reply: Extract<HolderReply, { kind: 'result' | 'failure' }>): StatementResult {
     if (reply.kind === 'failure') throw new StatementFailure(reply.failure, reply.explanation)
     if (reply.lastCommit !== undefined) session.lastCommit = { position: reply.lastCommit.position, at: clock.now() - reply.lastCommit.agoMilliseconds }
+    Object.assign(timing, reply.timing)
     const { rows, digest, position } = reply
     return { rows, digest, position }
   }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -69,6 +69,7 @@
     const { id, text, execution, elapsedMilliseconds, remainingMilliseconds } = statement
     adoptStatement(session, statement, now)
     return {
+      timing: {},
       session,
       request: { id, text, statement: execution === undefined ? { kind: access } : { kind: 'execute', name: STATEMENT_NAME, parameters: execution.parameters } },
       startedAt: now - elapsedMilliseconds - delayMilliseconds,
@@ -89,6 +90,7 @@
   async function answer (instance: CallingInstance, number: number, context: StatementContext, run: () => Promise<StatementResult>): Promise<void> {
     const { session, request } = context
     const { lastCommit } = session
+    const arrivedAt = clock.now()
     instance.running += 1
     let reply: HolderReply
     try {
@@ -101,6 +103,7 @@
         digest,
         position,
         primary,
+        timing: { ...context.timing, atHolder: clock.now() - arrivedAt },
         state: session.state,
         ...(session.lastCommit === undefined || session.lastCommit === lastCommit ? {} : { lastCommit: { position: session.lastCommit.position, agoMilliseconds: clock.now() - session.lastCommit.at } })
       }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
@@ -6,7 +6,7 @@
  */
 
 import type { LogPosition, SendTime } from '@cyclamenusher/decisions'
-import type { AdmittedOperation } from '../session.js'
+import type { AdmittedOperation, StatementTiming } from '../session.js'
 import type { FailureKind, SessionState, StatementDefinition } from '../statement.js'
 
 /** A statement with what its session has set. */
@@ -40,6 +40,7 @@
     digest: string
     position?: LogPosition
     state: SessionState
+    timing: StatementTiming
     lastCommit?: { position: LogPosition, agoMilliseconds: number }
     /** The primary whose answer this is, where only a primary's counts. */
     primary?: { member: string, designation: number }
@@ -85,7 +86,7 @@
 }
 
 const REPLY_CHECKS: Record<HolderReply['kind'], FieldCheck> = {
-  result: hasFields({ number: isNumber, rows: value => Array.isArray(value) && value.every(isText), digest: isText, position: isOptional(isPosition), state: isText, lastCommit: isOptional(isCommit), primary: isOptional(hasFields({ member: isText, designation: isNumber })) }),
+  result: hasFields({ number: isNumber, rows: value => Array.isArray(value) && value.every(isText), digest: isText, position: isOptional(isPosition), state: isText, timing: hasFields({}), lastCommit: isOptional(isCommit), primary: isOptional(hasFields({ member: isText, designation: isNumber })) }),
   failure: hasFields({ number: isNumber, failure: isText, explanation: isText, state: isText }),
   alive: () => true,
   leaving: () => true
--- a/packages/cyclamenusherd/src/node/engine/reads.ts
+++ b/packages/cyclamenusherd/src/node/engine/reads.ts
@@ -69,6 +69,7 @@
   for (;;) {
     const need = group.resolveReadRequirement({ policy: route.readPolicy, maximumStalenessMilliseconds: route.maximumStalenessMilliseconds, session: session.lastCommit })
     const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need, excluded: progress.excluded })
+    context.timing.acquisition = services.clock.now() - context.startedAt
     const { requiredPosition } = acquired
     const addPrefix = (text: string): string => requiredPosition === undefined ? text : services.codec().requirePosition(requiredPosition, text)
     const outcome = await assessReply(acquired, context, await attemptStatement(services, acquired, context, addPrefix, true), progress)
--- a/packages/cyclamenusherd/src/node/engine/session.ts
+++ b/packages/cyclamenusherd/src/node/engine/session.ts
@@ -50,7 +50,19 @@
   primary?: { member: string, designation: number }
 }
 
+/** Where the time of a statement went, in milliseconds, as far as it is known. */
+export interface StatementTiming {
+  /** Until the operation was admitted by its account's rate. */
+  admission?: number
+  /** Until a connection was acquired, at the instance that holds it. */
+  acquisition?: number
+  /** From the arrival at the holder to its answer. */
+  atHolder?: number
+}
+
 export interface StatementContext {
+  /** Filled in while the statement runs; logged with its answer. */
+  timing: StatementTiming
   session: Session
   request: StatementRequest
   /** When the statement arrived. */
--- a/packages/cyclamenusherd/src/node/engine/writes.ts
+++ b/packages/cyclamenusherd/src/node/engine/writes.ts
@@ -22,6 +22,7 @@
   const group = services.group(route.group)
   for (;;) {
     const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need: { kind: 'primary' }, excluded: new Set() })
+    context.timing.acquisition = services.clock.now() - context.startedAt
     const { connection } = acquired
     const reply = await attemptStatement(services, acquired, context, text => text, true)
     if (reply.kind === 'complete') {
