perf(engine): streams to holders are open before they are needed, and lenders are holders

An instance now opens a stream to one further holder each 50 ms. All streams to an instance share one connection, and the lenders of an account are chosen among the holders, so a loan finds its connection open as well.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -8,14 +8,14 @@
  */
 
 import { orderHolders } from '@cyclamenusher/decisions'
-import { FleetService, createPeerLink } from '@cyclamenusher/protocol'
 import { StatementFailure } from '../errors.js'
 import { requireNotEnded } from '../transactions.js'
 import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
 import { createHolderLink } from './holderLink.js'
 import type { GroupHolder } from '@cyclamenusher/decisions'
-import type { MessageStream, PeerCredentials } from '@cyclamenusher/protocol'
+import type { MessageStream } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../../process/logger.js'
+import type { Peers } from '../../process/peers.js'
 import type { LocalServices, OperationRunner } from '../operations.js'
 import type { AdmittedOperation, StatementContext, StatementResult, Transaction } from '../session.js'
 import type { ForwardedStatement, HolderReply } from './messages.js'
@@ -26,6 +26,11 @@
 /** Time by which a holder's own answer to a statement without an answer may be later than the deadline, in milliseconds. */
 const REPLY_GRACE_MILLISECONDS = 60
 
+/** Streams that are opened before they are needed; further holders are reached with the first operation for them. */
+const MAXIMUM_WARM_STREAMS = 256
+/** Interval between two such openings, in milliseconds: each takes 1 ms of processor at both ends. */
+const WARM_INTERVAL_MILLISECONDS = 50
+
 /** A transaction that runs at a holder, over one stream. */
 export interface ForwardedTransaction {
   number: number
@@ -40,18 +45,19 @@
 export interface ForwardingOptions {
   services: LocalServices
   local: OperationRunner
-  credentials: PeerCredentials
+  peers: Peers
   logger: ScopedLogger
 }
 
 type ReadEvent = { kind: 'silent' } | { kind: 'outcome', outcome: ForwardOutcome, attempt: Promise<ReadEvent> }
 
-export function createForwardingRunner ({ services, local, credentials, logger }: ForwardingOptions): ForwardingRunner {
+export function createForwardingRunner ({ services, local, peers, logger }: ForwardingOptions): ForwardingRunner {
   const { link, clock, log } = services
   const holderLinks = new Map<string, HolderLink>()
   /** Holders in order of preference, by group and account; valid for the list from which they were ordered. */
   const orders = new Map<string, { list: readonly GroupHolder[], ordered: GroupHolder[] }>()
   let lastTransaction = 0
+  let warmedAt = -Infinity
 
   function listHolders ({ route, account }: AdmittedOperation): GroupHolder[] {
     const list = link.holders(route.group)
@@ -67,7 +73,7 @@
     const key = `${name} ${host}:${port}`
     const existing = holderLinks.get(key)
     if (existing !== undefined) return existing
-    const created = createHolderLink({ name, link: createPeerLink(FleetService, host, port, credentials), clock, logger })
+    const created = createHolderLink({ name, link: peers.link({ host, port }), clock, logger })
     holderLinks.set(key, created)
     return created
   }
@@ -245,7 +251,25 @@
     throw new StatementFailure(transaction.wrote ? 'in doubt' : 'aborted', `the answer to the commit ${outcome.kind === 'late' ? 'did not come in time' : `was lost: ${outcome.reason}`}`)
   }
 
-  const timer = setInterval(() => { for (const holder of holderLinks.values()) holder.tick() }, TICK_INTERVAL_MILLISECONDS)
+  /**
+   * Opens a stream to the next holder that has none.
+   *
+   * Load pattern: few operations at each of many instances, so that nearly every one
+   * would be the first for its holder, and wait until a connection is open.
+   */
+  function warmNextStream (now: number): void {
+    if (now - warmedAt < WARM_INTERVAL_MILLISECONDS) return
+    warmedAt = now
+    const cold = link.allHolders().slice(0, MAXIMUM_WARM_STREAMS).find(holder => holder.name !== link.name && ensureHolderLink(holder).isCold())
+    if (cold !== undefined) void ensureHolderLink(cold).open()
+  }
+
+  function tick (): void {
+    for (const holder of holderLinks.values()) holder.tick()
+    warmNextStream(clock.now())
+  }
+
+  const timer = setInterval(tick, TICK_INTERVAL_MILLISECONDS)
   return {
     run: async (context, operation, access) => access === 'read' ? await runReadElsewhere(context, operation) : await runWriteElsewhere(context, operation),
     begin: (context, transaction) => {
@@ -257,7 +281,6 @@
     rollBack,
     close: () => {
       clearInterval(timer)
-      for (const holder of holderLinks.values()) holder.close()
     }
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -23,6 +23,8 @@
 export interface HolderLink {
   /** Whether new operations may be sent to the holder. */
   isUsable: () => boolean
+  /** Whether no stream to the holder is open, and one may be opened. */
+  isCold: () => boolean
   /** The stream to the holder, opened on demand; undefined if it can't be opened in time. */
   open: () => Promise<MessageStream | undefined>
   /** Sends a request on the stream; `onSilent` is called when the holder seems to have stopped answering, which it may still do. */
@@ -33,7 +35,6 @@
   recordRefusal: () => void
   /** Gives up what is late, and probes the holder when it owes an answer. */
   tick: () => void
-  close: () => void
 }
 
 interface OutstandingRequest {
@@ -145,6 +146,7 @@
 
   return {
     isUsable: () => isHolderUsable(health, clock.now()),
+    isCold: () => current === undefined && opening === undefined && isHolderUsable(health, clock.now()),
     open,
     request: async (stream, build, deadline, onSilent) => await new Promise<ForwardOutcome>(resolve => {
       if (!stream.isOpen()) return resolve({ kind: 'not sent', reason: 'the stream to the holder has ended' })
@@ -155,7 +157,6 @@
     }),
     post: write,
     recordRefusal: () => { health = recordHolderFailure(health, clock.now()) },
-    tick,
-    close: () => { link.reconnect() }
+    tick
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -6,7 +6,7 @@
 import { createLocalRunner } from './operations.js'
 import { createRateGate } from './rateGate.js'
 import type { RateTolerance } from '@cyclamenusher/decisions'
-import type { PeerCredentials } from '@cyclamenusher/protocol'
+import type { Peers } from '../process/peers.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { Clock } from '../process/clock.js'
 import type { HolderService } from './forwarding/holderService.js'
@@ -49,11 +49,10 @@
   logger: ScopedLogger
   log: RequestLog
   tolerance: RateTolerance
-  /** Credentials of streams to other instances. */
-  credentials: PeerCredentials
+  peers: Peers
 }
 
-export function createEngine ({ createLink, codec, clock, logger, log, tolerance, credentials }: EngineOptions): Engine {
+export function createEngine ({ createLink, codec, clock, logger, log, tolerance, peers }: EngineOptions): Engine {
   const groups = new Map<string, GroupPool>()
   let draining = false
 
@@ -80,7 +79,7 @@
 
   const local = { link, group, codec, clock, log }
   const runner = createLocalRunner(local)
-  const operations = createForwardingRunner({ services: local, local: runner, credentials, logger })
+  const operations = createForwardingRunner({ services: local, local: runner, peers, logger })
   const holder = createHolderService({ runner, services: local, clock, logger })
 
   link.onChange(() => { for (const pool of groups.values()) pool.refresh() })
@@ -106,6 +105,7 @@
       operations.close()
       for (const pool of groups.values()) pool.close()
       link.close()
+      peers.close()
     }
   }
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
@@ -10,6 +10,7 @@
 import { openConsensusLog } from '../../control/consensusLog.js'
 import { createFleetControl } from '../fleetControl.js'
 import { createFleetLink } from '../fleetLink.js'
+import { createPeers } from '../../peers.js'
 import type { Declaration, KnownServer, RenewRequest, ServerAnnouncement, ServerStatus } from '@cyclamenusher/decisions'
 import type { CallServer } from '@cyclamenusher/protocol'
 import type { FleetControl } from '../fleetControl.js'
@@ -117,7 +118,7 @@
   }
 
   function joinEntry (name: string, report: () => Pick<RenewRequest, 'demand' | 'sightings' | 'busy'> = () => ({ demand: {}, sightings: {}, busy: [] }), clock: Clock = systemClock, lendsAt?: Address): FleetLink {
-    const link = createFleetLink({ name, failureDomain: 'a', seeds: () => addresses, decodeDeclaration: ({ text }) => JSON.parse(text) as Declaration, report, lendsAt, credentials: CREDENTIALS, clock, logger })
+    const link = createFleetLink({ name, failureDomain: 'a', seeds: () => addresses, decodeDeclaration: ({ text }) => JSON.parse(text) as Declaration, report, lendsAt, peers: createPeers(CREDENTIALS), clock, logger })
     link.start()
     links.push(link)
     return link
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
@@ -4,6 +4,7 @@
 import { listenForCalls } from '@cyclamenusher/protocol'
 import { systemClock } from '../../clock.js'
 import { createFleetLink } from '../fleetLink.js'
+import { createPeers } from '../../peers.js'
 import { createFleetStreams } from '../fleetStreams.js'
 import { waitUntil } from './fleetHarness.js'
 import type { RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
@@ -36,7 +37,8 @@
   await new Promise<void>(resolve => { forwarder.listen(0, HOST, resolve) })
   const address = forwarder.address()
   const port = typeof address === 'object' && address !== null ? address.port : 0
-  const link = createFleetLink({ name: 'entry-1', failureDomain: 'a', seeds: () => [{ host: HOST, port }], decodeDeclaration: () => { throw new Error('unexpected declaration') }, report: () => ({ demand: {}, sightings: {}, busy: [] }), credentials: CREDENTIALS, clock: systemClock, logger: QUIET_LOGGER })
+  const peers = createPeers(CREDENTIALS)
+  const link = createFleetLink({ name: 'entry-1', failureDomain: 'a', seeds: () => [{ host: HOST, port }], decodeDeclaration: () => { throw new Error('unexpected declaration') }, report: () => ({ demand: {}, sightings: {}, busy: [] }), peers, clock: systemClock, logger: QUIET_LOGGER })
   link.start()
   return {
     requests,
@@ -44,6 +46,7 @@
     connections,
     stop: async () => {
       link.close()
+      peers.close()
       forwarder.close()
       await calls.close()
     }
--- a/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
@@ -48,8 +48,8 @@
   listHolders: (now: number) => AvailableHolder[]
   /** Whether an instance has reported shares that an earlier leader granted. */
   hasReportedShares: () => boolean
-  /** Chooses the lenders of the accounts and plans their shares; no share grows beyond `maximumShare`. Calls `recordChange` for each modified share or choice, to number the change. Returns whether the plan is the first one of an instance. */
-  planShares: (accounts: readonly ClientAccount[], maximumShare: number, recordChange: () => number, now: number) => boolean
+  /** Chooses the lenders of the accounts and plans their shares; no share grows beyond `maximumShare`. Lenders are chosen among the preferred instances if there are any, as others have connections to them already. Calls `recordChange` for each modified share or choice, to number the change. Returns whether the plan is the first one of an instance. */
+  planShares: (accounts: readonly ClientAccount[], maximumShare: number, recordChange: () => number, now: number, preferred?: ReadonlySet<string>) => boolean
   /** The planned shares of an instance, and the number of the change with which they were last modified. */
   sharesOf: (name: string) => { shares: Record<string, number>, change: number }
   /** From whom an instance borrows, by account, as far as it was modified after `change`; undefined: no plan includes the instance yet, so it keeps the lenders that it knows. */
@@ -162,15 +162,17 @@
     count: now => listActiveLeases(now).length,
     listHolders: now => listActiveLeases(now).flatMap(({ name, failureDomain, lendsAt, holds }) => holds && lendsAt !== undefined ? [{ name, failureDomain, ...lendsAt }] : []),
     hasReportedShares: () => sharesReported,
-    planShares: (accounts, maximumShare, recordChange, now) => {
+    planShares: (accounts, maximumShare, recordChange, now, preferred) => {
       removeExpired(now)
       const candidates = listActiveLeases(now)
-      const key = candidates.map(({ name, incarnation }) => `${name} ${incarnation}`).sort().join()
+      const preferredCandidates = candidates.filter(({ name }) => preferred?.has(name) === true)
+      const lenderCandidates = preferredCandidates.length > 0 ? preferredCandidates : candidates
+      const key = lenderCandidates.map(({ name, incarnation }) => `${name} ${incarnation}`).sort().join()
       if (key !== candidatesKey) generation += 1
       candidatesKey = key
       const declared = new Set(accounts.map(({ name }) => name))
       for (const name of lenders.keys()) if (!declared.has(name)) lenders.delete(name)
-      for (const account of accounts) planAccount(account, candidates, maximumShare, recordChange, now)
+      for (const account of accounts) planAccount(account, lenderCandidates, maximumShare, recordChange, now)
       const added = candidates.filter(({ firstPlanChange }) => firstPlanChange === undefined)
       if (added.length === 0) return false
       const change = recordChange()
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -4,6 +4,7 @@
 import { createEngine, createRequestLog, listenForSessions } from '../../engine/index.js'
 import { systemClock } from '../clock.js'
 import { createLogger } from '../logger.js'
+import { createPeers } from '../peers.js'
 import { decodeBody, encodeBody } from './bodies.js'
 import { startMetrics } from './metricsPage.js'
 import { createFleetLink } from './fleetLink.js'
@@ -32,6 +33,7 @@
   const log = logger.scope('process')
   const clock = systemClock
   const credentials = { secret: config.secret }
+  const peers = createPeers(credentials)
   const requestLog = createRequestLog(logger.scope('request'), clock)
   const engine = createEngine({
     clock,
@@ -39,7 +41,7 @@
     log: requestLog,
     tolerance: config.rateTolerance,
     codec: ports.createServerCodec,
-    credentials,
+    peers,
     createLink: report => createFleetLink({
       name: config.name,
       failureDomain: config.failureDomain,
@@ -47,7 +49,7 @@
       decodeDeclaration: ports.decodeDeclaration,
       report,
       lendsAt: config.calls,
-      credentials,
+      peers,
       clock,
       logger: logger.scope('fleet')
     })
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -7,14 +7,15 @@
 import { EventEmitter } from 'node:events'
 import { inflateSync } from 'node:zlib'
 import { RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, indexDeclaration, mergeServer, listGroupServers } from '@cyclamenusher/decisions'
-import { FleetService, StreamCallError, createPeerLink, createStreamCaller } from '@cyclamenusher/protocol'
+import { StreamCallError, createStreamCaller } from '@cyclamenusher/protocol'
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
 import { LOAN_STREAM, RENEWAL_STREAM } from './fleetStreams.js'
 import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, GroupHolder, PrimaryAssignment, KnownServer, RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
-import type { PeerCredentials, StreamCaller } from '@cyclamenusher/protocol'
+import type { StreamCaller } from '@cyclamenusher/protocol'
 import type { Address } from '../address.js'
 import type { Clock } from '../clock.js'
+import type { Peers } from '../peers.js'
 import type { ScopedLogger } from '../logger.js'
 
 /** How long a renewal may take beyond its hold time, in milliseconds: several round trips between regions. */
@@ -48,7 +49,7 @@
   report: () => Pick<RenewRequest, 'demand' | 'sightings' | 'busy' | 'holds'>
   /** Where other entry instances borrow from this one; undefined if it does not lend. */
   lendsAt?: Address
-  credentials: PeerCredentials
+  peers: Peers
   clock: Clock
   logger: ScopedLogger
 }
@@ -65,6 +66,8 @@
   servers: (group: string) => KnownServer[]
   /** Instances that hold the connections to the group's servers; the same list until they change. */
   holders: (group: string) => readonly GroupHolder[]
+  /** All instances that hold connections to any group's servers. */
+  allHolders: () => GroupHolder[]
   /** Whether the lease is valid, so that the published assignments may be used. */
   isLeased: () => boolean
   /** Whether renewals succeed in time. If not, new callers should be sent to other instances. */
@@ -96,7 +99,7 @@
 }
 
 export function createFleetLink (options: FleetLinkOptions): FleetLink {
-  const { name, failureDomain, seeds, credentials, clock, logger } = options
+  const { name, failureDomain, seeds, peers, clock, logger } = options
   const incarnation = randomUUID()
   const suspension = createSuspensionWatch(clock)
   const emitter = new EventEmitter()
@@ -145,7 +148,7 @@
     const key = `${host}:${port}`
     const existing = links.get(key)
     if (existing !== undefined) return existing
-    const link = createPeerLink(FleetService, host, port, credentials)
+    const link = peers.link({ host, port })
     const calls: InstanceCalls = { renewals: createStreamCaller(link, RENEWAL_STREAM), loans: createStreamCaller(link, LOAN_STREAM), reconnect: link.reconnect }
     links.set(key, calls)
     return calls
@@ -303,6 +306,7 @@
     primaryAssignment: group => assignments.get(group),
     servers: group => listGroupServers(servers, group),
     holders: group => holders.get(group) ?? NO_HOLDERS,
+    allHolders: () => [...new Map([...holders.values()].flat().map(holder => [holder.name, holder])).values()],
     isLeased,
     isConnected: () => isLeased() && clock.now() - leaseStartedAt < RENEWAL_OVERDUE_MILLISECONDS,
     leasedUntil,
--- a/packages/cyclamenusherd/src/node/process/fleet/groupHolders.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/groupHolders.ts
@@ -10,6 +10,8 @@
 export interface GroupHolders {
   /** Chooses the holders of the groups, given the failure domains of each group's servers. Calls `recordChange` for each changed choice, to number the change. */
   plan: (groups: readonly string[], listServerDomains: (group: string) => string[], available: readonly AvailableHolder[], recordChange: () => number) => void
+  /** Names of all holders. */
+  names: () => ReadonlySet<string>
   /** Holders that were modified after the change; undefined before the first plan. */
   changesSince: (change: number) => Record<string, GroupHolder[]> | undefined
 }
@@ -34,6 +36,7 @@
       const declared = new Set(groups)
       for (const group of chosen.keys()) if (!declared.has(group)) chosen.delete(group)
     },
+    names: () => new Set([...chosen.values()].flatMap(({ holders }) => holders.map(({ name }) => name))),
     changesSince: known => planned ? Object.fromEntries([...chosen].filter(([, { change }]) => change > known).map(([group, { holders }]) => [group, holders])) : undefined
   }
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -118,7 +118,7 @@
     sharesPlannedAt = now
     const maximumShare = now - startedAt < SHARE_REPORT_MILLISECONDS ? INITIAL_SHARE : 1
     holders.plan([...groupTasks.keys()], group => listGroupServers(directory.servers, group).map(({ failureDomain }) => failureDomain), leases.listHolders(now), directory.recordChange)
-    const includesNew = leases.planShares(declaration()?.accounts ?? [], maximumShare, directory.recordChange, now)
+    const includesNew = leases.planShares(declaration()?.accounts ?? [], maximumShare, directory.recordChange, now, holders.names())
     if (includesNew) heldRenewals.release()
   }
 
