fix(fleet): a new leader of control keeps the lead while all instances return

Cause: an election timeout of 450 ms that the leader's own work exceeded, its timer 160 to 270 ms late with 422 to 605 renewals a second, 187 to 584 of them ended early. All 195 instances come at once; each opened a connection, sent all 42 servers that it knew, and got servers, lenders, holders and assignments encoded for it alone, and again for each group whose primary was verified.

- An instance keeps a stream open to every control instance.
- It sends only servers of which it has learned within 10 s; older ones are in the log.
- What instances of one failure domain get in common is built and encoded once in a tick.
Lenders are listed by failure domain, and the instance chooses among them.
- Urgent changes within 20 ms end the held renewals together.
- Renewals held until a new leader is settled no longer wake each 25 ms.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -12,7 +12,7 @@
 import { requireNotEnded } from '../transactions.js'
 import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
 import { createHolderLink } from './holderLink.js'
-import type { GroupHolder } from '@cyclamenusher/decisions'
+import type { NamedInstance } from '@cyclamenusher/decisions'
 import type { MessageStream } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../../process/logger.js'
 import type { Peers } from '../../process/peers.js'
@@ -55,11 +55,11 @@
   const { link, clock, log } = services
   const holderLinks = new Map<string, HolderLink>()
   /** Holders in order of preference, by group and account; valid for the list from which they were ordered. */
-  const orders = new Map<string, { list: readonly GroupHolder[], ordered: GroupHolder[] }>()
+  const orders = new Map<string, { list: readonly NamedInstance[], ordered: NamedInstance[] }>()
   let lastTransaction = 0
   let warmedAt = -Infinity
 
-  function listHolders ({ route, account }: AdmittedOperation): GroupHolder[] {
+  function listHolders ({ route, account }: AdmittedOperation): NamedInstance[] {
     const list = link.holders(route.group)
     const key = `${route.group}\0${account}`
     const known = orders.get(key)
@@ -69,7 +69,7 @@
     return ordered
   }
 
-  function ensureHolderLink ({ name, host, port }: GroupHolder): HolderLink {
+  function ensureHolderLink ({ name, host, port }: NamedInstance): HolderLink {
     const key = `${name} ${host}:${port}`
     const existing = holderLinks.get(key)
     if (existing !== undefined) return existing
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/entryLeases.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/entryLeases.test.ts
@@ -3,6 +3,7 @@
 import { NO_TOLERANCE, RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS } from '@cyclamenusher/decisions'
 import { createEntryLeases } from '../entryLeases.js'
 import type { ClientAccount, RenewRequest } from '@cyclamenusher/decisions'
+import type { EntryLeases } from '../entryLeases.js'
 
 const ACCOUNT: ClientAccount = { name: 'clinic', keys: [], ratePerSecond: 10, burst: 10 }
 
@@ -51,9 +52,13 @@
   assert.ok(leases.isConfirmed(1, 100))
 })
 
+function listLenders (leases: EntryLeases): string[] {
+  return leases.lendersOf('a', 0).clinic.map(({ name }) => name)
+}
+
 test('instances without a share have a lender, and lenders have none', () => {
   const { leases, names } = planForSix(index => ({ lendsAt: { host: 'entry', port: index } }))
-  const lenders = names.filter(name => leases.lendersOf(name, 0)?.clinic === null)
+  const lenders = listLenders(leases)
   assert.is(lenders.length, 2)
   for (const name of names) assert.is(leases.sharesOf(name).shares.clinic !== undefined, lenders.includes(name))
 })
@@ -66,20 +71,20 @@
 
 // Borrowers kept asking at the address of the process before.
 test('a lender that restarts at another address is not announced', () => {
-  const { leases, names, plan, change } = planForSix(index => ({ lendsAt: { host: 'entry', port: index } }))
-  const [lender] = names.filter(name => leases.lendersOf(name, 0)?.clinic === null)
+  const { leases, plan, change } = planForSix(index => ({ lendsAt: { host: 'entry', port: index } }))
+  const [lender] = listLenders(leases)
   const known = change()
   leases.renew(renewal(lender, { incarnation: '2', lendsAt: { host: 'entry', port: 100 } }), 0, 0)
   leases.grant(lender, 0)
   plan()
-  assert.ok(names.some(name => leases.lendersOf(name, known)?.clinic?.port === 100))
+  assert.ok(leases.lendersOf('a', known).clinic.some(({ port }) => port === 100))
 })
 
 // Lenders of dropped accounts were kept, and sent to each new instance.
 test('a dropped account keeps its lenders', () => {
-  const { leases, names } = planForSix(index => ({ lendsAt: { host: 'entry', port: index } }))
+  const { leases } = planForSix(index => ({ lendsAt: { host: 'entry', port: index } }))
   leases.planShares([], 1, () => 100, 1)
-  assert.equal(leases.lendersOf(names[0], 0), {})
+  assert.equal(leases.lendersOf('a', 0), {})
 })
 
 test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
@@ -13,7 +13,7 @@
 const QUIET_LOGGER = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
 const CREDENTIALS = { secret: 'a secret of the tests' }
 
-const GRANT: RenewGrant = { kind: 'granted', term: 1, change: 1, leaseMilliseconds: 1_500, whole: true, groups: [], servers: [], parts: { clinic: 0.4 }, entries: 1, control: [] }
+const GRANT: RenewGrant = { kind: 'granted', leaseMilliseconds: 1_500, parts: { clinic: 0.4 }, shared: { term: 1, change: 1, whole: true, groups: [], servers: [], entries: 1, control: [] } }
 
 /** Connects a link to one control instance whose replies come from `reply`. */
 async function connectLink (reply: (request: RenewRequest) => RenewReply | Promise<RenewReply>) {
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -47,13 +47,13 @@
   advance(500)
   let known = 0
   await waitUntil('the first plan', async () => {
-    known = (await renew('entry-1'))?.change ?? 0
+    known = (await renew('entry-1'))?.shared.change ?? 0
     return known > 0
   })
   let ended = false
   const held = renew('entry-1', { knows: { term: 1, change: known }, holdMilliseconds: LONG_HOLD_MILLISECONDS }).then(() => { ended = true })
   advance(500)
-  await waitUntil('a changed share', async () => ((await renew('entry-2', { demand: { clinic: 50 } }))?.change ?? 0) > known)
+  await waitUntil('a changed share', async () => ((await renew('entry-2', { demand: { clinic: 50 } }))?.shared.change ?? 0) > known)
   await new Promise(resolve => setTimeout(resolve, 50))
   assert.not.ok(ended)
   leadership.announce({ member: 'p', group: 'g', host: 'h', port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'primary', bornAt: 1, sequence: 1 })
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/rateFleet.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/rateFleet.ts
@@ -1,6 +1,6 @@
 /** A leader and many entry instances that share the rates of client accounts, in virtual time: the product's leases, pool and gates, with calls that take no time. */
 
-import { RENEWAL_HOLD_MILLISECONDS } from '@cyclamenusher/decisions'
+import { RENEWAL_HOLD_MILLISECONDS, findLender } from '@cyclamenusher/decisions'
 import { createRateGate } from '../../../engine/rateGate.js'
 import { createEntryLeases } from '../entryLeases.js'
 import { createRatePool } from '../ratePool.js'
@@ -42,7 +42,7 @@
   gate: RateGate
   shares: Record<string, number>
   /** By account, the port (here the index) of the instance that lends. */
-  lenders: Record<string, ControlAddress | null>
+  lenders: Record<string, ControlAddress | undefined>
   loans: number
   change: number
   /** Term of the leader that granted the last renewal. */
@@ -121,7 +121,8 @@
     if (!isKnown) Object.assign(instance, { change: 0, term })
     leases.renew({ name: instance.name, incarnation: '1', failureDomain: `domain-${index % FAILURE_DOMAINS}`, lendsAt: { host: 'entry', port: index }, knows: { term, change: instance.change }, version: 1, demand: instance.gate.demand(), sightings: {}, busy: [], holdMilliseconds: RENEWAL_HOLD_MILLISECONDS, ...(isKnown ? {} : { parts: instance.shares }) }, instance.change, now)
     leases.grant(instance.name, now)
-    Object.assign(instance, { shares: leases.sharesOf(instance.name).shares, lenders: { ...instance.lenders, ...leases.lendersOf(instance.name, instance.change) ?? {} }, change })
+    const received = Object.entries(leases.isPlanned(instance.name) ? leases.lendersOf(`domain-${index % FAILURE_DOMAINS}`, instance.change) : {}).map(([account, lenders]) => [account, findLender(account, instance.name, lenders)])
+    Object.assign(instance, { shares: leases.sharesOf(instance.name).shares, lenders: { ...instance.lenders, ...Object.fromEntries(received) }, change })
   }
 
   async function run (account: ClientAccount): Promise<void> {
--- a/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
@@ -1,8 +1,8 @@
 /** The leases that the leader has granted to entry instances, and the rate shares that the instances hold. */
 
-import { LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, chooseLenders, countLenders, findLender, planShares } from '@cyclamenusher/decisions'
+import { LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, chooseLenders, countLenders, listNearLenders, planShares } from '@cyclamenusher/decisions'
 import type { AvailableHolder } from './groupHolders.js'
-import type { ClientAccount, ControlAddress, RateTolerance, RenewRequest, ServerObservation, ShareHolder } from '@cyclamenusher/decisions'
+import type { ClientAccount, ControlAddress, RateTolerance, RenewRequest, ServerObservation, ShareHolder, NamedInstance } from '@cyclamenusher/decisions'
 
 interface EntryLease {
   name: string
@@ -52,8 +52,10 @@
   planShares: (accounts: readonly ClientAccount[], maximumShare: number, recordChange: () => number, now: number, preferred?: ReadonlySet<string>) => boolean
   /** The planned shares of an instance, and the number of the change with which they were last modified. */
   sharesOf: (name: string) => { shares: Record<string, number>, change: number }
-  /** From whom an instance borrows, by account, as far as it was modified after `change`; undefined: no plan includes the instance yet, so it keeps the lenders that it knows. */
-  lendersOf: (name: string, change: number) => Record<string, ControlAddress | null> | undefined
+  /** From whom the instances of a failure domain borrow, by account, as far as it was modified after `change`. */
+  lendersOf: (failureDomain: string, change: number) => Record<string, NamedInstance[]>
+  /** Whether a plan includes the instance. Until then it keeps the lenders that it knows: a plan that was made without it may have been made without the others, too. */
+  isPlanned: (name: string) => boolean
   /** Whether the instance has not received its first plan of shares and lenders yet, although there is one. */
   awaitsShares: (name: string) => boolean
 }
@@ -183,15 +185,14 @@
       const lease = leases.get(name)
       return { shares: Object.fromEntries(lease?.shares ?? []), change: lease?.sharesChange ?? 0 }
     },
-    lendersOf: (name, change) => {
-      const lease = leases.get(name)
-      if (lease?.firstPlanChange === undefined) return undefined
+    lendersOf: (failureDomain, change) => {
       const changed = [...lenders].filter(([, accountLenders]) => accountLenders.change > change)
-      return Object.fromEntries(changed.map(([account, accountLenders]) => {
-        const lender = findLender(account, lease, accountLenders.leases)
-        return [account, accountLenders.leases.find(candidate => candidate.name === lender?.name)?.lendsAt ?? null]
-      }))
+      return Object.fromEntries(changed.map(([account, accountLenders]) => [
+        account,
+        listNearLenders(failureDomain, accountLenders.leases).flatMap(({ name, lendsAt }) => lendsAt === undefined ? [] : [{ name, ...lendsAt }])
+      ]))
     },
+    isPlanned: name => leases.get(name)?.firstPlanChange !== undefined,
     awaitsShares: name => {
       const lease = leases.get(name)
       return lease?.firstPlanChange !== undefined && lease.appliedChange < lease.firstPlanChange
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -64,6 +64,13 @@
   logger: ScopedLogger
 }
 
+/** Builds the reply that instances of the build before understand. They borrow from control. */
+function flattenGrant (reply: RenewReply): unknown {
+  if (reply.kind !== 'granted') return reply
+  const { shared: { lenders, holders, ...shared }, ...own } = reply
+  return { ...own, ...shared }
+}
+
 export function createFleetControl (options: FleetControlOptions): FleetControl {
   const { name, logger, credentials } = options
   let state: FleetState = INITIAL_FLEET_STATE
@@ -191,7 +198,7 @@
     attach: attached => { log = attached },
     routes: router => {
       router.service(FleetService, {
-        renew: async ({ body }, { signal }) => ({ body: encodeBody(await renew(decodeBody(body), signal)) }),
+        renew: async ({ body }, { signal }) => ({ body: encodeBody(flattenGrant(await renew(decodeBody(body), signal))) }),
         borrow: ({ body }) => ({ body: encodeBody(lend(decodeBody(body))) }),
         declare: async ({ body }) => ({ body: encodeBody(log?.isLeader() === true ? await declareLocally(decodeBody(body)) : 'unknown') }),
         current: async () => ({ body: encodeBody(await readCurrentLocally() ?? null) }),
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -6,12 +6,12 @@
 import { randomUUID } from 'node:crypto'
 import { EventEmitter } from 'node:events'
 import { inflateSync } from 'node:zlib'
-import { RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, indexDeclaration, mergeServer, listGroupServers } from '@cyclamenusher/decisions'
+import { RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, findLender, indexDeclaration, mergeServer, listGroupServers } from '@cyclamenusher/decisions'
 import { StreamCallError, createStreamCaller } from '@cyclamenusher/protocol'
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
 import { LOAN_STREAM, RENEWAL_STREAM } from './fleetStreams.js'
-import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, GroupHolder, PrimaryAssignment, KnownServer, RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
+import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, NamedInstance, PrimaryAssignment, KnownServer, RenewGrant, RenewReply, RenewRequest, SharedGrant } from '@cyclamenusher/decisions'
 import type { StreamCaller } from '@cyclamenusher/protocol'
 import type { Address } from '../address.js'
 import type { Clock } from '../clock.js'
@@ -36,6 +36,8 @@
 const RENEWAL_OVERDUE_MILLISECONDS = 1_000
 /** Interval between two checks whether the lease has expired, in milliseconds. */
 const LEASE_CHECK_INTERVAL_MILLISECONDS = 100
+/** Age up to which a server's state is reported to a new leader, in milliseconds: several times the interval at which a leader writes changed servers to the log. */
+const RECENT_SERVERS_MILLISECONDS = 10_000
 /** Delay after a failed renewal, in milliseconds. */
 const RETRY_DELAY_MILLISECONDS = 40
 
@@ -54,7 +56,7 @@
   logger: ScopedLogger
 }
 
-const NO_HOLDERS: readonly GroupHolder[] = []
+const NO_HOLDERS: readonly NamedInstance[] = []
 
 export interface FleetLink {
   /** Name of this instance. */
@@ -65,9 +67,9 @@
   primaryAssignment: (group: string) => PrimaryAssignment | undefined
   servers: (group: string) => KnownServer[]
   /** Instances that hold the connections to the group's servers; the same list until they change. */
-  holders: (group: string) => readonly GroupHolder[]
+  holders: (group: string) => readonly NamedInstance[]
   /** All instances that hold connections to any group's servers. */
-  allHolders: () => GroupHolder[]
+  allHolders: () => NamedInstance[]
   /** Whether the lease is valid, so that the published assignments may be used. */
   isLeased: () => boolean
   /** Whether renewals succeed in time. If not, new callers should be sent to other instances. */
@@ -108,16 +110,19 @@
   let controlAddresses: Address[] = []
   let leader: Address | undefined
   let rotation = Math.floor(Math.random() * 1_000)
+  let warmed = Math.floor(Math.random() * 1_000)
   let applied = { term: 0, change: 0 }
   /** Address of the control instance that granted the last renewal, or empty if a renewal has failed since. That control instance already knows the servers and shares of this one. */
   let grantedBy = ''
   let assignments = new Map<string, PrimaryAssignment>()
   const servers = new Map<string, KnownServer>()
   let shares: Record<string, number> = {}
-  let lenders = new Map<string, Address | null>()
+  let lenders = new Map<string, Address | undefined>()
+  /** When this instance learned of each server's present state. */
+  const learnedAt = new Map<string, number>()
   /** Until when lenders that did not answer are passed over, by address. */
   const failedLendersUntil = new Map<string, number>()
-  let holders = new Map<string, GroupHolder[]>()
+  let holders = new Map<string, NamedInstance[]>()
   let declarationIndex: DeclarationIndex | undefined
   let entryCount = 1
   /** When the renewal request was sent from which the lease counts. */
@@ -174,11 +179,11 @@
       // A control instance that may not be the leader must reply at once.
       holdMilliseconds: reportRequested || leader === undefined || !isLeased() ? 0 : RENEWAL_HOLD_MILLISECONDS,
       // Another leader receives the servers and shares that this instance knows.
-      ...(grantedBy === `${host}:${port}` ? {} : { servers: [...servers.values()], parts: shares })
+      ...(grantedBy === `${host}:${port}` ? {} : { servers: listRecentServers(), parts: shares })
     }
   }
 
-  function adoptDeclaration ({ version, deflated }: NonNullable<RenewGrant['declaration']>): void {
+  function adoptDeclaration ({ version, deflated }: NonNullable<SharedGrant['declaration']>): void {
     if (version <= (declarationIndex?.version ?? -1)) return
     const text = inflateSync(Buffer.from(deflated, 'base64')).toString('utf8')
     declarationIndex = indexDeclaration(options.decodeDeclaration({ version, text }))
@@ -196,21 +201,34 @@
     assignments = next
   }
 
-  function adoptGrant (grant: RenewGrant, sentAt: number): void {
-    if (grant.term < applied.term) return
-    const changed = grant.term !== applied.term || grant.change !== applied.change || grant.declaration !== undefined
-    if (grant.declaration !== undefined) adoptDeclaration(grant.declaration)
-    adoptAssignments(grant.groups, grant.whole)
-    for (const server of grant.servers) mergeServer(servers, server)
-    if (grant.parts !== undefined) shares = grant.parts
-    if (grant.lenders !== undefined) lenders = new Map([...(grant.whole ? [] : lenders), ...Object.entries(grant.lenders)])
-    if (grant.holders !== undefined) holders = new Map([...(grant.whole ? [] : holders), ...Object.entries(grant.holders)])
-    applied = { term: grant.term, change: grant.change }
-    controlAddresses = grant.control.length > 0 ? grant.control : controlAddresses
-    entryCount = grant.entries
+  function adoptServers (received: readonly KnownServer[]): void {
+    const now = clock.now()
+    for (const server of received) if (mergeServer(servers, server)) learnedAt.set(server.member, now)
+  }
+
+  function listRecentServers (): KnownServer[] {
+    const since = clock.now() - RECENT_SERVERS_MILLISECONDS
+    return [...servers.values()].filter(({ member }) => (learnedAt.get(member) ?? -Infinity) >= since)
+  }
+
+  function adoptGrant ({ shared, parts }: RenewGrant, sentAt: number): void {
+    if (shared.term < applied.term) return
+    const changed = shared.term !== applied.term || shared.change !== applied.change || shared.declaration !== undefined
+    if (shared.declaration !== undefined) adoptDeclaration(shared.declaration)
+    adoptAssignments(shared.groups, shared.whole)
+    adoptServers(shared.servers)
+    if (parts !== undefined) shares = parts
+    if (shared.lenders !== undefined) {
+      const received = Object.entries(shared.lenders).map(([account, list]): [string, Address | undefined] => [account, findLender(account, name, list)])
+      lenders = new Map([...(shared.whole ? [] : lenders), ...received])
+    }
+    if (shared.holders !== undefined) holders = new Map([...(shared.whole ? [] : holders), ...Object.entries(shared.holders)])
+    applied = { term: shared.term, change: shared.change }
+    controlAddresses = shared.control.length > 0 ? shared.control : controlAddresses
+    entryCount = shared.entries
     leaseStartedAt = Math.max(leaseStartedAt, sentAt)
     if (changed || !wasLeased) emitter.emit('change')
-    if (!wasLeased) logger.info('The lease is held.', { term: grant.term, change: grant.change, failed: [...failedRenewals].map(([reason, count]) => `${count} ${reason}`).join(', ') })
+    if (!wasLeased) logger.info('The lease is held.', { term: shared.term, change: shared.change, failed: [...failedRenewals].map(([reason, count]) => `${count} ${reason}`).join(', ') })
     failedRenewals = new Map()
     wasLeased = true
   }
@@ -236,6 +254,18 @@
     if (!timedOut || inRow % TIMEOUTS_BEFORE_RECONNECT === 0) links.get(key)?.reconnect()
   }
 
+  /**
+   * Opens the stream to another control instance, one with each renewal.
+   *
+   * Load pattern: a leader is lost, and all instances come to its successor at once.
+   * Their connections would cost it more than their renewals.
+   */
+  function warmNextControlInstance (): void {
+    warmed += 1
+    const address = controlAddresses[warmed % Math.max(1, controlAddresses.length)]
+    if (address !== undefined) ensureLink(address).renewals.warm()
+  }
+
   async function renewOnce (target: Address): Promise<boolean> {
     const link = ensureLink(target)
     const key = `${target.host}:${target.port}`
@@ -250,6 +280,7 @@
         leader = target
         grantedBy = key
         adoptGrant(reply, sentAt)
+        warmNextControlInstance()
         return true
       }
       grantedBy = ''
@@ -287,7 +318,7 @@
   }
 
   async function borrow (account: string, wanted: number): Promise<BorrowReply> {
-    const lender = lenders.get(account) ?? undefined
+    const lender = lenders.get(account)
     const key = lender === undefined ? '' : `${lender.host}:${lender.port}`
     if (lender !== undefined && clock.now() >= (failedLendersUntil.get(key) ?? -Infinity)) {
       const reply = await borrowFrom(lender, account, wanted, LENDER_TIMEOUT_MILLISECONDS)
@@ -312,7 +343,7 @@
     leasedUntil,
     resumedAt: suspension.resumedAt,
     rateShare: account => clock.now() < validUntil(SHARE_VALIDITY_MILLISECONDS) ? shares[account] ?? 0 : 0,
-    hasLender: account => (lenders.get(account) ?? null) !== null,
+    hasLender: account => lenders.get(account) !== undefined,
     borrow,
     entryCount: () => entryCount,
     reportNow: () => {
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetStreams.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetStreams.ts
@@ -1,8 +1,8 @@
 /** The streams of calls between the instances of a fleet: renewals of leases, loans of rates, and operations at the instances that hold connections. */
 
-import { acceptStreamCalls } from '@cyclamenusher/protocol'
+import { EncodedReply, acceptStreamCalls } from '@cyclamenusher/protocol'
 import { HOLDER_STREAM } from '../../engine/index.js'
-import type { BorrowReply, BorrowRequest, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
+import type { BorrowReply, BorrowRequest, RenewReply, RenewRequest, SharedGrant } from '@cyclamenusher/decisions'
 import type { MessageStream, MessageStreamHandlers, StreamRoutes } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../logger.js'
 
@@ -40,6 +40,17 @@
   return value as Request
 }
 
+const encodedGrants = new WeakMap<SharedGrant, string>()
+
+/** Encodes a reply; what many instances share is encoded once. */
+function encodeRenewReply (reply: RenewReply): unknown {
+  if (reply.kind !== 'granted') return reply
+  const { shared, ...own } = reply
+  const encoded = encodedGrants.get(shared) ?? JSON.stringify(shared)
+  encodedGrants.set(shared, encoded)
+  return new EncodedReply(`${JSON.stringify(own).slice(0, -1)},"shared":${encoded}}`)
+}
+
 export interface FleetStreamHandlers {
   renew?: (request: RenewRequest, signal: AbortSignal) => Promise<RenewReply>
   borrow: (request: BorrowRequest) => Promise<BorrowReply> | BorrowReply
@@ -53,6 +64,6 @@
   const loans = acceptStreamCalls(async request => await borrow(checkFields<BorrowRequest>('loan', request, LOAN_FIELDS)), logRefusal(LOAN_STREAM))
   const streams = new Map([[LOAN_STREAM, loans]])
   if (operations !== undefined) streams.set(HOLDER_STREAM, operations)
-  if (renew !== undefined) streams.set(RENEWAL_STREAM, acceptStreamCalls(async (request, signal) => await renew(checkFields<RenewRequest>('renewal', request, RENEWAL_FIELDS), signal), logRefusal(RENEWAL_STREAM)))
+  if (renew !== undefined) streams.set(RENEWAL_STREAM, acceptStreamCalls(async (request, signal) => encodeRenewReply(await renew(checkFields<RenewRequest>('renewal', request, RENEWAL_FIELDS), signal)), logRefusal(RENEWAL_STREAM)))
   return streams
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/groupHolders.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/groupHolders.ts
@@ -1,9 +1,9 @@
 /** The entry instances that hold each group's connections, as the leader has chosen them. */
 
 import { chooseHolders } from '@cyclamenusher/decisions'
-import type { GroupHolder } from '@cyclamenusher/decisions'
+import type { NamedInstance } from '@cyclamenusher/decisions'
 
-export interface AvailableHolder extends GroupHolder {
+export interface AvailableHolder extends NamedInstance {
   failureDomain: string
 }
 
@@ -13,11 +13,11 @@
   /** Names of all holders. */
   names: () => ReadonlySet<string>
   /** Holders that were modified after the change; undefined before the first plan. */
-  changesSince: (change: number) => Record<string, GroupHolder[]> | undefined
+  changesSince: (change: number) => Record<string, NamedInstance[]> | undefined
 }
 
 export function createGroupHolders (): GroupHolders {
-  const chosen = new Map<string, { basis: string, holders: GroupHolder[], change: number }>()
+  const chosen = new Map<string, { basis: string, holders: NamedInstance[], change: number }>()
   let planned = false
 
   return {
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -9,7 +9,7 @@
 import { createLeaderDirectory } from './leaderDirectory.js'
 import { createLeaderLoad } from './leaderLoad.js'
 import { createRatePool } from './ratePool.js'
-import type { AnnouncementOutcome, BorrowReply, BorrowRequest, Declaration, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ServerAnnouncement } from '@cyclamenusher/decisions'
+import type { AnnouncementOutcome, BorrowReply, BorrowRequest, Declaration, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ServerAnnouncement, SharedGrant } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
 import type { ScopedLogger } from '../logger.js'
 import type { GroupTask, GroupTaskOptions } from './groupTask.js'
@@ -28,6 +28,8 @@
 const ENTRY_RETURN_MILLISECONDS = 4_000
 /** Minimum interval between two commands that write changed servers to the log, in milliseconds: each costs a disk sync. */
 const PERSIST_INTERVAL_MILLISECONDS = 1_000
+/** Delay with which urgent changes end the held renewals, in milliseconds: short compared to a promotion. */
+const RELEASE_DELAY_MILLISECONDS = 20
 /** Minimum interval between two documents sent to one entry instance, in milliseconds: in a burst of changes, intermediate versions are skipped. */
 const DOCUMENT_INTERVAL_MILLISECONDS = 150
 
@@ -38,7 +40,7 @@
   /** Whether this instance holds the leader lease, still in this term. */
   hasLeaderLease: () => boolean
   /** Addresses of the control instances, sent with each grant. */
-  controlAddresses: () => RenewGrant['control']
+  controlAddresses: () => SharedGrant['control']
   rateTolerance: RateTolerance
   /** How long a server takes work after it has announced that it is leaving, in milliseconds. */
   drainMilliseconds: number
@@ -62,18 +64,34 @@
   const { term, state, declaration, hasLeaderLease, clock, logger } = options
   const startedAt = clock.now()
   const heldRenewals = createHeldRequests()
-  const directory = createLeaderDirectory(() => { heldRenewals.release() })
+  const directory = createLeaderDirectory(releaseSoon)
   const leases = createEntryLeases(options.rateTolerance)
   const holders = createGroupHolders()
   const groupTasks = new Map<string, GroupTask>()
   const load = createLeaderLoad(logger, clock)
   const pool = createRatePool(declaration, options.rateTolerance, clock)
+  /** Shared parts of the grants of this tick. */
+  const sharedGrants = new Map<string, SharedGrant>()
   const documentsSentAt = new Map<string, number>()
   let compressedDocument: { version: number, deflated: string } | undefined
+  let releaseTimer: NodeJS.Timeout | undefined
   let sharesPlannedAt = -Infinity
   let persistedAt = startedAt
   let persistedChange = 0
 
+  /**
+   * Ends the held renewals a moment later, together for the changes that come in between.
+   *
+   * Load pattern: a new leader publishes the primary of each group within a few hundred
+   * milliseconds, and each change would end the renewals of all instances.
+   */
+  function releaseSoon (): void {
+    releaseTimer ??= setTimeout(() => {
+      releaseTimer = undefined
+      heldRenewals.release()
+    }, RELEASE_DELAY_MILLISECONDS)
+  }
+
   function readEnvironment (group: string): Omit<GroupEnvironment, 'verdict' | 'now'> {
     const now = clock.now()
     const synchronousReplicas = declaration()?.groups.find(({ name }) => name === group)?.synchronousReplicas ?? 0
@@ -119,7 +137,7 @@
     const maximumShare = now - startedAt < SHARE_REPORT_MILLISECONDS ? INITIAL_SHARE : 1
     holders.plan([...groupTasks.keys()], group => listGroupServers(directory.servers, group).map(({ failureDomain }) => failureDomain), leases.listHolders(now), directory.recordChange)
     const includesNew = leases.planShares(declaration()?.accounts ?? [], maximumShare, directory.recordChange, now, holders.names())
-    if (includesNew) heldRenewals.release()
+    if (includesNew) releaseSoon()
   }
 
   /** Number of entry instances that share the servers. Early in a term, the last persisted number counts if it is higher, because not all instances have renewed yet. */
@@ -139,20 +157,26 @@
   }
 
   let tickedAt = startedAt
+  let settled = false
   const timer = setInterval(() => {
     const now = clock.now()
     load.tick(Math.max(0, now - tickedAt - TICK_INTERVAL_MILLISECONDS))
     tickedAt = now
+    sharedGrants.clear()
     planShares(now)
     persistChanges(now)
     for (const group of groupTasks.values()) group.tick()
+    if (!settled && isSettled()) {
+      settled = true
+      releaseSoon()
+    }
   }, TICK_INTERVAL_MILLISECONDS)
 
   function isSettled (): boolean {
     return clock.now() - startedAt > SETTLE_TIMEOUT_MILLISECONDS || (groupTasks.size > 0 && [...groupTasks.values()].every(group => group.settled()))
   }
 
-  function selectDocument ({ name, version }: RenewRequest, now: number): RenewGrant['declaration'] {
+  function selectDocument ({ name, version }: RenewRequest, now: number): SharedGrant['declaration'] {
     const { document } = state()
     if (document === undefined || document.version <= version) return undefined
     if (now - (documentsSentAt.get(name) ?? -Infinity) < DOCUMENT_INTERVAL_MILLISECONDS && version >= 0) return undefined
@@ -169,6 +193,28 @@
     return directory.urgentChange() > changeKnownBy(request) || leases.awaitsShares(request.name) || selectDocument(request, clock.now()) !== undefined
   }
 
+  /** Builds the part of a grant that instances of one failure domain with the same knowledge share; it is built, and encoded, once in a tick for all of them. */
+  function buildSharedGrant ({ name, failureDomain }: RenewRequest, knownChange: number, document: SharedGrant['declaration']): SharedGrant {
+    const isPlanned = leases.isPlanned(name)
+    const key = `${failureDomain} ${isPlanned} ${knownChange} ${document?.version} ${directory.change()}`
+    const existing = sharedGrants.get(key)
+    if (existing !== undefined) return existing
+    const groupHolders = holders.changesSince(knownChange)
+    const shared: SharedGrant = {
+      term,
+      change: directory.change(),
+      whole: knownChange === 0,
+      ...directory.changesSince(knownChange),
+      ...(isPlanned ? { lenders: leases.lendersOf(failureDomain, knownChange) } : {}),
+      ...(groupHolders === undefined ? {} : { holders: groupHolders }),
+      ...(document === undefined ? {} : { declaration: document }),
+      entries: countEntries(clock.now()),
+      control: options.controlAddresses()
+    }
+    sharedGrants.set(key, shared)
+    return shared
+  }
+
   function grant (request: RenewRequest, isNew: boolean): RenewGrant | undefined {
     if (!hasLeaderLease()) return undefined
     const now = clock.now()
@@ -177,21 +223,11 @@
     const document = selectDocument(request, now)
     if (document !== undefined) documentsSentAt.set(request.name, now)
     leases.grant(request.name, now)
-    const groupHolders = holders.changesSince(knownChange)
-    const lenders = leases.lendersOf(request.name, knownChange)
     return {
       kind: 'granted',
-      term,
-      change: directory.change(),
       leaseMilliseconds: LEASE_MILLISECONDS,
-      whole: knownChange === 0,
-      ...directory.changesSince(knownChange),
-      ...(sharesChange > knownChange || knownChange === 0 ? { parts: shares } : {}),
-      ...(lenders === undefined ? {} : { lenders }),
-      ...(groupHolders === undefined ? {} : { holders: groupHolders }),
-      ...(document === undefined ? {} : { declaration: document }),
-      entries: countEntries(now),
-      control: options.controlAddresses()
+      shared: buildSharedGrant(request, knownChange, document),
+      ...(sharesChange > knownChange || knownChange === 0 ? { parts: shares } : {})
     }
   }
 
@@ -212,7 +248,7 @@
       if (isNew) sharesPlannedAt = Math.min(sharesPlannedAt, clock.now() - PLAN_INTERVAL_MILLISECONDS + NEW_ENTRY_DELAY_MILLISECONDS)
       if (isNew) logger.info('An entry instance requested its first lease from this leader.', { name: request.name, failureDomain: request.failureDomain, term })
       const holdUntil = clock.now() + request.holdMilliseconds
-      while (!isSettled() && clock.now() - startedAt < SETTLE_TIMEOUT_MILLISECONDS) await heldRenewals.hold(TICK_INTERVAL_MILLISECONDS)
+      while (!isSettled()) await heldRenewals.hold(Math.max(TICK_INTERVAL_MILLISECONDS, startedAt + SETTLE_TIMEOUT_MILLISECONDS - clock.now()))
       while (!hasNews(request) && clock.now() < holdUntil && hasLeaderLease()) await heldRenewals.hold(holdUntil - clock.now())
       if (clock.now() < holdUntil) load.count('earlyRenewals')
       if (signal.aborted) load.count('abandonedRenewals')
@@ -238,6 +274,7 @@
     },
     close: () => {
       clearInterval(timer)
+      clearTimeout(releaseTimer)
       for (const group of groupTasks.values()) group.close()
       heldRenewals.release()
     }
--- a/packages/decisions/src/node/fleet/__tests__/rateLenders.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/rateLenders.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { chooseLenders, countLenders, findLender } from '../rateLenders.js'
+import { chooseLenders, countLenders, findLender, listNearLenders } from '../rateLenders.js'
 import { NO_TOLERANCE, computeShareLimits } from '../rateShares.js'
 import type { LenderCandidate } from '../rateLenders.js'
 
@@ -46,12 +46,16 @@
   assert.ok(others.every(name => after.includes(name)))
 })
 
+function borrowFrom (borrower: LenderCandidate, lenders: readonly LenderCandidate[]): LenderCandidate | undefined {
+  return findLender('clinic', borrower.name, listNearLenders(borrower.failureDomain, lenders))
+}
+
 test('an instance borrows in its own failure domain where it can, and lends to itself', () => {
   const candidates = createCandidates(9)
   const lenders = candidates.slice(0, 2)
-  assert.is(findLender('clinic', candidates[3], lenders)?.name, 'entry-0')
-  assert.ok(lenders.includes(findLender('clinic', candidates[2], lenders) as LenderCandidate))
-  assert.is(findLender('clinic', candidates[1], lenders), undefined)
+  assert.is(borrowFrom(candidates[3], lenders)?.name, 'entry-0')
+  assert.ok(lenders.includes(borrowFrom(candidates[2], lenders) as LenderCandidate))
+  assert.is(borrowFrom(candidates[1], lenders), undefined)
 })
 
 test('the borrowers of an account spread over its lenders', () => {
@@ -59,7 +63,7 @@
   const lenders = candidates.slice(0, 12)
   const borrowers = new Map<string, number>()
   for (const candidate of candidates.slice(12)) {
-    const name = findLender('clinic', candidate, lenders)?.name ?? ''
+    const name = borrowFrom(candidate, lenders)?.name ?? ''
     borrowers.set(name, (borrowers.get(name) ?? 0) + 1)
   }
   assert.is(borrowers.size, 12)
--- a/packages/decisions/src/node/fleet/messages.ts
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -14,8 +14,8 @@
   port: number
 }
 
-/** An entry instance that holds the connections to a group's servers. */
-export interface GroupHolder extends ControlAddress {
+/** An entry instance, and where others reach it. */
+export interface NamedInstance extends ControlAddress {
   name: string
 }
 
@@ -40,27 +40,24 @@
   holds?: boolean
   /** How long control may hold the renewal, in milliseconds. */
   holdMilliseconds: number
-  /** The servers that the instance knows; sent only to a control instance that did not grant the last lease. */
+  /** The servers of which the instance has learned lately; sent only to a control instance that did not grant the last lease. What is older is in control's log. */
   servers?: KnownServer[]
   /** The shares of the rates that the instance holds, by account, from 0 to 1; sent together with `servers`. */
   parts?: Record<string, number>
 }
 
-export interface RenewGrant {
-  kind: 'granted'
+/** The part of a grant that is the same for all instances of a failure domain that know as much. */
+export interface SharedGrant {
   term: number
   change: number
-  leaseMilliseconds: number
   /** Whether the lists are complete and replace what the instance knows; otherwise they hold only changes. */
   whole: boolean
   groups: PrimaryAssignment[]
   servers: KnownServer[]
-  /** The instance's shares of the rates by account, from 0 to 1; undefined if they have not changed. */
-  parts?: Record<string, number>
-  /** By account, the entry instance from which this one borrows; null: it borrows from control. Holds only changes, unless `whole`. Undefined: not planned yet, and what the instance knows stays. */
-  lenders?: Record<string, ControlAddress | null>
+  /** By account, the lenders from which instances of this failure domain borrow. Holds only changes, unless `whole`. Undefined: not planned yet, and what the instance knows stays. */
+  lenders?: Record<string, NamedInstance[]>
   /** By group, the instances that hold the connections to its servers; only those that have changed, unless `whole`. Undefined: not planned yet, and what the instance knows stays. */
-  holders?: Record<string, GroupHolder[]>
+  holders?: Record<string, NamedInstance[]>
   /** A newer declaration, compressed with deflate and encoded in base64. */
   declaration?: { version: number, deflated: string }
   /** Number of entry instances that share the servers. */
@@ -69,6 +66,14 @@
   control: ControlAddress[]
 }
 
+export interface RenewGrant {
+  kind: 'granted'
+  leaseMilliseconds: number
+  shared: SharedGrant
+  /** The instance's shares of the rates by account, from 0 to 1; undefined if they have not changed. */
+  parts?: Record<string, number>
+}
+
 export type RenewReply = RenewGrant | { kind: 'not leader', leader?: ControlAddress }
 
 /** Request of an entry instance whose share of an account's rate is spent, for a number of operations. */
--- a/packages/decisions/src/node/fleet/rateLenders.ts
+++ b/packages/decisions/src/node/fleet/rateLenders.ts
@@ -48,11 +48,15 @@
   return ranked.sort((left, right) => left.round - right.round || left.rank - right.rank).slice(0, count).map(({ name }) => name)
 }
 
-/** The lender from which an instance borrows: one of its own failure domain where there is one. Undefined: the instance is a lender itself. */
-export function findLender (account: string, { name, failureDomain }: LenderCandidate, lenders: readonly LenderCandidate[]): LenderCandidate | undefined {
-  if (lenders.some(lender => lender.name === name)) return undefined
+/** The lenders from which the instances of a failure domain borrow: those of the domain where there are any. */
+export function listNearLenders<Lender extends LenderCandidate> (failureDomain: string, lenders: readonly Lender[]): readonly Lender[] {
   const near = lenders.filter(lender => lender.failureDomain === failureDomain)
-  const eligible = near.length > 0 ? near : lenders
-  const [chosen] = rankManyNodes(`${account}\0${name}`, eligible.map(lender => lender.name))
-  return eligible.find(lender => lender.name === chosen)
+  return near.length > 0 ? near : lenders
+}
+
+/** The lender among those of its failure domain from which an instance borrows. Undefined: the instance is a lender itself, or there is none. */
+export function findLender<Lender extends { name: string }> (account: string, name: string, lenders: readonly Lender[]): Lender | undefined {
+  if (lenders.some(lender => lender.name === name)) return undefined
+  const [chosen] = rankManyNodes(`${account}\0${name}`, lenders.map(lender => lender.name))
+  return lenders.find(lender => lender.name === chosen)
 }
--- a/packages/protocol/src/node/streamCalls.ts
+++ b/packages/protocol/src/node/streamCalls.ts
@@ -31,6 +31,16 @@
 type CallMessage = { number: number, request: unknown } | { number: number, cancel: true }
 interface ReplyMessage { number: number, reply: unknown }
 
+/** A reply that is JSON text already, where the same text goes to many callers. */
+export class EncodedReply {
+  constructor (readonly json: string) {}
+}
+
+function encodeReply (number: number, reply: unknown): Buffer {
+  if (reply instanceof EncodedReply) return Buffer.from(`{"number":${number},"reply":${reply.json}}`, 'utf8')
+  return encodeJson({ number, reply } satisfies ReplyMessage)
+}
+
 export function encodeJson (value: unknown): Buffer {
   return Buffer.from(JSON.stringify(value), 'utf8')
 }
@@ -45,6 +55,8 @@
 export interface StreamCaller<Request, Reply> {
   /** Calls once; the time counts from now and includes the opening of the stream. @throws StreamCallError */
   call: (request: Request, timeoutMilliseconds: number, signal?: AbortSignal) => Promise<Reply>
+  /** Opens the stream, unless it is open, so that a later call need not wait for it. */
+  warm: () => void
   close: () => void
 }
 
@@ -116,11 +128,12 @@
       if (stream?.isOpen() === true) return send(stream)
       open().then(send, (error: Error) => { fail('not sent', error.message) })
     }),
+    warm: () => { open().catch(() => {}) },
     close: () => { stream?.close('the caller has closed the stream') }
   }
 }
 
-/** Accepts a stream of calls. `answer` returns the reply, or undefined for none; it throws where the request can't be understood, which ends the stream. */
+/** Accepts a stream of calls. `answer` returns the reply, an EncodedReply, or undefined for none; it throws where the request can't be understood, which ends the stream. */
 export function acceptStreamCalls (answer: (request: unknown, signal: AbortSignal) => Promise<unknown>, onRefused: (reason: string) => void): (stream: MessageStream) => MessageStreamHandlers {
   return stream => {
     const running = new Map<number, AbortController>()
@@ -130,7 +143,7 @@
       running.set(number, controller)
       try {
         const reply = await answer(request, controller.signal)
-        if (reply !== undefined && !controller.signal.aborted) stream.send(encodeJson({ number, reply } satisfies ReplyMessage))
+        if (reply !== undefined && !controller.signal.aborted) stream.send(encodeReply(number, reply))
       } finally {
         running.delete(number)
       }
