fix(fleet): a new leader waits longer for the instances that hold shares

Until they are back it plans neither shares nor holders, at most for 1.5 s instead of 0.8 s: a plan with the first of them moves shares and holders, and the next plan moves them back. What instances know stays in use meanwhile.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -9,7 +9,7 @@
 const LONG_HOLD_MILLISECONDS = 60_000
 
 /** Starts a leader whose clock stands still between the steps of a test. */
-function startLeader () {
+function startLeader (entries = 0) {
   let now = 0
   const logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
   const document = createDocument(1, { groups: [] })
@@ -22,7 +22,7 @@
     drainMilliseconds: 7_000,
     holder: 'control-1',
     term: 1,
-    state: () => ({ ...INITIAL_FLEET_STATE, document }),
+    state: () => ({ ...INITIAL_FLEET_STATE, document, entries }),
     declaration: () => JSON.parse(document.text) as Declaration,
     hasLeaderLease: () => true,
     controlAddresses: () => [],
@@ -61,4 +61,32 @@
   leadership.close()
 })
 
+// A new leader planned with the first instances that came, and shares moved away from all others.
+test('a new leader plans before the instances that hold shares have returned', async () => {
+  const { leadership, renew, advance } = startLeader(3)
+  advance(500)
+  const parts = { clinic: 0.5 }
+  await renew('entry-1', { parts })
+  await renew('entry-2', { parts })
+  advance(600)
+  await new Promise(resolve => setTimeout(resolve, 60))
+  const early = await renew('entry-1')
+  assert.is(early?.shared.lenders, undefined)
+  assert.equal(early?.parts, parts)
+  await renew('entry-3', { parts: {} })
+  advance(600)
+  await waitUntil('a plan', async () => (await renew('entry-1'))?.shared.lenders !== undefined)
+  leadership.close()
+})
+
+// All instances of a failure domain got what they have in common encoded for each of them.
+test('instances of one failure domain get grants of their own', async () => {
+  const { leadership, renew, advance } = startLeader()
+  advance(500)
+  const [one, two, other] = await Promise.all([renew('entry-1'), renew('entry-2'), renew('entry-3', { failureDomain: 'b' })])
+  assert.is(one?.shared, two?.shared)
+  assert.is.not(one?.shared, other?.shared)
+  leadership.close()
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -22,6 +22,8 @@
 const SETTLE_TIMEOUT_MILLISECONDS = 400
 /** How long a new leader limits shares because instances may not have reported theirs yet, in milliseconds: the timeout of a renewal at the previous leader and a few retries. */
 const SHARE_REPORT_MILLISECONDS = 800
+/** How long a new leader plans neither shares nor holders while instances that hold shares have not returned, in milliseconds: what they know stays in use. */
+const RETURN_TIMEOUT_MILLISECONDS = 1_500
 /** Delay before the shares are planned for a new instance, in milliseconds: instances that start together share one plan. */
 const NEW_ENTRY_DELAY_MILLISECONDS = 50
 /** How long after an election the previous number of entry instances counts, in milliseconds: a startup and a few retries. */
@@ -127,7 +129,7 @@
    * expected. A plan without them would move shares and lenders twice.
    */
   function awaitsReturn (now: number): boolean {
-    return now - startedAt < SHARE_REPORT_MILLISECONDS && leases.hasReportedShares() && leases.count(now) < state().entries
+    return now - startedAt < RETURN_TIMEOUT_MILLISECONDS && leases.hasReportedShares() && leases.count(now) < state().entries
   }
 
   function planShares (now: number): void {
