fix(fleet): a renewal is held for a moment while no leader is known

After a loss of all power 195 instances asked each control instance in turn, 25 times a second each, while the election needed the processor. A control instance now holds such a renewal for up to 200 ms until it leads or knows who does, and instances that failed together don't return together.

--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -7,6 +7,7 @@
 import { Code, ConnectError } from '@connectrpc/connect'
 import { INITIAL_FLEET_STATE, applyFleetCommand, decodeFleetState, encodeFleetState } from '@cyclamenusher/decisions'
 import { decodeBody, encodeBody } from './bodies.js'
+import { createHeldRequests } from '../heldRequests.js'
 import { createFleetStreams } from './fleetStreams.js'
 import { startLeadership } from './leadership.js'
 import type { ConnectRouter } from '@connectrpc/connect'
@@ -21,6 +22,8 @@
 
 /** Timeout of a call that is forwarded to the leader, in milliseconds: less than the second that callers wait. */
 const FORWARD_TIMEOUT_MILLISECONDS = 800
+/** How long a renewal is held while no leader is known, in milliseconds: shorter than an entry instance waits for an answer. */
+const LEADER_WAIT_MILLISECONDS = 200
 /** Interval between two checks whether this instance leads, in milliseconds. */
 const LEADERSHIP_CHECK_INTERVAL_MILLISECONDS = 50
 
@@ -77,6 +80,7 @@
   let decodedDeclaration: Declaration | undefined
   let log: ConsensusLog<FleetCommand, FleetOutcome> | undefined
   let activeTerm: { term: number, leadership: Leadership } | undefined
+  const waitingForLeader = createHeldRequests()
   let cachedLink: { address: string, link: PeerLink<typeof FleetService> } | undefined
 
   function adoptState (next: FleetState): void {
@@ -139,7 +143,10 @@
     }
   }
 
-  const timer = setInterval(watchLeadership, LEADERSHIP_CHECK_INTERVAL_MILLISECONDS)
+  const timer = setInterval(() => {
+    watchLeadership()
+    if (knowsLeader()) waitingForLeader.release()
+  }, LEADERSHIP_CHECK_INTERVAL_MILLISECONDS)
 
   function getLeaderLink (): PeerLink<typeof FleetService> | undefined {
     const leader = log?.leader()
@@ -181,7 +188,23 @@
     return true
   }
 
+  function knowsLeader (): boolean {
+    return activeTerm !== undefined || (log?.leader() !== undefined && !log.isLeader())
+  }
+
+  /**
+   * Waits for a moment until this instance leads or knows who does.
+   *
+   * Load pattern: all instances return after a loss of power, before a leader is
+   * elected, and ask again and again while the election needs the processor.
+   */
+  async function awaitLeader (): Promise<void> {
+    const waitUntil = options.clock.now() + LEADER_WAIT_MILLISECONDS
+    while (!knowsLeader() && options.clock.now() < waitUntil) await waitingForLeader.hold(waitUntil - options.clock.now())
+  }
+
   async function renew (request: RenewRequest, signal: AbortSignal): Promise<RenewReply> {
+    await awaitLeader()
     const granted = await activeTerm?.leadership.renew(request, signal)
     if (granted !== undefined) return granted
     const leader: LogMember | undefined = log?.leader()
@@ -219,6 +242,7 @@
     },
     close: () => {
       clearInterval(timer)
+      waitingForLeader.release()
       activeTerm?.leadership.close()
       cachedLink?.link.reconnect()
     }
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -38,7 +38,7 @@
 const LEASE_CHECK_INTERVAL_MILLISECONDS = 100
 /** Age up to which a server's state is reported to a new leader, in milliseconds: several times the interval at which a leader writes changed servers to the log. */
 const RECENT_SERVERS_MILLISECONDS = 10_000
-/** Delay after a failed renewal, in milliseconds. */
+/** Mean delay after a failed renewal, in milliseconds; drawn at random, so that instances that failed together don't return together. */
 const RETRY_DELAY_MILLISECONDS = 40
 
 export interface FleetLinkOptions {
@@ -303,7 +303,7 @@
       const target = nextTarget()
       const renewed = target !== undefined && await renewOnce(target)
       detectLeaseLoss()
-      if (!renewed) await pause(RETRY_DELAY_MILLISECONDS)
+      if (!renewed) await pause(RETRY_DELAY_MILLISECONDS * (0.5 + Math.random()))
     }
   }
 
