perf: an instance at rest wakes seldom

Holders are watched while operations are outstanding, servers and queues often only where there are connections, and the lease when it is due to end. Urgent changes within 40 ms end the held renewals together (20 ms before).

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -28,8 +28,10 @@
 
 /** Streams that are opened before they are needed; further holders are reached with the first operation for them. */
 const MAXIMUM_WARM_STREAMS = 256
-/** Interval between two such openings, in milliseconds: each takes 1 ms of processor at both ends. */
+/** Mean interval between two such openings, in milliseconds: each takes 1 ms of processor at both ends. */
 const WARM_INTERVAL_MILLISECONDS = 50
+/** Streams that are opened together at most. */
+const MAXIMUM_WARMED_AT_ONCE = 4
 
 /** A transaction that runs at a holder, over one stream. */
 export interface ForwardedTransaction {
@@ -39,6 +41,8 @@
 }
 
 export interface ForwardingRunner extends OperationRunner {
+  /** Opens a stream that may be needed; called every few tens of milliseconds or less often. */
+  tick: () => void
   close: () => void
 }
 
@@ -58,6 +62,7 @@
   const orders = new Map<string, { list: readonly NamedInstance[], ordered: NamedInstance[] }>()
   let lastTransaction = 0
   let warmedAt = -Infinity
+  let watchTimer: NodeJS.Timeout | undefined
 
   function listHolders ({ route, account }: AdmittedOperation): NamedInstance[] {
     const list = link.holders(route.group)
@@ -73,7 +78,7 @@
     const key = `${name} ${host}:${port}`
     const existing = holderLinks.get(key)
     if (existing !== undefined) return existing
-    const created = createHolderLink({ name, link: peers.link({ host, port }), clock, logger })
+    const created = createHolderLink({ name, link: peers.link({ host, port }), clock, logger, onRequest: startWatching })
     holderLinks.set(key, created)
     return created
   }
@@ -252,24 +257,32 @@
   }
 
   /**
-   * Opens a stream to the next holder that has none.
+   * Opens streams to the next holders that have none.
    *
    * Load pattern: few operations at each of many instances, so that nearly every one
    * would be the first for its holder, and wait until a connection is open.
    */
-  function warmNextStream (now: number): void {
-    if (now - warmedAt < WARM_INTERVAL_MILLISECONDS) return
+  function warmStreams (now: number): void {
+    const due = Math.min(MAXIMUM_WARMED_AT_ONCE, Math.floor((now - warmedAt) / WARM_INTERVAL_MILLISECONDS))
+    if (due < 1) return
     warmedAt = now
-    const cold = link.allHolders().slice(0, MAXIMUM_WARM_STREAMS).find(holder => holder.name !== link.name && ensureHolderLink(holder).isCold())
-    if (cold !== undefined) void ensureHolderLink(cold).open()
+    const cold = link.allHolders().slice(0, MAXIMUM_WARM_STREAMS).filter(({ name }) => name !== link.name).map(ensureHolderLink).filter(holder => holder.isCold())
+    for (const holder of cold.slice(0, due)) void holder.open()
   }
 
-  function tick (): void {
-    for (const holder of holderLinks.values()) holder.tick()
-    warmNextStream(clock.now())
+  /** Watches the holders while operations are outstanding or a holder is silent; an instance at rest has no timer. */
+  function watchHolders (): void {
+    const watched = [...holderLinks.values()].filter(holder => holder.isWatched())
+    for (const holder of watched) holder.tick()
+    if (watched.length > 0) return
+    clearInterval(watchTimer)
+    watchTimer = undefined
+  }
+
+  function startWatching (): void {
+    watchTimer ??= setInterval(watchHolders, TICK_INTERVAL_MILLISECONDS)
   }
 
-  const timer = setInterval(tick, TICK_INTERVAL_MILLISECONDS)
   return {
     run: async (context, operation, access) => access === 'read' ? await runReadElsewhere(context, operation) : await runWriteElsewhere(context, operation),
     begin: (context, transaction) => {
@@ -279,8 +292,7 @@
     continue: continueTransaction,
     commit: commitTransaction,
     rollBack,
-    close: () => {
-      clearInterval(timer)
-    }
+    tick: () => { warmStreams(clock.now()) },
+    close: () => { clearInterval(watchTimer) }
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -33,7 +33,9 @@
   post: (stream: MessageStream, request: HolderRequest) => void
   /** Notes that the holder refused because it can't serve at present. */
   recordRefusal: () => void
-  /** Gives up what is late, and probes the holder when it owes an answer. */
+  /** Whether operations are outstanding, or the holder is silent and its return is looked for. */
+  isWatched: () => boolean
+  /** Gives up what is late, and probes the holder when it owes an answer; called every few tens of milliseconds while `isWatched`. */
   tick: () => void
 }
 
@@ -50,9 +52,11 @@
   link: Pick<PeerLink<typeof FleetService>, 'openStream' | 'reconnect'>
   clock: Clock
   logger: ScopedLogger
+  /** Called with each request, as it has to be watched. */
+  onRequest: () => void
 }
 
-export function createHolderLink ({ name, link, clock, logger }: HolderLinkOptions): HolderLink {
+export function createHolderLink ({ name, link, clock, logger, onRequest }: HolderLinkOptions): HolderLink {
   let health: HolderHealth = UNKNOWN_HOLDER
   let current: MessageStream | undefined
   let opening: Promise<MessageStream | undefined> | undefined
@@ -154,9 +158,11 @@
       const number = lastNumber
       outstanding.set(number, { sentAt: clock.now(), deadline, stream, onSilent, finish: resolve })
       write(stream, build(number))
+      onRequest()
     }),
     post: write,
     recordRefusal: () => { health = recordHolderFailure(health, clock.now()) },
+    isWatched: () => outstanding.size > 0 || health.silent,
     tick
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -56,7 +56,9 @@
   sightings: () => Record<string, ServerObservation>
   /** Whether a primary that is being closed still runs work of this instance. */
   isBusy: () => boolean
-  /** Checks the servers and the queue; called every few tens of milliseconds. */
+  /** Whether there are connections or waiting requests, so that `tick` must be called often. */
+  isActive: () => boolean
+  /** Checks the servers and the queue; called every few tens of milliseconds while `isActive`. */
   tick: () => void
   /** Applies changes of the fleet's servers and primaries. */
   refresh: () => void
@@ -313,6 +315,7 @@
       }))
     },
     isBusy: () => link.primaryAssignment(group)?.use === 'closing' && [...pools.values()].some(pool => pool.hasPrimaryWork()),
+    isActive: () => queue.length > 0 || [...pools.values()].some(pool => pool.isActive()),
     tick: () => {
       const now = clock.now()
       for (const pool of pools.values()) pool.tick(now)
--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -67,6 +67,8 @@
   hasPrimaryWork: () => boolean
   /** Closes the connections that run work that only the primary may run. */
   endPrimaryWork: (reason: string) => void
+  /** Whether there are connections, or the server's return is looked for. */
+  isActive: () => boolean
   observe: (now: number) => ServerObservation | undefined
   tick: (now: number) => void
   close: (reason: string) => void
@@ -262,6 +264,7 @@
     },
     hasPrimaryWork: () => pooled.some(({ inUse, primaryWork }) => inUse && primaryWork),
     endPrimaryWork: reason => { for (const { connection, primaryWork } of [...pooled]) if (primaryWork) connection.close(reason) },
+    isActive: () => countConnections() > 0 || failingSince !== undefined,
     observe: now => {
       if (failingSince === undefined && answeredAt === -Infinity) return undefined
       return {
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -17,8 +17,10 @@
 import type { RequestLog } from './requestLog.js'
 import type { ScopedLogger } from '../process/logger.js'
 
-/** Interval at which servers and queues are checked, in milliseconds: waiting requests are delayed by at most this, at 20 wake-ups per second. */
+/** Interval at which servers and queues are checked while this instance has connections or waiting requests, in milliseconds: waiting requests are delayed by at most this. */
 const TICK_INTERVAL_MILLISECONDS = 50
+/** Interval between two checks at an instance at rest, in milliseconds. Most instances of a large fleet hold no connections. */
+const IDLE_TICK_INTERVAL_MILLISECONDS = 200
 
 export interface EngineServices {
   link: FleetLink
@@ -84,7 +86,20 @@
 
   link.onChange(() => { for (const pool of groups.values()) pool.refresh() })
   link.start()
-  const timer = setInterval(() => { for (const pool of groups.values()) pool.tick() }, TICK_INTERVAL_MILLISECONDS)
+  let timer: NodeJS.Timeout | undefined
+
+  function tick (): void {
+    for (const pool of groups.values()) pool.tick()
+    operations.tick()
+    scheduleTick()
+  }
+
+  function scheduleTick (): void {
+    const isActive = [...groups.values()].some(pool => pool.isActive())
+    timer = setTimeout(tick, isActive ? TICK_INTERVAL_MILLISECONDS : IDLE_TICK_INTERVAL_MILLISECONDS)
+  }
+
+  scheduleTick()
   return {
     link,
     rates,
@@ -101,7 +116,7 @@
       holder.startLeaving()
     },
     close: () => {
-      clearInterval(timer)
+      clearTimeout(timer)
       operations.close()
       for (const pool of groups.values()) pool.close()
       link.close()
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -34,7 +34,7 @@
 const FAILED_LENDER_PAUSE_MILLISECONDS = 500
 /** Age of a lease at which its renewal is overdue, in milliseconds: two hold times and the round trips. */
 const RENEWAL_OVERDUE_MILLISECONDS = 1_000
-/** Interval between two checks whether the lease has expired, in milliseconds. */
+/** Minimum interval between two checks whether the lease has expired, in milliseconds. */
 const LEASE_CHECK_INTERVAL_MILLISECONDS = 100
 /** Age up to which a server's state is reported to a new leader, in milliseconds: several times the interval at which a leader writes changed servers to the log. */
 const RECENT_SERVERS_MILLISECONDS = 10_000
@@ -329,7 +329,19 @@
     return (leader === undefined ? undefined : await borrowFrom(leader, account, wanted, BORROW_TIMEOUT_MILLISECONDS)) ?? { granted: 0 }
   }
 
-  const timer = setInterval(detectLeaseLoss, LEASE_CHECK_INTERVAL_MILLISECONDS)
+  let timer: NodeJS.Timeout | undefined
+
+  /** Looks at the lease when it is due to end, which a renewal has usually put off by then. */
+  function scheduleLeaseCheck (): void {
+    const untilEnd = leasedUntil() - clock.now()
+    const delay = Math.max(LEASE_CHECK_INTERVAL_MILLISECONDS, Number.isFinite(untilEnd) ? untilEnd : 0)
+    timer = setTimeout(() => {
+      detectLeaseLoss()
+      scheduleLeaseCheck()
+    }, delay)
+  }
+
+  scheduleLeaseCheck()
   return {
     name,
     start: () => { void renewUntilClosed() },
@@ -354,7 +366,7 @@
     onChange: listener => { emitter.on('change', listener) },
     close: () => {
       closed = true
-      clearInterval(timer)
+      clearTimeout(timer)
       currentRenewal?.abort()
       for (const link of links.values()) link.reconnect()
     }
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -31,7 +31,7 @@
 /** Minimum interval between two commands that write changed servers to the log, in milliseconds: each costs a disk sync. */
 const PERSIST_INTERVAL_MILLISECONDS = 1_000
 /** Delay with which urgent changes end the held renewals, in milliseconds: short compared to a promotion. */
-const RELEASE_DELAY_MILLISECONDS = 20
+const RELEASE_DELAY_MILLISECONDS = 40
 /** Minimum interval between two documents sent to one entry instance, in milliseconds: in a burst of changes, intermediate versions are skipped. */
 const DOCUMENT_INTERVAL_MILLISECONDS = 150
 
