refactor(engine): a commit is confirmed without a pool of the group's servers

An instance that only passes a commit on created pools for all servers of the group to ask for its designation, and refreshed them with each change of the fleet.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -8,6 +8,7 @@
  */
 
 import { orderHolders } from '@cyclamenusher/decisions'
+import { confirmDesignation } from '../confirmation.js'
 import { StatementFailure } from '../errors.js'
 import { requireNotEnded } from '../transactions.js'
 import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
@@ -121,7 +122,7 @@
 
   /** Takes over the answer to a commit or a single write, if no later primary is designated. @throws StatementFailure */
   async function adoptCommit (context: StatementContext, { route }: AdmittedOperation, reply: Extract<HolderReply, { kind: 'result' | 'failure' }>): Promise<StatementResult> {
-    if (reply.kind === 'result' && reply.primary !== undefined && !await services.group(route.group).confirmDesignation(reply.primary, context.deadline + CONFIRM_GRACE_MILLISECONDS)) {
+    if (reply.kind === 'result' && reply.primary !== undefined && !await confirmDesignation(link, clock, route.group, reply.primary, context.deadline + CONFIRM_GRACE_MILLISECONDS)) {
       throw new StatementFailure('in doubt', `primary ${reply.primary.member} may have been replaced before its answer arrived`)
     }
     return adoptReply(context, reply)
--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -1,6 +1,7 @@
 /** Connections to the servers of one group: chooses a server for each statement, and queues the statements that must wait. */
 
 import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, resolveReadRequirement, recordPosition, computeWaitDeadline } from '@cyclamenusher/decisions'
+import { awaitLease } from './confirmation.js'
 import { StatementFailure } from './errors.js'
 import { createServerPool } from './serverPool.js'
 import type { ConnectionBudget, LogPosition, PositionHistory, QueuePressure, QueuedRequest, ReadRequirement, ReadRequest, ServerLoad, ServerObservation } from '@cyclamenusher/decisions'
@@ -13,8 +14,6 @@
 
 /** Usual time from the loss of a primary to the first answer of its successor, in milliseconds: detection, fencing and the platform's promotion. */
 const PRIMARY_REPLACEMENT_MILLISECONDS = 1_300
-/** Interval at which a lapsed lease is checked for its renewal, in milliseconds. */
-const LEASE_POLL_INTERVAL_MILLISECONDS = 20
 
 export interface ConnectionRequest {
   account: string
@@ -49,8 +48,6 @@
 
 export interface GroupPool {
   acquire: (request: ConnectionRequest) => Promise<AcquiredConnection>
-  /** Whether a commit that another instance has received from a primary may be acknowledged: no later primary is designated here, under a lease, for which this waits until `deadline`. */
-  confirmDesignation: (primary: { member: string, designation: number }, deadline: number) => Promise<boolean>
   resolveReadRequirement: (request: Pick<ReadRequest, 'policy' | 'maximumStalenessMilliseconds' | 'session'>) => ReadRequirement
   /** Observations of the servers that have answered or failed, by member. */
   sightings: () => Record<string, ServerObservation>
@@ -172,24 +169,8 @@
     return loads.find(load => load.isPrimary && estimateWait(load, now, 0) < Infinity)
   }
 
-  async function awaitLease (deadline: number): Promise<boolean> {
-    while (!link.isLeased()) {
-      if (clock.now() >= deadline) return false
-      await new Promise(resolve => setTimeout(resolve, LEASE_POLL_INTERVAL_MILLISECONDS))
-    }
-    return true
-  }
-
-  async function confirmDesignation (primary: { member: string, designation: number }, deadline: number): Promise<boolean> {
-    if (!await awaitLease(deadline)) return false
-    const assignment = link.primaryAssignment(group)
-    // The holder may have learned of a designation earlier.
-    if (assignment === undefined || assignment.designation < primary.designation) return true
-    return assignment.designation === primary.designation && assignment.member === primary.member && assignment.use !== 'closed'
-  }
-
   async function confirmPrimary (member: string, expectedDesignation: number, deadline: number): Promise<boolean> {
-    if (!await awaitLease(deadline)) return false
+    if (!await awaitLease(link, clock, deadline)) return false
     const assignment = link.primaryAssignment(group)
     return assignment?.member === member && assignment.designation === expectedDesignation && assignment.use !== 'closed'
   }
@@ -302,7 +283,6 @@
         dispatch()
       })
     },
-    confirmDesignation,
     resolveReadRequirement: request => {
       history = dropPositionsUntil(history, link.resumedAt())
       return resolveReadRequirement({ ...request, history, term, now: clock.now() })
