fix(engine): requests of a forwarded transaction run in the order in which they came

Cause: an instance that gives up a statement rolls its transaction back, and the holder got both at once after a cut. It started the statement, which has to wait while its connection gets the session's values, and sent the rollback before it. A caller's own session takes one statement at a time; the holder did not.

A holder now runs the requests of a transaction one after another, a rollback and the end of the stream included. The test sends begin, statement and rollback in one go and got BEGIN, ROLLBACK, STORE before; now BEGIN, STORE, ROLLBACK.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -42,7 +42,16 @@
 interface ForwardedSession {
   session: Session
   transaction: Transaction
-  running: boolean
+  /** Settles when the last request of the transaction so far is done: they run one after another, as their caller sent them. */
+  last: Promise<void>
+  /** Requests of the transaction that run or wait. */
+  pending: number
+}
+
+/** A statement, and the times on this instance's clock at which its caller sent it and gives it up. */
+interface ReceivedStatement extends ForwardedStatement {
+  startedAt: number
+  deadline: number
 }
 
 interface CallingInstance {
@@ -62,21 +71,35 @@
   const instances = new Set<CallingInstance>()
   let leaving = false
 
-  function createContext (instance: CallingInstance, session: Session, statement: ForwardedStatement, access: 'read' | 'write'): StatementContext {
+  /** Takes the times of a statement when it arrives. */
+  function receiveStatement (instance: CallingInstance, statement: ForwardedStatement): ReceivedStatement {
     const now = clock.now()
     const { offset, delayMilliseconds } = measureDelay(instance.offset, statement, now)
     instance.offset = offset
-    const { id, text, execution, elapsedMilliseconds, remainingMilliseconds } = statement
-    adoptStatement(session, statement, now)
+    const sentAt = now - delayMilliseconds
+    return { ...statement, startedAt: sentAt - statement.elapsedMilliseconds, deadline: sentAt + statement.remainingMilliseconds }
+  }
+
+  function createContext (session: Session, statement: ReceivedStatement, access: 'read' | 'write'): StatementContext {
+    const { id, text, execution, startedAt, deadline } = statement
+    adoptStatement(session, statement, clock.now())
     return {
       timing: {},
       session,
       request: { id, text, statement: execution === undefined ? { kind: access } : { kind: 'execute', name: STATEMENT_NAME, parameters: execution.parameters } },
-      startedAt: now - elapsedMilliseconds - delayMilliseconds,
-      deadline: now + remainingMilliseconds - delayMilliseconds
+      startedAt,
+      deadline
     }
   }
 
+  /** Runs a request of a transaction after those that came before it. */
+  function runInOrder (forwarded: ForwardedSession, run: () => void | Promise<void>): void {
+    forwarded.pending += 1
+    forwarded.last = forwarded.last.then(run).catch((error: Error) => {
+      logger.error('A request of a transaction met a defect of the instance.', { reason: error.message })
+    }).finally(() => { forwarded.pending -= 1 })
+  }
+
   function buildFailure (number: number, id: string, session: Session, error: unknown): HolderReply {
     if (!(error instanceof StatementFailure)) {
       const { message, stack } = error as Error
@@ -118,19 +141,24 @@
     stream.send(Buffer.from(JSON.stringify(reply), 'utf8'))
   }
 
-  async function runInSession (instance: CallingInstance, { number, transaction, statement }: Extract<HolderRequest, { kind: 'continue' | 'commit' }>, access: 'read' | 'write', run: (context: StatementContext, transaction: Transaction) => Promise<StatementResult>): Promise<void> {
+  function runInSession (instance: CallingInstance, { number, transaction, statement }: Extract<HolderRequest, { kind: 'continue' | 'commit' }>, access: 'read' | 'write', run: (context: StatementContext, transaction: Transaction) => Promise<StatementResult>): ForwardedSession | undefined {
     const found = instance.transactions.get(transaction)
-    if (found === undefined) return send(instance.stream, { kind: 'failure', number, failure: 'aborted', explanation: 'this transaction is not open here', state: 'failed transaction', canServe: true })
-    const context = createContext(instance, found.session, statement, access)
-    found.running = true
-    await answer(instance, number, context, async () => await run(context, found.transaction))
-    found.running = false
+    if (found === undefined) {
+      send(instance.stream, { kind: 'failure', number, failure: 'aborted', explanation: 'this transaction is not open here', state: 'failed transaction', canServe: true })
+      return undefined
+    }
+    const received = receiveStatement(instance, statement)
+    runInOrder(found, async () => {
+      const context = createContext(found.session, received, access)
+      await answer(instance, number, context, async () => await run(context, found.transaction))
+    })
+    return found
   }
 
   type RequestHandlers = { [Kind in HolderRequest['kind']]: (instance: CallingInstance, request: Extract<HolderRequest, { kind: Kind }>) => void }
   const REQUEST_HANDLERS: RequestHandlers = {
     run: (instance, { number, access, operation, statement }) => {
-      const context = createContext(instance, createSession('', ''), statement, access)
+      const context = createContext(createSession('', ''), receiveStatement(instance, statement), access)
       if (instance.running >= MAXIMUM_RUNNING_REQUESTS) return send(instance.stream, buildFailure(number, statement.id, context.session, new StatementFailure('busy', 'too many statements of one instance run here')))
       void answer(instance, number, context, async () => await runner.run(context, operation, access))
     },
@@ -141,24 +169,25 @@
       const transaction: Transaction = { ...operation, beginId: statement.id, readOnly, wrote: false }
       session.transaction = transaction
       session.state = 'in transaction'
-      instance.transactions.set(number, { session, transaction, running: false })
-      runner.begin(createContext(instance, session, statement, 'read'), transaction)
+      instance.transactions.set(number, { session, transaction, last: Promise.resolve(), pending: 0 })
+      runner.begin(createContext(session, receiveStatement(instance, statement), 'read'), transaction)
     },
     continue: (instance, request) => {
-      void runInSession(instance, request, request.isWrite ? 'write' : 'read', async (context, transaction) => await runner.continue(context, transaction, request.isWrite))
+      runInSession(instance, request, request.isWrite ? 'write' : 'read', async (context, transaction) => await runner.continue(context, transaction, request.isWrite))
     },
     commit: (instance, request) => {
-      const found = instance.transactions.get(request.transaction)
-      void runInSession(instance, request, 'write', async (context, transaction) => await runner.commit(context, transaction)).then(() => {
+      const found = runInSession(instance, request, 'write', async (context, transaction) => await runner.commit(context, transaction))
+      if (found === undefined) return
+      runInOrder(found, () => {
         instance.transactions.delete(request.transaction)
         // A commit that was held up until its deadline did not run.
-        if (found?.session.transaction !== undefined) runner.rollBack(found.transaction)
+        if (found.session.transaction !== undefined) runner.rollBack(found.transaction)
       })
     },
     'roll back': (instance, { transaction: number, id }) => {
       const found = instance.transactions.get(number)
       instance.transactions.delete(number)
-      if (found !== undefined) runner.rollBack(found.transaction, id)
+      if (found !== undefined) runInOrder(found, () => { runner.rollBack(found.transaction, id) })
     },
     probe: ({ stream }) => { send(stream, { kind: 'alive' }) }
   }
@@ -176,15 +205,15 @@
       closed: reason => {
         instances.delete(instance)
         if (instance.running + instance.transactions.size > 0) logger.info('An instance went away while its work ran here.', { reason, statements: instance.running, transactions: instance.transactions.size })
-        for (const { transaction } of instance.transactions.values()) runner.rollBack(transaction)
+        for (const forwarded of instance.transactions.values()) runInOrder(forwarded, () => { runner.rollBack(forwarded.transaction) })
       }
     }
   }
 
   function endIdleTransactions (): void {
     for (const { transactions } of instances) {
-      for (const { transaction, running } of transactions.values()) {
-        if (running || transaction.endReason !== undefined) continue
+      for (const { transaction, pending } of transactions.values()) {
+        if (pending > 0 || transaction.endReason !== undefined) continue
         transaction.endReason = 'the instance stops'
         runner.rollBack(transaction)
       }
