--- a/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
@@ -5,7 +5,9 @@
  * up. The caller's key is never sent.
  */
 
+import { hasFields, isListOf, isNumber, isOptional, isText } from '../../process/messageFields.js'
 import type { LogPosition, SendTime } from '@cyclamenusher/decisions'
+import type { FieldCheck, Fields } from '../../process/messageFields.js'
 import type { AdmittedOperation, StatementTiming } from '../session.js'
 import type { FailureKind, SessionState, StatementDefinition } from '../statement.js'
 
@@ -52,22 +54,14 @@
 
 export const HOLDER_STREAM = 'operations'
 
-type Fields = Record<string, unknown>
-type FieldCheck = (value: unknown) => boolean
-
-const isText: FieldCheck = value => typeof value === 'string'
-const isNumber: FieldCheck = value => Number.isFinite(value)
-const isOptional = (check: FieldCheck): FieldCheck => value => value === undefined || check(value)
-const hasFields = (checks: Record<string, FieldCheck>): FieldCheck => value => typeof value === 'object' && value !== null && Object.entries(checks).every(([field, check]) => check((value as Fields)[field]))
-
 const isPosition = hasFields({ term: isNumber, position: isNumber })
 const isCommit = hasFields({ position: isPosition, agoMilliseconds: isNumber })
-const isValuePair: FieldCheck = value => Array.isArray(value) && value.length === 2 && value.every(isText)
+const isValuePair: FieldCheck = value => isListOf(isText)(value) && (value as string[]).length === 2
 const isStatement = hasFields({
   id: isText,
   text: isText,
   execution: isOptional(hasFields({ parameters: isText, definition: hasFields({ access: isText, text: isText }) })),
-  values: value => Array.isArray(value) && value.every(isValuePair),
+  values: isListOf(isValuePair),
   lastCommit: isOptional(isCommit),
   sentAt: isNumber,
   epoch: isNumber,
@@ -86,7 +80,7 @@
 }
 
 const REPLY_CHECKS: Record<HolderReply['kind'], FieldCheck> = {
-  result: hasFields({ number: isNumber, rows: value => Array.isArray(value) && value.every(isText), digest: isText, position: isOptional(isPosition), state: isText, timing: hasFields({}), lastCommit: isOptional(isCommit), primary: isOptional(hasFields({ member: isText, designation: isNumber })) }),
+  result: hasFields({ number: isNumber, rows: isListOf(isText), digest: isText, position: isOptional(isPosition), state: isText, timing: hasFields({}), lastCommit: isOptional(isCommit), primary: isOptional(hasFields({ member: isText, designation: isNumber })) }),
   failure: hasFields({ number: isNumber, failure: isText, explanation: isText, state: isText }),
   alive: () => true,
   leaving: () => true
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetStreams.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetStreams.ts
@@ -2,26 +2,20 @@
 
 import { EncodedReply, acceptStreamCalls } from '@cyclamenusher/protocol'
 import { HOLDER_STREAM } from '../../engine/index.js'
+import { hasFields, isList, isNumber, isObject, isText } from '../messageFields.js'
 import type { BorrowReply, BorrowRequest, RenewReply, RenewRequest, SharedGrant } from '@cyclamenusher/decisions'
 import type { MessageStream, MessageStreamHandlers, StreamRoutes } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../logger.js'
+import type { FieldCheck, Fields } from '../messageFields.js'
 
 export const RENEWAL_STREAM = 'renewals'
 export const LOAN_STREAM = 'loans'
 
-type Fields = Record<string, unknown>
-type FieldCheck = (value: unknown) => boolean
-
-const isText: FieldCheck = value => typeof value === 'string'
-const isNumber: FieldCheck = value => Number.isFinite(value)
-const isObject: FieldCheck = value => typeof value === 'object' && value !== null && !Array.isArray(value)
-const isList: FieldCheck = Array.isArray
-
 const RENEWAL_FIELDS: Record<string, FieldCheck> = {
   name: isText,
   incarnation: isText,
   failureDomain: isText,
-  knows: value => isObject(value) && isNumber((value as Fields).term) && isNumber((value as Fields).change),
+  knows: hasFields({ term: isNumber, change: isNumber }),
   version: isNumber,
   demand: isObject,
   sightings: isObject,
