fix(fleet): a new leader of control knows what was lent before it

Callers of accounts near their rate were refused for one or two seconds after each change of the leader of control, and the new leader was asked for a loan by nearly each operation.

Cause: the pools of rates are in the leader's memory, so a new leader's start empty, and lend one or two operations at a time. Beside it, the model of the tests let a new leader plan before the instances had come back, which the product does not do.

Instances report what they borrowed from control in the last 6 s, with the first renewal at another control instance; once as many have returned as the log counts, the leader replays the loans, starting from an empty pool at the time to which all reports reach back. A loan whose answer comes after the report is not spent. An instance of the build before reports nothing, and then the pools start as they did.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
@@ -16,7 +16,7 @@
 const GRANT: RenewGrant = { kind: 'granted', leaseMilliseconds: 1_500, parts: { clinic: 0.4 }, shared: { term: 1, change: 1, whole: true, groups: [], servers: [], entries: 1, control: [] } }
 
 /** Connects a link to one control instance whose replies come from `reply`. */
-async function connectLink (reply: (request: RenewRequest) => RenewReply | Promise<RenewReply>) {
+async function connectLink (reply: (request: RenewRequest) => RenewReply | Promise<RenewReply>, granted = 0) {
   const requests: RenewRequest[] = []
   const streams = createFleetStreams({
     renew: async request => {
@@ -24,7 +24,7 @@
       await new Promise(resolve => setTimeout(resolve, 5))
       return await reply(request)
     },
-    borrow: () => ({ granted: 0 })
+    borrow: () => ({ granted })
   }, QUIET_LOGGER)
   const calls = await listenForCalls(HOST, 0, CREDENTIALS, () => {}, streams)
   const connections: number[] = []
@@ -41,6 +41,7 @@
   const link = createFleetLink({ name: 'entry-1', failureDomain: 'a', seeds: () => [{ host: HOST, port }], decodeDeclaration: () => { throw new Error('unexpected declaration') }, report: () => ({ demand: {}, sightings: {}, busy: [] }), peers, clock: systemClock, logger: QUIET_LOGGER })
   link.start()
   return {
+    link,
     requests,
     /** For each connection, the number of renewals that arrived before it was opened. */
     connections,
@@ -78,6 +79,20 @@
   })
 }
 
+// A new leader did not know what its predecessor had lent, and its pools started empty.
+test('loans are missing in the first renewal with a new leader', async () => {
+  let lost = false
+  const { link, requests, stop } = await connectLink(() => lost && requests.at(-1)?.loans === undefined ? { kind: 'not leader' } : GRANT, 2)
+  await waitUntil('a lease', () => link.isLeased())
+  assert.is((await link.borrow('clinic', 3)).granted, 2)
+  const before = requests.length
+  lost = true
+  await waitUntil('a report', () => requests.slice(before).some(({ loans }) => loans !== undefined))
+  const report = requests.slice(before).find(({ loans }) => loans !== undefined)?.loans
+  await stop()
+  assert.equal(report?.loans.map(({ account, operations }) => [account, operations]), [['clinic', 2]])
+})
+
 // Instances whose renewals were late opened new connections to the overloaded leader, and did not get through for seconds.
 test('a renewal that is late replaces the connection', async () => {
   const { requests, connections, stop } = await connectLink(async () => {
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/rateFleet.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/rateFleet.ts
@@ -1,10 +1,10 @@
 /** A leader and many entry instances that share the rates of client accounts, in virtual time: the product's leases, pool and gates, with calls that take no time. */
 
-import { RENEWAL_HOLD_MILLISECONDS, findLender } from '@cyclamenusher/decisions'
+import { LOAN_MEMORY_MILLISECONDS, RENEWAL_HOLD_MILLISECONDS, awaitsReturn, findLender, isLoanHistoryComplete } from '@cyclamenusher/decisions'
 import { createRateGate } from '../../../engine/rateGate.js'
 import { createEntryLeases } from '../entryLeases.js'
 import { createRatePool } from '../ratePool.js'
-import type { ClientAccount, ControlAddress, Declaration, RateTolerance } from '@cyclamenusher/decisions'
+import type { ClientAccount, ControlAddress, Declaration, LoanReport, PoolLoan, RateTolerance } from '@cyclamenusher/decisions'
 import type { RateGate } from '../../../engine/rateGate.js'
 
 const FAILURE_DOMAINS = 3
@@ -44,6 +44,8 @@
   /** By account, the port (here the index) of the instance that lends. */
   lenders: Record<string, ControlAddress | undefined>
   loans: number
+  /** What it borrowed from control. */
+  borrowed: Array<PoolLoan & { account: string }>
   change: number
   /** Term of the leader that granted the last renewal. */
   term: number
@@ -94,6 +96,7 @@
       shares: {},
       lenders: {},
       loans: 0,
+      borrowed: [],
       change: 0,
       term: 1,
       gate: createRateGate({
@@ -106,7 +109,9 @@
             return { granted: await lender.gate.lend(accountsByName.get(name) as ClientAccount, wanted) }
           }
           if (now >= WARM_UP_MILLISECONDS) leaderLoans += 1
-          return pool.lend(name, wanted)
+          const reply = pool.lend(name, wanted)
+          if (reply.granted > 0) instance.borrowed.push({ account: name, operations: reply.granted, at: now })
+          return reply
         },
         instances: () => instances,
         tolerance,
@@ -116,10 +121,15 @@
     return instance
   })
 
+  function reportLoans ({ borrowed }: Instance): LoanReport {
+    const recent = borrowed.filter(({ at }) => now - at <= LOAN_MEMORY_MILLISECONDS)
+    return { completeFor: Math.min(now, LOAN_MEMORY_MILLISECONDS), loans: recent.map(({ account, operations, at }) => ({ account, operations, ago: now - at })) }
+  }
+
   function renew (instance: Instance, index: number): void {
     const isKnown = instance.term === term
     if (!isKnown) Object.assign(instance, { change: 0, term })
-    leases.renew({ name: instance.name, incarnation: '1', failureDomain: `domain-${index % FAILURE_DOMAINS}`, lendsAt: { host: 'entry', port: index }, knows: { term, change: instance.change }, version: 1, demand: instance.gate.demand(), sightings: {}, busy: [], holdMilliseconds: RENEWAL_HOLD_MILLISECONDS, ...(isKnown ? {} : { parts: instance.shares }) }, instance.change, now)
+    leases.renew({ name: instance.name, incarnation: '1', failureDomain: `domain-${index % FAILURE_DOMAINS}`, lendsAt: { host: 'entry', port: index }, knows: { term, change: instance.change }, version: 1, demand: instance.gate.demand(), sightings: {}, busy: [], holdMilliseconds: RENEWAL_HOLD_MILLISECONDS, ...(isKnown ? {} : { parts: instance.shares, loans: reportLoans(instance) }) }, instance.change, now)
     leases.grant(instance.name, now)
     const received = Object.entries(leases.isPlanned(instance.name) ? leases.lendersOf(`domain-${index % FAILURE_DOMAINS}`, instance.change) : {}).map(([account, lenders]) => [account, findLender(account, instance.name, lenders)])
     Object.assign(instance, { shares: leases.sharesOf(instance.name).shares, lenders: { ...instance.lenders, ...Object.fromEntries(received) }, change })
@@ -143,7 +153,10 @@
       pool = createRatePool(() => declaration, tolerance, clock)
     }
     for (const [index, instance] of fleet.entries()) if ((now + index * STEP_MILLISECONDS) % RENEWAL_HOLD_MILLISECONDS === 0) renew(instance, index)
-    if (now % PLAN_INTERVAL_MILLISECONDS === 0) {
+    const returning = { ledMilliseconds: now - WARM_UP_MILLISECONDS, sharesReported: leases.hasReportedShares(), returned: leases.count(now), expected: instances }
+    const awaitsInstances = term > 1 && awaitsReturn(returning)
+    if (now % PLAN_INTERVAL_MILLISECONDS === 0 && !awaitsInstances) {
+      if (term > 1 && isLoanHistoryComplete(returning)) pool.adoptHistory(leases.loanHistory())
       leases.planShares(accounts, 1, () => {
         change += 1
         return change
--- a/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
@@ -1,8 +1,8 @@
 /** The leases that the leader has granted to entry instances, and the rate shares that the instances hold. */
 
-import { LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, chooseLenders, countLenders, listNearLenders, planShares } from '@cyclamenusher/decisions'
+import { LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, chooseLenders, combineLoanReports, countLenders, listNearLenders, planShares } from '@cyclamenusher/decisions'
 import type { AvailableHolder } from './groupHolders.js'
-import type { ClientAccount, ControlAddress, RateTolerance, RenewRequest, ServerObservation, ShareHolder, NamedInstance } from '@cyclamenusher/decisions'
+import type { ClientAccount, ControlAddress, LoanHistory, LoanReport, RateTolerance, RenewRequest, ServerObservation, ShareHolder, NamedInstance } from '@cyclamenusher/decisions'
 
 interface EntryLease {
   name: string
@@ -29,6 +29,8 @@
   heldShares: Map<string, number>
   /** When the validity of the shares ends. */
   sharesUntil: number
+  /** What the instance had borrowed from control when it first renewed here. */
+  loans: { report: LoanReport | undefined, receivedAt: number }
 }
 
 export interface EntryLeases {
@@ -48,6 +50,8 @@
   listHolders: (now: number) => AvailableHolder[]
   /** Whether an instance has reported shares that an earlier leader granted. */
   hasReportedShares: () => boolean
+  /** What the instances had borrowed from earlier leaders. */
+  loanHistory: () => LoanHistory
   /** Chooses the lenders of the accounts and plans their shares; no share grows beyond `maximumShare`. Lenders are chosen among the preferred instances if there are any, as others have connections to them already. Calls `recordChange` for each modified share or choice, to number the change. Returns whether the plan is the first one of an instance. */
   planShares: (accounts: readonly ClientAccount[], maximumShare: number, recordChange: () => number, now: number, preferred?: ReadonlySet<string>) => boolean
   /** The planned shares of an instance, and the number of the change with which they were last modified. */
@@ -75,9 +79,9 @@
   change: number
 }
 
-function createLease ({ name, incarnation, failureDomain, lendsAt, holds = false, parts = {} }: RenewRequest, now: number): EntryLease {
+function createLease ({ name, incarnation, failureDomain, lendsAt, holds = false, parts = {}, loans }: RenewRequest, now: number): EntryLease {
   const heldShares = new Map(Object.entries(parts))
-  return { name, incarnation, failureDomain, lendsAt, holds, leaseUntil: -Infinity, renewedAt: now, appliedChange: 0, demand: {}, observations: {}, busy: new Set(), shares: new Map(heldShares), sharesChange: 0, heldShares, sharesUntil: now + SHARE_VALIDITY_MILLISECONDS }
+  return { name, incarnation, failureDomain, lendsAt, holds, leaseUntil: -Infinity, renewedAt: now, appliedChange: 0, demand: {}, observations: {}, busy: new Set(), shares: new Map(heldShares), sharesChange: 0, heldShares, sharesUntil: now + SHARE_VALIDITY_MILLISECONDS, loans: { report: loans, receivedAt: now } }
 }
 
 export function createEntryLeases (tolerance: RateTolerance): EntryLeases {
@@ -164,6 +168,7 @@
     count: now => listActiveLeases(now).length,
     listHolders: now => listActiveLeases(now).flatMap(({ name, failureDomain, lendsAt, holds }) => holds && lendsAt !== undefined ? [{ name, failureDomain, ...lendsAt }] : []),
     hasReportedShares: () => sharesReported,
+    loanHistory: () => combineLoanReports([...leases.values()].map(({ loans }) => loans)),
     planShares: (accounts, maximumShare, recordChange, now, preferred) => {
       removeExpired(now)
       const candidates = listActiveLeases(now)
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -6,12 +6,12 @@
 import { randomUUID } from 'node:crypto'
 import { EventEmitter } from 'node:events'
 import { inflateSync } from 'node:zlib'
-import { RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, findLender, indexDeclaration, mergeServer, listGroupServers } from '@cyclamenusher/decisions'
+import { RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, findLender, indexDeclaration, mergeServer, listGroupServers } from '@cyclamenusher/decisions'
 import { StreamCallError, createStreamCaller } from '@cyclamenusher/protocol'
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
 import { LOAN_STREAM, RENEWAL_STREAM } from './fleetStreams.js'
-import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, NamedInstance, PrimaryAssignment, KnownServer, RenewGrant, RenewReply, RenewRequest, SharedGrant } from '@cyclamenusher/decisions'
+import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, NamedInstance, PrimaryAssignment, KnownServer, LoanReport, RenewGrant, RenewReply, RenewRequest, SharedGrant } from '@cyclamenusher/decisions'
 import type { StreamCaller } from '@cyclamenusher/protocol'
 import type { Address } from '../address.js'
 import type { Clock } from '../clock.js'
@@ -122,6 +122,11 @@
   const learnedAt = new Map<string, number>()
   /** Until when lenders that did not answer are passed over, by address. */
   const failedLendersUntil = new Map<string, number>()
+  const startedAt = clock.now()
+  /** Increases with each report of the loans to a control instance. */
+  let loanReports = 0
+  /** Operations borrowed from control lately, the oldest first. */
+  let loansOfControl: Array<{ account: string, operations: number, at: number }> = []
   let holders = new Map<string, NamedInstance[]>()
   let declarationIndex: DeclarationIndex | undefined
   let entryCount = 1
@@ -179,10 +184,16 @@
       // A control instance that may not be the leader must reply at once.
       holdMilliseconds: reportRequested || leader === undefined || !isLeased() ? 0 : RENEWAL_HOLD_MILLISECONDS,
       // Another leader receives the servers and shares that this instance knows.
-      ...(grantedBy === `${host}:${port}` ? {} : { servers: listRecentServers(), parts: shares })
+      ...(grantedBy === `${host}:${port}` ? {} : { servers: listRecentServers(), parts: shares, loans: reportLoans() })
     }
   }
 
+  function reportLoans (): LoanReport {
+    const now = clock.now()
+    loanReports += 1
+    return { completeFor: now - startedAt, loans: loansOfControl.map(({ account, operations, at }) => ({ account, operations, ago: now - at })) }
+  }
+
   function adoptDeclaration ({ version, deflated }: NonNullable<SharedGrant['declaration']>): void {
     if (version <= (declarationIndex?.version ?? -1)) return
     const text = inflateSync(Buffer.from(deflated, 'base64')).toString('utf8')
@@ -326,7 +337,18 @@
       if (reply !== undefined && reply.isNoLender !== true) return reply
       if (reply === undefined) failedLendersUntil.set(key, clock.now() + FAILED_LENDER_PAUSE_MILLISECONDS)
     }
-    return (leader === undefined ? undefined : await borrowFrom(leader, account, wanted, BORROW_TIMEOUT_MILLISECONDS)) ?? { granted: 0 }
+    return await borrowFromControl(account, wanted)
+  }
+
+  async function borrowFromControl (account: string, wanted: number): Promise<BorrowReply> {
+    const reportsBefore = loanReports
+    const reply = leader === undefined ? undefined : await borrowFrom(leader, account, wanted, BORROW_TIMEOUT_MILLISECONDS)
+    // A loan that is missing in a report to the next leader must not be spent.
+    if (reply === undefined || reportsBefore !== loanReports) return { granted: 0 }
+    const now = clock.now()
+    loansOfControl = loansOfControl.filter(({ at }) => now - at < LOAN_MEMORY_MILLISECONDS)
+    if (reply.granted > 0) loansOfControl.push({ account, operations: reply.granted, at: now })
+    return reply
   }
 
   let timer: NodeJS.Timeout | undefined
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -1,7 +1,7 @@
 /** Leader duties during one term: grants leases and rate shares, runs the control of the groups, and persists changes. */
 
 import { deflateSync } from 'node:zlib'
-import { INITIAL_SHARE, LEASE_MILLISECONDS, listGroupServers } from '@cyclamenusher/decisions'
+import { INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, isLoanHistoryComplete, listGroupServers } from '@cyclamenusher/decisions'
 import { createHeldRequests } from '../heldRequests.js'
 import { createEntryLeases } from './entryLeases.js'
 import { createGroupHolders } from './groupHolders.js'
@@ -22,8 +22,6 @@
 const SETTLE_TIMEOUT_MILLISECONDS = 400
 /** How long a new leader limits shares because instances may not have reported theirs yet, in milliseconds: the timeout of a renewal at the previous leader and a few retries. */
 const SHARE_REPORT_MILLISECONDS = 800
-/** How long a new leader plans neither shares nor holders while instances that hold shares have not returned, in milliseconds: what they know stays in use. */
-const RETURN_TIMEOUT_MILLISECONDS = 1_500
 /** Delay before the shares are planned for a new instance, in milliseconds: instances that start together share one plan. */
 const NEW_ENTRY_DELAY_MILLISECONDS = 50
 /** How long after an election the previous number of entry instances counts, in milliseconds: a startup and a few retries. */
@@ -124,17 +122,11 @@
     }
   }
 
-  /**
-   * Whether instances that know shares and lenders of an earlier leader are still
-   * expected. A plan without them would move shares and lenders twice.
-   */
-  function awaitsReturn (now: number): boolean {
-    return now - startedAt < RETURN_TIMEOUT_MILLISECONDS && leases.hasReportedShares() && leases.count(now) < state().entries
-  }
-
   function planShares (now: number): void {
     if (now - sharesPlannedAt < PLAN_INTERVAL_MILLISECONDS) return
-    if (awaitsReturn(now)) return
+    const returning = { ledMilliseconds: now - startedAt, sharesReported: leases.hasReportedShares(), returned: leases.count(now), expected: state().entries }
+    if (awaitsReturn(returning)) return
+    if (isLoanHistoryComplete(returning)) pool.adoptHistory(leases.loanHistory())
     sharesPlannedAt = now
     const maximumShare = now - startedAt < SHARE_REPORT_MILLISECONDS ? INITIAL_SHARE : 1
     holders.plan([...groupTasks.keys()], group => listGroupServers(directory.servers, group).map(({ failureDomain }) => failureDomain), leases.listHolders(now), directory.recordChange)
--- a/packages/decisions/src/node/fleet/messages.ts
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -3,6 +3,7 @@
 import type { KnownServer } from './directory.js'
 import type { ServerObservation } from './evidence.js'
 import type { PrimaryAssignment } from './groupTypes.js'
+import type { LoanReport } from './loanHistory.js'
 
 /** Duration of an entry instance's lease, in milliseconds, counted from when it sent the renewal: long enough to outlast an election in control. */
 export const LEASE_MILLISECONDS = 1_500
@@ -44,6 +45,8 @@
   servers?: KnownServer[]
   /** The shares of the rates that the instance holds, by account, from 0 to 1; sent together with `servers`. */
   parts?: Record<string, number>
+  /** What the instance borrowed from control lately; sent together with `servers`. */
+  loans?: LoanReport
 }
 
 /** The part of a grant that is the same for all instances of a failure domain that know as much. */
