fix(fleet): each field of a renewal is checked when it arrives

A renewal with a malformed part, an observation that is null for example, was stored and read by the leader's timer 25 ms later, where the error ended the process, and that of the next leader. Calls over the streams were checked at their first level only, the calls of the build before not at all.

All fields are checked to the depth to which they are used, on both paths; what is malformed ends its stream with the reason in the log. Fields of a later build are let through.

--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -8,7 +8,7 @@
 import { INITIAL_FLEET_STATE, applyFleetCommand, decodeFleetState, encodeFleetState } from '@cyclamenusher/decisions'
 import { decodeBody, encodeBody } from './bodies.js'
 import { createHeldRequests } from '../heldRequests.js'
-import { createFleetStreams } from './fleetStreams.js'
+import { checkLoan, checkRenewal, createFleetStreams } from './fleetStreams.js'
 import { startLeadership } from './leadership.js'
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, FleetCommand, FleetOutcome, FleetState, LogMember, RateTolerance, RenewReply, RenewRequest, ServerAnnouncement } from '@cyclamenusher/decisions'
@@ -221,8 +221,8 @@
     attach: attached => { log = attached },
     routes: router => {
       router.service(FleetService, {
-        renew: async ({ body }, { signal }) => ({ body: encodeBody(flattenGrant(await renew(decodeBody(body), signal))) }),
-        borrow: ({ body }) => ({ body: encodeBody(lend(decodeBody(body))) }),
+        renew: async ({ body }, { signal }) => ({ body: encodeBody(flattenGrant(await renew(checkRenewal(decodeBody(body)), signal))) }),
+        borrow: ({ body }) => ({ body: encodeBody(lend(checkLoan(decodeBody(body)))) }),
         declare: async ({ body }) => ({ body: encodeBody(log?.isLeader() === true ? await declareLocally(decodeBody(body)) : 'unknown') }),
         current: async () => ({ body: encodeBody(await readCurrentLocally() ?? null) }),
         announce: ({ body }) => ({ body: encodeBody(notifyLocally(decodeBody(body))) })
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -8,7 +8,7 @@
 import { decodeBody, encodeBody } from './bodies.js'
 import { startMetrics } from './metricsPage.js'
 import { createFleetLink } from './fleetLink.js'
-import { createFleetStreams } from './fleetStreams.js'
+import { checkLoan, createFleetStreams } from './fleetStreams.js'
 import { listenForHttp } from './http.js'
 import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument } from '@cyclamenusher/decisions'
 import type { CallerCodec, ServerCodec } from '../../engine/index.js'
@@ -69,7 +69,7 @@
   }
 
   const calls = await listenForCalls(config.calls.host, config.calls.port, credentials, router => {
-    router.service(FleetService, { borrow: async ({ body }) => ({ body: encodeBody(await lend(decodeBody(body))) }) })
+    router.service(FleetService, { borrow: async ({ body }) => ({ body: encodeBody(await lend(checkLoan(decodeBody(body)))) }) })
   }, createFleetStreams({ borrow: lend, operations: engine.holder.accept }, logger.scope('fleet')))
   const callers = await listenForSessions({ listen: config.callers, createCodec: ports.createCallerCodec, services: engine, maximumConnections: config.maximumCallers })
   const readiness = await listenForHttp(config.readiness, async () => ({ status: isReady() ? 200 : 503, body: '{}' }), error => { log.warn('A request to the readiness address failed.', { reason: error.message }) })
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetStreams.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetStreams.ts
@@ -2,7 +2,7 @@
 
 import { EncodedReply, acceptStreamCalls } from '@cyclamenusher/protocol'
 import { HOLDER_STREAM } from '../../engine/index.js'
-import { hasFields, isList, isNumber, isObject, isText } from '../messageFields.js'
+import { hasFields, isFlag, isListOf, isNumber, isObject, isOptional, isRecordOf, isText } from '../messageFields.js'
 import type { BorrowReply, BorrowRequest, RenewReply, RenewRequest, SharedGrant } from '@cyclamenusher/decisions'
 import type { MessageStream, MessageStreamHandlers, StreamRoutes } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../logger.js'
@@ -11,16 +11,35 @@
 export const RENEWAL_STREAM = 'renewals'
 export const LOAN_STREAM = 'loans'
 
+const SERVER_FIELDS: Record<string, FieldCheck> = {
+  member: isText,
+  group: isText,
+  host: isText,
+  port: isNumber,
+  failureDomain: isText,
+  slots: isNumber,
+  leaving: isFlag,
+  role: isText,
+  bornAt: isNumber,
+  sequence: isNumber,
+  gone: isFlag
+}
+
 const RENEWAL_FIELDS: Record<string, FieldCheck> = {
   name: isText,
   incarnation: isText,
   failureDomain: isText,
   knows: hasFields({ term: isNumber, change: isNumber }),
   version: isNumber,
-  demand: isObject,
-  sightings: isObject,
-  busy: isList,
-  holdMilliseconds: isNumber
+  demand: isRecordOf(isNumber),
+  sightings: isRecordOf(hasFields({ answeredAgo: isOptional(isNumber), failingFor: isOptional(isNumber) })),
+  busy: isListOf(isText),
+  lendsAt: isOptional(hasFields({ host: isText, port: isNumber })),
+  holds: isOptional(isFlag),
+  holdMilliseconds: isNumber,
+  servers: isOptional(isListOf(hasFields(SERVER_FIELDS))),
+  parts: isOptional(isRecordOf(isNumber)),
+  loans: isOptional(hasFields({ completeFor: isNumber, loans: isListOf(hasFields({ account: isText, operations: isNumber, ago: isNumber })) }))
 }
 
 const LOAN_FIELDS: Record<string, FieldCheck> = { account: isText, wanted: isNumber }
@@ -34,6 +53,16 @@
   return value as Request
 }
 
+/** Checks a renewal, every field of which is used later, when an error could not be answered any more. @throws Error */
+export function checkRenewal (value: unknown): RenewRequest {
+  return checkFields('renewal', value, RENEWAL_FIELDS)
+}
+
+/** @throws Error */
+export function checkLoan (value: unknown): BorrowRequest {
+  return checkFields('loan', value, LOAN_FIELDS)
+}
+
 const encodedGrants = new WeakMap<SharedGrant, string>()
 
 /** Encodes a reply; what many instances share is encoded once. */
@@ -55,9 +84,9 @@
 /** The streams that an instance accepts; only a control instance renews leases. */
 export function createFleetStreams ({ renew, borrow, operations }: FleetStreamHandlers, logger: ScopedLogger): StreamRoutes {
   const logRefusal = (stream: string) => (reason: string): void => { logger.warn('A stream was ended, because a request on it could not be answered.', { stream, reason }) }
-  const loans = acceptStreamCalls(async request => await borrow(checkFields<BorrowRequest>('loan', request, LOAN_FIELDS)), logRefusal(LOAN_STREAM))
+  const loans = acceptStreamCalls(async request => await borrow(checkLoan(request)), logRefusal(LOAN_STREAM))
   const streams = new Map([[LOAN_STREAM, loans]])
   if (operations !== undefined) streams.set(HOLDER_STREAM, operations)
-  if (renew !== undefined) streams.set(RENEWAL_STREAM, acceptStreamCalls(async (request, signal) => encodeRenewReply(await renew(checkFields<RenewRequest>('renewal', request, RENEWAL_FIELDS), signal)), logRefusal(RENEWAL_STREAM)))
+  if (renew !== undefined) streams.set(RENEWAL_STREAM, acceptStreamCalls(async (request, signal) => encodeRenewReply(await renew(checkRenewal(request), signal)), logRefusal(RENEWAL_STREAM)))
   return streams
 }
