--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -1,7 +1,7 @@
 /** Counters, gauges and latencies, and the page that reports them in the Prometheus text format. */
 
 import { createServer } from 'node:http'
-import { build } from 'hdr-histogram-js'
+import { build } from 'hdr-histogram-js/dist/HistogramBuilder.js'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import type { Histogram } from 'hdr-histogram-js'
 import type { Server } from 'node:http'
--- a/packages/protocol/src/node/__tests__/transport.test.ts
+++ b/packages/protocol/src/node/__tests__/transport.test.ts
@@ -1,3 +1,5 @@
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { generate } from 'selfsigned'
@@ -63,4 +65,16 @@
   await server.close()
 })
 
+// Node.js loads its fetch library, 20 ms of processor, with the first ConnectError. All instances paid for it while they looked for control after a loss of power.
+test('a stream to an instance that is not there loads the fetch library', async () => {
+  const child = spawn(process.execPath, ['--import', 'tsx', '--input-type=module', '--eval', `
+    import { ControlService, createPeerLink } from '@cyclamenusher/protocol'
+    const link = createPeerLink(ControlService, '127.0.0.1', 1, { secret: 'a secret of tests' })
+    const reason = await link.openStream('renewals', () => ({ message: () => {}, closed: () => {} })).catch(error => error.name)
+    console.log(reason, process.moduleLoadList.some(name => name.includes('undici')))
+  `], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const [output] = await once(child.stdout, 'data') as [Buffer]
+  assert.is(output.toString().trim(), 'ConnectionError false')
+})
+
 test.run()
--- a/packages/protocol/src/node/callSession.ts
+++ b/packages/protocol/src/node/callSession.ts
@@ -17,8 +17,13 @@
 
 type SessionManager = NonNullable<GrpcTransportOptions['sessionManager']>
 
+/** There is no connection to the other instance. */
+export class ConnectionError extends Error {
+  override name = 'ConnectionError'
+}
+
 export interface CallSessionManager extends SessionManager {
-  /** Opens a stream that stays open. It is not checked with pings: its user notices a silent connection by what it waits for. */
+  /** Opens a stream that stays open. It is not checked with pings: its user notices a silent connection by what it waits for. @throws ConnectionError */
   openStream: (path: string, headers: OutgoingHttpHeaders) => Promise<ClientHttp2Stream>
   /** Closes the session and its calls; the next call opens a new session. */
   abort: () => void
@@ -37,7 +42,7 @@
   let pingAnswered = true
   const timer = setInterval(() => {
     if (!pingAnswered) {
-      session.destroy(new ConnectError('the connection went silent', Code.Unavailable))
+      session.destroy(new ConnectionError('the connection went silent'))
       return
     }
     if (streams.size === 0) return
@@ -52,7 +57,7 @@
   const session = connect(authority, options)
   session.on('error', () => {})
   const connected = new Promise<void>((resolve, reject) => {
-    const fail = (reason: string): void => { reject(new ConnectError(reason, Code.Unavailable)) }
+    const fail = (reason: string): void => { reject(new ConnectionError(reason)) }
     const timer = setTimeout(() => { session.destroy(new Error('no connection in time')) }, CONNECT_TIMEOUT_MILLISECONDS)
     session.once('connect', () => {
       clearTimeout(timer)
@@ -87,10 +92,19 @@
   async function connectedSession (): Promise<OpenSession> {
     const open = ensureSession()
     await open.connected
-    if (open.session.closed || open.session.destroyed) throw new ConnectError('the connection was closed', Code.Unavailable)
+    if (open.session.closed || open.session.destroyed) throw new ConnectionError('the connection was closed')
     return open
   }
 
+  /** The session for a call, whose callers expect a ConnectError. */
+  async function connectedSessionForCall (): Promise<OpenSession> {
+    try {
+      return await connectedSession()
+    } catch (error) {
+      throw new ConnectError((error as Error).message, Code.Unavailable)
+    }
+  }
+
   return {
     authority,
     openStream: async (path, headers) => {
@@ -105,7 +119,7 @@
       return stream
     },
     request: async (method, path, headers, requestOptions) => {
-      const open = await connectedSession()
+      const open = await connectedSessionForCall()
       const allHeaders: OutgoingHttpHeaders = { ...headers, ':method': method, ':path': path }
       const stream = open.session.request(allHeaders, requestOptions)
       open.streams.add(stream)
--- a/packages/protocol/src/node/transport.ts
+++ b/packages/protocol/src/node/transport.ts
@@ -125,7 +125,7 @@
 /** A client with a function that closes its connection, so that the next call opens a new one. */
 export interface PeerLink<Service extends DescService> {
   client: Client<Service>
-  /** Opens a message stream. @throws ConnectError if there is no connection */
+  /** Opens a message stream. @throws ConnectionError */
   openStream: (name: string, attach: (stream: MessageStream) => MessageStreamHandlers) => Promise<MessageStream>
   reconnect: () => void
 }
