fix(engine): the time in which an instance stood still does not count against its holders

Cause: when the event loop has stood still, timers run before the sockets are read. So an instance that was busy itself found the deadline of a probe passed while the answer waited in its socket.

The watch notes by how much its timer is late, and leaves that time out. The decision is in watchHolder; its test fails without it.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -63,6 +63,7 @@
   const orders = new Map<string, { list: readonly NamedInstance[], ordered: NamedInstance[] }>()
   let lastTransaction = 0
   let warmedAt = -Infinity
+  let watchedAt = -Infinity
   let watchTimer: NodeJS.Timeout | undefined
 
   function listHolders ({ route, account }: AdmittedOperation): NamedInstance[] {
@@ -273,15 +274,20 @@
 
   /** Watches the holders while operations are outstanding or a holder is silent; an instance at rest has no timer. */
   function watchHolders (): void {
+    const now = clock.now()
+    const stalledMilliseconds = Math.max(0, now - watchedAt - TICK_INTERVAL_MILLISECONDS)
+    watchedAt = now
     const watched = [...holderLinks.values()].filter(holder => holder.isWatched())
-    for (const holder of watched) holder.tick()
+    for (const holder of watched) holder.tick(stalledMilliseconds)
     if (watched.length > 0) return
     clearInterval(watchTimer)
     watchTimer = undefined
   }
 
   function startWatching (): void {
-    watchTimer ??= setInterval(watchHolders, TICK_INTERVAL_MILLISECONDS)
+    if (watchTimer !== undefined) return
+    watchedAt = clock.now()
+    watchTimer = setInterval(watchHolders, TICK_INTERVAL_MILLISECONDS)
   }
 
   return {
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -35,8 +35,8 @@
   recordRefusal: () => void
   /** Whether operations are outstanding, or the holder is silent and its return is looked for. */
   isWatched: () => boolean
-  /** Gives up what is late, and probes the holder when it owes an answer; called every few tens of milliseconds while `isWatched`. */
-  tick: () => void
+  /** Gives up what is late, and probes the holder when it owes an answer; called every few tens of milliseconds while `isWatched`, later by `stalledMilliseconds` this time. */
+  tick: (stalledMilliseconds: number) => void
 }
 
 interface OutstandingRequest {
@@ -132,7 +132,7 @@
     return current
   }
 
-  function tick (): void {
+  function tick (stalledMilliseconds: number): void {
     const now = clock.now()
     let oldestSentAt: number | undefined
     for (const [number, request] of [...outstanding]) {
@@ -140,7 +140,7 @@
       else oldestSentAt = Math.min(oldestSentAt ?? Infinity, request.sentAt)
     }
     const wasSilent = health.silent
-    const watched = watchHolder(health, oldestSentAt, now)
+    const watched = watchHolder(health, oldestSentAt, now, stalledMilliseconds)
     health = watched.health
     if (watched.probe && current !== undefined) write(current, { kind: 'probe' })
     if (wasSilent || !health.silent) return
--- a/packages/decisions/src/node/fleet/__tests__/groupHolders.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/groupHolders.test.ts
@@ -78,6 +78,15 @@
   assert.ok(isHolderUsable(recordHolderAnswer(silent, 1_300), 1_300))
 })
 
+// An instance that was busy itself took all its holders for silent, and sent its reads to others as well.
+test('a holder counts as silent for the time in which its watcher stood still', () => {
+  const probed = watchHolder(recordHolderAnswer(UNKNOWN_HOLDER, 1_000), 1_010, 1_071)
+  const stalled = watchHolder(probed.health, 1_010, 1_300, 204)
+  assert.ok(isHolderUsable(stalled.health, 1_300))
+  assert.ok(isHolderUsable(watchHolder(stalled.health, 1_010, 1_350, 0).health, 1_350))
+  assert.not.ok(isHolderUsable(watchHolder(stalled.health, 1_010, 1_365, 0).health, 1_365))
+})
+
 // A holder without outstanding work was never asked again.
 test('a silent holder is forgotten after its work is over', () => {
   const probed = watchHolder(recordHolderAnswer(UNKNOWN_HOLDER, 0), 0, 60).health
--- a/packages/decisions/src/node/fleet/groupHolders.ts
+++ b/packages/decisions/src/node/fleet/groupHolders.ts
@@ -80,13 +80,18 @@
 
 /**
  * Decides whether to probe a holder, and whether it counts as silent; `oldestSentAt` is
- * when the oldest operation without an answer was sent, undefined if there is none.
+ * when the oldest operation without an answer was sent, undefined if there is none. The
+ * last `stalledMilliseconds` don't count, as this instance did nothing then and has not
+ * read the answers that came.
  *
- * Load pattern: instances that freeze or turn slow for seconds while their connections
- * stay open.
+ * Load patterns:
+ * - Instances that freeze or turn slow for seconds while their connections stay open.
+ * - An instance that is busy itself, for instance after its start. If it took all its
+ *   holders for silent, it would send the same reads to others and add to the load.
  */
-export function watchHolder (health: HolderHealth, oldestSentAt: number | undefined, now: number): { health: HolderHealth, probe: boolean } {
-  const owesAnswer = health.probedAt > health.heardAt
+export function watchHolder (known: HolderHealth, oldestSentAt: number | undefined, now: number, stalledMilliseconds = 0): { health: HolderHealth, probe: boolean } {
+  const owesAnswer = known.probedAt > known.heardAt
+  const health = owesAnswer ? { ...known, probedAt: Math.min(now, known.probedAt + stalledMilliseconds) } : known
   const silent = owesAnswer && now - health.probedAt >= SILENT_AFTER_PROBE_MILLISECONDS
   if (health.silent || silent) {
     const probe = now - health.probedAt >= PROBE_INTERVAL_MILLISECONDS
