fix(engine): callers wait for an instance's first declaration after its start

A session's start waits for the first declaration until 1.5 s after the start of the process. Later it is refused at once: control does not reach the instance, and others may serve.

--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -63,8 +63,10 @@
 
   const startTimer = setTimeout(close, START_TIMEOUT_MILLISECONDS)
 
-  function start (message: Extract<CallerMessage, { kind: 'start' }>): void {
+  async function start (message: Extract<CallerMessage, { kind: 'start' }>): Promise<void> {
     clearTimeout(startTimer)
+    await services.awaitDeclaration()
+    if (closed) return
     try {
       resolveAccess(services, message)
       startedSession = createSession(message.database, message.key)
@@ -218,7 +220,7 @@
 
   type MessageHandlers = { [Kind in CallerMessage['kind']]: (message: Extract<CallerMessage, { kind: Kind }>) => void | Promise<void> }
   const MESSAGE_HANDLERS: MessageHandlers = {
-    start: message => { startedSession === undefined ? start(message) : answerMalformed('malformed', 'the session has started already') },
+    start: async message => { startedSession === undefined ? await start(message) : answerMalformed('malformed', 'the session has started already') },
     statement: async ({ request }) => {
       if (startedSession === undefined) return answerMalformed('malformed', 'name a database first')
       await answerStatement(startedSession, request)
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -5,6 +5,7 @@
 import { createGroupPool } from './groupPool.js'
 import { createLocalRunner } from './operations.js'
 import { createRateGate } from './rateGate.js'
+import { createHeldRequests } from '../process/heldRequests.js'
 import type { RateTolerance } from '@cyclamenusher/decisions'
 import type { Peers } from '../process/peers.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
@@ -22,8 +23,19 @@
 /** Interval between two checks at an instance at rest, in milliseconds. Most instances of a large fleet hold no connections. */
 const IDLE_TICK_INTERVAL_MILLISECONDS = 200
 
+/**
+ * How long after the start of the process callers wait for its first declaration, in milliseconds.
+ *
+ * Load pattern: all instances start again after a loss of power, and all callers come
+ * back. An instance accepts them some tenths of a second before control has a leader; one
+ * that refuses them sends them to others that refuse them, until they give up.
+ */
+const FIRST_DECLARATION_WAIT_MILLISECONDS = 1_500
+
 export interface EngineServices {
   link: FleetLink
+  /** Resolves once a declaration is known, or none is to be expected soon. */
+  awaitDeclaration: () => Promise<void>
   rates: RateGate
   /** Runs callers' operations, here or at the instances that hold the connections. */
   operations: OperationRunner
@@ -68,6 +80,13 @@
   }
 
   const link = createLink(() => report())
+  const startedAt = clock.now()
+  const awaitingDeclaration = createHeldRequests()
+
+  async function awaitDeclaration (): Promise<void> {
+    const waitUntil = startedAt + FIRST_DECLARATION_WAIT_MILLISECONDS
+    while (link.declaration() === undefined && !draining && clock.now() < waitUntil) await awaitingDeclaration.hold(waitUntil - clock.now())
+  }
   const rates = createRateGate({ clock, shareOf: link.rateShare, borrow: link.borrow, instances: link.entryCount, tolerance })
 
   function group (name: string): GroupPool {
@@ -84,7 +103,10 @@
   const operations = createForwardingRunner({ services: local, local: runner, peers, logger })
   const holder = createHolderService({ runner, services: local, clock, logger })
 
-  link.onChange(() => { for (const pool of groups.values()) pool.refresh() })
+  link.onChange(() => {
+    for (const pool of groups.values()) pool.refresh()
+    if (link.declaration() !== undefined) awaitingDeclaration.release()
+  })
   link.start()
   let timer: NodeJS.Timeout | undefined
 
@@ -102,6 +124,7 @@
   scheduleTick()
   return {
     link,
+    awaitDeclaration,
     rates,
     operations,
     holder,
@@ -113,10 +136,12 @@
     report,
     startDraining: () => {
       draining = true
+      awaitingDeclaration.release()
       holder.startLeaving()
     },
     close: () => {
       clearTimeout(timer)
+      awaitingDeclaration.release()
       operations.close()
       for (const pool of groups.values()) pool.close()
       link.close()
