fix(fleet): a new leader plans once, when instances that all restarted are back

Cause: the leader chose holders and lenders among the first instances that came, and again half a second later. Instances without holders connected to the servers themselves. And shares were kept to 12% for 0.8 s, although every instance had reported that it held none.

The limit on shares ends when all have reported. At a founding, where the log counts none, nothing waits. The tests close their leaders also when they fail, as a leader's timer kept a failed file running until it was ended.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -4,10 +4,14 @@
 import { startLeadership } from '../leadership.js'
 import { createDocument, waitUntil } from './fleetHarness.js'
 import type { Declaration, RenewGrant, RenewRequest } from '@cyclamenusher/decisions'
+import type { Leadership } from '../leadership.js'
 
 const NEVER_ABORTED = new AbortController().signal
 const LONG_HOLD_MILLISECONDS = 60_000
 
+const started: Leadership[] = []
+test.after.each(() => { for (const leadership of started.splice(0)) leadership.close() })
+
 /** Starts a leader whose clock stands still between the steps of a test. */
 function startLeader (entries = 0) {
   let now = 0
@@ -31,6 +35,8 @@
     logger
   })
 
+  started.push(leadership)
+
   async function renew (name: string, changes: Partial<RenewRequest> = {}): Promise<RenewGrant | undefined> {
     return await leadership.renew({ name, incarnation: '1', failureDomain: 'a', knows: { term: 1, change: 0 }, version: 1, demand: {}, sightings: {}, busy: [], holdMilliseconds: 0, ...changes }, NEVER_ABORTED)
   }
@@ -58,12 +64,11 @@
   assert.not.ok(ended)
   leadership.announce({ member: 'p', group: 'g', host: 'h', port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'primary', bornAt: 1, sequence: 1 })
   await held
-  leadership.close()
 })
 
 // A new leader planned with the first instances that came, and shares moved away from all others.
 test('a new leader plans before the instances that hold shares have returned', async () => {
-  const { leadership, renew, advance } = startLeader(3)
+  const { renew, advance } = startLeader(3)
   advance(500)
   const parts = { clinic: 0.5 }
   await renew('entry-1', { parts })
@@ -76,17 +81,45 @@
   await renew('entry-3', { parts: {} })
   advance(600)
   await waitUntil('a plan', async () => (await renew('entry-1'))?.shared.lenders !== undefined)
-  leadership.close()
+})
+
+const RESTARTED: Partial<RenewRequest> = { knows: { term: 0, change: 0 }, version: -1, holds: true, lendsAt: { host: 'entry', port: 1 } }
+
+// The first instances that were back after a loss of power became the holders and lenders for all, and the others connected to the servers themselves.
+test('a new leader plans with the first instances after all have restarted', async () => {
+  const { renew, advance } = startLeader(3)
+  advance(500)
+  let granted = 0
+  const first = ['entry-1', 'entry-2'].map(async name => {
+    const grant = await renew(name, RESTARTED)
+    granted += 1
+    return grant
+  })
+  await new Promise(resolve => setTimeout(resolve, 60))
+  assert.is(granted, 0)
+  const grants = await Promise.all([...first, renew('entry-3', RESTARTED)])
+  const shares = grants.map(grant => grant?.parts?.clinic ?? 0)
+  assert.ok(Math.abs(shares.reduce((sum, share) => sum + share, 0) - 1) < 1e-9, shares.join())
+  assert.ok(grants.every(grant => grant?.shared.lenders !== undefined))
+})
+
+// Instances that do not come back must not keep the others waiting.
+test('the first plan waits for instances that are gone', async () => {
+  const { renew, advance } = startLeader(3)
+  advance(500)
+  const grant = renew('entry-1', RESTARTED)
+  await new Promise(resolve => setTimeout(resolve, 60))
+  advance(200)
+  assert.ok((await grant)?.shared.lenders !== undefined)
 })
 
 // All instances of a failure domain got what they have in common encoded for each of them.
 test('instances of one failure domain get grants of their own', async () => {
-  const { leadership, renew, advance } = startLeader()
+  const { renew, advance } = startLeader()
   advance(500)
   const [one, two, other] = await Promise.all([renew('entry-1'), renew('entry-2'), renew('entry-3', { failureDomain: 'b' })])
   assert.is(one?.shared, two?.shared)
   assert.is.not(one?.shared, other?.shared)
-  leadership.close()
 })
 
 test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/rateFleet.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/rateFleet.ts
@@ -153,7 +153,7 @@
       pool = createRatePool(() => declaration, tolerance, clock)
     }
     for (const [index, instance] of fleet.entries()) if ((now + index * STEP_MILLISECONDS) % RENEWAL_HOLD_MILLISECONDS === 0) renew(instance, index)
-    const returning = { ledMilliseconds: now - WARM_UP_MILLISECONDS, sharesReported: leases.hasReportedShares(), returned: leases.count(now), expected: instances }
+    const returning = { ledMilliseconds: now - WARM_UP_MILLISECONDS, sharesReported: leases.hasReportedShares(), returned: leases.countRenewing(now), expected: instances }
     const awaitsInstances = term > 1 && awaitsReturn(returning)
     if (now % PLAN_INTERVAL_MILLISECONDS === 0 && !awaitsInstances) {
       if (term > 1 && isLoanHistoryComplete(returning)) pool.adoptHistory(leases.loanHistory())
--- a/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
@@ -46,6 +46,8 @@
   listObservations: (member: string, now: number) => ServerObservation[]
   /** Number of entry instances that hold a lease. */
   count: (now: number) => number
+  /** Number of entry instances that have asked for a lease lately, granted or not. */
+  countRenewing: (now: number) => number
   /** Instances with a lease that hold connections for others. */
   listHolders: (now: number) => AvailableHolder[]
   /** Whether an instance has reported shares that an earlier leader granted. */
@@ -166,6 +168,7 @@
     busy: (group, now) => listActiveLeases(now).some(lease => lease.busy.has(group)),
     listObservations: (member, now) => listActiveLeases(now).flatMap(({ observations, renewedAt }) => observations[member] === undefined ? [] : [addAge(observations[member], now - renewedAt)]),
     count: now => listActiveLeases(now).length,
+    countRenewing: now => [...leases.values()].filter(({ renewedAt }) => renewedAt + LEASE_MILLISECONDS > now).length,
     listHolders: now => listActiveLeases(now).flatMap(({ name, failureDomain, lendsAt, holds }) => holds && lendsAt !== undefined ? [{ name, failureDomain, ...lendsAt }] : []),
     hasReportedShares: () => sharesReported,
     loanHistory: () => combineLoanReports([...leases.values()].map(({ loans }) => loans)),
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -1,7 +1,7 @@
 /** Leader duties during one term: grants leases and rate shares, runs the control of the groups, and persists changes. */
 
 import { deflateSync } from 'node:zlib'
-import { INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, isLoanHistoryComplete, listGroupServers } from '@cyclamenusher/decisions'
+import { INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, isLoanHistoryComplete, listGroupServers, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
 import { createHeldRequests } from '../heldRequests.js'
 import { createEntryLeases } from './entryLeases.js'
 import { createGroupHolders } from './groupHolders.js'
@@ -9,7 +9,7 @@
 import { createLeaderDirectory } from './leaderDirectory.js'
 import { createLeaderLoad } from './leaderLoad.js'
 import { createRatePool } from './ratePool.js'
-import type { AnnouncementOutcome, BorrowReply, BorrowRequest, Declaration, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ServerAnnouncement, SharedGrant } from '@cyclamenusher/decisions'
+import type { AnnouncementOutcome, BorrowReply, BorrowRequest, Declaration, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ReturningInstances, ServerAnnouncement, SharedGrant } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
 import type { ScopedLogger } from '../logger.js'
 import type { GroupTask, GroupTaskOptions } from './groupTask.js'
@@ -20,8 +20,8 @@
 const PLAN_INTERVAL_MILLISECONDS = 500
 /** Maximum time for which a new leader holds renewals while it verifies the primaries, in milliseconds. */
 const SETTLE_TIMEOUT_MILLISECONDS = 400
-/** How long a new leader limits shares because instances may not have reported theirs yet, in milliseconds: the timeout of a renewal at the previous leader and a few retries. */
-const SHARE_REPORT_MILLISECONDS = 800
+/** Maximum time for which the renewal of an instance that has just started waits for the first plan, in milliseconds: shorter than the instance waits for an answer. */
+const FIRST_PLAN_HOLD_MILLISECONDS = 250
 /** Delay before the shares are planned for a new instance, in milliseconds: instances that start together share one plan. */
 const NEW_ENTRY_DELAY_MILLISECONDS = 50
 /** How long after an election the previous number of entry instances counts, in milliseconds: a startup and a few retries. */
@@ -122,13 +122,22 @@
     }
   }
 
+  function assessReturn (now: number): ReturningInstances {
+    return { ledMilliseconds: now - startedAt, sharesReported: leases.hasReportedShares(), returned: leases.countRenewing(now), expected: state().entries }
+  }
+
+  /** Whether the renewal comes from an instance that has just started, and is to wait until this leader has chosen holders and lenders for the first time. */
+  function awaitsFirstPlan ({ knows }: RenewRequest): boolean {
+    return knows.term === 0 && sharesPlannedAt === -Infinity && state().entries > 0
+  }
+
   function planShares (now: number): void {
     if (now - sharesPlannedAt < PLAN_INTERVAL_MILLISECONDS) return
-    const returning = { ledMilliseconds: now - startedAt, sharesReported: leases.hasReportedShares(), returned: leases.count(now), expected: state().entries }
+    const returning = assessReturn(now)
     if (awaitsReturn(returning)) return
     if (isLoanHistoryComplete(returning)) pool.adoptHistory(leases.loanHistory())
     sharesPlannedAt = now
-    const maximumShare = now - startedAt < SHARE_REPORT_MILLISECONDS ? INITIAL_SHARE : 1
+    const maximumShare = mayHoldUnreportedShares(returning) ? INITIAL_SHARE : 1
     holders.plan([...groupTasks.keys()], group => listGroupServers(directory.servers, group).map(({ failureDomain }) => failureDomain), leases.listHolders(now), directory.recordChange)
     const includesNew = leases.planShares(declaration()?.accounts ?? [], maximumShare, directory.recordChange, now, holders.names())
     if (includesNew) releaseSoon()
@@ -243,6 +252,12 @@
       if (isNew) logger.info('An entry instance requested its first lease from this leader.', { name: request.name, failureDomain: request.failureDomain, term })
       const holdUntil = clock.now() + request.holdMilliseconds
       while (!isSettled()) await heldRenewals.hold(Math.max(TICK_INTERVAL_MILLISECONDS, startedAt + SETTLE_TIMEOUT_MILLISECONDS - clock.now()))
+      const planUntil = clock.now() + FIRST_PLAN_HOLD_MILLISECONDS
+      while (awaitsFirstPlan(request) && clock.now() < planUntil && hasLeaderLease()) {
+        // The plan is made for the instances with a lease.
+        leases.grant(request.name, clock.now())
+        await heldRenewals.hold(Math.min(TICK_INTERVAL_MILLISECONDS, planUntil - clock.now()))
+      }
       while (!hasNews(request) && clock.now() < holdUntil && hasLeaderLease()) await heldRenewals.hold(holdUntil - clock.now())
       if (clock.now() < holdUntil) load.count('earlyRenewals')
       if (signal.aborted) load.count('abandonedRenewals')
