perf(protocol): message streams go over connections of their own

Both are accepted at one address: the first bytes tell which it is, over TLS the negotiated protocol. The side that opens sends the stream's name and the secret, as it did in headers; refusals keep their statuses. A process of the build before opens HTTP/2 streams, which are accepted; to one, streams are opened on HTTP/2 after the first answer shows that it knows no others.

--- a/packages/protocol/src/node/__tests__/transport.test.ts
+++ b/packages/protocol/src/node/__tests__/transport.test.ts
@@ -4,7 +4,7 @@
 import * as assert from 'uvu/assert'
 import { generate } from 'selfsigned'
 import { ControlService } from '../../gen/cyclamenusher_pb.js'
-import { createPeerClient, listenForCalls } from '../transport.js'
+import { createPeerClient, createPeerLink, listenForCalls } from '../transport.js'
 import type { CallServer, PeerCredentials, PeerTls } from '../transport.js'
 
 const SECRET = 'a secret of tests'
@@ -65,6 +65,24 @@
   await server.close()
 })
 
+async function exchangeOverTls (server: CallServer, tls: PeerTls): Promise<string> {
+  const link = createPeerLink(ControlService, '127.0.0.1', server.port, { secret: SECRET, tls })
+  const answer = await new Promise<string>(resolve => {
+    link.openStream('echo', () => ({ message: body => { resolve(body.toString()) }, closed: resolve })).then(stream => { stream.send(Buffer.from('one')) }, (error: Error) => { resolve(`refused: ${error.name}`) })
+  })
+  link.reconnect()
+  return answer
+}
+
+test('a stream over mutual TLS is carried', async () => {
+  const authority = await createAuthority()
+  const server = await listenForCalls('127.0.0.1', 0, { secret: SECRET, tls: await createPeerTls(authority) }, () => {}, new Map([['echo', stream => ({ message: body => { stream.send(body) }, closed: () => {} })]]))
+  assert.is(await exchangeOverTls(server, await createPeerTls(authority)), 'one')
+  const otherTls = await createPeerTls(await createAuthority())
+  assert.is.not(await exchangeOverTls(server, { ...otherTls, authority: authority.cert }), 'one')
+  await server.close()
+})
+
 // Node.js loads its fetch library, 20 ms of processor, with the first ConnectError. All instances paid for it while they looked for control after a loss of power.
 test('a stream to an instance that is not there loads the fetch library', async () => {
   const child = spawn(process.execPath, ['--import', 'tsx', '--input-type=module', '--eval', `
--- a/packages/protocol/src/node/messageStream.ts
+++ b/packages/protocol/src/node/messageStream.ts
@@ -1,16 +1,18 @@
 /**
- * Long-lived streams of messages between two processes, each on one HTTP/2 stream. A
- * message is preceded by its length as four bytes, most significant first. A frame that
- * can't be read, or a handler that throws, ends the stream and nothing else.
+ * Long-lived streams of messages between two processes, each on a connection of its own
+ * or on one HTTP/2 stream. A message is preceded by its length as four bytes, most
+ * significant first. A frame that can't be read, or a handler that throws, ends the stream
+ * and nothing else.
  */
 
-import type { ClientHttp2Stream, ServerHttp2Stream } from 'node:http2'
+import type { Duplex } from 'node:stream'
 
 /** Largest message of a stream, in bytes: a declaration is the largest. */
 export const MAXIMUM_STREAM_MESSAGE_BYTES = 16 * 1024 * 1024
 /** Bytes that may wait for a reader before the stream is ended, so that a reader that has stopped holds no memory. */
 const MAXIMUM_UNSENT_BYTES = 32 * 1024 * 1024
-const LENGTH_BYTES = 4
+/** Bytes of the length before each message. */
+export const LENGTH_BYTES = 4
 const HTTP_OK = 200
 
 export interface MessageStreamHandlers {
@@ -57,15 +59,15 @@
   }
 }
 
-function frameMessage (body: Uint8Array): Buffer {
+export function frameMessage (body: Uint8Array): Buffer {
   const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length)
   frame.writeUInt32BE(body.length, 0)
   frame.set(body, LENGTH_BYTES)
   return frame
 }
 
-/** Reads and writes messages on an HTTP/2 stream. `attach` gets the stream before any message arrives. */
-export function createMessageStream (stream: ClientHttp2Stream | ServerHttp2Stream, attach: (messages: MessageStream) => MessageStreamHandlers): MessageStream {
+/** Reads and writes messages on a stream of bytes. `attach` gets the message stream before any message arrives. `readHead` takes what comes before the first message, and returns the bytes that follow it. */
+export function createMessageStream (stream: Duplex, attach: (messages: MessageStream) => MessageStreamHandlers, readHead: (chunk: Buffer) => Buffer = chunk => chunk): MessageStream {
   const read = createMessageReader()
   let open = true
 
@@ -89,7 +91,7 @@
 
   stream.on('data', (chunk: Buffer) => {
     try {
-      for (const message of read(chunk)) {
+      for (const message of read(readHead(chunk))) {
         if (!open) return
         handlers.message(message)
       }
--- a/packages/protocol/src/node/transport.ts
+++ b/packages/protocol/src/node/transport.ts
@@ -5,11 +5,16 @@
 
 import { createHash, timingSafeEqual } from 'node:crypto'
 import { createServer, createSecureServer } from 'node:http2'
+import { createServer as createTcpServer } from 'node:net'
+import { createServer as createTlsServer } from 'node:tls'
 import { Code, ConnectError, createClient } from '@connectrpc/connect'
 import { connectNodeAdapter, createGrpcTransport } from '@connectrpc/connect-node'
 import { createCallSessionManager } from './callSession.js'
 import { createMessageStream } from './messageStream.js'
+import { createStreamOpener } from './streamOpener.js'
+import { STREAM_PROTOCOL, acceptSocketStream, distinguishStreams } from './streamSocket.js'
 import type { Http2SecureServer, Http2Server, Http2ServerRequest, Http2ServerResponse, ServerHttp2Session } from 'node:http2'
+import type { Socket } from 'node:net'
 import type { DescService } from '@bufbuild/protobuf'
 import type { Client, ConnectRouter, Interceptor } from '@connectrpc/connect'
 import type { MessageStream, MessageStreamHandlers } from './messageStream.js'
@@ -22,6 +27,8 @@
 const HTTP_OK = 200
 const HTTP_KEY_MISSING = 401
 const HTTP_NOT_FOUND = 404
+/** HTTP/2 as it is negotiated over TLS. */
+const HTTP2_PROTOCOL = 'h2'
 
 /** Largest message between two processes, in bytes. */
 export const MAXIMUM_CALL_BYTES = 16 * 1024 * 1024
@@ -76,9 +83,8 @@
 
 type RequestHandler = (request: Http2ServerRequest, response: Http2ServerResponse) => void
 
-/** Accepts the requests for message streams, and passes on all others. */
-function acceptStreams (streams: StreamRoutes, secret: string, handleCall: RequestHandler): RequestHandler {
-  const isSecret = createSecretCheck(secret)
+/** Accepts the requests for message streams of the build before, and passes on all others. */
+function acceptStreams (streams: StreamRoutes, isSecret: (given: string) => boolean, handleCall: RequestHandler): RequestHandler {
   return (request, response) => {
     if (!request.url.startsWith(STREAM_PATH)) return handleCall(request, response)
     const { stream } = response
@@ -92,21 +98,36 @@
 
 /** Serves the services that `routes` registers and the message streams on `host:port`; port 0 selects a free port. */
 export async function listenForCalls (host: string, port: number, credentials: PeerCredentials, routes: (router: ConnectRouter) => void, streams: StreamRoutes = new Map()): Promise<CallServer> {
-  const handler = acceptStreams(streams, credentials.secret, connectNodeAdapter({
+  const isSecret = createSecretCheck(credentials.secret)
+  const handler = acceptStreams(streams, isSecret, connectNodeAdapter({
     routes,
     interceptors: [requireSecret(credentials.secret)],
     readMaxBytes: MAXIMUM_CALL_BYTES
   }))
   const { tls } = credentials
-  const server: Http2Server | Http2SecureServer = tls === undefined
-    ? createServer(handler)
-    : createSecureServer({ key: tls.key, cert: tls.certificate, ca: tls.authority, requestCert: true, rejectUnauthorized: true }, handler)
+  const calls: Http2Server | Http2SecureServer = tls === undefined ? createServer(handler) : createSecureServer({}, handler)
   const sessions = new Set<ServerHttp2Session>()
-  server.on('session', session => {
+  calls.on('session', session => {
     sessions.add(session)
     session.on('close', () => { sessions.delete(session) })
     session.on('error', () => { session.destroy() })
   })
+  const sockets = new Set<Socket>()
+  const acceptStream = (socket: Socket): void => { acceptSocketStream(socket, { isSecret, findStream: name => streams.get(name) }) }
+  const track = (socket: Socket): void => {
+    sockets.add(socket)
+    socket.on('close', () => { sockets.delete(socket) })
+  }
+  const server = tls === undefined
+    ? createTcpServer(socket => {
+      track(socket)
+      distinguishStreams(socket, acceptStream, other => { calls.emit('connection', other) })
+    })
+    : createTlsServer({ key: tls.key, cert: tls.certificate, ca: tls.authority, requestCert: true, rejectUnauthorized: true, ALPNProtocols: [STREAM_PROTOCOL, HTTP2_PROTOCOL] }, socket => {
+      track(socket)
+      if (socket.alpnProtocol === STREAM_PROTOCOL) distinguishStreams(socket, acceptStream, other => { other.destroy() })
+      else calls.emit('secureConnection', socket)
+    })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, host, resolve)
@@ -117,6 +138,7 @@
     close: async () => {
       const closed = new Promise<void>(resolve => server.close(() => { resolve() }))
       for (const session of sessions) session.destroy()
+      for (const socket of sockets) socket.destroy()
       await closed
     }
   }
@@ -140,10 +162,15 @@
   const nodeOptions = tls === undefined ? undefined : { key: tls.key, cert: tls.certificate, ca: tls.authority, checkServerIdentity: () => undefined }
   const sessionManager = createCallSessionManager(baseUrl, nodeOptions)
   const transport = createGrpcTransport({ baseUrl, interceptors: [sendSecret(credentials.secret)], readMaxBytes: MAXIMUM_CALL_BYTES, sessionManager })
+  const openCallStream = async (name: string, attach: (stream: MessageStream) => MessageStreamHandlers): Promise<MessageStream> => createMessageStream(await sessionManager.openStream(`${STREAM_PATH}${name}`, { [SECRET_HEADER]: credentials.secret }), attach)
+  const streams = createStreamOpener({ host, port, credentials, openCallStream })
   return {
     client: createClient(service, transport),
-    openStream: async (name, attach) => createMessageStream(await sessionManager.openStream(`${STREAM_PATH}${name}`, { [SECRET_HEADER]: credentials.secret }), attach),
-    reconnect: () => { sessionManager.abort() }
+    openStream: streams.open,
+    reconnect: () => {
+      sessionManager.abort()
+      streams.abort()
+    }
   }
 }
 
