fix(engine): an instance keeps to the connections that a full server has left it

An instance tried again after 60 ms each time, while it kept idle connections of other accounts, and the operations that waited for an opening were refused at last.

An instance now keeps to as many connections as it had when the server refused one, and one more each 250 ms; an idle connection makes room for another account's.

--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -1,6 +1,6 @@
 /** One entry instance's connections to one backend server, with the server's answer times, replication lag and failures as seen from here. */
 
-import { ASSUMED_ANSWER_MILLISECONDS, UNKNOWN_LAG, computeAllowedStatements, createConcurrencyLimit, recordAnswer, recordRefusal, recordMissingPosition, recordReplicaPosition } from '@cyclamenusher/decisions'
+import { ASSUMED_ANSWER_MILLISECONDS, FULL_ALLOWANCE, UNKNOWN_LAG, computeAllowedConnections, computeAllowedStatements, createConcurrencyLimit, recordAnswer, recordFullServer, recordRefusal, recordMissingPosition, recordReplicaPosition } from '@cyclamenusher/decisions'
 import { OpenError } from './errors.js'
 import { openServerConnection, isReachable } from './serverConnection.js'
 import type { ConcurrencyBounds, ConnectionBudget, ConnectionState, KnownServer, LogPosition, PositionHistory, PositionRequirement, ServerLoad, ServerObservation } from '@cyclamenusher/decisions'
@@ -90,6 +90,7 @@
   let answeredAt = -Infinity
   let failingSince: number | undefined
   let openPausedUntil = -Infinity
+  let allowance = FULL_ALLOWANCE
   let probedAt = -Infinity
   let probing = false
   let closed = false
@@ -104,6 +105,10 @@
     return pooled.length + opening
   }
 
+  function maximumConnections (now: number): number {
+    return computeAllowedConnections(allowance, options.budget().maximum, now)
+  }
+
   function recordContact (): void {
     answeredAt = clock.now()
     failingSince = undefined
@@ -131,11 +136,11 @@
     if (pooled.some(entry => !entry.inUse && entry.connection.account === account)) return 'match'
     if (now < openPausedUntil) return 'none'
     const hasIdle = pooled.some(({ inUse }) => !inUse)
-    return hasIdle || countConnections() < options.budget().maximum ? 'spare' : 'none'
+    return hasIdle || countConnections() < maximumConnections(now) ? 'spare' : 'none'
   }
 
   async function open (account: string): Promise<ServerConnection> {
-    if (countConnections() >= options.budget().maximum) findOldestIdle()?.connection.close('its place is needed for another client account')
+    if (countConnections() >= maximumConnections(clock.now())) findOldestIdle()?.connection.close('its place is needed for another client account')
     opening += 1
     const since = clock.now()
     try {
@@ -162,6 +167,7 @@
       const failure = error instanceof OpenError ? error.failure : 'refused'
       const unreachable = failure === 'refused' || failure === 'no answer'
       openPausedUntil = clock.now() + (unreachable ? RETRY_DELAY_MILLISECONDS : FULL_SERVER_PAUSE_MILLISECONDS)
+      if (failure === 'too many') allowance = recordFullServer(countConnections() - 1, clock.now())
       // A network that refuses new connections may still carry the open ones.
       if (unreachable && pooled.length === 0) recordFailure(since, (error as Error).message)
       logger.warn('A connection to a backend server was not opened.', { member: server.member, account, failure, reason: (error as Error).message, connections: pooled.length })
