fix: answers that came while a process stood still are not given up

Cause: Node.js runs timers before it reads sockets. A timeout that passes during a stall fires first.

Timeouts of answers expire after what the sockets hold has been read: statements, status requests of control, openings of connections and streams, renewals, loans, calls of the platform. A late answer is checked against lease and designation as before.

--- a/packages/cyclamenusherd/src/node/engine/attempt.ts
+++ b/packages/cyclamenusherd/src/node/engine/attempt.ts
@@ -1,5 +1,6 @@
 /** Runs one statement on one connection, until its deadline. */
 
+import { startAnswerTimeout } from '@cyclamenusher/protocol'
 import { PreparationError, prepareConnection, buildStatementText } from './preparation.js'
 import type { LocalServices } from './operations.js'
 import type { AcquiredConnection } from './groupPool.js'
@@ -17,12 +18,12 @@
 export async function awaitReply (services: LocalServices, acquired: AcquiredConnection, deadline: number, reply: Promise<Reply>): Promise<Reply | { kind: 'late' }> {
   const { clock } = services
   const startedAt = clock.now()
-  let timer: NodeJS.Timeout | undefined
+  let cancelTimeout = (): void => {}
   const timeout = new Promise<{ kind: 'late' }>(resolve => {
-    timer = setTimeout(() => { resolve({ kind: 'late' }) }, Math.max(0, deadline - startedAt))
+    cancelTimeout = startAnswerTimeout(Math.max(0, deadline - startedAt), () => { resolve({ kind: 'late' }) })
   })
   const outcome = await Promise.race([reply, timeout])
-  clearTimeout(timer)
+  cancelTimeout()
   if (outcome.kind === 'late') {
     acquired.connection.close('a statement got no answer in its time')
     acquired.closeIdleSince(startedAt)
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -1,6 +1,7 @@
 /** Sends operations to one instance that holds a group's connections, and notices when it does not answer. */
 
 import { UNKNOWN_HOLDER, isHolderUsable, recordHolderAnswer, recordHolderFailure, watchHolder } from '@cyclamenusher/decisions'
+import { startAnswerTimeout } from '@cyclamenusher/protocol'
 import { HOLDER_STREAM, decodeHolderReply } from './messages.js'
 import type { HolderHealth } from '@cyclamenusher/decisions'
 import type { FleetService, MessageStream, MessageStreamHandlers, PeerLink } from '@cyclamenusher/protocol'
@@ -101,13 +102,13 @@
   }
 
   async function openStream (): Promise<MessageStream | undefined> {
-    let timer: NodeJS.Timeout | undefined
+    let cancelTimeout = (): void => {}
     let isLate = false
     const late = new Promise<undefined>(resolve => {
-      timer = setTimeout(() => {
+      cancelTimeout = startAnswerTimeout(OPEN_TIMEOUT_MILLISECONDS, () => {
         isLate = true
         resolve(undefined)
-      }, OPEN_TIMEOUT_MILLISECONDS)
+      })
     })
     const stream = await Promise.race([late, link.openStream(HOLDER_STREAM, attach).then(opened => {
       // Nobody waits for it any more.
@@ -117,7 +118,7 @@
       logger.debug('A holder was not reached.', { holder: name, reason: error.message })
       return undefined
     })])
-    clearTimeout(timer)
+    cancelTimeout()
     if (stream === undefined) {
       health = recordHolderFailure(health, clock.now())
       link.reconnect()
--- a/packages/cyclamenusherd/src/node/engine/serverConnection.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverConnection.ts
@@ -1,6 +1,7 @@
 /** One connection to a backend server, for one client account: owns the socket and matches replies with statements. */
 
 import { connect } from 'node:net'
+import { startAnswerTimeout } from '@cyclamenusher/protocol'
 import { OpenError } from './errors.js'
 import type { Socket } from 'node:net'
 import type { KnownServer, LogPosition } from '@cyclamenusher/decisions'
@@ -58,14 +59,14 @@
 async function openSocket ({ host, port }: KnownServer): Promise<Socket> {
   return await new Promise<Socket>((resolve, reject) => {
     const socket = connect({ host, port, noDelay: true, keepAlive: true, keepAliveInitialDelay: KEEPALIVE_IDLE_MILLISECONDS })
-    const timer = setTimeout(() => { socket.destroy(new OpenError('no answer', 'the server did not answer in time')) }, CONNECT_TIMEOUT_MILLISECONDS)
+    const cancelTimeout = startAnswerTimeout(CONNECT_TIMEOUT_MILLISECONDS, () => { socket.destroy(new OpenError('no answer', 'the server did not answer in time')) })
     socket.once('connect', () => {
-      clearTimeout(timer)
+      cancelTimeout()
       socket.removeAllListeners('error')
       resolve(socket)
     })
     socket.once('error', error => {
-      clearTimeout(timer)
+      cancelTimeout()
       reject(error instanceof OpenError ? error : new OpenError('refused', error.message))
     })
   })
@@ -152,18 +153,18 @@
   socket.on('close', () => { end('the server closed the connection', true) })
 
   await new Promise<void>((resolve, reject) => {
-    const timer = setTimeout(() => {
+    const cancelTimeout = startAnswerTimeout(START_TIMEOUT_MILLISECONDS, () => {
       pendingStart = undefined
       close('the server did not accept the connection in time')
       reject(new OpenError('busy', 'the server did not accept the connection in time'))
-    }, START_TIMEOUT_MILLISECONDS)
+    })
     pendingStart = {
       resolve: () => {
-        clearTimeout(timer)
+        cancelTimeout()
         resolve()
       },
       reject: error => {
-        clearTimeout(timer)
+        cancelTimeout()
         reject(error)
       }
     }
--- a/packages/cyclamenusherd/src/node/process/fleet/http.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/http.ts
@@ -2,6 +2,7 @@
 
 import { createServer, request as sendRequest } from 'node:http'
 import { connect } from 'node:net'
+import { startAnswerTimeout } from '@cyclamenusher/protocol'
 import type { Server } from 'node:http'
 import type { Address } from '../address.js'
 
@@ -63,11 +64,11 @@
     let sent = false
     const socket = connect({ host, port, noDelay: true })
     const finish = (status?: number): void => {
-      clearTimeout(timer)
+      cancelTimeout()
       socket.destroy()
       resolve(status === undefined ? { kind: sent ? 'no answer' : 'not sent' } : { kind: 'answered', status })
     }
-    const timer = setTimeout(() => { finish() }, CALL_TIMEOUT_MILLISECONDS)
+    const cancelTimeout = startAnswerTimeout(CALL_TIMEOUT_MILLISECONDS, () => { finish() })
     socket.once('error', () => { finish() })
     socket.once('connect', () => {
       if (!maySend()) return finish()
--- a/packages/protocol/src/node/index.ts
+++ b/packages/protocol/src/node/index.ts
@@ -1,6 +1,7 @@
 /** Wire formats: calls between processes and the PostgreSQL framing. */
 
 export * from '../gen/cyclamenusher_pb.js'
+export * from './answerTimeout.js'
 export * from './messageStream.js'
 export * from './postgres/errors.js'
 export * from './postgres/frames.js'
--- a/packages/protocol/src/node/streamCalls.ts
+++ b/packages/protocol/src/node/streamCalls.ts
@@ -4,6 +4,7 @@
  * a stream are set up for each. Bodies are JSON.
  */
 
+import { startAnswerTimeout } from './answerTimeout.js'
 import type { DescService } from '@bufbuild/protobuf'
 import type { MessageStream, MessageStreamHandlers } from './messageStream.js'
 import type { PeerLink } from './transport.js'
@@ -106,7 +107,7 @@
         if (ended) return
         ended = true
         outstanding.delete(number)
-        clearTimeout(timer)
+        cancelTimeout()
         signal?.removeEventListener('abort', cancel)
         finish()
       }
@@ -115,7 +116,7 @@
         if (!ended) stream?.send(encodeJson({ number, cancel: true }))
         fail('cancelled', 'the caller has given up')
       }
-      const timer = setTimeout(() => { fail('timeout', 'no answer in time') }, timeoutMilliseconds)
+      const cancelTimeout = startAnswerTimeout(timeoutMilliseconds, () => { fail('timeout', 'no answer in time') })
       signal?.addEventListener('abort', cancel)
       if (signal?.aborted === true) return cancel()
       if (outstanding.size >= MAXIMUM_OUTSTANDING_CALLS) return fail('not sent', 'too many calls are outstanding')
