perf(fleet): renewals and forwarded operations carry what their receivers use

Each of 195 instances told the leader of its demand for every account that it had seen in the last seconds, 2.5 times a second, and was told the addresses of all control instances each time; times in forwarded operations had fifteen digits.

Shares are divided by the demand at the instances that hold them, so only that is reported; others borrow from these, which counts as demand there. The addresses go out when they have changed. Times are rounded to a tenth of a millisecond.

--- a/packages/cyclamenusherd/src/node/engine/__tests__/rateGate.test.ts
+++ b/packages/cyclamenusherd/src/node/engine/__tests__/rateGate.test.ts
@@ -65,13 +65,20 @@
 })
 
 test('demand counts refused operations, and decays', async () => {
-  const { gate, admitted, advance } = createGate(0)
-  await admitted(20)
+  const { gate, admitted, advance } = createGate(0.001)
+  assert.is(await admitted(20), 0)
   assert.is(gate.demand().clinic, 10)
   advance(60_000)
   assert.equal(gate.demand(), {})
 })
 
+// Each of hundreds of instances told the leader of dozens of accounts, two or three times a second, and nothing depended on it.
+test('the demand for an account without a share is reported', async () => {
+  const { gate, admitted } = createGate(0)
+  await admitted(20)
+  assert.equal(gate.demand(), {})
+})
+
 // Tokens that the bucket can't hold were borrowed with each operation, and lost to all instances.
 test('more is borrowed than the bucket can keep', async () => {
   const { admitted, requestedLoans } = createGate(0, wanted => wanted)
--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -13,6 +13,7 @@
 import { requireNotEnded } from '../transactions.js'
 import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
 import { createHolderLink } from './holderLink.js'
+import { roundTime } from './messages.js'
 import type { NamedInstance } from '@cyclamenusher/decisions'
 import type { MessageStream } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../../process/logger.js'
@@ -104,11 +105,11 @@
       text,
       ...(statement.kind === 'execute' && definition !== undefined ? { execution: { parameters: statement.parameters, definition } } : {}),
       values: [...session.values],
-      ...(session.lastCommit === undefined ? {} : { lastCommit: { position: session.lastCommit.position, agoMilliseconds: now - session.lastCommit.at } }),
-      sentAt: now,
-      epoch: Math.max(0, link.resumedAt()),
-      elapsedMilliseconds: now - startedAt,
-      remainingMilliseconds: Math.max(0, deadline - now)
+      ...(session.lastCommit === undefined ? {} : { lastCommit: { position: session.lastCommit.position, agoMilliseconds: roundTime(now - session.lastCommit.at) } }),
+      sentAt: roundTime(now),
+      epoch: roundTime(Math.max(0, link.resumedAt())),
+      elapsedMilliseconds: roundTime(now - startedAt),
+      remainingMilliseconds: roundTime(Math.max(0, deadline - now))
     }
   }
 
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -4,7 +4,7 @@
 import { pause } from '../../process/clock.js'
 import { StatementFailure } from '../errors.js'
 import { createSession } from '../session.js'
-import { decodeHolderRequest } from './messages.js'
+import { decodeHolderRequest, roundTime } from './messages.js'
 import type { ClockOffset } from '@cyclamenusher/decisions'
 import type { MessageStream, MessageStreamHandlers } from '@cyclamenusher/protocol'
 import type { Clock } from '../../process/clock.js'
@@ -126,9 +126,9 @@
         digest,
         position,
         primary,
-        timing: { ...context.timing, atHolder: clock.now() - arrivedAt },
+        timing: Object.fromEntries(Object.entries({ ...context.timing, atHolder: clock.now() - arrivedAt }).map(([part, milliseconds]) => [part, roundTime(milliseconds)])),
         state: session.state,
-        ...(session.lastCommit === undefined || session.lastCommit === lastCommit ? {} : { lastCommit: { position: session.lastCommit.position, agoMilliseconds: clock.now() - session.lastCommit.at } })
+        ...(session.lastCommit === undefined || session.lastCommit === lastCommit ? {} : { lastCommit: { position: session.lastCommit.position, agoMilliseconds: roundTime(clock.now() - session.lastCommit.at) } })
       }
     } catch (error) {
       reply = buildFailure(number, request.id, session, error)
--- a/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
@@ -52,6 +52,11 @@
   | { kind: 'alive' }
   | { kind: 'leaving' }
 
+/** Rounds a time to a tenth of a millisecond, which is sent with fewer digits. */
+export function roundTime (milliseconds: number): number {
+  return Math.round(milliseconds * 10) / 10
+}
+
 export const HOLDER_STREAM = 'operations'
 
 const isPosition = hasFields({ term: isNumber, position: isNumber })
--- a/packages/cyclamenusherd/src/node/engine/rateGate.ts
+++ b/packages/cyclamenusherd/src/node/engine/rateGate.ts
@@ -27,7 +27,7 @@
   admit: (account: ClientAccount) => Promise<boolean>
   /** Lends operations of this instance's share to another instance, and borrows from control what is missing. Resolves with the number lent, which counts as demand here. */
   lend: (account: ClientAccount, wanted: number) => Promise<number>
-  /** Operations per second that were requested, by account; refused ones count too. */
+  /** Operations per second that were requested, by account; refused ones count too. Only accounts of which this instance holds a share: shares are divided by the demand at those that hold them, and others borrow from these. */
   demand: () => Record<string, number>
 }
 
@@ -151,7 +151,7 @@
       const now = clock.now()
       return Object.fromEntries([...accounts].flatMap(([name, state]) => {
         const demand = decayDemand(state, now)
-        return demand < MINIMUM_REPORTED_DEMAND ? [] : [[name, Math.round(demand * 100) / 100]]
+        return demand < MINIMUM_REPORTED_DEMAND || shareOf(name) === 0 ? [] : [[name, Math.round(demand * 100) / 100]]
       }))
     }
   }
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -3,7 +3,7 @@
 import { INITIAL_FLEET_STATE, NO_TOLERANCE } from '@cyclamenusher/decisions'
 import { startLeadership } from '../leadership.js'
 import { createDocument, waitUntil } from './fleetHarness.js'
-import type { Declaration, RenewGrant, RenewRequest } from '@cyclamenusher/decisions'
+import type { ControlAddress, Declaration, RenewGrant, RenewRequest } from '@cyclamenusher/decisions'
 import type { Leadership } from '../leadership.js'
 
 const NEVER_ABORTED = new AbortController().signal
@@ -15,6 +15,7 @@
 /** Starts a leader whose clock stands still between the steps of a test. */
 function startLeader (entries = 0) {
   let now = 0
+  let control: ControlAddress[] = []
   const logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
   const document = createDocument(1, { groups: [] })
   const leadership = startLeadership({
@@ -29,7 +30,7 @@
     state: () => ({ ...INITIAL_FLEET_STATE, document, entries }),
     declaration: () => JSON.parse(document.text) as Declaration,
     hasLeaderLease: () => true,
-    controlAddresses: () => [],
+    controlAddresses: () => control,
     rateTolerance: NO_TOLERANCE,
     clock: { now: () => now },
     logger
@@ -41,7 +42,7 @@
     return await leadership.renew({ name, incarnation: '1', failureDomain: 'a', knows: { term: 1, change: 0 }, version: 1, demand: {}, sightings: {}, busy: [], holdMilliseconds: 0, ...changes }, NEVER_ABORTED)
   }
 
-  return { leadership, renew, advance: (milliseconds: number) => { now += milliseconds } }
+  return { leadership, renew, listControl: (addresses: ControlAddress[]) => { control = addresses }, advance: (milliseconds: number) => { now += milliseconds } }
 }
 
 // A share that changed anywhere ended the held renewals of all instances.
@@ -113,6 +114,22 @@
   assert.ok((await grant)?.shared.lenders !== undefined)
 })
 
+// The same addresses went to all instances with each renewal.
+test('the control instances are listed again although they are the same', async () => {
+  const { renew, advance, listControl } = startLeader()
+  listControl([{ host: 'control', port: 1 }])
+  advance(500)
+  let first: RenewGrant | undefined
+  await waitUntil('the list', async () => {
+    first = await renew('entry-1')
+    return first?.shared.control.length === 1
+  })
+  const known = { term: 1, change: first?.shared.change ?? 0 }
+  assert.equal((await renew('entry-1', { knows: known }))?.shared.control, [])
+  listControl([{ host: 'control', port: 1 }, { host: 'control', port: 2 }])
+  await waitUntil('the new list', async () => (await renew('entry-1', { knows: known }))?.shared.control.length === 2)
+})
+
 // All instances of a failure domain got what they have in common encoded for each of them.
 test('instances of one failure domain get grants of their own', async () => {
   const { renew, advance } = startLeader()
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -74,6 +74,9 @@
   const sharedGrants = new Map<string, SharedGrant>()
   const documentsSentAt = new Map<string, number>()
   let compressedDocument: { version: number, deflated: string } | undefined
+  /** Control instances as last listed, and the number of the change with which they were modified. */
+  let control: SharedGrant['control'] = []
+  let controlChange = 0
   let releaseTimer: NodeJS.Timeout | undefined
   let sharesPlannedAt = -Infinity
   let persistedAt = startedAt
@@ -159,6 +162,13 @@
     if (servers.length > 0 || entries !== state().entries) void options.propose({ kind: 'remember', servers, entries })
   }
 
+  function refreshControl (): void {
+    const listed = options.controlAddresses()
+    if (JSON.stringify(listed) === JSON.stringify(control)) return
+    control = listed
+    controlChange = directory.recordChange()
+  }
+
   let tickedAt = startedAt
   let settled = false
   const timer = setInterval(() => {
@@ -166,6 +176,7 @@
     load.tick(Math.max(0, now - tickedAt - TICK_INTERVAL_MILLISECONDS))
     tickedAt = now
     sharedGrants.clear()
+    refreshControl()
     planShares(now)
     persistChanges(now)
     for (const group of groupTasks.values()) group.tick()
@@ -212,7 +223,7 @@
       ...(groupHolders === undefined ? {} : { holders: groupHolders }),
       ...(document === undefined ? {} : { declaration: document }),
       entries: countEntries(clock.now()),
-      control: options.controlAddresses()
+      control: controlChange > knownChange ? control : []
     }
     sharedGrants.set(key, shared)
     return shared
@@ -234,6 +245,7 @@
     }
   }
 
+  refreshControl()
   directory.merge([...state().servers.values()])
   startGroupTasks()
   return {
--- a/packages/decisions/src/node/fleet/messages.ts
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -29,7 +29,7 @@
   knows: { term: number, change: number }
   /** Version of the declaration that the instance holds; -1 if it has none. */
   version: number
-  /** Recent demand by client account, in operations per second, admitted or not. */
+  /** Recent demand in operations per second, admitted or not, by client account of which the instance holds a share. */
   demand: Record<string, number>
   /** Observations of the servers that the instance has used or tried, by member. */
   sightings: Record<string, ServerObservation>
@@ -65,7 +65,7 @@
   declaration?: { version: number, deflated: string }
   /** Number of entry instances that share the servers. */
   entries: number
-  /** Control instances to try when this one is unreachable. */
+  /** Control instances to try when this one is unreachable; empty if they have not changed. */
   control: ControlAddress[]
 }
 
