perf(engine): requests that wait are looked at only while a server can take one

Under overload, and in the seconds after a loss of power, an instance with a third of a core stands still for 0.3 s at a time. Each answer of a server led to an assessment of all servers for each request that waits, although mostly none could take any.

The look ends once no server may be sent one more statement. What is served, and in which order, stays as it is: such a server was never chosen.

--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -253,6 +253,16 @@
     return isOverloaded(pressure, clock.now()) ? 'more arrives than the servers can run' : 'all connections are in use'
   }
 
+  /**
+   * Whether any waiting request can be served now.
+   *
+   * Load pattern: under overload each answer of a server leads to a look at all requests
+   * that wait, and most of them can't be served whatever their account.
+   */
+  function anyServerHasCapacity (): boolean {
+    return [...pools.values()].some(pool => pool.hasCapacity())
+  }
+
   function dispatch (): void {
     if (dispatching) return
     dispatching = true
@@ -262,7 +272,13 @@
     const waiting = queue
     queue = []
     // Serving one request changes the loads, so the servers are assessed again for each.
-    queue = [...queue, ...waiting.filter(waiter => !tryServe(waiter, now))]
+    let hasCapacity = anyServerHasCapacity()
+    const remaining: WaitingRequest[] = []
+    for (const waiter of waiting) {
+      if (!hasCapacity || !tryServe(waiter, now)) remaining.push(waiter)
+      else hasCapacity = anyServerHasCapacity()
+    }
+    queue = [...queue, ...remaining]
     pressure = recordWaiting(pressure, queue.length, findUsablePrimary() !== undefined, now)
     dispatching = false
   }
--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -48,6 +48,8 @@
   server: () => KnownServer
   update: (server: KnownServer) => void
   computeLoad: (account: string, now: number, primary: string | undefined) => ServerLoad
+  /** Whether the server may be sent one more statement now, of any account. */
+  hasCapacity: () => boolean
   /** Acquires the idle connection of the account that needs the fewest statements to take the session's values. */
   acquireIdle: (account: string, values: ReadonlyMap<string, string>) => ServerConnection | undefined
   /** Opens and acquires a connection; where the budget is used up, it closes an idle one of another account. @throws OpenError */
@@ -206,8 +208,13 @@
     if (oldest !== undefined && now - oldest.connection.lastUsedAt() > SURPLUS_IDLE_TIMEOUT_MILLISECONDS) oldest.connection.close('other instances may need its place')
   }
 
+  function countOutstanding (): number {
+    return pooled.filter(({ connection }) => connection.runningSince() !== undefined).length + opening
+  }
+
   return {
     server: () => server,
+    hasCapacity: () => failingSince === undefined && countOutstanding() < computeAllowedStatements(concurrency, computeBounds()),
     update: next => {
       const isReplaced = next.bornAt !== server.bornAt || next.host !== server.host || next.port !== server.port
       server = next
@@ -218,7 +225,7 @@
       member: server.member,
       isPrimary: server.member === primary,
       slots: server.slots,
-      outstanding: pooled.filter(({ connection }) => connection.runningSince() !== undefined).length + opening,
+      outstanding: countOutstanding(),
       allowed: computeAllowedStatements(concurrency, computeBounds()),
       averageMilliseconds: concurrency.averageMilliseconds,
       answeredAt,
