fix(engine): operations wait for a lease that is expected back

An operation that needs the lease waits for it until 0.7 s after its end, as it does for a primary that is being replaced, and is refused at once after that: then the instance is cut off, and callers can go elsewhere. A lease that a suspension ended counts from the suspension's end. Weighed: a longer lease would bridge the gap too, but every promotion beside a cut-off instance would take as much longer.

--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -1,6 +1,6 @@
 /** Connections to the servers of one group: chooses a server for each statement, and queues the statements that must wait. */
 
-import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, resolveReadRequirement, recordPosition, computeWaitDeadline } from '@cyclamenusher/decisions'
+import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, resolveReadRequirement, recordPosition, computeWaitDeadline, estimateLeaseReturn } from '@cyclamenusher/decisions'
 import { awaitLease } from './confirmation.js'
 import { StatementFailure } from './errors.js'
 import { createServerPool } from './serverPool.js'
@@ -151,9 +151,10 @@
     else primaryClosedSince ??= clock.now()
   }
 
-  /** Earliest time at which a primary is expected to be usable; infinite without a lease. */
+  /** Earliest time at which a primary is expected to be usable; infinite if that is not known. */
   function estimatePrimaryTime (now: number): number {
-    if (!link.isLeased()) return Infinity
+    // A lease that was lost in a suspension has no end any more.
+    if (!link.isLeased()) return estimateLeaseReturn(Math.max(link.leasedUntil(), link.resumedAt()), now)
     if (findUsablePrimary() !== undefined) return now
     return Math.max(now, (primaryClosedSince ?? now) + PRIMARY_REPLACEMENT_MILLISECONDS)
   }
