fix(engine): operations wait for the lease as long as a start of control takes

And an estimate that named the latest return refused what could not wait until then, although the lease may be back at any moment.

The estimate is the earliest return, for 1.2 s after the end: half of the three seconds that a loss of all control instances, their start and an election take.

--- a/packages/decisions/src/node/placement/leaseReturn.ts
+++ b/packages/decisions/src/node/placement/leaseReturn.ts
@@ -9,11 +9,10 @@
  *   refused immediately from then on, so that callers can go elsewhere.
  */
 
-/** Longest usual time for which a lease is missing, in milliseconds: a start of control and an election take about two seconds, most of which the lease lasts. */
-const USUAL_ABSENCE_MILLISECONDS = 700
+/** Longest usual time for which a lease is missing, in milliseconds: a loss of all control instances, their start and an election take up to three seconds, and a lease that was renewed just before covers about half of them. */
+const USUAL_ABSENCE_MILLISECONDS = 1_200
 
-/** Time at which a lease that ended, or was lost in a suspension, at `endedAt` is expected again; infinite if it is overdue, or there never was one. */
+/** Earliest time at which a lease that ended, or was lost in a suspension, at `endedAt` may be held again; infinite if it is overdue, or there never was one. */
 export function estimateLeaseReturn (endedAt: number, now: number): number {
-  if (endedAt === -Infinity || now >= endedAt + USUAL_ABSENCE_MILLISECONDS) return Infinity
-  return endedAt + USUAL_ABSENCE_MILLISECONDS
+  return endedAt !== -Infinity && now < endedAt + USUAL_ABSENCE_MILLISECONDS ? now : Infinity
 }
