fix(fleet): a server's departure is acknowledged once the log holds it

A departure was acknowledged by the leader from its memory and written to the log within the next second. A loss of all control instances in between brought the server back: callers' statements were sent to an address at which nothing, or another server, answers.

The leader proposes the departure and acknowledges what was applied; a repeated one is not written again. A server whose departure can't be written is told to ask elsewhere, as when no leader is known. The test stops all control instances right after the acknowledgement; it fails on the code before.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleet.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleet.test.ts
@@ -155,6 +155,20 @@
   assert.is(first.entryCount(), 3)
 })
 
+// A departure was acknowledged, and forgotten with the memory of the control instances.
+test('a server that left is known again after a loss of all control instances', async () => {
+  await fleet.declare(1)
+  await fleet.announceGroup()
+  const isRemembered = async (): Promise<boolean> => (JSON.parse((await fleet.leader()).control.stateMachine.snapshot()) as { servers: Array<{ member: string }> }).servers.length === 3
+  await waitUntil('the servers in the log', isRemembered)
+  await waitUntil('the acknowledgement', async () => await (await fleet.leader()).control.notify({ kind: 'gone', member: 'r1' }))
+  await Promise.all([...fleet.running.values()].map(async instance => { await instance.stop() }))
+  await Promise.all([0, 1, 2].map(fleet.start))
+  const link = fleet.joinEntry('entry-1')
+  await waitUntil('the servers', () => link.isLeased() && link.servers('g').length > 0)
+  assert.equal(link.servers('g').map(({ member }) => member).sort(), ['p', 'r2'])
+})
+
 // Instances without a share lost every operation while their lender was away.
 test('operations are lost while a lender does not answer', async () => {
   await fleet.declare(1, { accounts: [{ name: 'clinic', keys: ['k'], ratePerSecond: 100, burst: 10 }] })
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -49,7 +49,7 @@
   declare: (document: DeclarationDocument) => Promise<DeclareOutcome>
   /** Reads the newest declaration, confirmed with a majority after the call. Resolves with undefined if it can't be confirmed. */
   current: () => Promise<{ document: DeclarationDocument | undefined } | undefined>
-  /** Delivers a notice to the leader, and resolves with whether the leader received it. */
+  /** Delivers a notice to the leader, and resolves with whether the leader received it; that a server is gone, whether the log holds it. */
   notify: (notice: ServerNotice) => Promise<boolean>
   close: () => void
 }
@@ -181,10 +181,10 @@
     return await log?.confirmLeadership() === true ? { document: state.document } : undefined
   }
 
-  function notifyLocally (notice: ServerNotice): boolean {
+  async function notifyLocally (notice: ServerNotice): Promise<boolean> {
     if (activeTerm === undefined || log?.hasLeaderLease() !== true) return false
-    if (notice.kind === 'announced') activeTerm.leadership.announce(notice.announcement)
-    else activeTerm.leadership.deregister(notice.member, notice.bornAt)
+    if (notice.kind === 'gone') return await activeTerm.leadership.deregister(notice.member, notice.bornAt)
+    activeTerm.leadership.announce(notice.announcement)
     return true
   }
 
@@ -225,7 +225,7 @@
         borrow: ({ body }) => ({ body: encodeBody(lend(checkLoan(decodeBody(body)))) }),
         declare: async ({ body }) => ({ body: encodeBody(log?.isLeader() === true ? await declareLocally(decodeBody(body)) : 'unknown') }),
         current: async () => ({ body: encodeBody(await readCurrentLocally() ?? null) }),
-        announce: ({ body }) => ({ body: encodeBody(notifyLocally(decodeBody(body))) })
+        announce: async ({ body }) => ({ body: encodeBody(await notifyLocally(decodeBody(body))) })
       })
     },
     declare: async document => {
@@ -237,7 +237,7 @@
       return await callLeader<{ document: DeclarationDocument | undefined } | null>('current', async ({ client }) => await client.current({}, { timeoutMs: FORWARD_TIMEOUT_MILLISECONDS })) ?? undefined
     },
     notify: async notice => {
-      if (log?.isLeader() === true) return notifyLocally(notice)
+      if (log?.isLeader() === true) return await notifyLocally(notice)
       return await callLeader<boolean>('announce', async ({ client }) => await client.announce({ body: encodeBody(notice) }, { timeoutMs: FORWARD_TIMEOUT_MILLISECONDS })) ?? false
     },
     close: () => {
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -54,7 +54,8 @@
   /** Grants a lease. Holds the request until there is a change to report, at most for the time that the request allows. Resolves with undefined if this instance no longer leads. */
   renew: (request: RenewRequest, signal: AbortSignal) => Promise<RenewGrant | undefined>
   announce: (announcement: ServerAnnouncement) => AnnouncementOutcome
-  deregister: (member: string, bornAt: number | undefined) => boolean
+  /** Marks a server as gone, and resolves with whether this is in the log: after a loss of all control instances nobody else would know. */
+  deregister: (member: string, bornAt: number | undefined) => Promise<boolean>
   /** Handles a change of the log's state: starts tasks for new groups, and lets held renewals continue. */
   refresh: () => void
   close: () => void
@@ -284,10 +285,13 @@
       }
       return outcome
     },
-    deregister: (member, bornAt) => {
-      const deregistered = directory.deregister(member, bornAt)
-      if (deregistered) logger.info('A backend server deregistered.', { member })
-      return deregistered
+    deregister: async (member, bornAt) => {
+      if (directory.deregister(member, bornAt)) logger.info('A backend server deregistered.', { member })
+      const known = directory.servers.get(member)
+      const isWritten = known?.gone !== true || state().servers.get(member)?.gone === true
+      if (isWritten) return true
+      const outcome = await options.propose({ kind: 'remember', servers: [known], entries: state().entries })
+      return outcome.kind === 'applied'
     },
     refresh: () => {
       startGroupTasks()
