--- a/packages/decisions/src/node/fleet/newLeader.ts
+++ b/packages/decisions/src/node/fleet/newLeader.ts
@@ -14,7 +14,7 @@
  */
 
 /** How long a new leader waits for instances that hold shares, in milliseconds: as long as a lease of theirs lasts. */
-export const RETURN_TIMEOUT_MILLISECONDS = 1_500
+const RETURN_TIMEOUT_MILLISECONDS = 1_500
 
 /** How long after its election a leader expects instances that have not reported their shares, in milliseconds: the timeout of a renewal at the previous leader and a few retries. */
 const SHARE_REPORT_MILLISECONDS = 800
