fix(consensus): members that restart without two disks elect a leader soon

Cause: not all voters can answer, so a majority must be past the time in which a restarted member refuses votes, an election timeout. Members try in startup slots until their own time is past; one whose try came a little too early for the others, or met another's and split the votes, then waited for a whole election timeout or two.

The slots go on for one election timeout longer. Pre-votes disturb no leader, and a vote is refused as before while a leader's lease may last.

--- a/packages/decisions/src/node/consensus/__tests__/consensus.test.ts
+++ b/packages/decisions/src/node/consensus/__tests__/consensus.test.ts
@@ -228,6 +228,26 @@
   return events.reduce((current, event) => stepConsensus(current, event, now, () => 0).state, state)
 }
 
+// Restarted members refuse votes for an election timeout, each until a moment of its own; a member whose pre-vote came a little too early waited for one or two more.
+test('members that restart without two disks find no leader in two election timeouts', () => {
+  for (const seed of SEEDS) {
+    const identities = ['a', 'b', 'c', 'd', 'e']
+    const network = createNetwork(seed, identities, NO_FAULTS)
+    waitForLeader(network)
+    network.run(2_000)
+    proposeUntilAccepted(network, 'before')
+    network.run(500)
+    for (const identity of identities) network.stop(identity)
+    for (const lost of ['d', 'e']) network.replaceDisk(lost, `${lost}2`, lost)
+    for (const identity of ['a', 'b', 'c']) {
+      network.restart(identity)
+      network.run(25)
+    }
+    network.run(2 * (network.nodes.get('a')?.state.limits.electionTimeoutMilliseconds ?? 0) - 75)
+    assert.ok(network.leader() !== undefined, `seed ${seed}`)
+  }
+})
+
 test('a vote survives a restart', () => {
   const vote = (from: string): ConsensusEvent => ({ kind: 'receive', from, message: { kind: 'vote', term: 4, lastIndex: 0, lastTerm: 0 } })
   const { effects } = stepConsensus(startWith('a', {}), vote('b'), 10, () => 0)
--- a/packages/decisions/src/node/consensus/election.ts
+++ b/packages/decisions/src/node/consensus/election.ts
@@ -19,12 +19,17 @@
 }
 
 /**
- * Sets the time of the next election. A recently started member tries early: if
- * all voters have restarted, there is no leader whose lease must expire first.
+ * Sets the time of the next election. A member that has started lately tries early, in
+ * the startup slots of its rank: if all voters have restarted, there is no leader whose
+ * lease must expire first. It does so until an election timeout after it votes again, as
+ * others started later and refuse votes for longer; a pre-vote disturbs no leader.
+ *
+ * Load pattern: all members restart after a loss of power, some without their disks. Each
+ * of the others is needed for a majority, and two that try at the same moment split it.
  */
 export function scheduleElection (step: Step): void {
-  if (!isRecentlyStarted(step)) return resetElectionDeadline(step)
   const { state, now, random } = step
+  if (now >= state.votingBlockedUntil + state.limits.electionTimeoutMilliseconds) return resetElectionDeadline(step)
   const rank = Math.max(0, votersOf(state).sort().indexOf(state.self))
   state.electionDeadline = now + state.limits.electionTimeoutMilliseconds * STARTUP_SLOT_FRACTION * (1 + STARTUP_SLOTS_PER_VOTER * rank + random())
 }
