--- a/packages/cyclamenusherd/src/node/startup/loadProgram.ts
+++ b/packages/cyclamenusherd/src/node/startup/loadProgram.ts
@@ -11,7 +11,7 @@
 import { dirname } from 'node:path'
 import { Script } from 'node:vm'
 
-/** What the file's name is followed by in the name of its code cache. */
+/** Appended to a program's file name, the name of its code cache. */
 export const CODE_CACHE_SUFFIX = '.cache'
 
 type CompiledProgram = (exports: object, require: NodeJS.Require, module: { exports: object }, file: string, folder: string) => void
--- a/packages/decisions/src/node/fleet/loanHistory.ts
+++ b/packages/decisions/src/node/fleet/loanHistory.ts
@@ -35,7 +35,7 @@
   at: number
 }
 
-/** All loans of the pools since a time at which each pool held no fewer than no operations. */
+/** All loans of the pools since a time. What a pool held then is not known, and taken to be nothing. */
 export interface LoanHistory {
   since: number
   loans: ReadonlyMap<string, readonly PoolLoan[]>
