fix(fleet): a history of loans that lacks a missing instance is not replayed

Four seconds after its election a leader stops counting instances that have not returned and writes the lower number to the log. From then on the reports of the others counted as all of them, and the pools were filled as if the missing instance had borrowed nothing: an account whose pool takes longer than that to fill could be lent more than its rate. Where an instance stayed away the leader also kept each of its loans until then.

A history is learned within three seconds of the election only, while the count of the leader before is still in force, and own loans are kept no longer. The test fails without the bound; rateGrowth, a change of leader at 9 to 200 instances, passes as before.

--- a/packages/cyclamenusherd/src/node/process/fleet/ratePool.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/ratePool.ts
@@ -1,6 +1,6 @@
 /** Lends operations from a pool of each account's rate to entry instances whose own share is spent. */
 
-import { computePoolLimits, refillBucket, replayLoans, timeUntilToken } from '@cyclamenusher/decisions'
+import { LOAN_HISTORY_TIMEOUT_MILLISECONDS, computePoolLimits, refillBucket, replayLoans, timeUntilToken } from '@cyclamenusher/decisions'
 import type { BorrowReply, Bucket, Declaration, LoanHistory, PoolLoan, RateTolerance } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
 
@@ -35,7 +35,8 @@
       const granted = Math.max(0, Math.min(Math.floor(wanted), Math.floor(bucket.tokens)))
       const remaining = { ...bucket, tokens: bucket.tokens - granted }
       buckets.set(name, remaining)
-      if (history === undefined && granted > 0) ownLoans.set(name, [...ownLoans.get(name) ?? [], { operations: granted, at: now }])
+      const mayLearnHistory = history === undefined && now - startedAt < LOAN_HISTORY_TIMEOUT_MILLISECONDS
+      if (mayLearnHistory && granted > 0) ownLoans.set(name, [...ownLoans.get(name) ?? [], { operations: granted, at: now }])
       const emptyMilliseconds = Math.ceil(timeUntilToken(remaining, limits, now))
       return granted < wanted && emptyMilliseconds < Infinity ? { granted, emptyMilliseconds } : { granted }
     },
--- a/packages/decisions/src/node/fleet/__tests__/newLeader.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/newLeader.test.ts
@@ -46,4 +46,10 @@
   assert.not.ok(isLoanHistoryComplete(describeReturn({ expected: 0 })))
 })
 
+// A leader stops counting an instance that stays away, and forgot what that one had borrowed.
+test('a history counts as complete once missing instances are no longer expected', () => {
+  assert.ok(isLoanHistoryComplete(describeReturn({ ledMilliseconds: 2_999, returned: 100 })))
+  assert.not.ok(isLoanHistoryComplete(describeReturn({ ledMilliseconds: 3_000, returned: 99, expected: 99 })))
+})
+
 test.run()
--- a/packages/decisions/src/node/fleet/newLeader.ts
+++ b/packages/decisions/src/node/fleet/newLeader.ts
@@ -45,7 +45,10 @@
   return ledMilliseconds < SHARE_REPORT_MILLISECONDS && (expected === 0 || returned < expected)
 }
 
-/** Whether every instance to which an earlier leader may have lent operations has reported its loans. */
-export function isLoanHistoryComplete ({ returned, expected }: ReturningInstances): boolean {
-  return returned > 0 && returned >= expected
+/** How long after its election a leader learns what was lent before it, in milliseconds: shorter than instances that are missing are counted. */
+export const LOAN_HISTORY_TIMEOUT_MILLISECONDS = 3_000
+
+/** Whether every instance to which an earlier leader may have lent operations has reported its loans. Later on, missing instances are no longer expected, and their loans are not known. */
+export function isLoanHistoryComplete ({ ledMilliseconds, returned, expected }: ReturningInstances): boolean {
+  return ledMilliseconds < LOAN_HISTORY_TIMEOUT_MILLISECONDS && returned > 0 && returned >= expected
 }
