fix(engine): an instance without a lease refuses databases and keys of a newer declaration

Cause: access was decided by the declaration at hand, whether or not the lease that keeps it current was valid. A refusal of that kind is final for callers, and it was not known to be true.

Without a lease what the declaration lacks is refused as busy, so that callers go to an instance that holds a lease.

--- a/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
+++ b/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
@@ -12,14 +12,19 @@
   account: ClientAccount | undefined
 }
 
+/** Refuses access that the declaration lacks. Without a lease, a newer declaration may grant it, and other instances may hold that one. */
+function createAccessFailure ({ link }: EngineServices, kind: 'database unknown' | 'key refused', explanation: string): StatementFailure {
+  return link.isLeased() ? new StatementFailure(kind, explanation) : new StatementFailure('busy', `${explanation} here, but this instance may not hold the newest declaration: try another one`)
+}
+
 /** Finds the route of the caller's database and the account of its key. @throws StatementFailure */
-export function resolveAccess ({ link }: EngineServices, { database, key }: Pick<Session, 'database' | 'key'>): Access {
-  const index = link.declaration()
+export function resolveAccess (services: EngineServices, { database, key }: Pick<Session, 'database' | 'key'>): Access {
+  const index = services.link.declaration()
   if (index === undefined) throw new StatementFailure('busy', 'this instance holds no declaration yet: try another one')
   const route = index.routeOf(database)
-  if (route === undefined) throw new StatementFailure('database unknown', `no route leads to database ${database}`)
+  if (route === undefined) throw createAccessFailure(services, 'database unknown', `no route leads to database ${database}`)
   const account = index.accountOf(key)
-  if (account === undefined && !route.open) throw new StatementFailure('key refused', 'no client account has this key')
+  if (account === undefined && !route.open) throw createAccessFailure(services, 'key refused', 'no client account has this key')
   return { route, account }
 }
 
