fix(process): with stale rules a database is refused as not open to all

Callers with a key were told 'rules not fresh' already.

The test fails without the change ('access denied, not run' for 'rules not fresh, not run') and passes with it.

--- a/packages/cyclamenusherd/src/node/process/__tests__/admission.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/admission.test.ts
@@ -16,7 +16,7 @@
 ]
 
 interface Fixture {
-  admit: (identity?: Identity, need?: 'read' | 'write') => Promise<string>
+  admit: (identity?: Identity, need?: 'read' | 'write', database?: string) => Promise<string>
   advance: (milliseconds: number) => void
   withdrawKey: () => void
   takenTokens: string[]
@@ -39,7 +39,7 @@
     }
   })
   return {
-    admit: async (given = identity, need = 'read') => await admit(given, 'padron', need).then(() => 'admitted', (error: { kind: string, runState: string }) => `${error.kind}, ${error.runState}`),
+    admit: async (given = identity, need = 'read', database = 'padron') => await admit(given, database, need).then(() => 'admitted', (error: { kind: string, runState: string }) => `${error.kind}, ${error.runState}`),
     advance: milliseconds => { now += milliseconds },
     withdrawKey: () => { updateRules(2, ['keys.one'], []) },
     takenTokens,
@@ -62,6 +62,14 @@
   assert.is(await admit({ account: 'open' }), 'admitted')
 })
 
+// An isolated instance refused for good what newer rules may have opened.
+test('with stale rules a database is refused as not open to all', async () => {
+  const { admit, advance } = createFixture()
+  assert.is(await admit({ account: 'open' }, 'read', 'added'), 'access denied, not run')
+  advance(LEASE_MILLISECONDS)
+  assert.is(await admit({ account: 'open' }, 'read', 'added'), 'rules not fresh, not run')
+})
+
 test('a withdrawn key takes no token', async () => {
   const { admit, withdrawKey, takenTokens } = createFixture()
   withdrawKey()
--- a/packages/cyclamenusherd/src/node/process/admission.ts
+++ b/packages/cyclamenusherd/src/node/process/admission.ts
@@ -19,6 +19,12 @@
   takeToken: (kind: AccountKind, account: string) => Promise<boolean>
 }
 
+/** Refuses a database that the rules do not open to all. Rules that are not fresh may lack it only because they are old. */
+export function createOpenRefusal (store: RulesStore, kind: 'access denied' | 'database unknown', database: string): RefusalError {
+  if (!store.isFresh()) return new RefusalError('rules not fresh', `this instance can't tell whether database ${database} is open to all`, 'not run', 'Connect through another instance, or try again.')
+  return new RefusalError(kind, `database ${database} is not open to all`, 'not run', 'Connect with an account and its key.')
+}
+
 export function createAdmission ({ store, takeToken }: AdmissionOptions): Admission {
   async function requireToken (kind: AccountKind, account: string): Promise<void> {
     if (await takeToken(kind, account)) return
@@ -28,7 +34,7 @@
 
   async function admitOpen (database: string, need: BatchNeed): Promise<void> {
     const rule = store.open(database)
-    if (rule === undefined) throw new RefusalError('access denied', `database ${database} is not open to all`, 'not run', 'Connect with an account and its key.')
+    if (rule === undefined) throw createOpenRefusal(store, 'access denied', database)
     if (need !== 'read') throw new RefusalError('access denied', 'only reads are open to all', 'not run', 'Connect with an account and its key.')
     await requireToken('open', database)
   }
--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -6,7 +6,7 @@
 import { createInputBudget } from '../connection/callerInput.js'
 import { createCallerTlsContext, performHandshake } from '../connection/callerHandshake.js'
 import { REFUSAL_CODES, RefusalError, buildRefusalResponse } from '../request/refusal.js'
-import { OPEN_ACCOUNT } from './admission.js'
+import { OPEN_ACCOUNT, createOpenRefusal } from './admission.js'
 import type { Server, Socket } from 'node:net'
 import type { CallerConnection, CallerServices } from '../connection/callerConnection.js'
 import type { CallerStartup } from '../connection/callerHandshake.js'
@@ -60,7 +60,7 @@
   function identify ({ user, database }: CallerStartup, key: string | undefined): AuthenticatedCaller {
     const rule = store.rules().databases.get(database)
     if (key === undefined) {
-      if (rule === undefined || store.open(database) === undefined) throw new RefusalError('database unknown', `database ${database} is not open to all`, 'not run', 'Connect with an account and its key.')
+      if (rule === undefined || store.open(database) === undefined) throw createOpenRefusal(store, 'database unknown', database)
       return { identity: { account: OPEN_ACCOUNT }, group: rule.group }
     }
     if (!store.isFresh()) throw new RefusalError('rules not fresh', 'this instance can\'t tell whether the key stands', 'not run', 'Connect through another instance, or try again.')
