fix(control): changes stay unanswered after the disks of all instances were full in turn

Cause: a refused write ended an instance's part in consensus for good. The daemon's process went on without it; after the second of three disks there was no majority. On the platform the process ended instead and was started again, about once a second while its disk was full.

Evidence: three instances over loopback whose disks are full in turn, on the code before: 'timed out waiting for: an answer to number 3'. Ruled out: the log file itself, which a restart reads back (tests of the storage).

Now the instance is suspended: it goes back to what is durable, neither sends nor answers nor votes, and passes calls on to the leader. Each 250 ms it writes its files anew, and takes part again once that succeeds. This is safe because nothing that depends on the refused write has left the instance, and the old files are no longer read. An error that is none of the disk still ends the process, now also the daemon's.

The test of a failing disk expected the role 'failed' until a restart. It now expects that the instance takes part in nothing while the disk fails (role, proposal, read, state), and that it holds the newest state after: stricter than before.

Virtual time, 40 seeds each: 3 and 5 voters, and 8 members that replace silent voters, disks full in turn for 4.5 s; no change waits for 3 s, all members are back, nothing is lost or applied twice. Two mutations (keeping the refused state; not carrying the applied index over) fail all four tests.

--- a/packages/cyclamenusherd/src/node/main.ts
+++ b/packages/cyclamenusherd/src/node/main.ts
@@ -11,7 +11,7 @@
 /** Exit codes of the daemon for scripts that start it; listed in docs/OPERATORS.md. */
 const EXIT_CODES = { success: 0, failure: 1, usage: 2, settings: 3 } as const
 
-function exit (code: number): never {
+function exit (code: number | string): never {
   process.exit(code)
 }
 
@@ -30,7 +30,7 @@
   const handleSignal = (): void => {
     signalCount += 1
     const shutdown = signalCount === 1 ? instance.stop() : instance.abort()
-    shutdown.then(() => exit(EXIT_CODES.success), () => exit(EXIT_CODES.failure))
+    shutdown.then(() => exit(process.exitCode ?? EXIT_CODES.success), () => exit(EXIT_CODES.failure))
   }
   process.on('SIGTERM', handleSignal)
   process.on('SIGINT', handleSignal)
--- a/packages/cyclamenusherd/src/node/process/control/__tests__/controlInstances.ts
+++ b/packages/cyclamenusherd/src/node/process/control/__tests__/controlInstances.ts
@@ -8,6 +8,7 @@
 import { systemClock } from '../../clock.js'
 import { openConsensusLog } from '../consensusLog.js'
 import { createControlService } from '../controlService.js'
+import { SYSTEM_DISK } from '../logStorage.js'
 import type { ConfigurationCommand, SubmitOutcome } from '@cyclamenusher/decisions'
 import type { CallServer } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../../logger.js'
@@ -38,6 +39,29 @@
   return mkdtempSync(join(tmpdir(), 'cyclamenusher-control-'))
 }
 
+export interface FillingDisk {
+  disk: Disk
+  setFull: (full: boolean) => void
+  /** Number of writes that were refused. */
+  refusals: () => number
+}
+
+/** A disk that can be full: it then writes the first half of what it is given, and refuses the rest. */
+export function createFillingDisk (): FillingDisk {
+  let isFull = false
+  let refusals = 0
+  const disk: Disk = {
+    ...SYSTEM_DISK,
+    write: (descriptor, bytes) => {
+      SYSTEM_DISK.write(descriptor, isFull ? bytes.subarray(0, bytes.length / 2) : bytes)
+      if (!isFull) return
+      refusals += 1
+      throw new Error('ENOSPC: no space left on device, write')
+    }
+  }
+  return { disk, setFull: full => { isFull = full }, refusals: () => refusals }
+}
+
 export function rules (rate: number): string {
   return `accounts.clinic = { rate = ${rate}, burst = 4 } # asked for by a test\n`
 }
--- a/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
@@ -15,7 +15,7 @@
 import type { Clock } from '../clock.js'
 import type { Address } from '../address.js'
 import type { ScopedLogger } from '../logger.js'
-import type { ConsensusTask } from './consensusTask.js'
+import type { ConsensusTask, Participation } from './consensusTask.js'
 import type { Disk } from './logStorage.js'
 import type { LogStatus, MembershipChangeOutcome, ReplicatedLog, StateMachine } from './replicatedLog.js'
 
@@ -53,6 +53,8 @@
   logger: ScopedLogger
   /** @default SYSTEM_DISK */
   disk?: Disk
+  /** Called when this instance has stopped taking part in consensus for good, and only a restart can mend that. */
+  onStopped?: () => void
 }
 
 export interface ConsensusLog<Command, Result> extends ReplicatedLog<Command, Result> {
@@ -68,6 +70,8 @@
   term: () => number
 }
 
+const INACTIVE_ROLES: Record<Participation, LogStatus['role'] | undefined> = { active: undefined, suspended: 'suspended', stopped: 'failed' }
+
 /** Resolves with the value of `promise`, or with `fallback` after the timeout. */
 async function withTimeout<Value> (milliseconds: number, promise: Promise<Value>, fallback: Value): Promise<Value> {
   let timer: NodeJS.Timeout | undefined
@@ -91,7 +95,7 @@
   let reportedMembers: readonly Address[] = []
   const [first] = addresses()
   const isFirst = first !== undefined && isOwnAddress(first) && options.mayFound !== false
-  const task: ConsensusTask<Result> = createConsensusTask({ storage, stateMachine, credentials, clock, random: Math.random, logger, membership: options.membership ?? MANUAL_MEMBERSHIP, compactionEntries: options.compactionEntries, limits: options.limits })
+  const task: ConsensusTask<Result> = createConsensusTask({ storage, stateMachine, credentials, clock, random: Math.random, logger, membership: options.membership ?? MANUAL_MEMBERSHIP, compactionEntries: options.compactionEntries, limits: options.limits, onStopped: options.onStopped })
   let closed = false
 
   function isEmpty (): boolean {
@@ -137,10 +141,10 @@
     task.found(members)
   }
 
-  /** Introduces this instance whenever it is not a member or knows no leader; founds the log if it should. */
+  /** Introduces this instance whenever it is not a member or knows no leader; founds the log if it should. One whose disk refuses writes could not become a member. */
   async function maintainMembership (): Promise<void> {
-    while (!closed && !task.hasFailed()) {
-      if (!isMember() || !knowsLeader()) await introduceOnce()
+    while (!closed && task.participation() !== 'stopped') {
+      if (task.participation() === 'active' && (!isMember() || !knowsLeader())) await introduceOnce()
       await pause(INTRODUCTION_INTERVAL_MILLISECONDS)
     }
   }
@@ -170,12 +174,14 @@
 
   function leader (): LogMember | undefined {
     const { leader: identity, members } = task.state()
+    if (task.participation() === 'stopped') return undefined
     return members.find(member => member.identity === identity)
   }
 
   function currentRole (): LogStatus['role'] {
     const { role, members } = task.state()
-    if (task.hasFailed()) return 'failed'
+    const roleOfInactive = INACTIVE_ROLES[task.participation()]
+    if (roleOfInactive !== undefined) return roleOfInactive
     if (members.every(({ identity, role: memberRole }) => identity !== self.identity || memberRole === 'learner')) return 'learner'
     return role === 'pre-candidate' ? 'candidate' : role
   }
@@ -214,7 +220,7 @@
     hasLeaderLease: task.hasLeaderLease,
     resign: task.resign,
     term: () => task.state().term,
-    isLeader: () => task.state().role === 'leader' && !task.hasFailed(),
+    isLeader: () => task.state().role === 'leader' && task.participation() === 'active',
     propose: async command => {
       const answer = await withTimeout(PROPOSAL_TIMEOUT_MILLISECONDS, task.propose(command), { kind: 'answered', answer: 'unknown' })
       if (answer.kind === 'applied') return answer
--- a/packages/cyclamenusherd/src/node/process/control/controlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/control/controlRole.ts
@@ -15,7 +15,8 @@
   close: () => Promise<void>
 }
 
-export function createControlRole (config: Config, clock: Clock, logger: Logger): ControlRole {
+/** `requestStop` stops the instance as SIGTERM does. */
+export function createControlRole (config: Config, clock: Clock, logger: Logger, requestStop: () => void): ControlRole {
   const service = createControlService(clock, logger.scope('control'))
   const { name, failureDomain, dataFolder = '.' } = config.instance
   const log = openConsensusLog({
@@ -27,7 +28,8 @@
     stateMachine: service.stateMachine,
     credentials: { secret: config.calls.secret, tls: config.calls.tls },
     clock,
-    logger: logger.scope('control')
+    logger: logger.scope('control'),
+    onStopped: requestStop
   })
   service.attach(log)
   return {
--- a/packages/cyclamenusherd/src/node/process/control/errors.ts
+++ b/packages/cyclamenusherd/src/node/process/control/errors.ts
@@ -11,9 +11,9 @@
   }
 }
 
-/** A write or a sync to disk failed. */
+/** A write or a sync to disk failed. What the files hold is unknown until they are written anew. */
 export class DiskError extends ProcessError {
   constructor (folder: string, cause: Error) {
-    super(`the disk under ${folder} failed: ${cause.message}`, 'Free space or repair the disk, then restart the instance')
+    super(`the disk under ${folder} failed: ${cause.message}`, 'Free space or repair the disk: the instance takes part again once the disk takes writes')
   }
 }
--- a/packages/cyclamenusherd/src/node/process/control/logStorage.ts
+++ b/packages/cyclamenusherd/src/node/process/control/logStorage.ts
@@ -1,10 +1,11 @@
 /**
  * Stores the identity, the snapshot and the log of a control instance in its data
- * folder. Every write is synced to disk before it returns. Disk errors are final.
+ * folder. Every write is synced to disk before it returns. After a refused write the
+ * contents of the files are unknown: they must be written anew before any other write.
  */
 
 import { randomBytes } from 'node:crypto'
-import { closeSync, existsSync, fsyncSync, ftruncateSync, mkdirSync, openSync, readFileSync, renameSync, writeSync } from 'node:fs'
+import { closeSync, existsSync, fsyncSync, ftruncateSync, mkdirSync, openSync, readFileSync, renameSync, rmSync, writeSync } from 'node:fs'
 import { dirname, join } from 'node:path'
 import { EMPTY_DURABLE_STATE, applyPersist } from '@cyclamenusher/decisions'
 import { DamagedLogError, DiskError } from './errors.js'
@@ -16,20 +17,26 @@
 export interface Disk {
   write: (descriptor: number, bytes: Buffer) => void
   sync: (descriptor: number) => void
+  truncate: (descriptor: number, length: number) => void
 }
 
 export const SYSTEM_DISK: Disk = {
   write: (descriptor, bytes) => {
     for (let offset = 0; offset < bytes.length;) offset += writeSync(descriptor, bytes, offset)
   },
-  sync: fsyncSync
+  sync: fsyncSync,
+  truncate: ftruncateSync
 }
 
 export interface LogStorage {
   /** Random; a new one is created if the data folder was lost. */
   identity: string
-  /** State that was read when the folder was opened. */
-  durable: DurableState
+  /** State that was read when the folder was opened, with all changes that were synced since. */
+  durable: () => DurableState
+  /** Whether the files must be written anew, because the disk refused a write. */
+  needsRewrite: () => boolean
+  /** Writes the durable state to new files. @throws DiskError */
+  rewrite: () => void
   /** Returns once the change is synced to disk. @throws DiskError */
   persist: (effect: PersistEffect) => void
   close: () => void
@@ -53,6 +60,10 @@
   try {
     disk.write(descriptor, bytes)
     disk.sync(descriptor)
+  } catch (error) {
+    // What was written of it would take room on a full disk.
+    rmSync(temporaryFile, { force: true })
+    throw error
   } finally {
     closeSync(descriptor)
   }
@@ -103,36 +114,59 @@
   if (damagedAt !== undefined) throw new DamagedLogError(logFile, `byte ${damagedAt}`, 'a record with a wrong checksum is followed by valid ones')
   let durable = replayLog(snapshot, values as LogRecord[], logFile)
   let descriptor = openSync(logFile, 'a', 0o600)
-  if (length < bytes.length) {
-    ftruncateSync(descriptor, length)
-    logger.warn('An incompletely written record was removed from the end of the log.', { file: logFile, at: length, bytes: bytes.length - length })
+  let needsRewrite = false
+
+  function openLogFile (): void {
+    try {
+      if (length < bytes.length) {
+        disk.truncate(descriptor, length)
+        logger.warn('An incompletely written record was removed from the end of the log.', { file: logFile, at: length, bytes: bytes.length - length })
+      }
+      disk.sync(descriptor)
+      syncFolder(folder, disk)
+    } catch (error) {
+      needsRewrite = true
+      logger.warn('The disk refused a write when the log was opened.', { file: logFile, reason: (error as Error).message })
+    }
   }
-  disk.sync(descriptor)
-  syncFolder(folder, disk)
 
   function writeSnapshotAndLog (next: DurableState): void {
     replaceFile(snapshotFile, encodeRecord(next.snapshot), disk)
     const { term, votedFor, log } = next
     replaceFile(logFile, encodeRecord({ vote: { term, votedFor }, entries: log } satisfies LogRecord), disk)
-    closeSync(descriptor)
+    const replaced = descriptor
     descriptor = openSync(logFile, 'a', 0o600)
+    closeSync(replaced)
   }
 
-  function persist (effect: PersistEffect): void {
-    const { vote, truncateFrom, entries } = effect
-    const next = applyPersist(durable, effect)
+  /** @throws DiskError */
+  function writeToDisk (write: () => void): void {
     try {
-      if (effect.snapshot === undefined) {
-        disk.write(descriptor, encodeRecord({ vote, truncateFrom, entries } satisfies LogRecord))
-        disk.sync(descriptor)
-      } else {
-        writeSnapshotAndLog(next)
-      }
+      write()
+      needsRewrite = false
     } catch (error) {
+      needsRewrite = true
       throw new DiskError(folder, error as Error)
     }
-    durable = next
   }
 
-  return { identity, durable, persist, close: () => { closeSync(descriptor) } }
+  function appendRecord ({ vote, truncateFrom, entries }: PersistEffect): void {
+    disk.write(descriptor, encodeRecord({ vote, truncateFrom, entries } satisfies LogRecord))
+    disk.sync(descriptor)
+  }
+
+  openLogFile()
+  return {
+    identity,
+    durable: () => durable,
+    needsRewrite: () => needsRewrite,
+    rewrite: () => { writeToDisk(() => { writeSnapshotAndLog(durable) }) },
+    persist: effect => {
+      if (needsRewrite) throw new DiskError(folder, new Error('an earlier write was refused'))
+      const next = applyPersist(durable, effect)
+      writeToDisk(() => { effect.snapshot === undefined ? appendRecord(effect) : writeSnapshotAndLog(next) })
+      durable = next
+    },
+    close: () => { closeSync(descriptor) }
+  }
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
@@ -13,6 +13,8 @@
 import { createPeers } from '../../peers.js'
 import type { Declaration, KnownServer, RenewRequest, ServerAnnouncement, ServerStatus } from '@cyclamenusher/decisions'
 import type { CallServer } from '@cyclamenusher/protocol'
+import type { Disk } from '../../control/logStorage.js'
+import type { LogStatus } from '../../control/replicatedLog.js'
 import type { FleetControl } from '../fleetControl.js'
 import type { Address } from '../../address.js'
 import type { Clock } from '../../clock.js'
@@ -28,6 +30,7 @@
   control: FleetControl
   hasLeaderLease: () => boolean
   term: () => number
+  role: () => LogStatus['role']
   stop: () => Promise<void>
 }
 
@@ -57,7 +60,8 @@
   return { version, text: JSON.stringify(declaration) }
 }
 
-export async function createFleetHarness (size = 3) {
+/** `disks` replaces the disks of the first control instances. */
+export async function createFleetHarness (size = 3, disks: readonly Disk[] = []) {
   const root = mkdtempSync(join(tmpdir(), 'cyclamenusher-fleet-'))
   const addresses = (await Promise.all(Array.from({ length: size }, findFreePort))).map(port => ({ host: HOST, port }))
   const running = new Map<number, ControlInstance>()
@@ -96,7 +100,7 @@
       clock: systemClock,
       logger
     })
-    const log = openConsensusLog({ name: `control-${index}`, failureDomain: `domain-${index}`, address: addresses[index], addresses: () => addresses, membership: { automatic: true, voters: 3 }, dataFolder: join(root, `control-${index}`), stateMachine: control.stateMachine, credentials: CREDENTIALS, clock: systemClock, logger })
+    const log = openConsensusLog({ name: `control-${index}`, failureDomain: `domain-${index}`, address: addresses[index], addresses: () => addresses, membership: { automatic: true, voters: 3 }, dataFolder: join(root, `control-${index}`), stateMachine: control.stateMachine, credentials: CREDENTIALS, clock: systemClock, logger, disk: disks[index] })
     control.attach(log)
     const calls: CallServer = await listenForCalls(HOST, addresses[index].port, CREDENTIALS, router => {
       log.routes(router)
@@ -106,6 +110,7 @@
       control,
       hasLeaderLease: log.hasLeaderLease,
       term: log.term,
+      role: () => log.status().role,
       stop: async () => {
         running.delete(index)
         control.close()
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
@@ -25,8 +25,6 @@
  * interval is about a quarter of it, which costs little of a small core.
  */
 const CONSENSUS_LIMITS: ConsensusLimits = { ...DEFAULT_CONSENSUS_LIMITS, heartbeatMilliseconds: 120, electionTimeoutMilliseconds: 450, maximumEntries: 12 }
-/** Interval between two checks whether the disk has failed, in milliseconds. */
-const DISK_CHECK_INTERVAL_MILLISECONDS = 500
 
 export interface FleetControlPorts {
   createServerCodec: () => ServerCodec
@@ -78,7 +76,8 @@
     stateMachine: control.stateMachine,
     credentials,
     clock,
-    logger: logger.scope('control')
+    logger: logger.scope('control'),
+    onStopped: onFailure
   })
   control.attach(consensus)
   const calls = await listenForCalls(config.calls.host, config.calls.port, credentials, router => {
@@ -88,11 +87,8 @@
   const api = await listenForHttp(config.api, ports.createApi(control), error => { log.warn('A request from the platform failed.', { reason: error.message }) })
   log.info('The control instance runs.', { name: config.name, failureDomain: config.failureDomain, calls: `${config.calls.host}:${config.calls.port}`, api: `${config.api.host}:${config.api.port}`, bootstrap: config.bootstrap })
   const metricsPage = await startMetrics(config.metrics, () => consensus.status().leader !== '')
-  // After a disk failure the contents of the disk are unknown; they can only be read after a restart.
-  const timer = setInterval(() => { if (consensus.status().role === 'failed') onFailure() }, DISK_CHECK_INTERVAL_MILLISECONDS)
 
   async function close (): Promise<void> {
-    clearInterval(timer)
     control.close()
     administration.close()
     api.close()
--- a/packages/cyclamenusherd/src/node/process/instance.ts
+++ b/packages/cyclamenusherd/src/node/process/instance.ts
@@ -8,6 +8,9 @@
 import { createMetrics, listenForMetrics } from './metrics.js'
 import type { Config } from './config.js'
 
+/** Exit code of an instance that stops because a role has failed. */
+const FAILURE_EXIT_CODE = 1
+
 export interface RunningInstance {
   /** Drains within the time that the settings allow, then closes; resolves when everything is closed. */
   stop: () => Promise<void>
@@ -22,8 +25,13 @@
   const metrics = createMetrics()
   const credentials = { secret: config.calls.secret, tls: config.calls.tls }
   const { roles } = config.instance
-  const entry = roles.includes('entry') ? createEntryRole({ config, credentials, clock, logger, metrics, requestStop: () => { process.kill(process.pid, 'SIGTERM') } }) : undefined
-  const control = roles.includes('control') ? createControlRole(config, clock, logger) : undefined
+  const requestStop = (): void => { process.kill(process.pid, 'SIGTERM') }
+  const stopAfterFailure = (): void => {
+    process.exitCode = FAILURE_EXIT_CODE
+    requestStop()
+  }
+  const entry = roles.includes('entry') ? createEntryRole({ config, credentials, clock, logger, metrics, requestStop }) : undefined
+  const control = roles.includes('control') ? createControlRole(config, clock, logger, stopAfterFailure) : undefined
   const callServer = await listenForCalls(config.calls.listen.host, config.calls.listen.port, credentials, router => {
     entry?.routes(router)
     control?.routes(router)
--- a/packages/decisions/src/node/consensus/__tests__/network.ts
+++ b/packages/decisions/src/node/consensus/__tests__/network.ts
@@ -1,10 +1,10 @@
-/** Simulates a network of members in virtual time: drops, delays and duplicates messages, and restarts members from their durable state. */
+/** Simulates a network of members in virtual time: drops, delays and duplicates messages, restarts members from their disks, and fills disks. */
 
-import { EMPTY_DURABLE_STATE, applyPersist, startConsensus, stepConsensus } from '../consensus.js'
-import { planMembershipChange } from '../repair.js'
+import { EMPTY_DURABLE_STATE, applyPersist, observeLeader, resumeConsensus, startConsensus, stepConsensus } from '../consensus.js'
+import { MANUAL_MEMBERSHIP, planMembershipChange } from '../repair.js'
 import { leadershipConfirmedSince } from '../replication.js'
 import type { DurableState } from '../consensus.js'
-import type { Introduction } from '../repair.js'
+import type { Introduction, MembershipPolicy } from '../repair.js'
 import type { ConsensusEffect, ConsensusEvent, ConsensusLimits, ConsensusMessage, ConsensusState, LogMember, RequestAnswer } from '../types.js'
 
 export const LIMITS: ConsensusLimits = { heartbeatMilliseconds: 50, electionTimeoutMilliseconds: 300, maximumEntries: 4, maximumPartCharacters: 200 }
@@ -20,10 +20,20 @@
 export const NO_FAULTS: Faults = { dropProbability: 0, duplicateProbability: 0, maximumDelayMilliseconds: 5, crashProbability: 0 }
 export const RANDOM_FAULTS: Faults = { dropProbability: 0.1, duplicateProbability: 0.1, maximumDelayMilliseconds: 60, crashProbability: 0.0005 }
 
+/** Interval between two attempts to write to a full disk, in milliseconds. */
+const DISK_RETRY_MILLISECONDS = 250
+
+class FullDiskError extends Error {}
+
 interface Node {
   running: boolean
+  /** When the disk refused a write; undefined while the member takes part. */
+  suspendedAt: number | undefined
   state: ConsensusState
   durable: DurableState
+  /** What a restart reads: after a refused write it may hold what was refused. */
+  disk: DurableState
+  appliedIndex: number
   /** Commands that the state machine has applied, in order. */
   commands: string[]
 }
@@ -51,6 +61,7 @@
   const random = createRandom(seed)
   const nodes = new Map<string, Node>()
   const cuts = new Set<string>()
+  const fullDisks = new Set<string>()
   const answers = new Map<number, Answer>()
   const leaderOfTerm = new Map<number, string>()
   const appliedEntries = new Map<number, string>()
@@ -66,7 +77,7 @@
 
   function startNode (identity: string, durable: DurableState): void {
     const commands = durable.snapshot.data === '' ? [] : JSON.parse(durable.snapshot.data) as string[]
-    nodes.set(identity, { running: true, durable, commands, state: startConsensus(identity, durable, now, random, LIMITS) })
+    nodes.set(identity, { running: true, suspendedAt: undefined, durable, disk: durable, appliedIndex: durable.snapshot.index, commands, state: startConsensus(identity, durable, now, random, LIMITS) })
   }
 
   function send (from: string, to: string, message: ConsensusMessage): void {
@@ -78,20 +89,30 @@
   }
 
   const performers: { [Kind in ConsensusEffect['kind']]: (node: Node, effect: Extract<ConsensusEffect, { kind: Kind }>) => void } = {
-    persist: (node, effect) => { node.durable = applyPersist(node.durable, effect) },
+    persist: (node, effect) => {
+      const next = applyPersist(node.durable, effect)
+      const isFull = fullDisks.has(node.state.self)
+      if (!isFull || random() < 0.5) node.disk = next
+      if (isFull) throw new FullDiskError()
+      node.durable = next
+    },
     send: ({ state }, { to, message }) => { send(state.self, to, message) },
     apply: (node, { entry, request }) => {
       const text = JSON.stringify(entry)
       const known = appliedEntries.get(entry.index)
       if (known !== undefined && known !== text) throw new InvariantViolation(`entry ${entry.index} was applied as ${known} and as ${text}`)
       appliedEntries.set(entry.index, text)
+      node.appliedIndex = entry.index
       if (entry.kind === 'command') node.commands.push(String(entry.command))
       if (request === undefined || entry.kind !== 'command') return
       accepted.push(String(entry.command))
       acceptedLength = Math.max(acceptedLength, node.commands.length)
       answers.set(request, 'applied')
     },
-    restore: (node, { data }) => { node.commands = JSON.parse(data) as string[] },
+    restore: (node, { index, data }) => {
+      node.appliedIndex = index
+      node.commands = JSON.parse(data) as string[]
+    },
     answer: (node, { request, answer }) => {
       answers.set(request, answer)
       const expected = expectedLengths.get(request) ?? 0
@@ -105,11 +126,28 @@
     }
   }
 
-  function step (identity: string, event: ConsensusEvent): void {
-    const node = nodes.get(identity)
-    if (node?.running !== true) return
-    const { state, effects } = stepConsensus(node.state, event, now, random)
-    node.state = state
+  function resume (identity: string, node: Node): void {
+    node.state = resumeConsensus(identity, node.durable, node.appliedIndex, now, random, LIMITS)
+  }
+
+  function suspend (identity: string, node: Node): void {
+    node.suspendedAt = now
+    resume(identity, node)
+  }
+
+  /** Lets members take part again whose disks have room, at the intervals at which they try. */
+  function retryDisks (): void {
+    for (const [identity, node] of nodes) {
+      if (node.suspendedAt === undefined || now < node.suspendedAt + DISK_RETRY_MILLISECONDS) continue
+      node.suspendedAt = fullDisks.has(identity) ? now : undefined
+      if (node.suspendedAt === undefined) {
+        node.disk = node.durable
+        resume(identity, node)
+      }
+    }
+  }
+
+  function performEffects (node: Node, effects: readonly ConsensusEffect[]): void {
     for (const effect of effects) {
       if (random() < crashProbability) {
         node.running = false
@@ -120,6 +158,23 @@
     }
   }
 
+  function step (identity: string, event: ConsensusEvent): void {
+    const node = nodes.get(identity)
+    if (node?.running !== true) return
+    if (node.suspendedAt !== undefined) {
+      if (event.kind === 'receive') node.state = observeLeader(node.state, event.from, event.message)
+      return
+    }
+    const { state, effects } = stepConsensus(node.state, event, now, random)
+    node.state = state
+    try {
+      performEffects(node, effects)
+    } catch (error) {
+      if (!(error instanceof FullDiskError)) throw error
+      suspend(identity, node)
+    }
+  }
+
   function deliver (): void {
     const due = queue.filter(({ at }) => at <= now).sort((left, right) => left.at - right.at)
     queue = queue.filter(({ at }) => at > now)
@@ -153,6 +208,7 @@
       const end = now + milliseconds
       while (now < end) {
         now += 5
+        retryDisks()
         deliver()
         for (const identity of nodes.keys()) step(identity, { kind: 'tick' })
         checkLeases()
@@ -171,19 +227,22 @@
       if (node !== undefined) step(identity, { kind: 'compact', index: node.state.appliedIndex, data: JSON.stringify(node.commands) })
     },
     /** Makes the next membership change that the leader plans. */
-    repair: () => {
+    repair: (policy: MembershipPolicy = MANUAL_MEMBERSHIP) => {
       const leader = nodes.get(network.leader() ?? '')
-      const change = leader === undefined ? undefined : planMembershipChange(leader.state, [...introductions.values()], now)
+      const introduced = [...introductions.values()].filter(({ identity }) => nodes.get(identity)?.suspendedAt === undefined)
+      const change = leader === undefined ? undefined : planMembershipChange(leader.state, introduced, now, policy)
       if (leader !== undefined && change !== undefined) network.change(leader.state.self, change)
     },
     stop: (identity: string) => {
       const node = nodes.get(identity)
       if (node !== undefined) node.running = false
     },
-    /** Restarts a member from its durable state. */
+    /** Starts a member with an empty disk. */
+    join: (identity: string) => { startNode(identity, EMPTY_DURABLE_STATE) },
+    /** Restarts a member from its disk. */
     restart: (identity: string) => {
       const node = nodes.get(identity)
-      if (node !== undefined) startNode(identity, node.durable)
+      if (node !== undefined) startNode(identity, node.disk)
     },
     /** Deletes the disk of `identity`; the instance returns as `successor`. */
     replaceDisk: (identity: string, successor: string, name: string) => {
@@ -192,12 +251,16 @@
       introductions.set(name, member(successor, name))
       startNode(successor, EMPTY_DURABLE_STATE)
     },
+    /** From now on the disk refuses all writes, until it has room. */
+    fillDisk: (identity: string) => { fullDisks.add(identity) },
+    makeRoom: (identity: string) => { fullDisks.delete(identity) },
     /** Drops all messages from one member to another, until healed. */
     cut: (from: string, to: string) => { cuts.add(`${from}>${to}`) },
     heal: () => { cuts.clear() },
     healAndRestart: () => {
       crashProbability = 0
       cuts.clear()
+      fullDisks.clear()
       for (const [identity, { running }] of nodes) if (!running) network.restart(identity)
     }
   }
--- a/packages/decisions/src/node/consensus/consensus.ts
+++ b/packages/decisions/src/node/consensus/consensus.ts
@@ -104,6 +104,24 @@
   return state
 }
 
+/**
+ * Creates the state of a member that takes part again after its disk refused a write. As
+ * after a restart, it knows only what is durable; its state machine holds all entries up
+ * to `appliedIndex`.
+ */
+export function resumeConsensus (self: string, durable: DurableState, appliedIndex: number, now: number, random: () => number, limits?: ConsensusLimits): ConsensusState {
+  return { ...startConsensus(self, durable, now, random, limits), commitIndex: appliedIndex, appliedIndex }
+}
+
+/**
+ * Notes who leads, for a member whose disk refuses writes: it handles no message, but can
+ * still tell callers where the leader is. The state is not taken over when it resumes.
+ */
+export function observeLeader (state: ConsensusState, from: string, message: ConsensusMessage): ConsensusState {
+  const isFromLeader = message.kind === 'append' || message.kind === 'install snapshot'
+  return isFromLeader && message.term >= state.term ? { ...state, term: message.term, leader: from } : state
+}
+
 /** Handles one event: returns the next state and the effects to carry out. */
 export function stepConsensus (previous: ConsensusState, event: ConsensusEvent, now: number, random: () => number): { state: ConsensusState, effects: ConsensusEffect[] } {
   const step: Step = { state: { ...previous }, effects: [], now, random }
--- a/packages/decisions/src/node/consensus/follower.ts
+++ b/packages/decisions/src/node/consensus/follower.ts
@@ -56,7 +56,7 @@
   const matches = termAt(state, snapshot.index) === snapshot.term
   const log = matches ? entriesFrom(state, snapshot.index + 1) : []
   Object.assign(state, { snapshot, log, members: membersAt(snapshot, log), commitIndex: snapshot.index, appliedIndex: snapshot.index, incomingSnapshot: undefined })
-  step.effects.push({ kind: 'persist', snapshot, entries: log }, { kind: 'restore', data: snapshot.data })
+  step.effects.push({ kind: 'persist', snapshot, entries: log }, { kind: 'restore', index: snapshot.index, data: snapshot.data })
 }
 
 export function receiveInstallSnapshot (step: Step, from: string, message: InstallSnapshot): void {
--- a/packages/decisions/src/node/consensus/types.ts
+++ b/packages/decisions/src/node/consensus/types.ts
@@ -149,8 +149,8 @@
   | PersistEffect
   | { kind: 'send', to: string, message: ConsensusMessage }
   | { kind: 'apply', entry: LogEntry, request?: number }
-  /** Replaces the state machine's state by this serialized state. */
-  | { kind: 'restore', data: string }
+  /** Replaces the state machine's state by this serialized state, which holds all entries up to the index. */
+  | { kind: 'restore', index: number, data: string }
   | { kind: 'answer', request: number, answer: RequestAnswer }
   /** Reports a change of leadership, for the process to log. */
   | { kind: 'note', note: 'leads' | 'lost its majority' | 'follows' | 'no longer leads', term: number, leader?: string }
