fix(fleet): an entry whose values are out of range is used as a server

Cause: fields were checked for their type where they enter, not for their range, and not at all where they are read back. Could not happen here: a port out of range does not end a process, as each connect is awaited within a try (read in serverConnection, streamOpener and holderLink).

Each field has a range now, in one pure table.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
@@ -7,7 +7,7 @@
 import { createPeers } from '../../peers.js'
 import { createFleetStreams } from '../fleetStreams.js'
 import { waitUntil } from './fleetHarness.js'
-import type { RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
+import type { KnownServer, RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
 
 const HOST = '127.0.0.1'
 const QUIET_LOGGER = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
@@ -117,4 +117,18 @@
   await stop()
 })
 
+// An instance that can't read one entry of the list would lose its lease at each renewal.
+test('an odd entry among the servers of a grant ends the lease', async () => {
+  const server: KnownServer = { member: 'i-1', group: 'g', host: HOST, port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'replica', bornAt: 1, sequence: 1, gone: false }
+  const servers = [null, { ...server, member: 'i-2', port: 70_000 }, server] as KnownServer[]
+  const { link, requests, stop } = await connectLink(() => ({ ...GRANT, shared: { ...GRANT.shared, servers } }))
+  try {
+    await waitUntil('three renewals', () => requests.length >= 3)
+    assert.ok(link.isLeased())
+    assert.equal(link.servers('g').map(({ member }) => member), ['i-1'])
+  } finally {
+    await stop()
+  }
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetStreams.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetStreams.test.ts
@@ -38,6 +38,10 @@
   })
 }
 
+test('a renewal with a port out of range is accepted', async () => {
+  assert.is(await send(RENEWAL_STREAM, { ...RENEWAL, lendsAt: { host: '10.0.0.1', port: 70_000 } }), 'a renewal has no valid field lendsAt')
+})
+
 test('a loan of no number is accepted', async () => {
   assert.is(await send(LOAN_STREAM, { account: 'clinic', wanted: null }), 'a loan has no valid field wanted')
 })
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -3,7 +3,7 @@
 import { INITIAL_FLEET_STATE, NO_TOLERANCE } from '@cyclamenusher/decisions'
 import { startLeadership } from '../leadership.js'
 import { createDocument, waitUntil } from './fleetHarness.js'
-import type { ControlAddress, Declaration, RenewGrant, RenewRequest } from '@cyclamenusher/decisions'
+import type { ControlAddress, Declaration, KnownServer, RenewGrant, RenewRequest } from '@cyclamenusher/decisions'
 import type { Leadership } from '../leadership.js'
 
 const NEVER_ABORTED = new AbortController().signal
@@ -63,7 +63,7 @@
   await waitUntil('a changed share', async () => ((await renew('entry-2', { demand: { clinic: 50 } }))?.shared.change ?? 0) > known)
   await new Promise(resolve => setTimeout(resolve, 50))
   assert.not.ok(ended)
-  leadership.announce({ member: 'p', group: 'g', host: 'h', port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'primary', bornAt: 1, sequence: 1 })
+  leadership.announce({ member: 'p', group: 'g', host: '10.0.0.1', port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'primary', bornAt: 1, sequence: 1 })
   await held
 })
 
@@ -139,4 +139,13 @@
   assert.is.not(one?.shared, other?.shared)
 })
 
+// An instance that has learned of an odd entry, from a leader of the build before, must not lose its lease.
+test('an odd entry among the servers of a renewal is passed on', async () => {
+  const { renew, advance } = startLeader()
+  advance(1_000)
+  const server: KnownServer = { member: 'i-1', group: 'g', host: '10.0.0.1', port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'replica', bornAt: 1, sequence: 1, gone: false }
+  const granted = await renew('entry-1', { servers: [{ ...server, member: 'i-2', port: 70_000 }, { ...server, member: 'i-3', bornAt: 9e15 }, server] })
+  assert.equal(granted?.shared.servers.map(({ member }) => member), ['i-1'])
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -184,8 +184,7 @@
   async function notifyLocally (notice: ServerNotice): Promise<boolean> {
     if (activeTerm === undefined || log?.hasLeaderLease() !== true) return false
     if (notice.kind === 'gone') return await activeTerm.leadership.deregister(notice.member, notice.bornAt)
-    activeTerm.leadership.announce(notice.announcement)
-    return true
+    return activeTerm.leadership.announce(notice.announcement) !== 'invalid'
   }
 
   function knowsLeader (): boolean {
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetStreams.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetStreams.ts
@@ -1,5 +1,6 @@
 /** The streams of calls between the instances of a fleet: renewals of leases, loans of rates, and operations at the instances that hold connections. */
 
+import { isPort } from '@cyclamenusher/decisions'
 import { EncodedReply, acceptStreamCalls } from '@cyclamenusher/protocol'
 import { HOLDER_STREAM } from '../../engine/index.js'
 import { hasFields, isFlag, isListOf, isNumber, isObject, isOptional, isRecordOf, isText } from '../messageFields.js'
@@ -11,6 +12,7 @@
 export const RENEWAL_STREAM = 'renewals'
 export const LOAN_STREAM = 'loans'
 
+/** Types only: an entry whose values are out of range is left out where it is merged, and its sender keeps its lease. */
 const SERVER_FIELDS: Record<string, FieldCheck> = {
   member: isText,
   group: isText,
@@ -34,7 +36,7 @@
   demand: isRecordOf(isNumber),
   sightings: isRecordOf(hasFields({ answeredAgo: isOptional(isNumber), failingFor: isOptional(isNumber) })),
   busy: isListOf(isText),
-  lendsAt: isOptional(hasFields({ host: isText, port: isNumber })),
+  lendsAt: isOptional(hasFields({ host: isText, port: isPort })),
   holds: isOptional(isFlag),
   holdMilliseconds: isNumber,
   servers: isOptional(isListOf(hasFields(SERVER_FIELDS))),
--- a/packages/cyclamenusherd/src/node/process/fleet/leaderDirectory.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leaderDirectory.ts
@@ -53,7 +53,7 @@
     announcedAt,
     announce: (announcement, now) => {
       const outcome = recordAnnouncement(servers, announcement)
-      if (outcome !== 'late') announcedAt.set(announcement.member, now)
+      if (outcome === 'unchanged' || outcome === 'changed') announcedAt.set(announcement.member, now)
       if (outcome === 'changed') recordServerChange(announcement.member)
       return outcome
     },
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -1,7 +1,7 @@
 /** Leader duties during one term: grants leases and rate shares, runs the control of the groups, and persists changes. */
 
 import { deflateSync } from 'node:zlib'
-import { INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, isLoanHistoryComplete, listGroupServers, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
+import { INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, findServerFault, isLoanHistoryComplete, listGroupServers, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
 import { createHeldRequests } from '../heldRequests.js'
 import { createEntryLeases } from './entryLeases.js'
 import { createGroupHolders } from './groupHolders.js'
@@ -279,6 +279,7 @@
     announce: announcement => {
       load.count('announcements')
       const outcome = directory.announce(announcement, clock.now())
+      if (outcome === 'invalid') logger.warn('An announcement that names no server was left out.', { field: findServerFault(announcement) })
       if (outcome === 'changed') {
         const { member, group, role, leaving, host, port } = announcement
         logger.info('A backend server announced a change.', { member, group, role, leaving, address: `${host}:${port}` })
--- a/packages/decisions/src/node/fleet/__tests__/directory.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/directory.test.ts
@@ -52,4 +52,22 @@
   assert.not.ok(mergeServer(directory, { ...createAnnouncement({ sequence: 5 }), gone: false }))
 })
 
+// An announcement of another writer became the newest of its server for good.
+test('an announcement with a number that is too large is recorded', () => {
+  const directory = new Map<string, KnownServer>()
+  recordAnnouncement(directory, createAnnouncement())
+  assert.is(recordAnnouncement(directory, createAnnouncement({ bornAt: 9e15 })), 'invalid')
+  assert.is(recordAnnouncement(directory, createAnnouncement({ sequence: 2 ** 53 })), 'invalid')
+  assert.is(recordAnnouncement(directory, undefined as unknown as ServerAnnouncement), 'invalid')
+  assert.is(recordAnnouncement(directory, createAnnouncement({ sequence: 2, leaving: true })), 'changed')
+})
+
+test('an entry with a port out of range is taken over from another instance', () => {
+  const directory = new Map<string, KnownServer>()
+  const known: KnownServer = { ...createAnnouncement(), gone: false }
+  for (const entry of [{ ...known, port: 70_000 }, { ...known, gone: 'no' }, null]) assert.not.ok(mergeServer(directory, entry as KnownServer))
+  assert.ok(mergeServer(directory, known))
+  assert.is(directory.size, 1)
+})
+
 test.run()
--- a/packages/decisions/src/node/fleet/__tests__/state.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/state.test.ts
@@ -52,4 +52,13 @@
   assert.equal(decodeFleetState(encodeFleetState(INITIAL_FLEET_STATE)), INITIAL_FLEET_STATE)
 })
 
+// Every control instance would have failed at the same entry of the log, again at each start.
+test('an entry that names no server ends whoever reads the log or a snapshot', () => {
+  const odd = [null, { ...SERVER, member: 'i-2', port: 70_000 }, { ...SERVER, member: 'i-3', bornAt: 9e15 }] as KnownServer[]
+  const { state } = apply([{ kind: 'remember', servers: [...odd, SERVER], entries: 3 }])
+  assert.equal([...state.servers.keys()], ['i-1'])
+  const snapshot = JSON.stringify({ ...JSON.parse(encodeFleetState(state)) as object, servers: [...odd, SERVER] })
+  assert.equal([...decodeFleetState(snapshot).servers.keys()], ['i-1'])
+})
+
 test.run()
--- a/packages/decisions/src/node/fleet/directory.ts
+++ b/packages/decisions/src/node/fleet/directory.ts
@@ -5,6 +5,8 @@
  * announcement must not replace the newer state.
  */
 
+import { findServerFault } from './serverFields.js'
+
 export type ServerRole = 'primary' | 'replica'
 
 /** What a backend server announces about itself. */
@@ -44,10 +46,12 @@
 /** Fields whose change is published to entry instances. */
 const PUBLISHED_FIELDS: ReadonlyArray<keyof ServerAnnouncement> = ['group', 'host', 'port', 'failureDomain', 'slots', 'leaving', 'role', 'bornAt']
 
-export type AnnouncementOutcome = 'late' | 'unchanged' | 'changed'
+/** `invalid`: a field is missing or out of its range. */
+export type AnnouncementOutcome = 'invalid' | 'late' | 'unchanged' | 'changed'
 
 /** Records an announcement in the directory, and returns whether it was late or changed a published field. */
 export function recordAnnouncement (directory: Map<string, KnownServer>, announcement: ServerAnnouncement): AnnouncementOutcome {
+  if (findServerFault(announcement) !== undefined) return 'invalid'
   const known = directory.get(announcement.member)
   if (known !== undefined && !isNewer(announcement, known)) return 'late'
   if (known === undefined && directory.size >= MAXIMUM_SERVERS) evictGoneServer(directory)
@@ -73,8 +77,14 @@
   return true
 }
 
-/** Merges another instance's entry for a server, and returns whether the directory changed. */
+/** Whether an entry that comes from the log, a snapshot or another instance names a server that can be used. */
+export function isKnownServer (entry: unknown): entry is KnownServer {
+  return findServerFault(entry) === undefined && typeof (entry as KnownServer).gone === 'boolean'
+}
+
+/** Merges another instance's entry for a server, and returns whether the directory changed. An entry that can't be used is left out. */
 export function mergeServer (directory: Map<string, KnownServer>, incoming: KnownServer): boolean {
+  if (!isKnownServer(incoming)) return false
   const known = directory.get(incoming.member)
   const isNew = known === undefined || isNewer(incoming, known) || (incoming.gone && !known.gone && incoming.bornAt >= known.bornAt)
   if (!isNew) return false
--- /dev/null
+++ b/packages/decisions/src/node/fleet/serverFields.ts
@@ -0,0 +1,63 @@
+/**
+ * Checks the fields of what names a backend server: announcements, and the entries that
+ * come back from the log, a snapshot or another instance. An entry that fails is left out
+ * where it is read, because whoever wrote it is no server of this fleet.
+ */
+
+import type { ServerAnnouncement } from './directory.js'
+
+/** Names are parts of lines on the wire: without spaces and control characters. */
+const NAME_PATTERN = /^[^\s\p{C}]{1,200}$/u
+const IPV4_PATTERN = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3})$/
+const IPV6_PATTERN = /^[0-9a-f:]{2,39}$/i
+/** First byte of IPv4 addresses from which on none names a host. */
+const FIRST_MULTICAST_BYTE = 224
+const HIGHEST_BYTE = 255
+const HIGHEST_PORT = 65_535
+/** Most statements that a server runs concurrently: PostgreSQL's limit of connections. */
+const MAXIMUM_SLOTS = 262_143
+/** Latest start of a server's process, in milliseconds since 1970: the year 2100. A later one would hide all announcements that follow. */
+const LATEST_START = Date.UTC(2100, 0, 1)
+/** Highest number of an announcement: a century of them, one a second. */
+const MAXIMUM_SEQUENCE = 2 ** 32 - 1
+
+type FieldCheck = (value: unknown) => boolean
+
+function isIntegerBetween (lowest: number, highest: number): FieldCheck {
+  return value => Number.isInteger(value) && Number(value) >= lowest && Number(value) <= highest
+}
+
+/** Whether a name can be sent on the wire. */
+export const isServerName: FieldCheck = value => typeof value === 'string' && NAME_PATTERN.test(value)
+
+export const isPort: FieldCheck = isIntegerBetween(1, HIGHEST_PORT)
+
+/** Whether a server's process can have started then; 0 if the server does not report it. */
+export const isStartTime: FieldCheck = isIntegerBetween(0, LATEST_START)
+
+function isHostOfIpv4 (host: string): boolean {
+  const bytes = IPV4_PATTERN.exec(host)?.slice(1).map(Number) ?? []
+  return bytes.length === 4 && bytes.every(byte => byte <= HIGHEST_BYTE) && bytes[0] > 0 && bytes[0] < FIRST_MULTICAST_BYTE
+}
+
+const isHost: FieldCheck = value => typeof value === 'string' && (isHostOfIpv4(value) || (value.includes(':') && IPV6_PATTERN.test(value)))
+
+const FIELD_CHECKS: Record<keyof ServerAnnouncement, FieldCheck> = {
+  member: isServerName,
+  group: isServerName,
+  host: isHost,
+  port: isPort,
+  failureDomain: isServerName,
+  slots: isIntegerBetween(0, MAXIMUM_SLOTS),
+  leaving: value => typeof value === 'boolean',
+  role: value => value === 'primary' || value === 'replica',
+  bornAt: isStartTime,
+  sequence: isIntegerBetween(0, MAXIMUM_SEQUENCE)
+}
+
+/** Returns the first field that is missing or out of its range; undefined if the entry can be used. */
+export function findServerFault (entry: unknown): string | undefined {
+  if (typeof entry !== 'object' || entry === null) return 'entry'
+  const fields = entry as Record<string, unknown>
+  return Object.entries(FIELD_CHECKS).find(([field, check]) => !check(fields[field]))?.[0]
+}
--- a/packages/decisions/src/node/fleet/state.ts
+++ b/packages/decisions/src/node/fleet/state.ts
@@ -3,7 +3,7 @@
  * the designated primary of each group, and the last known servers.
  */
 
-import { mergeServer } from './directory.js'
+import { isKnownServer, mergeServer } from './directory.js'
 import type { KnownServer } from './directory.js'
 import type { DeclarationDocument } from '../declaration/declaration.js'
 
@@ -77,7 +77,7 @@
   return {
     document,
     designations: new Map(designations.map(designation => [designation.group, designation])),
-    servers: new Map(servers.map(server => [server.member, server])),
+    servers: new Map(servers.filter(isKnownServer).map(server => [server.member, server])),
     entries
   }
 }
