fix(engine): a statement with a timeout of more than 24 days times out at once

A document with a route's timeout or an idle limit beyond 2^31 - 1 ms made every statement of the route time out, and every transaction end as idle, a millisecond after its start: callers got ABORTED. Cause: Node.js sets a delay that its timers can't hold to 1 ms.

Looked through: the other timers of the engine and of the fleet have constant delays, or delays from settings with a range.

--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -1,5 +1,6 @@
 /** One caller's connection: owns the socket and the session, and answers the caller's statements one after another. */
 
+import { LONGEST_TIMER_MILLISECONDS } from '@cyclamenusher/protocol'
 import { StatementFailure } from './errors.js'
 import { admitOperation, resolveAccess } from './operationAdmission.js'
 import { createSession } from './session.js'
@@ -209,7 +210,7 @@
     clearTimeout(idleTimer)
     if (startedSession?.transaction === undefined || startedSession.transaction.endReason !== undefined) return
     const limitMilliseconds = services.link.declaration()?.declaration.idleTransactionMilliseconds ?? DEFAULT_IDLE_TRANSACTION_MILLISECONDS
-    idleTimer = setTimeout(() => { endTransaction(`the transaction was idle for more than ${limitMilliseconds} ms`) }, limitMilliseconds)
+    idleTimer = setTimeout(() => { endTransaction(`the transaction was idle for more than ${limitMilliseconds} ms`) }, Math.min(limitMilliseconds, LONGEST_TIMER_MILLISECONDS))
   }
 
   function endTransaction (reason: string): void {
--- a/packages/protocol/src/node/__tests__/answerTimeout.test.ts
+++ b/packages/protocol/src/node/__tests__/answerTimeout.test.ts
@@ -58,4 +58,13 @@
   assert.not.ok(expired)
 })
 
+// Node.js fires a timer at once whose delay it can't hold.
+test('a timeout of a month expires at once', async () => {
+  let expired = false
+  const cancel = startAnswerTimeout(2_592_000_000, () => { expired = true })
+  await new Promise(resolve => setTimeout(resolve, 20))
+  cancel()
+  assert.not.ok(expired)
+})
+
 test.run()
