refactor(control): an instance that waits for its disk is no longer called suspended

The word names a process that the machine has stopped, elsewhere in the code (suspension.ts). The role in the status of control is 'awaiting disk'.

--- a/packages/cyclamenusherd/src/node/process/control/__tests__/consensusLog.test.ts
+++ b/packages/cyclamenusherd/src/node/process/control/__tests__/consensusLog.test.ts
@@ -81,12 +81,12 @@
   await instances.submit(1, rules(1))
   failing = true
   assert.is((await instances.submit(2, rules(2))).outcome, 'accepted')
-  await waitUntil('the instance is suspended', () => faulty.log.status().role === 'suspended')
+  await waitUntil('the instance awaits its disk', () => faulty.log.status().role === 'awaiting disk')
   assert.is(await faulty.log.confirmLeadership(), false)
   assert.equal(await faulty.log.propose({} as ConfigurationCommand), { kind: 'not leader', leader: instances.leader()?.name })
   assert.ok(instances.lines.some(line => line.startsWith('The disk refuses writes')))
   assert.is((await instances.submit(3, rules(3))).outcome, 'accepted')
-  assert.is(faulty.log.status().role, 'suspended')
+  assert.is(faulty.log.status().role, 'awaiting disk')
   assert.is(faulty.service.number(), 1)
   failing = false
   await waitUntil('the instance holds 3', () => faulty.service.number() === 3)
--- a/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
@@ -70,7 +70,7 @@
   term: () => number
 }
 
-const INACTIVE_ROLES: Record<Participation, LogStatus['role'] | undefined> = { active: undefined, suspended: 'suspended', stopped: 'failed' }
+const INACTIVE_ROLES: Record<Participation, LogStatus['role'] | undefined> = { active: undefined, 'awaiting disk': 'awaiting disk', stopped: 'failed' }
 
 /** Resolves with the value of `promise`, or with `fallback` after the timeout. */
 async function withTimeout<Value> (milliseconds: number, promise: Promise<Value>, fallback: Value): Promise<Value> {
--- a/packages/cyclamenusherd/src/node/process/control/consensusTask.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusTask.ts
@@ -35,8 +35,8 @@
 /** Maximum number of introductions that are kept; further ones are ignored. */
 const MAXIMUM_INTRODUCTIONS = 64
 
-/** `suspended`: the disk refuses writes, and the member waits until it takes them again. `stopped`: an error that only a restart can mend. */
-export type Participation = 'active' | 'suspended' | 'stopped'
+/** `awaiting disk`: the disk refuses writes, and the member waits until it takes them again. `stopped`: an error that only a restart can mend. */
+export type Participation = 'active' | 'awaiting disk' | 'stopped'
 
 export type TaskAnswer<Result> = { kind: 'answered', answer: RequestAnswer } | { kind: 'applied', result: Result }
 
@@ -91,7 +91,7 @@
   let appliedIndex = state.appliedIndex
   let nextRequest = 1
   let participation: Participation = 'active'
-  let suspendedAt = -Infinity
+  let diskRefusedAt = -Infinity
   let diskRetriedAt = -Infinity
   let closed = false
   /** While a call is handled: the member that made it, and the messages to return. */
@@ -149,17 +149,17 @@
   }
 
   /** Sends and answers nothing until the disk takes writes again. Others count this member as lost meanwhile. */
-  function suspend (error: Error): void {
-    participation = 'suspended'
-    suspendedAt = clock.now()
-    diskRetriedAt = suspendedAt
+  function awaitDisk (error: Error): void {
+    participation = 'awaiting disk'
+    diskRefusedAt = clock.now()
+    diskRetriedAt = diskRefusedAt
     resetState()
     answerPendingRequests()
     logger.error('The disk refuses writes: this instance takes no part in agreement until it takes them again.', { reason: error.message })
   }
 
   function fail (error: unknown): void {
-    if (error instanceof DiskError) suspend(error)
+    if (error instanceof DiskError) awaitDisk(error)
     else stop(error as Error)
   }
 
@@ -175,12 +175,12 @@
     }
     participation = 'active'
     resetState()
-    logger.info('The disk takes writes again: this instance takes part in agreement again.', { milliseconds: Math.round(clock.now() - suspendedAt) })
+    logger.info('The disk takes writes again: this instance takes part in agreement again.', { milliseconds: Math.round(clock.now() - diskRefusedAt) })
   }
 
   function step (event: ConsensusEvent): void {
     if (closed || participation === 'stopped') return
-    if (participation === 'suspended') {
+    if (participation === 'awaiting disk') {
       if (event.kind === 'receive') state = observeLeader(state, event.from, event.message)
       return
     }
@@ -229,7 +229,7 @@
   function tick (): void {
     // Compares the clocks at each tick, so that they drift little between two comparisons.
     suspension.resumedAt()
-    if (participation === 'suspended') resumeIfPossible()
+    if (participation === 'awaiting disk') resumeIfPossible()
     step({ kind: 'tick' })
     if (closed || participation !== 'active') return
     compactWhenDue()
@@ -254,7 +254,7 @@
     return participation === 'active' ? replies : []
   }
 
-  if (storage.needsRewrite()) suspend(new DiskError('the data folder', new Error('the log could not be opened for writing')))
+  if (storage.needsRewrite()) awaitDisk(new DiskError('the data folder', new Error('the log could not be opened for writing')))
 
   const closing = fromEvent('close', emitter)
   const events = fromEvent<ConsensusEvent>('event', emitter).map(event => () => { step(event) })
--- a/packages/cyclamenusherd/src/node/process/control/replicatedLog.ts
+++ b/packages/cyclamenusherd/src/node/process/control/replicatedLog.ts
@@ -15,8 +15,8 @@
 export type MembershipChangeOutcome = 'changed' | 'refused' | 'not leader' | 'unknown' | 'no candidate' | 'no member'
 
 export interface LogStatus {
-  /** `suspended`: the disk refuses writes, and the instance takes no part in consensus until it takes them again. `failed`: it takes no part any more until it is restarted. */
-  role: 'leader' | 'follower' | 'candidate' | 'learner' | 'suspended' | 'failed'
+  /** `awaiting disk`: the disk refuses writes, and the instance takes no part in consensus until it takes them again. `failed`: it takes no part any more until it is restarted. */
+  role: 'leader' | 'follower' | 'candidate' | 'learner' | 'awaiting disk' | 'failed'
   term: number
   /** Name of the leader; empty if it is not known. */
   leader: string
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fullDisks.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fullDisks.test.ts
@@ -26,10 +26,10 @@
   const follower = fleet.running.get(index) as ControlInstance
   disks[index].setFull(true)
   await fleet.declare(2)
-  await waitUntil('a refused write', () => follower.role() === 'suspended')
+  await waitUntil('a refused write', () => follower.role() === 'awaiting disk')
   await waitUntil('a declaration by way of the instance', async () => await follower.control.declare(createDocument(3)) === 'held')
   assert.is((await follower.control.current())?.document?.version, 3)
-  assert.is(follower.role(), 'suspended')
+  assert.is(follower.role(), 'awaiting disk')
   disks[index].setFull(false)
   await waitUntil('the instance takes part again', () => follower.role() === 'follower')
 })
@@ -45,7 +45,7 @@
   }
   await fleet.declare(5)
   await waitUntil('the declaration at the entry instance', () => entry.declaration()?.version === 5)
-  await waitUntil('all instances take part', () => [...fleet.running.values()].every(instance => instance.role() !== 'suspended'))
+  await waitUntil('all instances take part', () => [...fleet.running.values()].every(instance => instance.role() !== 'awaiting disk'))
 })
 
 test.run()
--- a/packages/decisions/src/node/consensus/__tests__/network.ts
+++ b/packages/decisions/src/node/consensus/__tests__/network.ts
@@ -28,7 +28,7 @@
 interface Node {
   running: boolean
   /** When the disk refused a write; undefined while the member takes part. */
-  suspendedAt: number | undefined
+  diskRefusedAt: number | undefined
   state: ConsensusState
   durable: DurableState
   /** What a restart reads: after a refused write it may hold what was refused. */
@@ -77,7 +77,7 @@
 
   function startNode (identity: string, durable: DurableState): void {
     const commands = durable.snapshot.data === '' ? [] : JSON.parse(durable.snapshot.data) as string[]
-    nodes.set(identity, { running: true, suspendedAt: undefined, durable, disk: durable, appliedIndex: durable.snapshot.index, commands, state: startConsensus(identity, durable, now, random, LIMITS) })
+    nodes.set(identity, { running: true, diskRefusedAt: undefined, durable, disk: durable, appliedIndex: durable.snapshot.index, commands, state: startConsensus(identity, durable, now, random, LIMITS) })
   }
 
   function send (from: string, to: string, message: ConsensusMessage): void {
@@ -130,17 +130,17 @@
     node.state = resumeConsensus(identity, node.durable, node.appliedIndex, now, random, LIMITS)
   }
 
-  function suspend (identity: string, node: Node): void {
-    node.suspendedAt = now
+  function awaitDisk (identity: string, node: Node): void {
+    node.diskRefusedAt = now
     resume(identity, node)
   }
 
   /** Lets members take part again whose disks have room, at the intervals at which they try. */
   function retryDisks (): void {
     for (const [identity, node] of nodes) {
-      if (node.suspendedAt === undefined || now < node.suspendedAt + DISK_RETRY_MILLISECONDS) continue
-      node.suspendedAt = fullDisks.has(identity) ? now : undefined
-      if (node.suspendedAt === undefined) {
+      if (node.diskRefusedAt === undefined || now < node.diskRefusedAt + DISK_RETRY_MILLISECONDS) continue
+      node.diskRefusedAt = fullDisks.has(identity) ? now : undefined
+      if (node.diskRefusedAt === undefined) {
         node.disk = node.durable
         resume(identity, node)
       }
@@ -161,7 +161,7 @@
   function step (identity: string, event: ConsensusEvent): void {
     const node = nodes.get(identity)
     if (node?.running !== true) return
-    if (node.suspendedAt !== undefined) {
+    if (node.diskRefusedAt !== undefined) {
       if (event.kind === 'receive') node.state = observeLeader(node.state, event.from, event.message)
       return
     }
@@ -171,7 +171,7 @@
       performEffects(node, effects)
     } catch (error) {
       if (!(error instanceof FullDiskError)) throw error
-      suspend(identity, node)
+      awaitDisk(identity, node)
     }
   }
 
@@ -229,7 +229,7 @@
     /** Makes the next membership change that the leader plans. */
     repair: (policy: MembershipPolicy = MANUAL_MEMBERSHIP) => {
       const leader = nodes.get(network.leader() ?? '')
-      const introduced = [...introductions.values()].filter(({ identity }) => nodes.get(identity)?.suspendedAt === undefined)
+      const introduced = [...introductions.values()].filter(({ identity }) => nodes.get(identity)?.diskRefusedAt === undefined)
       const change = leader === undefined ? undefined : planMembershipChange(leader.state, introduced, now, policy)
       if (leader !== undefined && change !== undefined) network.change(leader.state.self, change)
     },
