fix(control): an unknown message ends an instance's part in consensus

What callers would see: during a rolling restart, one message of a kind that only the newer build knows ends the control instances that get it, again and again, and changes are not accepted.

Cause: messages between members were used as they came; an error in consensus ends a member's part, and now its process.

Each field of each kind is checked for its type and range when a message arrives; one that is not valid counts as lost, which consensus tolerates. A term above 2^48 is out of range: members adopt the highest term they hear, and count on from it. The kinds and fields on the wire are unchanged.

--- a/packages/cyclamenusherd/src/node/process/control/__tests__/controlInstances.ts
+++ b/packages/cyclamenusherd/src/node/process/control/__tests__/controlInstances.ts
@@ -17,7 +17,7 @@
 import type { Disk } from '../logStorage.js'
 
 const HOST = '127.0.0.1'
-const CREDENTIALS = { secret: 'a secret of the tests' }
+export const CREDENTIALS = { secret: 'a secret of the tests' }
 /** Only bounds a test that would hang otherwise. */
 const WAIT_TIMEOUT_MILLISECONDS = 15_000
 
--- a/packages/cyclamenusherd/src/node/process/control/peerLinks.ts
+++ b/packages/cyclamenusherd/src/node/process/control/peerLinks.ts
@@ -2,6 +2,7 @@
 
 import { Code, ConnectError } from '@connectrpc/connect'
 import { ConsensusService, createPeerLink } from '@cyclamenusher/protocol'
+import { decodeMessages, encodeMessages } from './consensusMessages.js'
 import type { ConsensusMessage, LogMember } from '@cyclamenusher/decisions'
 import type { PeerCredentials, PeerLink } from '@cyclamenusher/protocol'
 
@@ -25,14 +26,6 @@
   busy: boolean
 }
 
-export function encodeMessages (messages: readonly ConsensusMessage[]): Uint8Array<ArrayBuffer> {
-  return new Uint8Array(Buffer.from(JSON.stringify(messages), 'utf8'))
-}
-
-export function decodeMessages (body: Uint8Array): ConsensusMessage[] {
-  return JSON.parse(Buffer.from(body).toString('utf8')) as ConsensusMessage[]
-}
-
 /** Whether a call got no answer in time, possibly because its connection no longer works. */
 function isTimeout (error: unknown): boolean {
   return error instanceof ConnectError && error.code === Code.DeadlineExceeded
