perf(protocol): strings of a document are skipped with a search when its nesting is measured

Each instance reads each version of the declaration. A regular expression was tried and left: it took more than a minute on a text of quotes without an end.

Also: the test of unknown messages closes its instances when it fails.

--- a/packages/cyclamenusherd/src/node/process/control/__tests__/consensusMessages.test.ts
+++ b/packages/cyclamenusherd/src/node/process/control/__tests__/consensusMessages.test.ts
@@ -45,18 +45,21 @@
 // One message of a kind that a later build may send ended the part of every instance that got it.
 test('an unknown message ends an instance\'s part in consensus', async () => {
   const instances = await createInstances(3)
-  for (const index of [0, 1, 2]) await instances.start(index)
-  await instances.submit(1, rules(1))
-  const target = instances.running.get('control-1') as Instance
-  const [own, other] = ['control-1', 'control-2'].map(name => target.log.status().members.find(member => member.name === name))
-  const link = createPeerLink(ConsensusService, own?.host ?? '', own?.port ?? 0, CREDENTIALS)
-  const odd = [{ kind: 'of a later build' }, { kind: 'append', term: 1e300 }, null]
-  await link.client.deliver({ from: other?.identity, to: own?.identity, body: new Uint8Array(Buffer.from(JSON.stringify(odd))) })
-  link.reconnect()
-  assert.is.not(target.log.status().role, 'failed')
-  await instances.submit(2, rules(2))
-  await waitUntil('the instance holds 2', () => target.service.number() === 2)
-  await instances.close()
+  try {
+    for (const index of [0, 1, 2]) await instances.start(index)
+    await instances.submit(1, rules(1))
+    const target = instances.running.get('control-1') as Instance
+    const [own, other] = ['control-1', 'control-2'].map(name => target.log.status().members.find(member => member.name === name))
+    const link = createPeerLink(ConsensusService, own?.host ?? '', own?.port ?? 0, CREDENTIALS)
+    const odd = [{ kind: 'of a later build' }, { kind: 'append', term: 1e300 }, null]
+    await link.client.deliver({ from: other?.identity, to: own?.identity, body: new Uint8Array(Buffer.from(JSON.stringify(odd))) })
+    link.reconnect()
+    assert.is.not(target.log.status().role, 'failed')
+    await instances.submit(2, rules(2))
+    await waitUntil('the instance holds 2', () => target.service.number() === 2)
+  } finally {
+    await instances.close()
+  }
 })
 
 test.run()
--- a/packages/protocol/src/node/boundedJson.ts
+++ b/packages/protocol/src/node/boundedJson.ts
@@ -5,24 +5,31 @@
 
 const QUOTE = 0x22
 const BACKSLASH = 0x5c
-/** Change of the nesting by character code: the brackets of objects and lists. */
-const NESTING_CHANGES = new Map([[0x7b, 1], [0x5b, 1], [0x7d, -1], [0x5d, -1]])
+/** Character codes of the brackets of lists and objects. */
+const OPENING_BRACKETS: ReadonlySet<number> = new Set([0x5b, 0x7b])
+const CLOSING_BRACKETS: ReadonlySet<number> = new Set([0x5d, 0x7d])
 
-/** Index after the string that begins at `start`; the length of the text if the string does not end. */
-function skipString (text: string, start: number): number {
-  let index = start + 1
-  while (index < text.length && text.charCodeAt(index) !== QUOTE) index += text.charCodeAt(index) === BACKSLASH ? 2 : 1
-  return index + 1
+function isEscaped (text: string, index: number): boolean {
+  let backslashes = 0
+  while (text.charCodeAt(index - 1 - backslashes) === BACKSLASH) backslashes += 1
+  return backslashes % 2 === 1
+}
+
+/** Index of the quote that ends the string that begins at `start`; the length of the text if there is none. */
+function findStringEnd (text: string, start: number): number {
+  let end = text.indexOf('"', start + 1)
+  while (end !== -1 && isEscaped(text, end)) end = text.indexOf('"', end + 1)
+  return end === -1 ? text.length : end
 }
 
 function isNestedTooDeeply (text: string): boolean {
   let nesting = 0
-  let index = 0
-  while (index < text.length) {
+  for (let index = 0; index < text.length; index += 1) {
     const code = text.charCodeAt(index)
-    nesting += NESTING_CHANGES.get(code) ?? 0
+    if (code === QUOTE) index = findStringEnd(text, index)
+    else if (OPENING_BRACKETS.has(code)) nesting += 1
+    else if (CLOSING_BRACKETS.has(code)) nesting -= 1
     if (nesting > MAXIMUM_JSON_NESTING) return true
-    index = code === QUOTE ? skipString(text, index) : index + 1
   }
   return false
 }
