--- a/packages/protocol/src/node/boundedJson.ts
+++ b/packages/protocol/src/node/boundedJson.ts
@@ -5,6 +5,8 @@
 
 const QUOTE = 0x22
 const BACKSLASH = 0x5c
+/** Brackets come after this character code; most of what stands between strings comes before it. */
+const LAST_DIGIT = 0x39
 /** Character codes of the brackets of lists and objects. */
 const OPENING_BRACKETS: ReadonlySet<number> = new Set([0x5b, 0x7b])
 const CLOSING_BRACKETS: ReadonlySet<number> = new Set([0x5d, 0x7d])
@@ -27,6 +29,7 @@
   for (let index = 0; index < text.length; index += 1) {
     const code = text.charCodeAt(index)
     if (code === QUOTE) index = findStringEnd(text, index)
+    else if (code <= LAST_DIGIT) continue
     else if (OPENING_BRACKETS.has(code)) nesting += 1
     else if (CLOSING_BRACKETS.has(code)) nesting -= 1
     if (nesting > MAXIMUM_JSON_NESTING) return true
