--- a/packages/cyclamenusherd/src/node/process/control/__tests__/logStorage.test.ts
+++ b/packages/cyclamenusherd/src/node/process/control/__tests__/logStorage.test.ts
@@ -7,7 +7,8 @@
 import { SYSTEM_DISK, openLogStorage } from '../logStorage.js'
 import { decodeRecords, encodeRecord } from '../recordFile.js'
 import { createFillingDisk, createRecordingLogger, createTemporaryFolder } from './controlInstances.js'
-import type { LogEntry } from '@cyclamenusher/decisions'
+import type { LogEntry, PersistEffect } from '@cyclamenusher/decisions'
+import type { Disk } from '../logStorage.js'
 
 const lines: string[] = []
 const logger = createRecordingLogger(lines)
@@ -148,6 +149,65 @@
   rmSync(folder, { recursive: true })
 })
 
+/** A disk that fails after a number of operations. */
+function createFailingDisk (operations: number): Disk {
+  let left = operations
+  const spend = (): void => {
+    left -= 1
+    if (left < 0) throw new Error('EIO: i/o error')
+  }
+  return {
+    write: (descriptor, bytes) => {
+      spend()
+      SYSTEM_DISK.write(descriptor, bytes)
+    },
+    sync: descriptor => {
+      spend()
+      SYSTEM_DISK.sync(descriptor)
+    },
+    truncate: SYSTEM_DISK.truncate
+  }
+}
+
+const COMPACTION: PersistEffect = { kind: 'persist', snapshot: { index: 3, term: 1, members: [], data: 'state' }, entries: [entry(4), entry(5)] }
+const INSTALLATION: PersistEffect = { kind: 'persist', snapshot: { index: 9, term: 2, members: [], data: 'state' }, entries: [] }
+/** Writes and syncs of two files that are replaced, each with its folder. */
+const OPERATIONS_OF_TWO_FILES = 6
+
+/** Writes a snapshot to a disk that fails, then all files anew on a disk that fails again; returns the index of the last entry that a restart reads. */
+function crashWhileRewriting (effect: PersistEffect, operations: number, operationsAnew: number): number | undefined {
+  const folder = createTemporaryFolder()
+  writeEntries(folder, 5)
+  let disk = SYSTEM_DISK
+  const storage = openLogStorage(folder, logger, { write: (...given) => { disk.write(...given) }, sync: (...given) => { disk.sync(...given) }, truncate: SYSTEM_DISK.truncate })
+  disk = createFailingDisk(operations)
+  assert.throws(() => { storage.persist(effect) }, (error: Error) => error instanceof DiskError)
+  disk = createFailingDisk(operationsAnew)
+  try {
+    storage.rewrite()
+  } catch (error) {
+    assert.ok(error instanceof DiskError)
+  }
+  storage.close()
+  const reopened = openLogStorage(folder, logger)
+  reopened.close()
+  rmSync(folder, { recursive: true })
+  const { snapshot, log } = reopened.durable()
+  return log.at(-1)?.index ?? snapshot.index
+}
+
+// The older snapshot stood beside the log that followed the newer one, which was then given up.
+for (const [name, effect, lastIndexes] of [['a compaction', COMPACTION, [5]], ['a snapshot of the leader', INSTALLATION, [5, 9]]] as const) {
+  test(`a crash while the files are written anew after ${name} was refused loses entries`, () => {
+    for (let operations = 0; operations < OPERATIONS_OF_TWO_FILES; operations += 1) {
+      for (let operationsAnew = 0; operationsAnew <= OPERATIONS_OF_TWO_FILES; operationsAnew += 1) {
+        const lastIndex = crashWhileRewriting(effect, operations, operationsAnew)
+        assert.ok(lastIndexes.some(index => index === lastIndex), `${operations} operations, then ${operationsAnew}: ${lastIndex}`)
+      }
+    }
+  })
+}
+
 // The process ended at each start until there was room.
 test('a log that ends in half a record is not opened on a full disk', () => {
   const folder = createTemporaryFolder()
--- a/packages/cyclamenusherd/src/node/process/control/logStorage.ts
+++ b/packages/cyclamenusherd/src/node/process/control/logStorage.ts
@@ -130,15 +130,29 @@
     }
   }
 
-  function writeSnapshotAndLog (next: DurableState): void {
+  function writeSnapshot (next: DurableState): void {
     replaceFile(snapshotFile, encodeRecord(next.snapshot), disk)
-    const { term, votedFor, log } = next
+  }
+
+  function writeLog ({ term, votedFor, log }: DurableState): void {
     replaceFile(logFile, encodeRecord({ vote: { term, votedFor }, entries: log } satisfies LogRecord), disk)
     const replaced = descriptor
     descriptor = openSync(logFile, 'a', 0o600)
     closeSync(replaced)
   }
 
+  /** The newer snapshot comes first: the log that it replaces holds all that follows it. */
+  function compact (next: DurableState): void {
+    writeSnapshot(next)
+    writeLog(next)
+  }
+
+  /** The log comes first: a newer snapshot that a refused compaction left can stand before it, but an older one not before a newer log. */
+  function rewrite (): void {
+    writeLog(durable)
+    writeSnapshot(durable)
+  }
+
   /** @throws DiskError */
   function writeToDisk (write: () => void): void {
     try {
@@ -160,11 +174,11 @@
     identity,
     durable: () => durable,
     needsRewrite: () => needsRewrite,
-    rewrite: () => { writeToDisk(() => { writeSnapshotAndLog(durable) }) },
+    rewrite: () => { writeToDisk(rewrite) },
     persist: effect => {
       if (needsRewrite) throw new DiskError(folder, new Error('an earlier write was refused'))
       const next = applyPersist(durable, effect)
-      writeToDisk(() => { effect.snapshot === undefined ? appendRecord(effect) : writeSnapshotAndLog(next) })
+      writeToDisk(() => { effect.snapshot === undefined ? appendRecord(effect) : compact(next) })
       durable = next
     },
     close: () => { closeSync(descriptor) }
