--- a/packages/decisions/src/node/fleet/serverFields.ts
+++ b/packages/decisions/src/node/fleet/serverFields.ts
@@ -8,11 +8,9 @@
 
 /** Names are parts of lines on the wire: without spaces and control characters. */
 const NAME_PATTERN = /^[^\s\p{C}]{1,200}$/u
-const IPV4_PATTERN = /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3})$/
-const IPV6_PATTERN = /^[0-9a-f:]{2,39}$/i
-/** First byte of IPv4 addresses from which on none names a host. */
-const FIRST_MULTICAST_BYTE = 224
-const HIGHEST_BYTE = 255
+/** Addresses of hosts: the first byte is from 1 to 223, as 0 names no host and multicast begins at 224. */
+const IPV4_PATTERN = /^(?:[1-9]\d?|1\d\d|2[01]\d|22[0-3])(?:\.(?:\d|[1-9]\d|1\d\d|2[0-4]\d|25[0-5])){3}$/
+const IPV6_PATTERN = /^(?=.*:)[0-9a-f:]{2,39}$/i
 const HIGHEST_PORT = 65_535
 /** Most statements that a server runs concurrently: PostgreSQL's limit of connections. */
 const MAXIMUM_SLOTS = 262_143
@@ -35,12 +33,7 @@
 /** Whether a server's process can have started then; 0 if the server does not report it. */
 export const isStartTime: FieldCheck = isIntegerBetween(0, LATEST_START)
 
-function isHostOfIpv4 (host: string): boolean {
-  const bytes = IPV4_PATTERN.exec(host)?.slice(1).map(Number) ?? []
-  return bytes.length === 4 && bytes.every(byte => byte <= HIGHEST_BYTE) && bytes[0] > 0 && bytes[0] < FIRST_MULTICAST_BYTE
-}
-
-const isHost: FieldCheck = value => typeof value === 'string' && (isHostOfIpv4(value) || (value.includes(':') && IPV6_PATTERN.test(value)))
+const isHost: FieldCheck = value => typeof value === 'string' && (IPV4_PATTERN.test(value) || IPV6_PATTERN.test(value))
 
 const FIELD_CHECKS: Record<keyof ServerAnnouncement, FieldCheck> = {
   member: isServerName,
@@ -55,9 +48,11 @@
   sequence: isIntegerBetween(0, MAXIMUM_SEQUENCE)
 }
 
+const CHECKS = Object.entries(FIELD_CHECKS)
+
 /** Returns the first field that is missing or out of its range; undefined if the entry can be used. */
 export function findServerFault (entry: unknown): string | undefined {
   if (typeof entry !== 'object' || entry === null) return 'entry'
   const fields = entry as Record<string, unknown>
-  return Object.entries(FIELD_CHECKS).find(([field, check]) => !check(fields[field]))?.[0]
+  return CHECKS.find(([field, check]) => !check(fields[field]))?.[0]
 }
