review: nine entry instances in case 5, and exit 2 where a case can't run

Case 5 freezes one entry instance of nine, as many as the site has, so that it stays within the share of the disruption. A case that meets an error of its own or no build exits with 2.

--- a/review/1/case.js
+++ b/review/1/case.js
@@ -1,14 +1,17 @@
 /** A replica that leaves is the only one that received the newest commits when the primary crashes. */
 
+import { fileURLToPath } from 'node:url'
 import { openSession } from '../harness/clients.js'
 import { pause, runCase, waitFor } from '../harness/case.js'
 import { startSystem } from '../harness/setup.js'
 
+const FOLDER = fileURLToPath(new URL('.', import.meta.url))
+
 const WRITES = 20
 /** As long as a server that leaves still serves. */
 const WATCH_MILLISECONDS = 7_000
 
-await runCase(import.meta.dirname, async ({ record, trouble, onEnd }) => {
+await runCase(FOLDER, async ({ record, trouble, onEnd }) => {
   const { deployment, service, provider } = await startSystem({ record, onEnd, synchronousReplicas: 1 })
   const [primary, leaving, other] = service.servers
   const session = await openSession({ host: deployment.entryHosts()[0], port: deployment.ports.callers, database: 'db-primary', key: 'key-of-tenant-1' })
--- a/review/3/case.js
+++ b/review/3/case.js
@@ -2,17 +2,20 @@
 
 import { rmSync } from 'node:fs'
 import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
 import { openSession } from '../harness/clients.js'
 import { pause, runCase } from '../harness/case.js'
 import { buildManifest, declareManifest } from '../harness/platform.js'
 import { startSystem } from '../harness/setup.js'
 
+const FOLDER = fileURLToPath(new URL('.', import.meta.url))
+
 const TENANT = process.env.TENANT ?? 'constructor'
 const RECOVERY_MILLISECONDS = 12_000
 const DOWN_MILLISECONDS = 800
 const WATCH_MILLISECONDS = 8_000
 
-await runCase(import.meta.dirname, async ({ record, trouble, onEnd }) => {
+await runCase(FOLDER, async ({ record, trouble, onEnd }) => {
   const { deployment, service } = await startSystem({ record, onEnd })
   const controls = [...deployment.machines.values()].filter(({ role }) => role === 'control').map(({ name }) => name)
 
--- a/review/5/case.js
+++ b/review/5/case.js
@@ -1,9 +1,12 @@
 /** An entry instance freezes, control's leader is killed meanwhile, and the rate share of the frozen instance is given to others as well. */
 
+import { fileURLToPath } from 'node:url'
 import { createId, openSession } from '../harness/clients.js'
 import { pause, runCase } from '../harness/case.js'
 import { startSystem } from '../harness/setup.js'
 
+const FOLDER = fileURLToPath(new URL('.', import.meta.url))
+
 const RATE = 85
 const BURST = 85
 const WINDOW_SECONDS = 5
@@ -23,9 +26,9 @@
   return Math.max(...counts)
 }
 
-await runCase(import.meta.dirname, async ({ record, trouble, onEnd }) => {
+await runCase(FOLDER, async ({ record, trouble, onEnd }) => {
   const runs = []
-  const { deployment } = await startSystem({ record, onEnd, entries: 4, limits: { ratePerSecond: RATE, burst: BURST }, onRun: run => { runs.push(run) } })
+  const { deployment } = await startSystem({ record, onEnd, entries: 9, limits: { ratePerSecond: RATE, burst: BURST }, onRun: run => { runs.push(run) } })
   const counts = { sent: 0, refused: 0 }
   const sentAt = new Map()
 
@@ -49,7 +52,7 @@
   const frozenHost = deployment.machines.get(FROZEN).host
   const otherHosts = deployment.entryHosts().filter(host => host !== frozenHost)
   const atFrozen = await openSessions([frozenHost], 70)
-  const atOthers = await openSessions(otherHosts, 20)
+  const atOthers = await openSessions(otherHosts, 8)
   // The tenant's callers are at one instance first.
   const firstUntil = performance.now() + 8_000
   await Promise.all(atFrozen.map(async session => { await press(session, 900, () => firstUntil) }))
--- a/review/harness/case.js
+++ b/review/harness/case.js
@@ -37,6 +37,7 @@
   record(trouble ? 'with the disruption' : 'without the disruption')
   setTimeout(() => { finish(2, 'could not run: out of time') }, TIME_LIMIT_MILLISECONDS)
   for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => { finish(2, `could not run: ${signal}`) })
+  for (const event of ['uncaughtException', 'unhandledRejection']) process.once(event, error => { finish(2, `could not run: ${error?.stack}`) })
   try {
     const { broken, summary } = await play({ record, trouble, onEnd: close => { closers.push(close) } })
     await finish(broken ? 1 : 0, `${broken ? 'BROKEN' : 'held'}: ${summary}`)
--- a/review/harness/processes.js
+++ b/review/harness/processes.js
@@ -5,6 +5,9 @@
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+const FOLDER = fileURLToPath(new URL('.', import.meta.url))
 
 /** The commands of deploy/system.toml. */
 const COMMANDS = {
@@ -117,7 +120,7 @@
     writeFileSync(settings, writeSettings({ ...machine, zones, seeds: controlHosts, bootstrap, folder, provider: providerOf(machine, prefix) }))
     const output = openSync(join(folder, `${name}.log`), 'a')
     const { PATH, HOME, LANG } = process.env
-    const child = spawn(process.execPath, COMMANDS[role], { cwd: join(import.meta.dirname, '../..'), env: { PATH, HOME, LANG, CYCLAMENUSHER_SETTINGS: settings }, stdio: ['ignore', output, output] })
+    const child = spawn(process.execPath, COMMANDS[role], { cwd: join(FOLDER, '../..'), env: { PATH, HOME, LANG, CYCLAMENUSHER_SETTINGS: settings }, stdio: ['ignore', output, output] })
     closeSync(output)
     const running = { ...machine, child, exited: false }
     child.once('exit', (code, signal) => {
