fix(cyclamenusherd): an account named "constructor" ends the service of all

What callers saw: a declaration names an account `constructor` (or `__proto__`, `toString`, `hasOwnProperty`).

Cause: shares are planned from the reported demand, a plain object with accounts as keys, in which such a name finds what every object inherits. The shares became NaN, null in JSON, and the next leader ended the stream of each renewal that reported them. Ruled out: the recovery of control's disks (any change of the leader does the same) and the declaration itself (in force everywhere).

Change: names that are known only at run time are looked up with `lookUp`, which reads own keys, or in a Map. A renewal that does not say who asks is refused with the value quoted; of its reports, what can't be used is left out, named once in the log, and the lease is kept. A share that can't be read counts as the whole rate, loans that can't be read as not known.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,4 +1,5 @@
 import neostandard from 'neostandard'
+import { noInheritedKeys } from './scripts/lint/inheritedKeys.js'
 
 // neostandard provides the rules of Standard style, including formatting: `eslint --fix`
 // is the formatter, `eslint` the linter.
@@ -15,5 +16,13 @@
       'no-duplicate-imports': 'off'
     },
     files: ['**/*.ts']
+  },
+  {
+    // What runs in production; tests, models and measurements choose their names themselves.
+    files: ['decisions', 'protocol', 'cyclamenusherd', 'cyclamenusher'].map(name => `packages/${name}/src/**/*.ts`).concat('platform/src/**/*.ts'),
+    ignores: ['**/__tests__/**', 'packages/decisions/src/node/model/**', 'packages/protocol/src/gen/**'],
+    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    plugins: { local: { rules: { 'no-inherited-keys': noInheritedKeys } } },
+    rules: { 'local/no-inherited-keys': 'error' }
   }
 ]
--- a/packages/cyclamenusher/src/node/commands.ts
+++ b/packages/cyclamenusher/src/node/commands.ts
@@ -2,7 +2,7 @@
 
 import { readFileSync } from 'node:fs'
 import { userInfo } from 'node:os'
-import { parseRules } from '@cyclamenusher/decisions'
+import { lookUp, parseRules } from '@cyclamenusher/decisions'
 import { CommandError, EXIT_CODES } from './errors.js'
 import { formatRows, formatValue } from './output.js'
 import type { Connection, ConnectionFlags, ControlStatus, MemberEntry } from './connection.js'
@@ -46,7 +46,7 @@
   const reply = await connect(flags).submit(BigInt(number), content, flags.operator ?? userInfo().username)
   const { outcome, winnerDigest, winnerOperator, message } = reply
   write(formatValue(flags, { outcome, number: Number(reply.number), winnerDigest, winnerOperator, message }, message))
-  return OUTCOME_EXIT_CODES[outcome] ?? EXIT_CODES.refused
+  return lookUp(OUTCOME_EXIT_CODES, outcome) ?? EXIT_CODES.refused
 }
 
 /** Returns the leader's status, or the one with the highest configuration number where no leader answered. */
@@ -97,11 +97,11 @@
   if (name === '') throw new CommandError('usage', 'no control instance was named', `Use cyclamenusher member ${action} NAME`)
   const { outcome, message } = await connect(flags).changeMember(action, name)
   write(formatValue(flags, { outcome, message }, message))
-  return outcome === 'changed' ? EXIT_CODES.success : OUTCOME_EXIT_CODES[outcome] ?? EXIT_CODES.refused
+  return outcome === 'changed' ? EXIT_CODES.success : lookUp(OUTCOME_EXIT_CODES, outcome) ?? EXIT_CODES.refused
 }
 
 export async function member (environment: CommandEnvironment, action: string, name: string | undefined, flags: CommonFlags): Promise<number> {
-  const run = (MEMBER_ACTIONS as Partial<Record<string, typeof MEMBER_ACTIONS.list>>)[action]
+  const run = lookUp<typeof MEMBER_ACTIONS.list>(MEMBER_ACTIONS, action)
   if (run === undefined) throw new CommandError('usage', `there is no member command ${action}`, 'Use list, add or remove')
   return await run(environment, name ?? '', flags)
 }
--- a/packages/cyclamenusher/src/node/trace/traceRequest.ts
+++ b/packages/cyclamenusher/src/node/trace/traceRequest.ts
@@ -3,6 +3,7 @@
  * own lines and those that show the state of its instance and of control at that time.
  */
 
+import { lookUp } from '@cyclamenusher/decisions'
 import type { LogLine } from './logLines.js'
 
 export type TraceCause =
@@ -44,7 +45,7 @@
 const DEFECT_MESSAGE = 'A statement met a defect of the instance.'
 
 function readFact (line: LogLine, fact: string): string {
-  const value = line.facts[fact]
+  const value = lookUp(line.facts, fact)
   return typeof value === 'string' ? value : ''
 }
 
--- a/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
@@ -5,6 +5,7 @@
  * up. The caller's key is never sent.
  */
 
+import { lookUp } from '@cyclamenusher/decisions'
 import { hasFields, isListOf, isNumber, isOptional, isText } from '../../process/messageFields.js'
 import type { LogPosition, SendTime } from '@cyclamenusher/decisions'
 import type { FieldCheck, Fields } from '../../process/messageFields.js'
@@ -94,8 +95,9 @@
 function decode<Message> (body: Buffer, checks: Record<string, FieldCheck>): Message {
   const value = JSON.parse(body.toString('utf8')) as Fields | null
   const kind = value?.kind
-  if (typeof kind !== 'string' || !Object.hasOwn(checks, kind)) throw new Error('a message about operations is of no known kind')
-  if (!checks[kind](value)) throw new Error(`a message about operations of kind ${kind} lacks a field`)
+  const check = typeof kind === 'string' ? lookUp(checks, kind) : undefined
+  if (check === undefined) throw new Error('a message about operations is of no known kind')
+  if (!check(value)) throw new Error(`a message about operations of kind ${String(kind)} lacks a field`)
   return value as Message
 }
 
--- a/packages/cyclamenusherd/src/node/process/config.ts
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -2,7 +2,7 @@
 
 import { readFileSync } from 'node:fs'
 import { dirname, resolve } from 'node:path'
-import { FaultyFileError, entriesBelow, readToml, resolveFields } from '@cyclamenusher/decisions'
+import { FaultyFileError, entriesBelow, lookUp, readToml, resolveFields } from '@cyclamenusher/decisions'
 import { isLoopback, parseAddress } from './address.js'
 import { SETTINGS } from './settings.js'
 import type { Fault, TomlValue } from '@cyclamenusher/decisions'
@@ -104,7 +104,7 @@
 
 function createFileReader (file: string, values: SettingValues, findLine: (table: string, name: string) => number, faults: Fault[]): FileReader {
   const text = (table: string, name: string): string | undefined => {
-    const path = values[table][name]
+    const path = lookUp(lookUp(values, table) ?? {}, name)
     if (typeof path !== 'string') return undefined
     try {
       return readFileSync(resolve(dirname(file), path), 'utf8')
@@ -172,7 +172,7 @@
   }
   const entries = readToml(file, text)
   const faults: Fault[] = []
-  const values: SettingValues = {}
+  const resolvedTables = new Map<string, SettingValues[string]>()
   const findLine = (table: string, name: string): number =>
     (entries.find(({ path }) => path[0] === table && path[1] === name) ?? entries.find(({ path }) => path[0] === table))?.line ?? 1
   for (const { path, line } of entries) {
@@ -181,9 +181,10 @@
   }
   for (const [table, fields] of Object.entries(SETTINGS)) {
     const resolved = resolveFields(file, table, fields, entriesBelow(entries, table), findLine(table, ''))
-    values[table] = resolved.values
+    resolvedTables.set(table, resolved.values)
     faults.push(...resolved.faults)
   }
+  const values: SettingValues = Object.fromEntries(resolvedTables)
   faults.push(...checkCombinations(file, values, findLine))
   const files = createFileReader(file, values, findLine, faults)
   const config = buildConfig(file, values, files)
--- a/packages/cyclamenusherd/src/node/process/control/consensusMessages.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusMessages.ts
@@ -1,5 +1,6 @@
 /** Encodes the messages between members of the log, and checks each one that arrives. */
 
+import { lookUp } from '@cyclamenusher/decisions'
 import { hasFields, isFlag, isListOf, isObject, isOptional, isText } from '../messageFields.js'
 import type { ConsensusMessage, LogEntry, LogMember } from '@cyclamenusher/decisions'
 import type { FieldCheck, Fields } from '../messageFields.js'
@@ -36,7 +37,8 @@
   return value => {
     if (!isObject(value)) return false
     const { kind } = value as Fields
-    return typeof kind === 'string' && Object.hasOwn(fieldsByKind, kind) && hasFields(fieldsByKind[kind])(value)
+    const fields = typeof kind === 'string' ? lookUp(fieldsByKind, kind) : undefined
+    return fields !== undefined && hasFields(fields)(value)
   }
 }
 
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleet.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleet.test.ts
@@ -1,9 +1,11 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { SHARE_VALIDITY_MILLISECONDS } from '@cyclamenusher/decisions'
+import { LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS } from '@cyclamenusher/decisions'
 import { listenForCalls } from '@cyclamenusher/protocol'
 import { createFleetStreams } from '../fleetStreams.js'
-import { CREDENTIALS, HOST, createFleetHarness, createDocument, waitUntil } from './fleetHarness.js'
+import { CREDENTIALS, HOST, createAnnouncement, createFleetHarness, createDocument, waitUntil } from './fleetHarness.js'
+import type { RenewRequest } from '@cyclamenusher/decisions'
+import type { FleetLink } from '../fleetLink.js'
 import type { FleetHarness } from './fleetHarness.js'
 
 let fleet: FleetHarness
@@ -170,6 +172,34 @@
 })
 
 // Instances without a share lost every operation while their lender was away.
+// A new leader ended the renewals of every instance, because of an account named "constructor".
+for (const name of ['constructor', '__proto__', 'toString', 'hasOwnProperty']) {
+  test(`no instance gets a lease from the next leader where things are named ${name}`, async () => {
+    const names = { routes: [{ name, database: name, prefix: '/', group: name, readPolicy: 'primary' as const, statementMilliseconds: 1_000, priority: 1, open: false }], groups: [{ name, connectionsPerServer: 10, synchronousReplicas: 1 }], accounts: [{ name, keys: [name], ratePerSecond: 10, burst: 10 }] }
+    await fleet.declare(1, names)
+    fleet.statuses.set(name, { role: 'primary', term: 1, received: { term: 1, position: 10 } })
+    await waitUntil('the announcement', async () => await (await fleet.leader()).control.notify({ kind: 'announced', announcement: createAnnouncement(name, { role: 'primary', group: name, failureDomain: name }) }))
+    const reports: Array<() => Pick<RenewRequest, 'demand' | 'sightings' | 'busy'>> = [
+      () => ({ demand: {}, sightings: {}, busy: [] }),
+      () => ({ demand: Object.fromEntries([[name, 1]]), sightings: Object.fromEntries([[name, { answeredAgo: 1 }]]), busy: [name] })
+    ]
+    const links = reports.map((report, index) => fleet.joinEntry(index === 0 ? name : 'entry-2', report, undefined, { host: HOST, port: 1 }))
+    const isServing = (link: FleetLink): boolean => link.isLeased() && link.primaryAssignment(name)?.use === 'open' && link.declaration()?.account(name) !== undefined
+    await waitUntil('service and shares', () => links.every(isServing) && links.every(link => link.rateShare(name) > 0 || link.hasLender(name)))
+    const former = await fleet.leader()
+    const term = former.term()
+    await former.stop()
+    await waitUntil('the next leader', async () => (await fleet.leader()).term() > term)
+    const since = Date.now()
+    await waitUntil('leases of the next leader', () => Date.now() - since > LEASE_MILLISECONDS && links.every(isServing))
+    assert.ok(links.reduce((sum, link) => sum + link.rateShare(name), 0) <= 1 + 1e-9)
+    await Promise.all([...fleet.running.values()].map(async instance => { await instance.stop() }))
+    await Promise.all([0, 1, 2].map(fleet.start))
+    await waitUntil('service after a restart of all control instances', () => links.every(isServing))
+    assert.equal(links[1].servers(name).map(({ member }) => member), [name])
+  })
+}
+
 test('operations are lost while a lender does not answer', async () => {
   await fleet.declare(1, { accounts: [{ name: 'clinic', keys: ['k'], ratePerSecond: 100, burst: 10 }] })
   let lent = 0
--- a/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
@@ -1,6 +1,6 @@
 /** The leases that the leader has granted to entry instances, and the rate shares that the instances hold. */
 
-import { LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, chooseLenders, combineLoanReports, countLenders, listNearLenders, planShares } from '@cyclamenusher/decisions'
+import { LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, chooseLenders, combineLoanReports, countLenders, listNearLenders, lookUp, planShares } from '@cyclamenusher/decisions'
 import type { AvailableHolder } from './groupHolders.js'
 import type { ClientAccount, ControlAddress, LoanHistory, LoanReport, RateTolerance, RenewRequest, ServerObservation, ShareHolder, NamedInstance } from '@cyclamenusher/decisions'
 
@@ -132,7 +132,7 @@
     const concerned = [...leases.values()].filter(({ name, heldShares, shares }) => chosen.has(name) || heldShares.has(account.name) || shares.has(account.name))
     const holders = concerned.map((lease): ShareHolder => ({
       name: lease.name,
-      demand: lease.leaseUntil > now ? lease.demand[account.name] ?? 0 : 0,
+      demand: lease.leaseUntil > now ? lookUp(lease.demand, account.name) ?? 0 : 0,
       held: Math.max(lease.heldShares.get(account.name) ?? 0, lease.shares.get(account.name) ?? 0),
       isLender: chosen.has(lease.name),
       hasLease: lease.leaseUntil > now
@@ -166,7 +166,10 @@
     },
     isConfirmed: (change, now) => listActiveLeases(now).every(({ appliedChange }) => appliedChange >= change),
     busy: (group, now) => listActiveLeases(now).some(lease => lease.busy.has(group)),
-    listObservations: (member, now) => listActiveLeases(now).flatMap(({ observations, renewedAt }) => observations[member] === undefined ? [] : [addAge(observations[member], now - renewedAt)]),
+    listObservations: (member, now) => listActiveLeases(now).flatMap(({ observations, renewedAt }) => {
+      const observation = lookUp(observations, member)
+      return observation === undefined ? [] : [addAge(observation, now - renewedAt)]
+    }),
     count: now => listActiveLeases(now).length,
     countRenewing: now => [...leases.values()].filter(({ renewedAt }) => renewedAt + LEASE_MILLISECONDS > now).length,
     listHolders: now => listActiveLeases(now).flatMap(({ name, failureDomain, lendsAt, holds }) => holds && lendsAt !== undefined ? [{ name, failureDomain, ...lendsAt }] : []),
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -8,8 +8,9 @@
 import { INITIAL_FLEET_STATE, applyFleetCommand, decodeFleetState, encodeFleetState } from '@cyclamenusher/decisions'
 import { decodeBody, encodeBody } from './bodies.js'
 import { createHeldRequests } from '../heldRequests.js'
-import { checkLoan, checkRenewal, createFleetStreams } from './fleetStreams.js'
+import { checkLoan, createFleetStreams } from './fleetStreams.js'
 import { startLeadership } from './leadership.js'
+import { createRenewalReader } from './renewalFields.js'
 import type { ConnectRouter } from '@connectrpc/connect'
 import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, FleetCommand, FleetOutcome, FleetState, LogMember, RateTolerance, RenewReply, RenewRequest, ServerAnnouncement } from '@cyclamenusher/decisions'
 import type { PeerCredentials, PeerLink, StreamRoutes } from '@cyclamenusher/protocol'
@@ -81,6 +82,7 @@
   let log: ConsensusLog<FleetCommand, FleetOutcome> | undefined
   let activeTerm: { term: number, leadership: Leadership } | undefined
   const waitingForLeader = createHeldRequests()
+  const readRenewal = createRenewalReader(logger)
   let cachedLink: { address: string, link: PeerLink<typeof FleetService> } | undefined
 
   function adoptState (next: FleetState): void {
@@ -220,7 +222,7 @@
     attach: attached => { log = attached },
     routes: router => {
       router.service(FleetService, {
-        renew: async ({ body }, { signal }) => ({ body: encodeBody(flattenGrant(await renew(checkRenewal(decodeBody(body)), signal))) }),
+        renew: async ({ body }, { signal }) => ({ body: encodeBody(flattenGrant(await renew(readRenewal(decodeBody(body)), signal))) }),
         borrow: ({ body }) => ({ body: encodeBody(lend(checkLoan(decodeBody(body)))) }),
         declare: async ({ body }) => ({ body: encodeBody(log?.isLeader() === true ? await declareLocally(decodeBody(body)) : 'unknown') }),
         current: async () => ({ body: encodeBody(await readCurrentLocally() ?? null) }),
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from 'node:crypto'
 import { EventEmitter } from 'node:events'
 import { inflateSync } from 'node:zlib'
-import { RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, findLender, indexDeclaration, mergeServer, listGroupServers } from '@cyclamenusher/decisions'
+import { RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, findLender, indexDeclaration, lookUp, mergeServer, listGroupServers } from '@cyclamenusher/decisions'
 import { StreamCallError, createStreamCaller } from '@cyclamenusher/protocol'
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
@@ -376,7 +376,7 @@
     isConnected: () => isLeased() && clock.now() - leaseStartedAt < RENEWAL_OVERDUE_MILLISECONDS,
     leasedUntil,
     resumedAt: suspension.resumedAt,
-    rateShare: account => clock.now() < validUntil(SHARE_VALIDITY_MILLISECONDS) ? shares[account] ?? 0 : 0,
+    rateShare: account => clock.now() < validUntil(SHARE_VALIDITY_MILLISECONDS) ? lookUp(shares, account) ?? 0 : 0,
     hasLender: account => lenders.get(account) !== undefined,
     borrow,
     entryCount: () => entryCount,
--- a/packages/cyclamenusherd/src/node/process/messageFields.ts
+++ b/packages/cyclamenusherd/src/node/process/messageFields.ts
@@ -1,5 +1,7 @@
 /** Checks the fields of messages that another instance sent as JSON. */
 
+import { lookUp } from '@cyclamenusher/decisions'
+
 export type Fields = Record<string, unknown>
 export type FieldCheck = (value: unknown) => boolean
 
@@ -16,10 +18,25 @@
   return value => Array.isArray(value) && value.every(check)
 }
 
-export function isRecordOf (check: FieldCheck): FieldCheck {
-  return value => isObject(value) && Object.values(value as Fields).every(check)
+export function hasFields (checks: Record<string, FieldCheck>): FieldCheck {
+  return value => isObject(value) && Object.entries(checks).every(([field, check]) => check(lookUp(value as Fields, field)))
 }
 
-export function hasFields (checks: Record<string, FieldCheck>): FieldCheck {
-  return value => isObject(value) && Object.entries(checks).every(([field, check]) => check((value as Fields)[field]))
+/** Longest part of a value that an error or a log line shows, in characters. */
+const QUOTE_LENGTH = 80
+
+/** A received value as an error or a log line shows it. */
+export function quoteValue (value: unknown): string {
+  const text = JSON.stringify(value) ?? 'nothing'
+  return text.length > QUOTE_LENGTH ? `${text.slice(0, QUOTE_LENGTH)}…` : text
+}
+
+/** Checks the fields of a request that another instance sent. @throws Error that names the field and its value */
+export function checkFields<Request> (kind: string, value: unknown, checks: Record<string, FieldCheck>): Request {
+  const fields = (isObject(value) ? value : {}) as Fields
+  for (const [field, check] of Object.entries(checks)) {
+    const received = lookUp(fields, field)
+    if (!check(received)) throw new Error(`a ${kind} has no valid field ${field}: ${quoteValue(received)}`)
+  }
+  return value as Request
 }
--- a/packages/decisions/src/node/fleet/serverFields.ts
+++ b/packages/decisions/src/node/fleet/serverFields.ts
@@ -4,6 +4,7 @@
  * where it is read, because whoever wrote it is no server of this fleet.
  */
 
+import { lookUp } from '../lookUp.js'
 import type { ServerAnnouncement } from './directory.js'
 
 /** Names are parts of lines on the wire: without spaces and control characters. */
@@ -54,5 +55,5 @@
 export function findServerFault (entry: unknown): string | undefined {
   if (typeof entry !== 'object' || entry === null) return 'entry'
   const fields = entry as Record<string, unknown>
-  return CHECKS.find(([field, check]) => !check(fields[field]))?.[0]
+  return CHECKS.find(([field, check]) => !check(lookUp(fields, field)))?.[0]
 }
--- a/packages/decisions/src/node/index.ts
+++ b/packages/decisions/src/node/index.ts
@@ -1,5 +1,6 @@
 /** The system's decisions as pure functions, without sockets, clocks or files. */
 
+export * from './lookUp.js'
 export * from './group/route.js'
 export * from './group/view.js'
 export * from './rate/agent.js'
--- a/packages/decisions/src/node/rules/delta.ts
+++ b/packages/decisions/src/node/rules/delta.ts
@@ -55,5 +55,5 @@
 }
 
 function isRuleTable (table: string): table is RuleTable {
-  return table in EMPTY_RULES
+  return Object.hasOwn(EMPTY_RULES, table)
 }
--- a/packages/decisions/src/node/settings/fields.ts
+++ b/packages/decisions/src/node/settings/fields.ts
@@ -1,5 +1,6 @@
 /** Checks values against declared fields (kind, range, pattern) and fills in defaults. */
 
+import { lookUp } from '../lookUp.js'
 import type { Fault, TomlEntry, TomlValue } from './toml.js'
 
 interface FieldBase<Value> {
@@ -101,24 +102,24 @@
  */
 export function resolveFields (file: string, tableName: string, fields: Record<string, Field>, entries: Array<{ name: string, value: TomlValue, line: number }>, tableLine: number): { values: Record<string, TomlValue | undefined>, faults: Fault[] } {
   const faults: Fault[] = []
-  const values: Record<string, TomlValue | undefined> = {}
+  const values = new Map<string, TomlValue | undefined>()
   for (const { name, value, line } of entries) {
-    const field = Object.hasOwn(fields, name) ? fields[name] : undefined
+    const field = lookUp(fields, name)
     if (field === undefined) {
       faults.push({ file, line, problem: `${tableName} has no field ${name}`, remedy: suggestNames(name, Object.keys(fields)) })
       continue
     }
     const problem = checkField(field, value, `${tableName}.${name}`)
-    if (problem === undefined) values[name] = value
+    if (problem === undefined) values.set(name, value)
     else faults.push({ file, line, ...problem })
   }
   for (const [name, field] of Object.entries(fields)) {
-    if (values[name] !== undefined) continue
-    values[name] = field.default
+    if (values.get(name) !== undefined) continue
+    values.set(name, field.default)
     const missing = field.default === undefined && field.optional !== true && !entries.some(entry => entry.name === name)
     if (missing) faults.push({ file, line: tableLine, problem: `${tableName}.${name} is missing`, remedy: `Add it: ${field.description}` })
   }
-  return { values, faults }
+  return { values: Object.fromEntries(values), faults }
 }
 
 /** The entries of one table, each named by the rest of its path. */
--- a/packages/decisions/src/node/statement/classify.ts
+++ b/packages/decisions/src/node/statement/classify.ts
@@ -5,6 +5,7 @@
  */
 
 import { loadModule, parseSync } from 'libpg-query'
+import { lookUp } from '../lookUp.js'
 import { SIDE_EFFECT_FREE_FUNCTIONS } from './constants.js'
 import { SESSION_TOKEN_SETTING, isSessionSetting } from './settings.js'
 
@@ -129,7 +130,7 @@
     TRANS_STMT_RELEASE: { kind: 'savepoint' },
     TRANS_STMT_ROLLBACK_TO: { kind: 'savepoint' }
   }
-  return kinds[String(node.kind)] ?? unsupported('two-phase commit')
+  return lookUp(kinds, String(node.kind)) ?? unsupported('two-phase commit')
 }
 
 function settingValues (node: Node): string[] | undefined {
@@ -183,7 +184,7 @@
   ExecuteStmt: () => unsupported('EXECUTE as a statement (use the extended protocol)'),
   DeallocateStmt: node => ({ kind: 'deallocate', ...(node.name === undefined ? {} : { statementName: String(node.name) }) }),
   DeclareCursorStmt: node => (Number(node.options ?? 0) & CURSOR_WITH_HOLD) > 0 ? unsupported('cursors WITH HOLD') : WRITE,
-  DiscardStmt: node => DISCARD_CLASSES[String(node.target)] ?? unsupported('DISCARD SEQUENCES'),
+  DiscardStmt: node => lookUp(DISCARD_CLASSES, String(node.target)) ?? unsupported('DISCARD SEQUENCES'),
   LoadStmt: () => unsupported('LOAD'),
   DoStmt: () => SESSION_CHANGING_WRITE,
   CallStmt: () => SESSION_CHANGING_WRITE
@@ -197,7 +198,7 @@
   const sessionFunction = findSessionFunction(node)
   if (sessionFunction !== undefined) return unsupported(`the function ${sessionFunction}`)
   if (usesTemporaryObjects(node)) return unsupported('temporary tables')
-  return CLASSIFIERS[tag]?.(node as Node) ?? classifyWrite(node)
+  return lookUp(CLASSIFIERS, tag)?.(node as Node) ?? classifyWrite(node)
 }
 
 function classifyText (text: string): TextClass {
--- a/packages/protocol/src/node/postgres/messages.ts
+++ b/packages/protocol/src/node/postgres/messages.ts
@@ -168,15 +168,15 @@
 
 /** Reads the severity (never localized), code and message of an ErrorResponse. */
 export function readErrorResponse (frame: Frame): { severity: string, code: string, message: string } {
-  const fields: Record<string, string> = {}
+  const fields = new Map<string, string>()
   let offset = 5
   while (offset < frame.bytes.length && frame.bytes[offset] !== 0) {
     const key = String.fromCharCode(frame.bytes[offset])
     const [value, next] = readCString(frame.bytes, offset + 1)
-    fields[key] = value
+    fields.set(key, value)
     offset = next
   }
-  return { severity: fields.V ?? fields.S ?? 'ERROR', code: fields.C ?? 'XX000', message: fields.M ?? '' }
+  return { severity: fields.get('V') ?? fields.get('S') ?? 'ERROR', code: fields.get('C') ?? 'XX000', message: fields.get('M') ?? '' }
 }
 
 /** Reads the values of a row in text format. */
@@ -195,13 +195,13 @@
 
 /** Reads the parameters of a version 3 startup message, which has no type byte. */
 export function readStartupParameters (message: Buffer): Record<string, string> {
-  const parameters: Record<string, string> = {}
+  const parameters = new Map<string, string>()
   let offset = 8
   while (offset < message.length && message[offset] !== 0) {
     const [name, afterName] = readCString(message, offset)
     const [value, afterValue] = readCString(message, afterName)
-    parameters[name] = value
+    parameters.set(name, value)
     offset = afterValue
   }
-  return parameters
+  return Object.fromEntries(parameters)
 }
