fix(cyclamenusherd): a frozen instance's rate share is given to others as well

What callers saw: an entry instance that held most of an account's rate froze while control's leader was killed.

Cause: shares are in the memory of the leader and of their holders. After 800 ms a new leader took what nobody had reported for free, though it stays valid for 12 s. Ruled out: loans (the pool of a new leader starts empty, and the history was not complete) and the shares of the instances that did renew (they add up).

Change: the log names the instances that may hold shares or have borrowed lately, and keeps an upper bound of each share; a first lease, or a share beyond its bound, is granted once that is written. A new leader reserves the bounds of those that have not renewed, at most what the others did not report, until they are back or 12 s are over. An instance that starts anew reserves nothing, so that nothing is held back after a loss of power but for those that stay away. The history of loans is complete once each named instance is back, not as many. An instance that takes a new leader for the former one, and so reports nothing, is turned away once.

A command of an earlier build's leader carries no holders, and resets the record: the next leader then takes the rest of each rate for held until as many instances are back as were counted, for 12 s at most.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/entryLeases.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/entryLeases.test.ts
@@ -21,7 +21,7 @@
   }
   let change = 0
   const plan = (): void => {
-    leases.planShares([ACCOUNT], 1, () => {
+    leases.planShares([ACCOUNT], () => {
       change += 1
       return change
     }, 1)
@@ -83,7 +83,7 @@
 // Lenders of dropped accounts were kept, and sent to each new instance.
 test('a dropped account keeps its lenders', () => {
   const { leases } = planForSix(index => ({ lendsAt: { host: 'entry', port: index } }))
-  leases.planShares([], 1, () => 100, 1)
+  leases.planShares([], () => 100, 1)
   assert.equal(leases.lendersOf('a', 0), {})
 })
 
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -1,9 +1,9 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { INITIAL_FLEET_STATE, NO_TOLERANCE } from '@cyclamenusher/decisions'
+import { INITIAL_FLEET_STATE, NO_TOLERANCE, applyFleetCommand } from '@cyclamenusher/decisions'
 import { startLeadership } from '../leadership.js'
 import { createDocument, waitUntil } from './fleetHarness.js'
-import type { ControlAddress, Declaration, KnownServer, RenewGrant, RenewRequest } from '@cyclamenusher/decisions'
+import type { ControlAddress, Declaration, FleetState, KnownServer, RenewGrant, RenewRequest } from '@cyclamenusher/decisions'
 import type { Leadership } from '../leadership.js'
 
 const NEVER_ABORTED = new AbortController().signal
@@ -12,22 +12,28 @@
 const started: Leadership[] = []
 test.after.each(() => { for (const leadership of started.splice(0)) leadership.close() })
 
-/** Starts a leader whose clock stands still between the steps of a test. */
-function startLeader (entries = 0) {
+/** Starts a leader whose clock stands still between the steps of a test. `initial` is what the log holds; commands are in the log once `written` resolves. */
+function startLeader (entries = 0, initial: Partial<FleetState> = {}, written: () => Promise<void> = async () => {}) {
   let now = 0
   let control: ControlAddress[] = []
   const logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
   const document = createDocument(1, { groups: [] })
+  let state: FleetState = { ...INITIAL_FLEET_STATE, document, entries, ...initial }
   const leadership = startLeadership({
     administration: { askStatus: async () => { throw new Error('no server') }, stepDown: async () => { throw new Error('no server') }, close: () => {} },
     promotion: { promote: async () => 'not sent' },
-    propose: async () => ({ kind: 'unknown' }),
+    propose: async command => {
+      await written()
+      const next = applyFleetCommand(state, command)
+      state = next.state
+      return { kind: 'applied', result: next.outcome }
+    },
     resign: () => {},
     announceIntervalMilliseconds: 60_000,
     drainMilliseconds: 7_000,
     holder: 'control-1',
     term: 1,
-    state: () => ({ ...INITIAL_FLEET_STATE, document, entries }),
+    state: () => state,
     declaration: () => JSON.parse(document.text) as Declaration,
     hasLeaderLease: () => true,
     controlAddresses: () => control,
@@ -42,7 +48,7 @@
     return await leadership.renew({ name, incarnation: '1', failureDomain: 'a', knows: { term: 1, change: 0 }, version: 1, demand: {}, sightings: {}, busy: [], holdMilliseconds: 0, ...changes }, NEVER_ABORTED)
   }
 
-  return { leadership, renew, listControl: (addresses: ControlAddress[]) => { control = addresses }, advance: (milliseconds: number) => { now += milliseconds } }
+  return { leadership, renew, state: () => state, listControl: (addresses: ControlAddress[]) => { control = addresses }, advance: (milliseconds: number) => { now += milliseconds } }
 }
 
 // A share that changed anywhere ended the held renewals of all instances.
@@ -114,6 +120,62 @@
   assert.ok((await grant)?.shared.lenders !== undefined)
 })
 
+const THREE: Partial<FleetState> = { shareHolders: new Set(['entry-1', 'entry-2', 'entry-3']), shareBounds: new Map([['clinic', new Map([['entry-3', 0.6]])]]) }
+
+// The share of a frozen instance was given to others by a new leader, and spent twice.
+test('a new leader grants what an instance holds that has not returned', async () => {
+  const { renew, advance } = startLeader(3, THREE)
+  advance(500)
+  const sum = async (): Promise<number> => {
+    const grants = [await renew('entry-1', { parts: { clinic: 0.2 } }), await renew('entry-2', { parts: { clinic: 0.2 } })]
+    return grants.reduce((total, grant) => total + (grant?.parts?.clinic ?? 0), 0)
+  }
+  await sum()
+  for (let second = 0; second < 11; second += 1) {
+    advance(1_000)
+    await new Promise(resolve => setTimeout(resolve, 30))
+    const granted = await sum()
+    assert.ok(granted <= 0.4 + 1e-9, `${granted} after ${second + 1} s`)
+  }
+  advance(1_000)
+  await waitUntil('the rest of the rate', async () => {
+    advance(600)
+    return await sum() > 0.95
+  })
+})
+
+test('a lease is granted before the log names the instance', async () => {
+  let release = (): void => {}
+  const written = new Promise<void>(resolve => { release = resolve })
+  const { renew, state, advance } = startLeader(0, {}, async () => { await written })
+  advance(500)
+  let granted = false
+  const grant = renew('entry-1', { knows: { term: 0, change: 0 } }).then(() => { granted = true })
+  await new Promise(resolve => setTimeout(resolve, 80))
+  assert.not.ok(granted)
+  release()
+  await grant
+  assert.ok(state().shareHolders?.has('entry-1'))
+})
+
+test('an instance that does not say what it holds is taken to hold nothing', async () => {
+  const { renew, advance } = startLeader(1, { shareHolders: new Set(['entry-1']) })
+  advance(500)
+  assert.is(await renew('entry-1', { knows: { term: 7, change: 3 } }), undefined)
+  assert.ok(await renew('entry-1', { knows: { term: 7, change: 3 }, parts: {} }) !== undefined)
+})
+
+test('a share is granted before the log holds a bound for it', async () => {
+  const { renew, advance, state } = startLeader()
+  advance(1_000)
+  await waitUntil('a share', async () => {
+    advance(100)
+    const share = (await renew('entry-1', { knows: { term: 0, change: 0 }, parts: {} }))?.parts?.clinic ?? 0
+    assert.ok(share <= (state().shareBounds.get('clinic')?.get('entry-1') ?? 0), `${share} is granted`)
+    return share > 0
+  })
+})
+
 // The same addresses went to all instances with each renewal.
 test('the control instances are listed again although they are the same', async () => {
   const { renew, advance, listControl } = startLeader()
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/rateFleet.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/rateFleet.ts
@@ -157,7 +157,7 @@
     const awaitsInstances = term > 1 && awaitsReturn(returning)
     if (now % PLAN_INTERVAL_MILLISECONDS === 0 && !awaitsInstances) {
       if (term > 1 && isLoanHistoryComplete(returning)) pool.adoptHistory(leases.loanHistory())
-      leases.planShares(accounts, 1, () => {
+      leases.planShares(accounts, () => {
         change += 1
         return change
       }, now)
--- a/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
@@ -33,6 +33,27 @@
   loans: { report: LoanReport | undefined, receivedAt: number }
 }
 
+/** What the log says of the shares that instances may hold. */
+export interface ShareLimits {
+  /** The part of an account's rate that instances may hold which have not renewed at this leader, from 0 to 1. */
+  missing: (account: string) => number
+  /** The largest share of an account that an instance may be granted. */
+  boundOf: (account: string, name: string) => number
+  /** Called for a share that is to grow beyond its bound; `lenders` is the number of instances that share the account's rate. */
+  exceed: (account: string, name: string, share: number, lenders: number) => void
+}
+
+export const NO_SHARE_LIMITS: ShareLimits = { missing: () => 0, boundOf: () => Infinity, exceed: () => {} }
+
+export interface SharePlanOptions {
+  /** No share grows beyond it. @default 1 */
+  maximumShare?: number
+  /** Instances among which lenders are chosen if there are any, as others have connections to them already. */
+  preferred?: ReadonlySet<string>
+  /** @default NO_SHARE_LIMITS */
+  limits?: ShareLimits
+}
+
 export interface EntryLeases {
   /** Records a renewal request, and returns whether the instance is new to this leader. */
   renew: (request: RenewRequest, appliedChange: number, now: number) => boolean
@@ -54,8 +75,16 @@
   hasReportedShares: () => boolean
   /** What the instances had borrowed from earlier leaders. */
   loanHistory: () => LoanHistory
-  /** Chooses the lenders of the accounts and plans their shares; no share grows beyond `maximumShare`. Lenders are chosen among the preferred instances if there are any, as others have connections to them already. Calls `recordChange` for each modified share or choice, to number the change. Returns whether the plan is the first one of an instance. */
-  planShares: (accounts: readonly ClientAccount[], maximumShare: number, recordChange: () => number, now: number, preferred?: ReadonlySet<string>) => boolean
+  /** Chooses the lenders of the accounts and plans their shares within the limits. Calls `recordChange` for each modified share or choice, to number the change. Returns whether the plan is the first one of an instance. */
+  planShares: (accounts: readonly ClientAccount[], recordChange: () => number, now: number, options?: SharePlanOptions) => boolean
+  /** Reports the shares that a plan would let grow beyond their bounds, and plans nothing. */
+  previewShares: (accounts: readonly ClientAccount[], now: number, options?: SharePlanOptions) => void
+  /** Whether a plan would be the first one of an instance. */
+  hasUnplanned: (now: number) => boolean
+  /** Whether the instance has renewed at this leader, and its shares, if any, may be valid. */
+  has: (name: string) => boolean
+  /** Share of an account that the instance may hold. */
+  heldBy: (name: string, account: string) => number
   /** The planned shares of an instance, and the number of the change with which they were last modified. */
   sharesOf: (name: string) => { shares: Record<string, number>, change: number }
   /** From whom the instances of a failure domain borrow, by account, as far as it was modified after `change`. */
@@ -91,6 +120,8 @@
   const lenders = new Map<string, AccountLenders>()
   let candidatesKey = ''
   let sharesReported = false
+  /** By account, the sum of the shares that instances held when they first renewed here. */
+  const reportedShares = new Map<string, number>()
   /** Increases when the instances with a lease change. */
   let generation = 0
 
@@ -108,16 +139,21 @@
     if (lease.appliedChange >= lease.sharesChange) lease.heldShares = new Map(lease.shares)
   }
 
-  /** Chooses the lenders of an account anew when the instances with a lease, or the account's limits, have changed. */
-  function refreshLenders ({ name, ratePerSecond, burst }: ClientAccount, candidates: readonly EntryLease[], recordChange: () => number): AccountLenders {
-    const basis = `${ratePerSecond} ${burst} ${generation}`
-    const existing = lenders.get(name)
-    if (existing?.basis === basis) return existing
+  function selectLenders ({ name, ratePerSecond, burst }: ClientAccount, candidates: readonly EntryLease[]): EntryLease[] {
     // An instance that can't be asked would leave the others without a lender.
     const canLend = candidates.every(({ lendsAt }) => lendsAt !== undefined)
     const count = canLend ? countLenders({ rate: ratePerSecond, burst }, tolerance, candidates) : candidates.length
     const chosen = new Set(chooseLenders(name, candidates, count))
-    const chosenLeases = candidates.filter(lease => chosen.has(lease.name))
+    return candidates.filter(lease => chosen.has(lease.name))
+  }
+
+  /** Chooses the lenders of an account anew when the instances with a lease, or the account's limits, have changed. */
+  function refreshLenders (account: ClientAccount, candidates: readonly EntryLease[], recordChange: () => number): AccountLenders {
+    const { name, ratePerSecond, burst } = account
+    const basis = `${ratePerSecond} ${burst} ${generation}`
+    const existing = lenders.get(name)
+    if (existing?.basis === basis) return existing
+    const chosenLeases = selectLenders(account, candidates)
     // A restarted instance has another lease, and possibly another address.
     const isUnchanged = existing !== undefined && existing.leases.length === chosenLeases.length && chosenLeases.every(lease => existing.leases.includes(lease))
     const refreshed = { basis, leases: chosenLeases, change: isUnchanged ? existing.change : recordChange() }
@@ -125,19 +161,38 @@
     return refreshed
   }
 
-  function planAccount (account: ClientAccount, candidates: readonly EntryLease[], maximumShare: number, recordChange: () => number, now: number): void {
-    if (candidates.length === 0) return
-    const chosen = new Set(refreshLenders(account, candidates, recordChange).leases.map(({ name }) => name))
+  function heldBy (lease: EntryLease, account: string): number {
+    return Math.max(lease.heldShares.get(account) ?? 0, lease.shares.get(account) ?? 0)
+  }
+
+  /** Plans the shares of an account, by name, among the chosen lenders. */
+  function computeShares (account: string, chosen: ReadonlySet<string>, now: number, { maximumShare = 1, limits = NO_SHARE_LIMITS }: SharePlanOptions): Map<string, number> {
     // Instances that neither hold a share nor are to hold one don't change the plan.
-    const concerned = [...leases.values()].filter(({ name, heldShares, shares }) => chosen.has(name) || heldShares.has(account.name) || shares.has(account.name))
+    const concerned = [...leases.values()].filter(({ name, heldShares, shares }) => chosen.has(name) || heldShares.has(account) || shares.has(account))
     const holders = concerned.map((lease): ShareHolder => ({
       name: lease.name,
-      demand: lease.leaseUntil > now ? lookUp(lease.demand, account.name) ?? 0 : 0,
-      held: Math.max(lease.heldShares.get(account.name) ?? 0, lease.shares.get(account.name) ?? 0),
+      demand: lease.leaseUntil > now ? lookUp(lease.demand, account) ?? 0 : 0,
+      held: heldBy(lease, account),
       isLender: chosen.has(lease.name),
       hasLease: lease.leaseUntil > now
     }))
-    for (const [name, share] of planShares(holders, maximumShare)) {
+    // What missing instances hold was not granted to those that have reported.
+    const missing = Math.min(limits.missing(account), Math.max(0, 1 - (reportedShares.get(account) ?? 0)))
+    const planned = planShares(holders, maximumShare, missing)
+    for (const { name, held } of holders) {
+      const share = planned.get(name) ?? 0
+      const bound = limits.boundOf(account, name)
+      if (share <= held || share <= bound) continue
+      limits.exceed(account, name, share, chosen.size)
+      planned.set(name, Math.max(held, bound))
+    }
+    return planned
+  }
+
+  function planAccount (account: ClientAccount, candidates: readonly EntryLease[], recordChange: () => number, now: number, options: SharePlanOptions): void {
+    if (candidates.length === 0) return
+    const chosen = new Set(refreshLenders(account, candidates, recordChange).leases.map(({ name }) => name))
+    for (const [name, share] of computeShares(account.name, chosen, now, options)) {
       const lease = leases.get(name)
       if (lease === undefined || (lease.shares.get(account.name) ?? 0) === share) continue
       if (share === 0) lease.shares.delete(account.name)
@@ -146,6 +201,12 @@
     }
   }
 
+  function listLenderCandidates (now: number, preferred: ReadonlySet<string> | undefined): EntryLease[] {
+    const candidates = listActiveLeases(now)
+    const preferredCandidates = candidates.filter(({ name }) => preferred?.has(name) === true)
+    return preferredCandidates.length > 0 ? preferredCandidates : candidates
+  }
+
   return {
     renew: (request, appliedChange, now) => {
       const existing = leases.get(request.name)
@@ -153,6 +214,7 @@
       const lease = isNew ? createLease(request, now) : existing
       leases.set(request.name, lease)
       if (isNew && lease.heldShares.size > 0) sharesReported = true
+      if (isNew) for (const [account, share] of lease.heldShares) reportedShares.set(account, (reportedShares.get(account) ?? 0) + share)
       Object.assign(lease, { appliedChange, renewedAt: now, lendsAt: request.lendsAt, holds: request.holds === true, demand: request.demand, observations: request.sightings, busy: new Set(request.busy) })
       confirmShares(lease)
       return isNew
@@ -175,23 +237,33 @@
     listHolders: now => listActiveLeases(now).flatMap(({ name, failureDomain, lendsAt, holds }) => holds && lendsAt !== undefined ? [{ name, failureDomain, ...lendsAt }] : []),
     hasReportedShares: () => sharesReported,
     loanHistory: () => combineLoanReports([...leases.values()].map(({ loans }) => loans)),
-    planShares: (accounts, maximumShare, recordChange, now, preferred) => {
+    planShares: (accounts, recordChange, now, options = {}) => {
       removeExpired(now)
       const candidates = listActiveLeases(now)
-      const preferredCandidates = candidates.filter(({ name }) => preferred?.has(name) === true)
-      const lenderCandidates = preferredCandidates.length > 0 ? preferredCandidates : candidates
+      const lenderCandidates = listLenderCandidates(now, options.preferred)
       const key = lenderCandidates.map(({ name, incarnation }) => `${name} ${incarnation}`).sort().join()
       if (key !== candidatesKey) generation += 1
       candidatesKey = key
       const declared = new Set(accounts.map(({ name }) => name))
       for (const name of lenders.keys()) if (!declared.has(name)) lenders.delete(name)
-      for (const account of accounts) planAccount(account, lenderCandidates, maximumShare, recordChange, now)
+      for (const account of accounts) planAccount(account, lenderCandidates, recordChange, now, options)
       const added = candidates.filter(({ firstPlanChange }) => firstPlanChange === undefined)
       if (added.length === 0) return false
       const change = recordChange()
       for (const lease of added) lease.firstPlanChange = change
       return true
     },
+    previewShares: (accounts, now, options = {}) => {
+      const candidates = listLenderCandidates(now, options.preferred)
+      if (candidates.length === 0) return
+      for (const account of accounts) computeShares(account.name, new Set(selectLenders(account, candidates).map(({ name }) => name)), now, options)
+    },
+    hasUnplanned: now => listActiveLeases(now).some(({ firstPlanChange }) => firstPlanChange === undefined),
+    has: name => leases.has(name),
+    heldBy: (name, account) => {
+      const lease = leases.get(name)
+      return lease === undefined ? 0 : heldBy(lease, account)
+    },
     sharesOf: name => {
       const lease = leases.get(name)
       return { shares: Object.fromEntries(lease?.shares ?? []), change: lease?.sharesChange ?? 0 }
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -9,9 +9,11 @@
 import { createLeaderDirectory } from './leaderDirectory.js'
 import { createLeaderLoad } from './leaderLoad.js'
 import { createRatePool } from './ratePool.js'
-import type { AnnouncementOutcome, BorrowReply, BorrowRequest, Declaration, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ReturningInstances, ServerAnnouncement, SharedGrant } from '@cyclamenusher/decisions'
+import { createShareRecord } from './shareRecord.js'
+import type { AnnouncementOutcome, BorrowReply, BorrowRequest, ClientAccount, Declaration, FleetCommand, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ReturningInstances, ServerAnnouncement, ShareHolderChanges, SharedGrant } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
 import type { ScopedLogger } from '../logger.js'
+import type { SharePlanOptions } from './entryLeases.js'
 import type { GroupTask, GroupTaskOptions } from './groupTask.js'
 
 /** Interval between two ticks of the group tasks, in milliseconds: short compared to a promotion, and costs a fifth of a percent of a core. */
@@ -22,6 +24,8 @@
 const SETTLE_TIMEOUT_MILLISECONDS = 400
 /** Maximum time for which the renewal of an instance that has just started waits for the first plan, in milliseconds: shorter than the instance waits for an answer. */
 const FIRST_PLAN_HOLD_MILLISECONDS = 250
+/** Maximum time for which a first plan waits until the log holds the bounds of its shares, in milliseconds: several disk syncs. */
+const BOUNDS_TIMEOUT_MILLISECONDS = 200
 /** Delay before the shares are planned for a new instance, in milliseconds: instances that start together share one plan. */
 const NEW_ENTRY_DELAY_MILLISECONDS = 50
 /** How long after an election the previous number of entry instances counts, in milliseconds: a startup and a few retries. */
@@ -33,6 +37,8 @@
 /** Minimum interval between two documents sent to one entry instance, in milliseconds: in a burst of changes, intermediate versions are skipped. */
 const DOCUMENT_INTERVAL_MILLISECONDS = 150
 
+const NO_SHARE_CHANGES: ShareHolderChanges = { added: [], removed: [], bounds: [] }
+
 export interface LeadershipOptions extends Pick<GroupTaskOptions, 'administration' | 'promotion' | 'propose' | 'resign' | 'announceIntervalMilliseconds' | 'holder'> {
   term: number
   state: () => FleetState
@@ -70,6 +76,15 @@
   const holders = createGroupHolders()
   const groupTasks = new Map<string, GroupTask>()
   const load = createLeaderLoad(logger, clock)
+  const shareRecord = createShareRecord({
+    state,
+    startedAt,
+    write: async shares => (await remember({ shares })).kind === 'applied',
+    onWritten: ({ added, bounds }) => {
+      if (bounds.length > 0) planSoon(0)
+      if (added.length > 0) heldRenewals.release()
+    }
+  })
   const pool = createRatePool(declaration, options.rateTolerance, clock)
   /** Shared parts of the grants of this tick. */
   const sharedGrants = new Map<string, SharedGrant>()
@@ -80,6 +95,8 @@
   let controlChange = 0
   let releaseTimer: NodeJS.Timeout | undefined
   let sharesPlannedAt = -Infinity
+  /** Since when a first plan waits for bounds of shares; Infinity if none does. */
+  let boundsAwaitedSince = Infinity
   let persistedAt = startedAt
   let persistedChange = 0
 
@@ -96,6 +113,16 @@
     }, RELEASE_DELAY_MILLISECONDS)
   }
 
+  /** Writes what the next leader must know to the log. */
+  async function remember ({ servers = [], entries = state().entries, copies, shares = NO_SHARE_CHANGES }: Partial<Omit<Extract<FleetCommand, { kind: 'remember' }>, 'kind'>>): ReturnType<LeadershipOptions['propose']> {
+    return await options.propose({ kind: 'remember', servers, entries, shares, ...(copies === undefined ? {} : { copies }) })
+  }
+
+  /** Plans the shares after a delay, unless they are planned earlier anyway. */
+  function planSoon (delayMilliseconds: number): void {
+    sharesPlannedAt = Math.min(sharesPlannedAt, clock.now() - PLAN_INTERVAL_MILLISECONDS + delayMilliseconds)
+  }
+
   function readEnvironment (group: string): Omit<GroupEnvironment, 'verdict' | 'now'> {
     const now = clock.now()
     const synchronousReplicas = declaration()?.groups.find(({ name }) => name === group)?.synchronousReplicas ?? 0
@@ -124,7 +151,7 @@
         mayPromote: () => hasLeaderLease() && clock.now() - startedAt > LEASE_MILLISECONDS,
         readEnvironment,
         listObservations: member => leases.listObservations(member, clock.now()),
-        recordCopies: copies => { void options.propose({ kind: 'remember', servers: [], entries: state().entries, copies }) },
+        recordCopies: copies => { void remember({ copies }) },
         announcedAt: member => directory.announcedAt.get(member),
         publish: directory.publish
       }))
@@ -132,7 +159,7 @@
   }
 
   function assessReturn (now: number): ReturningInstances {
-    return { ledMilliseconds: now - startedAt, sharesReported: leases.hasReportedShares(), returned: leases.countRenewing(now), expected: state().entries }
+    return { missing: shareRecord.countMissing(leases, now), ledMilliseconds: now - startedAt, sharesReported: leases.hasReportedShares(), returned: leases.countRenewing(now), expected: state().entries }
   }
 
   /** Whether the renewal comes from an instance that has just started, and is to wait until this leader has chosen holders and lenders for the first time. */
@@ -140,15 +167,27 @@
     return knows.term === 0 && sharesPlannedAt === -Infinity && state().entries > 0
   }
 
+  /** Whether the first plan of an instance waits until the log holds the bounds of its shares. */
+  function awaitsBounds (accounts: readonly ClientAccount[], now: number, planOptions: SharePlanOptions): boolean {
+    if (!leases.hasUnplanned(now) || now - boundsAwaitedSince > BOUNDS_TIMEOUT_MILLISECONDS) return false
+    leases.previewShares(accounts, now, planOptions)
+    if (!shareRecord.awaitsBounds()) return false
+    boundsAwaitedSince = Math.min(boundsAwaitedSince, now)
+    return true
+  }
+
   function planShares (now: number): void {
     if (now - sharesPlannedAt < PLAN_INTERVAL_MILLISECONDS) return
     const returning = assessReturn(now)
     if (awaitsReturn(returning)) return
     if (isLoanHistoryComplete(returning)) pool.adoptHistory(leases.loanHistory())
-    sharesPlannedAt = now
-    const maximumShare = mayHoldUnreportedShares(returning) ? INITIAL_SHARE : 1
+    const accounts = declaration()?.accounts ?? []
     holders.plan([...groupTasks.keys()], group => listGroupServers(directory.servers, group).map(({ failureDomain }) => failureDomain), leases.listHolders(now), directory.recordChange)
-    const includesNew = leases.planShares(declaration()?.accounts ?? [], maximumShare, directory.recordChange, now, holders.names())
+    const planOptions: SharePlanOptions = { maximumShare: mayHoldUnreportedShares(returning) ? INITIAL_SHARE : 1, preferred: holders.names(), limits: shareRecord.limits(leases, returning.returned, now) }
+    if (awaitsBounds(accounts, now, planOptions)) return
+    boundsAwaitedSince = Infinity
+    sharesPlannedAt = now
+    const includesNew = leases.planShares(accounts, directory.recordChange, now, planOptions)
     if (includesNew) releaseSoon()
   }
 
@@ -165,7 +204,7 @@
     const entries = countEntries(now)
     const { servers } = directory.changesSince(persistedChange)
     persistedChange = directory.change()
-    if (servers.length > 0 || entries !== state().entries) void options.propose({ kind: 'remember', servers, entries })
+    if (servers.length > 0 || entries !== state().entries) void remember({ servers, entries })
   }
 
   function refreshControl (): void {
@@ -184,6 +223,7 @@
     sharedGrants.clear()
     refreshControl()
     planShares(now)
+    shareRecord.write(leases, now)
     persistChanges(now)
     for (const group of groupTasks.values()) group.tick()
     if (!settled && isSettled()) {
@@ -263,10 +303,12 @@
     },
     renew: async (request, signal) => {
       load.count('renewals')
+      // An instance that takes this one for the leader that it knows does not say what it holds.
+      if (request.knows.term > 0 && request.knows.term !== term && request.parts === undefined) return undefined
       const isNew = leases.renew(request, changeKnownBy(request), clock.now())
       if (request.servers !== undefined) directory.merge(request.servers)
       // Plans the shares soon, because a new instance has none yet.
-      if (isNew) sharesPlannedAt = Math.min(sharesPlannedAt, clock.now() - PLAN_INTERVAL_MILLISECONDS + NEW_ENTRY_DELAY_MILLISECONDS)
+      if (isNew) planSoon(NEW_ENTRY_DELAY_MILLISECONDS)
       if (isNew) logger.info('An entry instance requested its first lease from this leader.', { name: request.name, failureDomain: request.failureDomain, term })
       const holdUntil = clock.now() + request.holdMilliseconds
       while (!isSettled()) await heldRenewals.hold(Math.max(TICK_INTERVAL_MILLISECONDS, startedAt + SETTLE_TIMEOUT_MILLISECONDS - clock.now()))
@@ -276,6 +318,9 @@
         leases.grant(request.name, clock.now())
         await heldRenewals.hold(Math.min(TICK_INTERVAL_MILLISECONDS, planUntil - clock.now()))
       }
+      // An instance that is not in the log would be unknown to the next leader.
+      if (!shareRecord.isRecorded(request.name)) shareRecord.add(request.name)
+      while (!shareRecord.isRecorded(request.name) && hasLeaderLease()) await heldRenewals.hold(TICK_INTERVAL_MILLISECONDS)
       while (!hasNews(request) && clock.now() < holdUntil && hasLeaderLease()) await heldRenewals.hold(holdUntil - clock.now())
       if (clock.now() < holdUntil) load.count('earlyRenewals')
       if (signal.aborted) load.count('abandonedRenewals')
@@ -296,7 +341,7 @@
       const known = directory.servers.get(member)
       const isWritten = known?.gone !== true || state().servers.get(member)?.gone === true
       if (isWritten) return true
-      const outcome = await options.propose({ kind: 'remember', servers: [known], entries: state().entries })
+      const outcome = await remember({ servers: [known] })
       return outcome.kind === 'applied'
     },
     refresh: () => {
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/fleet/shareRecord.ts
@@ -0,0 +1,132 @@
+/**
+ * Which entry instances may hold rate shares or have borrowed lately, and upper bounds of
+ * their shares, as the log records them. A leader grants an instance its first lease, and a
+ * share beyond its bound, only once the log holds that.
+ */
+
+import { SHARE_VALIDITY_MILLISECONDS, lowerBounds, raiseBound, sumBounds } from '@cyclamenusher/decisions'
+import type { FleetState, ShareHolderChanges } from '@cyclamenusher/decisions'
+import type { ShareLimits } from './entryLeases.js'
+
+/** Interval between two looks for instances whose shares have ended and for bounds that have grown loose, in milliseconds. */
+const CLEANUP_INTERVAL_MILLISECONDS = 5_000
+/** Bound for an instance of which a leader of an earlier build recorded nothing. */
+const UNKNOWN_BOUND = 1
+
+export interface ShareRecordOptions {
+  state: () => Pick<FleetState, 'shareHolders' | 'shareBounds' | 'entries'>
+  /** When this leader was elected. */
+  startedAt: number
+  /** Writes changes to the log, and resolves with whether the log holds them. */
+  write: (changes: ShareHolderChanges) => Promise<boolean>
+  /** Called once the log holds changes. */
+  onWritten: (changes: ShareHolderChanges) => void
+}
+
+export interface KnownHolders {
+  /** Whether the instance has renewed at this leader, so that its shares are known. */
+  has: (name: string) => boolean
+  /** Share of an account that the instance may hold; 0 if it holds none. */
+  heldBy: (name: string, account: string) => number
+}
+
+export interface ShareRecord {
+  isRecorded: (name: string) => boolean
+  /** Has the instance recorded with the next write. */
+  add: (name: string) => void
+  /** Recorded instances that have not renewed at this leader and whose shares may still be valid. */
+  countMissing: (known: KnownHolders, now: number) => number
+  /** Whether a leader of an earlier build may have granted shares to instances that are not recorded. */
+  isIncomplete: (returned: number, now: number) => boolean
+  limits: (known: KnownHolders, returned: number, now: number) => ShareLimits
+  /** Writes what has changed, one command at a time. */
+  write: (known: KnownHolders, now: number) => void
+  /** Whether shares wait for bounds that are not in the log yet. */
+  awaitsBounds: () => boolean
+}
+
+export function createShareRecord ({ state, startedAt, write, onWritten }: ShareRecordOptions): ShareRecord {
+  const expected = state().entries
+  /** Whether the log says nothing of instances that an earlier leader counted. */
+  const isUnknown = state().shareHolders === undefined && expected > 0
+  /** Bounds to raise, by account and instance. */
+  const requested = new Map<string, Map<string, number>>()
+  /** Instances to record. */
+  const added = new Set<string>()
+  /** Changes on their way to the log. */
+  let pending: ShareHolderChanges | undefined
+  let isWriting = false
+  let cleanedAt = startedAt
+
+  const isOver = (now: number): boolean => now - startedAt > SHARE_VALIDITY_MILLISECONDS
+
+  function listMissing (known: KnownHolders, now: number): string[] {
+    return isOver(now) ? [] : [...state().shareHolders ?? []].filter(name => !known.has(name))
+  }
+
+  function isIncomplete (returned: number, now: number): boolean {
+    return isUnknown && !isOver(now) && returned < expected
+  }
+
+  /** The bound that holds whether or not the pending changes are applied. */
+  function findBound (account: string, name: string): number {
+    if (pending?.removed.includes(name) === true) return 0
+    const recorded = state().shareBounds.get(account)?.get(name) ?? 0
+    const changed = pending?.bounds.find(([changedAccount]) => changedAccount === account)?.[1].find(([changedName]) => changedName === name)?.[1]
+    return Math.min(recorded, changed ?? Infinity)
+  }
+
+  function requestBound (account: string, name: string, bound: number): void {
+    const ofAccount = requested.get(account) ?? new Map<string, number>()
+    requested.set(account, ofAccount.set(name, Math.max(bound, ofAccount.get(name) ?? 0)))
+  }
+
+  function collectChanges (known: KnownHolders, now: number): ShareHolderChanges {
+    const changes: ShareHolderChanges = { added: [...added], removed: [], bounds: [...requested].map(([account, bounds]) => [account, [...bounds]]) }
+    added.clear()
+    requested.clear()
+    if (now - cleanedAt < CLEANUP_INTERVAL_MILLISECONDS) return changes
+    cleanedAt = now
+    if (isOver(now)) changes.removed = [...state().shareHolders ?? []].filter(name => !known.has(name))
+    const raised = new Set(changes.bounds.map(([account]) => account))
+    for (const account of state().shareBounds.keys()) {
+      const lowered = lowerBounds(state().shareBounds, account, name => known.has(name) ? known.heldBy(name, account) : undefined)
+      if (lowered.size > 0 && !raised.has(account)) changes.bounds.push([account, [...lowered]])
+    }
+    return changes
+  }
+
+  async function send (changes: ShareHolderChanges): Promise<void> {
+    pending = changes
+    isWriting = true
+    const written = await write(changes)
+    isWriting = false
+    // Changes that may or may not have been applied are written once more.
+    if (!written) return
+    pending = undefined
+    onWritten(changes)
+  }
+
+  return {
+    isRecorded: name => state().shareHolders?.has(name) === true && pending?.removed.includes(name) !== true,
+    add: name => { added.add(name) },
+    countMissing: (known, now) => listMissing(known, now).length,
+    isIncomplete,
+    limits: (known, returned, now) => {
+      const missing = listMissing(known, now)
+      const isUnsure = isIncomplete(returned, now)
+      return {
+        missing: account => isUnsure ? UNKNOWN_BOUND : sumBounds(state().shareBounds, account, missing),
+        boundOf: findBound,
+        exceed: (account, name, share, lenders) => { requestBound(account, name, raiseBound(share, lenders)) }
+      }
+    },
+    write: (known, now) => {
+      if (isWriting) return
+      const changes = pending ?? collectChanges(known, now)
+      if (changes.added.length + changes.removed.length + changes.bounds.length === 0) return
+      void send(changes)
+    },
+    awaitsBounds: () => requested.size > 0 || (pending?.bounds.length ?? 0) > 0
+  }
+}
--- a/packages/decisions/src/node/fleet/__tests__/newLeader.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/newLeader.test.ts
@@ -46,6 +46,12 @@
   assert.not.ok(isLoanHistoryComplete(describeReturn({ expected: 0 })))
 })
 
+// One that returned in place of another one made the number right.
+test('the number of instances hides one that is missing', () => {
+  assert.not.ok(isLoanHistoryComplete(describeReturn({ returned: 100, missing: 1 })))
+  assert.ok(mayHoldUnreportedShares(describeReturn({ returned: 100, missing: 1 })))
+})
+
 // A leader stops counting an instance that stays away, and forgot what that one had borrowed.
 test('a history counts as complete once missing instances are no longer expected', () => {
   assert.ok(isLoanHistoryComplete(describeReturn({ ledMilliseconds: 2_999, returned: 100 })))
--- a/packages/decisions/src/node/fleet/__tests__/state.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/state.test.ts
@@ -61,4 +61,38 @@
   assert.equal([...decodeFleetState(snapshot).servers.keys()], ['i-1'])
 })
 
+const HOLDERS: FleetCommand = { kind: 'remember', servers: [], entries: 2, shares: { added: ['entry-1', 'constructor'], removed: [], bounds: [['__proto__', [['entry-1', 0.5], ['constructor', 0.2]]]] } }
+
+test('holders of shares are lost with a snapshot', () => {
+  const { shareHolders, shareBounds } = decodeFleetState(encodeFleetState(apply([HOLDERS]).state))
+  assert.equal([...shareHolders ?? []], ['entry-1', 'constructor'])
+  assert.equal([...shareBounds.get('__proto__') ?? []], [['entry-1', 0.5], ['constructor', 0.2]])
+})
+
+test('what an earlier build wrote leaves older holders of shares in force', () => {
+  const { state } = apply([HOLDERS, { kind: 'remember', servers: [], entries: 3 }])
+  assert.is(state.shareHolders, undefined)
+  assert.is(state.shareBounds.size, 0)
+  assert.is(decodeFleetState('{"designations":[],"servers":[],"entries":3}').shareHolders, undefined)
+})
+
+test('broken holders of shares are taken for none', () => {
+  for (const shares of [null, {}, { added: [1], removed: [], bounds: [] }, { added: [], removed: [], bounds: [['a', [['b', 7]]]] }]) {
+    assert.is(apply([HOLDERS, { kind: 'remember', servers: [], entries: 3, shares } as unknown as FleetCommand]).state.shareHolders, undefined)
+  }
+})
+
+test('an instance whose shares have ended keeps its bounds', () => {
+  const { state } = apply([HOLDERS, { kind: 'remember', servers: [], entries: 1, shares: { added: [], removed: ['entry-1'], bounds: [] } }])
+  assert.equal([...state.shareHolders ?? []], ['constructor'])
+  assert.equal([...state.shareBounds.get('__proto__') ?? []], [['constructor', 0.2]])
+})
+
+test('the record of commit copies is lost with a snapshot', () => {
+  const copies = { group: '__proto__', synchronousReplicas: 1, servers: [{ member: 'p', bornAt: 1, address: '10.0.0.1:1' }] }
+  const remember = (changes: Partial<typeof copies>): FleetCommand => ({ kind: 'remember', servers: [], entries: 1, copies: { ...copies, ...changes } })
+  assert.equal(decodeFleetState(encodeFleetState(apply([remember({})]).state)).copies.get('__proto__'), copies)
+  assert.is(apply([remember({}), remember({ servers: [] })]).state.copies.size, 0)
+})
+
 test.run()
--- a/packages/decisions/src/node/fleet/newLeader.ts
+++ b/packages/decisions/src/node/fleet/newLeader.ts
@@ -32,6 +32,8 @@
   returned: number
   /** Instances that an earlier leader last counted. */
   expected: number
+  /** Instances that may hold shares or loans of an earlier leader and have not renewed at this one. @default 0 */
+  missing?: number
 }
 
 /** Whether the leader makes no plan of shares, lenders and holders yet; what the instances know stays in use. */
@@ -41,14 +43,14 @@
 }
 
 /** Whether instances may hold shares of an earlier leader that they have not reported yet. */
-export function mayHoldUnreportedShares ({ ledMilliseconds, returned, expected }: ReturningInstances): boolean {
-  return ledMilliseconds < SHARE_REPORT_MILLISECONDS && (expected === 0 || returned < expected)
+export function mayHoldUnreportedShares ({ ledMilliseconds, returned, expected, missing = 0 }: ReturningInstances): boolean {
+  return ledMilliseconds < SHARE_REPORT_MILLISECONDS && (expected === 0 || returned < expected || missing > 0)
 }
 
 /** How long after its election a leader learns what was lent before it, in milliseconds: shorter than instances that are missing are counted. */
 export const LOAN_HISTORY_TIMEOUT_MILLISECONDS = 3_000
 
 /** Whether every instance to which an earlier leader may have lent operations has reported its loans. Later on, missing instances are no longer expected, and their loans are not known. */
-export function isLoanHistoryComplete ({ ledMilliseconds, returned, expected }: ReturningInstances): boolean {
-  return ledMilliseconds < LOAN_HISTORY_TIMEOUT_MILLISECONDS && returned > 0 && returned >= expected
+export function isLoanHistoryComplete ({ ledMilliseconds, returned, expected, missing = 0 }: ReturningInstances): boolean {
+  return ledMilliseconds < LOAN_HISTORY_TIMEOUT_MILLISECONDS && returned > 0 && returned >= expected && missing === 0
 }
--- a/packages/decisions/src/node/fleet/rateShares.ts
+++ b/packages/decisions/src/node/fleet/rateShares.ts
@@ -53,12 +53,13 @@
 
 /**
  * Plans the shares to grant, by holder name. A share shrinks immediately. It grows
- * only by what no instance may still hold, and up to `maximumShare`.
+ * only by what no instance may still hold, and up to `maximumShare`. `heldElsewhere`
+ * is what instances may hold that are not among the holders.
  */
-export function planShares (holders: readonly ShareHolder[], maximumShare = 1): Map<string, number> {
+export function planShares (holders: readonly ShareHolder[], maximumShare = 1, heldElsewhere = 0): Map<string, number> {
   const targets = computeTargetShares(holders).map((target, index) => Math.min(target, Math.max(maximumShare, holders[index].held)))
   const minimumChange = Math.min(MINIMUM_CHANGE, MINIMUM_CHANGE_OF_EVEN_SHARE / holders.length)
-  let unallocated = 1 - holders.reduce((sum, { held }) => sum + held, 0)
+  let unallocated = 1 - heldElsewhere - holders.reduce((sum, { held }) => sum + held, 0)
   const granted = new Map<string, number>()
   for (const [index, { name, held, hasLease }] of holders.entries()) {
     const isSmallChange = targets[index] > 0 && Math.abs(targets[index] - held) < minimumChange
--- a/packages/decisions/src/node/fleet/state.ts
+++ b/packages/decisions/src/node/fleet/state.ts
@@ -5,8 +5,10 @@
 
 import { isCommitCopies } from './commitCopies.js'
 import { isKnownServer, mergeServer } from './directory.js'
+import { applyBounds, encodeBounds, isWrittenBounds, removeInstances } from './shareBounds.js'
 import type { CommitCopies } from './commitCopies.js'
 import type { KnownServer } from './directory.js'
+import type { ShareBounds, WrittenBounds } from './shareBounds.js'
 import type { DeclarationDocument } from '../declaration/declaration.js'
 
 /** The server that is designated as primary of a group. */
@@ -17,9 +19,17 @@
   number: number
 }
 
+/** Changes of the entry instances that may hold shares of rates or have borrowed lately. Leaders of earlier builds write none. */
+export interface ShareHolderChanges {
+  added: string[]
+  /** Instances whose shares are no longer valid. */
+  removed: string[]
+  bounds: WrittenBounds
+}
+
 export type FleetCommand =
-  /** Stores what the next leader must know: servers that have changed, the number of entry instances, and the servers that may hold a group's acknowledged commits. */
-  | { kind: 'remember', servers: KnownServer[], entries: number, copies?: CommitCopies }
+  /** Stores what the next leader must know: servers that have changed, the number of entry instances, the servers that may hold a group's acknowledged commits, and the entry instances that may hold shares of rates. */
+  | { kind: 'remember', servers: KnownServer[], entries: number, copies?: CommitCopies, shares?: ShareHolderChanges }
   | { kind: 'declare', document: DeclarationDocument }
   /** `after` is the number of the designation to replace; 0 for the first designation. */
   | { kind: 'designate', group: string, member: string, after: number }
@@ -41,9 +51,12 @@
   entries: number
   /** By group, the servers that may hold acknowledged commits; only of groups with synchronous replicas. */
   copies: ReadonlyMap<string, CommitCopies>
+  /** Entry instances that may hold shares of rates or have borrowed lately. Undefined: a leader of an earlier build did not record them, or there was none yet. */
+  shareHolders: ReadonlySet<string> | undefined
+  shareBounds: ShareBounds
 }
 
-export const INITIAL_FLEET_STATE: FleetState = { document: undefined, designations: new Map(), servers: new Map(), entries: 0, copies: new Map() }
+export const INITIAL_FLEET_STATE: FleetState = { document: undefined, designations: new Map(), servers: new Map(), entries: 0, copies: new Map(), shareHolders: undefined, shareBounds: new Map() }
 
 /** Replaces the record of a group; one without servers removes it. */
 function recordCopies (recorded: FleetState['copies'], copies: CommitCopies | undefined): FleetState['copies'] {
@@ -53,13 +66,29 @@
   return next
 }
 
+function recordShareHolders (state: FleetState, changes: ShareHolderChanges | undefined): Pick<FleetState, 'shareHolders' | 'shareBounds'> {
+  if (!isShareHolderChanges(changes)) return { shareHolders: undefined, shareBounds: new Map() }
+  const { added, removed, bounds } = changes
+  const shareHolders = new Set([...state.shareHolders ?? [], ...added])
+  for (const name of removed) shareHolders.delete(name)
+  const kept = removed.length === 0 ? state.shareBounds : removeInstances(state.shareBounds, removed)
+  return { shareHolders, shareBounds: bounds.length === 0 ? kept : applyBounds(kept, bounds) }
+}
+
+function isShareHolderChanges (changes: unknown): changes is ShareHolderChanges {
+  if (typeof changes !== 'object' || changes === null) return false
+  const { added, removed, bounds } = changes as Partial<ShareHolderChanges>
+  const isNames = (names: unknown): boolean => Array.isArray(names) && names.every(name => typeof name === 'string')
+  return isNames(added) && isNames(removed) && isWrittenBounds(bounds)
+}
+
 type CommandHandlers = { [Kind in FleetCommand['kind']]: (state: FleetState, command: Extract<FleetCommand, { kind: Kind }>) => { state: FleetState, outcome: FleetOutcome } }
 
 const COMMAND_HANDLERS: CommandHandlers = {
-  remember: (state, { servers, entries, copies }) => {
+  remember: (state, { servers, entries, copies, shares }) => {
     const known = new Map(state.servers)
     for (const server of servers) mergeServer(known, server)
-    return { state: { ...state, servers: known, entries, copies: recordCopies(state.copies, copies) }, outcome: { kind: 'remembered' } }
+    return { state: { ...state, servers: known, entries, copies: recordCopies(state.copies, copies), ...recordShareHolders(state, shares) }, outcome: { kind: 'remembered' } }
   },
   declare: (state, { document }) => {
     const heldVersion = state.document?.version ?? -Infinity
@@ -80,18 +109,19 @@
 }
 
 /** Serializes the state for a snapshot. */
-export function encodeFleetState ({ document, designations, servers, entries, copies }: FleetState): string {
-  return JSON.stringify({ document, designations: [...designations.values()], servers: [...servers.values()], entries, copies: [...copies.values()] })
+export function encodeFleetState ({ document, designations, servers, entries, copies, shareHolders, shareBounds }: FleetState): string {
+  return JSON.stringify({ document, designations: [...designations.values()], servers: [...servers.values()], entries, copies: [...copies.values()], ...(shareHolders === undefined ? {} : { shares: { added: [...shareHolders], removed: [], bounds: encodeBounds(shareBounds) } }) })
 }
 
 export function decodeFleetState (text: string): FleetState {
-  // A snapshot of an earlier build has no `copies`.
-  const { document, designations, servers, entries, copies = [] } = JSON.parse(text) as { document?: DeclarationDocument, designations: Designation[], servers: KnownServer[], entries: number, copies?: CommitCopies[] }
+  // A snapshot of an earlier build has neither `copies` nor `shares`.
+  const { document, designations, servers, entries, copies = [], shares } = JSON.parse(text) as { document?: DeclarationDocument, designations: Designation[], servers: KnownServer[], entries: number, copies?: CommitCopies[], shares?: ShareHolderChanges }
   return {
     document,
     designations: new Map(designations.map(designation => [designation.group, designation])),
     servers: new Map(servers.filter(isKnownServer).map(server => [server.member, server])),
     entries,
-    copies: new Map(copies.filter(isCommitCopies).map(record => [record.group, record]))
+    copies: new Map(copies.filter(isCommitCopies).map(record => [record.group, record])),
+    ...recordShareHolders(INITIAL_FLEET_STATE, shares)
   }
 }
