fix(engine): a holder stays out of use after a connection to it went silent

What callers saw: once the open connection between two entry instances is silent for good, statements of a transaction wait until their deadline, and the instance does not use that holder again until TCP gives up; the holder keeps the transaction and its server connection.

Cause: what is known of a holder is known by one stream. A process that stands still and a connection that went silent look the same on it, and nothing else was tried.

Change: to a silent holder a second stream is opened, with growing delays, as a frozen instance has to take them all when it wakes. If the holder answers there, and the first stream stays silent for a moment longer, new operations use the second one. A statement of a transaction that is outstanding on the silent one is aborted at once, which is true as its commit is not sent; a write or a commit still waits for its answer until its deadline. When nothing is outstanding any more the silent stream is closed, and the holder is told on the other one, so that it rolls back what is open.

Not covered, and why the issue stays open: renewals of a lease still need three timeouts before their connection is replaced, and an answer of a write that is ready at the holder is not fetched over the second stream. An instance of an earlier build ignores the names of streams in a probe, so that it keeps what is open on a silent stream as before.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -141,7 +141,7 @@
     const stream = await holder.open()
     if (stream === undefined) return { kind: 'not sent', reason: 'the holder was not reached' }
     const grace = access === 'write' ? CONFIRM_GRACE_MILLISECONDS : 0
-    const outcome = await holder.request(stream, number => ({ kind: 'run', number, access, operation: describeOperation(operation), statement: buildStatement(context) }), context.deadline + grace + REPLY_GRACE_MILLISECONDS, onSilent)
+    const outcome = await holder.request(stream, number => ({ kind: 'run', number, access, operation: describeOperation(operation), statement: buildStatement(context) }), context.deadline + grace + REPLY_GRACE_MILLISECONDS, { onSilent })
     if (findReasonToTryAnother(outcome) !== undefined) holder.recordRefusal()
     return outcome
   }
@@ -233,7 +233,7 @@
     const forwarded = await transaction.forwarded
     if (forwarded === undefined) return await local.continue(context, transaction, isWrite)
     requireNotEnded(session, transaction)
-    const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'continue', number, transaction: forwarded.number, isWrite, statement: buildStatement(context) }), context.deadline + REPLY_GRACE_MILLISECONDS)
+    const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'continue', number, transaction: forwarded.number, isWrite, statement: buildStatement(context) }), context.deadline + REPLY_GRACE_MILLISECONDS, { endsWithStream: true })
     if (outcome.kind !== 'reply') {
       // Without its commit, which is not sent any more, the transaction keeps nothing.
       session.state = 'failed transaction'
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -1,5 +1,6 @@
 /** Sends operations to one instance that holds a group's connections, and notices when it does not answer. */
 
+import { randomUUID } from 'node:crypto'
 import { UNKNOWN_HOLDER, isHolderUsable, recordHolderAnswer, recordHolderFailure, watchHolder } from '@cyclamenusher/decisions'
 import { startAnswerTimeout } from '@cyclamenusher/protocol'
 import { HOLDER_STREAM, decodeHolderReply } from './messages.js'
@@ -11,6 +12,10 @@
 
 /** Time within which a stream must be open, in milliseconds: a connection between regions and its first round trip. */
 const OPEN_TIMEOUT_MILLISECONDS = 150
+/** Delay after a first attempt to reach a silent holder on another connection, in milliseconds; it doubles with each further one, as a frozen instance has to take them all when it wakes. */
+const REPLACEMENT_DELAY_MILLISECONDS = 500
+/** How long a silent stream may still answer after the holder has answered on another one, in milliseconds: an instance that wakes reads both. */
+const REPLACEMENT_GRACE_MILLISECONDS = 75
 
 export type ForwardOutcome =
   | { kind: 'reply', reply: Extract<HolderReply, { kind: 'result' | 'failure' }> }
@@ -28,8 +33,8 @@
   isCold: () => boolean
   /** The stream to the holder, opened on demand; undefined if it can't be opened in time. */
   open: () => Promise<MessageStream | undefined>
-  /** Sends a request on the stream; `onSilent` is called when the holder seems to have stopped answering, which it may still do. */
-  request: (stream: MessageStream, build: (number: number) => HolderRequest, deadline: number, onSilent?: () => void) => Promise<ForwardOutcome>
+  /** Sends a request on the stream. */
+  request: (stream: MessageStream, build: (number: number) => HolderRequest, deadline: number, options?: RequestOptions) => Promise<ForwardOutcome>
   /** Sends a message that has no reply. */
   post: (stream: MessageStream, request: HolderRequest) => void
   /** Notes that the holder refused because it can't serve at present. */
@@ -40,11 +45,17 @@
   tick: (stalledMilliseconds: number) => void
 }
 
-interface OutstandingRequest {
+export interface RequestOptions {
+  /** Called when the holder seems to have stopped answering, which it may still do. */
+  onSilent?: () => void
+  /** Whether the request is lost with a stream that is replaced because it went silent: it keeps nothing without a later one. Otherwise its answer may still come. @default false */
+  endsWithStream?: boolean
+}
+
+interface OutstandingRequest extends RequestOptions {
   sentAt: number
   deadline: number
   stream: MessageStream
-  onSilent?: () => void
   finish: (outcome: ForwardOutcome) => void
 }
 
@@ -63,6 +74,14 @@
   let opening: Promise<MessageStream | undefined> | undefined
   let lastNumber = 0
   const outstanding = new Map<number, OutstandingRequest>()
+  /** A second stream to a silent holder, and when it was answered there first. */
+  let replacement: { stream: MessageStream, answeredAt?: number } | undefined
+  let isReplacing = false
+  let replacementDueAt = -Infinity
+  let replacementDelay = REPLACEMENT_DELAY_MILLISECONDS
+  /** Replaced streams on which answers are still outstanding. */
+  const replaced = new Set<MessageStream>()
+  const tokens = new WeakMap<MessageStream, string>()
 
   function write (stream: MessageStream, request: HolderRequest): void {
     stream.send(Buffer.from(JSON.stringify(request), 'utf8'))
@@ -86,21 +105,77 @@
     return {
       message: body => {
         const reply = decodeHolderReply(body)
+        if (stream === replacement?.stream) {
+          replacement.answeredAt ??= clock.now()
+          return
+        }
+        if (replaced.has(stream)) {
+          if (reply.kind === 'result' || reply.kind === 'failure') REPLY_HANDLERS[reply.kind](reply as never)
+          return
+        }
         if (health.silent) logger.info('A holder answers again.', { holder: name })
         health = recordHolderAnswer(health, clock.now())
         const handle = REPLY_HANDLERS[reply.kind] as (reply: HolderReply) => void
         handle(reply)
       },
       closed: reason => {
-        if (current === stream) current = undefined
-        // Another process may answer at the address by now.
-        health = recordHolderFailure({ ...health, leaving: false, silent: false, probedAt: -Infinity }, clock.now())
+        if (stream === replacement?.stream) replacement = undefined
+        if (current === stream) {
+          current = undefined
+          // Another process may answer at the address by now.
+          health = recordHolderFailure({ ...health, leaving: false, silent: false, probedAt: -Infinity }, clock.now())
+        }
+        replaced.delete(stream)
         logger.info('The stream to a holder ended.', { holder: name, reason, outstanding: outstanding.size })
         for (const [number, request] of [...outstanding]) if (request.stream === stream) finish(number, { kind: 'lost', reason })
       }
     }
   }
 
+  /** Opens a second stream to a silent holder: if it answers there, just the connection went silent. */
+  async function openReplacement (): Promise<void> {
+    isReplacing = true
+    replacementDueAt = clock.now() + replacementDelay
+    replacementDelay *= 2
+    const stream = await openStream()
+    isReplacing = false
+    if (stream === undefined) return
+    if (!health.silent) return stream.close('the holder answers again')
+    replacement = { stream }
+    write(stream, { kind: 'probe' })
+  }
+
+  /** Uses the second stream for new operations if the first one stays silent. */
+  function adoptReplacement (now: number): void {
+    if (replacement === undefined) return
+    const { stream, answeredAt } = replacement
+    if (!health.silent) {
+      replacement = undefined
+      return stream.close('the holder answers again')
+    }
+    if (answeredAt === undefined || now - answeredAt < REPLACEMENT_GRACE_MILLISECONDS) return
+    const silentStream = current
+    replacement = undefined
+    current = stream
+    health = recordHolderAnswer(health, now)
+    logger.warn('A connection to a holder went silent, and another one is used.', { holder: name, outstanding: outstanding.size })
+    if (silentStream === undefined) return
+    replaced.add(silentStream)
+    for (const [number, request] of [...outstanding]) {
+      if (request.stream === silentStream && request.endsWithStream === true) finish(number, { kind: 'lost', reason: 'its connection went silent' })
+    }
+  }
+
+  /** Ends replaced streams on which nothing is outstanding; the holder, which may not notice the end, is told on the present one. */
+  function endReplacedStreams (): void {
+    for (const stream of [...replaced]) {
+      if ([...outstanding.values()].some(request => request.stream === stream)) continue
+      const token = tokens.get(stream)
+      if (current !== undefined && token !== undefined) write(current, { kind: 'probe', replaces: token })
+      stream.close('its connection went silent')
+    }
+  }
+
   async function openStream (): Promise<MessageStream | undefined> {
     let cancelTimeout = (): void => {}
     let isLate = false
@@ -119,6 +194,16 @@
       return undefined
     })])
     cancelTimeout()
+    if (stream !== undefined) {
+      const token = randomUUID()
+      tokens.set(stream, token)
+      write(stream, { kind: 'probe', stream: token })
+    }
+    return stream
+  }
+
+  async function openFirst (): Promise<MessageStream | undefined> {
+    const stream = await openStream()
     if (stream === undefined) {
       health = recordHolderFailure(health, clock.now())
       link.reconnect()
@@ -128,7 +213,7 @@
 
   async function open (): Promise<MessageStream | undefined> {
     if (current?.isOpen() === true) return current
-    opening ??= openStream().finally(() => { opening = undefined })
+    opening ??= openFirst().finally(() => { opening = undefined })
     current = await opening
     return current
   }
@@ -138,12 +223,17 @@
     let oldestSentAt: number | undefined
     for (const [number, request] of [...outstanding]) {
       if (now >= request.deadline) finish(number, { kind: 'late' })
-      else oldestSentAt = Math.min(oldestSentAt ?? Infinity, request.sentAt)
+      else if (!replaced.has(request.stream)) oldestSentAt = Math.min(oldestSentAt ?? Infinity, request.sentAt)
     }
+    adoptReplacement(now)
+    endReplacedStreams()
     const wasSilent = health.silent
     const watched = watchHolder(health, oldestSentAt, now, stalledMilliseconds)
     health = watched.health
     if (watched.probe && current !== undefined) write(current, { kind: 'probe' })
+    const mayReplace = health.silent && current !== undefined && replacement === undefined && !isReplacing
+    if (mayReplace && now >= replacementDueAt) void openReplacement()
+    if (!health.silent) replacementDelay = REPLACEMENT_DELAY_MILLISECONDS
     if (wasSilent || !health.silent) return
     logger.warn('A holder does not answer.', { holder: name, outstanding: outstanding.size })
     for (const { onSilent } of [...outstanding.values()]) onSilent?.()
@@ -153,17 +243,17 @@
     isUsable: () => isHolderUsable(health, clock.now()),
     isCold: () => current === undefined && opening === undefined && isHolderUsable(health, clock.now()),
     open,
-    request: async (stream, build, deadline, onSilent) => await new Promise<ForwardOutcome>(resolve => {
-      if (!stream.isOpen()) return resolve({ kind: 'not sent', reason: 'the stream to the holder has ended' })
+    request: async (stream, build, deadline, options = {}) => await new Promise<ForwardOutcome>(resolve => {
+      if (!stream.isOpen() || replaced.has(stream)) return resolve({ kind: 'not sent', reason: 'the stream to the holder has ended' })
       lastNumber += 1
       const number = lastNumber
-      outstanding.set(number, { sentAt: clock.now(), deadline, stream, onSilent, finish: resolve })
+      outstanding.set(number, { sentAt: clock.now(), deadline, stream, ...options, finish: resolve })
       write(stream, build(number))
       onRequest()
     }),
     post: write,
     recordRefusal: () => { health = recordHolderFailure(health, clock.now()) },
-    isWatched: () => outstanding.size > 0 || health.silent,
+    isWatched: () => outstanding.size > 0 || health.silent || replacement !== undefined || replaced.size > 0,
     tick
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -56,6 +56,8 @@
 
 interface CallingInstance {
   stream: MessageStream
+  /** Name that the other end gave the stream. */
+  token?: string
   transactions: Map<number, ForwardedSession>
   running: number
   offset?: ClockOffset
@@ -189,7 +191,12 @@
       instance.transactions.delete(number)
       if (found !== undefined) runInOrder(found, () => { runner.rollBack(found.transaction, id) })
     },
-    probe: ({ stream }) => { send(stream, { kind: 'alive' }) }
+    probe: (instance, { stream, replaces }) => {
+      if (stream !== undefined) instance.token = stream
+      const ended = replaces === undefined ? undefined : [...instances].find(({ token }) => token === replaces)
+      ended?.stream.close('the other side uses another stream')
+      send(instance.stream, { kind: 'alive' })
+    }
   }
 
   function accept (stream: MessageStream): MessageStreamHandlers {
--- a/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
@@ -33,7 +33,8 @@
   | { kind: 'continue', number: number, transaction: number, isWrite: boolean, statement: ForwardedStatement }
   | { kind: 'commit', number: number, transaction: number, statement: ForwardedStatement }
   | { kind: 'roll back', transaction: number, id?: string }
-  | { kind: 'probe' }
+  /** Asks whether the holder answers. `stream` names the stream on which it is sent, and `replaces` one that has ended, which the holder may not have noticed. */
+  | { kind: 'probe', stream?: string, replaces?: string }
 
 export type HolderReply =
   | {
@@ -82,7 +83,7 @@
   continue: hasFields({ number: isNumber, transaction: isNumber, statement: isStatement }),
   commit: hasFields({ number: isNumber, transaction: isNumber, statement: isStatement }),
   'roll back': hasFields({ transaction: isNumber, id: isOptional(isText) }),
-  probe: () => true
+  probe: hasFields({ stream: isOptional(isText), replaces: isOptional(isText) })
 }
 
 const REPLY_CHECKS: Record<HolderReply['kind'], FieldCheck> = {
