fix(cyclamenusherd): a promotion call that was given up arrives after the next leader's

A leader that was cut from the provider gave its call up after a second and closed the connection in order, which leaves unsent bytes to the operating system: they arrived once the cut healed, after its successor's promotion.

Change: a call without an answer resets its connection, which takes back what was not delivered. A call that was answered closes as before.

--- a/packages/cyclamenusherd/src/node/process/fleet/http.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/http.ts
@@ -65,7 +65,9 @@
     const socket = connect({ host, port, noDelay: true })
     const finish = (status?: number): void => {
       cancelTimeout()
-      socket.destroy()
+      // A call that is given up must not arrive later: a reset takes back what was not delivered.
+      if (status === undefined) socket.resetAndDestroy()
+      else socket.destroy()
       resolve(status === undefined ? { kind: sent ? 'no answer' : 'not sent' } : { kind: 'answered', status })
     }
     const cancelTimeout = startAnswerTimeout(CALL_TIMEOUT_MILLISECONDS, () => { finish() })
