fix(engine): a service stops for good after connections to its servers went silent

Cause: the statements that prepare a connection (DISCARD, SET, PREPARE) were awaited without a limit. Each that met a silent connection stayed outstanding for good, and the number of statements that an instance allows itself at a server fell to that number. Ruled out: TCP keep-alive, which is suspended while sent bytes are not acknowledged.

Change: `run` and `runAll` of a server connection take a time limit, so that a wait without one can't be written; what runs out closes the connection, and releases its slot. A statement whose connection could not be prepared in time was not sent, and runs on another one; idle connections from before are closed with it. A connection that is given up with statements outstanding is reset, so that none of them reaches the server later.

--- a/packages/cyclamenusherd/src/node/engine/attempt.ts
+++ b/packages/cyclamenusherd/src/node/engine/attempt.ts
@@ -14,6 +14,9 @@
   /** The deadline passed without a reply; the connection was closed. */
   | { kind: 'late' }
 
+/** How long after its deadline a statement's connection closes by itself, in milliseconds: `awaitReply` has closed it by then. */
+export const LATE_MARGIN_MILLISECONDS = 500
+
 /** Waits for a reply until the deadline, and closes the connection if none has arrived by then. */
 export async function awaitReply (services: LocalServices, acquired: AcquiredConnection, deadline: number, reply: Promise<Reply>): Promise<Reply | { kind: 'late' }> {
   const { clock } = services
@@ -42,15 +45,18 @@
  */
 export async function attemptStatement (services: LocalServices, acquired: AcquiredConnection, { session, request, deadline }: StatementContext, addPrefix: (text: string) => string, mayReset: boolean): Promise<AttemptReply> {
   const { connection } = acquired
+  const startedAt = services.clock.now()
   const definition = request.statement.kind === 'execute' ? session.prepared.get(request.statement.name) : undefined
   try {
     const codec = services.codec()
     await prepareConnection(connection, codec, session.values, definition, mayReset)
     if (!connection.isOpen()) return { kind: 'not sent', reason: 'the connection is gone' }
-    return await awaitReply(services, acquired, deadline, connection.run(request.id, addPrefix(buildStatementText(codec, request, definition))))
+    return await awaitReply(services, acquired, deadline, connection.run(request.id, addPrefix(buildStatementText(codec, request, definition)), Math.max(0, deadline - services.clock.now()) + LATE_MARGIN_MILLISECONDS))
   } catch (error) {
     connection.close('a statement could not be run on it')
     if (!(error instanceof PreparationError)) throw error
+    // Others that are idle since before may have gone silent with it.
+    if (error.isLost) acquired.closeIdleSince(startedAt)
     return { kind: 'not sent', reason: error.message }
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/preparation.ts
+++ b/packages/cyclamenusherd/src/node/engine/preparation.ts
@@ -11,9 +11,17 @@
 /** Number of prepared statements of one server connection above which the connection is reset. */
 const MAXIMUM_PREPARED_PER_CONNECTION = 200
 
+/** Time within which a server must answer internal statements, in milliseconds: they wait for no slot, so that an answer takes a few round trips. */
+const PREPARATION_TIMEOUT_MILLISECONDS = 400
+
 /** An internal statement failed on the connection. */
 export class PreparationError extends Error {
   override name = 'PreparationError'
+
+  /** `isLost`: the connection ended, or the server did not answer in time. */
+  constructor (message: string, readonly isLost: boolean) {
+    super(message)
+  }
 }
 
 /** Name of a prepared statement at servers. It depends on the definition only, so that sessions share prepared statements. */
@@ -61,9 +69,9 @@
   const wasReset = valueStatements[0]?.text === codec.reset()
   const statements = [...valueStatements, ...buildPrepareStatements(connection, codec, definition, wasReset)]
   if (statements.length === 0) return
-  const replies = await connection.runAll(INTERNAL_STATEMENT_ID, statements.map(({ text }) => text))
+  const replies = await connection.runAll(INTERNAL_STATEMENT_ID, statements.map(({ text }) => text), PREPARATION_TIMEOUT_MILLISECONDS)
   for (const [index, reply] of replies.entries()) {
-    if (reply.kind !== 'complete') throw new PreparationError(reply.kind === 'lost' ? reply.reason : reply.explanation)
+    if (reply.kind !== 'complete') throw new PreparationError(reply.kind === 'lost' ? reply.reason : reply.explanation, reply.kind === 'lost')
     statements[index].done()
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/serverAdministration.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverAdministration.ts
@@ -1,6 +1,5 @@
 /** Control's connections to backend servers: one for each server, opened on demand. */
 
-import { startAnswerTimeout } from '@cyclamenusher/protocol'
 import { openServerConnection } from './serverConnection.js'
 import { INTERNAL_STATEMENT_ID } from './preparation.js'
 import type { KnownServer, ServerStatus } from '@cyclamenusher/decisions'
@@ -30,14 +29,9 @@
 
   async function requestStatus (server: KnownServer, text: string): Promise<ServerStatus> {
     const connection = await ensureConnection(server)
-    const cancelTimeout = startAnswerTimeout(ANSWER_TIMEOUT_MILLISECONDS, () => { connection.close('no answer in time') })
-    try {
-      const reply = await connection.run(INTERNAL_STATEMENT_ID, text)
-      if (reply.kind === 'complete' && reply.rows.length === 1) return codec().readStatus(reply.rows[0])
-      throw new Error(reply.kind === 'lost' ? reply.reason : reply.kind === 'failure' ? `${reply.failure}: ${reply.explanation}` : 'the answer does not have exactly one row')
-    } finally {
-      cancelTimeout()
-    }
+    const reply = await connection.run(INTERNAL_STATEMENT_ID, text, ANSWER_TIMEOUT_MILLISECONDS)
+    if (reply.kind === 'complete' && reply.rows.length === 1) return codec().readStatus(reply.rows[0])
+    throw new Error(reply.kind === 'lost' ? reply.reason : reply.kind === 'failure' ? `${reply.failure}: ${reply.explanation}` : 'the answer does not have exactly one row')
   }
 
   const timer = setInterval(() => {
--- a/packages/cyclamenusherd/src/node/engine/serverConnection.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverConnection.ts
@@ -28,9 +28,10 @@
   readonly values: Map<string, string>
   /** Names at the server of the statements that are prepared there. */
   readonly prepared: Set<string>
-  run: (id: string, text: string) => Promise<Reply>
-  /** Sends several statements at once; the replies are in the same order. */
-  runAll: (id: string, texts: readonly string[]) => Promise<Reply[]>
+  /** Runs a statement. Without an answer within the limit the connection is closed. */
+  run: (id: string, text: string, limitMilliseconds: number) => Promise<Reply>
+  /** Sends several statements at once; the replies are in the same order. Without all answers within the limit the connection is closed. */
+  runAll: (id: string, texts: readonly string[], limitMilliseconds: number) => Promise<Reply[]>
   /** When the oldest unanswered statement was sent; undefined: all are answered. */
   runningSince: () => number | undefined
   isOpen: () => boolean
@@ -102,7 +103,9 @@
   function end (reason: string, lost: boolean): void {
     if (closeReason !== undefined) return
     closeReason = reason
-    socket.destroy()
+    // A statement that is given up must not reach the server later.
+    if (running.length > 0) socket.resetAndDestroy()
+    else socket.destroy()
     for (const { resolve } of running.splice(0)) resolve({ kind: 'lost', reason })
     pendingStart?.reject(new OpenError('refused', reason))
     pendingStart = undefined
@@ -171,12 +174,15 @@
     socket.write(codec.start(server.group, account, server.member), 'latin1')
   })
 
-  async function runAll (id: string, texts: readonly string[]): Promise<Reply[]> {
+  async function runAll (id: string, texts: readonly string[], limitMilliseconds: number): Promise<Reply[]> {
     if (closeReason !== undefined) return texts.map(() => ({ kind: 'lost', reason: closeReason ?? '' }))
     lastUsedAt = clock.now()
     const replies = texts.map(async () => await new Promise<Reply>(resolve => { running.push({ askedAt: lastUsedAt, rows: [], resolve }) }))
     socket.write(texts.map(text => codec.statement(id, text)).join(''), 'latin1')
-    return await Promise.all(replies)
+    const cancelTimeout = startAnswerTimeout(limitMilliseconds, () => { close('the server did not answer in time') })
+    const received = await Promise.all(replies)
+    cancelTimeout()
+    return received
   }
 
   return {
@@ -184,7 +190,7 @@
     account,
     values,
     prepared,
-    run: async (id, text) => (await runAll(id, [text]))[0],
+    run: async (id, text, limitMilliseconds) => (await runAll(id, [text], limitMilliseconds))[0],
     runAll,
     runningSince: () => running[0]?.askedAt,
     isOpen: () => closeReason === undefined,
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -6,7 +6,7 @@
  */
 
 import { StatementFailure } from './errors.js'
-import { attemptStatement, awaitReply } from './attempt.js'
+import { LATE_MARGIN_MILLISECONDS, attemptStatement, awaitReply } from './attempt.js'
 import { INTERNAL_STATEMENT_ID } from './preparation.js'
 import { adoptNewerTerm } from './reads.js'
 import { CONFIRM_GRACE_MILLISECONDS, NOT_RUN_FAILURES } from './writes.js'
@@ -84,7 +84,7 @@
   const { acquired } = transaction
   if (acquired === undefined) return
   transaction.acquired = undefined
-  const rollback = acquired.connection.run(id, services.codec().rollback())
+  const rollback = acquired.connection.run(id, services.codec().rollback(), ROLLBACK_TIMEOUT_MILLISECONDS + LATE_MARGIN_MILLISECONDS)
   void awaitReply(services, acquired, services.clock.now() + ROLLBACK_TIMEOUT_MILLISECONDS, rollback).then(reply => {
     acquired.release(reply.kind === 'complete' && reply.state === 'idle')
   })
