fix(cyclamenusherd): a new leader plans shares before it has applied its predecessor's commands

Found on reading the record of share holders again.

Change: the first lease and the first plan wait until the log has confirmed that every command accepted earlier is applied here, which takes one round of the log.

Evidence: leadership.test.ts, "shares are planned before the commands of earlier leaders are applied", holds that confirmation back; without the wait the lease is granted at once.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -12,8 +12,8 @@
 const started: Leadership[] = []
 test.after.each(() => { for (const leadership of started.splice(0)) leadership.close() })
 
-/** Starts a leader whose clock stands still between the steps of a test. `initial` is what the log holds; commands are in the log once `written` resolves. */
-function startLeader (entries = 0, initial: Partial<FleetState> = {}, written: () => Promise<void> = async () => {}) {
+/** Starts a leader whose clock stands still between the steps of a test. `initial` is what the log holds; commands are in the log once `written` resolves, and those of earlier leaders are applied once `confirmed` does. */
+function startLeader (entries = 0, initial: Partial<FleetState> = {}, written: () => Promise<void> = async () => {}, confirmed: () => Promise<void> = async () => {}) {
   let now = 0
   let control: ControlAddress[] = []
   const logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
@@ -36,6 +36,10 @@
     state: () => state,
     declaration: () => JSON.parse(document.text) as Declaration,
     hasLeaderLease: () => true,
+    confirmState: async () => {
+      await confirmed()
+      return true
+    },
     controlAddresses: () => control,
     rateTolerance: NO_TOLERANCE,
     clock: { now: () => now },
@@ -158,6 +162,20 @@
   assert.ok(state().shareHolders?.has('entry-1'))
 })
 
+// A leader of this term may not have applied the last commands of the one before.
+test('shares are planned before the commands of earlier leaders are applied', async () => {
+  let release = (): void => {}
+  const confirmed = new Promise<void>(resolve => { release = resolve })
+  const { renew, advance } = startLeader(0, {}, async () => {}, async () => { await confirmed })
+  advance(500)
+  let granted = false
+  const grant = renew('entry-1', { knows: { term: 0, change: 0 }, parts: {} }).then(() => { granted = true })
+  await new Promise(resolve => setTimeout(resolve, 80))
+  assert.not.ok(granted)
+  release()
+  await grant
+})
+
 test('an instance that does not say what it holds is taken to hold nothing', async () => {
   const { renew, advance } = startLeader(1, { shareHolders: new Set(['entry-1']) })
   advance(500)
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/shareReturn.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/shareReturn.test.ts
@@ -39,6 +39,7 @@
     return createShareRecord({
       state: () => state,
       startedAt: now,
+      confirmState: async () => true,
       write: async shares => {
         const command = JSON.stringify({ kind: 'remember', servers: [], entries: count, shares })
         written += command.length
@@ -62,6 +63,10 @@
       leases.renew(request, isKnown ? instance.appliedChange : 0, now)
       if (!record.isRecorded(name)) record.add(name)
     }
+    while (!record.isCurrent()) {
+      record.write(leases, now)
+      await new Promise(resolve => { setImmediate(resolve) })
+    }
     record.write(leases, now)
     await new Promise(resolve => { setImmediate(resolve) })
     for (const instance of instances) {
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -135,6 +135,7 @@
         state: () => state,
         declaration: currentDeclaration,
         hasLeaderLease: () => currentLog.hasLeaderLease() && currentLog.term() === term,
+        confirmState: currentLog.confirmLeadership,
         controlAddresses,
         propose: currentLog.propose,
         resign: () => {
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -45,6 +45,8 @@
   declaration: () => Declaration | undefined
   /** Whether this instance holds the leader lease, still in this term. */
   hasLeaderLease: () => boolean
+  /** Resolves with whether `state` holds every command that earlier leaders wrote. */
+  confirmState: () => Promise<boolean>
   /** Addresses of the control instances, sent with each grant. */
   controlAddresses: () => SharedGrant['control']
   rateTolerance: RateTolerance
@@ -79,6 +81,7 @@
   const shareRecord = createShareRecord({
     state,
     startedAt,
+    confirmState: options.confirmState,
     write: async shares => (await remember({ shares })).kind === 'applied',
     onWritten: ({ added, bounds }) => {
       if (bounds.length > 0) planSoon(0)
@@ -159,7 +162,7 @@
   }
 
   function assessReturn (now: number): ReturningInstances {
-    return { missing: shareRecord.countMissing(leases, now), ledMilliseconds: now - startedAt, sharesReported: leases.hasReportedShares(), returned: leases.countRenewing(now), expected: state().entries }
+    return { ledMilliseconds: now - startedAt, sharesReported: leases.hasReportedShares(), returned: leases.countRenewing(now), expected: state().entries, missing: shareRecord.countMissing(leases, now) }
   }
 
   /** Whether the renewal comes from an instance that has just started, and is to wait until this leader has chosen holders and lenders for the first time. */
@@ -179,7 +182,7 @@
   function planShares (now: number): void {
     if (now - sharesPlannedAt < PLAN_INTERVAL_MILLISECONDS) return
     const returning = assessReturn(now)
-    if (awaitsReturn(returning)) return
+    if (!shareRecord.isCurrent() || awaitsReturn(returning)) return
     if (isLoanHistoryComplete(returning)) pool.adoptHistory(leases.loanHistory())
     const accounts = declaration()?.accounts ?? []
     holders.plan([...groupTasks.keys()], group => listGroupServers(directory.servers, group).map(({ failureDomain }) => failureDomain), leases.listHolders(now), directory.recordChange)
--- a/packages/cyclamenusherd/src/node/process/fleet/shareRecord.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/shareRecord.ts
@@ -17,6 +17,8 @@
   state: () => Pick<FleetState, 'shareHolders' | 'shareBounds' | 'entries'>
   /** When this leader was elected. */
   startedAt: number
+  /** Resolves with whether `state` holds every command that earlier leaders wrote. */
+  confirmState: () => Promise<boolean>
   /** Writes changes to the log, and resolves with whether the log holds them. */
   write: (changes: ShareHolderChanges) => Promise<boolean>
   /** Called once the log holds changes. */
@@ -31,6 +33,8 @@
 }
 
 export interface ShareRecord {
+  /** Whether what earlier leaders wrote is known here. */
+  isCurrent: () => boolean
   isRecorded: (name: string) => boolean
   /** Has the instance recorded with the next write. */
   add: (name: string) => void
@@ -45,10 +49,11 @@
   awaitsBounds: () => boolean
 }
 
-export function createShareRecord ({ state, startedAt, write, onWritten }: ShareRecordOptions): ShareRecord {
-  const expected = state().entries
+export function createShareRecord ({ state, startedAt, confirmState, write, onWritten }: ShareRecordOptions): ShareRecord {
+  let isCurrent = false
+  let expected = 0
   /** Whether the log says nothing of instances that an earlier leader counted. */
-  const isUnknown = state().shareHolders === undefined && expected > 0
+  let isUnknown = false
   /** Bounds to raise, by account and instance. */
   const requested = new Map<string, Map<string, number>>()
   /** Instances to record. */
@@ -107,8 +112,19 @@
     onWritten(changes)
   }
 
+  /** Reads what earlier leaders wrote, once all of it is applied here. */
+  async function readEarlierState (): Promise<void> {
+    isWriting = true
+    isCurrent = await confirmState()
+    isWriting = false
+    const { shareHolders, entries } = state()
+    expected = entries
+    isUnknown = shareHolders === undefined && entries > 0
+  }
+
   return {
-    isRecorded: name => state().shareHolders?.has(name) === true && pending?.removed.includes(name) !== true,
+    isCurrent: () => isCurrent,
+    isRecorded: name => isCurrent && state().shareHolders?.has(name) === true && pending?.removed.includes(name) !== true,
     add: name => { added.add(name) },
     countMissing: (known, now) => listMissing(known, now).length,
     isIncomplete,
@@ -123,6 +139,10 @@
     },
     write: (known, now) => {
       if (isWriting) return
+      if (!isCurrent) {
+        void readEarlierState()
+        return
+      }
       const changes = pending ?? collectChanges(known, now)
       if (changes.added.length + changes.removed.length + changes.bounds.length === 0) return
       void send(changes)
