--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -107,10 +107,11 @@
         const reply = decodeHolderReply(body)
         if (stream === replacement?.stream) {
           replacement.answeredAt ??= clock.now()
+          if (reply.kind === 'leaving') REPLY_HANDLERS.leaving(reply)
           return
         }
         if (replaced.has(stream)) {
-          if (reply.kind === 'result' || reply.kind === 'failure') REPLY_HANDLERS[reply.kind](reply as never)
+          if (reply.kind === 'result' || reply.kind === 'failure') finish(reply.number, { kind: 'reply', reply })
           return
         }
         if (health.silent) logger.info('A holder answers again.', { holder: name })
--- a/packages/cyclamenusherd/src/node/process/fleet/shareRecord.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/shareRecord.ts
@@ -40,8 +40,6 @@
   add: (name: string) => void
   /** Recorded instances that have not renewed at this leader and whose shares may still be valid. */
   countMissing: (known: KnownHolders, now: number) => number
-  /** Whether a leader of an earlier build may have granted shares to instances that are not recorded. */
-  isIncomplete: (returned: number, now: number) => boolean
   limits: (known: KnownHolders, returned: number, now: number) => ShareLimits
   /** Writes what has changed, one command at a time. */
   write: (known: KnownHolders, now: number) => void
@@ -69,6 +67,7 @@
     return isOver(now) ? [] : [...state().shareHolders ?? []].filter(name => !known.has(name))
   }
 
+  /** Whether a leader of an earlier build may have granted shares to instances that are not recorded. */
   function isIncomplete (returned: number, now: number): boolean {
     return isUnknown && !isOver(now) && returned < expected
   }
@@ -127,7 +126,6 @@
     isRecorded: name => isCurrent && state().shareHolders?.has(name) === true && pending?.removed.includes(name) !== true,
     add: name => { added.add(name) },
     countMissing: (known, now) => listMissing(known, now).length,
-    isIncomplete,
     limits: (known, returned, now) => {
       const missing = listMissing(known, now)
       const isUnsure = isIncomplete(returned, now)
--- a/packages/decisions/src/node/fleet/__tests__/commitCopies.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/commitCopies.test.ts
@@ -138,14 +138,14 @@
   const group = createServingGroup(SYNCHRONOUS)
   group.step({ kind: 'tick' }, 25)
   group.environment.leavingRuns = new Set([describeRun({ member: 'r1', bornAt: 1 })])
-  const heir = createServer('r3', { host: createServer('r1').host, bornAt: 2 })
-  group.environment.servers = [...group.environment.servers.filter(({ member }) => member !== 'r1'), heir]
+  const replacement = createServer('r3', { host: createServer('r1').host, bornAt: 2 })
+  group.environment.servers = [...group.environment.servers.filter(({ member }) => member !== 'r1'), replacement]
   failPrimary(group)
   answer(group, { r2: 20, r3: 40 })
   assert.equal(listChosen(group), ['r3'])
 })
 
-test('a server at the address of one that crashed is taken for its heir', () => {
+test('a server at the address of one that crashed is taken for its replacement', () => {
   const group = createServingGroup(SYNCHRONOUS)
   group.step({ kind: 'tick' }, 25)
   group.environment.servers = [...SERVERS.filter(({ member }) => member !== 'r1'), createServer('r3', { host: createServer('r1').host, bornAt: 2 })]
--- a/packages/decisions/src/node/fleet/commitCopies.ts
+++ b/packages/decisions/src/node/fleet/commitCopies.ts
@@ -78,7 +78,7 @@
 }
 
 /** The listed server that took over the log of a run that left. */
-function findHeir ({ environment }: GroupStep, run: ServerRun): ServerRun | undefined {
+function findReplacement ({ environment }: GroupStep, run: ServerRun): ServerRun | undefined {
   if (!environment.leavingRuns.has(describeRun(run))) return undefined
   return environment.servers.map(toRun).find(({ member, bornAt, address }) => address === run.address && member !== run.member && bornAt >= run.bornAt)
 }
@@ -86,7 +86,7 @@
 /** Recorded runs that are not listed, without those whose log a listed server took over. */
 function listUnlistedRuns (step: GroupStep): ServerRun[] {
   const listed = new Set(step.environment.servers.map(server => describeRun(toRun(server))))
-  return (step.environment.copies?.servers ?? []).filter(run => !listed.has(describeRun(run)) && findHeir(step, run) === undefined)
+  return (step.environment.copies?.servers ?? []).filter(run => !listed.has(describeRun(run)) && findReplacement(step, run) === undefined)
 }
 
 /** All runs that may hold an acknowledged commit, the primary's included. */
@@ -103,10 +103,10 @@
 }
 
 /** Whether one of the servers that answered took over the log of the last primary, and so holds every acknowledged commit. */
-export function hasPrimaryHeir (step: GroupStep, answered: ReadonlySet<string>): boolean {
+export function hasPrimaryReplacement (step: GroupStep, answered: ReadonlySet<string>): boolean {
   const lastPrimary = findLastPrimary(step)
-  const heir = lastPrimary === undefined ? undefined : findHeir(step, lastPrimary)
-  return heir !== undefined && answered.has(heir.member)
+  const replacement = lastPrimary === undefined ? undefined : findReplacement(step, lastPrimary)
+  return replacement !== undefined && answered.has(replacement.member)
 }
 
 /** Whether a server that runs anew at its address came back with the log of its earlier run. One that holds less than was seen there lost its log. */
--- a/packages/decisions/src/node/fleet/successor.ts
+++ b/packages/decisions/src/node/fleet/successor.ts
@@ -1,7 +1,7 @@
 /** Selects the successor of a group's primary, and detects whether the primary can continue instead. */
 
 import { comparePositions } from '../session/position.js'
-import { countSynchronousReplicas, countUnansweredCopies, findInheritedLog, findLastPrimary, hasPrimaryHeir } from './commitCopies.js'
+import { countSynchronousReplicas, countUnansweredCopies, findInheritedLog, findLastPrimary, hasPrimaryReplacement } from './commitCopies.js'
 import type { KnownServer } from './directory.js'
 import type { GroupStep, ServerStatus } from './groupTypes.js'
 
@@ -107,7 +107,7 @@
   const hasEveryCommit = countUnansweredCopies(step, answered) < countSynchronousReplicas(step) && environment.now >= environment.announcedBy
   const lastPrimary = findLastPrimary(step)?.member
   const hasLastPrimary = replicas.some(({ server, status }) => status.role === 'primary' && server.member === lastPrimary)
-  const isComplete = hasEveryCommit || hasLastPrimary || hasPrimaryHeir(step, answered)
+  const isComplete = hasEveryCommit || hasLastPrimary || hasPrimaryReplacement(step, answered)
   const inherited = findInheritedLog(step)?.upTo
   const newest = isComplete ? findNewest(replicas)?.status.received : primary?.status.received
   if (newest === undefined) return undefined
