feat(fleet): logs and metrics tell by which declaration an operation ran, and under which lease

The record of the incident shows runs by an older declaration, but not by which version the caller's instance admitted them, whether it held a lease, which instance ran them and what that one knew. So the hypotheses could not be told apart.

A grant names the newest version (an added field, which earlier builds leave out and ignore); the lease's lines say how long it was away, which version is held and which is the newest; an answer's line names the holder, its version, the newest known one and what is left of the lease; the leader counts leases that it grants without the newest declaration; two metrics. No decision reads any of it.

--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -160,7 +160,7 @@
     return services.link.declaration()?.routeOf(session.database)?.statementMilliseconds ?? START_TIMEOUT_MILLISECONDS
   }
 
-  function logOutcome ({ session, request, startedAt, timing }: StatementContext, failure?: StatementFailure): void {
+  function logOutcome ({ session, request, startedAt, timing, holder }: StatementContext, failure?: StatementFailure): void {
     const facts = {
       ...Object.fromEntries(Object.entries(timing).map(([part, milliseconds]) => [part, Math.round(milliseconds)])),
       id: request.id,
@@ -168,10 +168,13 @@
       database: session.database,
       state: session.state,
       version: services.link.declaration()?.version,
+      newest: services.link.newestVersion(),
+      leasedFor: Math.round(services.link.leasedUntil() - clock.now()),
+      ...(holder === undefined ? {} : { holder: holder.name, holderVersion: holder.version }),
       milliseconds: Math.round((clock.now() - startedAt) * 10) / 10
     }
     if (failure === undefined) log.logAnswer('complete', facts)
-    else log.logAnswer('A statement failed.', { ...facts, failure: failure.kind, explanation: failure.message, leasedFor: Math.round(services.link.leasedUntil() - clock.now()) })
+    else log.logAnswer('A statement failed.', { ...facts, failure: failure.kind, explanation: failure.message })
   }
 
   /** Logs a defect of the instance and rolls back the transaction. Whether the statement took effect is unknown, so it ends in doubt. */
--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -142,10 +142,15 @@
     if (stream === undefined) return { kind: 'not sent', reason: 'the holder was not reached' }
     const grace = access === 'write' ? CONFIRM_GRACE_MILLISECONDS : 0
     const outcome = await holder.request(stream, number => ({ kind: 'run', number, access, operation: describeOperation(operation), statement: buildStatement(context) }), context.deadline + grace + REPLY_GRACE_MILLISECONDS, { onSilent })
+    recordHolder(context, holder, outcome)
     if (findReasonToTryAnother(outcome) !== undefined) holder.recordRefusal()
     return outcome
   }
 
+  function recordHolder (context: StatementContext, { name }: HolderLink, outcome: ForwardOutcome): void {
+    context.holder = { name, ...(outcome.kind === 'reply' ? { version: outcome.reply.version } : {}) }
+  }
+
   function describeOperation ({ route, account }: AdmittedOperation): AdmittedOperation {
     const { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority } = route
     return { route: { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority }, account }
@@ -234,6 +239,7 @@
     if (forwarded === undefined) return await local.continue(context, transaction, isWrite)
     requireNotEnded(session, transaction)
     const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'continue', number, transaction: forwarded.number, isWrite, statement: buildStatement(context) }), context.deadline + REPLY_GRACE_MILLISECONDS, { endsWithStream: true })
+    recordHolder(context, forwarded.link, outcome)
     if (outcome.kind !== 'reply') {
       // Without its commit, which is not sent any more, the transaction keeps nothing.
       session.state = 'failed transaction'
@@ -254,6 +260,7 @@
     session.state = 'idle'
     if (transaction.endReason !== undefined) throw new StatementFailure('aborted', transaction.endReason)
     const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'commit', number, transaction: forwarded.number, statement: buildStatement(context) }), context.deadline + CONFIRM_GRACE_MILLISECONDS + REPLY_GRACE_MILLISECONDS)
+    recordHolder(context, forwarded.link, outcome)
     if (outcome.kind === 'reply') return await adoptCommit(context, transaction, outcome.reply)
     if (outcome.kind === 'not sent') throw new StatementFailure('aborted', `the commit was not sent: ${outcome.reason}`)
     throw new StatementFailure(transaction.wrote ? 'in doubt' : 'aborted', `the answer to the commit ${outcome.kind === 'late' ? 'did not come in time' : `was lost: ${outcome.reason}`}`)
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -27,6 +27,8 @@
   | { kind: 'late' }
 
 export interface HolderLink {
+  /** Name of the holder. */
+  name: string
   /** Whether new operations may be sent to the holder. */
   isUsable: () => boolean
   /** Whether no stream to the holder is open, and one may be opened. */
@@ -241,6 +243,7 @@
   }
 
   return {
+    name,
     isUsable: () => isHolderUsable(health, clock.now()),
     isCold: () => current === undefined && opening === undefined && isHolderUsable(health, clock.now()),
     open,
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -103,12 +103,13 @@
   }
 
   function buildFailure (number: number, id: string, session: Session, error: unknown): HolderReply {
+    const version = services.link.declaration()?.version
     if (!(error instanceof StatementFailure)) {
       const { message, stack } = error as Error
       services.log.logDecision('A statement met a defect of the instance.', { id, reason: message, stack: stack ?? '' })
-      return { kind: 'failure', number, failure: 'in doubt', explanation: `the instance failed: ${message}`, state: session.state, canServe: true }
+      return { kind: 'failure', number, failure: 'in doubt', explanation: `the instance failed: ${message}`, state: session.state, canServe: true, version }
     }
-    return { kind: 'failure', number, failure: error.kind, explanation: error.message, state: session.state, canServe: services.link.isLeased() }
+    return { kind: 'failure', number, failure: error.kind, explanation: error.message, state: session.state, canServe: services.link.isLeased(), version }
   }
 
   /** Runs a statement and sends the reply. */
@@ -130,6 +131,7 @@
         primary,
         timing: Object.fromEntries(Object.entries({ ...context.timing, atHolder: clock.now() - arrivedAt }).map(([part, milliseconds]) => [part, roundTime(milliseconds)])),
         state: session.state,
+        version: services.link.declaration()?.version,
         ...(session.lastCommit === undefined || session.lastCommit === lastCommit ? {} : { lastCommit: { position: session.lastCommit.position, agoMilliseconds: roundTime(clock.now() - session.lastCommit.at) } })
       }
     } catch (error) {
--- a/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
@@ -48,9 +48,11 @@
     lastCommit?: { position: LogPosition, agoMilliseconds: number }
     /** The primary whose answer this is, where only a primary's counts. */
     primary?: { member: string, designation: number }
+    /** Version of the holder's declaration, for the log; undefined at a holder of an earlier build. */
+    version?: number
   }
   /** `canServe` is false where the holder has no lease, so that another one may serve. */
-  | { kind: 'failure', number: number, failure: FailureKind, explanation: string, state: SessionState, canServe: boolean }
+  | { kind: 'failure', number: number, failure: FailureKind, explanation: string, state: SessionState, canServe: boolean, version?: number }
   | { kind: 'alive' }
   | { kind: 'leaving' }
 
@@ -87,8 +89,8 @@
 }
 
 const REPLY_CHECKS: Record<HolderReply['kind'], FieldCheck> = {
-  result: hasFields({ number: isNumber, rows: isListOf(isText), digest: isText, position: isOptional(isPosition), state: isText, timing: hasFields({}), lastCommit: isOptional(isCommit), primary: isOptional(hasFields({ member: isText, designation: isNumber })) }),
-  failure: hasFields({ number: isNumber, failure: isText, explanation: isText, state: isText }),
+  result: hasFields({ number: isNumber, rows: isListOf(isText), digest: isText, position: isOptional(isPosition), state: isText, timing: hasFields({}), lastCommit: isOptional(isCommit), primary: isOptional(hasFields({ member: isText, designation: isNumber })), version: isOptional(isNumber) }),
+  failure: hasFields({ number: isNumber, failure: isText, explanation: isText, state: isText, version: isOptional(isNumber) }),
   alive: () => true,
   leaving: () => true
 }
--- a/packages/cyclamenusherd/src/node/engine/session.ts
+++ b/packages/cyclamenusherd/src/node/engine/session.ts
@@ -61,6 +61,8 @@
 }
 
 export interface StatementContext {
+  /** The instance that ran the statement for this one, and the version of its declaration as far as it is known; logged with the answer. */
+  holder?: { name: string, version?: number }
   /** Filled in while the statement runs; logged with its answer. */
   timing: StatementTiming
   session: Session
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -14,6 +14,8 @@
 import type { CallerCodec, ServerCodec } from '../../engine/index.js'
 import type { FleetEntryConfig } from './config.js'
 import type { RunningInstance } from '../instance.js'
+import type { Metrics } from '../metrics.js'
+import type { FleetLink } from './fleetLink.js'
 
 /** Time in which the load balancer notices that an instance is not ready and sends it no more callers, in milliseconds: two failed checks, a second apart. */
 const BALANCER_REACTION_MILLISECONDS = 2_300
@@ -28,6 +30,19 @@
   decodeDeclaration: (document: DeclarationDocument) => Declaration
 }
 
+/** Keeps the metrics of the lease and of the declaration. */
+function observeLink (link: FleetLink, { declarationVersions, leaseLosses }: Metrics): void {
+  let wasLeased = link.isLeased()
+  function observe (): void {
+    declarationVersions.set({ known: 'held' }, link.declaration()?.version ?? -1)
+    declarationVersions.set({ known: 'newest' }, link.newestVersion())
+    if (wasLeased && !link.isLeased()) leaseLosses.inc()
+    wasLeased = link.isLeased()
+  }
+  link.onChange(observe)
+  observe()
+}
+
 export async function startFleetEntry (config: FleetEntryConfig, ports: FleetEntryPorts): Promise<RunningInstance> {
   const logger = createLogger(config.log)
   const log = logger.scope('process')
@@ -77,6 +92,7 @@
 
   const metricsPage = await startMetrics(config.metrics, isReady)
   requestLog.setMetrics(metricsPage.metrics)
+  observeLink(engine.link, metricsPage.metrics)
 
   async function close (): Promise<void> {
     callers.close()
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -86,6 +86,8 @@
   borrow: (account: string, wanted: number) => Promise<BorrowReply>
   /** Number of entry instances that share the servers. */
   entryCount: () => number
+  /** Version of the newest declaration that control has named, -1 if it has named none. */
+  newestVersion: () => number
   /** Renews now, so that the leader receives a new report without delay. */
   reportNow: () => void
   /** Calls the listener when the published state or the lease has changed. */
@@ -133,6 +135,10 @@
   /** When the renewal request was sent from which the lease counts. */
   let leaseStartedAt = -Infinity
   let wasLeased = false
+  /** When the last lease was found to be over; undefined before the first one. */
+  let leaseLostAt: number | undefined
+  /** Version of the newest declaration that control has named. */
+  let newestVersion = -1
   let currentRenewal: AbortController | undefined
   let reportRequested = false
   /** Renewals that timed out since the last answer, by address. */
@@ -198,7 +204,7 @@
     if (version <= (declarationIndex?.version ?? -1)) return
     const text = inflateSync(Buffer.from(deflated, 'base64')).toString('utf8')
     declarationIndex = indexDeclaration(options.decodeDeclaration({ version, text }))
-    logger.info('A declaration is in force here.', { version })
+    logger.info('A declaration is in force here.', { version, leased: isLeased() })
   }
 
   function adoptAssignments (received: readonly PrimaryAssignment[], whole: boolean): void {
@@ -238,8 +244,9 @@
     controlAddresses = shared.control.length > 0 ? shared.control : controlAddresses
     entryCount = shared.entries
     leaseStartedAt = Math.max(leaseStartedAt, sentAt)
+    newestVersion = Math.max(newestVersion, shared.newest ?? declarationIndex?.version ?? -1)
     if (changed || !wasLeased) emitter.emit('change')
-    if (!wasLeased) logger.info('The lease is held.', { term: shared.term, change: shared.change, failed: [...failedRenewals].map(([reason, count]) => `${count} ${reason}`).join(', ') })
+    if (!wasLeased) logger.info('The lease is held.', { term: shared.term, change: shared.change, version: declarationIndex?.version, newest: newestVersion, lostFor: leaseLostAt === undefined ? undefined : Math.round(clock.now() - leaseLostAt), failed: [...failedRenewals].map(([reason, count]) => `${count} ${reason}`).join(', ') })
     failedRenewals = new Map()
     wasLeased = true
   }
@@ -247,7 +254,8 @@
   function detectLeaseLoss (): void {
     if (!wasLeased || isLeased()) return
     wasLeased = false
-    logger.warn('The lease is over.', { ago: Math.round(clock.now() - leaseStartedAt), leaseMilliseconds: LEASE_MILLISECONDS })
+    leaseLostAt = clock.now()
+    logger.warn('The lease is over.', { ago: Math.round(clock.now() - leaseStartedAt), leaseMilliseconds: LEASE_MILLISECONDS, version: declarationIndex?.version })
     emitter.emit('change')
   }
 
@@ -380,6 +388,7 @@
     hasLender: account => lenders.get(account) !== undefined,
     borrow,
     entryCount: () => entryCount,
+    newestVersion: () => newestVersion,
     reportNow: () => {
       if (reportRequested) return
       reportRequested = true
--- a/packages/cyclamenusherd/src/node/process/fleet/leaderLoad.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leaderLoad.ts
@@ -12,6 +12,8 @@
   | 'abandonedRenewals'
   /** Held renewals that ended early because there was something new. */
   | 'earlyRenewals'
+  /** Grants to instances that lack the newest declaration, and that do not carry it. */
+  | 'grantsBehind'
   | 'loans'
   /** Loan requests for which the pool had too few tokens. */
   | 'shortLoans'
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -259,7 +259,8 @@
   /** Builds the part of a grant that instances of one failure domain with the same knowledge share; it is built, and encoded, once in a tick for all of them. */
   function buildSharedGrant ({ name, failureDomain }: RenewRequest, knownChange: number, document: SharedGrant['declaration']): SharedGrant {
     const isPlanned = leases.isPlanned(name)
-    const key = `${failureDomain} ${isPlanned} ${knownChange} ${document?.version} ${directory.change()}`
+    const newest = state().document?.version ?? -1
+    const key = `${failureDomain} ${isPlanned} ${knownChange} ${document?.version} ${newest} ${directory.change()}`
     const existing = sharedGrants.get(key)
     if (existing !== undefined) return existing
     const groupHolders = holders.changesSince(knownChange)
@@ -271,6 +272,7 @@
       ...(isPlanned ? { lenders: leases.lendersOf(failureDomain, knownChange) } : {}),
       ...(groupHolders === undefined ? {} : { holders: groupHolders }),
       ...(document === undefined ? {} : { declaration: document }),
+      newest,
       entries: countEntries(clock.now()),
       control: controlChange > knownChange ? control : []
     }
@@ -285,6 +287,7 @@
     const { shares, change: sharesChange } = leases.sharesOf(request.name)
     const document = selectDocument(request, now)
     if (document !== undefined) documentsSentAt.set(request.name, now)
+    else if (request.version < (state().document?.version ?? -1)) load.count('grantsBehind')
     leases.grant(request.name, now)
     return {
       kind: 'granted',
--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -20,6 +20,9 @@
   callers: Gauge
   backendConnections: Gauge<'member'>
   failovers: Counter<'outcome'>
+  /** Versions of the declaration: the one that this instance holds, and the newest that control has named. */
+  declarationVersions: Gauge<'known'>
+  leaseLosses: Counter
   recordLatency: (name: LatencyName, milliseconds: number) => void
   render: () => Promise<string>
 }
@@ -53,6 +56,8 @@
     callers: new Gauge({ name: 'cyclamenusher_callers', help: 'Connections of callers.', registers }),
     backendConnections: new Gauge({ name: 'cyclamenusher_backend_connections', help: 'Connections to backend servers.', labelNames: ['member'], registers }),
     failovers: new Counter({ name: 'cyclamenusher_failovers_total', help: 'Promotions that this instance ordered.', labelNames: ['outcome'], registers }),
+    declarationVersions: new Gauge({ name: 'cyclamenusher_declaration_version', help: 'Version of the declaration that the instance holds, and of the newest that control has named.', labelNames: ['known'], registers }),
+    leaseLosses: new Counter({ name: 'cyclamenusher_lease_losses_total', help: 'Leases that ended before they were renewed.', registers }),
     recordLatency: (name, milliseconds) => {
       const microseconds = Math.min(MAXIMUM_LATENCY_MICROSECONDS, Math.max(1, Math.round(milliseconds * 1000)))
       latencies[name].recordValue(microseconds)
--- a/packages/decisions/src/node/fleet/messages.ts
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -63,6 +63,8 @@
   holders?: Record<string, NamedInstance[]>
   /** A newer declaration, compressed with deflate and encoded in base64. */
   declaration?: { version: number, deflated: string }
+  /** Version of the newest declaration when the grant was made, -1 if there is none. Undefined: granted by a control instance of an earlier build. */
+  newest?: number
   /** Number of entry instances that share the servers. */
   entries: number
   /** Control instances to try when this one is unreachable; empty if they have not changed. */
