fix(engine): an instance without a lease runs what a newer declaration withdrew

Cause: access was decided once, by the declaration at hand; the lease was looked at only where that declaration refused. The holder that ran the operation had a lease and the newer declaration and did not ask. Without holders the age of the data alone ended the reads at replicas.

Now an instance knows whether it holds the newest declaration, as each grant names it (an added field; a grant of an earlier build counts as before). The trust counts from when control was asked, so a change is in force everywhere within that time of its acknowledgement, also at instances that are cut off. What current instances admit carries nothing more.

Not covered: an earlier build as holder or as caller's instance beside this one.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -151,9 +151,9 @@
     context.holder = { name, ...(outcome.kind === 'reply' ? { version: outcome.reply.version } : {}) }
   }
 
-  function describeOperation ({ route, account }: AdmittedOperation): AdmittedOperation {
+  function describeOperation ({ route, account, admission }: AdmittedOperation): AdmittedOperation {
     const { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority } = route
-    return { route: { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority }, account }
+    return { route: { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority }, account, ...(admission === undefined ? {} : { admission }) }
   }
 
   async function runWriteElsewhere (context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
--- a/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
@@ -2,7 +2,8 @@
  * Messages between an instance that serves callers and one that holds the connections to
  * a group's servers. Times are sent as durations, because the clocks of two instances
  * have nothing in common; the time of sending serves to notice a message that was held
- * up. The caller's key is never sent.
+ * up. The caller's key is never sent; its digest is, where the instance that serves the
+ * caller may not hold the newest declaration.
  */
 
 import { lookUp } from '@cyclamenusher/decisions'
@@ -77,7 +78,8 @@
   elapsedMilliseconds: isNumber,
   remainingMilliseconds: isNumber
 })
-const isOperation = hasFields({ account: isText, route: hasFields({ group: isText, readPolicy: isText, priority: isNumber }) })
+const isAdmission = hasFields({ version: isNumber, database: isText, keyDigest: isText })
+const isOperation = hasFields({ account: isText, route: hasFields({ group: isText, readPolicy: isText, priority: isNumber }), admission: isOptional(isAdmission) })
 
 const REQUEST_CHECKS: Record<HolderRequest['kind'], FieldCheck> = {
   run: hasFields({ number: isNumber, access: isText, operation: isOperation, statement: isStatement }),
--- a/packages/cyclamenusherd/src/node/engine/operations.ts
+++ b/packages/cyclamenusherd/src/node/engine/operations.ts
@@ -1,5 +1,6 @@
 /** Runs the operations of callers on connections to backend servers. */
 
+import { confirmAdmission } from './operationAdmission.js'
 import { runRead } from './reads.js'
 import { beginInBackground, commitTransaction, rollBackTransaction, runInTransaction } from './transactions.js'
 import { runWrite } from './writes.js'
@@ -25,7 +26,7 @@
 export function createLocalRunner (services: LocalServices): OperationRunner {
   const runners = { read: runRead, write: runWrite }
   return {
-    run: async (context, operation, access) => await runners[access](services, context, operation),
+    run: async (context, operation, access) => await runners[access](services, context, confirmAdmission(services, operation)),
     begin: (context, transaction) => { beginInBackground(services, context, transaction) },
     continue: async (context, transaction, isWrite) => await runInTransaction(services, context, transaction, isWrite),
     commit: async (context, transaction) => await commitTransaction(services, context, transaction),
--- a/packages/cyclamenusherd/src/node/engine/session.ts
+++ b/packages/cyclamenusherd/src/node/engine/session.ts
@@ -8,11 +8,22 @@
 /** The part of a route that decides how an operation runs. */
 export type OperationRoute = Pick<Route, 'group' | 'readPolicy' | 'maximumStalenessMilliseconds' | 'objectiveMilliseconds' | 'priority'>
 
+/** By what an operation was admitted, so that the instance that runs it can decide again by a newer declaration. */
+export interface Admission {
+  /** Version of the declaration that admitted the operation. */
+  version: number
+  database: string
+  /** Digest of the caller's key (`digestKey`). */
+  keyDigest: string
+}
+
 /** An operation that may run: its route, and the account that it runs for. */
 export interface AdmittedOperation {
   route: OperationRoute
   /** Account name that is sent to backend servers. */
   account: string
+  /** Undefined: the declaration that admitted it was the newest. */
+  admission?: Admission
 }
 
 export interface Transaction extends AdmittedOperation {
@@ -33,6 +44,8 @@
 export interface Session {
   database: string
   key: string
+  /** Digest of the key, once it was needed. */
+  keyDigest?: string
   values: Map<string, string>
   prepared: Map<string, StatementDefinition>
   state: SessionState
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -9,6 +9,7 @@
 import { LATE_MARGIN_MILLISECONDS, attemptStatement, awaitReply } from './attempt.js'
 import { INTERNAL_STATEMENT_ID } from './preparation.js'
 import { adoptNewerTerm } from './reads.js'
+import { confirmAdmission } from './operationAdmission.js'
 import { CONFIRM_GRACE_MILLISECONDS, NOT_RUN_FAILURES } from './writes.js'
 import { computeObjective } from './session.js'
 import { pause } from '../process/clock.js'
@@ -30,12 +31,13 @@
 /** Begins the transaction at a server. @throws StatementFailure if no server has begun it by the deadline */
 async function beginAtServer (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<AcquiredConnection> {
   const { session, request, deadline } = context
-  const { route, account, readOnly } = transaction
+  const admitted = confirmAdmission(services, transaction)
+  const { route, account, readOnly } = admitted
   const group = services.group(route.group)
   const codec = services.codec()
   const excluded = new Set<string>()
   for (;;) {
-    const need = resolveRequirement(group, session, transaction)
+    const need = resolveRequirement(group, session, admitted)
     const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need, excluded })
     const begin = acquired.requiredPosition === undefined ? codec.begin(readOnly) : codec.requirePosition(acquired.requiredPosition, codec.begin(readOnly))
     const failure = await beginOnConnection(services, acquired, { ...context, request: { id: transaction.beginId, text: begin, statement: { kind: 'read' } } })
--- a/packages/cyclamenusherd/src/node/process/fleet/config.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/config.ts
@@ -25,6 +25,8 @@
   callers: Address
   readiness: Address
   maximumCallers: number
+  /** Time within which a declaration must be in force at every instance, in milliseconds from its acknowledgement. @default DECLARATION_TRUST_MILLISECONDS */
+  declarationTrustMilliseconds?: number
 }
 
 export interface FleetControlConfig extends FleetInstanceConfig {
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -64,6 +64,7 @@
       decodeDeclaration: ports.decodeDeclaration,
       report,
       lendsAt: config.calls,
+      declarationTrustMilliseconds: config.declarationTrustMilliseconds,
       peers,
       clock,
       logger: logger.scope('fleet')
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from 'node:crypto'
 import { EventEmitter } from 'node:events'
 import { inflateSync } from 'node:zlib'
-import { RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, findLender, indexDeclaration, lookUp, mergeServer, listGroupServers } from '@cyclamenusher/decisions'
+import { DECLARATION_TRUST_MILLISECONDS, NO_DECLARATION_TRUST, RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, findLender, indexDeclaration, lookUp, mergeServer, listGroupServers, recordNewestVersion, trustedUntil } from '@cyclamenusher/decisions'
 import { StreamCallError, createStreamCaller } from '@cyclamenusher/protocol'
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
@@ -51,6 +51,8 @@
   report: () => Pick<RenewRequest, 'demand' | 'sightings' | 'busy' | 'holds'>
   /** Where other entry instances borrow from this one; undefined if it does not lend. */
   lendsAt?: Address
+  /** How long operations may run by a declaration after it was known to be the newest, in milliseconds. @default DECLARATION_TRUST_MILLISECONDS */
+  declarationTrustMilliseconds?: number
   peers: Peers
   clock: Clock
   logger: ScopedLogger
@@ -88,6 +90,10 @@
   entryCount: () => number
   /** Version of the newest declaration that control has named, -1 if it has named none. */
   newestVersion: () => number
+  /** Whether the lease is valid and was granted with the newest declaration, so that what it refuses is refused for good. */
+  isDeclarationCurrent: () => boolean
+  /** Whether operations may still run by the declaration held: it was the newest a short time ago. */
+  isDeclarationTrusted: () => boolean
   /** Renews now, so that the leader receives a new report without delay. */
   reportNow: () => void
   /** Calls the listener when the published state or the lease has changed. */
@@ -106,6 +112,7 @@
   const { name, failureDomain, seeds, peers, clock, logger } = options
   const incarnation = randomUUID()
   const suspension = createSuspensionWatch(clock)
+  const { declarationTrustMilliseconds = DECLARATION_TRUST_MILLISECONDS } = options
   const emitter = new EventEmitter()
   emitter.setMaxListeners(0)
   const links = new Map<string, InstanceCalls>()
@@ -137,8 +144,7 @@
   let wasLeased = false
   /** When the last lease was found to be over; undefined before the first one. */
   let leaseLostAt: number | undefined
-  /** Version of the newest declaration that control has named. */
-  let newestVersion = -1
+  let trust = NO_DECLARATION_TRUST
   let currentRenewal: AbortController | undefined
   let reportRequested = false
   /** Renewals that timed out since the last answer, by address. */
@@ -244,9 +250,9 @@
     controlAddresses = shared.control.length > 0 ? shared.control : controlAddresses
     entryCount = shared.entries
     leaseStartedAt = Math.max(leaseStartedAt, sentAt)
-    newestVersion = Math.max(newestVersion, shared.newest ?? declarationIndex?.version ?? -1)
+    trust = recordNewestVersion(trust, { held: declarationIndex?.version ?? -1, named: shared.newest, sentAt })
     if (changed || !wasLeased) emitter.emit('change')
-    if (!wasLeased) logger.info('The lease is held.', { term: shared.term, change: shared.change, version: declarationIndex?.version, newest: newestVersion, lostFor: leaseLostAt === undefined ? undefined : Math.round(clock.now() - leaseLostAt), failed: [...failedRenewals].map(([reason, count]) => `${count} ${reason}`).join(', ') })
+    if (!wasLeased) logger.info('The lease is held.', { term: shared.term, change: shared.change, version: declarationIndex?.version, newest: trust.newest, lostFor: leaseLostAt === undefined ? undefined : Math.round(clock.now() - leaseLostAt), failed: [...failedRenewals].map(([reason, count]) => `${count} ${reason}`).join(', ') })
     failedRenewals = new Map()
     wasLeased = true
   }
@@ -388,7 +394,9 @@
     hasLender: account => lenders.get(account) !== undefined,
     borrow,
     entryCount: () => entryCount,
-    newestVersion: () => newestVersion,
+    newestVersion: () => trust.newest,
+    isDeclarationCurrent: () => isLeased() && clock.now() < trustedUntil(trust, Math.min(LEASE_MILLISECONDS, declarationTrustMilliseconds), suspension.resumedAt()),
+    isDeclarationTrusted: () => clock.now() < trustedUntil(trust, declarationTrustMilliseconds, suspension.resumedAt()),
     reportNow: () => {
       if (reportRequested) return
       reportRequested = true
