fix(fleet): an instance regains its lease long before the newest declaration

What callers saw: after a loss of control an instance had its lease, and so ran writes, 0.3 to 0.8 s before it received a declaration that had been acknowledged for seconds.

Cause: the leader sends an instance a document at most each 150 ms, notes it as sent when it grants, and then held the next renewal for its whole 400 ms, although the document was due after 150 ms. Renewals that the instance had given up, and that arrived together when its connection carried again, took the document with them, also at the end of their hold times.

The hold now ends when the document is due.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -228,4 +228,23 @@
   assert.equal(granted?.shared.servers.map(({ member }) => member), ['i-1'])
 })
 
+// Renewals that were given up took the document with them, and the next ones were held for their whole time without it.
+test('a lost document is sent again only when the held renewal ends', async () => {
+  const { renew, advance } = startLeader()
+  advance(1_000)
+  await renew('entry-1')
+  advance(500)
+  await waitUntil('the first plan', async () => ((await renew('entry-1'))?.shared.change ?? 0) > 0)
+  // The plan ends held renewals a moment later.
+  await new Promise(resolve => setTimeout(resolve, 100))
+  const lost = await renew('entry-1', { version: 0 })
+  assert.is(lost?.shared.declaration?.version, 1)
+  const behind = await renew('entry-1', { version: 0 })
+  assert.equal([behind?.shared.declaration, behind?.shared.newest], [undefined, 1])
+  let received: number | undefined
+  void renew('entry-1', { version: 0, knows: { term: 1, change: Infinity }, holdMilliseconds: LONG_HOLD_MILLISECONDS }).then(grant => { received = grant?.shared.declaration?.version })
+  advance(200)
+  await waitUntil('the document', () => received === 1)
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -239,10 +239,16 @@
     return clock.now() - startedAt > SETTLE_TIMEOUT_MILLISECONDS || (groupTasks.size > 0 && [...groupTasks.values()].every(group => group.settled()))
   }
 
-  function selectDocument ({ name, version }: RenewRequest, now: number): SharedGrant['declaration'] {
+  /** When an instance that lacks the newest document may receive it; infinite if it has it. */
+  function documentDueAt ({ name, version }: RenewRequest): number {
     const { document } = state()
-    if (document === undefined || document.version <= version) return undefined
-    if (now - (documentsSentAt.get(name) ?? -Infinity) < DOCUMENT_INTERVAL_MILLISECONDS && version >= 0) return undefined
+    if (document === undefined || document.version <= version) return Infinity
+    return version < 0 ? -Infinity : (documentsSentAt.get(name) ?? -Infinity) + DOCUMENT_INTERVAL_MILLISECONDS
+  }
+
+  function selectDocument (request: RenewRequest, now: number): SharedGrant['declaration'] {
+    const { document } = state()
+    if (document === undefined || documentDueAt(request) > now) return undefined
     if (compressedDocument?.version !== document.version) compressedDocument = { version: document.version, deflated: deflateSync(document.text).toString('base64') }
     return compressedDocument
   }
@@ -327,7 +333,9 @@
       // An instance that is not in the log would be unknown to the next leader.
       if (!shareRecord.isRecorded(request.name)) shareRecord.add(request.name)
       while (!shareRecord.isRecorded(request.name) && hasLeaderLease()) await heldRenewals.hold(TICK_INTERVAL_MILLISECONDS)
-      while (!hasNews(request) && clock.now() < holdUntil && hasLeaderLease()) await heldRenewals.hold(holdUntil - clock.now())
+      while (!hasNews(request) && clock.now() < holdUntil && hasLeaderLease()) {
+        await heldRenewals.hold(Math.min(holdUntil, documentDueAt(request)) - clock.now())
+      }
       if (clock.now() < holdUntil) load.count('earlyRenewals')
       if (signal.aborted) load.count('abandonedRenewals')
       return signal.aborted ? undefined : grant(request, isNew)
