fix(engine): the first holder of an account refuses its operations while it has no lease

What callers saw: at an instance that had lost control, accounts of which it was itself the first holder were refused, while the other accounts were served through their holders.

Cause: an instance that meets its own name among the holders runs the operation, whether or not it may use a primary. It goes on to the next holder now, unless its lease is expected back soon: a lease that all instances lose for a moment moves no account.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -8,7 +8,7 @@
  */
 
 import { orderHolders } from '@cyclamenusher/decisions'
-import { confirmDesignation } from '../confirmation.js'
+import { confirmDesignation, isLeaseOverdue } from '../confirmation.js'
 import { StatementFailure } from '../errors.js'
 import { requireNotEnded } from '../transactions.js'
 import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
@@ -89,7 +89,11 @@
   /** The link to the holder that is to run the operation; undefined: this instance runs it. */
   function chooseHolder (operation: AdmittedOperation, excluded: ReadonlySet<HolderLink>): HolderLink | undefined {
     for (const holder of listHolders(operation)) {
-      if (holder.name === link.name) return undefined
+      if (holder.name === link.name) {
+        if (!isLeaseOverdue(link, clock)) return undefined
+        // Another holder may have the lease that this one lacks.
+        continue
+      }
       const holderLink = ensureHolderLink(holder)
       if (!excluded.has(holderLink) && holderLink.isUsable()) return holderLink
     }
