fix(engine): a write ends in doubt at an instance without a lease

What callers saw: at an instance that had lost control each write ran at its holder and was answered as in doubt after its deadline, since an instance without a lease can't rule out a later primary. Nobody could send it again.

Cause: that the answer could not be acknowledged was known before the write was sent, and asked only after. A write is refused as busy (not run) now when the lease is overdue, so that callers go to another instance; in a transaction the write or the commit rolls it back (aborted: nothing is kept). A lease that is expected back soon is waited for as before.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -19,7 +19,7 @@
 import type { ScopedLogger } from '../../process/logger.js'
 import type { Peers } from '../../process/peers.js'
 import type { LocalServices, OperationRunner } from '../operations.js'
-import type { AdmittedOperation, StatementContext, StatementResult, Transaction } from '../session.js'
+import type { AdmittedOperation, Session, StatementContext, StatementResult, Transaction } from '../session.js'
 import type { ForwardedStatement, HolderReply } from './messages.js'
 import type { ForwardOutcome, HolderLink } from './holderLink.js'
 
@@ -35,6 +35,9 @@
 /** Streams that are opened together at most. */
 const MAXIMUM_WARMED_AT_ONCE = 4
 
+/** Reason of refusals without a lease: no later primary can be ruled out when the answer arrives. */
+const NO_LEASE_FOR_WRITES = 'this instance has no word from control, could not acknowledge a commit,'
+
 /** A transaction that runs at a holder, over one stream. */
 export interface ForwardedTransaction {
   number: number
@@ -163,6 +166,7 @@
   async function runWriteElsewhere (context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
     const excluded = new Set<HolderLink>()
     for (;;) {
+      if (isLeaseOverdue(link, clock)) throw new StatementFailure('busy', `${NO_LEASE_FOR_WRITES} and the write did not run: try another one`)
       const holder = chooseHolder(operation, excluded)
       if (holder === undefined) return await local.run(context, operation, 'write')
       const outcome = await send(holder, context, operation, 'write')
@@ -237,11 +241,20 @@
     })
   }
 
+  /** Rolls the transaction back if its commit could not be acknowledged. @throws StatementFailure */
+  function requireLeaseForWrites (session: Session, transaction: Transaction): void {
+    if (!isLeaseOverdue(link, clock)) return
+    if (session.transaction !== undefined) session.state = 'failed transaction'
+    rollBack(transaction)
+    throw new StatementFailure('aborted', `${NO_LEASE_FOR_WRITES} and the transaction was rolled back`)
+  }
+
   async function continueTransaction (context: StatementContext, transaction: Transaction, isWrite: boolean): Promise<StatementResult> {
     const { session } = context
     const forwarded = await transaction.forwarded
     if (forwarded === undefined) return await local.continue(context, transaction, isWrite)
     requireNotEnded(session, transaction)
+    if (isWrite) requireLeaseForWrites(session, transaction)
     const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'continue', number, transaction: forwarded.number, isWrite, statement: buildStatement(context) }), context.deadline + REPLY_GRACE_MILLISECONDS, { endsWithStream: true })
     recordHolder(context, forwarded.link, outcome)
     if (outcome.kind !== 'reply') {
@@ -263,6 +276,7 @@
     session.transaction = undefined
     session.state = 'idle'
     if (transaction.endReason !== undefined) throw new StatementFailure('aborted', transaction.endReason)
+    if (transaction.wrote) requireLeaseForWrites(session, transaction)
     const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'commit', number, transaction: forwarded.number, statement: buildStatement(context) }), context.deadline + CONFIRM_GRACE_MILLISECONDS + REPLY_GRACE_MILLISECONDS)
     recordHolder(context, forwarded.link, outcome)
     if (outcome.kind === 'reply') return await adoptCommit(context, transaction, outcome.reply)
