fix(callers): connected callers follow a database to another group

Callers who were connected when a database moved went on at the group before until they disconnected, at every instance, also one that held the newest rules: their writes were acknowledged there and lost to all who connected later. docs/design/configuration.md says that the group holds from the next request on.

Cause: the group was looked up once, when a caller was accepted, and kept with the connection.

Now the group is looked up for each request that is outside a transaction, and again before its bytes are sent, as it may have waited for a connection. A request in a transaction that began at another group is refused, and the transaction rolled back.

--- a/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
@@ -184,7 +184,7 @@
   await caller.query('begin')
   await caller.query('insert into visits (id, value) values (\'1\', \'a\')')
   const ended = new Promise(resolve => { caller.once('end', resolve) })
-  harness.withdrawKey()
+  harness.changeRules(['keys.alfa-key'], [])
   await ended
   await eventually('the connection is still open', () => harness.primary.registry.open === 0)
   assert.is(harness.primary.server.status().position, 1)
--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -53,8 +53,8 @@
   connect: (options?: pg.ClientConfig) => Promise<pg.Client>
   /** Moves the clock of the rules store until the rules are no longer fresh. */
   makeRulesStale: () => void
-  /** Removes the account's key from the rules. */
-  withdrawKey: () => void
+  /** Makes a new version of the rules. */
+  changeRules: (removed: string[], added: string[]) => void
   /** Requests that hold or wait for a backend connection. */
   busyRequests: () => number
   close: () => Promise<void>
@@ -135,6 +135,7 @@
     requestMilliseconds: options.requestMilliseconds ?? 5_000,
     now: () => performance.now(),
     admit: () => {},
+    findGroup: database => store.rules().databases.get(database)?.group,
     lease: async request => {
       const { pool } = choose.member(request)
       const backend = await pool.acquire(request.identity.account, 2_000)
@@ -165,7 +166,7 @@
     choose,
     connect,
     makeRulesStale: () => { clockOffsetMilliseconds = RULES_LEASE_MILLISECONDS },
-    withdrawKey: () => { updateRules(2, 1, ['keys.alfa-key'], []) },
+    changeRules: (removed, added) => { updateRules(store.number() + 1, store.number(), removed, added) },
     busyRequests: () => primary.pool.busy() + replica.pool.busy(),
     close: async () => {
       await Promise.all(clients.map(async client => { if (isOpen(client)) await client.end().catch(() => {}) }))
--- a/packages/cyclamenusherd/src/node/connection/callerConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerConnection.ts
@@ -50,6 +50,8 @@
    * @throws RefusalError when no connection is available; the request has not run
    */
   lease: (request: ConnectionLeaseRequest) => Promise<ConnectionLease>
+  /** The group that holds a database; undefined if the rules name no such database. */
+  findGroup: (database: string) => string | undefined
   /** Resolves with the current position of a group's log, for a session that has no position in it. */
   confirmPosition: (group: string) => Promise<LogPosition>
   /** Waits until a majority holds the commit at `position`, its primary is replaced or the wait times out. */
@@ -71,7 +73,6 @@
   socket: Socket
   identity: Identity
   database: string
-  group: string
   /** Parameters of the start-up message. */
   parameters: Record<string, string>
   /** Process number and secret that identify this connection in a cancel request. */
@@ -152,7 +153,6 @@
     session,
     identity,
     database: options.database,
-    group: options.group,
     services,
     onOpenBatchFailed: error => {
       skippingToSync = true
--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -42,11 +42,6 @@
   metrics: Metrics
 }
 
-interface AuthenticatedCaller {
-  identity: Identity
-  group: string
-}
-
 export async function listenForCallers (options: CallersOptions): Promise<Callers> {
   const { config, store, services, logger, metrics } = options
   const { tlsCertificate, tlsKey, listen, maximumConnections } = config.callers
@@ -57,18 +52,18 @@
   let nextProcessNumber = 1
   let draining = false
 
-  function identify ({ user, database }: CallerStartup, key: string | undefined): AuthenticatedCaller {
+  function identify ({ user, database }: CallerStartup, key: string | undefined): Identity {
     const rule = store.rules().databases.get(database)
     if (key === undefined) {
       if (rule === undefined || store.open(database) === undefined) throw createOpenRefusal(store, 'database unknown', database)
-      return { identity: { account: OPEN_ACCOUNT }, group: rule.group }
+      return { account: OPEN_ACCOUNT }
     }
     if (!store.isFresh()) throw new RefusalError('rules not fresh', 'this instance can\'t tell whether the key stands', 'not run', 'Connect through another instance, or try again.')
     const identity = store.identify(user, key)
     // An unknown account and a wrong key get the same answer, so that account names can't be probed.
     if (identity === undefined) throw new RefusalError('key refused', `the key does not stand for client account ${user}`, 'not run', 'Check the account (user) and its key (password).')
     if (rule === undefined || store.access(user, database) === undefined) throw new RefusalError('database unknown', `client account ${user} reaches no database ${database}`, 'not run', 'Check the database\'s name, or ask the operators for an access rule.')
-    return { identity, group: rule.group }
+    return identity
   }
 
   function recordRefusal (error: RefusalError, account?: string, database?: string): void {
@@ -100,16 +95,15 @@
     })
     handshakingSockets.delete(plainSocket)
     if (handshake === undefined) return
-    const { socket, startup, accepted, remaining } = handshake
+    const { socket, startup, accepted: identity, remaining } = handshake
     const processNumber = nextProcessNumber
     nextProcessNumber += 1
     const secret = randomInt(0xffffffff)
     let closed = false
     const caller = createCallerConnection({
       socket,
-      identity: accepted.identity,
+      identity,
       database: startup.database,
-      group: accepted.group,
       parameters: startup.parameters,
       processNumber,
       secret,
@@ -117,7 +111,7 @@
       services,
       inputBudget,
       idleTransactionMilliseconds: config.callers.idleTransactionMilliseconds,
-      onRefused: error => { recordRefusal(error, accepted.identity.account, startup.database) },
+      onRefused: error => { recordRefusal(error, identity.account, startup.database) },
       onClosed: () => {
         closed = true
         callers.delete(processNumber)
@@ -128,7 +122,7 @@
     callers.set(processNumber, { caller, secret })
     if (draining) caller.drain()
     metrics.callers.set(callers.size)
-    logger.debug('A caller connected.', { account: accepted.identity.account, database: startup.database })
+    logger.debug('A caller connected.', { account: identity.account, database: startup.database })
   }
 
   /** Returns the reason why a caller must be disconnected now; undefined if it may stay. */
--- a/packages/cyclamenusherd/src/node/request/leasing.ts
+++ b/packages/cyclamenusherd/src/node/request/leasing.ts
@@ -9,8 +9,8 @@
 import type { BatchNeed } from './batch.js'
 
 export interface Leasing {
-  /** Waits for a connection until the deadline, a time of the process's clock. @throws RefusalError */
-  acquire: (need: BatchNeed, deadline: number) => Promise<ConnectionLease>
+  /** Waits for a connection to a member of the group until the deadline, a time of the process's clock. @throws RefusalError */
+  acquire: (need: BatchNeed, group: string, deadline: number) => Promise<ConnectionLease>
   /** Gives the connection the session's settings. Returns false if the connection was lost. @throws RefusalError when the server refuses them */
   applySettings: (lease: ConnectionLease) => Promise<boolean>
   /** Ends a wait for a connection with the error. */
@@ -23,7 +23,6 @@
   session: CallerSession
   identity: Identity
   database: string
-  group: string
   services: CallerServices
 }
 
@@ -40,7 +39,7 @@
   }
 }
 
-export function createLeasing ({ session, identity, database, group, services }: LeasingOptions): Leasing {
+export function createLeasing ({ session, identity, database, services }: LeasingOptions): Leasing {
   let stopped = false
   let rejectWait: ((error: Error) => void) | undefined
 
@@ -62,7 +61,7 @@
     }
   }
 
-  async function resolvePosition (need: BatchNeed): Promise<ReturnType<CallerSession['position']>> {
+  async function resolvePosition (need: BatchNeed, group: string): Promise<ReturnType<CallerSession['position']>> {
     const knownPosition = session.position(group)
     if (knownPosition !== undefined || need !== 'read' || identity.key === undefined) return knownPosition
     // Without a token the session may have written up to any position, so the group's current position is used.
@@ -71,9 +70,9 @@
     return position
   }
 
-  async function acquire (need: BatchNeed, deadline: number): Promise<ConnectionLease> {
+  async function acquire (need: BatchNeed, group: string, deadline: number): Promise<ConnectionLease> {
     const memberNeed = need === 'setting' ? 'read' : need
-    const position = await resolvePosition(need)
+    const position = await resolvePosition(need, group)
     const lease = await waitForLease(services.lease({ identity, database, group, need: memberNeed, position }), deadline - services.now())
     if (stopped) {
       lease.release(true)
--- a/packages/cyclamenusherd/src/node/request/requestRunner.ts
+++ b/packages/cyclamenusherd/src/node/request/requestRunner.ts
@@ -49,7 +49,6 @@
   session: CallerSession
   identity: Identity
   database: string
-  group: string
   services: CallerServices
   /** Called when a batch fails whose Sync has not been sent yet. */
   onOpenBatchFailed: (error: RefusalError) => void
@@ -69,13 +68,15 @@
 }
 
 export function createRequestRunner (options: RequestRunnerOptions): RequestRunner {
-  const { caller, session, identity, database, group, services } = options
+  const { caller, session, identity, database, services } = options
   const leasing = createLeasing(options)
   let pinned: ConnectionLease | undefined
   let current: RunningBatch | undefined
   let batchOpen = false
   let acknowledging = false
   let stopped = false
+  /** The group that runs the current batch, and the transaction if there is one. */
+  let group = ''
 
   function writeToCaller (bytes: Buffer): void {
     if (!caller.destroyed) caller.write(bytes)
@@ -204,8 +205,9 @@
     const deadline = startedAt + services.requestMilliseconds
     const primaryDeadline = startedAt + Math.min(PRIMARY_SEARCH_TIMEOUT_MILLISECONDS, services.requestMilliseconds)
     let need = firstNeed
+    if (pinned === undefined) group = findGroup()
     for (let attempt = 0; ; attempt += 1) {
-      const lease = pinned ?? await leasing.acquire(need, deadline)
+      const lease = pinned ?? await leasing.acquire(need, group, deadline)
       if (!lease.backend.isOpen()) {
         if (lease === pinned) throw handlePinnedLost(lease)
         lease.release(false)
@@ -216,6 +218,12 @@
         releaseLease(lease, lease !== pinned)
         throw new RefusalError('timeout', 'the caller is gone')
       }
+      if (findGroup() !== group) {
+        if (lease === pinned) throw createMovedRefusal()
+        lease.release(true)
+        group = findGroup()
+        continue
+      }
       const running = startBatch(batch, need, lease, deadline, startedAt)
       const canSendMore = running.request.send(batch)
       if (!batch.complete) {
@@ -236,6 +244,17 @@
     }
   }
 
+  /** The group that holds the database now. @throws RefusalError if the rules no longer name the database */
+  function findGroup (): string {
+    const found = services.findGroup(database)
+    if (found === undefined) throw new RefusalError('database unknown', `database ${database} is gone`)
+    return found
+  }
+
+  function createMovedRefusal (): RefusalError {
+    return new RefusalError('server lost', `database ${database} moved to another group, and the transaction was rolled back`, 'stopped', 'Begin the transaction again.')
+  }
+
   function keepBatchOpen (running: RunningBatch): void {
     batchOpen = true
     running.request.done.catch((error: unknown) => {
@@ -251,6 +270,7 @@
     const need = determineNeed(batch)
     if (need === 'local' || need === 'setting') throw new RefusalError('not supported', 'session settings must come in a batch of their own', 'not run', 'Send Sync first.')
     if (need === 'write' && running.need === 'read' && session.transaction === 'idle') throw new RefusalError('not supported', 'a write came behind reads in one batch with Flush', 'not run', 'Send Sync between them.')
+    if (findGroup() !== group) throw createMovedRefusal()
     if (mayChangeSession(batch)) running.lease.backend.mayHaveChangedSession = true
     if (!batch.complete) return running.request.send(batch)
     batchOpen = false
