fix(request): access is checked again before a request is sent

A request was checked before and after it waited for a token of its rate, but not after it had waited for the group's position, a connection or the next primary, which together may take the request's whole time. What was withdrawn meanwhile was run: by any instance, with the newest rules too, an access rule or an open route that it knew to be gone; by an instance without a lease a key, until the timer that ends busy callers (250 ms) came round, and after the process had been frozen possibly before that timer.

A read that was sent before to a server that was lost is refused as stopped, not as not run.

Evidence: with one connection to the server, held by another caller, the three new tests of ruleChanges.test.ts fail on the code before: the request is answered, not refused. They use the real admission, so the harness does now, too.

--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -5,6 +5,7 @@
 import pg from 'pg'
 import { loadParser } from '@cyclamenusher/decisions'
 import { createBackendServer, createConnectionRegistry, serveConnection } from '@cyclamenusher/stand-ins'
+import { createAdmission } from '../../process/admission.js'
 import { listenForCallers } from '../../process/callers.js'
 import { createMetrics } from '../../process/metrics.js'
 import { createPool } from '../../process/pool.js'
@@ -27,7 +28,8 @@
   'accounts.beta = { rate = 100000, burst = 100000 } # asked for by tests',
   `keys.alfa-key = { account = "alfa", digest = "sha256:${createHash('sha256').update(KEY).digest('hex')}" } # asked for by tests`,
   'databases.main = { group = "main", members = 3 } # asked for by tests',
-  'access.alfa-main = { account = "alfa", database = "main", write = true } # asked for by tests'
+  'access.alfa-main = { account = "alfa", database = "main", write = true } # asked for by tests',
+  'open.main = { database = "main", maximum_age_milliseconds = 500, rate = 100000, burst = 100000 } # asked for by tests'
 ]
 
 export const SILENT_LOGGER: ScopedLogger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
@@ -134,7 +136,7 @@
     maximumMessageBytes: 1024 * 1024,
     requestMilliseconds: options.requestMilliseconds ?? 5_000,
     now: () => performance.now(),
-    admit: () => {},
+    ...createAdmission({ store, takeToken: async () => true }),
     findGroup: database => store.rules().databases.get(database)?.group,
     lease: async request => {
       const { pool } = choose.member(request)
--- a/packages/cyclamenusherd/src/node/connection/__tests__/ruleChanges.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/ruleChanges.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { expectErrorCode, useHarness } from './harness.js'
+import { eventually, expectErrorCode, useHarness } from './harness.js'
+import type { ClientConfig } from 'pg'
 import type { Harness, HarnessOptions } from './harness.js'
 
 const MOVED_DATABASE = 'databases.main = { group = "other", members = 3 } # asked for by tests'
@@ -10,6 +11,21 @@
   test(name, async () => { await useHarness(options, body) })
 }
 
+function hasReceived ({ primary }: Harness, text: string): boolean {
+  return Buffer.concat(primary.registry.received).includes(text)
+}
+
+/** Sends a request that waits for the only connection, changes the rules meanwhile, and frees it. Resolves with the error's SQLSTATE. */
+async function changeRulesWhileWaiting (harness: Harness, config: ClientConfig, change: () => void): Promise<string> {
+  const [holder, caller] = [await harness.connect(), await harness.connect(config)]
+  await holder.query('begin')
+  const answer = expectErrorCode(caller.query('select \'waited\''))
+  await eventually('the request does not wait', () => harness.busyRequests() === 2)
+  change()
+  await holder.query('rollback').catch(() => {})
+  return await answer
+}
+
 /** Records the groups at which requests ask for a connection. */
 function recordGroups ({ choose, primary }: Harness): string[] {
   const groups: string[] = []
@@ -51,4 +67,19 @@
   assert.equal((await caller.query('select value from visits where id = \'1\'')).rows, [])
 })
 
+testWithHarness('a request whose access was withdrawn while it waited for a connection is not sent', { limit: 1 }, async harness => {
+  const code = await changeRulesWhileWaiting(harness, {}, () => { harness.changeRules(['access.alfa-main'], []) })
+  assert.equal([code, hasReceived(harness, 'waited')], ['42501', false])
+})
+
+testWithHarness('a request of an open route that was closed while it waited for a connection is not sent', { limit: 1 }, async harness => {
+  const code = await changeRulesWhileWaiting(harness, { user: 'open', password: undefined }, () => { harness.changeRules(['open.main'], []) })
+  assert.equal([code, hasReceived(harness, 'waited')], ['42501', false])
+})
+
+testWithHarness('a request for which the rules went stale while it waited for a connection is not sent', { limit: 1 }, async harness => {
+  const code = await changeRulesWhileWaiting(harness, {}, harness.makeRulesStale)
+  assert.equal([code, hasReceived(harness, 'waited')], ['57P03', false])
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/connection/callerConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerConnection.ts
@@ -44,6 +44,13 @@
    * @throws RefusalError when it may not
    */
   admit: (identity: Identity, database: string, need: BatchNeed) => Promise<void> | void
+  /**
+   * Checks the key and the access rules again, without taking a token. A request may have
+   * waited since it was admitted.
+   *
+   * @throws RefusalError when the request may no longer run
+   */
+  requireAccess: (identity: Identity, database: string, need: BatchNeed) => void
   /**
    * Chooses a member and acquires a connection to it.
    *
--- a/packages/cyclamenusherd/src/node/process/admission.ts
+++ b/packages/cyclamenusherd/src/node/process/admission.ts
@@ -11,6 +11,8 @@
 export interface Admission {
   /** Resolves when the request may run. @throws RefusalError when it is refused */
   admit: (identity: Identity, database: string, need: BatchNeed) => Promise<void>
+  /** Checks the key and the access rules without taking a token. @throws RefusalError when the request may not run */
+  requireAccess: (identity: Identity, database: string, need: BatchNeed) => void
 }
 
 export interface AdmissionOptions {
@@ -32,11 +34,10 @@
     throw new RefusalError('rate exceeded', `${subject} is over its rate`, 'not run', 'Send less, or ask the operators for a higher rate.')
   }
 
-  async function admitOpen (database: string, need: BatchNeed): Promise<void> {
+  function checkOpenRoute (database: string, need: BatchNeed): void {
     const rule = store.open(database)
     if (rule === undefined) throw createOpenRefusal(store, 'access denied', database)
     if (need !== 'read') throw new RefusalError('access denied', 'only reads are open to all', 'not run', 'Connect with an account and its key.')
-    await requireToken('open', database)
   }
 
   function checkKey (identity: Identity, database: string, need: BatchNeed): void {
@@ -48,17 +49,18 @@
     if (!store.rules().accounts.has(identity.account)) throw new RefusalError('account unknown', `client account ${identity.account} is gone`)
   }
 
-  async function admitKeyed (identity: Identity, database: string, need: BatchNeed): Promise<void> {
-    checkKey(identity, database, need)
-    await requireToken('keyed', identity.account)
-    // The key may have been withdrawn while the request waited.
-    checkKey(identity, database, need)
+  function requireAccess (identity: Identity, database: string, need: BatchNeed): void {
+    if (identity.key === undefined) checkOpenRoute(database, need)
+    else checkKey(identity, database, need)
   }
 
   return {
     admit: async (identity, database, need) => {
-      if (identity.key === undefined) await admitOpen(database, need)
-      else await admitKeyed(identity, database, need)
-    }
+      requireAccess(identity, database, need)
+      await (identity.key === undefined ? requireToken('open', database) : requireToken('keyed', identity.account))
+      // The rules may have changed while the request waited.
+      requireAccess(identity, database, need)
+    },
+    requireAccess
   }
 }
--- a/packages/cyclamenusherd/src/node/request/requestRunner.ts
+++ b/packages/cyclamenusherd/src/node/request/requestRunner.ts
@@ -200,30 +200,42 @@
     return new RefusalError('server lost', 'the backend server was lost, and the transaction with it', 'stopped', 'Begin the transaction again.')
   }
 
+  /** Acquires a connection for a batch that may run now; resolves to undefined if another one must be acquired. @throws RefusalError */
+  async function prepareLease (need: BatchNeed, deadline: number, mayHaveRun: boolean): Promise<ConnectionLease | undefined> {
+    const lease = pinned ?? await leasing.acquire(need, group, deadline)
+    if (!lease.backend.isOpen()) {
+      if (lease === pinned) throw handlePinnedLost(lease)
+      lease.release(false)
+      return undefined
+    }
+    if (lease !== pinned && !await leasing.applySettings(lease)) return undefined
+    if (stopped) {
+      releaseLease(lease, lease !== pinned)
+      throw new RefusalError('timeout', 'the caller is gone')
+    }
+    try {
+      requireAccess(need)
+      if (findGroup() === group) return lease
+      if (lease === pinned) throw createMovedRefusal()
+    } catch (error) {
+      if (lease !== pinned) lease.release(true)
+      throw mayHaveRun && error instanceof RefusalError ? new RefusalError(error.kind, error.message, 'stopped', error.hint) : error
+    }
+    lease.release(true)
+    group = findGroup()
+    return undefined
+  }
+
   async function executeBatch (batch: Batch, firstNeed: BatchNeed): Promise<boolean> {
     const startedAt = services.now()
     const deadline = startedAt + services.requestMilliseconds
     const primaryDeadline = startedAt + Math.min(PRIMARY_SEARCH_TIMEOUT_MILLISECONDS, services.requestMilliseconds)
     let need = firstNeed
+    let mayHaveRun = false
     if (pinned === undefined) group = findGroup()
     for (let attempt = 0; ; attempt += 1) {
-      const lease = pinned ?? await leasing.acquire(need, group, deadline)
-      if (!lease.backend.isOpen()) {
-        if (lease === pinned) throw handlePinnedLost(lease)
-        lease.release(false)
-        continue
-      }
-      if (lease !== pinned && !await leasing.applySettings(lease)) continue
-      if (stopped) {
-        releaseLease(lease, lease !== pinned)
-        throw new RefusalError('timeout', 'the caller is gone')
-      }
-      if (findGroup() !== group) {
-        if (lease === pinned) throw createMovedRefusal()
-        lease.release(true)
-        group = findGroup()
-        continue
-      }
+      const lease = await prepareLease(need, deadline, mayHaveRun)
+      if (lease === undefined) continue
       const running = startBatch(batch, need, lease, deadline, startedAt)
       const canSendMore = running.request.send(batch)
       if (!batch.complete) {
@@ -232,6 +244,7 @@
       }
       if (await finishBatch(running)) return true
       const lost = need === 'read' && !lease.backend.isOpen()
+      mayHaveRun ||= lost
       if (!lost && need === 'read') {
         // The server treats the batch as a write, so the caller needs the right to write.
         await services.admit(identity, database, 'write')
@@ -244,6 +257,10 @@
     }
   }
 
+  function requireAccess (need: BatchNeed): void {
+    services.requireAccess(identity, database, need === 'setting' ? 'read' : need)
+  }
+
   /** The group that holds the database now. @throws RefusalError if the rules no longer name the database */
   function findGroup (): string {
     const found = services.findGroup(database)
