fix(request): further parts of a batch need access too

A batch may be sent in parts, by Flush (as cursors do outside a transaction) or because it is long. Only the first part was checked, so that whoever kept a batch open read on with access that had been withdrawn, at every instance and without end as long as the parts came within callers.idle_transaction_milliseconds.

Each part is now checked before it is sent. What the server still answers to the parts before is dropped then: it could follow the error that the caller already has.

Evidence: a cursor reads on after its access rule is gone on the code before (ruleChanges.test.ts).

--- a/packages/cyclamenusherd/src/node/connection/__tests__/ruleChanges.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/ruleChanges.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import Cursor from 'pg-cursor'
 import { eventually, expectErrorCode, useHarness } from './harness.js'
 import type { ClientConfig } from 'pg'
 import type { Harness, HarnessOptions } from './harness.js'
@@ -82,4 +83,12 @@
   assert.equal([code, hasReceived(harness, 'waited')], ['57P03', false])
 })
 
+testWithHarness('a cursor outside a transaction reads no further once its access is withdrawn', {}, async harness => {
+  const caller = await harness.connect()
+  const cursor = caller.query(new Cursor('select generate_series(1, 25)'))
+  assert.is((await cursor.read(1)).length, 1)
+  harness.changeRules(['access.alfa-main'], [])
+  assert.is(await expectErrorCode(cursor.read(1)), '42501')
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/request/requestRunner.ts
+++ b/packages/cyclamenusherd/src/node/request/requestRunner.ts
@@ -287,6 +287,7 @@
     const need = determineNeed(batch)
     if (need === 'local' || need === 'setting') throw new RefusalError('not supported', 'session settings must come in a batch of their own', 'not run', 'Send Sync first.')
     if (need === 'write' && running.need === 'read' && session.transaction === 'idle') throw new RefusalError('not supported', 'a write came behind reads in one batch with Flush', 'not run', 'Send Sync between them.')
+    requireAccess(need)
     if (findGroup() !== group) throw createMovedRefusal()
     if (mayChangeSession(batch)) running.lease.backend.mayHaveChangedSession = true
     if (!batch.complete) return running.request.send(batch)
@@ -339,6 +340,8 @@
   async function failTransaction (): Promise<void> {
     const hadOpenBatch = batchOpen && current !== undefined
     const lease = hadOpenBatch ? current?.lease : pinned
+    // The caller has an error for the batch, so nothing more of its reply may follow.
+    if (hadOpenBatch) current?.request.abort(new ConnectionLostError())
     if (current !== undefined) endBatch(current)
     if (lease === undefined) return
     if (session.transaction !== 'idle') session.transaction = 'failed'
