fix(admission): an open route without a lease ends with its stated age

Nothing in the design said until when.

Cause: the lease was asked for keys only. The promise is now: what is changed of an open route holds at every instance at the next request, within the lease plus the route's stated age.

The bound refuses nobody there.

Evidence: 'with stale rules an open route ends once its stated age has passed' fails on the code before.

--- a/packages/cyclamenusherd/src/node/process/__tests__/admission.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/admission.test.ts
@@ -6,13 +6,14 @@
 import type { Identity } from '../../version/rulesStore.js'
 
 const LEASE_MILLISECONDS = 3_000
+const OPEN_AGE_MILLISECONDS = 500
 const DIGEST = createHash('sha256').update('the key').digest('hex')
 const RULES = [
   'accounts."clinic" = { rate = 10, burst = 10, weight = 1 } # asked for by Ana',
   `keys."one" = { account = "clinic", digest = "sha256:${DIGEST}" } # asked for by Ana`,
   'databases."padron" = { group = "padron", members = 3 } # asked for by Ana',
   'access."clinic-padron" = { account = "clinic", database = "padron", write = false, maximum_age_milliseconds = 0 } # asked for by Ana',
-  'open."padron" = { database = "padron", maximum_age_milliseconds = 500, rate = 10, burst = 10 } # asked for by Ana'
+  `open."padron" = { database = "padron", maximum_age_milliseconds = ${OPEN_AGE_MILLISECONDS}, rate = 10, burst = 10 } # asked for by Ana`
 ]
 
 interface Fixture {
@@ -62,6 +63,15 @@
   assert.is(await admit({ account: 'open' }), 'admitted')
 })
 
+// An isolated instance served a route without end that newer rules may have closed.
+test('with stale rules an open route ends once its stated age has passed', async () => {
+  const { admit, advance } = createFixture()
+  advance(LEASE_MILLISECONDS + OPEN_AGE_MILLISECONDS - 1)
+  assert.is(await admit({ account: 'open' }), 'admitted')
+  advance(1)
+  assert.is(await admit({ account: 'open' }), 'rules not fresh, not run')
+})
+
 // An isolated instance refused for good what newer rules may have opened.
 test('with stale rules a database is refused as not open to all', async () => {
   const { admit, advance } = createFixture()
--- a/packages/cyclamenusherd/src/node/process/admission.ts
+++ b/packages/cyclamenusherd/src/node/process/admission.ts
@@ -21,10 +21,18 @@
   takeToken: (kind: AccountKind, account: string) => Promise<boolean>
 }
 
-/** Refuses a database that the rules do not open to all. Rules that are not fresh may lack it only because they are old. */
-export function createOpenRefusal (store: RulesStore, kind: 'access denied' | 'database unknown', database: string): RefusalError {
-  if (!store.isFresh()) return new RefusalError('rules not fresh', `this instance can't tell whether database ${database} is open to all`, 'not run', 'Connect through another instance, or try again.')
-  return new RefusalError(kind, `database ${database} is not open to all`, 'not run', 'Connect with an account and its key.')
+/**
+ * Requires that the rules open the database to all. Without the lease of the rules the route goes on for
+ * its stated age: a failure domain that is cut off alone can't serve it longer either.
+ *
+ * @throws RefusalError of this kind when the route is closed
+ */
+export function requireOpenRoute (store: RulesStore, kind: 'access denied' | 'database unknown', database: string): void {
+  const rule = store.open(database)
+  if (rule !== undefined && store.isFresh(rule.maximum_age_milliseconds)) return
+  // Rules that are not fresh may lack a route only because they are old.
+  if (!store.isFresh()) throw new RefusalError('rules not fresh', `this instance can't tell whether database ${database} is open to all`, 'not run', 'Connect through another instance, or try again.')
+  throw new RefusalError(kind, `database ${database} is not open to all`, 'not run', 'Connect with an account and its key.')
 }
 
 export function createAdmission ({ store, takeToken }: AdmissionOptions): Admission {
@@ -35,8 +43,7 @@
   }
 
   function checkOpenRoute (database: string, need: BatchNeed): void {
-    const rule = store.open(database)
-    if (rule === undefined) throw createOpenRefusal(store, 'access denied', database)
+    requireOpenRoute(store, 'access denied', database)
     if (need !== 'read') throw new RefusalError('access denied', 'only reads are open to all', 'not run', 'Connect with an account and its key.')
   }
 
--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -6,7 +6,7 @@
 import { createInputBudget } from '../connection/callerInput.js'
 import { createCallerTlsContext, performHandshake } from '../connection/callerHandshake.js'
 import { REFUSAL_CODES, RefusalError, buildRefusalResponse } from '../request/refusal.js'
-import { OPEN_ACCOUNT, createOpenRefusal } from './admission.js'
+import { OPEN_ACCOUNT, requireOpenRoute } from './admission.js'
 import type { Server, Socket } from 'node:net'
 import type { CallerConnection, CallerServices } from '../connection/callerConnection.js'
 import type { CallerStartup } from '../connection/callerHandshake.js'
@@ -53,16 +53,15 @@
   let draining = false
 
   function identify ({ user, database }: CallerStartup, key: string | undefined): Identity {
-    const rule = store.rules().databases.get(database)
     if (key === undefined) {
-      if (rule === undefined || store.open(database) === undefined) throw createOpenRefusal(store, 'database unknown', database)
+      requireOpenRoute(store, 'database unknown', database)
       return { account: OPEN_ACCOUNT }
     }
     if (!store.isFresh()) throw new RefusalError('rules not fresh', 'this instance can\'t tell whether the key stands', 'not run', 'Connect through another instance, or try again.')
     const identity = store.identify(user, key)
     // An unknown account and a wrong key get the same answer, so that account names can't be probed.
     if (identity === undefined) throw new RefusalError('key refused', `the key does not stand for client account ${user}`, 'not run', 'Check the account (user) and its key (password).')
-    if (rule === undefined || store.access(user, database) === undefined) throw new RefusalError('database unknown', `client account ${user} reaches no database ${database}`, 'not run', 'Check the database\'s name, or ask the operators for an access rule.')
+    if (!store.rules().databases.has(database) || store.access(user, database) === undefined) throw new RefusalError('database unknown', `client account ${user} reaches no database ${database}`, 'not run', 'Check the database\'s name, or ask the operators for an access rule.')
     return identity
   }
 
--- a/packages/cyclamenusherd/src/node/version/rulesStore.ts
+++ b/packages/cyclamenusherd/src/node/version/rulesStore.ts
@@ -41,8 +41,8 @@
   lines: () => readonly RuleLine[]
   /** Latest time at which the rules are known to have been current, on the clock of this instance. */
   lastFreshAt: () => number
-  /** Whether the rules were known to be current less than `leaseMilliseconds` ago. */
-  isFresh: () => boolean
+  /** Whether the rules were known to be current less than the lease and `additionalMilliseconds` ago. */
+  isFresh: (additionalMilliseconds?: number) => boolean
   update: (update: RulesUpdate) => 'changed' | 'unchanged' | 'refused'
   /** Identity of the account with this key; undefined if the key is not valid for the account. */
   identify: (account: string, key: string) => Identity | undefined
@@ -116,7 +116,7 @@
     rules: () => current.rules,
     lines: () => [...current.lines].map(([identity, text]) => ({ identity, text })),
     lastFreshAt: () => lastFreshAt,
-    isFresh: () => clock.now() < lastFreshAt + leaseMilliseconds,
+    isFresh: (additionalMilliseconds = 0) => clock.now() < lastFreshAt + leaseMilliseconds + additionalMilliseconds,
     update,
     identify,
     isValid,
