--- a/packages/cyclamenusherd/src/node/process/__tests__/admission.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/admission.test.ts
@@ -26,7 +26,7 @@
 
 function createFixture (): Fixture {
   let now = 0
-  const store = createRulesStore({ now: () => now }, LEASE_MILLISECONDS)
+  const store = createRulesStore({ now: () => now }, LEASE_MILLISECONDS, () => now)
   const updateRules = (number: number, removed: string[], added: string[]): unknown => store.update({ number, baseNumber: number - 1, removed, added, fresh: true, ageMilliseconds: 0, askedAt: now })
   updateRules(1, [], RULES)
   const identity = store.identify('clinic', 'the key') as Identity
--- a/packages/cyclamenusherd/src/node/process/__tests__/rulesRelay.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/rulesRelay.test.ts
@@ -23,7 +23,7 @@
 
 function createFixture (): Fixture {
   let now = 50_000
-  const store = createRulesStore({ now: () => now }, LEASE_MILLISECONDS)
+  const store = createRulesStore({ now: () => now }, LEASE_MILLISECONDS, () => now)
   const relay = createRulesRelay({ store, peers: () => [PEER], peersRevision: () => 9n, clock: { now: () => now } })
   return {
     relay,
@@ -60,7 +60,7 @@
   const askedAt = fixture.now()
   const { number, added, fresh, ageMilliseconds } = await fixture.watch(0)
   let now = askedAt
-  const downstreamStore = createRulesStore({ now: () => now }, LEASE_MILLISECONDS)
+  const downstreamStore = createRulesStore({ now: () => now }, LEASE_MILLISECONDS, () => now)
   downstreamStore.update({ number: Number(number), baseNumber: 0, removed: [], added, fresh, ageMilliseconds, askedAt })
   now = provenAt + LEASE_MILLISECONDS - 1
   assert.is(downstreamStore.isFresh(), true)
--- a/packages/cyclamenusherd/src/node/version/__tests__/rulesStore.test.ts
+++ b/packages/cyclamenusherd/src/node/version/__tests__/rulesStore.test.ts
@@ -10,12 +10,14 @@
   return `accounts."clinic" = { rate = ${rate}, burst = 1, weight = 1 } # asked for by Ana`
 }
 
-function createStore (): { store: RulesStore, advance: (milliseconds: number) => void, applyUpdate: (change: Partial<RulesUpdate>) => string } {
+function createStore (): { store: RulesStore, advance: (milliseconds: number) => void, suspend: (milliseconds: number) => void, applyUpdate: (change: Partial<RulesUpdate>) => string } {
   let now = 10_000
-  const store = createRulesStore({ now: () => now }, LEASE_MILLISECONDS)
+  let suspendedMilliseconds = 0
+  const store = createRulesStore({ now: () => now }, LEASE_MILLISECONDS, () => now + suspendedMilliseconds)
   return {
     store,
     advance: milliseconds => { now += milliseconds },
+    suspend: milliseconds => { suspendedMilliseconds += milliseconds },
     applyUpdate: change => store.update({ number: 1, baseNumber: 0, removed: [], added: [line(1)], fresh: true, ageMilliseconds: 0, askedAt: now, ...change })
   }
 }
@@ -41,6 +43,22 @@
   assert.is(store.isFresh(), false)
 })
 
+// The steady clock stands still while a machine is suspended, so a withdrawn key worked again after it.
+test('a suspension of the machine ends the lease', () => {
+  const { store, advance, suspend, applyUpdate } = createStore()
+  applyUpdate({})
+  assert.is(store.isFresh(), true)
+  advance(1)
+  suspend(10_000)
+  assert.is(store.isFresh(), false)
+  assert.is(store.lastFreshAt(), -Infinity)
+  applyUpdate({ askedAt: 10_000 })
+  assert.is(store.isFresh(), false, 'an answer to a request from before it proves nothing')
+  advance(1)
+  applyUpdate({ askedAt: 10_002 })
+  assert.is(store.isFresh(), true)
+})
+
 test('the version number never decreases', () => {
   const { store, advance, applyUpdate } = createStore()
   applyUpdate({ number: 5 })
--- a/packages/cyclamenusherd/src/node/version/rulesStore.ts
+++ b/packages/cyclamenusherd/src/node/version/rulesStore.ts
@@ -8,6 +8,7 @@
 import { createHash, timingSafeEqual } from 'node:crypto'
 import { EMPTY_RULES, NO_RULES, applyDelta } from '@cyclamenusher/decisions'
 import { fromEvent } from 'most'
+import { createSuspensionWatch } from '../process/suspension.js'
 import type { Stream } from 'most'
 import type { AccessRule, OpenRule, RuleLine, Rules } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
@@ -39,7 +40,7 @@
   number: () => number
   rules: () => Rules
   lines: () => readonly RuleLine[]
-  /** Latest time at which the rules are known to have been current, on the clock of this instance. */
+  /** Latest time at which the rules are known to have been current, on the clock of this instance; -Infinity if it was suspended since. */
   lastFreshAt: () => number
   /** Whether the rules were known to be current less than the lease and `additionalMilliseconds` ago. */
   isFresh: (additionalMilliseconds?: number) => boolean
@@ -72,11 +73,12 @@
   return `sha256:${createHash('sha256').update(key).digest('hex')}`
 }
 
-export function createRulesStore (clock: Clock, leaseMilliseconds: number): RulesStore {
+export function createRulesStore (clock: Clock, leaseMilliseconds: number, timeOfDay: () => number = Date.now): RulesStore {
+  const suspension = createSuspensionWatch(clock, timeOfDay)
   let current = NO_RULES
   let index = indexRules(EMPTY_RULES)
   let number = 0
-  let lastFreshAt = -Infinity
+  let provenAt = -Infinity
   const emitter = new EventEmitter()
   emitter.setMaxListeners(0)
 
@@ -91,11 +93,16 @@
       index = indexRules(current.rules)
       number = message.number
     }
-    if (message.fresh) lastFreshAt = Math.max(lastFreshAt, message.askedAt - message.ageMilliseconds)
+    if (message.fresh) provenAt = Math.max(provenAt, message.askedAt - message.ageMilliseconds)
     if (changed) emitter.emit('version', number)
     return changed ? 'changed' : 'unchanged'
   }
 
+  /** The duration of a suspension is unknown, so a proof from before it is of unknown age. */
+  function lastFreshAt (): number {
+    return provenAt <= suspension.resumedAt() ? -Infinity : provenAt
+  }
+
   function identify (account: string, key: string): Identity | undefined {
     const digest = digestKey(key)
     const found = index.keyByDigest.get(digest)
@@ -115,8 +122,8 @@
     number: () => number,
     rules: () => current.rules,
     lines: () => [...current.lines].map(([identity, text]) => ({ identity, text })),
-    lastFreshAt: () => lastFreshAt,
-    isFresh: (additionalMilliseconds = 0) => clock.now() < lastFreshAt + leaseMilliseconds + additionalMilliseconds,
+    lastFreshAt,
+    isFresh: (additionalMilliseconds = 0) => clock.now() < lastFreshAt() + leaseMilliseconds + additionalMilliseconds,
     update,
     identify,
     isValid,
