fix(request): the wait for a group's position hears its deadline and a cancel

The first read of a session without a token waits up to 7 s for a majority to confirm the primary's position. The request's own time limit and a cancel request reached only the wait behind it, for a connection: with a group without a majority a cancelled request went on for the rest of the 7 s, and one with a shorter limit exceeded it.

Both waits are now one.

Evidence: with a position that is never confirmed, both new tests of failureAnswers.test.ts hang on the code before.

--- a/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
@@ -149,6 +149,21 @@
   await left.query('commit')
 })
 
+testWithHarness('a cancel request ends the wait for the group\'s position', {}, async harness => {
+  let isWaiting = false
+  harness.services.confirmPosition = async () => await new Promise(() => { isWaiting = true })
+  const caller = await harness.connect()
+  const answer = expectErrorCode(caller.query('select 1'))
+  await eventually('the request does not wait for the position', () => isWaiting)
+  sendCancelRequest(caller, harness.callers.port)
+  assert.is(await answer, '57014')
+})
+
+testWithHarness('the wait for the group\'s position ends with the request\'s time', { requestMilliseconds: 300, services: { confirmPosition: async () => await new Promise(() => {}) } }, async harness => {
+  const caller = await harness.connect()
+  assert.is(await expectErrorCode(caller.query('select 1')), '57014')
+})
+
 testWithHarness('a caller that disconnects releases its connection', { limit: 1 }, async harness => {
   const [left, right] = [await harness.connect(), await harness.connect()]
   void expectErrorCode(left.query('select pg_sleep(5)'))
--- a/packages/cyclamenusherd/src/node/request/leasing.ts
+++ b/packages/cyclamenusherd/src/node/request/leasing.ts
@@ -72,8 +72,11 @@
 
   async function acquire (need: BatchNeed, group: string, deadline: number): Promise<ConnectionLease> {
     const memberNeed = need === 'setting' ? 'read' : need
-    const position = await resolvePosition(need, group)
-    const lease = await waitForLease(services.lease({ identity, database, group, need: memberNeed, position }), deadline - services.now())
+    const findLease = async (): Promise<ConnectionLease> => {
+      const position = await resolvePosition(need, group)
+      return await services.lease({ identity, database, group, need: memberNeed, position })
+    }
+    const lease = await waitForLease(findLease(), deadline - services.now())
     if (stopped) {
       lease.release(true)
       throw new RefusalError('timeout', 'the caller is gone')
