fix(router): a read on a silent connection is sent again

Callers whose read ran on a connection that went silent, alone with its server or because only new connections got through, waited for the whole time of the request (30 s as set) and got 57014, although another connection or server could have answered: the status link noticed within half a second, but only new requests heard of it.

Reads of which the caller has received nothing are now sent again one second after the status link was lost, if a member can run them, at most twice. Writes, transactions and answers that have begun are not: they can't be repeated.

Evidence: router.test.ts runs callers, the router, two servers and links between them.

--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -20,7 +20,8 @@
 import type { CallerServices, ConnectionLeaseRequest } from '../callerConnection.js'
 
 export const KEY = 'the key of a test'
-const PASSWORD = 'system-password'
+export const PASSWORD = 'system-password'
+export const MONITOR_USER = 'cyclamenusher_monitor'
 const HOST = '127.0.0.1'
 
 const RULES = [
@@ -76,7 +77,7 @@
 async function startServer (member: string, limit: number): Promise<HarnessServer> {
   const sockets = new Set<Socket>()
   const server = createBackendServer({ group: 'main', member, failureDomain: 'a', host: HOST, port: 0, connectionLimit: 20, openMilliseconds: 0, lagMilliseconds: 0 })
-  const registry = createConnectionRegistry(new Map([['cyclamenusher', PASSWORD]]), new Set())
+  const registry = createConnectionRegistry(new Map([['cyclamenusher', PASSWORD], [MONITOR_USER, PASSWORD]]), new Set([MONITOR_USER]))
   const listener = createServer(socket => {
     sockets.add(socket)
     socket.on('close', () => { sockets.delete(socket) })
--- a/packages/cyclamenusherd/src/node/connection/callerConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerConnection.ts
@@ -74,6 +74,8 @@
   need: BatchNeed
   /** The session's position in the group's log, if known. */
   position: LogPosition | undefined
+  /** Sends the read that runs on the connection elsewhere, because its server went silent; returns whether it does. */
+  move: () => boolean
 }
 
 export interface CallerConnectionOptions {
--- a/packages/cyclamenusherd/src/node/process/router.ts
+++ b/packages/cyclamenusherd/src/node/process/router.ts
@@ -6,6 +6,7 @@
 import { createCoordinator } from './group/coordinator.js'
 import { createGroupMonitor } from './group/groupMonitor.js'
 import { createLeaseWatch } from './group/leaseWatch.js'
+import { createSilentReads } from './group/silentReads.js'
 import type { GroupView, LogPosition, MemberLoad, RouteDecision, RouteNeed } from '@cyclamenusher/decisions'
 import type { ConnectionLease, ConnectionLeaseRequest } from '../connection/callerConnection.js'
 import type { RulesStore } from '../version/rulesStore.js'
@@ -15,6 +16,7 @@
 import type { Coordinator, CoordinatorInstance } from './group/coordinator.js'
 import type { GroupMonitor } from './group/groupMonitor.js'
 import type { LeaseWatch } from './group/leaseWatch.js'
+import type { SilentReads } from './group/silentReads.js'
 import type { Logger } from './logger.js'
 import type { Metrics } from './metrics.js'
 import type { Pool } from './pool.js'
@@ -32,6 +34,9 @@
 /** Members of a group if no rule configures a number. */
 const DEFAULT_MEMBER_COUNT = 3
 
+/** What decides where a request runs. */
+export type RoutedRequest = Omit<ConnectionLeaseRequest, 'move'>
+
 export interface Router {
   /** Lends a connection to a member that can serve the request. @throws RefusalError */
   lease: (request: ConnectionLeaseRequest) => Promise<ConnectionLease>
@@ -40,7 +45,7 @@
   /** Waits until a majority holds the log up to `at`, the primary is replaced, or time is up. */
   acknowledge: (group: string, at: LogPosition) => Promise<'held' | 'replaced' | 'timeout'>
   /** Returns the routing decision for a request without running it. */
-  explain: (request: ConnectionLeaseRequest) => RouteDecision
+  explain: (request: RoutedRequest) => RouteDecision
   /** Returns what this instance knows of a group. */
   view: (group: string) => GroupView
   /** Asks a backend server to accept no new transactions, or to accept them again; resolves to whether it agreed. */
@@ -65,6 +70,7 @@
   monitor: GroupMonitor
   coordinator: Coordinator
   leases: LeaseWatch
+  silentReads: SilentReads
   /** Member, incarnation and term of the primary that connections were last opened to in advance. */
   warmedPrimary: string
 }
@@ -90,6 +96,7 @@
     const existing = groups.get(group)
     if (existing !== undefined) return existing
     const leases = createLeaseWatch()
+    const silentReads = createSilentReads(clock)
     const monitor = createGroupMonitor({
       group,
       size: findMemberCount(group) ?? DEFAULT_MEMBER_COUNT,
@@ -98,6 +105,8 @@
       logger: logger.scope('monitor'),
       onChange: ({ view }) => {
         leases.check(view())
+        const moved = silentReads.check(view())
+        if (moved > 0) routeLog.warn('Reads were sent to another server because theirs went silent.', { group, reads: moved })
         warmUp(created, view())
       }
     })
@@ -111,7 +120,7 @@
       logger: logger.scope('failover'),
       metrics
     })
-    const created: Group = { monitor, coordinator, leases, warmedPrimary: '' }
+    const created: Group = { monitor, coordinator, leases, silentReads, warmedPrimary: '' }
     groups.set(group, created)
     monitor.setMembers(directory.members(group))
     return created
@@ -176,7 +185,7 @@
     return loads
   }
 
-  function resolveNeed ({ identity, database, need, position: requiredPosition }: ConnectionLeaseRequest): RouteNeed {
+  function resolveNeed ({ identity, database, need, position: requiredPosition }: RoutedRequest): RouteNeed {
     if (need !== 'read') return { kind: 'write' }
     const maximumAgeMilliseconds = identity.key === undefined
       ? store.open(database)?.maximum_age_milliseconds
@@ -186,7 +195,7 @@
     return { kind: 'session-read', requiredPosition: requiredPosition ?? { term: 0, position: 0 } }
   }
 
-  function decide (request: ConnectionLeaseRequest): RouteDecision {
+  function decide (request: RoutedRequest): RouteDecision {
     const view = ensureGroup(request.group).monitor.view()
     return decideRoute(view, resolveNeed(request), collectLoads(request.group), clock.now())
   }
@@ -219,7 +228,7 @@
     const askedAt = clock.now()
     const backend = await pool.acquire(request.identity.account, config.backend.waitMilliseconds)
     metrics.recordLatency('connection_wait', clock.now() - askedAt)
-    const { monitor, leases } = ensureGroup(request.group)
+    const { monitor, leases, silentReads } = ensureGroup(request.group)
     // During the wait the group may have changed, or another server may have taken over the address.
     const sameServer = isSameServer(monitor.view(), decision.member, backend.serverIdentity)
     if (!sameServer || !mayRun(monitor.view(), resolveNeed(request), decision.member, clock.now())) {
@@ -231,11 +240,13 @@
     if (config.log.decisions) {
       routeLog.info('A request was routed.', { account: request.identity.account, database: request.database, need: request.need, member: decision.member, reason: decision.reason, term: decision.term })
     }
-    const unwatch = request.need === 'read' ? undefined : leases.add(decision.term, backend)
+    const unwatch = request.need === 'read'
+      ? silentReads.add(decision.member, { hasAlternative: () => decide(request).kind === 'member', move: request.move })
+      : leases.add(decision.term, backend)
     return {
       backend,
       release: clean => {
-        unwatch?.()
+        unwatch()
         pool.release(backend, clean)
       }
     }
--- a/packages/cyclamenusherd/src/node/request/leasing.ts
+++ b/packages/cyclamenusherd/src/node/request/leasing.ts
@@ -24,6 +24,8 @@
   identity: Identity
   database: string
   services: CallerServices
+  /** Sends the running read to another member; returns whether it does. */
+  moveRead: () => boolean
 }
 
 /** Wraps a lease so that only the first release has an effect. */
@@ -39,7 +41,7 @@
   }
 }
 
-export function createLeasing ({ session, identity, database, services }: LeasingOptions): Leasing {
+export function createLeasing ({ session, identity, database, services, moveRead }: LeasingOptions): Leasing {
   let stopped = false
   let rejectWait: ((error: Error) => void) | undefined
 
@@ -74,7 +76,7 @@
     const memberNeed = need === 'setting' ? 'read' : need
     const findLease = async (): Promise<ConnectionLease> => {
       const position = await resolvePosition(need, group)
-      return await services.lease({ identity, database, group, need: memberNeed, position })
+      return await services.lease({ identity, database, group, need: memberNeed, position, move: moveRead })
     }
     const lease = await waitForLease(findLease(), deadline - services.now())
     if (stopped) {
--- a/packages/cyclamenusherd/src/node/request/requestRunner.ts
+++ b/packages/cyclamenusherd/src/node/request/requestRunner.ts
@@ -63,13 +63,15 @@
   wasInTransaction: boolean
   mayCommit: boolean
   timedOut: boolean
+  /** Number of times that the batch was started before. */
+  attempt: number
   startedAt: number
   deadlineTimer: NodeJS.Timeout
 }
 
 export function createRequestRunner (options: RequestRunnerOptions): RequestRunner {
   const { caller, session, identity, database, services } = options
-  const leasing = createLeasing(options)
+  const leasing = createLeasing({ ...options, moveRead })
   let pinned: ConnectionLease | undefined
   let current: RunningBatch | undefined
   let batchOpen = false
@@ -87,7 +89,7 @@
     lease.release(clean)
   }
 
-  function startBatch (batch: Batch, need: BatchNeed, lease: ConnectionLease, deadline: number, startedAt: number): RunningBatch {
+  function startBatch (batch: Batch, need: BatchNeed, lease: ConnectionLease, deadline: number, startedAt: number, attempt: number): RunningBatch {
     const wasInTransaction = session.transaction !== 'idle'
     const requestMayCommit = need !== 'setting' && (mayCommit(batch, wasInTransaction) || (!batch.complete && need === 'write' && !wasInTransaction))
     if (mayChangeSession(batch)) lease.backend.mayHaveChangedSession = true
@@ -100,6 +102,7 @@
       wasInTransaction,
       mayCommit: requestMayCommit,
       timedOut: false,
+      attempt,
       startedAt,
       deadlineTimer: setTimeout(() => {
         running.timedOut = true
@@ -164,23 +167,34 @@
     return 'unknown'
   }
 
-  /** Waits until a request completes. Returns false if another server may run it: it did not run, or was a read without a reply. */
-  async function finishBatch (running: RunningBatch): Promise<boolean> {
+  /** Whether the batch is a read of which the caller has received nothing, so that another server may run it. */
+  function isRepeatable ({ request, need, batch, wasInTransaction, timedOut }: RunningBatch): boolean {
+    return need === 'read' && !wasInTransaction && !timedOut && !stopped && batch.complete && !request.hasAnswered()
+  }
+
+  function moveRead (): boolean {
+    if (current === undefined || current.attempt >= MAXIMUM_READ_RETRIES || !isRepeatable(current)) return false
+    current.lease.backend.cancel()
+    current.request.abort(new ConnectionLostError())
+    return true
+  }
+
+  /** Waits until a request completes. `lost` and `not primary`: another server may run it. */
+  async function finishBatch (running: RunningBatch): Promise<'finished' | 'lost' | 'not primary'> {
     const { request, need, batch, lease } = running
     let result: RequestResult
     try {
       result = await request.done
     } catch (error) {
       endBatch(running)
-      const canRetry = need === 'read' && !running.wasInTransaction && !running.timedOut && !stopped && batch.complete && !request.hasAnswered() && error instanceof ConnectionLostError
-      if (!canRetry) throw handleFailure(error, running)
+      if (!isRepeatable(running) || !(error instanceof ConnectionLostError)) throw handleFailure(error, running)
       releaseLease(lease, false)
-      return false
+      return 'lost'
     }
     endBatch(running)
     if (result.notPrimary) {
       releaseLease(lease, result.transaction === 'idle')
-      return false
+      return 'not primary'
     }
     if (need === 'setting' && result.errorCode === undefined) {
       const [{ setting, values }] = batch.statements
@@ -189,7 +203,7 @@
     }
     const outcome = await deliverResult(running, result)
     services.recordRequest(need, outcome, services.now() - running.startedAt)
-    return true
+    return 'finished'
   }
 
   /** Handles the loss of a transaction's connection between two requests, and returns the error for the caller. */
@@ -236,14 +250,15 @@
     for (let attempt = 0; ; attempt += 1) {
       const lease = await prepareLease(need, deadline, mayHaveRun)
       if (lease === undefined) continue
-      const running = startBatch(batch, need, lease, deadline, startedAt)
+      const running = startBatch(batch, need, lease, deadline, startedAt, attempt)
       const canSendMore = running.request.send(batch)
       if (!batch.complete) {
         keepBatchOpen(running)
         return canSendMore
       }
-      if (await finishBatch(running)) return true
-      const lost = need === 'read' && !lease.backend.isOpen()
+      const outcome = await finishBatch(running)
+      if (outcome === 'finished') return true
+      const lost = outcome === 'lost'
       mayHaveRun ||= lost
       if (!lost && need === 'read') {
         // The server treats the batch as a write, so the caller needs the right to write.
