--- a/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/failureAnswers.test.ts
@@ -149,6 +149,21 @@
   await left.query('commit')
 })
 
+testWithHarness('a cancel request ends the wait for the group\'s position', {}, async harness => {
+  let isWaiting = false
+  harness.services.confirmPosition = async () => await new Promise(() => { isWaiting = true })
+  const caller = await harness.connect()
+  const answer = expectErrorCode(caller.query('select 1'))
+  await eventually('the request does not wait for the position', () => isWaiting)
+  sendCancelRequest(caller, harness.callers.port)
+  assert.is(await answer, '57014')
+})
+
+testWithHarness('the wait for the group\'s position ends with the request\'s time', { requestMilliseconds: 300, services: { confirmPosition: async () => await new Promise(() => {}) } }, async harness => {
+  const caller = await harness.connect()
+  assert.is(await expectErrorCode(caller.query('select 1')), '57014')
+})
+
 testWithHarness('a caller that disconnects releases its connection', { limit: 1 }, async harness => {
   const [left, right] = [await harness.connect(), await harness.connect()]
   void expectErrorCode(left.query('select pg_sleep(5)'))
@@ -184,7 +199,7 @@
   await caller.query('begin')
   await caller.query('insert into visits (id, value) values (\'1\', \'a\')')
   const ended = new Promise(resolve => { caller.once('end', resolve) })
-  harness.withdrawKey()
+  harness.changeRules(['keys.alfa-key'], [])
   await ended
   await eventually('the connection is still open', () => harness.primary.registry.open === 0)
   assert.is(harness.primary.server.status().position, 1)
--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -5,6 +5,7 @@
 import pg from 'pg'
 import { loadParser } from '@cyclamenusher/decisions'
 import { createBackendServer, createConnectionRegistry, serveConnection } from '@cyclamenusher/stand-ins'
+import { createAdmission } from '../../process/admission.js'
 import { listenForCallers } from '../../process/callers.js'
 import { createMetrics } from '../../process/metrics.js'
 import { createPool } from '../../process/pool.js'
@@ -19,7 +20,8 @@
 import type { CallerServices, ConnectionLeaseRequest } from '../callerConnection.js'
 
 export const KEY = 'the key of a test'
-const PASSWORD = 'system-password'
+export const PASSWORD = 'system-password'
+export const MONITOR_USER = 'cyclamenusher_monitor'
 const HOST = '127.0.0.1'
 
 const RULES = [
@@ -27,7 +29,8 @@
   'accounts.beta = { rate = 100000, burst = 100000 } # asked for by tests',
   `keys.alfa-key = { account = "alfa", digest = "sha256:${createHash('sha256').update(KEY).digest('hex')}" } # asked for by tests`,
   'databases.main = { group = "main", members = 3 } # asked for by tests',
-  'access.alfa-main = { account = "alfa", database = "main", write = true } # asked for by tests'
+  'access.alfa-main = { account = "alfa", database = "main", write = true } # asked for by tests',
+  'open.main = { database = "main", maximum_age_milliseconds = 500, rate = 100000, burst = 100000 } # asked for by tests'
 ]
 
 export const SILENT_LOGGER: ScopedLogger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
@@ -53,8 +56,8 @@
   connect: (options?: pg.ClientConfig) => Promise<pg.Client>
   /** Moves the clock of the rules store until the rules are no longer fresh. */
   makeRulesStale: () => void
-  /** Removes the account's key from the rules. */
-  withdrawKey: () => void
+  /** Makes a new version of the rules. */
+  changeRules: (removed: string[], added: string[]) => void
   /** Requests that hold or wait for a backend connection. */
   busyRequests: () => number
   close: () => Promise<void>
@@ -74,7 +77,7 @@
 async function startServer (member: string, limit: number): Promise<HarnessServer> {
   const sockets = new Set<Socket>()
   const server = createBackendServer({ group: 'main', member, failureDomain: 'a', host: HOST, port: 0, connectionLimit: 20, openMilliseconds: 0, lagMilliseconds: 0 })
-  const registry = createConnectionRegistry(new Map([['cyclamenusher', PASSWORD]]), new Set())
+  const registry = createConnectionRegistry(new Map([['cyclamenusher', PASSWORD], [MONITOR_USER, PASSWORD]]), new Set([MONITOR_USER]))
   const listener = createServer(socket => {
     sockets.add(socket)
     socket.on('close', () => { sockets.delete(socket) })
@@ -134,7 +137,8 @@
     maximumMessageBytes: 1024 * 1024,
     requestMilliseconds: options.requestMilliseconds ?? 5_000,
     now: () => performance.now(),
-    admit: () => {},
+    ...createAdmission({ store, takeToken: async () => true }),
+    findGroup: database => store.rules().databases.get(database)?.group,
     lease: async request => {
       const { pool } = choose.member(request)
       const backend = await pool.acquire(request.identity.account, 2_000)
@@ -165,7 +169,7 @@
     choose,
     connect,
     makeRulesStale: () => { clockOffsetMilliseconds = RULES_LEASE_MILLISECONDS },
-    withdrawKey: () => { updateRules(2, 1, ['keys.alfa-key'], []) },
+    changeRules: (removed, added) => { updateRules(store.number() + 1, store.number(), removed, added) },
     busyRequests: () => primary.pool.busy() + replica.pool.busy(),
     close: async () => {
       await Promise.all(clients.map(async client => { if (isOpen(client)) await client.end().catch(() => {}) }))
--- a/packages/cyclamenusherd/src/node/connection/callerConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerConnection.ts
@@ -44,12 +44,21 @@
    * @throws RefusalError when it may not
    */
   admit: (identity: Identity, database: string, need: BatchNeed) => Promise<void> | void
+  /**
+   * Checks the key and the access rules again, without taking a token. A request may have
+   * waited since it was admitted.
+   *
+   * @throws RefusalError when the request may no longer run
+   */
+  requireAccess: (identity: Identity, database: string, need: BatchNeed) => void
   /**
    * Chooses a member and acquires a connection to it.
    *
    * @throws RefusalError when no connection is available; the request has not run
    */
   lease: (request: ConnectionLeaseRequest) => Promise<ConnectionLease>
+  /** The group that holds a database; undefined if the rules name no such database. */
+  findGroup: (database: string) => string | undefined
   /** Resolves with the current position of a group's log, for a session that has no position in it. */
   confirmPosition: (group: string) => Promise<LogPosition>
   /** Waits until a majority holds the commit at `position`, its primary is replaced or the wait times out. */
@@ -65,13 +74,14 @@
   need: BatchNeed
   /** The session's position in the group's log, if known. */
   position: LogPosition | undefined
+  /** Sends the read that runs on the connection elsewhere, because its server went silent; returns whether it does. */
+  move: () => boolean
 }
 
 export interface CallerConnectionOptions {
   socket: Socket
   identity: Identity
   database: string
-  group: string
   /** Parameters of the start-up message. */
   parameters: Record<string, string>
   /** Process number and secret that identify this connection in a cancel request. */
@@ -152,7 +162,6 @@
     session,
     identity,
     database: options.database,
-    group: options.group,
     services,
     onOpenBatchFailed: error => {
       skippingToSync = true
--- a/packages/cyclamenusherd/src/node/process/admission.ts
+++ b/packages/cyclamenusherd/src/node/process/admission.ts
@@ -11,6 +11,8 @@
 export interface Admission {
   /** Resolves when the request may run. @throws RefusalError when it is refused */
   admit: (identity: Identity, database: string, need: BatchNeed) => Promise<void>
+  /** Checks the key and the access rules without taking a token. @throws RefusalError when the request may not run */
+  requireAccess: (identity: Identity, database: string, need: BatchNeed) => void
 }
 
 export interface AdmissionOptions {
@@ -19,10 +21,18 @@
   takeToken: (kind: AccountKind, account: string) => Promise<boolean>
 }
 
-/** Refuses a database that the rules do not open to all. Rules that are not fresh may lack it only because they are old. */
-export function createOpenRefusal (store: RulesStore, kind: 'access denied' | 'database unknown', database: string): RefusalError {
-  if (!store.isFresh()) return new RefusalError('rules not fresh', `this instance can't tell whether database ${database} is open to all`, 'not run', 'Connect through another instance, or try again.')
-  return new RefusalError(kind, `database ${database} is not open to all`, 'not run', 'Connect with an account and its key.')
+/**
+ * Requires that the rules open the database to all. Without the lease of the rules the route goes on for
+ * its stated age: a failure domain that is cut off alone can't serve it longer either.
+ *
+ * @throws RefusalError of this kind when the route is closed
+ */
+export function requireOpenRoute (store: RulesStore, kind: 'access denied' | 'database unknown', database: string): void {
+  const rule = store.open(database)
+  if (rule !== undefined && store.isFresh(rule.maximum_age_milliseconds)) return
+  // Rules that are not fresh may lack a route only because they are old.
+  if (!store.isFresh()) throw new RefusalError('rules not fresh', `this instance can't tell whether database ${database} is open to all`, 'not run', 'Connect through another instance, or try again.')
+  throw new RefusalError(kind, `database ${database} is not open to all`, 'not run', 'Connect with an account and its key.')
 }
 
 export function createAdmission ({ store, takeToken }: AdmissionOptions): Admission {
@@ -32,11 +42,9 @@
     throw new RefusalError('rate exceeded', `${subject} is over its rate`, 'not run', 'Send less, or ask the operators for a higher rate.')
   }
 
-  async function admitOpen (database: string, need: BatchNeed): Promise<void> {
-    const rule = store.open(database)
-    if (rule === undefined) throw createOpenRefusal(store, 'access denied', database)
+  function checkOpenRoute (database: string, need: BatchNeed): void {
+    requireOpenRoute(store, 'access denied', database)
     if (need !== 'read') throw new RefusalError('access denied', 'only reads are open to all', 'not run', 'Connect with an account and its key.')
-    await requireToken('open', database)
   }
 
   function checkKey (identity: Identity, database: string, need: BatchNeed): void {
@@ -48,17 +56,18 @@
     if (!store.rules().accounts.has(identity.account)) throw new RefusalError('account unknown', `client account ${identity.account} is gone`)
   }
 
-  async function admitKeyed (identity: Identity, database: string, need: BatchNeed): Promise<void> {
-    checkKey(identity, database, need)
-    await requireToken('keyed', identity.account)
-    // The key may have been withdrawn while the request waited.
-    checkKey(identity, database, need)
+  function requireAccess (identity: Identity, database: string, need: BatchNeed): void {
+    if (identity.key === undefined) checkOpenRoute(database, need)
+    else checkKey(identity, database, need)
   }
 
   return {
     admit: async (identity, database, need) => {
-      if (identity.key === undefined) await admitOpen(database, need)
-      else await admitKeyed(identity, database, need)
-    }
+      requireAccess(identity, database, need)
+      await (identity.key === undefined ? requireToken('open', database) : requireToken('keyed', identity.account))
+      // The rules may have changed while the request waited.
+      requireAccess(identity, database, need)
+    },
+    requireAccess
   }
 }
--- a/packages/cyclamenusherd/src/node/request/requestRunner.ts
+++ b/packages/cyclamenusherd/src/node/request/requestRunner.ts
@@ -49,7 +49,6 @@
   session: CallerSession
   identity: Identity
   database: string
-  group: string
   services: CallerServices
   /** Called when a batch fails whose Sync has not been sent yet. */
   onOpenBatchFailed: (error: RefusalError) => void
@@ -64,18 +63,22 @@
   wasInTransaction: boolean
   mayCommit: boolean
   timedOut: boolean
+  /** Number of times that the batch was started before. */
+  attempt: number
   startedAt: number
   deadlineTimer: NodeJS.Timeout
 }
 
 export function createRequestRunner (options: RequestRunnerOptions): RequestRunner {
-  const { caller, session, identity, database, group, services } = options
-  const leasing = createLeasing(options)
+  const { caller, session, identity, database, services } = options
+  const leasing = createLeasing({ ...options, moveRead })
   let pinned: ConnectionLease | undefined
   let current: RunningBatch | undefined
   let batchOpen = false
   let acknowledging = false
   let stopped = false
+  /** The group that runs the current batch, and the transaction if there is one. */
+  let group = ''
 
   function writeToCaller (bytes: Buffer): void {
     if (!caller.destroyed) caller.write(bytes)
@@ -86,7 +89,7 @@
     lease.release(clean)
   }
 
-  function startBatch (batch: Batch, need: BatchNeed, lease: ConnectionLease, deadline: number, startedAt: number): RunningBatch {
+  function startBatch (batch: Batch, need: BatchNeed, lease: ConnectionLease, deadline: number, startedAt: number, attempt: number): RunningBatch {
     const wasInTransaction = session.transaction !== 'idle'
     const requestMayCommit = need !== 'setting' && (mayCommit(batch, wasInTransaction) || (!batch.complete && need === 'write' && !wasInTransaction))
     if (mayChangeSession(batch)) lease.backend.mayHaveChangedSession = true
@@ -99,6 +102,7 @@
       wasInTransaction,
       mayCommit: requestMayCommit,
       timedOut: false,
+      attempt,
       startedAt,
       deadlineTimer: setTimeout(() => {
         running.timedOut = true
@@ -163,23 +167,34 @@
     return 'unknown'
   }
 
-  /** Waits until a request completes. Returns false if another server may run it: it did not run, or was a read without a reply. */
-  async function finishBatch (running: RunningBatch): Promise<boolean> {
+  /** Whether the batch is a read of which the caller has received nothing, so that another server may run it. */
+  function isRepeatable ({ request, need, batch, wasInTransaction, timedOut }: RunningBatch): boolean {
+    return need === 'read' && !wasInTransaction && !timedOut && !stopped && batch.complete && !request.hasAnswered()
+  }
+
+  function moveRead (): boolean {
+    if (current === undefined || current.attempt >= MAXIMUM_READ_RETRIES || !isRepeatable(current)) return false
+    current.lease.backend.cancel()
+    current.request.abort(new ConnectionLostError())
+    return true
+  }
+
+  /** Waits until a request completes. `lost` and `not primary`: another server may run it. */
+  async function finishBatch (running: RunningBatch): Promise<'finished' | 'lost' | 'not primary'> {
     const { request, need, batch, lease } = running
     let result: RequestResult
     try {
       result = await request.done
     } catch (error) {
       endBatch(running)
-      const canRetry = need === 'read' && !running.wasInTransaction && !running.timedOut && !stopped && batch.complete && !request.hasAnswered() && error instanceof ConnectionLostError
-      if (!canRetry) throw handleFailure(error, running)
+      if (!isRepeatable(running) || !(error instanceof ConnectionLostError)) throw handleFailure(error, running)
       releaseLease(lease, false)
-      return false
+      return 'lost'
     }
     endBatch(running)
     if (result.notPrimary) {
       releaseLease(lease, result.transaction === 'idle')
-      return false
+      return 'not primary'
     }
     if (need === 'setting' && result.errorCode === undefined) {
       const [{ setting, values }] = batch.statements
@@ -188,7 +203,7 @@
     }
     const outcome = await deliverResult(running, result)
     services.recordRequest(need, outcome, services.now() - running.startedAt)
-    return true
+    return 'finished'
   }
 
   /** Handles the loss of a transaction's connection between two requests, and returns the error for the caller. */
@@ -199,31 +214,52 @@
     return new RefusalError('server lost', 'the backend server was lost, and the transaction with it', 'stopped', 'Begin the transaction again.')
   }
 
+  /** Acquires a connection for a batch that may run now; resolves to undefined if another one must be acquired. @throws RefusalError */
+  async function prepareLease (need: BatchNeed, deadline: number, mayHaveRun: boolean): Promise<ConnectionLease | undefined> {
+    const lease = pinned ?? await leasing.acquire(need, group, deadline)
+    if (!lease.backend.isOpen()) {
+      if (lease === pinned) throw handlePinnedLost(lease)
+      lease.release(false)
+      return undefined
+    }
+    if (lease !== pinned && !await leasing.applySettings(lease)) return undefined
+    if (stopped) {
+      releaseLease(lease, lease !== pinned)
+      throw new RefusalError('timeout', 'the caller is gone')
+    }
+    try {
+      requireAccess(need)
+      if (findGroup() === group) return lease
+      if (lease === pinned) throw createMovedRefusal()
+    } catch (error) {
+      if (lease !== pinned) lease.release(true)
+      throw mayHaveRun && error instanceof RefusalError ? new RefusalError(error.kind, error.message, 'stopped', error.hint) : error
+    }
+    lease.release(true)
+    group = findGroup()
+    return undefined
+  }
+
   async function executeBatch (batch: Batch, firstNeed: BatchNeed): Promise<boolean> {
     const startedAt = services.now()
     const deadline = startedAt + services.requestMilliseconds
     const primaryDeadline = startedAt + Math.min(PRIMARY_SEARCH_TIMEOUT_MILLISECONDS, services.requestMilliseconds)
     let need = firstNeed
+    let mayHaveRun = false
+    if (pinned === undefined) group = findGroup()
     for (let attempt = 0; ; attempt += 1) {
-      const lease = pinned ?? await leasing.acquire(need, deadline)
-      if (!lease.backend.isOpen()) {
-        if (lease === pinned) throw handlePinnedLost(lease)
-        lease.release(false)
-        continue
-      }
-      if (lease !== pinned && !await leasing.applySettings(lease)) continue
-      if (stopped) {
-        releaseLease(lease, lease !== pinned)
-        throw new RefusalError('timeout', 'the caller is gone')
-      }
-      const running = startBatch(batch, need, lease, deadline, startedAt)
+      const lease = await prepareLease(need, deadline, mayHaveRun)
+      if (lease === undefined) continue
+      const running = startBatch(batch, need, lease, deadline, startedAt, attempt)
       const canSendMore = running.request.send(batch)
       if (!batch.complete) {
         keepBatchOpen(running)
         return canSendMore
       }
-      if (await finishBatch(running)) return true
-      const lost = need === 'read' && !lease.backend.isOpen()
+      const outcome = await finishBatch(running)
+      if (outcome === 'finished') return true
+      const lost = outcome === 'lost'
+      mayHaveRun ||= lost
       if (!lost && need === 'read') {
         // The server treats the batch as a write, so the caller needs the right to write.
         await services.admit(identity, database, 'write')
@@ -236,6 +272,21 @@
     }
   }
 
+  function requireAccess (need: BatchNeed): void {
+    services.requireAccess(identity, database, need === 'setting' ? 'read' : need)
+  }
+
+  /** The group that holds the database now. @throws RefusalError if the rules no longer name the database */
+  function findGroup (): string {
+    const found = services.findGroup(database)
+    if (found === undefined) throw new RefusalError('database unknown', `database ${database} is gone`)
+    return found
+  }
+
+  function createMovedRefusal (): RefusalError {
+    return new RefusalError('server lost', `database ${database} moved to another group, and the transaction was rolled back`, 'stopped', 'Begin the transaction again.')
+  }
+
   function keepBatchOpen (running: RunningBatch): void {
     batchOpen = true
     running.request.done.catch((error: unknown) => {
@@ -251,6 +302,8 @@
     const need = determineNeed(batch)
     if (need === 'local' || need === 'setting') throw new RefusalError('not supported', 'session settings must come in a batch of their own', 'not run', 'Send Sync first.')
     if (need === 'write' && running.need === 'read' && session.transaction === 'idle') throw new RefusalError('not supported', 'a write came behind reads in one batch with Flush', 'not run', 'Send Sync between them.')
+    requireAccess(need)
+    if (findGroup() !== group) throw createMovedRefusal()
     if (mayChangeSession(batch)) running.lease.backend.mayHaveChangedSession = true
     if (!batch.complete) return running.request.send(batch)
     batchOpen = false
@@ -302,6 +355,8 @@
   async function failTransaction (): Promise<void> {
     const hadOpenBatch = batchOpen && current !== undefined
     const lease = hadOpenBatch ? current?.lease : pinned
+    // The caller has an error for the batch, so nothing more of its reply may follow.
+    if (hadOpenBatch) current?.request.abort(new ConnectionLostError())
     if (current !== undefined) endBatch(current)
     if (lease === undefined) return
     if (session.transaction !== 'idle') session.transaction = 'failed'
