test(process): relays that go silent, lag behind or lost their proof

A watcher leaves a silent relay for control, takes off the age that a relay states, and gets no lease from one without proof.

--- a/packages/cyclamenusherd/src/node/process/__tests__/rulesWatcher.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/rulesWatcher.test.ts
@@ -4,7 +4,7 @@
 import { createLink } from '@cyclamenusher/stand-ins'
 import { createRulesStore } from '../../version/rulesStore.js'
 import { createRulesWatcher } from '../rulesWatcher.js'
-import type { WatchRequest } from '@cyclamenusher/protocol'
+import type { CallServer, WatchRequest } from '@cyclamenusher/protocol'
 import type { Link } from '@cyclamenusher/stand-ins'
 import type { RulesStore } from '../../version/rulesStore.js'
 import type { Config } from '../config.js'
@@ -12,6 +12,7 @@
 const HOST = '127.0.0.1'
 const CREDENTIALS = { secret: 'a secret of the tests' }
 const LEASE_MILLISECONDS = 3_000
+const RELAY_ABOVE = 16
 const SILENT_LOGGER = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
 /** Only bounds a test that would hang otherwise. */
 const WAIT_TIMEOUT_MILLISECONDS = 10_000
@@ -46,16 +47,11 @@
   }
 }
 
-/** Runs a watcher that reaches control through a link; its clock is the test's. */
-async function useWatcher (body: (fixture: Fixture) => Promise<void>): Promise<void> {
-  let now = 50_000
-  let requests = 0
-  let answer: Answer = () => answerWith(1)
-  const clock = { now: () => now }
-  const calls = await listenForCalls(HOST, 0, CREDENTIALS, router => {
+/** Serves watches, of which `answer` makes the answers. */
+async function serveWatches (answer: Answer): Promise<CallServer> {
+  return await listenForCalls(HOST, 0, CREDENTIALS, router => {
     router.service(ControlService, {
       watch: async request => {
-        requests += 1
         const reply = await answer(request)
         // Answers at once would keep the watcher and control busy.
         await new Promise(resolve => setTimeout(resolve, 5))
@@ -63,12 +59,24 @@
       }
     })
   })
+}
+
+/** Runs a watcher that reaches control through a link; its clock is the test's. */
+async function useWatcher (body: (fixture: Fixture) => Promise<void>): Promise<void> {
+  let now = 50_000
+  let requests = 0
+  let answer: Answer = () => answerWith(1)
+  const clock = { now: () => now }
+  const calls = await serveWatches(async request => {
+    requests += 1
+    return await answer(request)
+  })
   const link = await createLink({ listen: { host: HOST, port: 0 }, target: { host: HOST, port: calls.port } })
   const store = createRulesStore(clock, LEASE_MILLISECONDS, clock.now)
   const config = {
     instance: { name: 'entry-1', failureDomain: 'a' },
     calls: { advertise: { host: HOST, port: 1 } },
-    control: { addresses: [{ host: HOST, port: link.port }], relayAbove: 16 }
+    control: { addresses: [{ host: HOST, port: link.port }], relayAbove: RELAY_ABOVE }
   } as unknown as Config
   const watcher = createRulesWatcher({ config, callsPort: 1, store, credentials: CREDENTIALS, clock, logger: SILENT_LOGGER, behind: () => [] })
   try {
@@ -179,4 +187,59 @@
   })
 })
 
+/** Runs a watcher that asks a relay, which it reaches through a link. `answer` makes the relay's answers. */
+async function useRelayedWatcher (answer: Answer, body: (fixture: Fixture, relayLink: Link) => Promise<void>): Promise<void> {
+  const relayCalls = await serveWatches(answer)
+  const relayLink = await createLink({ listen: { host: HOST, port: 0 }, target: { host: HOST, port: relayCalls.port } })
+  const instances = ['entry-1', ...Array.from({ length: RELAY_ABOVE }, (_value, index) => `other-${index}`)]
+    .map(name => ({ name, failureDomain: 'a', role: 'entry', host: HOST, port: relayLink.port }))
+  try {
+    await useWatcher(async fixture => {
+      fixture.answer(() => answerWith(1, { instances, instancesRevision: 1n }))
+      await body(fixture, relayLink)
+    })
+  } finally {
+    await relayLink.close()
+    await relayCalls.close()
+  }
+}
+
+test('a relay that went silent is left for control', async () => {
+  let relayed = 0
+  const answerOfRelay: Answer = () => {
+    relayed += 1
+    return answerWith(1)
+  }
+  await useRelayedWatcher(answerOfRelay, async ({ store, advance }, relayLink) => {
+    await until(() => relayed > 0)
+    relayLink.setState('lost')
+    advance(LEASE_MILLISECONDS)
+    await until(() => store.isFresh())
+  })
+})
+
+test('a relay with an old proof renews the lease by as much less, and one without proof not at all', async () => {
+  let ageMilliseconds = 900
+  let fresh = true
+  let relayed = 0
+  const answerOfRelay: Answer = () => {
+    relayed += 1
+    return answerWith(1, { fresh, ageMilliseconds })
+  }
+  await useRelayedWatcher(answerOfRelay, async ({ store, answer, advance, now }) => {
+    await until(() => relayed > 1)
+    advance(LEASE_MILLISECONDS)
+    await until(() => store.isFresh())
+    assert.is(store.lastFreshAt(), now() - ageMilliseconds)
+    // A relay that was frozen and wakes, while control can't be reached.
+    answer(() => answerWith(1, { fresh: false }))
+    fresh = false
+    ageMilliseconds = 10_000
+    advance(LEASE_MILLISECONDS)
+    const before = relayed
+    await until(() => relayed > before)
+    assert.is(store.isFresh(), false)
+  })
+})
+
 test.run()
