fix(prove): two mutations name the text as it is now

The changes to callers.ts and requestRunner.ts before moved the text that the mutants of key-hidden and at-most-once replace, so that they could not be built.

--- a/packages/prove/src/node/mutations.ts
+++ b/packages/prove/src/node/mutations.ts
@@ -63,7 +63,7 @@
     name: 'the key is passed to the backend server as the application\'s name',
     scenario: 'accounts',
     edits: [
-      { file: `${DAEMON_FOLDER}/process/callers.ts`, find: 'const rule = store.rules().databases.get(database)', replace: 'const rule = store.rules().databases.get(database); (globalThis as any).lastKey = key' },
+      { file: `${DAEMON_FOLDER}/process/callers.ts`, find: 'if (!store.isFresh()) throw', replace: '(globalThis as any).lastKey = key; if (!store.isFresh()) throw' },
       { file: `${DAEMON_FOLDER}/connection/backendConnection.ts`, find: 'new pg.Client({ host,', replace: 'new pg.Client({ application_name: (globalThis as any).lastKey, host,' }
     ]
   },
@@ -100,7 +100,7 @@
     name: 'a write is sent again after its server was lost',
     scenario: 'data',
     faults: ['slow links', 'connections to primary closed'],
-    edits: [{ file: `${DAEMON_FOLDER}/request/requestRunner.ts`, find: "const canRetry = need === 'read' && !running.wasInTransaction", replace: 'const canRetry = !running.wasInTransaction' }]
+    edits: [{ file: `${DAEMON_FOLDER}/request/requestRunner.ts`, find: "return need === 'read' && !wasInTransaction", replace: 'return !wasInTransaction' }]
   },
   leaving: {
     name: 'a leaving server is used like any other',
