fix(process): a process stopped between two clock readings was not suspended

The steady clock and the time of day are read one after the other. A process that was stopped in between, by its share of the processor or a signal, saw the time of day run ahead and took it for a suspension of the machine: an instance lost its lease and ended its busy callers with a key, a leader lost its lease.

A pair of readings that lie more than 10 ms apart is now read again, up to three times.

Found by reading; the new test of suspension.test.ts fails on the code before.

--- a/packages/cyclamenusherd/src/node/process/__tests__/suspension.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/suspension.test.ts
@@ -30,4 +30,18 @@
   assert.is(watch.resumedAt(), 100)
 })
 
+test('a process that is stopped between the readings of the two clocks was not suspended', () => {
+  let steady = 0
+  let pauseMilliseconds = 0
+  const readTimeOfDay = (): number => {
+    steady += pauseMilliseconds
+    pauseMilliseconds = 0
+    return 1_000_000 + steady
+  }
+  const watch = createSuspensionWatch({ now: () => steady }, readTimeOfDay)
+  pauseMilliseconds = 5_000
+  assert.is(watch.resumedAt(), -Infinity)
+  assert.is(watch.resumedAt(), -Infinity)
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/suspension.ts
+++ b/packages/cyclamenusherd/src/node/process/suspension.ts
@@ -8,6 +8,10 @@
 
 /** Lead of the time of day that counts as a suspension, in milliseconds; above the drift of the two clocks between two checks. */
 const MINIMUM_LEAD_MILLISECONDS = 100
+/** Time between the readings of the two clocks up to which they count as taken together, in milliseconds. */
+const MAXIMUM_READING_MILLISECONDS = 10
+/** Number of times that the clocks are read to get such a pair. */
+const MAXIMUM_READINGS = 3
 
 export interface SuspensionWatch {
   /** Compares the clocks, and returns when the last suspension was detected, on the steady clock; -Infinity if there was none. */
@@ -15,16 +19,21 @@
 }
 
 export function createSuspensionWatch (clock: Clock, timeOfDay: () => number = Date.now): SuspensionWatch {
-  let previousSteady = clock.now()
-  let previousTimeOfDay = timeOfDay()
+  /** Reads both clocks again if the process did not run in between, which would look like a suspension. */
+  function readClocks (): { steady: number, timeOfDay: number } {
+    for (let reading = 1; ; reading += 1) {
+      const pair = { steady: clock.now(), timeOfDay: timeOfDay() }
+      if (clock.now() - pair.steady <= MAXIMUM_READING_MILLISECONDS || reading === MAXIMUM_READINGS) return pair
+    }
+  }
+
+  let previous = readClocks()
   let resumedAt = -Infinity
   return {
     resumedAt: () => {
-      const steadyNow = clock.now()
-      const timeOfDayNow = timeOfDay()
-      if ((timeOfDayNow - previousTimeOfDay) - (steadyNow - previousSteady) > MINIMUM_LEAD_MILLISECONDS) resumedAt = steadyNow
-      previousSteady = steadyNow
-      previousTimeOfDay = timeOfDayNow
+      const now = readClocks()
+      if ((now.timeOfDay - previous.timeOfDay) - (now.steady - previous.steady) > MINIMUM_LEAD_MILLISECONDS) resumedAt = now.steady
+      previous = now
       return resumedAt
     }
   }
