fix(protocol): a call that timed out is cancelled at the other end

A caller that gave up after a timeout told nobody. Its request stayed in the kernel's buffer of a path that was cut, arrived with all later ones when the path came back, and each of them ran: the leader counted a renewal, and noted a document as sent, for answers that nobody waited for. Only calls that the caller aborted itself were cancelled.

Now the cancellation follows the request on the same stream in both cases, so that a request that arrives late arrives together with its end. The test failed before: the call's signal at the other end was never aborted.

--- a/packages/protocol/src/node/__tests__/streamCalls.test.ts
+++ b/packages/protocol/src/node/__tests__/streamCalls.test.ts
@@ -69,6 +69,21 @@
   await stop()
 })
 
+// Renewals that had been given up arrived together when a path returned, and each counted as one.
+test('a call that timed out runs on at the other end', async () => {
+  let aborted = false
+  const { caller, stop } = await connectCaller(async (request, signal) => {
+    if (request !== 'held') return 'ok'
+    signal.addEventListener('abort', () => { aborted = true })
+    return await new Promise(() => {})
+  })
+  await caller.call('first', LONG_MILLISECONDS)
+  assert.is(await failureOf(caller.call('held', 20)), 'timeout')
+  await caller.call('after', LONG_MILLISECONDS)
+  assert.ok(aborted)
+  await stop()
+})
+
 test('calls are lost with their stream, and a new stream is opened', async () => {
   const { caller, reconnect, stop } = await connectCaller(async request => request === 'held' ? await new Promise(() => {}) : 'ok')
   await caller.call('first', LONG_MILLISECONDS)
--- a/packages/protocol/src/node/streamCalls.ts
+++ b/packages/protocol/src/node/streamCalls.ts
@@ -112,11 +112,12 @@
         finish()
       }
       const fail = (failure: StreamCallFailure, reason: string): void => { end(() => { reject(new StreamCallError(failure, reason)) }) }
-      const cancel = (): void => {
-        if (!ended) stream?.send(encodeJson({ number, cancel: true }))
-        fail('cancelled', 'the caller has given up')
+      const giveUp = (failure: StreamCallFailure, reason: string): void => {
+        if (outstanding.has(number)) stream?.send(encodeJson({ number, cancel: true }))
+        fail(failure, reason)
       }
-      const cancelTimeout = startAnswerTimeout(timeoutMilliseconds, () => { fail('timeout', 'no answer in time') })
+      const cancel = (): void => { giveUp('cancelled', 'the caller has given up') }
+      const cancelTimeout = startAnswerTimeout(timeoutMilliseconds, () => { giveUp('timeout', 'no answer in time') })
       signal?.addEventListener('abort', cancel)
       if (signal?.aborted === true) return cancel()
       if (outstanding.size >= MAXIMUM_OUTSTANDING_CALLS) return fail('not sent', 'too many calls are outstanding')
