fix(fleet): an instance holds a lease again soon after its path to control is back

What callers saw: an entry instance whose connections to control went silent for good, while new connections worked, was without a lease for 2.0 to 3.3 s. After a cut its lease came back up to 2.7 s after the path, longer than the 2 s that are aimed at, and refused or served by an old declaration meanwhile.

Cause: a connection was replaced after three renewals that timed out at its address, 0.3 to 1.2 s each, while the link went round all control instances; an attempt to connect that had been given up after 2 s was repeated only when the round came back to its address; and a control instance that was reachable again was asked after the timeouts of those that were not.

Now the stream says by itself whether it is late or silent. A stream that owes an answer for 500 ms is pinged; one that does not answer that for 600 ms either is silent. A second connection is tried beside it, and replaces it 75 ms after the other end has answered there, as the streams to holders do. Attempts that don't connect follow one another without a pause, so that there is a SYN each second whatever the length of the cut. After a failed renewal all control instances are pinged, and the first that begins to answer is asked at once. Nothing is sent on a silent stream, and it is reset when replaced, so that its kernel does not deliver renewals that were given up. Over TLS it can only be closed.

An overloaded leader: one second connection of an instance at a time, none while it answers pings within 600 ms, and each alarm that proves false doubles that time. An established connection that is not answered waits 2 s, then 4 s. That rule stays for a control instance that answers pings and no renewals, and for the build before. First attempts are spread, 4,000 a second over all instances, for the design size. At rest there is no ping: renewals are held for 400 ms.

A ping is the cancellation of call 0, which the build before leaves out; its answer is a reply to call 0, which it leaves out, too.

Of the new tests over loopback three failed before: the silence, one path back with retransmission, and the renewals that arrive together.

--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -7,20 +7,21 @@
 import { EventEmitter } from 'node:events'
 import { inflateSync } from 'node:zlib'
 import { RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, findLender, indexDeclaration, lookUp, mergeServer, listGroupServers } from '@cyclamenusher/decisions'
-import { StreamCallError, createStreamCaller } from '@cyclamenusher/protocol'
+import { StreamCallError } from '@cyclamenusher/protocol'
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
 import { LOAN_STREAM, RENEWAL_STREAM } from './fleetStreams.js'
+import { createWatchedCaller } from './watchedCaller.js'
 import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, NamedInstance, PrimaryAssignment, KnownServer, LoanReport, RenewGrant, RenewReply, RenewRequest, SharedGrant } from '@cyclamenusher/decisions'
-import type { StreamCaller } from '@cyclamenusher/protocol'
 import type { Address } from '../address.js'
 import type { Clock } from '../clock.js'
 import type { Peers } from '../peers.js'
 import type { ScopedLogger } from '../logger.js'
+import type { WatchedCaller } from './watchedCaller.js'
 
 /** How long a renewal may take beyond its hold time, in milliseconds: several round trips between regions. */
 const RENEWAL_MARGIN_MILLISECONDS = 300
-/** Timeouts in a row after which the connection to a control instance is replaced: it may have gone silent. A new connection costs an overloaded leader more than a late answer. */
+/** Timeouts in a row after which the connection to a control instance is replaced, although it answers pings or knows none: it may have gone silent. A new connection costs an overloaded leader more than a late answer. */
 const TIMEOUTS_BEFORE_RECONNECT = 3
 /** Timeouts in a row after which the margin of a renewal doubles with each further one: an overloaded leader is slow, and every renewal that is given up adds to its load. */
 const TIMEOUTS_BEFORE_LONGER_MARGIN = 2
@@ -95,8 +96,8 @@
 
 /** Calls to one instance. */
 interface InstanceCalls {
-  renewals: StreamCaller<RenewRequest, RenewReply>
-  loans: StreamCaller<BorrowRequest, BorrowReply>
+  renewals: WatchedCaller<RenewRequest, RenewReply>
+  loans: WatchedCaller<BorrowRequest, BorrowReply>
   reconnect: () => void
 }
 
@@ -109,6 +110,10 @@
   const links = new Map<string, InstanceCalls>()
   let controlAddresses: Address[] = []
   let leader: Address | undefined
+  /** Control instance that has begun to answer, again or on another connection, since the last grant. */
+  let answering: Address | undefined
+  /** Control instance that is asked. */
+  let asked: Address | undefined
   let rotation = Math.floor(Math.random() * 1_000)
   let warmed = Math.floor(Math.random() * 1_000)
   let applied = { term: 0, change: 0 }
@@ -159,15 +164,34 @@
     const existing = links.get(key)
     if (existing !== undefined) return existing
     const link = peers.link({ host, port })
-    const calls: InstanceCalls = { renewals: createStreamCaller(link, RENEWAL_STREAM), loans: createStreamCaller(link, LOAN_STREAM), reconnect: link.reconnect }
+    const watch = { link, clock, callers: () => entryCount, onReplaced: () => { logger.warn('A connection went silent, and another one is used.', { address: key }) } }
+    const calls: InstanceCalls = {
+      renewals: createWatchedCaller({ ...watch, name: RENEWAL_STREAM, onAnswering: () => { noteAnswering({ host, port }) } }),
+      loans: createWatchedCaller({ ...watch, name: LOAN_STREAM, onAnswering: () => {} }),
+      reconnect: link.reconnect
+    }
     links.set(key, calls)
     return calls
   }
 
-  /** The leader if it is known, otherwise each control instance in turn. */
+  /** Asks the control instance that answers now, in place of one that does not. */
+  function noteAnswering (address: Address): void {
+    timeouts.delete(`${address.host}:${address.port}`)
+    answering = address
+    if (asked !== undefined && !ensureLink(asked).renewals.isAnswering()) currentRenewal?.abort()
+  }
+
+  function listControlInstances (): Address[] {
+    return [...new Map([...controlAddresses, ...seeds()].map(address => [`${address.host}:${address.port}`, address])).values()]
+  }
+
+  /** The leader if it is known, otherwise the one that has begun to answer or each control instance in turn. */
   function nextTarget (): Address | undefined {
-    if (leader !== undefined) return leader
-    const candidates = [...new Map([...controlAddresses, ...seeds()].map(address => [`${address.host}:${address.port}`, address])).values()]
+    const found = answering
+    answering = undefined
+    if (leader !== undefined && (found === undefined || ensureLink(leader).renewals.isAnswering())) return leader
+    if (found !== undefined) return found
+    const candidates = listControlInstances()
     rotation += 1
     return candidates[rotation % Math.max(1, candidates.length)]
   }
@@ -182,7 +206,7 @@
       ...(options.lendsAt === undefined ? {} : { lendsAt: options.lendsAt }),
       ...options.report(),
       // A control instance that may not be the leader must reply at once.
-      holdMilliseconds: reportRequested || leader === undefined || !isLeased() ? 0 : RENEWAL_HOLD_MILLISECONDS,
+      holdMilliseconds: reportRequested || leader === undefined || timeouts.has(`${host}:${port}`) || !isLeased() ? 0 : RENEWAL_HOLD_MILLISECONDS,
       // Another leader receives the servers and shares that this instance knows.
       ...(grantedBy === `${host}:${port}` ? {} : { servers: listRecentServers(), parts: shares, loans: reportLoans() })
     }
@@ -262,7 +286,10 @@
     const timedOut = error instanceof StreamCallError && error.failure === 'timeout'
     const inRow = timedOut ? (timeouts.get(key) ?? 0) + 1 : 0
     timeouts.set(key, inRow)
-    if (!timedOut || inRow % TIMEOUTS_BEFORE_RECONNECT === 0) links.get(key)?.reconnect()
+    const link = links.get(key)
+    const isReplacedAnyway = link?.renewals.isWatched() === true && !link.renewals.isAnswering()
+    if (!isReplacedAnyway && (!timedOut || inRow % TIMEOUTS_BEFORE_RECONNECT === 0)) link?.reconnect()
+    for (const address of listControlInstances()) ensureLink(address).renewals.search()
   }
 
   /**
@@ -284,6 +311,7 @@
     reportRequested = false
     const sentAt = clock.now()
     currentRenewal = new AbortController()
+    asked = target
     try {
       const reply = await link.renewals.call(request, request.holdMilliseconds + renewalMargin(key), currentRenewal.signal)
       timeouts.delete(key)
@@ -390,7 +418,11 @@
       closed = true
       clearTimeout(timer)
       currentRenewal?.abort()
-      for (const link of links.values()) link.reconnect()
+      for (const { renewals, loans, reconnect } of links.values()) {
+        renewals.close()
+        loans.close()
+        reconnect()
+      }
     }
   }
 }
--- a/packages/protocol/src/node/messageStream.ts
+++ b/packages/protocol/src/node/messageStream.ts
@@ -5,6 +5,8 @@
  * and nothing else.
  */
 
+import { Socket } from 'node:net'
+import { TLSSocket } from 'node:tls'
 import type { Duplex } from 'node:stream'
 
 /** Largest message of a stream, in bytes: a declaration is the largest. */
@@ -24,7 +26,8 @@
 export interface MessageStream {
   /** Sends a message; without effect once the stream has ended. */
   send: (body: Uint8Array) => void
-  close: (reason: string) => void
+  /** Ends the stream. `discarded` bytes that have not left yet are not delivered later by the kernel; over TLS and on HTTP/2 they may be. @default 'kept' */
+  close: (reason: string, unsent?: 'kept' | 'discarded') => void
   isOpen: () => boolean
 }
 
@@ -71,10 +74,11 @@
   const read = createMessageReader()
   let open = true
 
-  function close (reason: string): void {
+  function close (reason: string, unsent: 'kept' | 'discarded' = 'kept'): void {
     if (!open) return
     open = false
-    stream.destroy()
+    if (unsent === 'discarded' && stream instanceof Socket && !(stream instanceof TLSSocket)) stream.resetAndDestroy()
+    else stream.destroy()
     handlers.closed(reason)
   }
 
--- a/packages/protocol/src/node/streamCalls.ts
+++ b/packages/protocol/src/node/streamCalls.ts
@@ -32,6 +32,12 @@
 type CallMessage = { number: number, request: unknown } | { number: number, cancel: true }
 interface ReplyMessage { number: number, reply: unknown }
 
+/** Number of the messages that belong to no call: pings, and their answers. */
+const NO_CALL = 0
+/** An instance of the build before takes it for the cancellation of an unknown call, and leaves it out. */
+const PING = encodeJson({ number: NO_CALL, cancel: true } satisfies CallMessage)
+const PING_ANSWER = encodeJson({ number: NO_CALL, reply: null } satisfies ReplyMessage)
+
 /** A reply that is JSON text already, where the same text goes to many callers. */
 export class EncodedReply {
   constructor (readonly json: string) {}
@@ -58,26 +64,43 @@
   call: (request: Request, timeoutMilliseconds: number, signal?: AbortSignal) => Promise<Reply>
   /** Opens the stream, unless it is open, so that a later call need not wait for it. */
   warm: () => void
+  /** Asks the other end for a sign of life, as each stream does when it opens. */
+  ping: () => void
   close: () => void
 }
 
+export interface StreamCallerEvents {
+  /** The stream is opened. */
+  opening?: () => void
+  open?: () => void
+  /** The stream has ended, or could not be opened. */
+  ended?: () => void
+  /** The other end has answered a ping. */
+  alive?: () => void
+  /** The other end has replied to a call. */
+  replied?: () => void
+}
+
 interface OutstandingCall {
   resolve: (reply: unknown) => void
   reject: (error: StreamCallError) => void
 }
 
 /** Makes calls on one stream of the link, which is opened on demand and again after it has ended. */
-export function createStreamCaller<Request, Reply> (link: Pick<PeerLink<DescService>, 'openStream'>, name: string): StreamCaller<Request, Reply> {
+export function createStreamCaller<Request, Reply> (link: Pick<PeerLink<DescService>, 'openStream'>, name: string, events: StreamCallerEvents = {}): StreamCaller<Request, Reply> {
   let stream: MessageStream | undefined
   let opening: Promise<MessageStream> | undefined
-  let lastNumber = 0
+  let lastNumber = NO_CALL
+  let closed = false
   const outstanding = new Map<number, OutstandingCall>()
 
   function receive (body: Buffer): void {
     const { number, reply } = decodeNumbered(body)
+    if (number === NO_CALL) return events.alive?.()
     const call = outstanding.get(number)
     outstanding.delete(number)
     call?.resolve(reply)
+    events.replied?.()
   }
 
   function attach (opened: MessageStream): MessageStreamHandlers {
@@ -87,15 +110,30 @@
         if (stream === opened) stream = undefined
         for (const { reject } of outstanding.values()) reject(new StreamCallError('lost', reason))
         outstanding.clear()
+        events.ended?.()
       }
     }
   }
 
+  async function openStream (): Promise<MessageStream> {
+    events.opening?.()
+    try {
+      const opened = await link.openStream(name, attach)
+      stream = opened
+      if (closed) opened.close('the caller has closed the stream')
+      opened.send(PING)
+      if (opened.isOpen()) events.open?.()
+      return opened
+    } catch (error) {
+      events.ended?.()
+      throw error
+    }
+  }
+
   async function open (): Promise<MessageStream> {
     if (stream?.isOpen() === true) return stream
-    opening ??= link.openStream(name, attach).finally(() => { opening = undefined })
-    stream = await opening
-    return stream
+    opening ??= openStream().finally(() => { opening = undefined })
+    return await opening
   }
 
   return {
@@ -131,7 +169,11 @@
       open().then(send, (error: Error) => { fail('not sent', error.message) })
     }),
     warm: () => { open().catch(() => {}) },
-    close: () => { stream?.close('the caller has closed the stream') }
+    ping: () => { stream?.send(PING) },
+    close: () => {
+      closed = true
+      stream?.close('the caller has closed the stream', 'discarded')
+    }
   }
 }
 
@@ -153,6 +195,7 @@
     return {
       message: body => {
         const message = decodeNumbered(body) as CallMessage
+        if (message.number === NO_CALL) return stream.send(PING_ANSWER)
         if ('cancel' in message) return running.get(message.number)?.abort()
         run(message.number, message.request).catch((error: Error) => {
           onRefused(error.message)
