fix(fleet): a call to the leader that timed out no longer ends those on the next connection

What callers saw: a declaration or announcement at a control instance that follows was answered as unknown, up to 800 ms after the connection to the leader had been replaced.

Cause: each forwarded call that timed out closed the link's present connection, also when it had been made on the one before. After a cut the calls of the last 800 ms run out one after another, and each ended the calls in progress on the new connection.

A call now closes the connection only if it has not been replaced since the call was made. The test, ten announcements 70 ms apart on a silent connection and then a declaration that takes 300 ms, gave 'unknown' before and 'held' after.

Unchanged: the first calls on a silent connection cost 800 ms each and are answered as unknown.

--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -68,6 +68,13 @@
   logger: ScopedLogger
 }
 
+interface LeaderLink {
+  address: string
+  link: PeerLink<typeof FleetService>
+  /** Number of connections that were given up. */
+  replaced: number
+}
+
 /** Builds the reply that instances of the build before understand. They borrow from control. */
 function flattenGrant (reply: RenewReply): unknown {
   if (reply.kind !== 'granted') return reply
@@ -83,7 +90,7 @@
   let activeTerm: { term: number, leadership: Leadership } | undefined
   const waitingForLeader = createHeldRequests()
   const readRenewal = createRenewalReader(logger)
-  let cachedLink: { address: string, link: PeerLink<typeof FleetService> } | undefined
+  let cachedLink: LeaderLink | undefined
 
   function adoptState (next: FleetState): void {
     const changed = next.document?.version !== state.document?.version
@@ -151,24 +158,30 @@
     if (knowsLeader()) waitingForLeader.release()
   }, LEADERSHIP_CHECK_INTERVAL_MILLISECONDS)
 
-  function getLeaderLink (): PeerLink<typeof FleetService> | undefined {
+  function getLeaderLink (): LeaderLink | undefined {
     const leader = log?.leader()
     if (leader === undefined || log?.isLeader() === true) return undefined
     const address = `${leader.host}:${leader.port}`
-    if (cachedLink?.address !== address) cachedLink = { address, link: createPeerLink(FleetService, leader.host, leader.port, credentials) }
-    return cachedLink.link
+    if (cachedLink?.address !== address) cachedLink = { address, link: createPeerLink(FleetService, leader.host, leader.port, credentials), replaced: 0 }
+    return cachedLink
   }
 
   /** Calls the leader. Resolves with undefined if no leader is known, or if the call fails. */
   async function callLeader<Answer> (operation: string, call: (link: PeerLink<typeof FleetService>) => Promise<{ body: Uint8Array }>): Promise<Answer | undefined> {
     const leaderLink = getLeaderLink()
     if (leaderLink === undefined) return undefined
+    const { replaced } = leaderLink
     try {
-      const { body } = await call(leaderLink)
+      const { body } = await call(leaderLink.link)
       return decodeBody<Answer>(body)
     } catch (error) {
       logger.warn('The leader did not answer.', { what: operation, reason: (error as Error).message })
-      if (error instanceof ConnectError && error.code === Code.DeadlineExceeded) leaderLink.reconnect()
+      // Calls that were made before the connection was replaced say nothing of the next one.
+      const isSilent = error instanceof ConnectError && error.code === Code.DeadlineExceeded && leaderLink.replaced === replaced
+      if (isSilent) {
+        leaderLink.replaced += 1
+        leaderLink.link.reconnect()
+      }
       return undefined
     }
   }
