test(process): a port that was chosen for an instance is taken by another process

Tests of several instances choose free ports first, as the instances must know each other's addresses, and listen on them a moment later. On a busy machine another process got one in between: the file hung, with "listen EADDRINUSE" at one test, or with no test reported where it was the first. Seen twice in 60 runs of fullDisks.test.ts and of the folder around it, beside other tests.

Traced by taking a chosen port on purpose: both outputs are the same as those seen. Ports are chosen at a loopback address of the test's own process now, which no other one listens on.

--- a/packages/cyclamenusherd/src/node/process/control/__tests__/controlInstances.ts
+++ b/packages/cyclamenusherd/src/node/process/control/__tests__/controlInstances.ts
@@ -1,7 +1,6 @@
 /** Runs control instances in this process, over loopback, with data folders that tests can delete. */
 
 import { mkdtempSync, rmSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { listenForCalls } from '@cyclamenusher/protocol'
@@ -9,6 +8,7 @@
 import { openConsensusLog } from '../consensusLog.js'
 import { createControlService } from '../controlService.js'
 import { SYSTEM_DISK } from '../logStorage.js'
+import { PROCESS_HOST, findFreePort } from './loopback.js'
 import type { ConfigurationCommand, SubmitOutcome } from '@cyclamenusher/decisions'
 import type { CallServer } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../../logger.js'
@@ -16,7 +16,7 @@
 import type { ControlService } from '../controlService.js'
 import type { Disk } from '../logStorage.js'
 
-const HOST = '127.0.0.1'
+const HOST = PROCESS_HOST
 export const CREDENTIALS = { secret: 'a secret of the tests' }
 /** Only bounds a test that would hang otherwise. */
 const WAIT_TIMEOUT_MILLISECONDS = 15_000
@@ -66,15 +66,6 @@
   return `accounts.clinic = { rate = ${rate}, burst = 4 } # asked for by a test\n`
 }
 
-async function findFreePort (): Promise<number> {
-  return await new Promise(resolve => {
-    const server = createServer().listen(0, HOST, () => {
-      const address = server.address()
-      server.close(() => { resolve(typeof address === 'object' && address !== null ? address.port : 0) })
-    })
-  })
-}
-
 export async function waitUntil (description: string, condition: () => boolean | Promise<boolean>): Promise<void> {
   const deadline = Date.now() + WAIT_TIMEOUT_MILLISECONDS
   while (!await condition()) {
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
@@ -1,7 +1,6 @@
 /** Runs the control instances and entry links of a fleet in this process over loopback, with simulated backend servers. */
 
 import { mkdtempSync, rmSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { NO_TOLERANCE } from '@cyclamenusher/decisions'
@@ -11,6 +10,7 @@
 import { createFleetControl } from '../fleetControl.js'
 import { createFleetLink } from '../fleetLink.js'
 import { createPeers } from '../../peers.js'
+import { PROCESS_HOST, findFreePort } from '../../control/__tests__/loopback.js'
 import type { Declaration, KnownServer, RenewRequest, ServerAnnouncement, ServerStatus } from '@cyclamenusher/decisions'
 import type { CallServer } from '@cyclamenusher/protocol'
 import type { Disk } from '../../control/logStorage.js'
@@ -21,7 +21,7 @@
 import type { FleetLink } from '../fleetLink.js'
 import type { PromotionOrder } from '../ports.js'
 
-export const HOST = '127.0.0.1'
+export const HOST = PROCESS_HOST
 export const CREDENTIALS = { secret: 'a secret of the tests' }
 /** Only bounds a test that would hang otherwise. */
 const WAIT_TIMEOUT_MILLISECONDS = 20_000
@@ -42,15 +42,6 @@
   }
 }
 
-async function findFreePort (): Promise<number> {
-  return await new Promise(resolve => {
-    const server = createServer().listen(0, HOST, () => {
-      const address = server.address()
-      server.close(() => { resolve(typeof address === 'object' && address !== null ? address.port : 0) })
-    })
-  })
-}
-
 export function createAnnouncement (member: string, changes: Partial<ServerAnnouncement> = {}): ServerAnnouncement {
   return { member, group: 'g', host: HOST, port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'replica', bornAt: 1, sequence: 1, ...changes }
 }
