fix(consensus): a new leader has a lease before it has applied its predecessor's commands

What callers see: reads and writes at a primary that was replaced, under valid leases.

Cause: a follower that lacks entries refuses the first append of a new leader. That refusal confirms the leader's round, and so its lease, while nothing of its own term, and so nothing more of its predecessor's, is committed. Grants wait for a confirmed state, the tasks of the groups and the directory of servers don't.

A leader's confirmation starts now once it has applied the first entry of its own term, so that whoever asks for the lease finds all that was accepted. With followers that are up to date this is the same moment.

--- a/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
+++ b/packages/cyclamenusherd/src/node/process/control/consensusLog.ts
@@ -63,7 +63,7 @@
   leader: () => LogMember | undefined
   /** Whether this instance was elected; another member may have been elected since. */
   isLeader: () => boolean
-  /** Whether this instance leads, and no other member can: a majority confirmed its leadership recently, and the process was not suspended since. */
+  /** Whether this instance leads with all that earlier leaders accepted, and no other member can: a majority confirmed its leadership recently, and the process was not suspended since. */
   hasLeaderLease: () => boolean
   /** Gives up leadership, so that another member is elected. */
   resign: () => void
--- a/packages/decisions/src/node/consensus/__tests__/consensus.test.ts
+++ b/packages/decisions/src/node/consensus/__tests__/consensus.test.ts
@@ -71,6 +71,24 @@
   assert.ok(accepted > SEEDS.length * 20, `only ${accepted} commands were accepted: too few for a meaningful check`)
 })
 
+// A new leader published the primary that its predecessor had replaced, and went on with it.
+test('a leader has a lease before it has applied the commands of its predecessor', () => {
+  for (const seed of SEEDS) {
+    const network = createNetwork(seed, THREE_MEMBERS, NO_FAULTS)
+    const leader = waitForLeader(network)
+    proposeUntilAccepted(network, 'before')
+    const [behind, next] = THREE_MEMBERS.filter(identity => identity !== leader)
+    network.cut(leader, behind)
+    network.propose(leader, 'last')
+    network.run(20)
+    network.stop(leader)
+    network.heal()
+    network.run(3_000)
+    assert.is(network.leader(), next, `seed ${seed}`)
+    assert.ok(holdsAll(network, next), `seed ${seed}`)
+  }
+})
+
 test('members that all restart elect a leader well before an election timeout', () => {
   for (const seed of SEEDS) {
     const network = createNetwork(seed, THREE_MEMBERS, NO_FAULTS)
--- a/packages/decisions/src/node/consensus/__tests__/network.ts
+++ b/packages/decisions/src/node/consensus/__tests__/network.ts
@@ -183,10 +183,13 @@
     }
   }
 
-  /** A leader's lease lasts for an election timeout from its last confirmed round; no other member may lead until then. */
+  /** A leader's lease lasts for an election timeout from its last confirmed round; no other member may lead until then, and it holds all that was accepted. */
   function checkLeases (): void {
     const leaders = [...nodes.values()].filter(({ running, state }) => running && state.role === 'leader' && now < leadershipConfirmedSince(state) + LIMITS.electionTimeoutMilliseconds)
     if (leaders.length > 1) throw new InvariantViolation(`${leaders.map(({ state }) => state.self).join(' and ')} lead at the same time`)
+    for (const { state, commands } of leaders) {
+      if (commands.length < acceptedLength) throw new InvariantViolation(`${state.self} has a lease with ${commands.length} commands, when ${acceptedLength} were accepted`)
+    }
   }
 
   function request (identity: string, createEvent: (request: number) => ConsensusEvent): number {
--- a/packages/decisions/src/node/consensus/replication.ts
+++ b/packages/decisions/src/node/consensus/replication.ts
@@ -95,11 +95,12 @@
 
 /**
  * Start time of the latest round that a majority has answered, in milliseconds;
- * -Infinity if there is none. No other member can lead until an election timeout
- * after it.
+ * -Infinity if there is none, and until the leader has applied what its predecessors
+ * committed: a majority may answer the first round before it holds the log. No other
+ * member can lead until an election timeout after it.
  */
 export function leadershipConfirmedSince (state: ConsensusState): number {
-  if (state.role !== 'leader') return -Infinity
+  if (state.role !== 'leader' || state.appliedIndex < state.termStartIndex) return -Infinity
   const confirmed = confirmedRound(state)
   return state.roundStarts.findLast(({ round }) => round <= confirmed)?.at ?? -Infinity
 }
