fix(fleet): a declaration counts as current after control has named a newer one

What callers see: an instance that had been told of a newer declaration, without receiving it yet, went on to refuse databases and keys for good by the older one for up to 1.5 s, and what it admitted was not decided again by holders that had the newer one. The metric of the newest version stayed where it was, so that its alert could not fire. The bound for a change was kept.

Cause: only the time of the last confirmation was asked, not whether a newer version has been named since; listeners were told of changes of the log, a document or the lease only.

--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -274,8 +274,9 @@
     controlAddresses = shared.control.length > 0 ? shared.control : controlAddresses
     entryCount = shared.entries
     leaseStartedAt = Math.max(leaseStartedAt, sentAt)
+    const { newest: named } = trust
     trust = recordNewestVersion(trust, { held: declarationIndex?.version ?? -1, named: shared.newest, sentAt })
-    if (changed || !wasLeased) emitter.emit('change')
+    if (changed || !wasLeased || trust.newest !== named) emitter.emit('change')
     if (!wasLeased) logger.info('The lease is held.', { term: shared.term, change: shared.change, version: declarationIndex?.version, newest: trust.newest, lostFor: leaseLostAt === undefined ? undefined : Math.round(clock.now() - leaseLostAt), failed: [...failedRenewals].map(([reason, count]) => `${count} ${reason}`).join(', ') })
     failedRenewals = new Map()
     wasLeased = true
@@ -423,7 +424,7 @@
     borrow,
     entryCount: () => entryCount,
     newestVersion: () => trust.newest,
-    isDeclarationCurrent: () => isLeased() && clock.now() < trustedUntil(trust, Math.min(LEASE_MILLISECONDS, declarationTrustMilliseconds), suspension.resumedAt()),
+    isDeclarationCurrent: () => isLeased() && (declarationIndex?.version ?? -1) >= trust.newest && clock.now() < trustedUntil(trust, Math.min(LEASE_MILLISECONDS, declarationTrustMilliseconds), suspension.resumedAt()),
     isDeclarationTrusted: () => clock.now() < trustedUntil(trust, declarationTrustMilliseconds, suspension.resumedAt()),
     reportNow: () => {
       if (reportRequested) return
