fix(engine): a transaction is refused for as long as its first holder has no lease

What callers saw: while the first holder of an account had lost control, each transaction of the account was refused as busy, at connected instances as well; single reads and writes were served by the next holder. Since holders without a word from control decide for nobody, read-only transactions on routes with a stated age were concerned too, where the caller's instance was cut off.

Cause: the reply to the first statement was taken over without asking whether another holder could begin the transaction, and the refusal was not noted, so that the next one went there again. Nothing has run then: the refused begin is rolled back, the holder passed over, and the transaction begun at the next one. A holder that has a lease and can't vouch for its declaration says so as well.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -36,7 +36,7 @@
 const MAXIMUM_WARMED_AT_ONCE = 4
 
 /** Reason of refusals without a lease: no later primary can be ruled out when the answer arrives. */
-const NO_LEASE_FOR_WRITES = 'this instance has no word from control, could not acknowledge a commit,'
+const NO_LEASE_FOR_WRITES = 'this instance has no word from control and could not acknowledge a commit'
 
 /** A transaction that runs at a holder, over one stream. */
 export interface ForwardedTransaction {
@@ -166,7 +166,7 @@
   async function runWriteElsewhere (context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
     const excluded = new Set<HolderLink>()
     for (;;) {
-      if (isLeaseOverdue(link, clock)) throw new StatementFailure('busy', `${NO_LEASE_FOR_WRITES} and the write did not run: try another one`)
+      if (isLeaseOverdue(link, clock)) throw new StatementFailure('busy', `${NO_LEASE_FOR_WRITES}; the write did not run: try another one`)
       const holder = chooseHolder(operation, excluded)
       if (holder === undefined) return await local.run(context, operation, 'write')
       const outcome = await send(holder, context, operation, 'write')
@@ -218,8 +218,8 @@
     }
   }
 
-  async function openTransaction (context: StatementContext, transaction: Transaction): Promise<ForwardedTransaction | undefined> {
-    const excluded = new Set<HolderLink>()
+  /** Opens the transaction at a holder that is not excluded, and excludes that one; undefined: this instance runs it. */
+  async function openTransaction (context: StatementContext, transaction: Transaction, excluded: Set<HolderLink>): Promise<ForwardedTransaction | undefined> {
     for (let holder = chooseHolder(transaction, excluded); holder !== undefined; holder = chooseHolder(transaction, excluded)) {
       excluded.add(holder)
       const stream = await holder.open()
@@ -246,17 +246,40 @@
     if (!isLeaseOverdue(link, clock)) return
     if (session.transaction !== undefined) session.state = 'failed transaction'
     rollBack(transaction)
-    throw new StatementFailure('aborted', `${NO_LEASE_FOR_WRITES} and the transaction was rolled back`)
+    throw new StatementFailure('aborted', `${NO_LEASE_FOR_WRITES}; the transaction was rolled back`)
   }
 
   async function continueTransaction (context: StatementContext, transaction: Transaction, isWrite: boolean): Promise<StatementResult> {
     const { session } = context
-    const forwarded = await transaction.forwarded
-    if (forwarded === undefined) return await local.continue(context, transaction, isWrite)
-    requireNotEnded(session, transaction)
-    if (isWrite) requireLeaseForWrites(session, transaction)
+    const excluded = new Set<HolderLink>()
+    let forwarded = await transaction.forwarded
+    for (;;) {
+      if (forwarded === undefined) return await local.continue(context, transaction, isWrite)
+      requireNotEnded(session, transaction)
+      if (isWrite) requireLeaseForWrites(session, transaction)
+      const outcome = await sendInTransaction(context, forwarded, isWrite)
+      const reason = transaction.hasRun === true ? undefined : findReasonToTryAnother(outcome)
+      if (reason === undefined || clock.now() >= context.deadline) return adoptTransactionOutcome(context, transaction, outcome, isWrite)
+      // The holder has not begun the transaction.
+      rollBack(transaction)
+      forwarded.link.recordRefusal()
+      logRetry(context, reason)
+      excluded.add(forwarded.link)
+      transaction.forwarded = openTransaction(context, transaction, excluded)
+      forwarded = await transaction.forwarded
+    }
+  }
+
+  async function sendInTransaction (context: StatementContext, forwarded: ForwardedTransaction, isWrite: boolean): Promise<ForwardOutcome> {
     const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'continue', number, transaction: forwarded.number, isWrite, statement: buildStatement(context) }), context.deadline + REPLY_GRACE_MILLISECONDS, { endsWithStream: true })
     recordHolder(context, forwarded.link, outcome)
+    return outcome
+  }
+
+  /** @throws StatementFailure */
+  function adoptTransactionOutcome (context: StatementContext, transaction: Transaction, outcome: ForwardOutcome, isWrite: boolean): StatementResult {
+    const { session } = context
+    transaction.hasRun = true
     if (outcome.kind !== 'reply') {
       // Without its commit, which is not sent any more, the transaction keeps nothing.
       session.state = 'failed transaction'
@@ -320,7 +343,7 @@
     run: async (context, operation, access) => access === 'read' ? await runReadElsewhere(context, operation) : await runWriteElsewhere(context, operation),
     begin: (context, transaction) => {
       if (chooseHolder(transaction, new Set()) === undefined) return local.begin(context, transaction)
-      transaction.forwarded = openTransaction(context, transaction)
+      transaction.forwarded = openTransaction(context, transaction, new Set())
     },
     continue: continueTransaction,
     commit: commitTransaction,
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -109,7 +109,7 @@
       services.log.logDecision('A statement met a defect of the instance.', { id, reason: message, stack: stack ?? '' })
       return { kind: 'failure', number, failure: 'in doubt', explanation: `the instance failed: ${message}`, state: session.state, canServe: true, version }
     }
-    return { kind: 'failure', number, failure: error.kind, explanation: error.message, state: session.state, canServe: services.link.isLeased(), version }
+    return { kind: 'failure', number, failure: error.kind, explanation: error.message, state: session.state, canServe: services.link.isLeased() && services.link.isDeclarationTrusted(), version }
   }
 
   /** Runs a statement and sends the reply. */
--- a/packages/cyclamenusherd/src/node/engine/session.ts
+++ b/packages/cyclamenusherd/src/node/engine/session.ts
@@ -35,6 +35,8 @@
   /** Settles when the attempt to begin the transaction in the background has succeeded or failed. */
   beginning?: Promise<void>
   wrote: boolean
+  /** Whether its holder has run a statement of it, or may have. */
+  hasRun?: boolean
   /** The transaction at the holder that runs it; undefined, or resolved with undefined: this instance runs it. */
   forwarded?: Promise<ForwardedTransaction | undefined>
   /** Why the instance ended the transaction while its caller was idle; undefined: it did not. */
