fix(fleet): a very short time for changes makes every operation busy

An operator's bound for changes below the interval of renewals (ConfigApplyMs of 0 to some 450 ms) would leave no moment in which an instance knows its declaration to be the newest, and all operations would be refused. The trust is a second at least; a shorter bound can't be kept by renewals that are held for 400 ms, as before. No test of its own.

--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -37,6 +37,8 @@
 const RENEWAL_OVERDUE_MILLISECONDS = 1_000
 /** Minimum interval between two checks whether the lease has expired, in milliseconds. */
 const LEASE_CHECK_INTERVAL_MILLISECONDS = 100
+/** Shortest time for which a declaration is trusted, in milliseconds: a renewal takes its hold time and a round trip. */
+const MINIMUM_TRUST_MILLISECONDS = 1_000
 /** Age up to which a server's state is reported to a new leader, in milliseconds: several times the interval at which a leader writes changed servers to the log. */
 const RECENT_SERVERS_MILLISECONDS = 10_000
 /** Mean delay after a failed renewal, in milliseconds; drawn at random, so that instances that failed together don't return together. */
@@ -52,7 +54,7 @@
   report: () => Pick<RenewRequest, 'demand' | 'sightings' | 'busy' | 'holds'>
   /** Where other entry instances borrow from this one; undefined if it does not lend. */
   lendsAt?: Address
-  /** How long operations may run by a declaration after it was known to be the newest, in milliseconds. @default DECLARATION_TRUST_MILLISECONDS */
+  /** How long operations may run by a declaration after it was known to be the newest, in milliseconds. Not shorter than a second. @default DECLARATION_TRUST_MILLISECONDS */
   declarationTrustMilliseconds?: number
   peers: Peers
   clock: Clock
@@ -113,7 +115,7 @@
   const { name, failureDomain, seeds, peers, clock, logger } = options
   const incarnation = randomUUID()
   const suspension = createSuspensionWatch(clock)
-  const { declarationTrustMilliseconds = DECLARATION_TRUST_MILLISECONDS } = options
+  const trustMilliseconds = Math.max(MINIMUM_TRUST_MILLISECONDS, options.declarationTrustMilliseconds ?? DECLARATION_TRUST_MILLISECONDS)
   const emitter = new EventEmitter()
   emitter.setMaxListeners(0)
   const links = new Map<string, InstanceCalls>()
@@ -424,8 +426,8 @@
     borrow,
     entryCount: () => entryCount,
     newestVersion: () => trust.newest,
-    isDeclarationCurrent: () => isLeased() && (declarationIndex?.version ?? -1) >= trust.newest && clock.now() < trustedUntil(trust, Math.min(LEASE_MILLISECONDS, declarationTrustMilliseconds), suspension.resumedAt()),
-    isDeclarationTrusted: () => clock.now() < trustedUntil(trust, declarationTrustMilliseconds, suspension.resumedAt()),
+    isDeclarationCurrent: () => isLeased() && (declarationIndex?.version ?? -1) >= trust.newest && clock.now() < trustedUntil(trust, Math.min(LEASE_MILLISECONDS, trustMilliseconds), suspension.resumedAt()),
+    isDeclarationTrusted: () => clock.now() < trustedUntil(trust, trustMilliseconds, suspension.resumedAt()),
     reportNow: () => {
       if (reportRequested) return
       reportRequested = true
