test(stand-ins): links repeat held bytes and connections as a kernel does

With the option retransmits, held bytes go on 0.2, 0.6, 1.4, 3, 6.2 s after the first of them, and a connection that was asked for while the link was held after 1, 3, 7, 15 s, as a kernel would send them again, and not at once when the link passes. The preloaded module takes a map of hosts, for deployments with more than one address; the seeded random numbers move here from prove, which others need too.

--- a/packages/prove/src/node/callers/session.ts
+++ b/packages/prove/src/node/callers/session.ts
@@ -2,7 +2,7 @@
 
 import pg from 'pg'
 import type { Call, History, Operation, OperationResult, Outcome } from '../history.js'
-import type { RandomSource } from '../random.js'
+import type { RandomSource } from '@cyclamenusher/stand-ins'
 
 const HOST = '127.0.0.1'
 /** Time that a connection may take to open, in milliseconds. */
--- a/packages/prove/src/node/callers/work.ts
+++ b/packages/prove/src/node/callers/work.ts
@@ -2,7 +2,7 @@
 
 import { AbandonedError, UncommittedError } from './session.js'
 import type pg from 'pg'
-import type { RandomSource } from '../random.js'
+import type { RandomSource } from '@cyclamenusher/stand-ins'
 import type { Session } from './session.js'
 
 const JOURNAL_TABLE = 'journal'
--- a/packages/prove/src/node/faults/faults.ts
+++ b/packages/prove/src/node/faults/faults.ts
@@ -2,8 +2,7 @@
 
 import { rmSync } from 'node:fs'
 import pg from 'pg'
-import type { Deployment, InstanceProcess, ServerProcess } from '@cyclamenusher/stand-ins'
-import type { RandomSource } from '../random.js'
+import type { Deployment, InstanceProcess, RandomSource, ServerProcess } from '@cyclamenusher/stand-ins'
 
 export interface FaultContext {
   deployment: Deployment
--- a/packages/prove/src/node/scenarios/answers.ts
+++ b/packages/prove/src/node/scenarios/answers.ts
@@ -9,7 +9,7 @@
 import type pg from 'pg'
 import type { Session } from '../callers/session.js'
 import type { FaultName } from '../faults/faults.js'
-import type { RandomSource } from '../random.js'
+import type { RandomSource } from '@cyclamenusher/stand-ins'
 import type { Scenario } from './scenario.js'
 
 const SESSIONS = 16
--- a/packages/prove/src/node/scenarios/data.ts
+++ b/packages/prove/src/node/scenarios/data.ts
@@ -7,7 +7,7 @@
 import { BASE_PLAN, checkMinimumWork, countOutcomes, findReceivedTexts, injectTogether, readLogs, readPrimaryLog, waitUntilSettled, withDeployment } from './scenario.js'
 import type { Worker } from '../callers/work.js'
 import type { FaultName } from '../faults/faults.js'
-import type { RandomSource } from '../random.js'
+import type { RandomSource } from '@cyclamenusher/stand-ins'
 import type { Scenario, ScenarioContext } from './scenario.js'
 
 const SESSIONS = 8
--- a/packages/prove/src/node/scenarios/departures.ts
+++ b/packages/prove/src/node/scenarios/departures.ts
@@ -7,7 +7,7 @@
 import { BASE_PLAN, checkMinimumWork, countOutcomes, readLogs, waitUntilSettled, withDeployment } from './scenario.js'
 import type { Shutdown } from '../checkers/index.js'
 import type { Session } from '../callers/session.js'
-import type { RandomSource } from '../random.js'
+import type { RandomSource } from '@cyclamenusher/stand-ins'
 import type { Scenario, ScenarioContext } from './scenario.js'
 
 const SESSIONS = 10
--- a/packages/prove/src/node/scenarios/scenario.ts
+++ b/packages/prove/src/node/scenarios/scenario.ts
@@ -1,16 +1,14 @@
 /** Shared parts of the scenarios: a deployment, a history, faults picked by seed, and the servers' logs. */
 
-import { startDeployment, waitUntil } from '@cyclamenusher/stand-ins'
+import { createRandom, startDeployment, waitUntil } from '@cyclamenusher/stand-ins'
 import { createHistory } from '../history.js'
-import { createRandom } from '../random.js'
 import { FAULTS, findPrimary, readMemberState } from '../faults/faults.js'
 import { pause } from '../callers/work.js'
-import type { Deployment, DeploymentPlan, ProgramFiles } from '@cyclamenusher/stand-ins'
+import type { Deployment, DeploymentPlan, ProgramFiles, RandomSource } from '@cyclamenusher/stand-ins'
 import type { CommittedRecord } from '../checkers/log.js'
 import type { FaultName, Heal } from '../faults/faults.js'
 import type { History, Operation, Outcome, Violation } from '../history.js'
 import type { PointName } from '../points.js'
-import type { RandomSource } from '../random.js'
 
 /** Time within which a deployment must settle after its faults have ended, in milliseconds. */
 const SETTLE_TIMEOUT_MILLISECONDS = 20_000
--- a/packages/stand-ins/src/node/fleet/fleet.ts
+++ b/packages/stand-ins/src/node/fleet/fleet.ts
@@ -26,9 +26,13 @@
 
 export type Program = keyof typeof PROGRAM_FILES
 
-/** Path of the module that redirects a process's connections to links. */
 const DIAL_THROUGH_LINKS = join(WORKSPACE_FOLDER, 'packages/stand-ins/dist/link/dialThroughLinks.js')
 
+/** Returns the flags of Node.js that redirect a process's connections from hosts to those of links. */
+export function buildLinkFlags (linkHosts: Record<string, string>): string[] {
+  return ['--import', `${pathToFileURL(DIAL_THROUGH_LINKS).href}?${new URLSearchParams(linkHosts).toString()}`]
+}
+
 export interface StartOptions {
   /** Host of the links through which the process connects to others. @default undefined - it connects directly */
   linkHost?: string
@@ -92,7 +96,7 @@
   }
 
   function start (name: string, program: Program, parameters: string[], { linkHost }: StartOptions = {}): FleetProcess {
-    const preload = linkHost === undefined ? [] : ['--import', `${pathToFileURL(DIAL_THROUGH_LINKS).href}?host=${linkHost}`]
+    const preload = linkHost === undefined ? [] : buildLinkFlags({ '127.0.0.1': linkHost, localhost: linkHost })
     if (closed) throw new Error(`cannot start ${name}: the fleet is closed`)
     const child = spawn(process.execPath, [...preload, programs[program] ?? PROGRAM_FILES[program], ...parameters], { stdio: ['ignore', 'pipe', 'pipe'] })
     let text = ''
--- a/packages/stand-ins/src/node/link/__tests__/link.test.ts
+++ b/packages/stand-ins/src/node/link/__tests__/link.test.ts
@@ -4,19 +4,19 @@
 import * as assert from 'uvu/assert'
 import { createLink } from '../link.js'
 import type { Socket } from 'node:net'
-import type { Link } from '../link.js'
+import type { Link, LinkOptions } from '../link.js'
 
 const HOST = '127.0.0.1'
 const HOLD_MILLISECONDS = 50
 
-async function withEcho (run: (link: Link, dial: () => Promise<Socket>) => Promise<void>): Promise<void> {
+async function withEcho (run: (link: Link, dial: () => Promise<Socket>) => Promise<void>, options: Pick<LinkOptions, 'retransmits'> = {}): Promise<void> {
   const echo = createServer(socket => {
     socket.on('error', () => {})
     socket.pipe(socket)
   })
   await new Promise<void>(resolve => { echo.listen(0, HOST, resolve) })
   const { port } = echo.address() as { port: number }
-  const link = await createLink({ listen: { host: HOST, port: 0 }, target: { host: HOST, port } })
+  const link = await createLink({ listen: { host: HOST, port: 0 }, target: { host: HOST, port }, ...options })
   const sockets: Socket[] = []
   try {
     await run(link, async () => {
@@ -87,4 +87,31 @@
   })
 })
 
+test('a kernel repeats held bytes only after its first wait', async () => {
+  await withEcho(async (link, dial) => {
+    const socket = await dial()
+    await exchange(socket, 'before')
+    link.setState('held')
+    const heldSince = performance.now()
+    const answer = exchange(socket, 'late')
+    await new Promise(resolve => setTimeout(resolve, HOLD_MILLISECONDS))
+    link.setState('passing')
+    assert.is(await answer, 'late')
+    assert.ok(performance.now() - heldSince >= 199)
+    assert.is(await exchange(socket, 'after'), 'after')
+  }, { retransmits: true })
+})
+
+test('a kernel repeats the request for a connection only after a second', async () => {
+  await withEcho(async (link, dial) => {
+    link.setState('held')
+    const dialledAt = performance.now()
+    const answer = exchange(await dial(), 'late')
+    await new Promise(resolve => setTimeout(resolve, HOLD_MILLISECONDS))
+    link.setState('passing')
+    assert.is(await answer, 'late')
+    assert.ok(performance.now() - dialledAt >= 999)
+  }, { retransmits: true })
+})
+
 test.run()
--- a/packages/stand-ins/src/node/link/dialThroughLinks.ts
+++ b/packages/stand-ins/src/node/link/dialThroughLinks.ts
@@ -1,19 +1,20 @@
 /**
  * Loaded into a process before its program (`node --import`). Redirects
- * connections to 127.0.0.1 to the same port of the host that this module's URL
- * gives (`?host=127.1.1.1`), where the links of the process's failure domain listen.
+ * connections to the hosts that this module's URL names, to the same port of the
+ * hosts where links listen (`?127.0.0.1=127.1.1.1&localhost=127.1.1.1`).
  */
 
 import { Socket } from 'node:net'
 
-const host = new URL(import.meta.url).searchParams.get('host') ?? ''
+const linkHosts = new URL(import.meta.url).searchParams
 
 interface ConnectOptions { host?: string, port?: number }
 
 type Connect = (this: Socket, ...parameters: unknown[]) => Socket
 
 function redirectToLinkHost (options: ConnectOptions): ConnectOptions {
-  return options.port !== undefined && (options.host === '127.0.0.1' || options.host === 'localhost') ? { ...options, host } : options
+  const host = linkHosts.get(options.host ?? '')
+  return options.port !== undefined && host !== null ? { ...options, host } : options
 }
 
 const prototype = Socket.prototype as unknown as { connect: Connect }
--- a/packages/stand-ins/src/node/link/link.ts
+++ b/packages/stand-ins/src/node/link/link.ts
@@ -24,6 +24,11 @@
 export interface LinkOptions {
   listen: LinkAddress
   target: LinkAddress
+  /**
+   * Whether held bytes and new connections go on only when a kernel would send them again, at
+   * intervals that double, and not at once when the link passes again. @default false
+   */
+  retransmits?: boolean
 }
 
 export interface Link {
@@ -45,6 +50,9 @@
 
 /** Bytes that one direction of a connection buffers before it stops reading. */
 const MAXIMUM_HELD_BYTES = 1024 * 1024
+/** First waits of a kernel before it sends unacknowledged bytes, or the request for a connection, again, in milliseconds. */
+const FIRST_RETRANSMISSION_MILLISECONDS = 200
+const FIRST_CONNECTION_RETRY_MILLISECONDS = 1_000
 
 export const BOTH_DIRECTIONS: readonly LinkDirection[] = ['forward', 'back']
 
@@ -54,25 +62,43 @@
   finish: () => void
 }
 
-/** Forwards one direction of one connection; `delay` returns milliseconds. */
-function createPipe (from: Socket, to: Socket, initialState: LinkState, delay: () => number): Pipe {
+/** Returns when a kernel next repeats what it first sent at `since`: each wait is twice the one before. */
+function nextRetry (since: number, firstWait: number): number {
+  const now = performance.now()
+  let at = since + firstWait
+  for (let wait = firstWait * 2; at <= now; wait *= 2) at += wait
+  return at
+}
+
+interface PipeOptions {
+  /** Returns milliseconds. */
+  delay: () => number
+  retransmits: boolean
+}
+
+/** Forwards one direction of one connection. */
+function createPipe (from: Socket, to: Socket, initialState: LinkState, { delay, retransmits }: PipeOptions): Pipe {
   let state = initialState
   let queue: Array<{ chunk: Buffer | undefined, dueAt: number }> = []
   let heldBytes = 0
   let timer: NodeJS.Timeout | undefined
   let ended = false
+  /** When the first byte was held that has not been delivered since. */
+  let heldSince: number | undefined
+  let notBefore = -Infinity
 
   function pump (): void {
     clearTimeout(timer)
     timer = undefined
     while (state === 'passing' && queue.length > 0) {
       const [{ chunk, dueAt }] = queue
-      const waitMilliseconds = dueAt - performance.now()
+      const waitMilliseconds = Math.max(dueAt, notBefore) - performance.now()
       if (waitMilliseconds > 0) {
         timer = setTimeout(pump, Math.max(1, Math.round(waitMilliseconds)))
         return
       }
       queue.shift()
+      heldSince = undefined
       if (chunk === undefined) {
         to.end()
         continue
@@ -88,6 +114,7 @@
     ended = chunk === undefined
     queue.push({ chunk, dueAt: performance.now() + delay() })
     heldBytes += chunk?.length ?? 0
+    if (retransmits && state === 'held') heldSince ??= performance.now()
     if (heldBytes > MAXIMUM_HELD_BYTES) from.pause()
     if (timer === undefined) pump()
   }
@@ -100,6 +127,7 @@
     setState: next => {
       if (state === 'lost') return
       state = next
+      if (heldSince !== undefined) notBefore = nextRetry(heldSince, FIRST_RETRANSMISSION_MILLISECONDS)
       if (state === 'lost') {
         queue = []
         from.resume()
@@ -110,12 +138,25 @@
 }
 
 /** Starts a link; port 0 selects a free port. */
-export async function createLink ({ listen, target }: LinkOptions): Promise<Link> {
+export async function createLink ({ listen, target, retransmits = false }: LinkOptions): Promise<Link> {
   const states: Record<LinkDirection, LinkState> = { forward: 'passing', back: 'passing' }
   const openConnections = new Set<{ clientSocket: Socket, targetSocket: Socket, pipes: Record<LinkDirection, Pipe> }>()
   let refusing = false
   let delayMilliseconds = 0
-  const delay = (): number => delayMilliseconds
+  const pipeOptions = { delay: () => delayMilliseconds, retransmits }
+  /** Connections that have not reached the target yet. */
+  const unopened = new Set<Socket>()
+
+  function connectWhenPassing (clientSocket: Socket, since: number): void {
+    unopened.delete(clientSocket)
+    if (clientSocket.destroyed) return
+    if (!retransmits || Object.values(states).every(state => state === 'passing')) {
+      openConnection(clientSocket)
+      return
+    }
+    unopened.add(clientSocket)
+    setTimeout(() => { connectWhenPassing(clientSocket, since) }, nextRetry(since, FIRST_CONNECTION_RETRY_MILLISECONDS) - performance.now()).unref()
+  }
 
   const server = createServer({ allowHalfOpen: true }, clientSocket => {
     clientSocket.on('error', () => { clientSocket.destroy() })
@@ -123,10 +164,14 @@
       clientSocket.destroy()
       return
     }
+    connectWhenPassing(clientSocket, performance.now())
+  })
+
+  function openConnection (clientSocket: Socket): void {
     clientSocket.setNoDelay(true)
     const targetSocket = connect({ host: target.host, port: target.port, allowHalfOpen: true, noDelay: true })
     targetSocket.on('error', () => { targetSocket.destroy() })
-    const pipes = { forward: createPipe(clientSocket, targetSocket, states.forward, delay), back: createPipe(targetSocket, clientSocket, states.back, delay) }
+    const pipes = { forward: createPipe(clientSocket, targetSocket, states.forward, pipeOptions), back: createPipe(targetSocket, clientSocket, states.back, pipeOptions) }
     const connection = { clientSocket, targetSocket, pipes }
     openConnections.add(connection)
     const removeIfClosed = (): void => { if (clientSocket.destroyed && targetSocket.destroyed) openConnections.delete(connection) }
@@ -138,7 +183,8 @@
       pipes.back.finish()
       removeIfClosed()
     })
-  })
+  }
+
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(listen.port, listen.host, resolve)
@@ -146,6 +192,7 @@
   const address = server.address()
 
   function closeOpenConnections (): void {
+    for (const socket of unopened) socket.destroy()
     for (const { clientSocket, targetSocket } of openConnections) {
       clientSocket.destroy()
       targetSocket.destroy()
