--- a/packages/stand-ins/src/node/link/dialThroughLinks.ts
+++ b/packages/stand-ins/src/node/link/dialThroughLinks.ts
@@ -1,7 +1,8 @@
 /**
  * Loaded into a process before its program (`node --import`). Redirects
  * connections to the hosts that this module's URL names, to the same port of the
- * hosts where links listen (`?127.0.0.1=127.1.1.1&localhost=127.1.1.1`).
+ * hosts where links listen (`?127.0.0.1=127.1.1.1&localhost=127.1.1.1`). A process
+ * that was started with a channel to its parent ends when the parent does.
  */
 
 import { Socket } from 'node:net'
@@ -31,3 +32,8 @@
   if (typeof second === 'string') return connect.call(this, redirectToLinkHost({ port: Number(first), host: second }), ...others)
   return connect.call(this, ...parameters)
 }
+
+if (process.channel !== undefined) {
+  process.once('disconnect', () => { process.exit() })
+  process.channel.unref()
+}
