--- a/packages/stand-ins/src/node/fleet/fleet.ts
+++ b/packages/stand-ins/src/node/fleet/fleet.ts
@@ -28,9 +28,9 @@
 
 const DIAL_THROUGH_LINKS = join(WORKSPACE_FOLDER, 'packages/stand-ins/dist/link/dialThroughLinks.js')
 
-/** Returns the flags of Node.js that redirect a process's connections from hosts to those of links. */
-export function buildLinkFlags (linkHosts: Record<string, string>): string[] {
-  return ['--import', `${pathToFileURL(DIAL_THROUGH_LINKS).href}?${new URLSearchParams(linkHosts).toString()}`]
+/** Returns the flags of Node.js that redirect a process's connections from hosts to those of links. `module` is the built dialThroughLinks.ts. */
+export function buildLinkFlags (linkHosts: Record<string, string>, module = DIAL_THROUGH_LINKS): string[] {
+  return ['--import', `${pathToFileURL(module).href}?${new URLSearchParams(linkHosts).toString()}`]
 }
 
 export interface StartOptions {
