test(cyclamenusher): a port that was closed is listened on by another process

The test closes its server and expects the port to refuse. The server is at a loopback address of the test's own process now.

--- a/packages/cyclamenusher/src/node/__tests__/program.test.ts
+++ b/packages/cyclamenusher/src/node/__tests__/program.test.ts
@@ -9,6 +9,9 @@
 import { runProgram } from '../program.js'
 import type { Connection } from '../connection.js'
 
+/** A loopback address of this process, so that no other one listens at a port of it that was closed. */
+const PROCESS_HOST = `127.${1 + (process.pid >> 16) % 254}.${(process.pid >> 8) % 256}.${process.pid % 256}`
+
 const folder = mkdtempSync(join(tmpdir(), 'cyclamenusher-command-'))
 const validRules = join(folder, 'good.toml')
 const invalidRules = join(folder, 'bad.toml')
@@ -63,12 +66,12 @@
   const secret = join(folder, 'secret')
   writeFileSync(secret, 'a secret of the tests')
   const server = createServer(socket => { socket.on('data', () => { socket.destroy() }) })
-  const port = await new Promise<number>(resolve => { server.listen(0, '127.0.0.1', () => { resolve((server.address() as { port: number }).port) }) })
-  const lost = await run(`apply ${validRules} --number 7 --control 127.0.0.1:${port} --secret-file ${secret}`)
+  const port = await new Promise<number>(resolve => { server.listen(0, PROCESS_HOST, () => { resolve((server.address() as { port: number }).port) }) })
+  const lost = await run(`apply ${validRules} --number 7 --control ${PROCESS_HOST}:${port} --secret-file ${secret}`)
   assert.is(lost.code, 5, lost.errors)
   assert.match(lost.errors, /Apply it again with the same number and content/)
   await new Promise(resolve => { server.close(resolve) })
-  const refused = await run(`apply ${validRules} --number 7 --control 127.0.0.1:${port} --secret-file ${secret}`)
+  const refused = await run(`apply ${validRules} --number 7 --control ${PROCESS_HOST}:${port} --secret-file ${secret}`)
   assert.is(refused.code, 1, refused.errors)
 })
 
