fix(fleet): an attempt to connect that was refused is left to the next call

While no renewal succeeds, an instance opened its streams to all control instances again each 250 ms, also where the attempt was refused. When all processes of control start again, each would have got a connection from every instance at once, while they elect a leader; before an instance opened one for each call and for each renewal. Found in reading, not seen in a run.

Now an attempt is followed by the next one only if it was not answered, which costs the other end nothing. The test in virtual time failed before: the refused attempt was repeated.

--- a/packages/cyclamenusherd/src/node/process/fleet/watchedCaller.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/watchedCaller.ts
@@ -53,7 +53,7 @@
       ended: () => {
         const isSecond = caller === second
         if (isSecond) second = undefined
-        if (isSecond || caller === current) record(now => isSecond ? recordSecondStream(watch, 'ended', now) : recordStreamEnd(watch))
+        if (isSecond || caller === current) record(now => isSecond ? recordSecondStream(watch, 'ended', now) : recordStreamEnd(watch, now))
       },
       alive: () => { hear(caller, 'alive') },
       replied: () => { hear(caller, 'reply') }
--- a/packages/decisions/src/node/fleet/__tests__/streamWatch.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/streamWatch.test.ts
@@ -80,7 +80,7 @@
         ping(connection)
         decide()
       }, () => {
-        watch = recordStreamEnd(watch)
+        watch = recordStreamEnd(watch, now)
         decide()
       })
     },
@@ -234,8 +234,15 @@
 test('nothing is tried for an instance that nobody calls', () => {
   let watch = recordStreamMessage(recordStreamOpen(NEW_STREAM_WATCH, 0, 0), 'alive', 0, 0)
   assert.is(watchStream(watch, 0, 10_000).dueAt, Infinity)
-  watch = recordStreamEnd(watch)
+  watch = recordStreamEnd(watch, 0)
   assert.equal(watchStream(watch, 0, 10_000), { watch, actions: [], dueAt: Infinity })
 })
 
+// When all processes of control started again, each got a connection from every instance at once.
+test('an attempt that was refused is repeated without a call', () => {
+  const opening = recordStreamOpening(recordStreamCall(NEW_STREAM_WATCH, 0), 0)
+  assert.equal(watchStream(recordStreamSearch(recordStreamEnd(opening, 1), 1), 0, 300).actions, [])
+  assert.equal(watchStream(recordStreamEnd(opening, 2_000), 0, 2_000).actions, ['open'])
+})
+
 test.run()
--- a/packages/decisions/src/node/fleet/streamWatch.ts
+++ b/packages/decisions/src/node/fleet/streamWatch.ts
@@ -9,6 +9,8 @@
  *   a ping is answered.
  * - A path that is cut. Connections are not established, which costs the other end
  *   nothing, so these attempts follow one another without a pause.
+ * - All processes of control start again. Attempts to connect that were refused are not
+ *   repeated here, or each of them would get a connection from every instance at once.
  */
 
 /** Time without an answer after which the other end is pinged, in milliseconds: longer than control holds a renewal. */
@@ -42,6 +44,8 @@
   pingTimeout: number
   silent: boolean
   wantedUntil: number
+  /** Whether the last attempt to connect was not answered; one that is refused is left to the next call. */
+  unanswered: boolean
   /** From when the next attempt to connect is allowed. */
   attemptFrom: number
   patience: number
@@ -57,7 +61,7 @@
   dueAt: number
 }
 
-export const NEW_STREAM_WATCH: StreamWatch = { state: 'closed', answersPings: false, confirmed: false, owedSince: Infinity, pingedAt: Infinity, pingTimeout: SILENT_AFTER_PING_MILLISECONDS, silent: false, wantedUntil: -Infinity, attemptFrom: -Infinity, patience: FIRST_PATIENCE_MILLISECONDS }
+export const NEW_STREAM_WATCH: StreamWatch = { state: 'closed', answersPings: false, confirmed: false, owedSince: Infinity, pingedAt: Infinity, pingTimeout: SILENT_AFTER_PING_MILLISECONDS, silent: false, wantedUntil: -Infinity, unanswered: false, attemptFrom: -Infinity, patience: FIRST_PATIENCE_MILLISECONDS }
 
 /** Records that a call is made. */
 export function recordStreamCall (watch: StreamWatch, now: number): StreamWatch {
@@ -79,8 +83,9 @@
   return { ...watch, state: 'open', confirmed: false, owedSince: outstanding > 0 ? now : Infinity, pingedAt: Infinity, silent: false }
 }
 
-export function recordStreamEnd (watch: StreamWatch): StreamWatch {
-  return { ...watch, state: 'closed', confirmed: false, owedSince: Infinity, pingedAt: Infinity, silent: false }
+/** Records that the present stream has ended, or could not be opened. */
+export function recordStreamEnd (watch: StreamWatch, now: number): StreamWatch {
+  return { ...watch, state: 'closed', unanswered: watch.state === 'opening' && now >= watch.attemptFrom, confirmed: false, owedSince: Infinity, pingedAt: Infinity, silent: false }
 }
 
 /** A stream that was taken for silent and answers was late. */
@@ -143,9 +148,7 @@
   }
   if (watch.state === 'opening') return { watch, actions: [], dueAt: Infinity }
   if (watch.state === 'closed') {
-    if (now >= watch.wantedUntil) return { watch, actions: [], dueAt: Infinity }
-    if (now < watch.attemptFrom) return { watch, actions: [], dueAt: watch.attemptFrom }
-    return { watch, actions: ['open'], dueAt: Infinity }
+    return { watch, actions: watch.unanswered && now < watch.wantedUntil ? ['open'] : [], dueAt: Infinity }
   }
   if (watch.silent) return watchSilent(watch, now)
   if (watch.owedSince === Infinity || !watch.answersPings) return { watch, actions: [], dueAt: Infinity }
