fix(fleet): a late answer to a ping no longer takes back the longer margin of renewals

An instance whose leader was 0.9 s late got the shortest margin for its next renewal each time a ping was answered after the stream had counted as silent. An answer to a renewal takes the margin back, as before.

--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -188,7 +188,6 @@
 
   /** Asks the control instance that answers now, in place of one that does not. */
   function noteAnswering (address: Address): void {
-    timeouts.delete(`${address.host}:${address.port}`)
     answering = address
     if (asked !== undefined && !ensureLink(asked).renewals.isAnswering()) currentRenewal?.abort()
   }
