fix(fleet): an instance that comes after the lenders were chosen is not told of them

What callers see: an entry instance that has started holds its lease and the declaration, and is never ready: it has no share of an account's rate and no lender for it, so that the balancer sends it no callers. Seen twice in about 70 starts of the soak's rig (docs/SOAK.md), for the whole 30 s that it waits.

Cause: an instance gets its first lease before a plan includes it, with the number of the newest change and without lenders. The next plan includes it; where its coming changes the lenders of no account, their number is older than what the instance says that it knows, and they are left out for good. The more instances there are, the fewer lenders a new one changes.

The first grant after the plan that includes an instance carries all lenders of its failure domain now.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -247,4 +247,30 @@
   await waitUntil('the document', () => received === 1)
 })
 
+// An instance that was granted a lease between two plans had no lender and no share, and was never ready.
+test('an instance that comes after the lenders were chosen is not told of them', async () => {
+  const { renew, advance } = startLeader()
+  advance(1_000)
+  const names = ['entry-1', 'entry-2', 'entry-3', 'entry-4']
+  const lending = (name: string): Partial<RenewRequest> => ({ holds: true, lendsAt: { host: name, port: 1 } })
+  for (const name of names) await renew(name, lending(name))
+  advance(500)
+  await waitUntil('the first plan', async () => ((await renew('entry-1', lending('entry-1')))?.shared.change ?? 0) > 0)
+  for (let number = 5; number <= 20; number += 1) {
+    const name = `entry-${number}`
+    const known = { shares: {}, lenders: {} }
+    let knows = { term: 0, change: 0 }
+    await waitUntil(`a share or a lender at ${name}`, async () => {
+      const grant = await renew(name, { ...lending(name), knows })
+      Object.assign(known.shares, grant?.parts)
+      Object.assign(known.lenders, grant?.shared.lenders)
+      knows = { term: 1, change: grant?.shared.change ?? 0 }
+      advance(50)
+      for (const other of names) await renew(other, lending(other))
+      return 'clinic' in known.shares || 'clinic' in known.lenders
+    })
+    names.push(name)
+  }
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -265,8 +265,10 @@
   /** Builds the part of a grant that instances of one failure domain with the same knowledge share; it is built, and encoded, once in a tick for all of them. */
   function buildSharedGrant ({ name, failureDomain }: RenewRequest, knownChange: number, document: SharedGrant['declaration']): SharedGrant {
     const isPlanned = leases.isPlanned(name)
+    // An instance that no plan included has received none of the lenders, whenever they were chosen.
+    const lendersKnown = leases.awaitsShares(name) ? 0 : knownChange
     const newest = state().document?.version ?? -1
-    const key = `${failureDomain} ${isPlanned} ${knownChange} ${document?.version} ${newest} ${directory.change()}`
+    const key = `${failureDomain} ${isPlanned} ${lendersKnown} ${knownChange} ${document?.version} ${newest} ${directory.change()}`
     const existing = sharedGrants.get(key)
     if (existing !== undefined) return existing
     const groupHolders = holders.changesSince(knownChange)
@@ -275,7 +277,7 @@
       change: directory.change(),
       whole: knownChange === 0,
       ...directory.changesSince(knownChange),
-      ...(isPlanned ? { lenders: leases.lendersOf(failureDomain, knownChange) } : {}),
+      ...(isPlanned ? { lenders: leases.lendersOf(failureDomain, lendersKnown) } : {}),
       ...(groupHolders === undefined ? {} : { holders: groupHolders }),
       ...(document === undefined ? {} : { declaration: document }),
       newest,
