--- a/packages/cyclamenusher/src/node/__tests__/program.test.ts
+++ b/packages/cyclamenusher/src/node/__tests__/program.test.ts
@@ -9,7 +9,7 @@
 import { runProgram } from '../program.js'
 import type { Connection } from '../connection.js'
 
-/** A loopback address of this process, so that no other one listens at a port of it that was closed. */
+/** A loopback address that no other process uses: a port that was closed there stays closed. */
 const PROCESS_HOST = `127.${1 + (process.pid >> 16) % 254}.${(process.pid >> 8) % 256}.${process.pid % 256}`
 
 const folder = mkdtempSync(join(tmpdir(), 'cyclamenusher-command-'))
