feat(control): drain a failure domain

An operator orders over the control API or FleetService that nothing more is sent to the backend servers of a failure domain. Orders are always proposed, because the state of an instance that wrongly takes itself for the leader does not show what is in force.

--- a/packages/cyclamenusherd/src/node/process/fleet/config.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/config.ts
@@ -27,6 +27,8 @@
   maximumCallers: number
   /** Time within which a declaration must be in force at every instance, in milliseconds from its acknowledgement. @default DECLARATION_TRUST_MILLISECONDS */
   declarationTrustMilliseconds?: number
+  /** Time after which no statement reaches the servers of a drained failure domain, in milliseconds from the acknowledgement of the order. Undefined: no drains are expected while control is not reached. */
+  domainDrainMilliseconds?: number
 }
 
 export interface FleetControlConfig extends FleetInstanceConfig {
@@ -40,6 +42,10 @@
   announceIntervalMilliseconds: number
   /** How long a server takes work after it has announced that it is leaving, in milliseconds. */
   drainMilliseconds: number
+  /** Time after which no statement reaches the servers of a drained failure domain, in milliseconds from the acknowledgement of the order. @default DRAIN_BOUND_MILLISECONDS */
+  domainDrainMilliseconds?: number
+  /** Failure domains that can be drained before a server has announced itself there. @default none */
+  failureDomains?: readonly string[]
   /** Address of the service that performs promotions; if undefined, no server is promoted. */
   promotion?: Address
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -5,9 +5,10 @@
 
 import { FleetService, createPeerLink } from '@cyclamenusher/protocol'
 import { Code, ConnectError } from '@connectrpc/connect'
-import { INITIAL_FLEET_STATE, applyFleetCommand, decodeFleetState, encodeFleetState } from '@cyclamenusher/decisions'
+import { INITIAL_FLEET_STATE, applyFleetCommand, decodeFleetState, encodeFleetState, isServerName } from '@cyclamenusher/decisions'
 import { decodeBody, encodeBody } from './bodies.js'
 import { createHeldRequests } from '../heldRequests.js'
+import { checkFields, isFlag } from '../messageFields.js'
 import { checkLoan, createFleetStreams } from './fleetStreams.js'
 import { startLeadership } from './leadership.js'
 import { createRenewalReader } from './renewalFields.js'
@@ -35,6 +36,24 @@
   /** The outcome is not known; the declaration must be sent again. */
   | 'unknown'
 
+/** Outcome of an order to drain or to restore a failure domain. */
+export type DrainOutcome =
+  /** The log holds the order. */
+  | 'held'
+  | 'no such failure domain'
+  /** The outcome is not known; the order must be sent again. */
+  | 'unknown'
+
+export interface DrainOrder {
+  failureDomain: string
+  drained: boolean
+}
+
+export interface FailureDomainStatus {
+  name: string
+  drained: boolean
+}
+
 /** An announcement of a server, or the notice that a server is gone; `bornAt` is the start time of the server's process. */
 export type ServerNotice =
   | { kind: 'announced', announcement: ServerAnnouncement }
@@ -48,6 +67,8 @@
   /** Message streams that this instance accepts. */
   streams: StreamRoutes
   declare: (document: DeclarationDocument) => Promise<DeclareOutcome>
+  /** Drains a failure domain, or restores it. */
+  drain: (order: DrainOrder) => Promise<DrainOutcome>
   /** Reads the newest declaration, confirmed with a majority after the call. Resolves with undefined if it can't be confirmed. */
   current: () => Promise<{ document: DeclarationDocument | undefined } | undefined>
   /** Delivers a notice to the leader, and resolves with whether the leader received it; that a server is gone, whether the log holds it. */
@@ -61,6 +82,10 @@
   promotion: PromotionPort
   announceIntervalMilliseconds: number
   drainMilliseconds: number
+  /** Time after which no statement reaches the servers of a drained failure domain, in milliseconds from the acknowledgement of the order. @default DRAIN_BOUND_MILLISECONDS */
+  domainDrainMilliseconds?: number
+  /** Failure domains that can be drained before a server has announced itself there. @default none */
+  failureDomains?: readonly string[]
   rateTolerance: RateTolerance
   decodeDeclaration: (document: DeclarationDocument) => Declaration
   credentials: PeerCredentials
@@ -82,6 +107,11 @@
   return { ...own, ...shared }
 }
 
+/** @throws Error */
+function readDrainOrder (value: unknown): DrainOrder {
+  return checkFields('drain order', value, { failureDomain: isServerName, drained: isFlag })
+}
+
 export function createFleetControl (options: FleetControlOptions): FleetControl {
   const { name, logger, credentials } = options
   let state: FleetState = INITIAL_FLEET_STATE
@@ -94,11 +124,17 @@
 
   function adoptState (next: FleetState): void {
     const changed = next.document?.version !== state.document?.version
+    logDrainChanges(next)
     state = next
     if (changed) logger.info('A declaration is in force.', { version: next.document?.version })
     activeTerm?.leadership.refresh()
   }
 
+  function logDrainChanges ({ drains }: FleetState): void {
+    for (const failureDomain of drains.keys()) if (!state.drains.has(failureDomain)) logger.info('An order to drain a failure domain was accepted.', { failureDomain })
+    for (const failureDomain of state.drains.keys()) if (!drains.has(failureDomain)) logger.info('An order to restore a failure domain was accepted.', { failureDomain })
+  }
+
   /** Decodes the document on first use, because a restart replays many versions that are already replaced. */
   function currentDeclaration (): Declaration | undefined {
     const { document } = state
@@ -197,6 +233,29 @@
     return await log?.confirmLeadership() === true ? { document: state.document } : undefined
   }
 
+  function knowsFailureDomain (name: string): boolean {
+    const announced = [...state.servers.values()].some(({ failureDomain }) => failureDomain === name)
+    return announced || options.failureDomains?.includes(name) === true || state.drains.has(name) || activeTerm?.leadership.knowsFailureDomain(name) === true
+  }
+
+  /** Orders are always proposed: the state of an instance that wrongly takes itself for the leader does not show what is in force. */
+  async function drainLocally ({ failureDomain, drained }: DrainOrder): Promise<DrainOutcome> {
+    if (!knowsFailureDomain(failureDomain)) {
+      const isCurrent = activeTerm !== undefined && await log?.confirmLeadership() === true
+      if (!isCurrent) return 'unknown'
+      if (!knowsFailureDomain(failureDomain)) return 'no such failure domain'
+    }
+    const outcome = await log?.propose({ kind: 'drain', failureDomain, drained })
+    if (outcome?.kind !== 'applied') logger.warn('An order for a failure domain was not confirmed by the log.', { failureDomain, drained, outcome: outcome?.kind })
+    return outcome?.kind === 'applied' ? 'held' : 'unknown'
+  }
+
+  async function listDomainsLocally (): Promise<FailureDomainStatus[] | undefined> {
+    if (await log?.confirmLeadership() !== true) return undefined
+    const names = new Set([...options.failureDomains ?? [], ...state.drains.keys(), ...[...state.servers.values()].map(({ failureDomain }) => failureDomain)])
+    return [...names].sort().map(name => ({ name, drained: state.drains.has(name) }))
+  }
+
   async function notifyLocally (notice: ServerNotice): Promise<boolean> {
     if (activeTerm === undefined || log?.hasLeaderLease() !== true) return false
     if (notice.kind === 'gone') return await activeTerm.leadership.deregister(notice.member, notice.bornAt)
@@ -239,6 +298,8 @@
         renew: async ({ body }, { signal }) => ({ body: encodeBody(flattenGrant(await renew(readRenewal(decodeBody(body)), signal))) }),
         borrow: ({ body }) => ({ body: encodeBody(lend(checkLoan(decodeBody(body)))) }),
         declare: async ({ body }) => ({ body: encodeBody(log?.isLeader() === true ? await declareLocally(decodeBody(body)) : 'unknown') }),
+        drain: async ({ body }) => ({ body: encodeBody(log?.isLeader() === true ? await drainLocally(readDrainOrder(decodeBody(body))) : 'unknown') }),
+        domains: async () => ({ body: encodeBody(await listDomainsLocally() ?? null) }),
         current: async () => ({ body: encodeBody(await readCurrentLocally() ?? null) }),
         announce: async ({ body }) => ({ body: encodeBody(await notifyLocally(decodeBody(body))) })
       })
@@ -247,6 +308,10 @@
       if (log?.isLeader() === true) return await declareLocally(document)
       return await callLeader<DeclareOutcome>('declare', async ({ client }) => await client.declare({ body: encodeBody(document) }, { timeoutMs: FORWARD_TIMEOUT_MILLISECONDS })) ?? 'unknown'
     },
+    drain: async order => {
+      if (log?.isLeader() === true) return await drainLocally(order)
+      return await callLeader<DrainOutcome>('drain', async ({ client }) => await client.drain({ body: encodeBody(order) }, { timeoutMs: FORWARD_TIMEOUT_MILLISECONDS })) ?? 'unknown'
+    },
     current: async () => {
       if (log?.isLeader() === true) return await readCurrentLocally()
       return await callLeader<{ document: DeclarationDocument | undefined } | null>('current', async ({ client }) => await client.current({}, { timeoutMs: FORWARD_TIMEOUT_MILLISECONDS })) ?? undefined
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
@@ -57,6 +57,8 @@
     promotion: createPromotionPort(config, ports),
     announceIntervalMilliseconds: config.announceIntervalMilliseconds,
     drainMilliseconds: config.drainMilliseconds,
+    domainDrainMilliseconds: config.domainDrainMilliseconds,
+    failureDomains: config.failureDomains,
     rateTolerance: config.rateTolerance,
     decodeDeclaration: ports.decodeDeclaration,
     credentials,
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -30,12 +30,13 @@
   decodeDeclaration: (document: DeclarationDocument) => Declaration
 }
 
-/** Keeps the metrics of the lease and of the declaration. */
-function observeLink (link: FleetLink, { declarationVersions, leaseLosses }: Metrics): void {
+/** Keeps the metrics of the lease, of the declaration and of the drains. */
+function observeLink (link: FleetLink, { declarationVersions, drainedFailureDomains, leaseLosses }: Metrics): void {
   let wasLeased = link.isLeased()
   function observe (): void {
     declarationVersions.set({ known: 'held' }, link.declaration()?.version ?? -1)
     declarationVersions.set({ known: 'newest' }, link.newestVersion())
+    drainedFailureDomains.set(link.drains().size)
     if (wasLeased && !link.isLeased()) leaseLosses.inc()
     wasLeased = link.isLeased()
   }
@@ -65,6 +66,7 @@
       report,
       lendsAt: config.calls,
       declarationTrustMilliseconds: config.declarationTrustMilliseconds,
+      domainDrainMilliseconds: config.domainDrainMilliseconds,
       peers,
       clock,
       logger: logger.scope('fleet')
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -6,13 +6,13 @@
 import { randomUUID } from 'node:crypto'
 import { EventEmitter } from 'node:events'
 import { inflateSync } from 'node:zlib'
-import { DECLARATION_TRUST_MILLISECONDS, NO_DECLARATION_TRUST, RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, findLender, indexDeclaration, lookUp, mergeServer, listGroupServers, recordNewestVersion, trustedUntil } from '@cyclamenusher/decisions'
+import { DECLARATION_TRUST_MILLISECONDS, DRAIN_BOUND_MILLISECONDS, NO_DECLARATION_TRUST, RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, drainsKnownUntil, findLender, indexDeclaration, lookUp, mergeServer, listGroupServers, recordNewestVersion, trustedUntil, updateDomainDrains } from '@cyclamenusher/decisions'
 import { StreamCallError } from '@cyclamenusher/protocol'
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
 import { LOAN_STREAM, RENEWAL_STREAM } from './fleetStreams.js'
 import { createWatchedCaller } from './watchedCaller.js'
-import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, NamedInstance, PrimaryAssignment, KnownServer, LoanReport, RenewGrant, RenewReply, RenewRequest, SharedGrant } from '@cyclamenusher/decisions'
+import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, DomainDrain, NamedInstance, PrimaryAssignment, KnownServer, LoanReport, RenewGrant, RenewReply, RenewRequest, SharedGrant } from '@cyclamenusher/decisions'
 import type { Address } from '../address.js'
 import type { Clock } from '../clock.js'
 import type { Peers } from '../peers.js'
@@ -56,6 +56,8 @@
   lendsAt?: Address
   /** How long operations may run by a declaration after it was known to be the newest, in milliseconds. Not shorter than a second. @default DECLARATION_TRUST_MILLISECONDS */
   declarationTrustMilliseconds?: number
+  /** Time after which no statement reaches the servers of a drained failure domain, in milliseconds from the acknowledgement of the order. Undefined: DRAIN_BOUND_MILLISECONDS, and an instance that has no word from control doesn't expect drains. */
+  domainDrainMilliseconds?: number
   peers: Peers
   clock: Clock
   logger: ScopedLogger
@@ -71,6 +73,10 @@
   declaration: () => DeclarationIndex | undefined
   primaryAssignment: (group: string) => PrimaryAssignment | undefined
   servers: (group: string) => KnownServer[]
+  /** By drained failure domain, what may still be sent to its servers; the same map until it changes. */
+  drains: () => ReadonlyMap<string, DomainDrain>
+  /** Whether this instance knows of every drain that may be in force by now. */
+  areDrainsKnown: () => boolean
   /** Instances that hold the connections to the group's servers; the same list until they change. */
   holders: (group: string) => readonly NamedInstance[]
   /** All instances that hold connections to any group's servers. */
@@ -144,6 +150,7 @@
   /** Operations borrowed from control lately, the oldest first. */
   let loansOfControl: Array<{ account: string, operations: number, at: number }> = []
   let holders = new Map<string, NamedInstance[]>()
+  let drains: ReadonlyMap<string, DomainDrain> = new Map()
   let declarationIndex: DeclarationIndex | undefined
   let entryCount = 1
   /** When the renewal request was sent from which the lease counts. */
@@ -259,12 +266,26 @@
     return [...servers.values()].filter(({ member }) => (learnedAt.get(member) ?? -Infinity) >= since)
   }
 
+  /** Takes over the drained failure domains. Called before the lease is extended: a drain that is new here was not acknowledged before the last renewal was sent. */
+  function adoptDrains ({ drains: listed, whole }: SharedGrant): void {
+    const names = listed ?? (whole ? [] : undefined)
+    if (names === undefined || (names.length === drains.size && names.every(name => drains.has(name)))) return
+    const previous = drains
+    const now = clock.now()
+    drains = updateDomainDrains(previous, names, validUntil(0), now, options.domainDrainMilliseconds ?? DRAIN_BOUND_MILLISECONDS)
+    for (const [failureDomain, { transactionsUntil }] of drains) {
+      if (!previous.has(failureDomain)) logger.info('The drain of a failure domain takes effect here.', { failureDomain, transactionsFor: Math.round(Math.max(0, transactionsUntil - now)) })
+    }
+    for (const failureDomain of previous.keys()) if (!drains.has(failureDomain)) logger.info('The drain of a failure domain is over here.', { failureDomain })
+  }
+
   function adoptGrant ({ shared, parts }: RenewGrant, sentAt: number): void {
     if (shared.term < applied.term) return
     const changed = shared.term !== applied.term || shared.change !== applied.change || shared.declaration !== undefined
     if (shared.declaration !== undefined) adoptDeclaration(shared.declaration)
     adoptAssignments(shared.groups, shared.whole)
     adoptServers(shared.servers)
+    adoptDrains(shared)
     if (parts !== undefined) shares = parts
     if (shared.lenders !== undefined) {
       const received = Object.entries(shared.lenders).map(([account, list]): [string, Address | undefined] => [account, findLender(account, name, list)])
@@ -414,6 +435,8 @@
     declaration: () => declarationIndex,
     primaryAssignment: group => assignments.get(group),
     servers: group => listGroupServers(servers, group),
+    drains: () => drains,
+    areDrainsKnown: () => options.domainDrainMilliseconds === undefined || clock.now() < drainsKnownUntil(validUntil(0), options.domainDrainMilliseconds),
     holders: group => holders.get(group) ?? NO_HOLDERS,
     allHolders: () => [...new Map([...holders.values()].flat().map(holder => [holder.name, holder])).values()],
     isLeased,
--- a/packages/cyclamenusherd/src/node/process/fleet/leaderDirectory.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leaderDirectory.ts
@@ -23,6 +23,8 @@
   changeOf: (group: string) => number
   /** Numbers a change that is kept elsewhere, and returns the number. */
   recordChange: () => number
+  /** Numbers a change that is kept elsewhere and that entry instances must learn at once. */
+  recordUrgentChange: () => number
   /** Assignments and servers that changed after the given change. */
   changesSince: (change: number) => { groups: PrimaryAssignment[], servers: KnownServer[] }
 }
@@ -80,6 +82,7 @@
     urgentChange: () => urgentChange,
     changeOf: group => assignments.get(group)?.change ?? 0,
     recordChange,
+    recordUrgentChange,
     changesSince: knownChange => ({
       groups: [...assignments.values()].filter(entry => entry.change > knownChange).map(({ assignment }) => assignment),
       servers: [...serverChanges].filter(([, number]) => number > knownChange).flatMap(([member]) => servers.get(member) ?? [])
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -1,12 +1,13 @@
 /** Leader duties during one term: grants leases and rate shares, runs the control of the groups, and persists changes. */
 
 import { deflateSync } from 'node:zlib'
-import { INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, findServerFault, isLoanHistoryComplete, listGroupServers, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
+import { DRAIN_BOUND_MILLISECONDS, INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, findServerFault, isLoanHistoryComplete, listGroupServers, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
 import { createHeldRequests } from '../heldRequests.js'
 import { createEntryLeases } from './entryLeases.js'
 import { createGroupHolders } from './groupHolders.js'
 import { SILENCE_INTERVALS, createGroupTask } from './groupTask.js'
 import { createLeaderDirectory } from './leaderDirectory.js'
+import { createLeaderDrains } from './leaderDrains.js'
 import { createLeaderLoad } from './leaderLoad.js'
 import { createRatePool } from './ratePool.js'
 import { createShareRecord } from './shareRecord.js'
@@ -52,6 +53,8 @@
   rateTolerance: RateTolerance
   /** How long a server takes work after it has announced that it is leaving, in milliseconds. */
   drainMilliseconds: number
+  /** Time after which no statement reaches the servers of a drained failure domain, in milliseconds from the acknowledgement of the order. @default DRAIN_BOUND_MILLISECONDS */
+  domainDrainMilliseconds?: number
   clock: Clock
   logger: ScopedLogger
 }
@@ -64,7 +67,9 @@
   announce: (announcement: ServerAnnouncement) => AnnouncementOutcome
   /** Marks a server as gone, and resolves with whether this is in the log: after a loss of all control instances nobody else would know. */
   deregister: (member: string, bornAt: number | undefined) => Promise<boolean>
-  /** Handles a change of the log's state: starts tasks for new groups, and lets held renewals continue. */
+  /** Whether a server of the failure domain has announced itself. */
+  knowsFailureDomain: (failureDomain: string) => boolean
+  /** Handles a change of the log's state: publishes drains, starts tasks for new groups, and lets held renewals continue. */
   refresh: () => void
   close: () => void
 }
@@ -74,6 +79,7 @@
   const startedAt = clock.now()
   const heldRenewals = createHeldRequests()
   const directory = createLeaderDirectory(releaseSoon)
+  const drains = createLeaderDrains({ ...options, directory, domainDrainMilliseconds: options.domainDrainMilliseconds ?? DRAIN_BOUND_MILLISECONDS })
   const leases = createEntryLeases(options.rateTolerance)
   const holders = createGroupHolders()
   const groupTasks = new Map<string, GroupTask>()
@@ -139,7 +145,8 @@
       copies,
       ...directory.classifyRuns([...copies?.servers ?? [], ...copies?.primary === undefined ? [] : [copies.primary]]),
       announcedBy: startedAt + SILENCE_INTERVALS * options.announceIntervalMilliseconds,
-      drainMilliseconds: options.drainMilliseconds
+      drainMilliseconds: options.drainMilliseconds,
+      drains: drains.deadlines()
     }
   }
 
@@ -272,6 +279,7 @@
     const existing = sharedGrants.get(key)
     if (existing !== undefined) return existing
     const groupHolders = holders.changesSince(knownChange)
+    const drained = drains.published()
     const shared: SharedGrant = {
       term,
       change: directory.change(),
@@ -281,6 +289,7 @@
       ...(groupHolders === undefined ? {} : { holders: groupHolders }),
       ...(document === undefined ? {} : { declaration: document }),
       newest,
+      ...(drained === undefined ? {} : { drains: drained }),
       entries: countEntries(clock.now()),
       control: controlChange > knownChange ? control : []
     }
@@ -360,7 +369,9 @@
       const outcome = await remember({ servers: [known] })
       return outcome.kind === 'applied'
     },
+    knowsFailureDomain: failureDomain => [...directory.servers.values()].some(server => server.failureDomain === failureDomain),
     refresh: () => {
+      drains.refresh()
       startGroupTasks()
       heldRenewals.release()
     },
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -7,8 +7,10 @@
 
 import { comparePositions } from '../session/position.js'
 import { RELEASE_CHECK_INTERVAL_MILLISECONDS, countSynchronousReplicas, listUnseenServers, noteInheritedLog, noteSeenPosition, recordCopies, releaseCopies, toRun } from './commitCopies.js'
+import { filterAskable, isDrainDue, isDrained } from './drainedServers.js'
 import { LEASE_MILLISECONDS } from './messages.js'
 import { chooseCandidate, listCandidates, findFreshStatus, findRecoveredPrimary, findRestartedPrimary, hasFollowingCandidate, listMembersToAsk, findPrimary } from './successor.js'
+import type { KnownServer } from './directory.js'
 import type { PrimaryAssignment, GroupControlState, GroupEffect, GroupEvent, GroupPhase, GroupStep, GroupEnvironment, PrimaryUse, PromotionOutcome, ServerStatus } from './groupTypes.js'
 import type { Designation } from './state.js'
 
@@ -18,7 +20,7 @@
 const CATCH_UP_INTERVAL_MILLISECONDS = 25
 /** How long running transactions may take to end at a primary that is closing, in milliseconds. */
 const CLOSING_TIMEOUT_MILLISECONDS = 700
-/** How long before the end of its drain time a primary without a successor is closed, in milliseconds: enough for its transactions to end and for the leases of unreachable entry instances to expire. */
+/** How long before the end of its drain time, or of the bound of its failure domain's drain, a primary without a successor is closed, in milliseconds: enough for its transactions to end and for the leases of unreachable entry instances to expire. */
 const DRAIN_RESERVE_MILLISECONDS = CLOSING_TIMEOUT_MILLISECONDS + LEASE_MILLISECONDS
 /** How long a planned replacement waits until a candidate has received the last commits, in milliseconds. */
 const CATCH_UP_TIMEOUT_MILLISECONDS = 1_000
@@ -40,7 +42,7 @@
 }
 
 const USE_BY_PHASE: Record<GroupPhase, PrimaryUse> = {
-  unverified: 'closed', serving: 'open', closing: 'closing', fenced: 'closed', choosing: 'closed', designating: 'closed', promoting: 'closed', awaiting: 'closed'
+  unverified: 'closed', serving: 'open', closing: 'closing', fenced: 'closed', drained: 'closed', choosing: 'closed', designating: 'closed', promoting: 'closed', awaiting: 'closed'
 }
 
 /** The part of the state that is published to entry instances. */
@@ -63,7 +65,9 @@
   const { state, environment } = step
   if (environment.now - state.statusAskedAt < intervalMilliseconds) return
   state.statusAskedAt = environment.now
-  for (const member of members) step.effects.push({ kind: 'ask status', member })
+  // A drained primary that nothing can replace is not asked.
+  const isReplacing = (): boolean => state.phase === 'unverified' || listCandidates(step).length > 0
+  for (const member of filterAskable(step, members, isReplacing)) step.effects.push({ kind: 'ask status', member })
 }
 
 function startServing (step: GroupStep, status: ServerStatus): void {
@@ -100,16 +104,21 @@
   if (environment.verdict === 'failed' || restartedAsReplica) return enterPhase(step, 'fenced', { planned: false })
   const missing = primary === undefined && environment.verdict !== 'reachable'
   if (missing && hasSuccessor) return enterPhase(step, 'fenced', { planned: false })
-  if (primary?.leaving === true && isReplaceable(step)) return enterPhase(step, 'closing', { planned: true })
+  if (isToBeReplaced(step, primary) && isReplaceable(step)) return enterPhase(step, 'closing', { planned: true })
   state.leavingSince = primary?.leaving === true ? state.leavingSince ?? environment.now : undefined
   if (isDrainEnding(step)) return enterPhase(step, 'closing', { planned: false })
+  if (isDrainDue(step, primary, DRAIN_RESERVE_MILLISECONDS)) return enterPhase(step, 'closing', { planned: true })
   requestStepDown(step)
   if (primary === undefined) return
   const unconfirmed = [...new Set([...releaseCopies(step, primary.member), ...listUnseenServers(step)])]
   if (unconfirmed.length > 0) requestStatus(step, unconfirmed, RELEASE_CHECK_INTERVAL_MILLISECONDS)
 }
 
-/** Whether a leaving primary can be closed now; asks for the positions on which that depends. */
+function isToBeReplaced (step: GroupStep, primary: KnownServer | undefined): boolean {
+  return primary !== undefined && (primary.leaving || isDrained(step, primary))
+}
+
+/** Whether a primary that is to be replaced can be closed now; asks for the positions on which that depends. */
 function isReplaceable (step: GroupStep): boolean {
   const { state, environment } = step
   if (environment.now < (state.plannedRetryAt ?? -Infinity)) return false
@@ -156,15 +165,17 @@
 function tickChoosing (step: GroupStep): void {
   const { state, environment } = step
   const candidates = listCandidates(step)
+  if (isDrainedWithoutSuccessor(step, candidates)) return enterPhase(step, 'drained')
   const resumable = findRestartedPrimary(step) ?? findRecoveredPrimary(step, candidates)
   if (resumable !== undefined) return startServing(step, resumable)
   const best = chooseCandidate(step, candidates)
   const primaryStatus = state.designation === undefined ? undefined : findFreshStatus(step, state.designation.member)
   const behind = best !== undefined && primaryStatus !== undefined && comparePositions(best.status.received, primaryStatus.received) < 0
   const hasTimedOut = environment.now - state.phaseSince >= CATCH_UP_TIMEOUT_MILLISECONDS
-  if (best === undefined && hasTimedOut && state.planned && primaryStatus?.role === 'primary' && countSynchronousReplicas(step) > 0) return resumePlanned(step, primaryStatus)
+  const isDue = isDrainDue(step, findPrimary(step), DRAIN_RESERVE_MILLISECONDS)
+  if (best === undefined && hasTimedOut && !isDue && state.planned && primaryStatus?.role === 'primary' && countSynchronousReplicas(step) > 0) return resumePlanned(step, primaryStatus)
   if (best === undefined || (state.planned && behind && !hasTimedOut)) {
-    return requestStatus(step, listMembersToAsk(step), state.planned ? CATCH_UP_INTERVAL_MILLISECONDS : STATUS_INTERVAL_MILLISECONDS)
+    return requestStatus(step, listMembersToAsk(step), state.planned && !(isDue && hasTimedOut) ? CATCH_UP_INTERVAL_MILLISECONDS : STATUS_INTERVAL_MILLISECONDS)
   }
   const { member } = best.server
   enterPhase(step, 'designating', { target: member })
@@ -172,6 +183,28 @@
   step.effects.push({ kind: 'designate', member, after: state.designation?.number ?? 0 })
 }
 
+/** Whether a working primary was closed for the drain of its failure domain, and no server outside can be promoted. */
+function isDrainedWithoutSuccessor (step: GroupStep, candidates: readonly KnownServer[]): boolean {
+  const primary = findPrimary(step)
+  return step.state.planned && primary !== undefined && isDrained(step, primary) && candidates.length === 0
+}
+
+/** Waits for a successor, or for the end of the drain: then the primary is opened again. It is asked for nothing while it is drained. */
+function tickDrained (step: GroupStep): void {
+  const { environment } = step
+  const primary = findPrimary(step)
+  if (primary === undefined || environment.verdict === 'failed') return enterPhase(step, 'fenced', { planned: false })
+  if (isDrained(step, primary)) {
+    // The positions and the time limit of the choice count from now, when a successor has come.
+    if (listCandidates(step).length > 0) enterPhase(step, 'choosing', { target: undefined })
+    return
+  }
+  const status = findFreshStatus(step, primary.member)
+  if (status?.role === 'primary') return startServing(step, status)
+  if (status?.role === 'replica') return enterPhase(step, 'fenced', { planned: false })
+  requestStatus(step, [primary.member], STATUS_INTERVAL_MILLISECONDS)
+}
+
 /** Opens a leaving primary again that no successor has caught up with. */
 function resumePlanned (step: GroupStep, status: ServerStatus): void {
   startServing(step, status)
@@ -213,6 +246,7 @@
   serving: tickServing,
   closing: tickClosing,
   fenced: tickFenced,
+  drained: tickDrained,
   choosing: tickChoosing,
   designating: tickDesignating,
   promoting: tickPromoting,
--- a/packages/decisions/src/node/fleet/groupTypes.ts
+++ b/packages/decisions/src/node/fleet/groupTypes.ts
@@ -3,6 +3,7 @@
 import type { LogPosition } from '../session/position.js'
 import type { CommitCopies, CopyRelease, InheritedLog, ServerRun } from './commitCopies.js'
 import type { KnownServer } from './directory.js'
+import type { DrainDeadlines } from './drains.js'
 import type { PrimaryVerdict } from './evidence.js'
 import type { Designation } from './state.js'
 
@@ -43,6 +44,8 @@
   | 'closing'
   /** The primary is closed; some entry instances may still use it. */
   | 'fenced'
+  /** The primary works, but is closed, because its failure domain is drained and no server outside could replace it. */
+  | 'drained'
   /** No entry instance uses the primary; candidates are asked for their status. */
   | 'choosing'
   /** The new designation is proposed to the log. */
@@ -64,7 +67,7 @@
   leavingSince?: number
   /** The server to promote. */
   target?: string
-  /** Whether the replacement in progress is planned: the primary still works, but is leaving. */
+  /** Whether the replacement in progress is planned: the primary still works, but is leaving or in a drained failure domain. */
   planned: boolean
   statuses: ReadonlyMap<string, { status: ServerStatus, at: number }>
   statusAskedAt: number
@@ -131,6 +134,8 @@
   announcedBy: number
   /** How long a server takes work after it has announced that it is leaving, in milliseconds. */
   drainMilliseconds: number
+  /** Drained failure domains. @default none */
+  drains?: DrainDeadlines
 }
 
 /** A step in progress: the state being changed, and the effects so far. */
--- a/packages/decisions/src/node/fleet/messages.ts
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -65,6 +65,8 @@
   declaration?: { version: number, deflated: string }
   /** Version of the newest declaration when the grant was made, -1 if there is none. Undefined: granted by a control instance of an earlier build. */
   newest?: number
+  /** All drained failure domains, in each grant once one has been drained. Undefined: none has, if `whole`; otherwise what the instance knows stays. */
+  drains?: string[]
   /** Number of entry instances that share the servers. */
   entries: number
   /** Control instances to try when this one is unreachable; empty if they have not changed. */
--- a/packages/decisions/src/node/fleet/state.ts
+++ b/packages/decisions/src/node/fleet/state.ts
@@ -1,13 +1,16 @@
 /**
  * The replicated state of the control instances: the newest declaration document,
- * the designated primary of each group, and the last known servers.
+ * the designated primary of each group, the last known servers, and the drained failure
+ * domains.
  */
 
 import { isCommitCopies } from './commitCopies.js'
 import { isKnownServer, mergeServer } from './directory.js'
+import { NO_DRAIN_STATE, applyDrain, decodeDrains, encodeDrains } from './drains.js'
 import { applyBounds, encodeBounds, isWrittenBounds, removeInstances } from './shareBounds.js'
 import type { CommitCopies } from './commitCopies.js'
 import type { KnownServer } from './directory.js'
+import type { DrainState, WrittenDrains } from './drains.js'
 import type { ShareBounds, WrittenBounds } from './shareBounds.js'
 import type { DeclarationDocument } from '../declaration/declaration.js'
 
@@ -33,6 +36,8 @@
   | { kind: 'declare', document: DeclarationDocument }
   /** `after` is the number of the designation to replace; 0 for the first designation. */
   | { kind: 'designate', group: string, member: string, after: number }
+  /** Drains a failure domain, or restores it. Repeating it changes nothing. */
+  | { kind: 'drain', failureDomain: string, drained: boolean }
 
 export type FleetOutcome =
   | { kind: 'remembered' }
@@ -42,8 +47,10 @@
   | { kind: 'designated', designation: Designation }
   /** `after` does not match the current designation, which is returned; nothing changed. */
   | { kind: 'conflict', designation: Designation | undefined }
+  /** The failure domain is drained or restored as ordered, by this command or an earlier one. */
+  | { kind: 'drain held' }
 
-export interface FleetState {
+export interface FleetState extends DrainState {
   document: DeclarationDocument | undefined
   designations: ReadonlyMap<string, Designation>
   servers: ReadonlyMap<string, KnownServer>
@@ -56,7 +63,7 @@
   shareBounds: ShareBounds
 }
 
-export const INITIAL_FLEET_STATE: FleetState = { document: undefined, designations: new Map(), servers: new Map(), entries: 0, copies: new Map(), shareHolders: undefined, shareBounds: new Map() }
+export const INITIAL_FLEET_STATE: FleetState = { document: undefined, designations: new Map(), servers: new Map(), entries: 0, copies: new Map(), shareHolders: undefined, shareBounds: new Map(), ...NO_DRAIN_STATE }
 
 /** Replaces the record of a group; one without servers removes it. */
 function recordCopies (recorded: FleetState['copies'], copies: CommitCopies | undefined): FleetState['copies'] {
@@ -100,6 +107,10 @@
     if ((current?.number ?? 0) !== after) return { state, outcome: { kind: 'conflict', designation: current } }
     const designation = { group, member, number: after + 1 }
     return { state: { ...state, designations: new Map(state.designations).set(group, designation) }, outcome: { kind: 'designated', designation } }
+  },
+  drain: (state, { failureDomain, drained }) => {
+    const drains = applyDrain(state, failureDomain, drained)
+    return { state: drains === state ? state : { ...state, ...drains }, outcome: { kind: 'drain held' } }
   }
 }
 
@@ -109,19 +120,20 @@
 }
 
 /** Serializes the state for a snapshot. */
-export function encodeFleetState ({ document, designations, servers, entries, copies, shareHolders, shareBounds }: FleetState): string {
-  return JSON.stringify({ document, designations: [...designations.values()], servers: [...servers.values()], entries, copies: [...copies.values()], ...(shareHolders === undefined ? {} : { shares: { added: [...shareHolders], removed: [], bounds: encodeBounds(shareBounds) } }) })
+export function encodeFleetState ({ document, designations, servers, entries, copies, shareHolders, shareBounds, ...drains }: FleetState): string {
+  return JSON.stringify({ document, designations: [...designations.values()], servers: [...servers.values()], entries, copies: [...copies.values()], ...(shareHolders === undefined ? {} : { shares: { added: [...shareHolders], removed: [], bounds: encodeBounds(shareBounds) } }), ...(drains.drainChanges === 0 ? {} : { drains: encodeDrains(drains) }) })
 }
 
 export function decodeFleetState (text: string): FleetState {
-  // A snapshot of an earlier build has neither `copies` nor `shares`.
-  const { document, designations, servers, entries, copies = [], shares } = JSON.parse(text) as { document?: DeclarationDocument, designations: Designation[], servers: KnownServer[], entries: number, copies?: CommitCopies[], shares?: ShareHolderChanges }
+  // A snapshot of an earlier build has neither `copies` nor `shares` nor `drains`.
+  const { document, designations, servers, entries, copies = [], shares, drains } = JSON.parse(text) as { document?: DeclarationDocument, designations: Designation[], servers: KnownServer[], entries: number, copies?: CommitCopies[], shares?: ShareHolderChanges, drains?: WrittenDrains }
   return {
     document,
     designations: new Map(designations.map(designation => [designation.group, designation])),
     servers: new Map(servers.filter(isKnownServer).map(server => [server.member, server])),
     entries,
     copies: new Map(copies.filter(isCommitCopies).map(record => [record.group, record])),
-    ...recordShareHolders(INITIAL_FLEET_STATE, shares)
+    ...recordShareHolders(INITIAL_FLEET_STATE, shares),
+    ...decodeDrains(drains)
   }
 }
--- a/packages/decisions/src/node/fleet/successor.ts
+++ b/packages/decisions/src/node/fleet/successor.ts
@@ -1,6 +1,7 @@
 /** Selects the successor of a group's primary, and detects whether the primary can continue instead. */
 
 import { comparePositions } from '../session/position.js'
+import { isDrained } from './drainedServers.js'
 import { countSynchronousReplicas, countUnansweredCopies, findInheritedLog, findLastPrimary, hasPrimaryReplacement } from './commitCopies.js'
 import type { KnownServer } from './directory.js'
 import type { GroupStep, ServerStatus } from './groupTypes.js'
@@ -24,7 +25,7 @@
     // A designated server that was never promoted is still a replica, and remains a candidate.
     const isPrimary = member === state.designation?.member && state.statuses.get(member)?.status.role !== 'replica'
     return !isPrimary && !leaving && !isExcluded(step, member)
-  })
+  }).filter(server => !isDrained(step, server))
 }
 
 /** The member's status, if it arrived in the current phase. */
@@ -46,7 +47,7 @@
 export function findRestartedPrimary (step: GroupStep): ServerStatus | undefined {
   const { state } = step
   const primary = findPrimary(step)
-  if (primary === undefined || state.planned || primary.bornAt === state.bornAt || primary.leaving) return undefined
+  if (primary === undefined || state.planned || primary.bornAt === state.bornAt || primary.leaving || isDrained(step, primary)) return undefined
   const status = findFreshStatus(step, primary.member)
   return status?.role === 'primary' ? status : undefined
 }
@@ -55,7 +56,7 @@
 export function findRecoveredPrimary (step: GroupStep, candidates: readonly KnownServer[]): ServerStatus | undefined {
   const { state, environment } = step
   const primary = findPrimary(step)
-  if (primary === undefined || primary.leaving || environment.verdict !== 'reachable') return undefined
+  if (primary === undefined || primary.leaving || isDrained(step, primary) || environment.verdict !== 'reachable') return undefined
   const isPromotable = countSynchronousReplicas(step) === 0
     ? candidates.some(({ member }) => findFreshStatus(step, member) !== undefined)
     : chooseCandidate(step, candidates) !== undefined
@@ -112,7 +113,7 @@
   const newest = isComplete ? findNewest(replicas)?.status.received : primary?.status.received
   if (newest === undefined) return undefined
   const isUpToDate = ({ received }: ServerStatus): boolean => comparePositions(received, newest) >= 0 && (inherited === undefined || comparePositions(received, inherited) >= 0)
-  const upToDate = replicas.filter(({ server, status }) => !isExcluded(step, server.member) && isUpToDate(status))
+  const upToDate = replicas.filter(({ server, status }) => !isExcluded(step, server.member) && !isDrained(step, server) && isUpToDate(status))
   return findNewest(upToDate.filter(({ server }) => !server.leaving)) ?? findNewest(upToDate)
 }
 
