feat(engine): leave the servers of drained failure domains

An entry instance selects no server there, except a primary that control has not closed yet, closes idle connections at once, ends open transactions in time, and refuses at once what only drained servers could run. The command line gets domain list, drain and restore.

--- a/packages/cyclamenusher/src/node/commands.ts
+++ b/packages/cyclamenusher/src/node/commands.ts
@@ -106,6 +106,31 @@
   return await run(environment, name ?? '', flags)
 }
 
+type DomainAction = 'list' | 'drain' | 'restore'
+
+const DOMAIN_ACTIONS: Record<DomainAction, (environment: CommandEnvironment, name: string, flags: CommonFlags) => Promise<number>> = {
+  list: async ({ connect, write }, _name, flags) => {
+    const domains = await connect(flags).listDomains()
+    write(formatValue(flags, domains, formatRows(['failure domain', 'state'], domains.map(({ name, drained }) => [name, drained ? 'drained' : 'in use']))))
+    return EXIT_CODES.success
+  },
+  drain: async (environment, name, flags) => await orderDomain(environment, name, true, flags),
+  restore: async (environment, name, flags) => await orderDomain(environment, name, false, flags)
+}
+
+async function orderDomain ({ connect, write }: CommandEnvironment, name: string, drained: boolean, flags: CommonFlags): Promise<number> {
+  if (name === '') throw new CommandError('usage', 'no failure domain was named', `Use cyclamenusher domain ${drained ? 'drain' : 'restore'} NAME`)
+  if (!await connect(flags).orderDomain(name, drained)) throw new CommandError('refused', `there is no failure domain ${name}`, 'cyclamenusher domain list shows those that are known')
+  write(formatValue(flags, { failureDomain: name, drained }, drained ? `Failure domain ${name} is drained: control has accepted the order, and the servers there are left within the time that the settings allow.` : `Failure domain ${name} is in use again.`))
+  return EXIT_CODES.success
+}
+
+export async function domain (environment: CommandEnvironment, action: string, name: string | undefined, flags: CommonFlags): Promise<number> {
+  const run = lookUp<typeof DOMAIN_ACTIONS.list>(DOMAIN_ACTIONS, action)
+  if (run === undefined) throw new CommandError('usage', `there is no domain command ${action}`, 'Use list, drain or restore')
+  return await run(environment, name ?? '', flags)
+}
+
 export async function explain ({ connect, write }: CommandEnvironment, statement: string, flags: CommonFlags & { account?: string, database?: string, token?: string }): Promise<number> {
   const decision = await connect(flags).explain({ account: flags.account ?? '', database: flags.database ?? '', statement, sessionToken: flags.token ?? '' })
   write(formatValue(flags, JSON.parse(decision), decision))
--- a/packages/cyclamenusher/src/node/connection.ts
+++ b/packages/cyclamenusher/src/node/connection.ts
@@ -2,7 +2,7 @@
 
 import { readFileSync } from 'node:fs'
 import { Code, ConnectError } from '@connectrpc/connect'
-import { ControlService, OperatorService, createPeerClient } from '@cyclamenusher/protocol'
+import { ControlService, FleetService, OperatorService, createPeerClient } from '@cyclamenusher/protocol'
 import { CommandError } from './errors.js'
 import type { ChangeMemberReply, ControlMember, PeerTls, SubmitReply } from '@cyclamenusher/protocol'
 
@@ -43,6 +43,11 @@
   identity: string
 }
 
+export interface FailureDomainEntry {
+  name: string
+  drained: boolean
+}
+
 export interface HistoryEntry {
   number: number
   digest: string
@@ -59,6 +64,9 @@
   changeMember: (action: 'add' | 'remove', name: string) => Promise<ChangeMemberReply>
   explain: (request: { account: string, database: string, statement: string, sessionToken: string }) => Promise<string>
   drain: (group: string, member: string) => Promise<string>
+  /** Drains a failure domain, or restores it. Resolves with whether it is known. */
+  orderDomain: (name: string, drained: boolean) => Promise<boolean>
+  listDomains: () => Promise<FailureDomainEntry[]>
 }
 
 function readFlagFile (file: string, purpose: string): string {
@@ -174,7 +182,40 @@
     }))
   }
 
+  /** Repeats a call over the control instances until one answers for the leader. `isAnswer`: whether a reply is final. */
+  async function callFleet <Reply> (method: 'drain' | 'domains', request: unknown, isAnswer: (reply: Reply) => boolean): Promise<{ reply?: Reply, error?: Error }> {
+    const clients = parseAddresses(flags.control, 'control').map(({ host, port }) => createPeerClient(FleetService, host, port, credentials))
+    const body = new Uint8Array(Buffer.from(JSON.stringify(request)))
+    let failure: Error | undefined
+    for (let attempt = 0; attempt < MAXIMUM_LEADER_ROUNDS * clients.length; attempt += 1) {
+      try {
+        const received = await clients[attempt % clients.length][method]({ body }, { timeoutMs: CALL_TIMEOUT_MILLISECONDS })
+        const reply = JSON.parse(Buffer.from(received.body).toString('utf8')) as Reply
+        if (isAnswer(reply)) return { reply }
+        failure = undefined
+      } catch (error) {
+        failure = error as Error
+      }
+      if (attempt % clients.length === clients.length - 1) await new Promise(resolve => setTimeout(resolve, ROUND_DELAY_MILLISECONDS))
+    }
+    return { error: failure }
+  }
+
+  async function orderDomain (name: string, drained: boolean): Promise<boolean> {
+    const { reply, error } = await callFleet<string>('drain', { failureDomain: name, drained }, outcome => outcome !== 'unknown')
+    if (reply === undefined) throw new CommandError('unknown', `it is unknown whether the order for ${name} was accepted${error === undefined ? '' : `: ${error.message}`}`, 'Give the same order again: repeating it changes nothing')
+    return reply === 'held'
+  }
+
+  async function listDomains (): Promise<FailureDomainEntry[]> {
+    const { reply, error } = await callFleet<FailureDomainEntry[] | null>('domains', {}, list => list !== null)
+    if (reply === undefined || reply === null) throw new CommandError('unreachable', `no control instance answered for the leader: ${error?.message ?? 'none leads'}`, 'Check --control and --secret-file')
+    return reply
+  }
+
   return {
+    orderDomain,
+    listDomains,
     submit,
     fetchStatuses,
     history,
--- a/packages/cyclamenusher/src/node/program.ts
+++ b/packages/cyclamenusher/src/node/program.ts
@@ -2,7 +2,7 @@
 
 import { cac } from 'cac'
 import { FaultyFileError } from '@cyclamenusher/decisions'
-import { apply, check, drain, explain, history, member, status } from './commands.js'
+import { apply, check, domain, drain, explain, history, member, status } from './commands.js'
 import { CommandError, EXIT_CODES } from './errors.js'
 import { trace } from './trace/traceCommand.js'
 import type { CAC } from 'cac'
@@ -35,6 +35,7 @@
     .option('--number <number>', 'show the rules of this number')
     .action(history.bind(undefined, environment))
   program.command('member <action> [name]', 'list the control instances, add one or remove one (list, add, remove)').action(member.bind(undefined, environment))
+  program.command('domain <action> [name]', 'list the failure domains, drain one or restore one (list, drain, restore)').action(domain.bind(undefined, environment))
   program.command('explain <statement>', 'show where an entry instance would run a statement')
     .option('--account <name>', 'client account')
     .option('--database <name>', 'database')
@@ -50,6 +51,7 @@
   program.example('cyclamenusher status --control 127.0.0.1:7100,127.0.0.1:7101 --secret-file secret --json')
   program.example('cyclamenusher history --number 11 --control 127.0.0.1:7100 --secret-file secret > rules.toml')
   program.example('cyclamenusher member add control-4 --control 127.0.0.1:7100 --secret-file secret')
+  program.example('cyclamenusher domain drain zone-a --control 127.0.0.1:7100 --secret-file secret')
   program.example('cyclamenusher explain "select 1" --account clinic --database padron --entry 127.0.0.1:7001 --secret-file secret')
   program.example('cyclamenusher trace 18a98b52461fb712 entry-1.log entry-2.log control-1.log')
   program.example('cyclamenusher drain --entry 127.0.0.1:7001 --secret-file secret')
--- a/packages/cyclamenusherd/src/node/engine/attempt.ts
+++ b/packages/cyclamenusherd/src/node/engine/attempt.ts
@@ -1,6 +1,7 @@
 /** Runs one statement on one connection, until its deadline. */
 
 import { startAnswerTimeout } from '@cyclamenusher/protocol'
+import { UNSENDABLE_REASONS, findSendRefusal } from './groupDrain.js'
 import { PreparationError, prepareConnection, buildStatementText } from './preparation.js'
 import type { LocalServices } from './operations.js'
 import type { AcquiredConnection } from './groupPool.js'
@@ -45,12 +46,16 @@
  */
 export async function attemptStatement (services: LocalServices, acquired: AcquiredConnection, { session, request, deadline }: StatementContext, addPrefix: (text: string) => string, mayReset: boolean): Promise<AttemptReply> {
   const { connection } = acquired
+  const refusal = acquired.sendability() === 'yes' ? undefined : await findSendRefusal(acquired.sendability, services.clock, deadline)
+  if (refusal !== undefined) return { kind: 'not sent', reason: refusal }
   const startedAt = services.clock.now()
   const definition = request.statement.kind === 'execute' ? session.prepared.get(request.statement.name) : undefined
   try {
     const codec = services.codec()
     await prepareConnection(connection, codec, session.values, definition, mayReset)
     if (!connection.isOpen()) return { kind: 'not sent', reason: 'the connection is gone' }
+    const sendability = acquired.sendability()
+    if (sendability !== 'yes') return { kind: 'not sent', reason: UNSENDABLE_REASONS[sendability] }
     return await awaitReply(services, acquired, deadline, connection.run(request.id, addPrefix(buildStatementText(codec, request, definition)), Math.max(0, deadline - services.clock.now()) + LATE_MARGIN_MILLISECONDS))
   } catch (error) {
     connection.close('a statement could not be run on it')
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/engine/groupDrain.ts
@@ -0,0 +1,139 @@
+/** Applies drains of failure domains to one group's servers: which of them may be used, until when, and which transactions are ended. */
+
+import { pause } from '../process/clock.js'
+import type { DomainDrain, ReadRequirement } from '@cyclamenusher/decisions'
+import type { Clock } from '../process/clock.js'
+import type { FleetLink } from '../process/fleet/fleetLink.js'
+import type { ScopedLogger } from '../process/logger.js'
+import type { ServerPool } from './serverPool.js'
+
+/** Interval at which an instance that does not know the drains in force looks again, in milliseconds. */
+const KNOWLEDGE_POLL_INTERVAL_MILLISECONDS = 20
+
+export type Sendability =
+  | 'yes'
+  /** No word from control for so long that the server's failure domain may be drained. */
+  | 'unknown'
+  /** The time in which statements may reach the drained failure domain is over. */
+  | 'drained'
+
+export const UNSENDABLE_REASONS: Record<Exclude<Sendability, 'yes'>, string> = {
+  unknown: 'this instance has no word from control and may not know of a drain',
+  drained: 'the failure domain of the server is drained'
+}
+
+/** What can be selected for an operation. */
+export interface DrainedRequest {
+  need: ReadRequirement
+  /** Members at which the operation has already failed. */
+  excluded: ReadonlySet<string>
+}
+
+export interface GroupDrain {
+  /** The servers that may be selected now. */
+  listSelectable: (request: DrainedRequest) => ServerPool[]
+  /** Whether the server must not be used, although a connection to it was opened for the request. */
+  isUnusable: (pool: ServerPool, request: DrainedRequest) => boolean
+  /** Why the operation is refused: all servers that could run it are drained. Undefined: it is not refused for that. */
+  findRefusal: (request: DrainedRequest) => string | undefined
+  sendability: (failureDomain: string) => Sendability
+  /** Whether a transaction may begin at a server there. */
+  mayBegin: (failureDomain: string) => boolean
+  /** Calls `end` when transactions at the server must end. Returns a function that cancels that. */
+  watchTransaction: (pool: ServerPool, end: (reason: string) => void) => () => void
+  /** Applies the drains to the servers' connections. */
+  refresh: () => void
+  tick: () => void
+}
+
+export interface GroupDrainOptions {
+  group: string
+  link: FleetLink
+  pools: ReadonlyMap<string, ServerPool>
+  /** The primary, if it is open for work and this instance holds its lease. */
+  findUsablePrimary: () => string | undefined
+  clock: Clock
+  logger: ScopedLogger
+}
+
+export function createGroupDrain ({ group, link, pools, findUsablePrimary, clock, logger }: GroupDrainOptions): GroupDrain {
+  const watched = new Set<{ pool: ServerPool, end: (reason: string) => void }>()
+
+  function findDrain (pool: ServerPool): DomainDrain | undefined {
+    return link.drains().get(pool.server().failureDomain)
+  }
+
+  /** Whether a primary in a drained failure domain still runs operations, because control has not closed it yet. */
+  function isPrimaryInUse (pool: ServerPool): boolean {
+    const drain = findDrain(pool)
+    return drain !== undefined && clock.now() < drain.statementsUntil && findUsablePrimary() === pool.server().member
+  }
+
+  function canRunReads (pool: ServerPool): boolean {
+    const { leaving, member } = pool.server()
+    return !leaving || member === link.primaryAssignment(group)?.member
+  }
+
+  function listSelectable ({ need, excluded }: DrainedRequest): ServerPool[] {
+    if (!link.areDrainsKnown()) return []
+    const all = [...pools.values()]
+    const isExcluded = (pool: ServerPool): boolean => excluded.has(pool.server().member)
+    if (link.drains().size === 0) return all.filter(pool => !isExcluded(pool))
+    const outside = all.filter(pool => findDrain(pool) === undefined)
+    const needsPrimary = need.kind === 'primary' || !outside.some(canRunReads)
+    const usable = needsPrimary ? [...outside, ...all.filter(isPrimaryInUse)] : outside
+    // Drained servers are not tried, so the others may be tried again once all of them have failed.
+    const untried = usable.filter(pool => !isExcluded(pool))
+    return untried.length > 0 ? untried : usable
+  }
+
+  function refresh (): void {
+    for (const pool of pools.values()) pool.setDrained(findDrain(pool) !== undefined && !isPrimaryInUse(pool))
+  }
+
+  /** Ends the transactions whose time is over. */
+  function endTransactions (): void {
+    const now = clock.now()
+    const due = [...watched].filter(({ pool }) => now >= (findDrain(pool)?.transactionsUntil ?? Infinity))
+    if (due.length === 0) return
+    logger.info('Transactions are ended, because the failure domain of their server is drained.', { group, members: [...new Set(due.map(({ pool }) => pool.server().member))].join(', '), transactions: due.length })
+    for (const entry of due) {
+      watched.delete(entry)
+      entry.end(`the failure domain of server ${entry.pool.server().member} is drained`)
+    }
+  }
+
+  return {
+    listSelectable,
+    isUnusable: (pool, request) => (link.drains().size > 0 || !link.areDrainsKnown()) && !listSelectable(request).includes(pool),
+    findRefusal: request => {
+      if (link.drains().size === 0 || !link.areDrainsKnown()) return undefined
+      const hasDrained = [...pools.values()].some(pool => findDrain(pool) !== undefined)
+      if (!hasDrained || listSelectable(request).some(pool => isPrimaryInUse(pool) || canRunReads(pool))) return undefined
+      return 'all servers that could run this are in drained failure domains'
+    },
+    sendability: failureDomain => {
+      if (!link.areDrainsKnown()) return 'unknown'
+      return clock.now() < (link.drains().get(failureDomain)?.statementsUntil ?? Infinity) ? 'yes' : 'drained'
+    },
+    mayBegin: failureDomain => clock.now() < (link.drains().get(failureDomain)?.transactionsUntil ?? Infinity),
+    watchTransaction: (pool, end) => {
+      const entry = { pool, end }
+      watched.add(entry)
+      return () => { watched.delete(entry) }
+    },
+    refresh,
+    tick: () => {
+      if (link.drains().size === 0) return
+      refresh()
+      endTransactions()
+    }
+  }
+}
+
+/** Waits until `deadline` for word from control where statements can't be sent without it. Returns why nothing may be sent on the connection; undefined: it may. */
+export async function findSendRefusal (sendability: () => Sendability, clock: Clock, deadline: number): Promise<string | undefined> {
+  while (sendability() === 'unknown' && clock.now() < deadline) await pause(KNOWLEDGE_POLL_INTERVAL_MILLISECONDS)
+  const outcome = sendability()
+  return outcome === 'yes' ? undefined : UNSENDABLE_REASONS[outcome]
+}
--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -3,11 +3,13 @@
 import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, resolveReadRequirement, recordPosition, computeWaitDeadline, estimateLeaseReturn } from '@cyclamenusher/decisions'
 import { awaitLease } from './confirmation.js'
 import { StatementFailure } from './errors.js'
+import { createGroupDrain } from './groupDrain.js'
 import { createServerPool } from './serverPool.js'
 import type { ConnectionBudget, LogPosition, PositionHistory, QueuePressure, QueuedRequest, ReadRequirement, ReadRequest, ServerLoad, ServerObservation } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { ScopedLogger } from '../process/logger.js'
+import type { Sendability } from './groupDrain.js'
 import type { ServerConnection } from './serverConnection.js'
 import type { ServerPool } from './serverPool.js'
 import type { ServerCodec } from './statement.js'
@@ -38,6 +40,12 @@
   requiredPosition?: LogPosition
   /** Whether the member was still the primary when it answered. Waits until `deadline` for the lease of this instance to be renewed. */
   confirmPrimary: (deadline: number) => Promise<boolean>
+  /** Whether a statement may be sent, as far as drains of failure domains are concerned. */
+  sendability: () => Sendability
+  /** Whether a transaction may begin. */
+  mayBegin: () => boolean
+  /** Calls `end` if the transaction must end before the connection is released, because the server's failure domain is drained. */
+  onTransactionOver: (end: (reason: string) => void) => void
   recordPosition: (askedAt: number, position: LogPosition) => void
   recordAnswerTime: (milliseconds: number) => void
   recordRefusal: () => void
@@ -104,6 +112,8 @@
     return assignment?.use === 'open' && link.isLeased() ? assignment.member : undefined
   }
 
+  const drain = createGroupDrain({ group, link, pools, findUsablePrimary, clock, logger })
+
   function refreshServers (): void {
     const servers = link.servers(group)
     for (const server of servers) {
@@ -161,7 +171,7 @@
 
   function listServerLoads (request: ConnectionRequest, now: number): ServerLoad[] {
     const primary = findUsablePrimary()
-    return [...pools].filter(([member]) => !request.excluded.has(member)).map(([, pool]) => pool.computeLoad(request.account, now, primary))
+    return drain.listSelectable(request).map(pool => pool.computeLoad(request.account, now, primary))
   }
 
   function chooseServer (request: ConnectionRequest, now: number): ServerLoad | undefined {
@@ -180,7 +190,9 @@
     const acquiredDesignation = designation
     const isPrimary = findUsablePrimary() === connection.member
     const requiredPosition = request.need.kind === 'position' ? request.need.position : undefined
+    const { failureDomain } = pool.server()
     let released = false
+    let stopWatching = (): void => {}
     if (requiredPosition === undefined) pool.markPrimaryWork(connection)
     return {
       connection,
@@ -188,6 +200,9 @@
       isPrimary,
       requiredPosition,
       confirmPrimary: async deadline => await confirmPrimary(connection.member, acquiredDesignation, deadline),
+      sendability: () => drain.sendability(failureDomain),
+      mayBegin: () => drain.mayBegin(failureDomain),
+      onTransactionOver: end => { stopWatching = drain.watchTransaction(pool, end) },
       recordPosition: (askedAt, position) => {
         if (acquiredDesignation !== designation) return
         if (!isPrimary) return pool.recordPosition(history, position)
@@ -201,6 +216,7 @@
       release: clean => {
         if (released) return
         released = true
+        stopWatching()
         pool.release(connection, clean)
       }
     }
@@ -217,7 +233,7 @@
     const connection = await pool.open(waiter.request.account).catch(() => undefined)
     // The primary may have been replaced while the connection was opened.
     const isUsable = waiter.request.need.kind === 'position' || findUsablePrimary() === connection?.member
-    if (connection !== undefined && isUsable) return waiter.resolve(createAcquiredConnection(pool, connection, waiter.request))
+    if (connection !== undefined && isUsable && !drain.isUnusable(pool, waiter.request)) return waiter.resolve(createAcquiredConnection(pool, connection, waiter.request))
     if (connection !== undefined) pool.release(connection, true)
     queue.push(waiter)
     dispatch()
@@ -244,6 +260,18 @@
     for (const { reject, queuedAt } of unservable) reject(createRefusal(now - queuedAt))
   }
 
+  /** Refuses waiting requests that only drained servers could run. */
+  function refuseDrained (now: number): void {
+    if (link.drains().size === 0) return
+    const waiting = queue
+    queue = []
+    for (const waiter of waiting) {
+      const reason = drain.findRefusal(waiter.request)
+      if (reason === undefined) queue.push(waiter)
+      else waiter.reject(new StatementFailure('busy', `${reason}; it waited ${Math.round(now - waiter.queuedAt)} ms and did not run`))
+    }
+  }
+
   function createRefusal (waitedMilliseconds: number): StatementFailure {
     return new StatementFailure('busy', `${findRefusalReason()}; it waited ${Math.round(waitedMilliseconds)} ms behind ${queue.length} and did not run`)
   }
@@ -269,6 +297,7 @@
     dispatching = true
     const now = clock.now()
     refuseUnservable(now)
+    refuseDrained(now)
     queue.sort((left, right) => compareRequests(left, right, now))
     const waiting = queue
     queue = []
@@ -287,6 +316,8 @@
   return {
     acquire: async request => {
       const now = clock.now()
+      const drainRefusal = drain.findRefusal(request)
+      if (drainRefusal !== undefined) throw new StatementFailure('busy', `${drainRefusal}; it did not run`)
       const { priority, objective, deadline } = request
       const queuedRequest: QueuedRequest = { priority, objective, deadline, queuedAt: now }
       const ahead = queue.filter(queued => compareRequests(queued, queuedRequest, now) <= 0).length
@@ -315,12 +346,14 @@
     isActive: () => queue.length > 0 || [...pools.values()].some(pool => pool.isActive()),
     tick: () => {
       const now = clock.now()
+      drain.tick()
       for (const pool of pools.values()) pool.tick(now)
       if (queue.length > 0) dispatch()
     },
     refresh: () => {
       refreshServers()
       refreshPrimary()
+      drain.refresh()
       dispatch()
     },
     close: () => {
--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -22,6 +22,9 @@
 /** Idle time after which a connection above the idle budget is closed, in milliseconds. */
 const SURPLUS_IDLE_TIMEOUT_MILLISECONDS = 400
 
+/** Why connections to a server in a drained failure domain are closed. */
+const DRAINED_REASON = 'the failure domain of the server is drained'
+
 interface PooledConnection {
   connection: ServerConnection
   inUse: boolean
@@ -69,6 +72,8 @@
   hasPrimaryWork: () => boolean
   /** Closes the connections that run work that only the primary may run. */
   endPrimaryWork: (reason: string) => void
+  /** Whether the server's failure domain is drained: idle connections are closed, and connections that are released. Nothing is probed. */
+  setDrained: (drained: boolean) => void
   /** Whether there are connections, or the server's return is looked for. */
   isActive: () => boolean
   observe: (now: number) => ServerObservation | undefined
@@ -96,6 +101,7 @@
   let probedAt = -Infinity
   let probing = false
   let closed = false
+  let drained = false
   let lag = UNKNOWN_LAG
   let missing: { position: LogPosition, until: number, pause: number } | undefined
 
@@ -214,7 +220,7 @@
 
   return {
     server: () => server,
-    hasCapacity: () => failingSince === undefined && countOutstanding() < computeAllowedStatements(concurrency, computeBounds()),
+    hasCapacity: () => !drained && failingSince === undefined && countOutstanding() < computeAllowedStatements(concurrency, computeBounds()),
     update: next => {
       const isReplaced = next.bornAt !== server.bornAt || next.host !== server.host || next.port !== server.port
       server = next
@@ -255,7 +261,7 @@
       if (entry === undefined) return
       entry.inUse = false
       entry.primaryWork = false
-      if (!clean || server.leaving) connection.close(clean ? 'the server leaves' : 'its state is not known')
+      if (!clean || server.leaving || drained) connection.close(clean ? drained ? DRAINED_REASON : 'the server leaves' : 'its state is not known')
       else options.onChange()
     },
     recordAnswerTime: milliseconds => {
@@ -277,6 +283,11 @@
     },
     hasPrimaryWork: () => pooled.some(({ inUse, primaryWork }) => inUse && primaryWork),
     endPrimaryWork: reason => { for (const { connection, primaryWork } of [...pooled]) if (primaryWork) connection.close(reason) },
+    setDrained: next => {
+      if (drained === next) return
+      drained = next
+      if (drained) for (const { connection, inUse } of [...pooled]) if (!inUse) connection.close(DRAINED_REASON)
+    },
     isActive: () => countConnections() > 0 || failingSince !== undefined,
     observe: now => {
       if (failingSince === undefined && answeredAt === -Infinity) return undefined
@@ -286,6 +297,7 @@
       }
     },
     tick: now => {
+      if (drained) return
       closeSurplusConnection(now)
       if (failingSince !== undefined) {
         if (now - probedAt > RETRY_DELAY_MILLISECONDS) void probeAddress(failingSince)
--- a/packages/cyclamenusherd/src/node/engine/session.ts
+++ b/packages/cyclamenusherd/src/node/engine/session.ts
@@ -39,7 +39,9 @@
   hasRun?: boolean
   /** The transaction at the holder that runs it; undefined, or resolved with undefined: this instance runs it. */
   forwarded?: Promise<ForwardedTransaction | undefined>
-  /** Why the instance ended the transaction while its caller was idle; undefined: it did not. */
+  /** Whether a statement of it is being run on `acquired`. */
+  isRunning?: boolean
+  /** Why the instance ended the transaction while its caller was idle, or because of a drain; undefined: it did not. */
   endReason?: string
 }
 
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -14,6 +14,7 @@
 import { computeObjective } from './session.js'
 import { pause } from '../process/clock.js'
 import type { ReadRequirement } from '@cyclamenusher/decisions'
+import type { AttemptReply } from './attempt.js'
 import type { LocalServices } from './operations.js'
 import type { GroupPool, AcquiredConnection } from './groupPool.js'
 import type { StatementResult, Session, StatementContext, Transaction } from './session.js'
@@ -39,6 +40,10 @@
   for (;;) {
     const need = resolveRequirement(group, session, admitted)
     const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need, excluded })
+    if (!acquired.mayBegin()) {
+      acquired.release(true)
+      throw new StatementFailure('busy', `the failure domain of server ${acquired.connection.member} is drained; the transaction did not begin`)
+    }
     const begin = acquired.requiredPosition === undefined ? codec.begin(readOnly) : codec.requirePosition(acquired.requiredPosition, codec.begin(readOnly))
     const failure = await beginOnConnection(services, acquired, { ...context, request: { id: transaction.beginId, text: begin, statement: { kind: 'read' } } })
     if (failure === undefined) return acquired
@@ -65,13 +70,23 @@
   return reply.kind === 'not sent' || reply.kind === 'lost' ? reply.reason : 'it did not answer'
 }
 
+/** Keeps the connection on which the transaction has begun, until a drain of its server's failure domain ends the transaction. */
+function adoptConnection (services: LocalServices, transaction: Transaction, acquired: AcquiredConnection): void {
+  transaction.acquired = acquired
+  acquired.onTransactionOver(reason => {
+    transaction.endReason ??= reason
+    // A statement in progress finishes first.
+    if (transaction.isRunning !== true) rollBackTransaction(services, transaction)
+  })
+}
+
 /**
  * Begins the transaction in the background, before its caller's first statement
  * arrives. If that fails, the first statement tries again.
  */
 export function beginInBackground (services: LocalServices, context: StatementContext, transaction: Transaction): void {
   transaction.beginning = beginAtServer(services, context, transaction).then(
-    acquired => { transaction.acquired = acquired },
+    acquired => { adoptConnection(services, transaction, acquired) },
     (error: Error) => { services.log.logDecision('A transaction could not begin before its first statement.', { id: context.request.id, reason: error.message }) }
   )
 }
@@ -86,6 +101,8 @@
   const { acquired } = transaction
   if (acquired === undefined) return
   transaction.acquired = undefined
+  // The server rolls back when the connection closes.
+  if (acquired.sendability() !== 'yes') return acquired.release(false)
   const rollback = acquired.connection.run(id, services.codec().rollback(), ROLLBACK_TIMEOUT_MILLISECONDS + LATE_MARGIN_MILLISECONDS)
   void awaitReply(services, acquired, services.clock.now() + ROLLBACK_TIMEOUT_MILLISECONDS, rollback).then(reply => {
     acquired.release(reply.kind === 'complete' && reply.state === 'idle')
@@ -107,13 +124,23 @@
   throw new StatementFailure('aborted', transaction.endReason)
 }
 
+async function attemptInTransaction (services: LocalServices, context: StatementContext, transaction: Transaction, acquired: AcquiredConnection): Promise<AttemptReply> {
+  transaction.isRunning = true
+  try {
+    return await attemptStatement(services, acquired, context, text => text, false)
+  } finally {
+    transaction.isRunning = false
+  }
+}
+
 /** Runs a read or a write in the transaction. @throws StatementFailure */
 export async function runInTransaction (services: LocalServices, context: StatementContext, transaction: Transaction, isWrite: boolean): Promise<StatementResult> {
   const { session } = context
   requireNotEnded(session, transaction)
   await transaction.beginning
+  requireNotEnded(session, transaction)
   const acquired = transaction.acquired ?? await beginNow(services, context, transaction)
-  const reply = await attemptStatement(services, acquired, context, text => text, false)
+  const reply = await attemptInTransaction(services, context, transaction, acquired)
   if (reply.kind === 'late') throw failTransaction(session, transaction, new StatementFailure('aborted', `server ${acquired.connection.member} did not answer in time; its connection was closed`))
   if (reply.kind === 'lost' || reply.kind === 'not sent') throw failTransaction(session, transaction, new StatementFailure('aborted', `the connection to server ${acquired.connection.member} was lost: ${reply.reason}`))
   if (reply.kind === 'failure') {
@@ -122,13 +149,15 @@
     throw new StatementFailure(NOT_RUN_FAILURES.has(reply.failure) && reply.failure !== 'statement unknown' ? 'aborted' : reply.failure, reply.explanation)
   }
   transaction.wrote ||= isWrite
+  if (transaction.endReason !== undefined) rollBackTransaction(services, transaction)
   return reply
 }
 
 async function beginNow (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<AcquiredConnection> {
   try {
-    transaction.acquired = await beginAtServer(services, context, transaction)
-    return transaction.acquired
+    const acquired = await beginAtServer(services, context, transaction)
+    adoptConnection(services, transaction, acquired)
+    return acquired
   } catch (error) {
     context.session.state = 'failed transaction'
     throw error
@@ -142,6 +171,7 @@
   session.state = 'idle'
   if (transaction.endReason !== undefined) throw new StatementFailure('aborted', transaction.endReason)
   await transaction.beginning
+  if (transaction.endReason !== undefined) throw new StatementFailure('aborted', transaction.endReason)
   const acquired = transaction.acquired ?? await beginAtServer(services, context, transaction)
   transaction.acquired = undefined
   const { connection } = acquired
