test: drains of failure domains

Found by them: a replacement of a drained primary of a group without synchronous replicas was decided before the primary had said what it holds.

--- a/packages/cyclamenusher/src/node/__tests__/program.test.ts
+++ b/packages/cyclamenusher/src/node/__tests__/program.test.ts
@@ -99,4 +99,18 @@
 })
 
 test.after(() => { rmSync(folder, { recursive: true }) })
+test('domain orders have other exit codes than their outcomes', async () => {
+  const orders: Array<[string, boolean]> = []
+  const connect = createConnect({
+    listDomains: async () => [{ name: 'a', drained: true }, { name: 'b', drained: false }],
+    orderDomain: async (name, drained) => orders.push([name, drained]) > 0 && name === 'a'
+  })
+  assert.is((await run('domain drain a', connect)).code, 0)
+  assert.is((await run('domain restore a', connect)).code, 0)
+  assert.match((await run('domain drain nowhere', connect)).errors, /no failure domain nowhere/)
+  assert.is((await run('domain drain', connect)).code, 2)
+  assert.match((await run('domain list', connect)).output, /a +drained\nb +in use/)
+  assert.equal(orders, [['a', true], ['a', false], ['nowhere', true]])
+})
+
 test.run()
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -170,7 +170,7 @@
   if (resumable !== undefined) return startServing(step, resumable)
   const best = chooseCandidate(step, candidates)
   const primaryStatus = state.designation === undefined ? undefined : findFreshStatus(step, state.designation.member)
-  const behind = best !== undefined && primaryStatus !== undefined && comparePositions(best.status.received, primaryStatus.received) < 0
+  const behind = best !== undefined && (primaryStatus === undefined ? isPrimaryDrained(step) : comparePositions(best.status.received, primaryStatus.received) < 0)
   const hasTimedOut = environment.now - state.phaseSince >= CATCH_UP_TIMEOUT_MILLISECONDS
   const isDue = isDrainDue(step, findPrimary(step), DRAIN_RESERVE_MILLISECONDS)
   if (best === undefined && hasTimedOut && !isDue && state.planned && primaryStatus?.role === 'primary' && countSynchronousReplicas(step) > 0) return resumePlanned(step, primaryStatus)
@@ -183,10 +183,15 @@
   step.effects.push({ kind: 'designate', member, after: state.designation?.number ?? 0 })
 }
 
+/** Whether the primary is in a drained failure domain. It works, so its last commits are known only once it has answered. */
+function isPrimaryDrained (step: GroupStep): boolean {
+  const primary = findPrimary(step)
+  return primary !== undefined && isDrained(step, primary)
+}
+
 /** Whether a working primary was closed for the drain of its failure domain, and no server outside can be promoted. */
 function isDrainedWithoutSuccessor (step: GroupStep, candidates: readonly KnownServer[]): boolean {
-  const primary = findPrimary(step)
-  return step.state.planned && primary !== undefined && isDrained(step, primary) && candidates.length === 0
+  return step.state.planned && isPrimaryDrained(step) && candidates.length === 0
 }
 
 /** Waits for a successor, or for the end of the drain: then the primary is opened again. It is asked for nothing while it is drained. */
