--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -25,6 +25,8 @@
   leaseLosses: Counter
   /** Drained failure domains of which this instance knows. */
   drainedFailureDomains: Gauge
+  /** Tokens of rates that were requested while callers prepared their operations. */
+  prefetchedTokens: Counter<'outcome'>
   recordLatency: (name: LatencyName, milliseconds: number) => void
   render: () => Promise<string>
 }
@@ -61,6 +63,7 @@
     declarationVersions: new Gauge({ name: 'cyclamenusher_declaration_version', help: 'Version of the declaration that the instance holds, and of the newest that control has named.', labelNames: ['known'], registers }),
     leaseLosses: new Counter({ name: 'cyclamenusher_lease_losses_total', help: 'Leases that ended before they were renewed.', registers }),
     drainedFailureDomains: new Gauge({ name: 'cyclamenusher_drained_failure_domains', help: 'Failure domains to whose backend servers nothing is sent.', registers }),
+    prefetchedTokens: new Counter({ name: 'cyclamenusher_prefetched_tokens_total', help: 'Tokens of rates that were requested before an operation needed them: used, unused or not granted.', labelNames: ['outcome'], registers }),
     recordLatency: (name, milliseconds) => {
       const microseconds = Math.min(MAXIMUM_LATENCY_MICROSECONDS, Math.max(1, Math.round(milliseconds * 1000)))
       latencies[name].recordValue(microseconds)
