feat(forwarding): try an unreachable holder in the background

A holder whose stream ended was used again 300 ms later: one operation in 300 ms at each instance waited up to 150 ms for each holder that could not be reached. During a cut of 7 s that was the case for half of the holders.

The holder now counts as unreachable until it answers on a new stream. Attempts follow one another in the background at intervals of 300 to 1,000 ms; an operation waits for one only if no other holder is known and this instance has no lease. The first attempt to reach a holder is still awaited for up to 150 ms, and then goes on. An attempt that is given up ends its own connection only; before, all streams to the instance were closed, loans included.

A second connection to a silent holder is tried each 500 ms while it is not even established; the delay doubled up to seconds before. One that is established and not answered is replaced after 2 s.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -7,14 +7,14 @@
  * sent, or was refused by the holder before it ran, is sent again. Reads may run twice.
  */
 
-import { orderHolders } from '@cyclamenusher/decisions'
+import { orderHolders, selectHolder } from '@cyclamenusher/decisions'
 import { confirmDesignation, isLeaseOverdue } from '../confirmation.js'
 import { StatementFailure } from '../errors.js'
 import { requireNotEnded } from '../transactions.js'
 import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
 import { createHolderLink } from './holderLink.js'
 import { roundTime } from './messages.js'
-import type { NamedInstance } from '@cyclamenusher/decisions'
+import type { HolderOption, NamedInstance } from '@cyclamenusher/decisions'
 import type { MessageStream } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../../process/logger.js'
 import type { Peers } from '../../process/peers.js'
@@ -91,16 +91,17 @@
 
   /** The link to the holder that is to run the operation; undefined: this instance runs it. */
   function chooseHolder (operation: AdmittedOperation, excluded: ReadonlySet<HolderLink>): HolderLink | undefined {
-    for (const holder of listHolders(operation)) {
-      if (holder.name === link.name) {
-        if (!isLeaseOverdue(link, clock)) return undefined
-        // Another holder may have the lease that this one lacks.
-        continue
-      }
-      const holderLink = ensureHolderLink(holder)
-      if (!excluded.has(holderLink) && holderLink.isUsable()) return holderLink
-    }
-    return undefined
+    const options = listHolders(operation).flatMap((listed): Array<HolderOption<HolderLink | undefined>> => {
+      if (listed.name === link.name) return [{ holder: undefined, readiness: 'here' }]
+      const holder = ensureHolderLink(listed)
+      if (excluded.has(holder)) return []
+      const readiness = holder.readiness()
+      if (readiness === 'unreachable' && holder.isAttemptDue()) holder.attempt()
+      return [{ holder, readiness }]
+    })
+    // Without a lease here, another holder may have one.
+    const choice = selectHolder(options, !isLeaseOverdue(link, clock))
+    return choice.kind === 'run here' ? undefined : choice.holder
   }
 
   function buildStatement ({ session, request, startedAt, deadline }: StatementContext): ForwardedStatement {
@@ -308,7 +309,7 @@
   }
 
   /**
-   * Opens streams to the next holders that have none.
+   * Opens streams to the next holders that have none, to those that were never tried first.
    *
    * Load pattern: few operations at each of many instances, so that nearly every one
    * would be the first for its holder, and wait until a connection is open.
@@ -317,8 +318,9 @@
     const due = Math.min(MAXIMUM_WARMED_AT_ONCE, Math.floor((now - warmedAt) / WARM_INTERVAL_MILLISECONDS))
     if (due < 1) return
     warmedAt = now
-    const cold = link.allHolders().slice(0, MAXIMUM_WARM_STREAMS).filter(({ name }) => name !== link.name).map(ensureHolderLink).filter(holder => holder.isCold())
-    for (const holder of cold.slice(0, due)) void holder.open()
+    const cold = link.allHolders().slice(0, MAXIMUM_WARM_STREAMS).filter(({ name }) => name !== link.name).map(ensureHolderLink).filter(holder => holder.isAttemptDue())
+    const isUntried = (holder: HolderLink): boolean => holder.readiness() === 'untried'
+    for (const holder of [...cold.filter(isUntried), ...cold.filter(holder => !isUntried(holder))].slice(0, due)) holder.attempt()
   }
 
   /** Watches the holders while operations are outstanding or a holder is silent; an instance at rest has no timer. */
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -1,19 +1,23 @@
 /** Sends operations to one instance that holds a group's connections, and notices when it does not answer. */
 
 import { randomUUID } from 'node:crypto'
-import { UNKNOWN_HOLDER, isHolderUsable, recordHolderAnswer, recordHolderFailure, watchHolder } from '@cyclamenusher/decisions'
+import { UNKNOWN_HOLDER, assessHolder, recordHolderAnswer, recordHolderAttempt, recordHolderLost, recordHolderOpened, recordHolderRefusal, watchHolder } from '@cyclamenusher/decisions'
 import { startAnswerTimeout } from '@cyclamenusher/protocol'
 import { HOLDER_STREAM, decodeHolderReply } from './messages.js'
-import type { HolderHealth } from '@cyclamenusher/decisions'
+import type { HolderHealth, HolderReadiness } from '@cyclamenusher/decisions'
 import type { FleetService, MessageStream, MessageStreamHandlers, PeerLink } from '@cyclamenusher/protocol'
 import type { Clock } from '../../process/clock.js'
 import type { ScopedLogger } from '../../process/logger.js'
 import type { HolderReply, HolderRequest } from './messages.js'
 
-/** Time within which a stream must be open, in milliseconds: a connection between regions and its first round trip. */
-const OPEN_TIMEOUT_MILLISECONDS = 150
-/** Delay after a first attempt to reach a silent holder on another connection, in milliseconds; it doubles with each further one, as a frozen instance has to take them all when it wakes. */
+/** Longest time for which an operation waits for an attempt to open the stream, in milliseconds: a connection between regions and its first round trip, also where this instance has just started. The attempt itself goes on. */
+const OPEN_WAIT_MILLISECONDS = 150
+/** Delay after a first attempt to reach a silent holder on another connection, in milliseconds; it doubles with each further one that was established, as a frozen instance has to take them all when it wakes. */
 const REPLACEMENT_DELAY_MILLISECONDS = 500
+/** Time within which a second connection to a silent holder must be established, in milliseconds. */
+const REPLACEMENT_OPEN_MILLISECONDS = 500
+/** How long a silent holder may take to answer on an established second connection before that is replaced, in milliseconds: its path may have been cut after it was established. */
+const REPLACEMENT_PATIENCE_MILLISECONDS = 2_000
 /** How long a silent stream may still answer after the holder has answered on another one, in milliseconds: an instance that wakes reads both. */
 const REPLACEMENT_GRACE_MILLISECONDS = 75
 
@@ -30,10 +34,12 @@
   /** Name of the holder. */
   name: string
   /** Whether new operations may be sent to the holder. */
-  isUsable: () => boolean
-  /** Whether no stream to the holder is open, and one may be opened. */
-  isCold: () => boolean
-  /** The stream to the holder, opened on demand; undefined if it can't be opened in time. */
+  readiness: () => HolderReadiness
+  /** Whether no stream to the holder is open, and an attempt to open one is due. */
+  isAttemptDue: () => boolean
+  /** Starts an attempt to open the stream in the background, unless there is one. */
+  attempt: () => void
+  /** The stream to the holder, opened on demand; undefined if it can't be opened within the time. The attempt to open it goes on. */
   open: () => Promise<MessageStream | undefined>
   /** Sends a request on the stream. */
   request: (stream: MessageStream, build: (number: number) => HolderRequest, deadline: number, options?: RequestOptions) => Promise<ForwardOutcome>
@@ -63,21 +69,23 @@
 
 export interface HolderLinkOptions {
   name: string
-  link: Pick<PeerLink<typeof FleetService>, 'openStream' | 'reconnect'>
+  link: Pick<PeerLink<typeof FleetService>, 'openStream'>
   clock: Clock
   logger: ScopedLogger
+  /** @default Math.random */
+  random?: () => number
   /** Called with each request, as it has to be watched. */
   onRequest: () => void
 }
 
-export function createHolderLink ({ name, link, clock, logger, onRequest }: HolderLinkOptions): HolderLink {
+export function createHolderLink ({ name, link, clock, logger, random = Math.random, onRequest }: HolderLinkOptions): HolderLink {
   let health: HolderHealth = UNKNOWN_HOLDER
   let current: MessageStream | undefined
-  let opening: Promise<MessageStream | undefined> | undefined
+  let attempted: Promise<MessageStream | undefined> | undefined
   let lastNumber = 0
   const outstanding = new Map<number, OutstandingRequest>()
   /** A second stream to a silent holder, and when it was answered there first. */
-  let replacement: { stream: MessageStream, answeredAt?: number } | undefined
+  let replacement: { stream: MessageStream, openedAt: number, answeredAt?: number } | undefined
   let isReplacing = false
   let replacementDueAt = -Infinity
   let replacementDelay = REPLACEMENT_DELAY_MILLISECONDS
@@ -117,6 +125,7 @@
           return
         }
         if (health.silent) logger.info('A holder answers again.', { holder: name })
+        if (health.connection === 'lost') logger.info('A holder is reached again.', { holder: name, attempts: health.attempts })
         health = recordHolderAnswer(health, clock.now())
         const handle = REPLY_HANDLERS[reply.kind] as (reply: HolderReply) => void
         handle(reply)
@@ -125,8 +134,7 @@
         if (stream === replacement?.stream) replacement = undefined
         if (current === stream) {
           current = undefined
-          // Another process may answer at the address by now.
-          health = recordHolderFailure({ ...health, leaving: false, silent: false, probedAt: -Infinity }, clock.now())
+          health = recordHolderLost(health)
         }
         replaced.delete(stream)
         logger.info('The stream to a holder ended.', { holder: name, reason, outstanding: outstanding.size })
@@ -138,24 +146,31 @@
   /** Opens a second stream to a silent holder: if it answers there, just the connection went silent. */
   async function openReplacement (): Promise<void> {
     isReplacing = true
-    replacementDueAt = clock.now() + replacementDelay
-    replacementDelay *= 2
-    const stream = await openStream()
+    const startedAt = clock.now()
+    replacementDueAt = startedAt + replacementDelay
+    const stream = await openStream(REPLACEMENT_OPEN_MILLISECONDS)
     isReplacing = false
+    // A path that is cut costs the other end nothing, so it is tried again without a longer delay.
     if (stream === undefined) return
+    replacementDelay *= 2
+    replacementDueAt = startedAt + replacementDelay
     if (!health.silent) return stream.close('the holder answers again')
-    replacement = { stream }
+    replacement = { stream, openedAt: clock.now() }
     write(stream, { kind: 'probe' })
   }
 
   /** Uses the second stream for new operations if the first one stays silent. */
   function adoptReplacement (now: number): void {
     if (replacement === undefined) return
-    const { stream, answeredAt } = replacement
+    const { stream, openedAt, answeredAt } = replacement
     if (!health.silent) {
       replacement = undefined
       return stream.close('the holder answers again')
     }
+    if (answeredAt === undefined && now - openedAt >= REPLACEMENT_PATIENCE_MILLISECONDS) {
+      replacement = undefined
+      return stream.close('the holder did not answer on it')
+    }
     if (answeredAt === undefined || now - answeredAt < REPLACEMENT_GRACE_MILLISECONDS) return
     const silentStream = current
     replacement = undefined
@@ -179,46 +194,64 @@
     }
   }
 
-  async function openStream (): Promise<MessageStream | undefined> {
+  /** Opens a stream, and gives up the attempt after the time. */
+  async function openStream (milliseconds: number): Promise<MessageStream | undefined> {
+    const abandonment = new AbortController()
     let cancelTimeout = (): void => {}
-    let isLate = false
     const late = new Promise<undefined>(resolve => {
-      cancelTimeout = startAnswerTimeout(OPEN_TIMEOUT_MILLISECONDS, () => {
-        isLate = true
+      cancelTimeout = startAnswerTimeout(milliseconds, () => {
+        abandonment.abort()
         resolve(undefined)
       })
     })
-    const stream = await Promise.race([late, link.openStream(HOLDER_STREAM, attach).then(opened => {
+    const stream = await Promise.race([late, link.openStream(HOLDER_STREAM, attach, abandonment.signal).then(opened => {
       // Nobody waits for it any more.
-      if (isLate) opened.close('it was opened too late')
+      if (abandonment.signal.aborted) opened.close('it was opened too late')
       return opened
     }).catch((error: Error) => {
       logger.debug('A holder was not reached.', { holder: name, reason: error.message })
       return undefined
     })])
     cancelTimeout()
-    if (stream !== undefined) {
-      const token = randomUUID()
-      tokens.set(stream, token)
-      write(stream, { kind: 'probe', stream: token })
-    }
+    if (stream === undefined) return undefined
+    const token = randomUUID()
+    tokens.set(stream, token)
+    write(stream, { kind: 'probe', stream: token })
     return stream
   }
 
   async function openFirst (): Promise<MessageStream | undefined> {
-    const stream = await openStream()
-    if (stream === undefined) {
-      health = recordHolderFailure(health, clock.now())
-      link.reconnect()
+    const startedAt = clock.now()
+    health = recordHolderAttempt(health, startedAt, random)
+    const stream = await openStream(health.attemptFrom - startedAt)
+    if (stream?.isOpen() === true) {
+      current = stream
+      health = recordHolderOpened(health, clock.now())
+      // The answer to the probe on it is watched for.
+      onRequest()
+      return stream
     }
-    return stream
+    if (health.connection !== 'lost') logger.warn('A holder is not reached.', { holder: name })
+    health = recordHolderLost(health)
+    return undefined
+  }
+
+  async function attempt (): Promise<MessageStream | undefined> {
+    attempted ??= openFirst().finally(() => { attempted = undefined })
+    return await attempted
   }
 
   async function open (): Promise<MessageStream | undefined> {
     if (current?.isOpen() === true) return current
-    opening ??= openFirst().finally(() => { opening = undefined })
-    current = await opening
-    return current
+    let cancelWait = (): void => {}
+    const waited = new Promise<undefined>(resolve => { cancelWait = startAnswerTimeout(OPEN_WAIT_MILLISECONDS, () => { resolve(undefined) }) })
+    const stream = await Promise.race([waited, attempt()])
+    cancelWait()
+    return stream
+  }
+
+  function isAttemptDue (): boolean {
+    return current === undefined && attempted === undefined && clock.now() >= health.attemptFrom
   }
 
   function tick (stalledMilliseconds: number): void {
@@ -244,8 +277,9 @@
 
   return {
     name,
-    isUsable: () => isHolderUsable(health, clock.now()),
-    isCold: () => current === undefined && opening === undefined && isHolderUsable(health, clock.now()),
+    readiness: () => assessHolder(health, clock.now()),
+    isAttemptDue,
+    attempt: () => { void attempt() },
     open,
     request: async (stream, build, deadline, options = {}) => await new Promise<ForwardOutcome>(resolve => {
       if (!stream.isOpen() || replaced.has(stream)) return resolve({ kind: 'not sent', reason: 'the stream to the holder has ended' })
@@ -256,8 +290,8 @@
       onRequest()
     }),
     post: write,
-    recordRefusal: () => { health = recordHolderFailure(health, clock.now()) },
-    isWatched: () => outstanding.size > 0 || health.silent || replacement !== undefined || replaced.size > 0,
+    recordRefusal: () => { health = recordHolderRefusal(health, clock.now()) },
+    isWatched: () => outstanding.size > 0 || (current !== undefined && health.connection === 'lost') || health.silent || replacement !== undefined || replaced.size > 0,
     tick
   }
 }
--- a/packages/decisions/src/node/fleet/groupHolders.ts
+++ b/packages/decisions/src/node/fleet/groupHolders.ts
@@ -46,8 +46,14 @@
 const SILENT_AFTER_PROBE_MILLISECONDS = 90
 /** Interval between two such questions to a silent holder, in milliseconds. */
 const PROBE_INTERVAL_MILLISECONDS = 250
-/** How long a holder is not used after its connection failed or it refused because it can't serve, in milliseconds. */
-const FAILURE_PAUSE_MILLISECONDS = 300
+/** How long a holder is not used after it refused because it can't serve, in milliseconds. */
+const REFUSAL_PAUSE_MILLISECONDS = 300
+/** Interval between the first two attempts to reach a holder, in milliseconds; it grows with each further one. */
+const FIRST_ATTEMPT_INTERVAL_MILLISECONDS = 300
+const ATTEMPT_INTERVAL_FACTOR = 1.5
+const LONGEST_ATTEMPT_INTERVAL_MILLISECONDS = 1_000
+/** Fraction by which an interval is shortened at most, at random: all instances lose their streams to a holder together. */
+const ATTEMPT_INTERVAL_SPREAD = 0.2
 
 /** What an instance has noticed of a holder. */
 export interface HolderHealth {
@@ -55,27 +61,82 @@
   heardAt: number
   /** When it was last asked whether it answers; -Infinity: never. */
   probedAt: number
-  /** Until when it is not used, because a connection failed or it can't serve. */
+  /** Until when it is not used, because it refused. */
   pausedUntil: number
   /** Whether it has said that it stops. */
   leaving: boolean
   /** Whether it owes an answer to a probe for too long. */
   silent: boolean
+  /** `untried`: no attempt to open a stream has ended yet. `lost`: the last attempt failed, or the stream has ended, and no answer has come on another one. */
+  connection: 'untried' | 'open' | 'lost'
+  /** Attempts since the holder last answered. */
+  attempts: number
+  /** From when the next attempt to open a stream is allowed. */
+  attemptFrom: number
 }
 
-export const UNKNOWN_HOLDER: HolderHealth = { heardAt: -Infinity, probedAt: -Infinity, pausedUntil: -Infinity, leaving: false, silent: false }
+export const UNKNOWN_HOLDER: HolderHealth = { heardAt: -Infinity, probedAt: -Infinity, pausedUntil: -Infinity, leaving: false, silent: false, connection: 'untried', attempts: 0, attemptFrom: -Infinity }
 
 export function recordHolderAnswer (health: HolderHealth, now: number): HolderHealth {
-  return { ...health, heardAt: now, silent: false }
+  return { ...health, heardAt: now, silent: false, connection: 'open', attempts: 0, attemptFrom: -Infinity }
 }
 
-export function recordHolderFailure (health: HolderHealth, now: number): HolderHealth {
-  return { ...health, pausedUntil: now + FAILURE_PAUSE_MILLISECONDS }
+/** Records that the holder refused because it can't serve at present. */
+export function recordHolderRefusal (health: HolderHealth, now: number): HolderHealth {
+  return { ...health, pausedUntil: now + REFUSAL_PAUSE_MILLISECONDS }
 }
 
-/** Whether new operations may be sent to the holder. */
-export function isHolderUsable ({ pausedUntil, leaving, silent }: HolderHealth, now: number): boolean {
-  return !leaving && !silent && now >= pausedUntil
+/** Records that an attempt to open a stream begins, which may last until the next one is allowed. */
+export function recordHolderAttempt (health: HolderHealth, now: number, random: () => number): HolderHealth {
+  const interval = Math.min(LONGEST_ATTEMPT_INTERVAL_MILLISECONDS, FIRST_ATTEMPT_INTERVAL_MILLISECONDS * ATTEMPT_INTERVAL_FACTOR ** health.attempts)
+  return { ...health, attempts: health.attempts + 1, attemptFrom: now + interval * (1 - ATTEMPT_INTERVAL_SPREAD * random()) }
+}
+
+/** Records that a stream was opened, with a probe on it. A holder whose last stream was lost is used again once it answers, because a frozen instance accepts connections too. */
+export function recordHolderOpened (health: HolderHealth, now: number): HolderHealth {
+  return { ...health, connection: health.connection === 'untried' ? 'open' : health.connection, probedAt: now }
+}
+
+/** Records that the stream has ended, or could not be opened. Another process may answer at the address by now. */
+export function recordHolderLost (health: HolderHealth): HolderHealth {
+  return { ...health, connection: 'lost', leaving: false, silent: false, probedAt: -Infinity }
+}
+
+/** `ready`: operations may be sent. `untried`: the first attempt to reach it has yet to end. `unreachable`: no stream to it is open. `unusable`: it stops, is silent, or refused a moment ago. */
+export type HolderReadiness = 'ready' | 'untried' | 'unreachable' | 'unusable'
+
+const READINESS: Record<HolderHealth['connection'], HolderReadiness> = { untried: 'untried', open: 'ready', lost: 'unreachable' }
+
+export function assessHolder ({ pausedUntil, leaving, silent, connection }: HolderHealth, now: number): HolderReadiness {
+  return leaving || silent || now < pausedUntil ? 'unusable' : READINESS[connection]
+}
+
+/** A holder of an account, in the order of preference; `here` is the instance that chooses. */
+export interface HolderOption<Holder> {
+  holder: Holder
+  readiness: HolderReadiness | 'here'
+}
+
+/** What an operation does: it is sent to a holder, runs on this instance's own connections, or waits for an attempt to reach a holder. */
+export type HolderChoice<Holder> =
+  | { kind: 'send', holder: Holder }
+  | { kind: 'run here' }
+  | { kind: 'await attempt', holder: Holder }
+
+/**
+ * Chooses the holder that is to run an operation. A holder that can't be reached is passed
+ * over; its attempt is awaited only by an operation that nothing else can run.
+ *
+ * Load pattern: half of the instances are cut off, and the streams to them have ended. If
+ * each operation tried to reach its holder, it would wait for the timeout of an attempt
+ * for each of the holders beyond the cut.
+ */
+export function selectHolder<Holder> (options: ReadonlyArray<HolderOption<Holder>>, canRunHere: boolean): HolderChoice<Holder> {
+  const chosen = options.find(({ readiness }) => readiness === 'here' ? canRunHere : readiness === 'ready' || readiness === 'untried')
+  if (chosen?.readiness === 'here') return { kind: 'run here' }
+  if (chosen !== undefined) return { kind: 'send', holder: chosen.holder }
+  const unreachable = canRunHere ? undefined : options.find(({ readiness }) => readiness === 'unreachable')
+  return unreachable === undefined ? { kind: 'run here' } : { kind: 'await attempt', holder: unreachable.holder }
 }
 
 /**
--- a/packages/protocol/src/node/streamOpener.ts
+++ b/packages/protocol/src/node/streamOpener.ts
@@ -22,8 +22,8 @@
 }
 
 export interface StreamOpener {
-  /** @throws ConnectionError */
-  open: (name: string, attach: Attach) => Promise<MessageStream>
+  /** An aborted `signal` gives up the connection. @throws ConnectionError */
+  open: (name: string, attach: Attach, signal?: AbortSignal) => Promise<MessageStream>
   /** Closes all connections of streams. */
   abort: () => void
 }
@@ -37,10 +37,15 @@
     return connectTls({ host, port, key: tls.key, cert: tls.certificate, ca: tls.authority, checkServerIdentity: () => undefined, ALPNProtocols: [STREAM_PROTOCOL] })
   }
 
-  async function openSocket (): Promise<Socket> {
+  async function openSocket (signal?: AbortSignal): Promise<Socket> {
     const socket = connect()
+    const abandon = (): void => { socket.destroy() }
     sockets.add(socket)
-    socket.once('close', () => { sockets.delete(socket) })
+    signal?.addEventListener('abort', abandon)
+    socket.once('close', () => {
+      sockets.delete(socket)
+      signal?.removeEventListener('abort', abandon)
+    })
     await new Promise<void>((resolve, reject) => {
       const timer = setTimeout(() => { socket.destroy(new Error('no connection in time')) }, CONNECT_TIMEOUT_MILLISECONDS)
       socket.once(tls === undefined ? 'connect' : 'secureConnect', () => {
@@ -53,13 +58,18 @@
         reject(new ConnectionError('the connection was closed'))
       })
     })
+    signal?.removeEventListener('abort', abandon)
     return socket
   }
 
   return {
-    open: async (name, attach) => {
-      if (usesCalls) return await openCallStream(name, attach)
-      const socket = await openSocket()
+    open: async (name, attach, signal) => {
+      if (usesCalls) {
+        // The process that knew no other streams may have been replaced.
+        signal?.addEventListener('abort', () => { usesCalls = false })
+        return await openCallStream(name, attach)
+      }
+      const socket = await openSocket(signal)
       return openSocketStream(socket, { stream: name, secret }, attach, () => { usesCalls = true })
     },
     abort: () => {
--- a/packages/protocol/src/node/transport.ts
+++ b/packages/protocol/src/node/transport.ts
@@ -147,8 +147,8 @@
 /** A client with a function that closes its connection, so that the next call opens a new one. */
 export interface PeerLink<Service extends DescService> {
   client: Client<Service>
-  /** Opens a message stream. @throws ConnectionError */
-  openStream: (name: string, attach: (stream: MessageStream) => MessageStreamHandlers) => Promise<MessageStream>
+  /** Opens a message stream. An aborted `signal` gives up a connection that is being established. @throws ConnectionError */
+  openStream: (name: string, attach: (stream: MessageStream) => MessageStreamHandlers, signal?: AbortSignal) => Promise<MessageStream>
   reconnect: () => void
 }
 
