feat(forwarding): let the timeout of a silent holder follow its round trips

A holder counted as silent 90 ms after a probe, whatever its path and its age. After a loss of all power each instance took others for silent that were only slow, sent reads again and opened second streams: hundreds of false alarms within a second.

The timeout is now the smoothed round trip and four deviations (those of RFC 6298), measured on probes and on results that tell the time at the holder. It is at least 90 and at most 600 ms; 300 ms before the first measurement, and at least that for the first 3 s of a stream, because the first answers of an instance that has started come before the load does.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -1,7 +1,7 @@
 /** Sends operations to one instance that holds a group's connections, and notices when it does not answer. */
 
 import { randomUUID } from 'node:crypto'
-import { UNKNOWN_HOLDER, assessHolder, recordHolderAnswer, recordHolderAttempt, recordHolderLost, recordHolderOpened, recordHolderRefusal, watchHolder } from '@cyclamenusher/decisions'
+import { UNKNOWN_HOLDER, assessHolder, recordHolderAnswer, recordHolderAttempt, recordHolderLost, recordHolderOpened, recordHolderRefusal, recordHolderRoundTrip, watchHolder } from '@cyclamenusher/decisions'
 import { startAnswerTimeout } from '@cyclamenusher/protocol'
 import { HOLDER_STREAM, decodeHolderReply } from './messages.js'
 import type { HolderHealth, HolderReadiness } from '@cyclamenusher/decisions'
@@ -92,8 +92,11 @@
   /** Replaced streams on which answers are still outstanding. */
   const replaced = new Set<MessageStream>()
   const tokens = new WeakMap<MessageStream, string>()
+  /** When the probes were sent that have no answer yet, by stream, the oldest first. */
+  const probes = new WeakMap<MessageStream, number[]>()
 
   function write (stream: MessageStream, request: HolderRequest): void {
+    if (request.kind === 'probe') probes.set(stream, [...probes.get(stream) ?? [], clock.now()])
     stream.send(Buffer.from(JSON.stringify(request), 'utf8'))
   }
 
@@ -103,6 +106,17 @@
     request?.finish(outcome)
   }
 
+  /** How long an answer took, apart from the work at the holder; undefined if it does not tell. */
+  function measureRoundTrip (stream: MessageStream, reply: HolderReply): number | undefined {
+    if (reply.kind === 'alive') {
+      const sentAt = probes.get(stream)?.shift()
+      return sentAt === undefined ? undefined : clock.now() - sentAt
+    }
+    const sentAt = reply.kind === 'result' ? outstanding.get(reply.number)?.sentAt : undefined
+    if (reply.kind !== 'result' || sentAt === undefined || reply.timing.atHolder === undefined) return undefined
+    return clock.now() - sentAt - reply.timing.atHolder
+  }
+
   type ReplyHandlers = { [Kind in HolderReply['kind']]: (reply: Extract<HolderReply, { kind: Kind }>) => void }
   const REPLY_HANDLERS: ReplyHandlers = {
     result: reply => { finish(reply.number, { kind: 'reply', reply }) },
@@ -127,6 +141,8 @@
         if (health.silent) logger.info('A holder answers again.', { holder: name })
         if (health.connection === 'lost') logger.info('A holder is reached again.', { holder: name, attempts: health.attempts })
         health = recordHolderAnswer(health, clock.now())
+        const roundTrip = measureRoundTrip(stream, reply)
+        if (roundTrip !== undefined) health = recordHolderRoundTrip(health, roundTrip)
         const handle = REPLY_HANDLERS[reply.kind] as (reply: HolderReply) => void
         handle(reply)
       },
--- a/packages/decisions/src/node/fleet/groupHolders.ts
+++ b/packages/decisions/src/node/fleet/groupHolders.ts
@@ -12,6 +12,8 @@
  */
 
 import { rankManyNodes } from '../group/rendezvous.js'
+import { computeSilenceTimeout, recordRoundTrip } from './roundTrip.js'
+import type { RoundTrips } from './roundTrip.js'
 
 /** Holders in each failure domain that has a server of the group: one can be lost, and the other one still shares the domain's fate with its servers only. */
 const HOLDERS_PER_FAILURE_DOMAIN = 2
@@ -42,8 +44,6 @@
 
 /** Time without a word from a holder with work outstanding after which it is asked whether it still answers, in milliseconds: longer than most statements. */
 const PROBE_AFTER_MILLISECONDS = 60
-/** Time without an answer to that question after which the holder counts as silent, in milliseconds: a busy instance answers within a few tens. */
-const SILENT_AFTER_PROBE_MILLISECONDS = 90
 /** Interval between two such questions to a silent holder, in milliseconds. */
 const PROBE_INTERVAL_MILLISECONDS = 250
 /** How long a holder is not used after it refused because it can't serve, in milliseconds. */
@@ -73,14 +73,22 @@
   attempts: number
   /** From when the next attempt to open a stream is allowed. */
   attemptFrom: number
+  /** When the present stream was opened, and the round trips measured on it; undefined before the first one. */
+  openedAt: number
+  roundTrips?: RoundTrips
 }
 
-export const UNKNOWN_HOLDER: HolderHealth = { heardAt: -Infinity, probedAt: -Infinity, pausedUntil: -Infinity, leaving: false, silent: false, connection: 'untried', attempts: 0, attemptFrom: -Infinity }
+export const UNKNOWN_HOLDER: HolderHealth = { heardAt: -Infinity, probedAt: -Infinity, pausedUntil: -Infinity, leaving: false, silent: false, connection: 'untried', attempts: 0, attemptFrom: -Infinity, openedAt: -Infinity }
 
 export function recordHolderAnswer (health: HolderHealth, now: number): HolderHealth {
   return { ...health, heardAt: now, silent: false, connection: 'open', attempts: 0, attemptFrom: -Infinity }
 }
 
+/** Records how long the holder took to answer, apart from its work. */
+export function recordHolderRoundTrip (health: HolderHealth, milliseconds: number): HolderHealth {
+  return { ...health, roundTrips: recordRoundTrip(health.roundTrips, milliseconds) }
+}
+
 /** Records that the holder refused because it can't serve at present. */
 export function recordHolderRefusal (health: HolderHealth, now: number): HolderHealth {
   return { ...health, pausedUntil: now + REFUSAL_PAUSE_MILLISECONDS }
@@ -94,7 +102,7 @@
 
 /** Records that a stream was opened, with a probe on it. A holder whose last stream was lost is used again once it answers, because a frozen instance accepts connections too. */
 export function recordHolderOpened (health: HolderHealth, now: number): HolderHealth {
-  return { ...health, connection: health.connection === 'untried' ? 'open' : health.connection, probedAt: now }
+  return { ...health, connection: health.connection === 'untried' ? 'open' : health.connection, probedAt: now, openedAt: now, roundTrips: undefined }
 }
 
 /** Records that the stream has ended, or could not be opened. Another process may answer at the address by now. */
@@ -153,7 +161,7 @@
 export function watchHolder (known: HolderHealth, oldestSentAt: number | undefined, now: number, stalledMilliseconds = 0): { health: HolderHealth, probe: boolean } {
   const owesAnswer = known.probedAt > known.heardAt
   const health = owesAnswer ? { ...known, probedAt: Math.min(now, known.probedAt + stalledMilliseconds) } : known
-  const silent = owesAnswer && now - health.probedAt >= SILENT_AFTER_PROBE_MILLISECONDS
+  const silent = owesAnswer && now - health.probedAt >= computeSilenceTimeout(health.roundTrips, now - health.openedAt)
   if (health.silent || silent) {
     const probe = now - health.probedAt >= PROBE_INTERVAL_MILLISECONDS
     // The time of the first unanswered probe says since when the holder is silent; later ones only look for its return.
