feat(rates): end shares of rates with the trust in the declaration

An instance that is cut off refuses everything once its declaration is no longer trusted (3 to 4 s), and held its shares of rates for 12 s, in which nobody could use them.

A share, and lending from it, now ends with that trust. Renewals state the time (shareMilliseconds); without the field the leader counts 12 s. The leader takes an ended share back, tells the instance so when it returns, and remembers its loans for 12 s as before. The log says how long each instance uses its shares, so that a new leader holds back what missing ones have for that time only. The next leader believes it only if it was written in the term before its own: a leader of the previous build in between may have granted to a process that uses shares for 12 s.

Six random histories of cuts, restarts, up- and downgrades and leaders of both builds: the sum of valid shares never exceeds the rate.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/declarationTrust.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/declarationTrust.test.ts
@@ -6,7 +6,7 @@
 import { createPeers } from '../../peers.js'
 import { createFleetStreams } from '../fleetStreams.js'
 import { createDocument, waitUntil } from './fleetHarness.js'
-import type { Declaration, RenewGrant, SharedGrant } from '@cyclamenusher/decisions'
+import type { Declaration, RenewGrant, RenewRequest, SharedGrant } from '@cyclamenusher/decisions'
 
 const HOST = '127.0.0.1'
 const QUIET_LOGGER = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
@@ -19,11 +19,13 @@
 async function startLink (shared: () => Partial<SharedGrant> | Promise<Partial<SharedGrant>>) {
   let ahead = 0
   let granted = 0
+  const requests: RenewRequest[] = []
   const streams = createFleetStreams({
-    renew: async (): Promise<RenewGrant> => {
+    renew: async (request): Promise<RenewGrant> => {
+      requests.push(request)
       await new Promise(resolve => setTimeout(resolve, 5))
       granted += 1
-      return { kind: 'granted', leaseMilliseconds: 1_500, shared: { ...SHARED, ...await shared() } }
+      return { kind: 'granted', leaseMilliseconds: 1_500, parts: { clinic: 0.4 }, shared: { ...SHARED, ...await shared() } }
     },
     borrow: () => ({ granted: 0 })
   }, QUIET_LOGGER)
@@ -33,6 +35,7 @@
   link.start()
   return {
     link,
+    requests,
     /** Waits for a grant that was asked for from now on. */
     nextGrant: async () => {
       const before = granted
@@ -114,4 +117,30 @@
   }
 })
 
+// An instance that was cut off kept its shares for 12 s and refused everything after 3 s.
+test('a share outlives the trust in the declaration, or is reported after that', async () => {
+  let asked = 0
+  let fail = false
+  const { link, requests, advance, stop } = await startLink(async () => {
+    asked += 1
+    if (fail) throw new Error('no grant now')
+    return { newest: 1, declaration: FIRST }
+  })
+  try {
+    await waitUntil('a share', () => link.rateShare('clinic') === 0.4)
+    assert.is(requests[0].shareMilliseconds, 3_000)
+    fail = true
+    await waitUntil('a renewal that failed', () => requests.at(-1)?.parts !== undefined && asked > 2)
+    assert.equal(requests.at(-1)?.parts, { clinic: 0.4 })
+    assert.is(link.rateShare('clinic'), 0.4)
+    advance(3_000)
+    assert.is(link.rateShare('clinic'), 0)
+    const before = requests.length
+    await waitUntil('a later report', () => requests.slice(before + 1).some(({ parts }) => parts !== undefined))
+    assert.equal(requests.at(-1)?.parts, {})
+  } finally {
+    await stop()
+  }
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -176,6 +176,19 @@
   await grant
 })
 
+// Commands about servers or the number of instances said nothing of it.
+test('how long shares are used is lost with the next command of the same leader', async () => {
+  const { renew, advance, state } = startLeader()
+  advance(1_000)
+  await renew('entry-1', { knows: { term: 0, change: 0 }, parts: {}, shareMilliseconds: 3_000 })
+  await waitUntil('the number of instances in the log', async () => {
+    advance(500)
+    await renew('entry-1', { shareMilliseconds: 3_000 })
+    return state().entries === 1
+  })
+  assert.is(state().shareUse?.milliseconds.get('entry-1'), 3_000)
+})
+
 test('an instance that does not say what it holds is taken to hold nothing', async () => {
   const { renew, advance } = startLeader(1, { shareHolders: new Set(['entry-1']) })
   advance(500)
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/shareReturn.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/shareReturn.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { INITIAL_FLEET_STATE, LEASE_MILLISECONDS, NO_TOLERANCE, SHARE_VALIDITY_MILLISECONDS, applyFleetCommand, decodeFleetState, encodeFleetState } from '@cyclamenusher/decisions'
+import { createRandom } from '@cyclamenusher/decisions/model'
 import { createEntryLeases } from '../entryLeases.js'
 import { createShareRecord } from '../shareRecord.js'
 import type { ClientAccount, FleetState, RenewRequest } from '@cyclamenusher/decisions'
@@ -23,25 +24,33 @@
   present: boolean
   knownTerm: number
   appliedChange: number
+  /** How long the instance uses its shares, in milliseconds; undefined: it is of the previous build, and states nothing. */
+  use?: number
 }
 
 /** Entry instances and leaders of control that follow each other, in virtual time: what is written to the log is there at once. */
-function createShareFleet (count: number) {
+function createShareFleet (count: number, use?: number) {
   let now = 0
   let term = 0
   let change = 0
   let written = 0
   let state: FleetState = INITIAL_FLEET_STATE
-  let leases = createEntryLeases(NO_TOLERANCE)
+  /** Whether the leader is of the previous build, which knows no use of shares. */
+  let isPrevious = false
+  let leases = createEntryLeases(NO_TOLERANCE, now)
   let record = startRecord()
 
   function startRecord (): ReturnType<typeof createShareRecord> {
     return createShareRecord({
-      state: () => state,
+      term,
+      state: () => isPrevious ? { ...state, shareUse: undefined } : state,
       startedAt: now,
       confirmState: async () => true,
       write: async shares => {
-        const command = JSON.stringify({ kind: 'remember', servers: [], entries: count, shares })
+        const { use: shareUse, ...previous } = shares
+        // A leader of the previous build writes only what it knows.
+        if (isPrevious && shares.added.length + shares.removed.length + shares.bounds.length === 0) return true
+        const command = JSON.stringify({ kind: 'remember', servers: [], entries: count, shares: isPrevious ? previous : { ...previous, use: shareUse } })
         written += command.length
         state = applyFleetCommand(state, JSON.parse(command)).state
         return true
@@ -51,17 +60,20 @@
   }
 
   const instances = Array.from({ length: count }, (_value, index): Instance => ({
-    name: `entry-${index}`, incarnation: 1, failureDomain: `domain-${index % FAILURE_DOMAINS}`, demand: {}, shares: new Map(), sharesUntil: -Infinity, present: true, knownTerm: 0, appliedChange: 0
+    name: `entry-${index}`, incarnation: 1, failureDomain: `domain-${index % FAILURE_DOMAINS}`, demand: {}, shares: new Map(), sharesUntil: -Infinity, present: true, knownTerm: 0, appliedChange: 0, use
   }))
 
   async function renewAll (): Promise<void> {
     for (const [index, instance] of instances.entries()) {
       if (!instance.present) continue
-      const { name, incarnation, failureDomain, demand, knownTerm, shares } = instance
+      const { name, incarnation, failureDomain, demand, knownTerm } = instance
+      const shareMilliseconds = isPrevious ? undefined : instance.use
+      // An instance of the previous build reports shares also after their time.
+      const shares = instance.use === undefined || now < instance.sharesUntil ? instance.shares : []
       const isKnown = knownTerm === term
-      const request: RenewRequest = { name, incarnation: String(incarnation), failureDomain, lendsAt: { host: 'entry', port: index + 1 }, knows: { term: knownTerm, change: 0 }, version: 1, demand, sightings: {}, busy: [], holdMilliseconds: 0, ...(isKnown ? {} : { parts: Object.fromEntries(shares) }) }
-      leases.renew(request, isKnown ? instance.appliedChange : 0, now)
-      if (!record.isRecorded(name)) record.add(name)
+      const request: RenewRequest = { name, incarnation: String(incarnation), failureDomain, lendsAt: { host: 'entry', port: index + 1 }, knows: { term: knownTerm, change: 0 }, version: 1, demand, sightings: {}, busy: [], holdMilliseconds: 0, shareMilliseconds, ...(isKnown ? {} : { parts: Object.fromEntries(shares) }) }
+      const isNew = leases.renew(request, isKnown ? instance.appliedChange : 0, now)
+      if (!record.isRecorded(name, shareMilliseconds) || (isNew && record.isUseLonger(name, shareMilliseconds))) record.add(name, shareMilliseconds)
     }
     while (!record.isCurrent()) {
       record.write(leases, now)
@@ -70,9 +82,9 @@
     record.write(leases, now)
     await new Promise(resolve => { setImmediate(resolve) })
     for (const instance of instances) {
-      if (!instance.present || !record.isRecorded(instance.name)) continue
+      if (!instance.present || !record.isRecorded(instance.name, isPrevious ? undefined : instance.use)) continue
       leases.grant(instance.name, now)
-      Object.assign(instance, { knownTerm: term, appliedChange: change, shares: new Map(Object.entries(leases.sharesOf(instance.name).shares)), sharesUntil: now + SHARE_VALIDITY_MILLISECONDS })
+      Object.assign(instance, { knownTerm: term, appliedChange: change, shares: new Map(Object.entries(leases.sharesOf(instance.name).shares)), sharesUntil: now + (instance.use ?? SHARE_VALIDITY_MILLISECONDS) })
     }
   }
 
@@ -105,16 +117,17 @@
         check()
       }
     },
-    changeLeader: () => {
-      term += 1
+    changeLeader: ({ terms = 1, previous = false } = {}) => {
+      term += terms
+      isPrevious = previous
       change = 0
       state = decodeFleetState(encodeFleetState(state))
-      leases = createEntryLeases(NO_TOLERANCE)
+      leases = createEntryLeases(NO_TOLERANCE, now)
       record = startRecord()
     },
     /** Has the log hold what a leader of an earlier build writes. */
     forgetHolders: () => { state = applyFleetCommand(state, { kind: 'remember', servers: [], entries: count }).state },
-    restart: (instance: Instance) => { Object.assign(instance, { incarnation: instance.incarnation + 1, shares: new Map(), knownTerm: 0, appliedChange: 0, sharesUntil: -Infinity }) }
+    restart: (instance: Instance, newUse = instance.use) => { Object.assign(instance, { use: newUse, incarnation: instance.incarnation + 1, shares: new Map(), knownTerm: 0, appliedChange: 0, sharesUntil: -Infinity }) }
   }
   fleet.changeLeader()
   return fleet
@@ -199,6 +212,89 @@
   })
 }
 
+/** Time until the present instances hold nearly all of each account again, in milliseconds. */
+async function measureReturn (fleet: ShareFleet): Promise<number> {
+  let milliseconds = 0
+  while (ACCOUNTS.some(({ name }) => fleet.sumShares(name, ({ present }) => present) <= 0.95) && milliseconds < 20_000) {
+    await fleet.run(PLAN_MILLISECONDS, () => { checkSums(fleet) })
+    milliseconds += PLAN_MILLISECONDS
+  }
+  return milliseconds
+}
+
+// Instances that were cut off refused all operations, and the others lacked their shares for 12 s.
+test('the shares of instances that are cut off are out of use for longer than their declarations are trusted', async () => {
+  const fleet = createShareFleet(71, 3_000)
+  const few = await settle(fleet)
+  for (const instance of few) instance.present = false
+  assert.ok(await measureReturn(fleet) <= 3_000 + 3 * PLAN_MILLISECONDS)
+})
+
+test('a new leader holds such shares back for longer than that', async () => {
+  const fleet = createShareFleet(71, 3_000)
+  const few = await settle(fleet)
+  for (const instance of few) instance.present = false
+  fleet.changeLeader()
+  assert.ok(await measureReturn(fleet) <= 3_000 + 3 * PLAN_MILLISECONDS)
+})
+
+// An instance that came back reported shares that had been granted to others meanwhile.
+test('shares that are reported after their time count', async () => {
+  for (const use of [3_000, undefined]) {
+    const fleet = createShareFleet(9, use)
+    const few = await settle(fleet)
+    for (const instance of few) instance.present = false
+    fleet.changeLeader()
+    await measureReturn(fleet)
+    for (const instance of few) instance.present = true
+    await fleet.run(4_000, () => { checkSums(fleet) })
+  }
+})
+
+// The log said how long a process of this build uses its shares, and one of the previous build had taken its place.
+for (const [description, leaders] of Object.entries({
+  'the present leader': [{}],
+  'another leader': [{}, {}],
+  'a leader of the previous build': [{ previous: true }, {}],
+  'a leader of the previous build, and one of which nothing is known': [{ previous: true }, { terms: 3 }]
+})) {
+  test(`the shares of an instance that was downgraded at ${description} are granted early`, async () => {
+    const fleet = createShareFleet(9, 3_000)
+    const [downgraded] = await settle(fleet)
+    const [first, ...others] = leaders
+    fleet.changeLeader(first)
+    await fleet.run(2_000, () => { checkSums(fleet) })
+    fleet.restart(downgraded)
+    downgraded.use = undefined
+    await fleet.run(2_000, () => { checkSums(fleet) })
+    assert.ok(ACCOUNTS.some(({ name }) => (downgraded.shares.get(name) ?? 0) > 0.1))
+    downgraded.present = false
+    for (const leader of others) fleet.changeLeader(leader)
+    await fleet.run(SHARE_VALIDITY_MILLISECONDS + 2_000, () => { checkSums(fleet) })
+    for (const { name } of ACCOUNTS) assert.ok(fleet.sumShares(name) > 0.95)
+  })
+}
+
+for (const seed of [1, 2, 3, 4, 5, 6]) {
+  test(`history ${seed} of cuts, restarts and leaders of both builds grants a share twice`, async () => {
+    const random = createRandom(seed)
+    const fleet = createShareFleet(9, 3_000)
+    const choose = <Item>(items: readonly Item[]): Item => items[Math.floor(random() * items.length)]
+    for (let step = 0; step < 150; step += 1) {
+      const instance = choose(fleet.instances)
+      const events = [
+        () => { instance.present = !instance.present },
+        () => { instance.present = true },
+        () => { fleet.restart(instance, choose([undefined, 3_000, 4_000, 1_000])) },
+        () => { fleet.changeLeader({ terms: choose([1, 1, 1, 2]), previous: random() < 0.3 }) },
+        () => { instance.demand = Object.fromEntries(ACCOUNTS.map(({ name }) => [name, 200 * random()])) }
+      ]
+      choose(events)()
+      await fleet.run(choose([1, 1, 2, 4, 8]) * PLAN_MILLISECONDS, () => { checkSums(fleet) })
+    }
+  })
+}
+
 test('what a leader of an earlier build granted is granted again', async () => {
   const fleet = createShareFleet(9)
   await settle(fleet)
--- a/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/entryLeases.ts
@@ -1,6 +1,6 @@
 /** The leases that the leader has granted to entry instances, and the rate shares that the instances hold. */
 
-import { LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, chooseLenders, combineLoanReports, countLenders, listNearLenders, lookUp, planShares } from '@cyclamenusher/decisions'
+import { LEASE_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, chooseLenders, combineLoanReports, countLenders, countShareUse, listNearLenders, lookUp, planShares } from '@cyclamenusher/decisions'
 import type { AvailableHolder } from './groupHolders.js'
 import type { ClientAccount, ControlAddress, LoanHistory, LoanReport, RateTolerance, RenewRequest, ServerObservation, ShareHolder, NamedInstance } from '@cyclamenusher/decisions'
 
@@ -27,8 +27,11 @@
   firstPlanChange?: number
   /** Shares that the instance may use until it has confirmed the planned ones. */
   heldShares: Map<string, number>
-  /** When the validity of the shares ends. */
+  /** How long the shares count after a grant, in milliseconds, and until when they do. */
+  shareUse: number
   sharesUntil: number
+  /** Until when the instance is remembered: what it borrowed counts for longer than its shares. */
+  rememberedUntil: number
   /** What the instance had borrowed from control when it first renewed here. */
   loans: { report: LoanReport | undefined, receivedAt: number }
 }
@@ -81,7 +84,7 @@
   previewShares: (accounts: readonly ClientAccount[], now: number, options?: SharePlanOptions) => void
   /** Whether a plan would be the first one of an instance. */
   hasUnplanned: (now: number) => boolean
-  /** Whether the instance has renewed at this leader, and its shares, if any, may be valid. */
+  /** Whether the instance has renewed at this leader, so that its shares and loans are known. */
   has: (name: string) => boolean
   /** Share of an account that the instance may hold. */
   heldBy: (name: string, account: string) => number
@@ -110,12 +113,15 @@
   change: number
 }
 
-function createLease ({ name, incarnation, failureDomain, lendsAt, holds = false, parts = {}, loans }: RenewRequest, now: number): EntryLease {
-  const heldShares = new Map(Object.entries(parts))
-  return { name, incarnation, failureDomain, lendsAt, holds, leaseUntil: -Infinity, renewedAt: now, appliedChange: 0, demand: {}, observations: {}, busy: new Set(), shares: new Map(heldShares), sharesChange: 0, heldShares, sharesUntil: now + SHARE_VALIDITY_MILLISECONDS, loans: { report: loans, receivedAt: now } }
+/** `ledSince` is when this leader was elected. Shares of earlier leaders that are reported after their time have been granted to others. */
+function createLease ({ name, incarnation, failureDomain, lendsAt, holds = false, parts = {}, shareMilliseconds, loans }: RenewRequest, now: number, ledSince: number): EntryLease {
+  const shareUse = countShareUse(shareMilliseconds)
+  const heldShares = new Map(now - ledSince > shareUse ? [] : Object.entries(parts))
+  return { name, incarnation, failureDomain, lendsAt, holds, leaseUntil: -Infinity, renewedAt: now, appliedChange: 0, demand: {}, observations: {}, busy: new Set(), shares: new Map(heldShares), sharesChange: 0, heldShares, shareUse, sharesUntil: now + shareUse, rememberedUntil: now + SHARE_VALIDITY_MILLISECONDS, loans: { report: loans, receivedAt: now } }
 }
 
-export function createEntryLeases (tolerance: RateTolerance): EntryLeases {
+/** `ledSince` is when this leader was elected; if it is not given, shares of earlier leaders count whenever they are reported. */
+export function createEntryLeases (tolerance: RateTolerance, ledSince = Infinity): EntryLeases {
   const leases = new Map<string, EntryLease>()
   const lenders = new Map<string, AccountLenders>()
   let candidatesKey = ''
@@ -130,8 +136,16 @@
   }
 
   function removeExpired (now: number): void {
-    for (const [name, { leaseUntil, sharesUntil, renewedAt }] of leases) {
-      if (Math.max(leaseUntil, sharesUntil, renewedAt + LEASE_MILLISECONDS) < now) leases.delete(name)
+    for (const [name, { leaseUntil, rememberedUntil, renewedAt }] of leases) {
+      if (Math.max(leaseUntil, rememberedUntil, renewedAt + LEASE_MILLISECONDS) < now) leases.delete(name)
+    }
+  }
+
+  /** Takes back the shares whose time is over. An instance that returns is told that it has none. */
+  function endShares (now: number, recordChange: () => number): void {
+    for (const lease of leases.values()) {
+      const isOver = lease.leaseUntil < now && lease.sharesUntil < now && lease.shares.size + lease.heldShares.size > 0
+      if (isOver) Object.assign(lease, { shares: new Map(), heldShares: new Map(), sharesChange: recordChange() })
     }
   }
 
@@ -211,11 +225,11 @@
     renew: (request, appliedChange, now) => {
       const existing = leases.get(request.name)
       const isNew = existing === undefined || existing.incarnation !== request.incarnation
-      const lease = isNew ? createLease(request, now) : existing
+      const lease = isNew ? createLease(request, now, ledSince) : existing
       leases.set(request.name, lease)
       if (isNew && lease.heldShares.size > 0) sharesReported = true
       if (isNew) for (const [account, share] of lease.heldShares) reportedShares.set(account, (reportedShares.get(account) ?? 0) + share)
-      Object.assign(lease, { appliedChange, renewedAt: now, lendsAt: request.lendsAt, holds: request.holds === true, demand: request.demand, observations: request.sightings, busy: new Set(request.busy) })
+      Object.assign(lease, { appliedChange, renewedAt: now, shareUse: countShareUse(request.shareMilliseconds), lendsAt: request.lendsAt, holds: request.holds === true, demand: request.demand, observations: request.sightings, busy: new Set(request.busy) })
       confirmShares(lease)
       return isNew
     },
@@ -224,7 +238,8 @@
       if (lease === undefined) return
       // The instance counts its lease from when it sent the request, which is earlier, so the lease expires there first.
       lease.leaseUntil = lease.renewedAt + LEASE_MILLISECONDS
-      lease.sharesUntil = now + SHARE_VALIDITY_MILLISECONDS
+      lease.sharesUntil = Math.max(lease.sharesUntil, now + lease.shareUse)
+      lease.rememberedUntil = now + SHARE_VALIDITY_MILLISECONDS
     },
     isConfirmed: (change, now) => listActiveLeases(now).every(({ appliedChange }) => appliedChange >= change),
     busy: (group, now) => listActiveLeases(now).some(lease => lease.busy.has(group)),
@@ -239,6 +254,7 @@
     loanHistory: () => combineLoanReports([...leases.values()].map(({ loans }) => loans)),
     planShares: (accounts, recordChange, now, options = {}) => {
       removeExpired(now)
+      endShares(now, recordChange)
       const candidates = listActiveLeases(now)
       const lenderCandidates = listLenderCandidates(now, options.preferred)
       const key = lenderCandidates.map(({ name, incarnation }) => `${name} ${incarnation}`).sort().join()
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from 'node:crypto'
 import { EventEmitter } from 'node:events'
 import { inflateSync } from 'node:zlib'
-import { DECLARATION_TRUST_MILLISECONDS, NO_DECLARATION_TRUST, RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, findLender, indexDeclaration, lookUp, mergeServer, listGroupServers, recordNewestVersion, trustedUntil } from '@cyclamenusher/decisions'
+import { DECLARATION_TRUST_MILLISECONDS, NO_DECLARATION_TRUST, RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, findLender, indexDeclaration, limitShareUse, lookUp, mergeServer, listGroupServers, recordNewestVersion, trustedUntil } from '@cyclamenusher/decisions'
 import { StreamCallError } from '@cyclamenusher/protocol'
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
@@ -116,6 +116,7 @@
   const incarnation = randomUUID()
   const suspension = createSuspensionWatch(clock)
   const trustMilliseconds = Math.max(MINIMUM_TRUST_MILLISECONDS, options.declarationTrustMilliseconds ?? DECLARATION_TRUST_MILLISECONDS)
+  const shareMilliseconds = limitShareUse(trustMilliseconds)
   const emitter = new EventEmitter()
   emitter.setMaxListeners(0)
   const links = new Map<string, InstanceCalls>()
@@ -169,6 +170,11 @@
     return validUntil(LEASE_MILLISECONDS)
   }
 
+  /** Whether the shares count: they end with the trust in a declaration that was confirmed with them. */
+  function areSharesValid (): boolean {
+    return clock.now() < validUntil(shareMilliseconds)
+  }
+
   function isLeased (): boolean {
     return clock.now() < leasedUntil()
   }
@@ -218,10 +224,11 @@
       version: declarationIndex?.version ?? -1,
       ...(options.lendsAt === undefined ? {} : { lendsAt: options.lendsAt }),
       ...options.report(),
+      shareMilliseconds,
       // A control instance that may not be the leader must reply at once.
       holdMilliseconds: reportRequested || leader === undefined || timeouts.has(`${host}:${port}`) || !isLeased() ? 0 : RENEWAL_HOLD_MILLISECONDS,
       // Another leader receives the servers and shares that this instance knows.
-      ...(grantedBy === `${host}:${port}` ? {} : { servers: listRecentServers(), parts: shares, loans: reportLoans() })
+      ...(grantedBy === `${host}:${port}` ? {} : { servers: listRecentServers(), parts: areSharesValid() ? shares : {}, loans: reportLoans() })
     }
   }
 
@@ -420,7 +427,7 @@
     isConnected: () => isLeased() && clock.now() - leaseStartedAt < RENEWAL_OVERDUE_MILLISECONDS,
     leasedUntil,
     resumedAt: suspension.resumedAt,
-    rateShare: account => clock.now() < validUntil(SHARE_VALIDITY_MILLISECONDS) ? lookUp(shares, account) ?? 0 : 0,
+    rateShare: account => areSharesValid() ? lookUp(shares, account) ?? 0 : 0,
     hasLender: account => lenders.get(account) !== undefined,
     borrow,
     entryCount: () => entryCount,
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -37,8 +37,6 @@
 /** Minimum interval between two documents sent to one entry instance, in milliseconds: in a burst of changes, intermediate versions are skipped. */
 const DOCUMENT_INTERVAL_MILLISECONDS = 150
 
-const NO_SHARE_CHANGES: ShareHolderChanges = { added: [], removed: [], bounds: [] }
-
 export interface LeadershipOptions extends Pick<GroupTaskOptions, 'administration' | 'promotion' | 'propose' | 'resign' | 'announceIntervalMilliseconds' | 'holder'> {
   term: number
   state: () => FleetState
@@ -72,13 +70,16 @@
 export function startLeadership (options: LeadershipOptions): Leadership {
   const { term, state, declaration, hasLeaderLease, clock, logger } = options
   const startedAt = clock.now()
+  /** A command without the use of shares would be taken for one of an earlier build. */
+  const noShareChanges: ShareHolderChanges = { added: [], removed: [], bounds: [], use: { term, milliseconds: [] } }
   const heldRenewals = createHeldRequests()
   const directory = createLeaderDirectory(releaseSoon)
-  const leases = createEntryLeases(options.rateTolerance)
+  const leases = createEntryLeases(options.rateTolerance, startedAt)
   const holders = createGroupHolders()
   const groupTasks = new Map<string, GroupTask>()
   const load = createLeaderLoad(logger, clock)
   const shareRecord = createShareRecord({
+    term,
     state,
     startedAt,
     confirmState: options.confirmState,
@@ -117,7 +118,7 @@
   }
 
   /** Writes what the next leader must know to the log. */
-  async function remember ({ servers = [], entries = state().entries, copies, shares = NO_SHARE_CHANGES }: Partial<Omit<Extract<FleetCommand, { kind: 'remember' }>, 'kind'>>): ReturnType<LeadershipOptions['propose']> {
+  async function remember ({ servers = [], entries = state().entries, copies, shares = noShareChanges }: Partial<Omit<Extract<FleetCommand, { kind: 'remember' }>, 'kind'>>): ReturnType<LeadershipOptions['propose']> {
     return await options.propose({ kind: 'remember', servers, entries, shares, ...(copies === undefined ? {} : { copies }) })
   }
 
@@ -333,8 +334,9 @@
         await heldRenewals.hold(Math.min(TICK_INTERVAL_MILLISECONDS, planUntil - clock.now()))
       }
       // An instance that is not in the log would be unknown to the next leader.
-      if (!shareRecord.isRecorded(request.name)) shareRecord.add(request.name)
-      while (!shareRecord.isRecorded(request.name) && hasLeaderLease()) await heldRenewals.hold(TICK_INTERVAL_MILLISECONDS)
+      const { name, shareMilliseconds } = request
+      if (!shareRecord.isRecorded(name, shareMilliseconds) || (isNew && shareRecord.isUseLonger(name, shareMilliseconds))) shareRecord.add(name, shareMilliseconds)
+      while (!shareRecord.isRecorded(name, shareMilliseconds) && hasLeaderLease()) await heldRenewals.hold(TICK_INTERVAL_MILLISECONDS)
       while (!hasNews(request) && clock.now() < holdUntil && hasLeaderLease()) {
         await heldRenewals.hold(Math.min(holdUntil, documentDueAt(request)) - clock.now())
       }
--- a/packages/cyclamenusherd/src/node/process/fleet/renewalFields.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/renewalFields.ts
@@ -66,12 +66,21 @@
     return isReadable ? loans as LoanReport : { completeFor: 0, loans: [] }
   }
 
+  /** What can't be read counts as the longest use. */
+  function readShareUse (): number | undefined {
+    const use: unknown = received.shareMilliseconds
+    if (use === undefined || isAmount(use)) return received.shareMilliseconds
+    faults.push(`shareMilliseconds: ${quoteValue(use)}`)
+    return undefined
+  }
+
   const request: RenewRequest = {
     ...received,
     demand: readEntries<number>('demand', isAmount),
     sightings: readEntries('sightings', isObservation),
     ...(received.parts === undefined ? {} : { parts: readEntries<number>('parts', isShare, UNKNOWN_SHARE) }),
-    ...(received.loans === undefined ? {} : { loans: readLoans() })
+    ...(received.loans === undefined ? {} : { loans: readLoans() }),
+    shareMilliseconds: readShareUse()
   }
   return { request, faults }
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/shareRecord.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/shareRecord.ts
@@ -4,7 +4,7 @@
  * share beyond its bound, only once the log holds that.
  */
 
-import { SHARE_VALIDITY_MILLISECONDS, lowerBounds, raiseBound, sumBounds } from '@cyclamenusher/decisions'
+import { SHARE_VALIDITY_MILLISECONDS, countShareUse, findShareUse, limitShareUse, lowerBounds, raiseBound, sumBounds } from '@cyclamenusher/decisions'
 import type { FleetState, ShareHolderChanges } from '@cyclamenusher/decisions'
 import type { ShareLimits } from './entryLeases.js'
 
@@ -14,7 +14,8 @@
 const UNKNOWN_BOUND = 1
 
 export interface ShareRecordOptions {
-  state: () => Pick<FleetState, 'shareHolders' | 'shareBounds' | 'entries'>
+  term: number
+  state: () => Pick<FleetState, 'shareHolders' | 'shareBounds' | 'shareUse' | 'entries'>
   /** When this leader was elected. */
   startedAt: number
   /** Resolves with whether `state` holds every command that earlier leaders wrote. */
@@ -35,10 +36,13 @@
 export interface ShareRecord {
   /** Whether what earlier leaders wrote is known here. */
   isCurrent: () => boolean
-  isRecorded: (name: string) => boolean
+  /** Whether the log holds the instance, and no shorter use of its shares than it states. */
+  isRecorded: (name: string, shareMilliseconds: number | undefined) => boolean
+  /** Whether the log holds a longer use of the instance's shares than it states. */
+  isUseLonger: (name: string, shareMilliseconds: number | undefined) => boolean
   /** Has the instance recorded with the next write. */
-  add: (name: string) => void
-  /** Recorded instances that have not renewed at this leader and whose shares may still be valid. */
+  add: (name: string, shareMilliseconds: number | undefined) => void
+  /** Recorded instances that have not renewed at this leader and whose shares or loans may still count. */
   countMissing: (known: KnownHolders, now: number) => number
   limits: (known: KnownHolders, returned: number, now: number) => ShareLimits
   /** Writes what has changed, one command at a time. */
@@ -47,7 +51,7 @@
   awaitsBounds: () => boolean
 }
 
-export function createShareRecord ({ state, startedAt, confirmState, write, onWritten }: ShareRecordOptions): ShareRecord {
+export function createShareRecord ({ term, state, startedAt, confirmState, write, onWritten }: ShareRecordOptions): ShareRecord {
   let isCurrent = false
   let expected = 0
   /** Whether the log says nothing of instances that an earlier leader counted. */
@@ -56,6 +60,8 @@
   const requested = new Map<string, Map<string, number>>()
   /** Instances to record. */
   const added = new Set<string>()
+  /** Uses of shares to record, by instance, in milliseconds. */
+  const statedUse = new Map<string, number>()
   /** Changes on their way to the log. */
   let pending: ShareHolderChanges | undefined
   let isWriting = false
@@ -67,6 +73,11 @@
     return isOver(now) ? [] : [...state().shareHolders ?? []].filter(name => !known.has(name))
   }
 
+  /** Instances among the missing ones that may still use shares. */
+  function listMissingWithShares (known: KnownHolders, now: number): string[] {
+    return listMissing(known, now).filter(name => now - startedAt <= countShareUse(findShareUse(state().shareUse, term, name)))
+  }
+
   /** Whether a leader of an earlier build may have granted shares to instances that are not recorded. */
   function isIncomplete (returned: number, now: number): boolean {
     return isUnknown && !isOver(now) && returned < expected
@@ -86,8 +97,9 @@
   }
 
   function collectChanges (known: KnownHolders, now: number): ShareHolderChanges {
-    const changes: ShareHolderChanges = { added: [...added], removed: [], bounds: [...requested].map(([account, bounds]) => [account, [...bounds]]) }
+    const changes: ShareHolderChanges = { added: [...added], removed: [], bounds: [...requested].map(([account, bounds]) => [account, [...bounds]]), use: { term, milliseconds: [...statedUse] } }
     added.clear()
+    statedUse.clear()
     requested.clear()
     if (now - cleanedAt < CLEANUP_INTERVAL_MILLISECONDS) return changes
     cleanedAt = now
@@ -123,11 +135,21 @@
 
   return {
     isCurrent: () => isCurrent,
-    isRecorded: name => isCurrent && state().shareHolders?.has(name) === true && pending?.removed.includes(name) !== true,
-    add: name => { added.add(name) },
+    isRecorded: (name, shareMilliseconds = SHARE_VALIDITY_MILLISECONDS) => {
+      const isHeld = isCurrent && state().shareHolders?.has(name) === true && pending?.removed.includes(name) !== true
+      const stated = limitShareUse(shareMilliseconds)
+      // What an earlier process of this name stated may be on its way to the log.
+      const isBeingShortened = [...pending?.use?.milliseconds ?? [], ...statedUse].some(([changed, milliseconds]) => changed === name && milliseconds < stated)
+      return isHeld && !isBeingShortened && findShareUse(state().shareUse, term, name) >= stated
+    },
+    isUseLonger: (name, shareMilliseconds = SHARE_VALIDITY_MILLISECONDS) => findShareUse(state().shareUse, term, name) > limitShareUse(shareMilliseconds),
+    add: (name, shareMilliseconds = SHARE_VALIDITY_MILLISECONDS) => {
+      added.add(name)
+      statedUse.set(name, limitShareUse(shareMilliseconds))
+    },
     countMissing: (known, now) => listMissing(known, now).length,
     limits: (known, returned, now) => {
-      const missing = listMissing(known, now)
+      const missing = listMissingWithShares(known, now)
       const isUnsure = isIncomplete(returned, now)
       return {
         missing: account => isUnsure ? UNKNOWN_BOUND : sumBounds(state().shareBounds, account, missing),
@@ -142,7 +164,9 @@
         return
       }
       const changes = pending ?? collectChanges(known, now)
-      if (changes.added.length + changes.removed.length + changes.bounds.length === 0) return
+      // Without a command of this term, the next leader could not tell whether another one granted shares meanwhile.
+      const isTermRecorded = state().shareUse?.term === term
+      if (isTermRecorded && changes.added.length + changes.removed.length + changes.bounds.length === 0) return
       void send(changes)
     },
     awaitsBounds: () => requested.size > 0 || (pending?.bounds.length ?? 0) > 0
--- a/packages/decisions/src/node/fleet/__tests__/state.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/state.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
+import { findShareUse } from '../shareBounds.js'
 import { INITIAL_FLEET_STATE, applyFleetCommand, decodeFleetState, encodeFleetState } from '../state.js'
 import type { FleetCommand, FleetOutcome, FleetState } from '../state.js'
 import type { KnownServer } from '../directory.js'
@@ -88,6 +89,33 @@
   assert.equal([...state.shareBounds.get('__proto__') ?? []], [['constructor', 0.2]])
 })
 
+const SHORT_USE: FleetCommand = { kind: 'remember', servers: [], entries: 2, shares: { added: ['entry-1', '__proto__'], removed: [], bounds: [], use: { term: 5, milliseconds: [['entry-1', 3_000], ['__proto__', 4_000]] } } }
+
+function rememberUse (term: number | undefined, milliseconds: Array<[string, number]> = [], removed: string[] = []): FleetCommand {
+  return { kind: 'remember', servers: [], entries: 2, shares: { added: [], removed, bounds: [], ...(term === undefined ? {} : { use: { term, milliseconds } }) } }
+}
+
+function findUses (commands: readonly FleetCommand[], term: number): number[] {
+  const { shareUse } = decodeFleetState(encodeFleetState(apply(commands).state))
+  return ['entry-1', '__proto__'].map(name => findShareUse(shareUse, term, name))
+}
+
+test('the use of shares is lost with a snapshot, or with the next command of its leader', () => {
+  assert.equal(findUses([SHORT_USE], 5), [3_000, 4_000])
+  assert.equal(findUses([SHORT_USE, rememberUse(5), rememberUse(6)], 7), [3_000, 4_000])
+  assert.equal(findUses([SHORT_USE, rememberUse(5, [['entry-1', 12_000]])], 6), [12_000, 4_000])
+  assert.equal(findUses([SHORT_USE, rememberUse(5, [], ['__proto__'])], 6), [3_000, 12_000])
+})
+
+// A leader of an earlier build in between may have granted shares to a process that uses them for longer, and written nothing of it.
+test('the use of shares outlives a leader of which nothing is known', () => {
+  assert.equal(findUses([SHORT_USE], 6), [3_000, 4_000])
+  assert.equal(findUses([SHORT_USE], 7), [12_000, 12_000])
+  assert.equal(findUses([SHORT_USE, rememberUse(7)], 7), [12_000, 12_000])
+  assert.equal(findUses([SHORT_USE, rememberUse(undefined)], 5), [12_000, 12_000])
+  assert.equal(findUses([SHORT_USE, rememberUse(5, [['entry-1', 'long']] as unknown as Array<[string, number]>)], 5), [12_000, 12_000])
+})
+
 test('the record of commit copies is lost with a snapshot', () => {
   const copies = { group: '__proto__', synchronousReplicas: 1, servers: [{ member: 'p', bornAt: 1, address: '10.0.0.1:1' }] }
   const remember = (changes: Partial<typeof copies>): FleetCommand => ({ kind: 'remember', servers: [], entries: 1, copies: { ...copies, ...changes } })
--- a/packages/decisions/src/node/fleet/messages.ts
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -45,6 +45,8 @@
   servers?: KnownServer[]
   /** The shares of the rates that the instance holds, by account, from 0 to 1; sent together with `servers`. */
   parts?: Record<string, number>
+  /** How long the instance uses its shares after it has sent a renewal, in milliseconds. Undefined: an instance of an earlier build, which uses them for `SHARE_VALIDITY_MILLISECONDS`. */
+  shareMilliseconds?: number
   /** What the instance borrowed from control lately; sent together with `servers`. */
   loans?: LoanReport
 }
--- a/packages/decisions/src/node/fleet/rateShares.ts
+++ b/packages/decisions/src/node/fleet/rateShares.ts
@@ -1,7 +1,7 @@
 /**
  * Divides each client account's rate into shares for its lenders, the entry instances
- * that `chooseLenders` selects. A share stays valid for a long time, so that an
- * instance that control can't reach keeps serving within it. A share that an instance
+ * that `chooseLenders` selects. A share stays valid for as long as an instance that
+ * control can't reach may serve by its declaration. A share that an instance
  * may still hold is not given to others, so the sum of all shares never exceeds the
  * account's rate.
  *
@@ -11,8 +11,10 @@
 
 import type { BucketLimits } from '../rate/bucket.js'
 
-/** How long a share is valid, in milliseconds: outlasts the partitions and elections during which instances must keep serving. */
+/** Longest time for which any instance uses its shares after a grant, in milliseconds; what instances of earlier builds do, which state no time. */
 export const SHARE_VALIDITY_MILLISECONDS = 12_000
+/** Fraction by which the clocks of two machines may differ over a time. */
+const CLOCK_DRIFT = 1 / 1_000
 /** Fraction of the rate that is divided evenly, so that the first requests at any instance find tokens. */
 const EVEN_FRACTION = 0.3
 /** Smallest change of a share that is made, as a fraction of the rate: each change is sent to its holder. */
@@ -32,6 +34,22 @@
   hasLease: boolean
 }
 
+/**
+ * How long an instance uses its shares after it asked for the grant, in milliseconds: until
+ * it may no longer decide by its declaration.
+ *
+ * Load pattern: half of the instances are cut off for seconds. What they hold is of no use
+ * to them once they refuse all operations, and the others lack it until it ends.
+ */
+export function limitShareUse (trustMilliseconds: number): number {
+  return Math.min(SHARE_VALIDITY_MILLISECONDS, trustMilliseconds)
+}
+
+/** How long a leader counts shares after it has granted them, in milliseconds, by what the instance states of its use; undefined: an instance of an earlier build. */
+export function countShareUse (statedMilliseconds: number | undefined): number {
+  return limitShareUse(statedMilliseconds ?? SHARE_VALIDITY_MILLISECONDS) * (1 + CLOCK_DRIFT)
+}
+
 /** The share that each holder should have by its demand. */
 function computeTargetShares (holders: readonly ShareHolder[]): number[] {
   const lenders = holders.filter(({ isLender = true }) => isLender)
--- a/packages/decisions/src/node/fleet/shareBounds.ts
+++ b/packages/decisions/src/node/fleet/shareBounds.ts
@@ -11,6 +11,8 @@
  *   holds one, and what is held back would refuse operations within the rate.
  */
 
+import { SHARE_VALIDITY_MILLISECONDS } from './rateShares.js'
+
 /** By account and instance, the largest share that the instance may hold. */
 export type ShareBounds = ReadonlyMap<string, ReadonlyMap<string, number>>
 
@@ -61,6 +63,47 @@
     row[1].every((entry: unknown) => isPair(entry) && typeof entry[0] === 'string' && typeof entry[1] === 'number' && entry[1] >= 0 && entry[1] <= 1))
 }
 
+/** How long instances use their shares, where that is shorter than `SHARE_VALIDITY_MILLISECONDS`. */
+export interface ShareUse {
+  /** Term of the leader that last wrote it. Another leader of an earlier build may have granted shares after it, to instances that use them for longer. */
+  term: number
+  /** By instance. */
+  milliseconds: ReadonlyMap<string, number>
+}
+
+/** Share use as it is written to the log; a time of `SHARE_VALIDITY_MILLISECONDS` or more removes an entry. */
+export interface WrittenShareUse {
+  term: number
+  milliseconds: Array<[instance: string, milliseconds: number]>
+}
+
+export function isWrittenShareUse (value: unknown): value is WrittenShareUse {
+  const { term, milliseconds } = (value ?? {}) as Partial<WrittenShareUse>
+  return typeof term === 'number' && Array.isArray(milliseconds) && milliseconds.every((entry: unknown) => Array.isArray(entry) && entry.length === 2 && typeof entry[0] === 'string' && typeof entry[1] === 'number')
+}
+
+/** Whether no leader can have been between the one that wrote the share use and the one of `term`. */
+function isRecent (use: ShareUse | undefined, term: number): use is ShareUse {
+  return use !== undefined && term - use.term <= 1
+}
+
+/** Applies written share use. Undefined if a leader of an earlier build wrote the command, as nothing of what it granted is known. */
+export function applyShareUse (use: ShareUse | undefined, written: unknown, removed: readonly string[]): ShareUse | undefined {
+  if (!isWrittenShareUse(written)) return undefined
+  const next = new Map(isRecent(use, written.term) ? use.milliseconds : [])
+  for (const name of removed) next.delete(name)
+  for (const [name, milliseconds] of written.milliseconds) {
+    if (milliseconds < SHARE_VALIDITY_MILLISECONDS) next.set(name, milliseconds)
+    else next.delete(name)
+  }
+  return { term: written.term, milliseconds: next }
+}
+
+/** How long the leader of `term` takes an instance to use its shares, in milliseconds. */
+export function findShareUse (use: ShareUse | undefined, term: number, instance: string): number {
+  return (isRecent(use, term) ? use.milliseconds.get(instance) : undefined) ?? SHARE_VALIDITY_MILLISECONDS
+}
+
 /** Applies written bounds; an account without bounds is left out. */
 export function applyBounds (bounds: ShareBounds, written: WrittenBounds): ShareBounds {
   const next = new Map(bounds)
--- a/packages/decisions/src/node/fleet/state.ts
+++ b/packages/decisions/src/node/fleet/state.ts
@@ -5,10 +5,10 @@
 
 import { isCommitCopies } from './commitCopies.js'
 import { isKnownServer, mergeServer } from './directory.js'
-import { applyBounds, encodeBounds, isWrittenBounds, removeInstances } from './shareBounds.js'
+import { applyBounds, applyShareUse, encodeBounds, isWrittenBounds, removeInstances } from './shareBounds.js'
 import type { CommitCopies } from './commitCopies.js'
 import type { KnownServer } from './directory.js'
-import type { ShareBounds, WrittenBounds } from './shareBounds.js'
+import type { ShareBounds, ShareUse, WrittenBounds, WrittenShareUse } from './shareBounds.js'
 import type { DeclarationDocument } from '../declaration/declaration.js'
 
 /** The server that is designated as primary of a group. */
@@ -25,6 +25,8 @@
   /** Instances whose shares are no longer valid. */
   removed: string[]
   bounds: WrittenBounds
+  /** Undefined: written by a leader of an earlier build. */
+  use?: WrittenShareUse
 }
 
 export type FleetCommand =
@@ -54,9 +56,11 @@
   /** Entry instances that may hold shares of rates or have borrowed lately. Undefined: a leader of an earlier build did not record them, or there was none yet. */
   shareHolders: ReadonlySet<string> | undefined
   shareBounds: ShareBounds
+  /** Undefined: not known, as a leader of an earlier build wrote last. */
+  shareUse: ShareUse | undefined
 }
 
-export const INITIAL_FLEET_STATE: FleetState = { document: undefined, designations: new Map(), servers: new Map(), entries: 0, copies: new Map(), shareHolders: undefined, shareBounds: new Map() }
+export const INITIAL_FLEET_STATE: FleetState = { document: undefined, designations: new Map(), servers: new Map(), entries: 0, copies: new Map(), shareHolders: undefined, shareBounds: new Map(), shareUse: undefined }
 
 /** Replaces the record of a group; one without servers removes it. */
 function recordCopies (recorded: FleetState['copies'], copies: CommitCopies | undefined): FleetState['copies'] {
@@ -66,13 +70,13 @@
   return next
 }
 
-function recordShareHolders (state: FleetState, changes: ShareHolderChanges | undefined): Pick<FleetState, 'shareHolders' | 'shareBounds'> {
-  if (!isShareHolderChanges(changes)) return { shareHolders: undefined, shareBounds: new Map() }
-  const { added, removed, bounds } = changes
+function recordShareHolders (state: FleetState, changes: ShareHolderChanges | undefined): Pick<FleetState, 'shareHolders' | 'shareBounds' | 'shareUse'> {
+  if (!isShareHolderChanges(changes)) return { shareHolders: undefined, shareBounds: new Map(), shareUse: undefined }
+  const { added, removed, bounds, use } = changes
   const shareHolders = new Set([...state.shareHolders ?? [], ...added])
   for (const name of removed) shareHolders.delete(name)
   const kept = removed.length === 0 ? state.shareBounds : removeInstances(state.shareBounds, removed)
-  return { shareHolders, shareBounds: bounds.length === 0 ? kept : applyBounds(kept, bounds) }
+  return { shareHolders, shareBounds: bounds.length === 0 ? kept : applyBounds(kept, bounds), shareUse: applyShareUse(state.shareUse, use, removed) }
 }
 
 function isShareHolderChanges (changes: unknown): changes is ShareHolderChanges {
@@ -109,8 +113,8 @@
 }
 
 /** Serializes the state for a snapshot. */
-export function encodeFleetState ({ document, designations, servers, entries, copies, shareHolders, shareBounds }: FleetState): string {
-  return JSON.stringify({ document, designations: [...designations.values()], servers: [...servers.values()], entries, copies: [...copies.values()], ...(shareHolders === undefined ? {} : { shares: { added: [...shareHolders], removed: [], bounds: encodeBounds(shareBounds) } }) })
+export function encodeFleetState ({ document, designations, servers, entries, copies, shareHolders, shareBounds, shareUse }: FleetState): string {
+  return JSON.stringify({ document, designations: [...designations.values()], servers: [...servers.values()], entries, copies: [...copies.values()], ...(shareHolders === undefined ? {} : { shares: { added: [...shareHolders], removed: [], bounds: encodeBounds(shareBounds), ...(shareUse === undefined ? {} : { use: { term: shareUse.term, milliseconds: [...shareUse.milliseconds] } }) } }) })
 }
 
 export function decodeFleetState (text: string): FleetState {
