feat(forwarding): remove waits that help nobody in the first seconds of a cut

Followed step by step at a caller's instance while half of the holders are silent or have no lease:

- Each holder beyond the cut was found to be silent by an operation of its own.
When one goes silent, the others are now asked at once.
- A read went from one silent holder to the next.
After two of them it also runs on this instance's own connections, and a late answer of a holder still counts.
With four silent holders a read was answered at its deadline of 1 s with a timeout; it is answered before it now.
- A lender that did not answer was asked again by an operation each 500 ms, which waited 200 ms.
It is asked in the background.
- A holder that had just lost its lease waited for it until the operation's deadline, so that no other holder could run it.
If the instance that asks has a lease, it now waits 100 ms and refuses.
No field was needed: what was admitted under a lease says so already.
- An instance without a lease and without a token said that the account was over its rate, which its caller takes for final.
It is busy now.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -28,6 +28,8 @@
 /** Time by which a holder's own answer to a statement without an answer may be later than the deadline, in milliseconds. */
 const REPLY_GRACE_MILLISECONDS = 60
 
+/** Holders that go silent during a read before it runs on this instance's own connections as well: each takes the time in which silence is noticed. */
+const MAXIMUM_SILENT_HOLDERS = 2
 /** Streams that are opened before they are needed; further holders are reached with the first operation for them. */
 const MAXIMUM_WARM_STREAMS = 256
 /** Mean interval between two such openings, in milliseconds: each takes 1 ms of processor at both ends. */
@@ -58,7 +60,12 @@
   logger: ScopedLogger
 }
 
-type ReadEvent = { kind: 'silent' } | { kind: 'outcome', outcome: ForwardOutcome, attempt: Promise<ReadEvent> }
+type ReadEvent =
+  | { kind: 'silent' }
+  | { kind: 'outcome', outcome: ForwardOutcome, attempt: Promise<ReadEvent> }
+  /** What became of the read on this instance's own connections. */
+  | { kind: 'ran here', result: StatementResult }
+  | { kind: 'failed here', error: Error }
 
 export function createForwardingRunner ({ services, local, peers, logger }: ForwardingOptions): ForwardingRunner {
   const { link, clock, log } = services
@@ -194,13 +201,29 @@
     return { attempt, silent }
   }
 
+  /** Runs a read on this instance's own connections, while earlier attempts at holders may still be answered; the first answer counts. */
+  async function runReadHere (context: StatementContext, operation: AdmittedOperation, attempts: Set<Promise<ReadEvent>>): Promise<StatementResult> {
+    if (attempts.size === 0) return await local.run(context, operation, 'read')
+    const here = local.run(context, operation, 'read').then((result): ReadEvent => ({ kind: 'ran here', result }), (error: Error): ReadEvent => ({ kind: 'failed here', error }))
+    const pending = new Set([here, ...attempts])
+    for (;;) {
+      const event = await Promise.race(pending)
+      if (event.kind === 'ran here') return event.result
+      if (event.kind === 'outcome' && event.outcome.kind === 'reply' && findReasonToTryAnother(event.outcome) === undefined) return adoptReply(context, event.outcome.reply)
+      // A refusal is not put off until silent holders have missed the deadline.
+      if (event.kind === 'failed here') throw event.error
+      if (event.kind === 'outcome') pending.delete(event.attempt)
+    }
+  }
+
   /** Runs a read at a holder, and at another one as well when that one stops answering; the first answer counts. */
   async function runReadElsewhere (context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
     const excluded = new Set<HolderLink>()
     const attempts = new Set<Promise<ReadEvent>>()
+    let silentHolders = 0
     for (;;) {
-      const holder = chooseHolder(operation, excluded)
-      if (holder === undefined) return await local.run(context, operation, 'read')
+      const holder = silentHolders < MAXIMUM_SILENT_HOLDERS ? chooseHolder(operation, excluded) : undefined
+      if (holder === undefined) return await runReadHere(context, operation, attempts)
       excluded.add(holder)
       const { attempt, silent } = startRead(holder, context, operation)
       attempts.add(attempt)
@@ -216,6 +239,7 @@
         if (event.attempt === attempt || attempts.size === 0) break
         event = await Promise.race([...attempts, silent])
       }
+      if (event.kind === 'silent') silentHolders += 1
     }
   }
 
@@ -329,7 +353,10 @@
     const stalledMilliseconds = Math.max(0, now - watchedAt - TICK_INTERVAL_MILLISECONDS)
     watchedAt = now
     const watched = [...holderLinks.values()].filter(holder => holder.isWatched())
+    const wereReady = watched.filter(holder => holder.readiness() === 'ready')
     for (const holder of watched) holder.tick(stalledMilliseconds)
+    // Whatever cut one holder off may have cut off others, at each of which the next operation would find that out by itself.
+    if (wereReady.some(holder => holder.readiness() === 'unusable')) for (const holder of holderLinks.values()) holder.probe()
     if (watched.length > 0) return
     clearInterval(watchTimer)
     watchTimer = undefined
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -47,6 +47,8 @@
   post: (stream: MessageStream, request: HolderRequest) => void
   /** Notes that the holder refused because it can't serve at present. */
   recordRefusal: () => void
+  /** Asks whether the holder answers, although nothing is outstanding; called when another one has gone silent. */
+  probe: () => void
   /** Whether operations are outstanding, or the holder is silent and its return is looked for. */
   isWatched: () => boolean
   /** Gives up what is late, and probes the holder when it owes an answer; called every few tens of milliseconds while `isWatched`, later by `stalledMilliseconds` this time. */
@@ -291,6 +293,13 @@
     for (const { onSilent } of [...outstanding.values()]) onSilent?.()
   }
 
+  function probe (): void {
+    if (current?.isOpen() !== true || health.silent || health.probedAt > health.heardAt) return
+    health = { ...health, probedAt: clock.now() }
+    write(current, { kind: 'probe' })
+    onRequest()
+  }
+
   return {
     name,
     readiness: () => assessHolder(health, clock.now()),
@@ -307,7 +316,8 @@
     }),
     post: write,
     recordRefusal: () => { health = recordHolderRefusal(health, clock.now()) },
-    isWatched: () => outstanding.size > 0 || (current !== undefined && health.connection === 'lost') || health.silent || replacement !== undefined || replaced.size > 0,
+    probe,
+    isWatched: () => outstanding.size > 0 || (current !== undefined && health.probedAt > health.heardAt) || health.silent || replacement !== undefined || replaced.size > 0,
     tick
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -2,6 +2,7 @@
 
 import { measureDelay } from '@cyclamenusher/decisions'
 import { pause } from '../../process/clock.js'
+import { awaitLease } from '../confirmation.js'
 import { StatementFailure } from '../errors.js'
 import { createSession } from '../session.js'
 import { decodeHolderRequest, roundTime } from './messages.js'
@@ -11,7 +12,7 @@
 import type { ScopedLogger } from '../../process/logger.js'
 import type { DrainPlan } from '../callerListener.js'
 import type { LocalServices, OperationRunner } from '../operations.js'
-import type { Session, StatementContext, StatementResult, Transaction } from '../session.js'
+import type { AdmittedOperation, Session, StatementContext, StatementResult, Transaction } from '../session.js'
 import type { ForwardedStatement, HolderReply, HolderRequest } from './messages.js'
 
 /** Requests of one instance that may run at once; further ones are refused. */
@@ -20,6 +21,8 @@
 const MAXIMUM_TRANSACTIONS = 2_000
 /** Interval at which the remaining work is checked while draining, in milliseconds. */
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 50
+/** How long an operation waits here for the lease of this instance if the instance that sent it has one, in milliseconds: after a change of the leader, instances get theirs within this of one another. */
+const LEASE_WAIT_MILLISECONDS = 100
 /** Name under which a session of this instance knows the one statement that it executes. */
 const STATEMENT_NAME = 'forwarded'
 
@@ -112,6 +115,20 @@
     return { kind: 'failure', number, failure: error.kind, explanation: error.message, state: session.state, canServe: services.link.isLeased() && services.link.isDeclarationTrusted(), version }
   }
 
+  /**
+   * Refuses an operation that another holder can run, while there is time for it.
+   *
+   * Load pattern: this instance has lost control, and the callers' instances have not. An
+   * operation that waits here for the lease is refused at its deadline.
+   *
+   * @throws StatementFailure
+   */
+  async function requireLeaseSoon ({ admission }: AdmittedOperation): Promise<void> {
+    // What was admitted without an admission came from an instance with a lease.
+    if (admission !== undefined || await awaitLease(services.link, clock, clock.now() + LEASE_WAIT_MILLISECONDS)) return
+    throw new StatementFailure('busy', 'this instance has no word from control, and the one that asks has: try another one')
+  }
+
   /** Runs a statement and sends the reply. */
   async function answer (instance: CallingInstance, number: number, context: StatementContext, run: () => Promise<StatementResult>): Promise<void> {
     const { session, request } = context
@@ -164,7 +181,10 @@
     run: (instance, { number, access, operation, statement }) => {
       const context = createContext(createSession('', ''), receiveStatement(instance, statement), access)
       if (instance.running >= MAXIMUM_RUNNING_REQUESTS) return send(instance.stream, buildFailure(number, statement.id, context.session, new StatementFailure('busy', 'too many statements of one instance run here')))
-      void answer(instance, number, context, async () => await runner.run(context, operation, access))
+      void answer(instance, number, context, async () => {
+        await requireLeaseSoon(operation)
+        return await runner.run(context, operation, access)
+      })
     },
     begin: (instance, { transaction: number, readOnly, operation, statement }) => {
       // The first statement of a transaction that is not open here is told so.
@@ -177,7 +197,11 @@
       runner.begin(createContext(session, receiveStatement(instance, statement), 'read'), transaction)
     },
     continue: (instance, request) => {
-      runInSession(instance, request, request.isWrite ? 'write' : 'read', async (context, transaction) => await runner.continue(context, transaction, request.isWrite))
+      runInSession(instance, request, request.isWrite ? 'write' : 'read', async (context, transaction) => {
+        if (transaction.hasRun !== true) await requireLeaseSoon(transaction)
+        transaction.hasRun = true
+        return await runner.continue(context, transaction, request.isWrite)
+      })
     },
     commit: (instance, request) => {
       const found = runInSession(instance, request, 'write', async (context, transaction) => await runner.commit(context, transaction))
--- a/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
+++ b/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
@@ -41,6 +41,8 @@
 export async function admitOperation (services: EngineServices, session: Session): Promise<AdmittedOperation> {
   const { account: charged } = resolveAccess(services, session)
   if (charged !== undefined && !await services.rates.admit(charged)) {
+    // Without control there may be tokens elsewhere.
+    if (!services.link.isLeased()) throw new StatementFailure('busy', `this instance has no word from control and no token of client account ${charged.name}; the operation did not run: try another one`)
     throw new StatementFailure('too many', `client account ${charged.name} is over its rate; the operation did not run`)
   }
   // The declaration may have been replaced while the operation waited for its rate.
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
@@ -117,6 +117,25 @@
   await stop()
 })
 
+// Each half second an operation waited until its lender had not answered once more.
+test('an operation waits for a lender that has not answered before', async () => {
+  const silent = createServer(socket => { socket.on('error', () => {}) })
+  await new Promise<void>(resolve => { silent.listen(0, HOST, resolve) })
+  const address = silent.address()
+  const lender = { name: 'entry-2', host: HOST, port: typeof address === 'object' && address !== null ? address.port : 0 }
+  const { link, stop } = await connectLink(() => ({ ...GRANT, shared: { ...GRANT.shared, lenders: { clinic: [lender] } } }), 2)
+  try {
+    await waitUntil('a lender', () => link.hasLender('clinic'))
+    assert.is((await link.borrow('clinic', 2)).granted, 2)
+    await new Promise(resolve => setTimeout(resolve, 600))
+    const waited = new Promise<'waited'>(resolve => setTimeout(resolve, 190, 'waited'))
+    assert.equal(await Promise.race([waited, link.borrow('clinic', 2)]), { granted: 2 })
+  } finally {
+    await stop()
+    silent.close()
+  }
+})
+
 // An instance that can't read one entry of the list would lose its lease at each renewal.
 test('an odd entry among the servers of a grant ends the lease', async () => {
   const server: KnownServer = { member: 'i-1', group: 'g', host: HOST, port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'replica', bornAt: 1, sequence: 1, gone: false }
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -31,8 +31,8 @@
 const BORROW_TIMEOUT_MILLISECONDS = 100
 /** Timeout of a request to borrow from an entry instance, in milliseconds: the instance may ask control meanwhile. */
 const LENDER_TIMEOUT_MILLISECONDS = 200
-/** How long a lender that did not answer is passed over, in milliseconds: control appoints another one about 2 s after an instance is gone. */
-const FAILED_LENDER_PAUSE_MILLISECONDS = 500
+/** Interval at which a lender that did not answer is asked again in the background, in milliseconds: control appoints another one about 2 s after an instance is gone. */
+const FAILED_LENDER_INTERVAL_MILLISECONDS = 500
 /** Age of a lease at which its renewal is overdue, in milliseconds: two hold times and the round trips. */
 const RENEWAL_OVERDUE_MILLISECONDS = 1_000
 /** Minimum interval between two checks whether the lease has expired, in milliseconds. */
@@ -137,8 +137,8 @@
   let lenders = new Map<string, Address | undefined>()
   /** When this instance learned of each server's present state. */
   const learnedAt = new Map<string, number>()
-  /** Until when lenders that did not answer are passed over, by address. */
-  const failedLendersUntil = new Map<string, number>()
+  /** Lenders that did not answer, by address, and when they are asked again. They are passed over until they answer. */
+  const failedLenders = new Map<string, number>()
   const startedAt = clock.startedAt ?? clock.now()
   /** Increases with each report of the loans to a control instance. */
   let loanReports = 0
@@ -379,14 +379,23 @@
     }
   }
 
+  /** Asks a lender that did not answer for nothing, while the operation goes to control. */
+  function tryFailedLender (lender: Address, account: string, key: string): void {
+    const now = clock.now()
+    if (now < (failedLenders.get(key) ?? -Infinity)) return
+    failedLenders.set(key, now + FAILED_LENDER_INTERVAL_MILLISECONDS)
+    void borrowFrom(lender, account, 0, LENDER_TIMEOUT_MILLISECONDS).then(reply => { if (reply !== undefined) failedLenders.delete(key) })
+  }
+
   async function borrow (account: string, wanted: number): Promise<BorrowReply> {
     const lender = lenders.get(account)
     const key = lender === undefined ? '' : `${lender.host}:${lender.port}`
-    if (lender !== undefined && clock.now() >= (failedLendersUntil.get(key) ?? -Infinity)) {
+    if (lender !== undefined && failedLenders.has(key)) tryFailedLender(lender, account, key)
+    else if (lender !== undefined) {
       const reply = await borrowFrom(lender, account, wanted, LENDER_TIMEOUT_MILLISECONDS)
       // A lender asks control itself before it grants less than was wanted.
       if (reply !== undefined && reply.isNoLender !== true) return reply
-      if (reply === undefined) failedLendersUntil.set(key, clock.now() + FAILED_LENDER_PAUSE_MILLISECONDS)
+      if (reply === undefined) failedLenders.set(key, clock.now() + FAILED_LENDER_INTERVAL_MILLISECONDS)
     }
     return await borrowFromControl(account, wanted)
   }
