feat(control): read the log and write the term as soon as the leadership begins

After a loss of all power the first leases wait until the log holds the instances, and that took two ticks of the leader (25 to 50 ms) more than the round and the command themselves. What has come while the state was read is written at once, too.

The metric cyclamenusher_holders counts the holders by state.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -14,7 +14,7 @@
 import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
 import { createHolderLink } from './holderLink.js'
 import { roundTime } from './messages.js'
-import type { HolderOption, NamedInstance } from '@cyclamenusher/decisions'
+import type { HolderOption, HolderReadiness, NamedInstance } from '@cyclamenusher/decisions'
 import type { MessageStream } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../../process/logger.js'
 import type { Peers } from '../../process/peers.js'
@@ -50,6 +50,8 @@
 export interface ForwardingRunner extends OperationRunner {
   /** Opens a stream that may be needed; called every few tens of milliseconds or less often. */
   tick: () => void
+  /** Number of published holders, by what is known of them here. */
+  countHolders: () => Record<HolderReadiness, number>
   close: () => void
 }
 
@@ -378,6 +380,11 @@
     commit: commitTransaction,
     rollBack,
     tick: () => { warmStreams(clock.now()) },
+    countHolders: () => {
+      const counts: Record<HolderReadiness, number> = { ready: 0, untried: 0, unreachable: 0, unusable: 0 }
+      for (const holder of link.allHolders()) if (holder.name !== link.name) counts[ensureHolderLink(holder).readiness()] += 1
+      return counts
+    },
     close: () => { clearInterval(watchTimer) }
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -10,6 +10,7 @@
 import type { Peers } from '../process/peers.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { Clock } from '../process/clock.js'
+import type { ForwardingRunner } from './forwarding/forwarding.js'
 import type { HolderService } from './forwarding/holderService.js'
 import type { GroupPool } from './groupPool.js'
 import type { OperationRunner } from './operations.js'
@@ -51,6 +52,8 @@
   /** State that the instance reports to control: demand by account, observations of servers by member, and groups whose primary is being closed but still runs work. */
   report: () => { demand: Record<string, number>, sightings: ReturnType<GroupPool['sightings']>, busy: string[], holds: boolean }
   startDraining: () => void
+  /** Number of holders of connections, by what this instance has noticed of them. */
+  countHolders: ForwardingRunner['countHolders']
   /** Runs operations of other instances. */
   holder: HolderService
   close: () => void
@@ -133,6 +136,7 @@
     clock,
     log,
     isDraining: () => draining,
+    countHolders: operations.countHolders,
     report,
     startDraining: () => {
       draining = true
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -176,6 +176,13 @@
   await grant
 })
 
+// The first leases after a loss of power waited for one more tick of the leader, and another one for the command.
+test('a leader looks at its log only some time after its election', async () => {
+  const { state } = startLeader()
+  for (let turn = 0; turn < 3; turn += 1) await new Promise(resolve => { setImmediate(resolve) })
+  assert.is(state().shareUse?.term, 1)
+})
+
 // Commands about servers or the number of instances said nothing of it.
 test('how long shares are used is lost with the next command of the same leader', async () => {
   const { renew, advance, state } = startLeader()
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -11,7 +11,7 @@
 import { checkLoan, createFleetStreams } from './fleetStreams.js'
 import { listenForHttp } from './http.js'
 import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument } from '@cyclamenusher/decisions'
-import type { CallerCodec, ServerCodec } from '../../engine/index.js'
+import type { CallerCodec, Engine, ServerCodec } from '../../engine/index.js'
 import type { FleetEntryConfig } from './config.js'
 import type { RunningInstance } from '../instance.js'
 import type { Metrics } from '../metrics.js'
@@ -19,6 +19,8 @@
 
 /** Time in which the load balancer notices that an instance is not ready and sends it no more callers, in milliseconds: two failed checks, a second apart. */
 const BALANCER_REACTION_MILLISECONDS = 2_300
+/** Interval at which the holders are counted for the metrics, in milliseconds. */
+const HOLDER_COUNT_INTERVAL_MILLISECONDS = 1_000
 /** Fraction of the grace period after which open transactions are ended. */
 const TRANSACTION_GRACE_FRACTION = 0.5
 /** Fraction of the grace period after which all remaining connections are closed. */
@@ -43,6 +45,12 @@
   observe()
 }
 
+/** Keeps the metric of the holders. Returns a function that ends it. */
+function observeHolders ({ countHolders }: Pick<Engine, 'countHolders'>, { holders }: Metrics): () => void {
+  const timer = setInterval(() => { for (const [state, count] of Object.entries(countHolders())) holders.set({ state }, count) }, HOLDER_COUNT_INTERVAL_MILLISECONDS)
+  return () => { clearInterval(timer) }
+}
+
 export async function startFleetEntry (config: FleetEntryConfig, ports: FleetEntryPorts): Promise<RunningInstance> {
   const logger = createLogger(config.log)
   const log = logger.scope('process')
@@ -94,8 +102,10 @@
   const metricsPage = await startMetrics(config.metrics, isReady)
   requestLog.setMetrics(metricsPage.metrics)
   observeLink(engine.link, metricsPage.metrics)
+  const endHolderCount = observeHolders(engine, metricsPage.metrics)
 
   async function close (): Promise<void> {
+    endHolderCount()
     callers.close()
     engine.close()
     readiness.close()
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -309,6 +309,8 @@
   refreshControl()
   directory.merge([...state().servers.values()])
   startGroupTasks()
+  // The first leases wait until the log holds the instances.
+  shareRecord.write(leases, startedAt)
   return {
     lend: ({ account, wanted }) => {
       const reply = hasLeaderLease() ? pool.lend(account, wanted) : { granted: 0 }
--- a/packages/cyclamenusherd/src/node/process/fleet/shareRecord.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/shareRecord.ts
@@ -51,7 +51,7 @@
   awaitsBounds: () => boolean
 }
 
-export function createShareRecord ({ term, state, startedAt, confirmState, write, onWritten }: ShareRecordOptions): ShareRecord {
+export function createShareRecord ({ term, state, startedAt, confirmState, write: writeToLog, onWritten }: ShareRecordOptions): ShareRecord {
   let isCurrent = false
   let expected = 0
   /** Whether the log says nothing of instances that an earlier leader counted. */
@@ -115,7 +115,7 @@
   async function send (changes: ShareHolderChanges): Promise<void> {
     pending = changes
     isWriting = true
-    const written = await write(changes)
+    const written = await writeToLog(changes)
     isWriting = false
     // Changes that may or may not have been applied are written once more.
     if (!written) return
@@ -133,6 +133,20 @@
     isUnknown = shareHolders === undefined && entries > 0
   }
 
+  function write (known: KnownHolders, now: number): void {
+    if (isWriting) return
+    if (!isCurrent) {
+      // What has come meanwhile is written at once: instances wait for it before their first lease.
+      void readEarlierState().then(() => { if (isCurrent) write(known, now) })
+      return
+    }
+    const changes = pending ?? collectChanges(known, now)
+    // Without a command of this term, the next leader could not tell whether another one granted shares meanwhile.
+    const isTermRecorded = state().shareUse?.term === term
+    if (isTermRecorded && changes.added.length + changes.removed.length + changes.bounds.length === 0) return
+    void send(changes)
+  }
+
   return {
     isCurrent: () => isCurrent,
     isRecorded: (name, shareMilliseconds = SHARE_VALIDITY_MILLISECONDS) => {
@@ -157,18 +171,7 @@
         exceed: (account, name, share, lenders) => { requestBound(account, name, raiseBound(share, lenders)) }
       }
     },
-    write: (known, now) => {
-      if (isWriting) return
-      if (!isCurrent) {
-        void readEarlierState()
-        return
-      }
-      const changes = pending ?? collectChanges(known, now)
-      // Without a command of this term, the next leader could not tell whether another one granted shares meanwhile.
-      const isTermRecorded = state().shareUse?.term === term
-      if (isTermRecorded && changes.added.length + changes.removed.length + changes.bounds.length === 0) return
-      void send(changes)
-    },
+    write,
     awaitsBounds: () => requested.size > 0 || (pending?.bounds.length ?? 0) > 0
   }
 }
--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -23,6 +23,8 @@
   /** Versions of the declaration: the one that this instance holds, and the newest that control has named. */
   declarationVersions: Gauge<'known'>
   leaseLosses: Counter
+  /** Holders of connections, by what this instance has noticed of them. */
+  holders: Gauge<'state'>
   recordLatency: (name: LatencyName, milliseconds: number) => void
   render: () => Promise<string>
 }
@@ -58,6 +60,7 @@
     failovers: new Counter({ name: 'cyclamenusher_failovers_total', help: 'Promotions that this instance ordered.', labelNames: ['outcome'], registers }),
     declarationVersions: new Gauge({ name: 'cyclamenusher_declaration_version', help: 'Version of the declaration that the instance holds, and of the newest that control has named.', labelNames: ['known'], registers }),
     leaseLosses: new Counter({ name: 'cyclamenusher_lease_losses_total', help: 'Leases that ended before they were renewed.', registers }),
+    holders: new Gauge({ name: 'cyclamenusher_holders', help: 'Instances that hold connections to backend servers, by whether this instance can send operations to them.', labelNames: ['state'], registers }),
     recordLatency: (name, milliseconds) => {
       const microseconds = Math.min(MAXIMUM_LATENCY_MICROSECONDS, Math.max(1, Math.round(milliseconds * 1000)))
       latencies[name].recordValue(microseconds)
