--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -7,14 +7,14 @@
  * sent, or was refused by the holder before it ran, is sent again. Reads may run twice.
  */
 
-import { orderHolders } from '@cyclamenusher/decisions'
+import { orderHolders, selectHolder } from '@cyclamenusher/decisions'
 import { confirmDesignation, isLeaseOverdue } from '../confirmation.js'
 import { StatementFailure } from '../errors.js'
 import { requireNotEnded } from '../transactions.js'
 import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
 import { createHolderLink } from './holderLink.js'
 import { roundTime } from './messages.js'
-import type { NamedInstance } from '@cyclamenusher/decisions'
+import type { HolderOption, HolderReadiness, NamedInstance } from '@cyclamenusher/decisions'
 import type { MessageStream } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../../process/logger.js'
 import type { Peers } from '../../process/peers.js'
@@ -28,6 +28,8 @@
 /** Time by which a holder's own answer to a statement without an answer may be later than the deadline, in milliseconds. */
 const REPLY_GRACE_MILLISECONDS = 60
 
+/** Holders that go silent during a read before it runs on this instance's own connections as well: each takes the time in which silence is noticed. */
+const MAXIMUM_SILENT_HOLDERS = 2
 /** Streams that are opened before they are needed; further holders are reached with the first operation for them. */
 const MAXIMUM_WARM_STREAMS = 256
 /** Mean interval between two such openings, in milliseconds: each takes 1 ms of processor at both ends. */
@@ -48,6 +50,8 @@
 export interface ForwardingRunner extends OperationRunner {
   /** Opens a stream that may be needed; called every few tens of milliseconds or less often. */
   tick: () => void
+  /** Number of published holders, by what is known of them here. */
+  countHolders: () => Record<HolderReadiness, number>
   close: () => void
 }
 
@@ -58,7 +62,12 @@
   logger: ScopedLogger
 }
 
-type ReadEvent = { kind: 'silent' } | { kind: 'outcome', outcome: ForwardOutcome, attempt: Promise<ReadEvent> }
+type ReadEvent =
+  | { kind: 'silent' }
+  | { kind: 'outcome', outcome: ForwardOutcome, attempt: Promise<ReadEvent> }
+  /** What became of the read on this instance's own connections. */
+  | { kind: 'ran here', result: StatementResult }
+  | { kind: 'failed here', error: Error }
 
 export function createForwardingRunner ({ services, local, peers, logger }: ForwardingOptions): ForwardingRunner {
   const { link, clock, log } = services
@@ -91,16 +100,17 @@
 
   /** The link to the holder that is to run the operation; undefined: this instance runs it. */
   function chooseHolder (operation: AdmittedOperation, excluded: ReadonlySet<HolderLink>): HolderLink | undefined {
-    for (const holder of listHolders(operation)) {
-      if (holder.name === link.name) {
-        if (!isLeaseOverdue(link, clock)) return undefined
-        // Another holder may have the lease that this one lacks.
-        continue
-      }
-      const holderLink = ensureHolderLink(holder)
-      if (!excluded.has(holderLink) && holderLink.isUsable()) return holderLink
-    }
-    return undefined
+    const options = listHolders(operation).flatMap((listed): Array<HolderOption<HolderLink | undefined>> => {
+      if (listed.name === link.name) return [{ holder: undefined, readiness: 'here' }]
+      const holder = ensureHolderLink(listed)
+      if (excluded.has(holder)) return []
+      const readiness = holder.readiness()
+      if (readiness === 'unreachable' && holder.isAttemptDue()) holder.attempt()
+      return [{ holder, readiness }]
+    })
+    // Without a lease here, another holder may have one.
+    const choice = selectHolder(options, !isLeaseOverdue(link, clock))
+    return choice.kind === 'run here' ? undefined : choice.holder
   }
 
   function buildStatement ({ session, request, startedAt, deadline }: StatementContext): ForwardedStatement {
@@ -193,13 +203,29 @@
     return { attempt, silent }
   }
 
+  /** Runs a read on this instance's own connections, while earlier attempts at holders may still be answered; the first answer counts. */
+  async function runReadHere (context: StatementContext, operation: AdmittedOperation, attempts: Set<Promise<ReadEvent>>): Promise<StatementResult> {
+    if (attempts.size === 0) return await local.run(context, operation, 'read')
+    const here = local.run(context, operation, 'read').then((result): ReadEvent => ({ kind: 'ran here', result }), (error: Error): ReadEvent => ({ kind: 'failed here', error }))
+    const pending = new Set([here, ...attempts])
+    for (;;) {
+      const event = await Promise.race(pending)
+      if (event.kind === 'ran here') return event.result
+      if (event.kind === 'outcome' && event.outcome.kind === 'reply' && findReasonToTryAnother(event.outcome) === undefined) return adoptReply(context, event.outcome.reply)
+      // A refusal is not put off until silent holders have missed the deadline.
+      if (event.kind === 'failed here') throw event.error
+      if (event.kind === 'outcome') pending.delete(event.attempt)
+    }
+  }
+
   /** Runs a read at a holder, and at another one as well when that one stops answering; the first answer counts. */
   async function runReadElsewhere (context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
     const excluded = new Set<HolderLink>()
     const attempts = new Set<Promise<ReadEvent>>()
+    let silentHolders = 0
     for (;;) {
-      const holder = chooseHolder(operation, excluded)
-      if (holder === undefined) return await local.run(context, operation, 'read')
+      const holder = silentHolders < MAXIMUM_SILENT_HOLDERS ? chooseHolder(operation, excluded) : undefined
+      if (holder === undefined) return await runReadHere(context, operation, attempts)
       excluded.add(holder)
       const { attempt, silent } = startRead(holder, context, operation)
       attempts.add(attempt)
@@ -215,6 +241,7 @@
         if (event.attempt === attempt || attempts.size === 0) break
         event = await Promise.race([...attempts, silent])
       }
+      if (event.kind === 'silent') silentHolders += 1
     }
   }
 
@@ -308,7 +335,7 @@
   }
 
   /**
-   * Opens streams to the next holders that have none.
+   * Opens streams to the next holders that have none, to those that were never tried first.
    *
    * Load pattern: few operations at each of many instances, so that nearly every one
    * would be the first for its holder, and wait until a connection is open.
@@ -317,8 +344,9 @@
     const due = Math.min(MAXIMUM_WARMED_AT_ONCE, Math.floor((now - warmedAt) / WARM_INTERVAL_MILLISECONDS))
     if (due < 1) return
     warmedAt = now
-    const cold = link.allHolders().slice(0, MAXIMUM_WARM_STREAMS).filter(({ name }) => name !== link.name).map(ensureHolderLink).filter(holder => holder.isCold())
-    for (const holder of cold.slice(0, due)) void holder.open()
+    const cold = link.allHolders().slice(0, MAXIMUM_WARM_STREAMS).filter(({ name }) => name !== link.name).map(ensureHolderLink).filter(holder => holder.isAttemptDue())
+    const isUntried = (holder: HolderLink): boolean => holder.readiness() === 'untried'
+    for (const holder of [...cold.filter(isUntried), ...cold.filter(holder => !isUntried(holder))].slice(0, due)) holder.attempt()
   }
 
   /** Watches the holders while operations are outstanding or a holder is silent; an instance at rest has no timer. */
@@ -327,7 +355,10 @@
     const stalledMilliseconds = Math.max(0, now - watchedAt - TICK_INTERVAL_MILLISECONDS)
     watchedAt = now
     const watched = [...holderLinks.values()].filter(holder => holder.isWatched())
+    const wereReady = watched.filter(holder => holder.readiness() === 'ready')
     for (const holder of watched) holder.tick(stalledMilliseconds)
+    // Whatever cut one holder off may have cut off others, at each of which the next operation would find that out by itself.
+    if (wereReady.some(holder => holder.readiness() === 'unusable')) for (const holder of holderLinks.values()) holder.probe()
     if (watched.length > 0) return
     clearInterval(watchTimer)
     watchTimer = undefined
@@ -349,6 +380,11 @@
     commit: commitTransaction,
     rollBack,
     tick: () => { warmStreams(clock.now()) },
+    countHolders: () => {
+      const counts: Record<HolderReadiness, number> = { ready: 0, untried: 0, unreachable: 0, unusable: 0 }
+      for (const holder of link.allHolders()) if (holder.name !== link.name) counts[ensureHolderLink(holder).readiness()] += 1
+      return counts
+    },
     close: () => { clearInterval(watchTimer) }
   }
 }
--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -27,6 +27,8 @@
   drainedFailureDomains: Gauge
   /** Tokens of rates that were requested while callers prepared their operations. */
   prefetchedTokens: Counter<'outcome'>
+  /** Holders of connections, by what this instance has noticed of them. */
+  holders: Gauge<'state'>
   recordLatency: (name: LatencyName, milliseconds: number) => void
   render: () => Promise<string>
 }
@@ -64,6 +66,7 @@
     leaseLosses: new Counter({ name: 'cyclamenusher_lease_losses_total', help: 'Leases that ended before they were renewed.', registers }),
     drainedFailureDomains: new Gauge({ name: 'cyclamenusher_drained_failure_domains', help: 'Failure domains to whose backend servers nothing is sent.', registers }),
     prefetchedTokens: new Counter({ name: 'cyclamenusher_prefetched_tokens_total', help: 'Tokens of rates that were requested before an operation needed them: used, unused or not granted.', labelNames: ['outcome'], registers }),
+    holders: new Gauge({ name: 'cyclamenusher_holders', help: 'Instances that hold connections to backend servers, by whether this instance can send operations to them.', labelNames: ['state'], registers }),
     recordLatency: (name, milliseconds) => {
       const microseconds = Math.min(MAXIMUM_LATENCY_MICROSECONDS, Math.max(1, Math.round(milliseconds * 1000)))
       latencies[name].recordValue(microseconds)
