feat(decisions): budget of cold servers, home regions, and their declaration fields

A server that has just started receives at most the declared requests a second, over all instances together; operations may be limited to regions. Among candidates with the same position a warm one is promoted.

--- a/packages/decisions/src/node/declaration/declaration.ts
+++ b/packages/decisions/src/node/declaration/declaration.ts
@@ -24,6 +24,8 @@
   priority: number
   /** Whether callers may use the route without a key. */
   open: boolean
+  /** Regions to which the route's statements are limited; undefined or empty: none. */
+  allowedRegions?: string[]
 }
 
 export interface ServerGroup {
@@ -32,6 +34,8 @@
   connectionsPerServer: number
   /** Replicas that must hold a commit before it is acknowledged. */
   synchronousReplicas: number
+  /** How long a server is slow after its start, and how many requests a second it may then receive; undefined: nothing is limited. */
+  warmup?: { milliseconds: number, requestsPerSecond: number }
 }
 
 export interface ClientAccount {
@@ -41,6 +45,8 @@
   ratePerSecond: number
   /** Operations that may arrive at once, over all instances together. */
   burst: number
+  /** Regions to which the account's statements are limited; undefined or empty: none. */
+  allowedRegions?: string[]
 }
 
 export interface Declaration {
--- a/packages/decisions/src/node/fleet/__tests__/serverFields.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/serverFields.test.ts
@@ -18,7 +18,8 @@
   leaving: ['no', 0, null, undefined],
   role: ['arbiter', 'Primary', '', 1, null, undefined],
   bornAt: [...NO_NUMBERS, 8_640_000_000_000_000, 4_102_444_800_001],
-  sequence: [...NO_NUMBERS, 2 ** 32]
+  sequence: [...NO_NUMBERS, 2 ** 32],
+  warmupMilliseconds: [...NO_NUMBERS.filter(value => value !== undefined), 86_400_001]
 }
 
 for (const [field, values] of Object.entries(INVALID)) {
--- a/packages/decisions/src/node/fleet/directory.ts
+++ b/packages/decisions/src/node/fleet/directory.ts
@@ -25,6 +25,8 @@
   bornAt: number
   /** Increases with each announcement of the same process. */
   sequence: number
+  /** How much longer the server is cold, in milliseconds from when this was sent; undefined or 0: it is warm. */
+  warmupMilliseconds?: number
 }
 
 export interface KnownServer extends ServerAnnouncement {
--- a/packages/decisions/src/node/fleet/groupTypes.ts
+++ b/packages/decisions/src/node/fleet/groupTypes.ts
@@ -131,6 +131,8 @@
   announcedBy: number
   /** How long a server takes work after it has announced that it is leaving, in milliseconds. */
   drainMilliseconds: number
+  /** Servers that are cold; among equal candidates another one is promoted. @default none */
+  cold?: ReadonlySet<string>
 }
 
 /** A step in progress: the state being changed, and the effects so far. */
--- a/packages/decisions/src/node/fleet/messages.ts
+++ b/packages/decisions/src/node/fleet/messages.ts
@@ -4,6 +4,7 @@
 import type { ServerObservation } from './evidence.js'
 import type { PrimaryAssignment } from './groupTypes.js'
 import type { LoanReport } from './loanHistory.js'
+import type { WarmupShare } from './warmupBudget.js'
 
 /** Duration of an entry instance's lease, in milliseconds, counted from when it sent the renewal: long enough to outlast an election in control. */
 export const LEASE_MILLISECONDS = 1_500
@@ -18,6 +19,8 @@
 /** An entry instance, and where others reach it. */
 export interface NamedInstance extends ControlAddress {
   name: string
+  /** Sent for holders of connections. Undefined: granted by a control instance of an earlier build. */
+  failureDomain?: string
 }
 
 export interface RenewRequest {
@@ -47,6 +50,10 @@
   parts?: Record<string, number>
   /** What the instance borrowed from control lately; sent together with `servers`. */
   loans?: LoanReport
+  /** By cold server, the share that the instance may use until this renewal is answered. */
+  warmups?: Record<string, WarmupShare>
+  /** Servers that count as cold until they announce themselves, and how long ago that began, in milliseconds. */
+  doubted?: Record<string, number>
 }
 
 /** The part of a grant that is the same for all instances of a failure domain that know as much. */
@@ -67,6 +74,8 @@
   newest?: number
   /** Number of entry instances that share the servers. */
   entries: number
+  /** Servers that count as cold until they announce themselves, and how long ago that began, in milliseconds. Complete; undefined: none. */
+  doubted?: Record<string, number>
   /** Control instances to try when this one is unreachable; empty if they have not changed. */
   control: ControlAddress[]
 }
@@ -77,6 +86,10 @@
   shared: SharedGrant
   /** The instance's shares of the rates by account, from 0 to 1; undefined if they have not changed. */
   parts?: Record<string, number>
+  /** The instance's shares of what cold servers may receive, by server; they are valid as long as the lease. Complete; undefined: none. */
+  warmups?: Record<string, WarmupShare>
+  /** Servers among those that the request doubts which have announced themselves since. */
+  settled?: string[]
 }
 
 export type RenewReply = RenewGrant | { kind: 'not leader', leader?: ControlAddress }
--- a/packages/decisions/src/node/fleet/serverFields.ts
+++ b/packages/decisions/src/node/fleet/serverFields.ts
@@ -19,6 +19,8 @@
 const LATEST_START = Date.UTC(2100, 0, 1)
 /** Highest number of an announcement: a century of them, one a second. */
 const MAXIMUM_SEQUENCE = 2 ** 32 - 1
+/** Longest time for which a server can be cold, in milliseconds: a day. */
+const MAXIMUM_WARMUP_MILLISECONDS = 24 * 60 * 60 * 1_000
 
 type FieldCheck = (value: unknown) => boolean
 
@@ -36,6 +38,8 @@
 
 const isHost: FieldCheck = value => typeof value === 'string' && (IPV4_PATTERN.test(value) || IPV6_PATTERN.test(value))
 
+const isWarmup = isIntegerBetween(0, MAXIMUM_WARMUP_MILLISECONDS)
+
 const FIELD_CHECKS: Record<keyof ServerAnnouncement, FieldCheck> = {
   member: isServerName,
   group: isServerName,
@@ -46,7 +50,8 @@
   leaving: value => typeof value === 'boolean',
   role: value => value === 'primary' || value === 'replica',
   bornAt: isStartTime,
-  sequence: isIntegerBetween(0, MAXIMUM_SEQUENCE)
+  sequence: isIntegerBetween(0, MAXIMUM_SEQUENCE),
+  warmupMilliseconds: value => value === undefined || isWarmup(value)
 }
 
 const CHECKS = Object.entries(FIELD_CHECKS)
--- a/packages/decisions/src/node/fleet/successor.ts
+++ b/packages/decisions/src/node/fleet/successor.ts
@@ -76,8 +76,14 @@
   })
 }
 
-function findNewest (answered: readonly AnsweredServer[]): AnsweredServer | undefined {
-  return answered.reduce<AnsweredServer | undefined>((best, candidate) => best === undefined || comparePositions(candidate.status.received, best.status.received) > 0 ? candidate : best, undefined)
+/** Compares two candidates by position; of equal ones, a warm server is the better one. */
+function compareCandidates (left: AnsweredServer, right: AnsweredServer, { environment: { cold } }: GroupStep): number {
+  const difference = comparePositions(left.status.received, right.status.received)
+  return difference !== 0 ? difference : Number(cold?.has(right.server.member) === true) - Number(cold?.has(left.server.member) === true)
+}
+
+function findNewest (step: GroupStep, answered: readonly AnsweredServer[]): AnsweredServer | undefined {
+  return answered.reduce<AnsweredServer | undefined>((best, candidate) => best === undefined || compareCandidates(candidate, best, step) > 0 ? candidate : best, undefined)
 }
 
 /** The candidate with the newest received position, once enough have answered. */
@@ -89,7 +95,7 @@
 function chooseAsynchronousCandidate (step: GroupStep, candidates: readonly KnownServer[]): AnsweredServer | undefined {
   const answered = listAnswered(step, candidates)
   const isOver = step.environment.now - step.state.phaseSince > ANSWER_WAIT_MILLISECONDS
-  return answered.length === candidates.length || isOver ? findNewest(answered) : undefined
+  return answered.length === candidates.length || isOver ? findNewest(step, answered) : undefined
 }
 
 /**
@@ -109,11 +115,11 @@
   const hasLastPrimary = replicas.some(({ server, status }) => status.role === 'primary' && server.member === lastPrimary)
   const isComplete = hasEveryCommit || hasLastPrimary || hasPrimaryReplacement(step, answered)
   const inherited = findInheritedLog(step)?.upTo
-  const newest = isComplete ? findNewest(replicas)?.status.received : primary?.status.received
+  const newest = isComplete ? findNewest(step, replicas)?.status.received : primary?.status.received
   if (newest === undefined) return undefined
   const isUpToDate = ({ received }: ServerStatus): boolean => comparePositions(received, newest) >= 0 && (inherited === undefined || comparePositions(received, inherited) >= 0)
   const upToDate = replicas.filter(({ server, status }) => !isExcluded(step, server.member) && isUpToDate(status))
-  return findNewest(upToDate.filter(({ server }) => !server.leaving)) ?? findNewest(upToDate)
+  return findNewest(step, upToDate.filter(({ server }) => !server.leaving)) ?? findNewest(step, upToDate)
 }
 
 /** Whether a candidate has received what a leaving primary held a moment ago, so that the primary can be closed for a short time only. Without synchronous replicas any candidate will do. */
