feat(fleet): shares of what cold servers may receive, sent with the lease

The leader knows which servers are cold, by their announcements and by lost connections that no newer announcement followed, and divides the allowance among the holders of the group. What an instance may still hold is given to nobody else until its lease has ended; a new leader grants nothing for the length of a lease. Holders are published with their failure domain, for the selection by region.

--- a/packages/cyclamenusherd/src/node/process/fleet/config.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/config.ts
@@ -1,6 +1,6 @@
 /** Settings of an instance in a fleet that is configured by versioned documents. */
 
-import type { RateTolerance } from '@cyclamenusher/decisions'
+import type { RateTolerance, RegionMap, WarmupTolerance } from '@cyclamenusher/decisions'
 import type { Address } from '../address.js'
 import type { Config } from '../config.js'
 
@@ -27,6 +27,8 @@
   maximumCallers: number
   /** Time within which a declaration must be in force at every instance, in milliseconds from its acknowledgement. @default DECLARATION_TRUST_MILLISECONDS */
   declarationTrustMilliseconds?: number
+  /** Regions of the failure domains, and of this instance. @default none */
+  regions?: RegionMap
 }
 
 export interface FleetControlConfig extends FleetInstanceConfig {
@@ -40,6 +42,8 @@
   announceIntervalMilliseconds: number
   /** How long a server takes work after it has announced that it is leaving, in milliseconds. */
   drainMilliseconds: number
+  /** How far the declared requests to a cold server may be exceeded. @default DEFAULT_WARMUP_TOLERANCE */
+  warmupTolerance?: WarmupTolerance
   /** Address of the service that performs promotions; if undefined, no server is promoted. */
   promotion?: Address
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControl.ts
@@ -12,7 +12,7 @@
 import { startLeadership } from './leadership.js'
 import { createRenewalReader } from './renewalFields.js'
 import type { ConnectRouter } from '@connectrpc/connect'
-import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, FleetCommand, FleetOutcome, FleetState, LogMember, RateTolerance, RenewReply, RenewRequest, ServerAnnouncement } from '@cyclamenusher/decisions'
+import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, FleetCommand, FleetOutcome, FleetState, LogMember, RateTolerance, RenewReply, RenewRequest, ServerAnnouncement, WarmupTolerance } from '@cyclamenusher/decisions'
 import type { PeerCredentials, PeerLink, StreamRoutes } from '@cyclamenusher/protocol'
 import type { Clock } from '../clock.js'
 import type { ConsensusLog } from '../control/consensusLog.js'
@@ -62,6 +62,8 @@
   announceIntervalMilliseconds: number
   drainMilliseconds: number
   rateTolerance: RateTolerance
+  /** How far the declared requests to a cold server may be exceeded. @default DEFAULT_WARMUP_TOLERANCE */
+  warmupTolerance?: WarmupTolerance
   decodeDeclaration: (document: DeclarationDocument) => Declaration
   credentials: PeerCredentials
   clock: Clock
@@ -78,7 +80,7 @@
 /** Builds the reply that instances of the build before understand. They borrow from control. */
 function flattenGrant (reply: RenewReply): unknown {
   if (reply.kind !== 'granted') return reply
-  const { shared: { lenders, holders, ...shared }, ...own } = reply
+  const { shared: { lenders, holders, doubted, ...shared }, warmups, settled, ...own } = reply
   return { ...own, ...shared }
 }
 
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
@@ -58,6 +58,7 @@
     announceIntervalMilliseconds: config.announceIntervalMilliseconds,
     drainMilliseconds: config.drainMilliseconds,
     rateTolerance: config.rateTolerance,
+    warmupTolerance: config.warmupTolerance,
     decodeDeclaration: ports.decodeDeclaration,
     credentials,
     clock,
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -11,12 +11,14 @@
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
 import { LOAN_STREAM, RENEWAL_STREAM } from './fleetStreams.js'
+import { createWarmupLedger } from './warmupLedger.js'
 import { createWatchedCaller } from './watchedCaller.js'
 import type { BorrowReply, BorrowRequest, Declaration, DeclarationDocument, DeclarationIndex, NamedInstance, PrimaryAssignment, KnownServer, LoanReport, RenewGrant, RenewReply, RenewRequest, SharedGrant } from '@cyclamenusher/decisions'
 import type { Address } from '../address.js'
 import type { Clock } from '../clock.js'
 import type { Peers } from '../peers.js'
 import type { ScopedLogger } from '../logger.js'
+import type { WarmupLedger } from './warmupLedger.js'
 import type { WatchedCaller } from './watchedCaller.js'
 
 /** How long a renewal may take beyond its hold time, in milliseconds: several round trips between regions. */
@@ -97,6 +99,8 @@
   isDeclarationCurrent: () => boolean
   /** Whether operations may still run by the declaration held: it was the newest a short time ago. */
   isDeclarationTrusted: () => boolean
+  /** Cold servers, and this instance's shares of what they may receive. */
+  warmups: WarmupLedger
   /** Renews now, so that the leader receives a new report without delay. */
   reportNow: () => void
   /** Calls the listener when the published state or the lease has changed. */
@@ -169,6 +173,8 @@
     return validUntil(LEASE_MILLISECONDS)
   }
 
+  const warmups = createWarmupLedger({ clock, leasedUntil })
+
   function isLeased (): boolean {
     return clock.now() < leasedUntil()
   }
@@ -218,6 +224,7 @@
       version: declarationIndex?.version ?? -1,
       ...(options.lendsAt === undefined ? {} : { lendsAt: options.lendsAt }),
       ...options.report(),
+      ...warmups.report(),
       // A control instance that may not be the leader must reply at once.
       holdMilliseconds: reportRequested || leader === undefined || timeouts.has(`${host}:${port}`) || !isLeased() ? 0 : RENEWAL_HOLD_MILLISECONDS,
       // Another leader receives the servers and shares that this instance knows.
@@ -251,15 +258,22 @@
 
   function adoptServers (received: readonly KnownServer[]): void {
     const now = clock.now()
-    for (const server of received) if (mergeServer(servers, server)) learnedAt.set(server.member, now)
+    for (const server of received) adoptServer(server, now)
+  }
+
+  function adoptServer (server: KnownServer, now: number): void {
+    if (!mergeServer(servers, server)) return
+    learnedAt.set(server.member, now)
+    warmups.adoptServer(server)
   }
 
   function listRecentServers (): KnownServer[] {
     const since = clock.now() - RECENT_SERVERS_MILLISECONDS
-    return [...servers.values()].filter(({ member }) => (learnedAt.get(member) ?? -Infinity) >= since)
+    const recent = [...servers.values()].filter(({ member }) => (learnedAt.get(member) ?? -Infinity) >= since)
+    return recent.map(server => server.warmupMilliseconds === undefined ? server : { ...server, warmupMilliseconds: warmups.remaining(server.member) })
   }
 
-  function adoptGrant ({ shared, parts }: RenewGrant, sentAt: number): void {
+  function adoptGrant ({ shared, parts, warmups: warmupShares, settled }: RenewGrant, sentAt: number): void {
     if (shared.term < applied.term) return
     const changed = shared.term !== applied.term || shared.change !== applied.change || shared.declaration !== undefined
     if (shared.declaration !== undefined) adoptDeclaration(shared.declaration)
@@ -274,6 +288,7 @@
     applied = { term: shared.term, change: shared.change }
     controlAddresses = shared.control.length > 0 ? shared.control : controlAddresses
     entryCount = shared.entries
+    warmups.adoptGrant({ warmups: warmupShares, settled, doubted: shared.doubted }, sentAt)
     leaseStartedAt = Math.max(leaseStartedAt, sentAt)
     const { newest: named } = trust
     trust = recordNewestVersion(trust, { held: declarationIndex?.version ?? -1, named: shared.newest, sentAt })
@@ -427,6 +442,7 @@
     newestVersion: () => trust.newest,
     isDeclarationCurrent: () => isLeased() && (declarationIndex?.version ?? -1) >= trust.newest && clock.now() < trustedUntil(trust, Math.min(LEASE_MILLISECONDS, trustMilliseconds), suspension.resumedAt()),
     isDeclarationTrusted: () => clock.now() < trustedUntil(trust, trustMilliseconds, suspension.resumedAt()),
+    warmups,
     reportNow: () => {
       if (reportRequested) return
       reportRequested = true
--- a/packages/cyclamenusherd/src/node/process/fleet/groupHolders.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/groupHolders.ts
@@ -29,7 +29,7 @@
         const existing = chosen.get(group)
         const basis = `${domains.join()} ${availableKey}`
         if (existing?.basis === basis) continue
-        const holders = chooseHolders(group, domains, available).map(({ name, host, port }) => ({ name, host, port }))
+        const holders = chooseHolders(group, domains, available).map(({ name, host, port, failureDomain }) => ({ name, host, port, failureDomain }))
         const isUnchanged = existing !== undefined && JSON.stringify(existing.holders) === JSON.stringify(holders)
         chosen.set(group, { basis, holders, change: isUnchanged ? existing.change : recordChange() })
       }
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -1,7 +1,7 @@
 /** Leader duties during one term: grants leases and rate shares, runs the control of the groups, and persists changes. */
 
 import { deflateSync } from 'node:zlib'
-import { INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, findServerFault, isLoanHistoryComplete, listGroupServers, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
+import { DEFAULT_WARMUP_TOLERANCE, INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, findServerFault, isLoanHistoryComplete, listGroupServers, lookUp, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
 import { createHeldRequests } from '../heldRequests.js'
 import { createEntryLeases } from './entryLeases.js'
 import { createGroupHolders } from './groupHolders.js'
@@ -10,7 +10,8 @@
 import { createLeaderLoad } from './leaderLoad.js'
 import { createRatePool } from './ratePool.js'
 import { createShareRecord } from './shareRecord.js'
-import type { AnnouncementOutcome, BorrowReply, BorrowRequest, ClientAccount, Declaration, FleetCommand, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ReturningInstances, ServerAnnouncement, ShareHolderChanges, SharedGrant } from '@cyclamenusher/decisions'
+import { createWarmupShares } from './warmupShares.js'
+import type { AnnouncementOutcome, BorrowReply, BorrowRequest, ClientAccount, Declaration, FleetCommand, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ReturningInstances, ServerAnnouncement, ShareHolderChanges, SharedGrant, WarmupTolerance } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
 import type { ScopedLogger } from '../logger.js'
 import type { SharePlanOptions } from './entryLeases.js'
@@ -50,6 +51,8 @@
   /** Addresses of the control instances, sent with each grant. */
   controlAddresses: () => SharedGrant['control']
   rateTolerance: RateTolerance
+  /** How far the declared requests to a cold server may be exceeded. @default DEFAULT_WARMUP_TOLERANCE */
+  warmupTolerance?: WarmupTolerance
   /** How long a server takes work after it has announced that it is leaving, in milliseconds. */
   drainMilliseconds: number
   clock: Clock
@@ -76,6 +79,14 @@
   const directory = createLeaderDirectory(releaseSoon)
   const leases = createEntryLeases(options.rateTolerance)
   const holders = createGroupHolders()
+  const warmups = createWarmupShares({
+    startedAt,
+    tolerance: options.warmupTolerance ?? DEFAULT_WARMUP_TOLERANCE,
+    declaration,
+    directory,
+    listHolders: group => (lookUp(holders.changesSince(0) ?? {}, group) ?? []).map(({ name }) => name),
+    logger
+  })
   const groupTasks = new Map<string, GroupTask>()
   const load = createLeaderLoad(logger, clock)
   const shareRecord = createShareRecord({
@@ -139,7 +150,8 @@
       copies,
       ...directory.classifyRuns([...copies?.servers ?? [], ...copies?.primary === undefined ? [] : [copies.primary]]),
       announcedBy: startedAt + SILENCE_INTERVALS * options.announceIntervalMilliseconds,
-      drainMilliseconds: options.drainMilliseconds
+      drainMilliseconds: options.drainMilliseconds,
+      cold: warmups.listCold(group, now)
     }
   }
 
@@ -205,7 +217,7 @@
     if (now - persistedAt < PERSIST_INTERVAL_MILLISECONDS) return
     persistedAt = now
     const entries = countEntries(now)
-    const { servers } = directory.changesSince(persistedChange)
+    const { servers } = directory.changesSince(persistedChange, now)
     persistedChange = directory.change()
     if (servers.length > 0 || entries !== state().entries) void remember({ servers, entries })
   }
@@ -226,6 +238,7 @@
     sharedGrants.clear()
     refreshControl()
     planShares(now)
+    warmups.plan(now)
     shareRecord.write(leases, now)
     persistChanges(now)
     for (const group of groupTasks.values()) group.tick()
@@ -276,7 +289,8 @@
       term,
       change: directory.change(),
       whole: knownChange === 0,
-      ...directory.changesSince(knownChange),
+      ...directory.changesSince(knownChange, clock.now()),
+      ...warmups.share(clock.now()),
       ...(isPlanned ? { lenders: leases.lendersOf(failureDomain, lendersKnown) } : {}),
       ...(groupHolders === undefined ? {} : { holders: groupHolders }),
       ...(document === undefined ? {} : { declaration: document }),
@@ -301,12 +315,13 @@
       kind: 'granted',
       leaseMilliseconds: LEASE_MILLISECONDS,
       shared: buildSharedGrant(request, knownChange, document),
-      ...(sharesChange > knownChange || knownChange === 0 ? { parts: shares } : {})
+      ...(sharesChange > knownChange || knownChange === 0 ? { parts: shares } : {}),
+      ...warmups.grant(request.name)
     }
   }
 
   refreshControl()
-  directory.merge([...state().servers.values()])
+  directory.merge([...state().servers.values()], startedAt)
   startGroupTasks()
   return {
     lend: ({ account, wanted }) => {
@@ -320,7 +335,8 @@
       // An instance that takes this one for the leader that it knows does not say what it holds.
       if (request.knows.term > 0 && request.knows.term !== term && request.parts === undefined) return undefined
       const isNew = leases.renew(request, changeKnownBy(request), clock.now())
-      if (request.servers !== undefined) directory.merge(request.servers)
+      if (request.servers !== undefined) directory.merge(request.servers, clock.now())
+      warmups.renew(request, clock.now())
       // Plans the shares soon, because a new instance has none yet.
       if (isNew) planSoon(NEW_ENTRY_DELAY_MILLISECONDS)
       if (isNew) logger.info('An entry instance requested its first lease from this leader.', { name: request.name, failureDomain: request.failureDomain, term })
--- a/packages/cyclamenusherd/src/node/process/fleet/renewalFields.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/renewalFields.ts
@@ -27,6 +27,7 @@
   parts: isOptional(isObject),
   lendsAt: isOptional(hasFields({ host: isText, port: isPort })),
   holds: isOptional(isFlag),
+  doubted: isOptional(isObject),
   holdMilliseconds: isNumber
 }
 
@@ -50,7 +51,7 @@
   const faults: string[] = []
 
   /** The entries of a report that can be used. */
-  function readEntries<Entry> (field: 'demand' | 'sightings' | 'parts', check: FieldCheck, replacement?: Entry): Record<string, Entry> {
+  function readEntries<Entry> (field: 'demand' | 'sightings' | 'parts' | 'doubted', check: FieldCheck, replacement?: Entry): Record<string, Entry> {
     return Object.fromEntries(Object.entries(received[field] as Fields).flatMap(([name, entry]): Array<[string, Entry]> => {
       if (check(entry)) return [[name, entry as Entry]]
       faults.push(`${field} of ${quoteValue(name)}: ${quoteValue(entry)}`)
@@ -71,6 +72,7 @@
     demand: readEntries<number>('demand', isAmount),
     sightings: readEntries('sightings', isObservation),
     ...(received.parts === undefined ? {} : { parts: readEntries<number>('parts', isShare, UNKNOWN_SHARE) }),
+    ...(received.doubted === undefined ? {} : { doubted: readEntries<number>('doubted', isAmount, 0) }),
     ...(received.loans === undefined ? {} : { loans: readLoans() })
   }
   return { request, faults }
--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -23,6 +23,9 @@
   /** Versions of the declaration: the one that this instance holds, and the newest that control has named. */
   declarationVersions: Gauge<'known'>
   leaseLosses: Counter
+  /** Backend servers that count as cold at this instance. */
+  coldServers: Gauge
+  warmupRefusals: Counter
   recordLatency: (name: LatencyName, milliseconds: number) => void
   render: () => Promise<string>
 }
@@ -58,6 +61,8 @@
     failovers: new Counter({ name: 'cyclamenusher_failovers_total', help: 'Promotions that this instance ordered.', labelNames: ['outcome'], registers }),
     declarationVersions: new Gauge({ name: 'cyclamenusher_declaration_version', help: 'Version of the declaration that the instance holds, and of the newest that control has named.', labelNames: ['known'], registers }),
     leaseLosses: new Counter({ name: 'cyclamenusher_lease_losses_total', help: 'Leases that ended before they were renewed.', registers }),
+    coldServers: new Gauge({ name: 'cyclamenusher_cold_servers', help: 'Backend servers in use here that count as cold.', registers }),
+    warmupRefusals: new Counter({ name: 'cyclamenusher_warmup_refusals_total', help: 'Operations refused because all servers that could run them are cold.', registers }),
     recordLatency: (name, milliseconds) => {
       const microseconds = Math.min(MAXIMUM_LATENCY_MICROSECONDS, Math.max(1, Math.round(milliseconds * 1000)))
       latencies[name].recordValue(microseconds)
