feat(engine): cold servers and regions in the selection of servers and holders

A statement to a cold server is charged when it is sent; without a token it waits or is refused early, and begins, sets and prepared statements count as well.

--- a/packages/cyclamenusherd/src/node/engine/attempt.ts
+++ b/packages/cyclamenusherd/src/node/engine/attempt.ts
@@ -44,12 +44,13 @@
  * connection; `mayReset` allows a reset of the connection's session.
  */
 export async function attemptStatement (services: LocalServices, acquired: AcquiredConnection, { session, request, deadline }: StatementContext, addPrefix: (text: string) => string, mayReset: boolean): Promise<AttemptReply> {
-  const { connection } = acquired
+  const { connection, admit } = acquired
   const startedAt = services.clock.now()
   const definition = request.statement.kind === 'execute' ? session.prepared.get(request.statement.name) : undefined
   try {
     const codec = services.codec()
-    await prepareConnection(connection, codec, session.values, definition, mayReset)
+    await prepareConnection(connection, codec, session.values, definition, mayReset, admit === undefined ? undefined : async () => await admit(deadline))
+    if (admit !== undefined && !await admit(deadline)) return { kind: 'not sent', reason: `server ${connection.member} is cold and its share is spent` }
     if (!connection.isOpen()) return { kind: 'not sent', reason: 'the connection is gone' }
     return await awaitReply(services, acquired, deadline, connection.run(request.id, addPrefix(buildStatementText(codec, request, definition)), Math.max(0, deadline - services.clock.now()) + LATE_MARGIN_MILLISECONDS))
   } catch (error) {
--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -7,7 +7,7 @@
  * sent, or was refused by the holder before it ran, is sent again. Reads may run twice.
  */
 
-import { orderHolders } from '@cyclamenusher/decisions'
+import { isAllowedDomain, orderHolders } from '@cyclamenusher/decisions'
 import { confirmDesignation, isLeaseOverdue } from '../confirmation.js'
 import { StatementFailure } from '../errors.js'
 import { requireNotEnded } from '../transactions.js'
@@ -61,7 +61,7 @@
 type ReadEvent = { kind: 'silent' } | { kind: 'outcome', outcome: ForwardOutcome, attempt: Promise<ReadEvent> }
 
 export function createForwardingRunner ({ services, local, peers, logger }: ForwardingOptions): ForwardingRunner {
-  const { link, clock, log } = services
+  const { link, regions, clock, log } = services
   const holderLinks = new Map<string, HolderLink>()
   /** Holders in order of preference, by group and account; valid for the list from which they were ordered. */
   const orders = new Map<string, { list: readonly NamedInstance[], ordered: NamedInstance[] }>()
@@ -97,6 +97,8 @@
         // Another holder may have the lease that this one lacks.
         continue
       }
+      // A region limits which instances receive the text; this one has it from the caller.
+      if (!isAllowedDomain(operation.allowedRegions, holder.failureDomain, regions)) continue
       const holderLink = ensureHolderLink(holder)
       if (!excluded.has(holderLink) && holderLink.isUsable()) return holderLink
     }
@@ -158,9 +160,9 @@
     context.holder = { name, ...(outcome.kind === 'reply' ? { version: outcome.reply.version } : {}) }
   }
 
-  function describeOperation ({ route, account, admission }: AdmittedOperation): AdmittedOperation {
+  function describeOperation ({ route, account, allowedRegions, admission }: AdmittedOperation): AdmittedOperation {
     const { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority } = route
-    return { route: { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority }, account, ...(admission === undefined ? {} : { admission }) }
+    return { route: { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority }, account, ...(allowedRegions === undefined ? {} : { allowedRegions }), ...(admission === undefined ? {} : { admission }) }
   }
 
   async function runWriteElsewhere (context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -1,6 +1,6 @@
 /** Runs the operations that other instances send to this one, because it holds the connections to their group's servers. */
 
-import { measureDelay } from '@cyclamenusher/decisions'
+import { isAllowedHere, measureDelay } from '@cyclamenusher/decisions'
 import { pause } from '../../process/clock.js'
 import { StatementFailure } from '../errors.js'
 import { createSession } from '../session.js'
@@ -11,7 +11,7 @@
 import type { ScopedLogger } from '../../process/logger.js'
 import type { DrainPlan } from '../callerListener.js'
 import type { LocalServices, OperationRunner } from '../operations.js'
-import type { Session, StatementContext, StatementResult, Transaction } from '../session.js'
+import type { AdmittedOperation, Session, StatementContext, StatementResult, Transaction } from '../session.js'
 import type { ForwardedStatement, HolderReply, HolderRequest } from './messages.js'
 
 /** Requests of one instance that may run at once; further ones are refused. */
@@ -159,16 +159,24 @@
     return found
   }
 
+  /** Whether the operation may run at this instance by its regions; its caller's instance should not have sent it otherwise. */
+  function isAllowed ({ account, allowedRegions }: AdmittedOperation): boolean {
+    if (isAllowedHere(allowedRegions, services.regions)) return true
+    logger.warn('An operation was sent to a holder outside its regions and is refused.', { account, regions: allowedRegions?.join(', '), own: services.regions.own })
+    return false
+  }
+
   type RequestHandlers = { [Kind in HolderRequest['kind']]: (instance: CallingInstance, request: Extract<HolderRequest, { kind: Kind }>) => void }
   const REQUEST_HANDLERS: RequestHandlers = {
     run: (instance, { number, access, operation, statement }) => {
+      if (!isAllowed(operation)) return send(instance.stream, { kind: 'failure', number, failure: 'busy', explanation: 'this instance lies outside the regions of the operation, which did not run', state: 'idle', canServe: false })
       const context = createContext(createSession('', ''), receiveStatement(instance, statement), access)
       if (instance.running >= MAXIMUM_RUNNING_REQUESTS) return send(instance.stream, buildFailure(number, statement.id, context.session, new StatementFailure('busy', 'too many statements of one instance run here')))
       void answer(instance, number, context, async () => await runner.run(context, operation, access))
     },
     begin: (instance, { transaction: number, readOnly, operation, statement }) => {
       // The first statement of a transaction that is not open here is told so.
-      if (instance.transactions.size >= MAXIMUM_TRANSACTIONS) return
+      if (instance.transactions.size >= MAXIMUM_TRANSACTIONS || !isAllowed(operation)) return
       const session = createSession('', '')
       const transaction: Transaction = { ...operation, beginId: statement.id, readOnly, wrote: false }
       session.transaction = transaction
--- a/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
@@ -79,7 +79,7 @@
   remainingMilliseconds: isNumber
 })
 const isAdmission = hasFields({ version: isNumber, database: isText, keyDigest: isText })
-const isOperation = hasFields({ account: isText, route: hasFields({ group: isText, readPolicy: isText, priority: isNumber }), admission: isOptional(isAdmission) })
+const isOperation = hasFields({ account: isText, allowedRegions: isOptional(isListOf(isText)), route: hasFields({ group: isText, readPolicy: isText, priority: isNumber }), admission: isOptional(isAdmission) })
 
 const REQUEST_CHECKS: Record<HolderRequest['kind'], FieldCheck> = {
   run: hasFields({ number: isNumber, access: isText, operation: isOperation, statement: isStatement }),
--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -1,15 +1,17 @@
 /** Connections to the servers of one group: chooses a server for each statement, and queues the statements that must wait. */
 
-import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, resolveReadRequirement, recordPosition, computeWaitDeadline, estimateLeaseReturn } from '@cyclamenusher/decisions'
+import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, chooseWarmFirst, isAllowedDomain, resolveReadRequirement, recordPosition, computeWaitDeadline, estimateLeaseReturn } from '@cyclamenusher/decisions'
 import { awaitLease } from './confirmation.js'
 import { StatementFailure } from './errors.js'
 import { createServerPool } from './serverPool.js'
-import type { ConnectionBudget, LogPosition, PositionHistory, QueuePressure, QueuedRequest, ReadRequirement, ReadRequest, ServerLoad, ServerObservation } from '@cyclamenusher/decisions'
+import { createWarmupGate } from './warmupGate.js'
+import type { ConnectionBudget, LogPosition, PositionHistory, QueuePressure, QueuedRequest, ReadRequirement, ReadRequest, RegionMap, ServerLoad, ServerObservation } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { ScopedLogger } from '../process/logger.js'
 import type { ServerConnection } from './serverConnection.js'
 import type { ServerPool } from './serverPool.js'
+import type { WarmupPermit } from './warmupGate.js'
 import type { ServerCodec } from './statement.js'
 
 /** Usual time from the loss of a primary to the first answer of its successor, in milliseconds: detection, fencing and the platform's promotion. */
@@ -26,6 +28,8 @@
   need: ReadRequirement
   /** Members at which this statement has already failed. */
   excluded: ReadonlySet<string>
+  /** Regions in which the statement may run; undefined: all. */
+  allowedRegions?: readonly string[]
 }
 
 /** A connection in use by one statement or transaction, until it is released to its pool. */
@@ -43,6 +47,10 @@
   recordRefusal: () => void
   recordMissingPosition: () => void
   closeIdleSince: (since: number) => void
+  /** Waits until one statement may be sent to a cold server, and charges it; false: that is not before the deadline. Undefined: the group has no warm-up. */
+  admit?: (deadline: number) => Promise<boolean>
+  /** Charges one statement if it may be sent now. */
+  admitNow?: () => boolean
   release: (clean: boolean) => void
 }
 
@@ -59,12 +67,17 @@
   tick: () => void
   /** Applies changes of the fleet's servers and primaries. */
   refresh: () => void
+  /** Number of the group's servers that count as cold here. */
+  coldServers: () => number
   close: () => void
 }
 
 export interface GroupPoolOptions {
   group: string
   link: FleetLink
+  regions: RegionMap
+  /** Called when an operation is refused because all servers that could run it are cold. */
+  onWarmupRefusal: () => void
   codec: () => ServerCodec
   clock: Clock
   logger: ScopedLogger
@@ -77,7 +90,8 @@
   reject: (error: StatementFailure) => void
 }
 
-export function createGroupPool ({ group, link, codec, clock, logger }: GroupPoolOptions): GroupPool {
+export function createGroupPool ({ group, link, regions, onWarmupRefusal, codec, clock, logger }: GroupPoolOptions): GroupPool {
+  const warmup = createWarmupGate({ group, link, clock, logger })
   const pools = new Map<string, ServerPool>()
   let queue: WaitingRequest[] = []
   let pressure: QueuePressure = NO_PRESSURE
@@ -120,6 +134,7 @@
         budget: computeBudget,
         instances: countConnectingInstances,
         onChange: dispatch,
+        onLoss: () => { warmup.noteLoss(server.member) },
         onFailing: reason => {
           logger.warn('A backend server does not answer.', { group, member: server.member, reason, primary: server.member === link.primaryAssignment(group)?.member })
           link.reportNow()
@@ -161,13 +176,44 @@
 
   function listServerLoads (request: ConnectionRequest, now: number): ServerLoad[] {
     const primary = findUsablePrimary()
-    return [...pools].filter(([member]) => !request.excluded.has(member)).map(([, pool]) => pool.computeLoad(request.account, now, primary))
+    return [...pools].filter(([member, pool]) => !request.excluded.has(member) && isAllowedServer(pool, request)).map(([, pool]) => pool.computeLoad(request.account, now, primary))
+  }
+
+  function isAllowedServer (pool: ServerPool, { allowedRegions }: ConnectionRequest): boolean {
+    return isAllowedDomain(allowedRegions, pool.server().failureDomain, regions)
+  }
+
+  function chooseAmong (loads: readonly ServerLoad[], { need }: ConnectionRequest, now: number): ServerLoad | undefined {
+    if (need.kind === 'position') return chooseReadServer(loads, need, now)
+    return loads.find(load => load.isPrimary && estimateWait(load, now, 0) < Infinity)
   }
 
   function chooseServer (request: ConnectionRequest, now: number): ServerLoad | undefined {
     const loads = listServerLoads(request, now)
-    if (request.need.kind === 'position') return chooseReadServer(loads, request.need, now)
-    return loads.find(load => load.isPrimary && estimateWait(load, now, 0) < Infinity)
+    if (!warmup.isActive()) return chooseAmong(loads, request, now)
+    return chooseWarmFirst(loads, warmup.warmthOf, candidates => chooseAmong(candidates, request, now))
+  }
+
+  /** Servers that could run the request if they had capacity. */
+  function listCapable (request: ConnectionRequest): ServerPool[] {
+    const primary = findUsablePrimary()
+    const now = clock.now()
+    return [...pools.values()].filter(pool => isAllowedServer(pool, request) && pool.observe(now)?.failingFor === undefined && !request.excluded.has(pool.server().member) && (request.need.kind === 'primary' ? pool.server().member === primary : !pool.server().leaving || pool.server().member === primary))
+  }
+
+  /** Why no server can run the request in time, although servers are up: all are cold, or lie outside its regions. Undefined: one may. */
+  function findUnusableReason (request: ConnectionRequest, waitDeadline: number, now: number): string | undefined {
+    const { allowedRegions } = request
+    if (allowedRegions !== undefined) {
+      const primary = link.primaryAssignment(group)?.member
+      const concerned = [...pools.values()].filter(pool => request.need.kind === 'position' || pool.server().member === primary)
+      if (concerned.length > 0 && !concerned.some(pool => isAllowedServer(pool, request))) return `no server that could run it lies in its regions (${allowedRegions.join(', ') || 'its route and its client account have none in common'})`
+    }
+    if (!warmup.isActive()) return undefined
+    const capable = listCapable(request)
+    if (capable.length === 0 || capable.some(pool => warmup.earliest(pool.server().member, now) < waitDeadline)) return undefined
+    onWarmupRefusal()
+    return 'the servers that could run it have just started and may not receive more yet'
   }
 
   async function confirmPrimary (member: string, expectedDesignation: number, deadline: number): Promise<boolean> {
@@ -176,7 +222,7 @@
     return assignment?.member === member && assignment.designation === expectedDesignation && assignment.use !== 'closed'
   }
 
-  function createAcquiredConnection (pool: ServerPool, connection: ServerConnection, request: ConnectionRequest): AcquiredConnection {
+  function createAcquiredConnection (pool: ServerPool, connection: ServerConnection, request: ConnectionRequest, permit: WarmupPermit): AcquiredConnection {
     const acquiredDesignation = designation
     const isPrimary = findUsablePrimary() === connection.member
     const requiredPosition = request.need.kind === 'position' ? request.need.position : undefined
@@ -198,7 +244,17 @@
       recordRefusal: pool.recordRefusal,
       recordMissingPosition: () => { if (request.need.kind === 'position') pool.recordMissingPosition(request.need) },
       closeIdleSince: pool.closeIdleSince,
+      ...(warmup.isActive()
+        ? {
+            admit: async (deadline: number) => {
+              permit.release()
+              return await warmup.admit(connection.member, deadline)
+            },
+            admitNow: () => warmup.admitNow(connection.member)
+          }
+        : {}),
       release: clean => {
+        permit.release()
         if (released) return
         released = true
         pool.release(connection, clean)
@@ -213,11 +269,12 @@
   }
 
   /** Opens a connection for a waiting request; the request is queued again if opening fails or the server no longer serves. */
-  async function openConnectionFor (waiter: WaitingRequest, pool: ServerPool): Promise<void> {
+  async function openConnectionFor (waiter: WaitingRequest, pool: ServerPool, permit: WarmupPermit): Promise<void> {
     const connection = await pool.open(waiter.request.account).catch(() => undefined)
     // The primary may have been replaced while the connection was opened.
     const isUsable = waiter.request.need.kind === 'position' || findUsablePrimary() === connection?.member
-    if (connection !== undefined && isUsable) return waiter.resolve(createAcquiredConnection(pool, connection, waiter.request))
+    if (connection !== undefined && isUsable) return waiter.resolve(createAcquiredConnection(pool, connection, waiter.request, permit))
+    permit.release()
     if (connection !== undefined) pool.release(connection, true)
     queue.push(waiter)
     dispatch()
@@ -229,14 +286,16 @@
     const pool = chosen === undefined ? undefined : pools.get(chosen.member)
     if (chosen === undefined || pool === undefined) return false
     const idle = pool.acquireIdle(waiter.request.account, waiter.request.values)
-    if (idle === undefined) void openConnectionFor(waiter, pool)
-    else waiter.resolve(createAcquiredConnection(pool, idle, waiter.request))
+    const permit = warmup.reserve(chosen.member)
+    if (idle === undefined) void openConnectionFor(waiter, pool, permit)
+    else waiter.resolve(createAcquiredConnection(pool, idle, waiter.request, permit))
     return true
   }
 
   /** Refuses requests whose wait deadline has passed, and requests that can't be served before their deadline. */
   function refuseUnservable (now: number): void {
     const overloaded = isOverloaded(pressure, now)
+    refuseUnusable(overloaded, now)
     const unservable = queue.filter(waiter => computeWaitDeadline(waiter, overloaded) <= now || (waiter.request.need.kind === 'primary' && estimatePrimaryTime(now) >= waiter.deadline))
     if (unservable.length === 0) return
     pressure = recordTimeRefusal(pressure, now)
@@ -244,8 +303,20 @@
     for (const { reject, queuedAt } of unservable) reject(createRefusal(now - queuedAt))
   }
 
-  function createRefusal (waitedMilliseconds: number): StatementFailure {
-    return new StatementFailure('busy', `${findRefusalReason()}; it waited ${Math.round(waitedMilliseconds)} ms behind ${queue.length} and did not run`)
+  /** Refuses requests that no server may run in time. */
+  function refuseUnusable (overloaded: boolean, now: number): void {
+    const refused = new Set<WaitingRequest>()
+    for (const waiter of queue) {
+      const reason = findUnusableReason(waiter.request, computeWaitDeadline(waiter, overloaded), now)
+      if (reason === undefined) continue
+      refused.add(waiter)
+      waiter.reject(createRefusal(now - waiter.queuedAt, reason))
+    }
+    if (refused.size > 0) queue = queue.filter(waiter => !refused.has(waiter))
+  }
+
+  function createRefusal (waitedMilliseconds: number, reason = findRefusalReason()): StatementFailure {
+    return new StatementFailure('busy', `${reason}; it waited ${Math.round(waitedMilliseconds)} ms behind ${queue.length} and did not run`)
   }
 
   function findRefusalReason (): string {
@@ -289,6 +360,8 @@
       const now = clock.now()
       const { priority, objective, deadline } = request
       const queuedRequest: QueuedRequest = { priority, objective, deadline, queuedAt: now }
+      const unusable = findUnusableReason(request, computeWaitDeadline(queuedRequest, isOverloaded(pressure, now)), now)
+      if (unusable !== undefined) throw createRefusal(0, unusable)
       const ahead = queue.filter(queued => compareRequests(queued, queuedRequest, now) <= 0).length
       const servedFrom = request.need.kind === 'primary' ? estimatePrimaryTime(now) : now
       if (!canServeInTime(queuedRequest, { ahead, servedPerSecond: estimateServedPerSecond(request, now), servedFrom, overloaded: isOverloaded(pressure, now) }, now)) {
@@ -316,8 +389,10 @@
     tick: () => {
       const now = clock.now()
       for (const pool of pools.values()) pool.tick(now)
+      warmup.observe([...pools.keys()])
       if (queue.length > 0) dispatch()
     },
+    coldServers: () => warmup.observe([...pools.keys()]),
     refresh: () => {
       refreshServers()
       refreshPrimary()
--- a/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
+++ b/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
@@ -1,6 +1,6 @@
 /** Decides whether an operation may run, by its route, its key and its client account's rate in the current declaration. */
 
-import { decideAccess, reviewAccess } from '@cyclamenusher/decisions'
+import { combineRegions, decideAccess, reviewAccess } from '@cyclamenusher/decisions'
 import { StatementFailure } from './errors.js'
 import { digestKey, findAccountByDigest } from './keyDigest.js'
 import { ANONYMOUS_ACCOUNT, accountName } from './session.js'
@@ -37,6 +37,12 @@
   return { version, database: session.database, keyDigest: session.keyDigest }
 }
 
+/** The regions of an operation, as a part of it; none where neither list limits it. */
+function limitRegions (route: Route, account: ClientAccount | undefined): Pick<AdmittedOperation, 'allowedRegions'> {
+  const allowedRegions = combineRegions(route, account)
+  return allowedRegions === undefined ? {} : { allowedRegions }
+}
+
 /** Admits one operation and charges it to the account's rate. @throws StatementFailure */
 export async function admitOperation (services: EngineServices, session: Session): Promise<AdmittedOperation> {
   const { account: charged } = resolveAccess(services, session)
@@ -46,7 +52,7 @@
   // The declaration may have been replaced while the operation waited for its rate.
   const { index, route, account } = resolveAccess(services, session)
   const admission = describeAdmission(services, session, index)
-  return { route, account: accountName(account), ...(admission === undefined ? {} : { admission }) }
+  return { route, account: accountName(account), ...limitRegions(route, account), ...(admission === undefined ? {} : { admission }) }
 }
 
 /**
@@ -64,8 +70,9 @@
   if (index === undefined || !link.isDeclarationTrusted()) throw new StatementFailure('busy', 'this instance has no word from control and may not hold the newest declaration: try another one')
   if (index.version <= admission.version) return operation
   const { version, database, keyDigest } = admission
-  const review = reviewAccess(index, { database, group: route.group, account: account === ANONYMOUS_ACCOUNT ? undefined : account }, findAccountByDigest(index, keyDigest))
-  if (review.kind === 'granted') return { ...operation, route: review.route }
+  const currentAccount = findAccountByDigest(index, keyDigest)
+  const review = reviewAccess(index, { database, group: route.group, account: account === ANONYMOUS_ACCOUNT ? undefined : account }, currentAccount)
+  if (review.kind === 'granted') return { ...operation, route: review.route, allowedRegions: combineRegions(review.route, currentAccount) }
   log.logDecision('A newer declaration refuses an admitted operation.', { database, account, admittedBy: version, version: index.version, reason: review.explanation })
   if (review.kind === 'refused') throw createAccessFailure(services, review.reason, review.explanation)
   throw new StatementFailure('busy', `${review.explanation}: try another instance`)
--- a/packages/cyclamenusherd/src/node/engine/operations.ts
+++ b/packages/cyclamenusherd/src/node/engine/operations.ts
@@ -20,7 +20,7 @@
   rollBack: (transaction: Transaction, id?: string) => void
 }
 
-export type LocalServices = Pick<EngineServices, 'link' | 'group' | 'codec' | 'clock' | 'log'>
+export type LocalServices = Pick<EngineServices, 'link' | 'regions' | 'group' | 'codec' | 'clock' | 'log'>
 
 /** Runs operations on this instance's own connections. */
 export function createLocalRunner (services: LocalServices): OperationRunner {
--- a/packages/cyclamenusherd/src/node/engine/preparation.ts
+++ b/packages/cyclamenusherd/src/node/engine/preparation.ts
@@ -1,7 +1,7 @@
 /** Prepares a server connection for a session's next statement. */
 
 import { createHash } from 'node:crypto'
-import type { ServerConnection } from './serverConnection.js'
+import type { Reply, ServerConnection } from './serverConnection.js'
 import type { StatementDefinition, ServerCodec, StatementRequest } from './statement.js'
 
 /** Id of internal statements, which the instance issues itself. */
@@ -32,6 +32,8 @@
 /** An internal statement, and the callback that records its effect on the connection. */
 interface InternalStatement {
   text: string
+  /** Whether it passes on what a caller asked for. */
+  isAsked: boolean
   done: () => void
 }
 
@@ -40,13 +42,14 @@
   const needsReset = mayReset && (hasExtra || connection.prepared.size > MAXIMUM_PREPARED_PER_CONNECTION)
   const reset: InternalStatement = {
     text: codec.reset(),
+    isAsked: false,
     done: () => {
       connection.values.clear()
       connection.prepared.clear()
     }
   }
   const missing = [...values].filter(([name, value]) => needsReset || connection.values.get(name) !== value)
-  const sets = missing.map(([name, value]): InternalStatement => ({ text: codec.set(name, value), done: () => { connection.values.set(name, value) } }))
+  const sets = missing.map(([name, value]): InternalStatement => ({ text: codec.set(name, value), isAsked: true, done: () => { connection.values.set(name, value) } }))
   return needsReset ? [reset, ...sets] : sets
 }
 
@@ -54,22 +57,36 @@
   if (definition === undefined) return []
   const name = buildServerStatementName(definition)
   if (!wasReset && connection.prepared.has(name)) return []
-  return [{ text: codec.prepare(name, definition), done: () => { connection.prepared.add(name) } }]
+  return [{ text: codec.prepare(name, definition), isAsked: true, done: () => { connection.prepared.add(name) } }]
+}
+
+/** Sends the statements one after another, each once it is admitted. */
+async function runAdmitted (connection: ServerConnection, statements: readonly InternalStatement[], admit: () => Promise<boolean>): Promise<Reply[]> {
+  const replies: Reply[] = []
+  for (const { text, isAsked } of statements) {
+    if (isAsked && !await admit()) throw new PreparationError('the server is cold and its share is spent', false)
+    const reply = await connection.run(INTERNAL_STATEMENT_ID, text, PREPARATION_TIMEOUT_MILLISECONDS)
+    replies.push(reply)
+    if (reply.kind !== 'complete') return replies
+  }
+  return replies
 }
 
 /**
  * Gives the connection the session's values and, if `mayReset`, removes all others;
  * prepares the statement that is executed next. The statements needed for this are
- * sent at once.
+ * sent at once; where `admit` is given, one after another, each once it is admitted.
  *
  * @throws PreparationError
  */
-export async function prepareConnection (connection: ServerConnection, codec: ServerCodec, values: ReadonlyMap<string, string>, definition: StatementDefinition | undefined, mayReset: boolean): Promise<void> {
+export async function prepareConnection (connection: ServerConnection, codec: ServerCodec, values: ReadonlyMap<string, string>, definition: StatementDefinition | undefined, mayReset: boolean, admit?: () => Promise<boolean>): Promise<void> {
   const valueStatements = buildValueStatements(connection, codec, values, mayReset)
   const wasReset = valueStatements[0]?.text === codec.reset()
   const statements = [...valueStatements, ...buildPrepareStatements(connection, codec, definition, wasReset)]
   if (statements.length === 0) return
-  const replies = await connection.runAll(INTERNAL_STATEMENT_ID, statements.map(({ text }) => text), PREPARATION_TIMEOUT_MILLISECONDS)
+  const replies = admit === undefined
+    ? await connection.runAll(INTERNAL_STATEMENT_ID, statements.map(({ text }) => text), PREPARATION_TIMEOUT_MILLISECONDS)
+    : await runAdmitted(connection, statements, admit)
   for (const [index, reply] of replies.entries()) {
     if (reply.kind !== 'complete') throw new PreparationError(reply.kind === 'lost' ? reply.reason : reply.explanation, reply.kind === 'lost')
     statements[index].done()
--- a/packages/cyclamenusherd/src/node/engine/reads.ts
+++ b/packages/cyclamenusherd/src/node/engine/reads.ts
@@ -62,13 +62,13 @@
 }
 
 /** Runs a read until it has a valid answer. @throws StatementFailure */
-export async function runRead (services: LocalServices, context: StatementContext, { route, account }: AdmittedOperation): Promise<StatementResult> {
+export async function runRead (services: LocalServices, context: StatementContext, { route, account, allowedRegions }: AdmittedOperation): Promise<StatementResult> {
   const { session, request, deadline } = context
   const group = services.group(route.group)
   const progress: ReadProgress = { excluded: new Set(), failedRuns: 0 }
   for (;;) {
     const need = group.resolveReadRequirement({ policy: route.readPolicy, maximumStalenessMilliseconds: route.maximumStalenessMilliseconds, session: session.lastCommit })
-    const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need, excluded: progress.excluded })
+    const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need, excluded: progress.excluded, allowedRegions })
     context.timing.acquisition = services.clock.now() - context.startedAt
     const { requiredPosition } = acquired
     const addPrefix = (text: string): string => requiredPosition === undefined ? text : services.codec().requirePosition(requiredPosition, text)
--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -40,6 +40,8 @@
   instances: () => number
   /** Called after a change that may let a waiting request proceed. */
   onChange: () => void
+  /** Called when the server or the network closed a connection, or the server starts to fail: it may have restarted. */
+  onLoss: () => void
   /** Called when the server starts to fail. */
   onFailing: (reason: string) => void
 }
@@ -120,6 +122,7 @@
     if (closed || (failingSince === undefined && answeredAt > since)) return
     const startsFailing = failingSince === undefined
     failingSince ??= since
+    if (startsFailing) options.onLoss()
     if (startsFailing) options.onFailing(reason)
   }
 
@@ -156,6 +159,7 @@
         onClose: (reason, lost) => {
           // A connection that failed to open is reported by the thrown error.
           if (established.connection === undefined) return
+          if (lost && !closed) options.onLoss()
           removeConnection(established.connection)
           if (lost && pooled.length === 0) recordFailure(clock.now(), reason)
         }
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -6,7 +6,8 @@
 import { createLocalRunner } from './operations.js'
 import { createRateGate } from './rateGate.js'
 import { createHeldRequests } from '../process/heldRequests.js'
-import type { RateTolerance } from '@cyclamenusher/decisions'
+import { NO_REGIONS, listUnknownRegions } from '@cyclamenusher/decisions'
+import type { RateTolerance, RegionMap } from '@cyclamenusher/decisions'
 import type { Peers } from '../process/peers.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { Clock } from '../process/clock.js'
@@ -34,6 +35,8 @@
 
 export interface EngineServices {
   link: FleetLink
+  /** Regions of the failure domains, and of this instance. */
+  regions: RegionMap
   /** Resolves once a declaration is known, or none is to be expected soon. */
   awaitDeclaration: () => Promise<void>
   rates: RateGate
@@ -51,6 +54,8 @@
   /** State that the instance reports to control: demand by account, observations of servers by member, and groups whose primary is being closed but still runs work. */
   report: () => { demand: Record<string, number>, sightings: ReturnType<GroupPool['sightings']>, busy: string[], holds: boolean }
   startDraining: () => void
+  /** Number of backend servers in use here that count as cold. */
+  coldServers: () => number
   /** Runs operations of other instances. */
   holder: HolderService
   close: () => void
@@ -63,10 +68,14 @@
   logger: ScopedLogger
   log: RequestLog
   tolerance: RateTolerance
+  /** @default NO_REGIONS */
+  regions?: RegionMap
+  /** Called when an operation is refused because all servers that could run it are cold. */
+  onWarmupRefusal?: () => void
   peers: Peers
 }
 
-export function createEngine ({ createLink, codec, clock, logger, log, tolerance, peers }: EngineOptions): Engine {
+export function createEngine ({ createLink, codec, clock, logger, log, tolerance, regions = NO_REGIONS, onWarmupRefusal = () => {}, peers }: EngineOptions): Engine {
   const groups = new Map<string, GroupPool>()
   let draining = false
 
@@ -92,18 +101,30 @@
   function group (name: string): GroupPool {
     const existing = groups.get(name)
     if (existing !== undefined) return existing
-    const created = createGroupPool({ group: name, link, codec, clock, logger })
+    const created = createGroupPool({ group: name, link, regions, onWarmupRefusal, codec, clock, logger })
     groups.set(name, created)
     created.refresh()
     return created
   }
 
-  const local = { link, group, codec, clock, log }
+  const local = { link, regions, group, codec, clock, log }
   const runner = createLocalRunner(local)
   const operations = createForwardingRunner({ services: local, local: runner, peers, logger })
   const holder = createHolderService({ runner, services: local, clock, logger })
 
+  let checkedVersion = -1
+
+  /** Logs once for each declaration which regions no failure domain is mapped to: what is limited to them is refused. */
+  function checkRegions (): void {
+    const index = link.declaration()
+    if (index === undefined || index.version === checkedVersion) return
+    checkedVersion = index.version
+    const unknown = listUnknownRegions([...index.declaration.routes, ...index.declaration.accounts], regions)
+    if (unknown.length > 0) logger.warn('The declaration names regions to which the settings map no failure domain.', { version: index.version, regions: unknown.join(', ') })
+  }
+
   link.onChange(() => {
+    checkRegions()
     for (const pool of groups.values()) pool.refresh()
     if (link.declaration() !== undefined) awaitingDeclaration.release()
   })
@@ -124,6 +145,8 @@
   scheduleTick()
   return {
     link,
+    regions,
+    coldServers: () => [...groups.values()].reduce((sum, pool) => sum + pool.coldServers(), 0),
     awaitDeclaration,
     rates,
     operations,
--- a/packages/cyclamenusherd/src/node/engine/session.ts
+++ b/packages/cyclamenusherd/src/node/engine/session.ts
@@ -22,6 +22,8 @@
   route: OperationRoute
   /** Account name that is sent to backend servers. */
   account: string
+  /** Regions in which the operation may run, by the lists of its route and account; undefined: all, empty: none. */
+  allowedRegions?: string[]
   /** Undefined: the declaration that admitted it was the newest. */
   admission?: Admission
 }
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -32,13 +32,13 @@
 async function beginAtServer (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<AcquiredConnection> {
   const { session, request, deadline } = context
   const admitted = confirmAdmission(services, transaction)
-  const { route, account, readOnly } = admitted
+  const { route, account, readOnly, allowedRegions } = admitted
   const group = services.group(route.group)
   const codec = services.codec()
   const excluded = new Set<string>()
   for (;;) {
     const need = resolveRequirement(group, session, admitted)
-    const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need, excluded })
+    const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need, excluded, allowedRegions })
     const begin = acquired.requiredPosition === undefined ? codec.begin(readOnly) : codec.requirePosition(acquired.requiredPosition, codec.begin(readOnly))
     const failure = await beginOnConnection(services, acquired, { ...context, request: { id: transaction.beginId, text: begin, statement: { kind: 'read' } } })
     if (failure === undefined) return acquired
@@ -86,6 +86,8 @@
   const { acquired } = transaction
   if (acquired === undefined) return
   transaction.acquired = undefined
+  // A server rolls back when its connection closes, which costs a cold server no request.
+  if (acquired.admitNow?.() === false) return acquired.release(false)
   const rollback = acquired.connection.run(id, services.codec().rollback(), ROLLBACK_TIMEOUT_MILLISECONDS + LATE_MARGIN_MILLISECONDS)
   void awaitReply(services, acquired, services.clock.now() + ROLLBACK_TIMEOUT_MILLISECONDS, rollback).then(reply => {
     acquired.release(reply.kind === 'complete' && reply.state === 'idle')
--- a/packages/cyclamenusherd/src/node/engine/writes.ts
+++ b/packages/cyclamenusherd/src/node/engine/writes.ts
@@ -17,11 +17,11 @@
 export const NOT_RUN_FAILURES: ReadonlySet<FailureKind> = new Set(['busy', 'statement unknown', 'lagging', 'read only', 'wrong server', 'too many'])
 
 /** Runs a write at the primary. @throws StatementFailure */
-export async function runWrite (services: LocalServices, context: StatementContext, { route, account }: AdmittedOperation): Promise<StatementResult> {
+export async function runWrite (services: LocalServices, context: StatementContext, { route, account, allowedRegions }: AdmittedOperation): Promise<StatementResult> {
   const { session, request, deadline } = context
   const group = services.group(route.group)
   for (;;) {
-    const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need: { kind: 'primary' }, excluded: new Set() })
+    const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need: { kind: 'primary' }, excluded: new Set(), allowedRegions })
     context.timing.acquisition = services.clock.now() - context.startedAt
     const { connection } = acquired
     const reply = await attemptStatement(services, acquired, context, text => text, true)
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -23,6 +23,8 @@
 const TRANSACTION_GRACE_FRACTION = 0.5
 /** Fraction of the grace period after which all remaining connections are closed. */
 const CUT_GRACE_FRACTION = 0.9
+/** Interval between two updates of the number of cold servers, in milliseconds: metrics are read every few seconds. */
+const COLD_SERVERS_INTERVAL_MILLISECONDS = 1_000
 
 export interface FleetEntryPorts {
   createCallerCodec: () => CallerCodec
@@ -49,12 +51,15 @@
   const clock = systemClock
   const credentials = { secret: config.secret }
   const peers = createPeers(credentials)
+  let onWarmupRefusal = (): void => {}
   const requestLog = createRequestLog(logger.scope('request'), clock)
   const engine = createEngine({
     clock,
     logger: logger.scope('pool'),
     log: requestLog,
     tolerance: config.rateTolerance,
+    regions: config.regions,
+    onWarmupRefusal: () => { onWarmupRefusal() },
     codec: ports.createServerCodec,
     peers,
     createLink: report => createFleetLink({
@@ -93,9 +98,12 @@
 
   const metricsPage = await startMetrics(config.metrics, isReady)
   requestLog.setMetrics(metricsPage.metrics)
+  onWarmupRefusal = () => { metricsPage.metrics.warmupRefusals.inc() }
+  const coldServersTimer = setInterval(() => { metricsPage.metrics.coldServers.set(engine.coldServers()) }, COLD_SERVERS_INTERVAL_MILLISECONDS)
   observeLink(engine.link, metricsPage.metrics)
 
   async function close (): Promise<void> {
+    clearInterval(coldServersTimer)
     callers.close()
     engine.close()
     readiness.close()
