--- a/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
@@ -176,4 +176,21 @@
   assert.is(getPrimaryAssignment(group.state()).use, 'open')
 })
 
+test('of two replicas that hold as much, the cold one is promoted', () => {
+  for (const synchronousReplicas of [0, 1]) {
+    for (const cold of ['r1', 'r2']) {
+      const group = createChoosingGroup({ synchronousReplicas, cold: new Set([cold]) })
+      for (const member of ['r1', 'r2']) group.step({ kind: 'status', member, status: createStatus('replica', 40) })
+      assert.equal(group.effects.flatMap(effect => effect.kind === 'designate' ? [effect.member] : []), [cold === 'r1' ? 'r2' : 'r1'])
+    }
+  }
+})
+
+test('a warm replica that holds less is promoted', () => {
+  const group = createChoosingGroup({ cold: new Set(['r1']) })
+  group.step({ kind: 'status', member: 'r1', status: createStatus('replica', 50) })
+  group.step({ kind: 'status', member: 'r2', status: createStatus('replica', 40) })
+  assert.equal(group.effects.flatMap(effect => effect.kind === 'designate' ? [effect.member] : []), ['r1'])
+})
+
 test.run()
