--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -202,7 +202,7 @@
   }
 
   /** Why no server can run the request in time, although servers are up: all are cold, or lie outside its regions. Undefined: one may. */
-  function findUnusableReason (request: ConnectionRequest, waitDeadline: number, now: number): string | undefined {
+  function findUnusableReason (request: ConnectionRequest, waitDeadline: number, ahead: number, now: number): string | undefined {
     const { allowedRegions } = request
     if (allowedRegions !== undefined) {
       const primary = link.primaryAssignment(group)?.member
@@ -211,7 +211,7 @@
     }
     if (!warmup.isActive()) return undefined
     const capable = listCapable(request)
-    if (capable.length === 0 || capable.some(pool => warmup.earliest(pool.server().member, now) < waitDeadline)) return undefined
+    if (capable.length === 0 || capable.some(pool => warmup.earliest(pool.server().member, ahead / capable.length, now) < waitDeadline)) return undefined
     onWarmupRefusal()
     return 'the servers that could run it have just started and may not receive more yet'
   }
@@ -307,7 +307,7 @@
   function refuseUnusable (overloaded: boolean, now: number): void {
     const refused = new Set<WaitingRequest>()
     for (const waiter of queue) {
-      const reason = findUnusableReason(waiter.request, computeWaitDeadline(waiter, overloaded), now)
+      const reason = findUnusableReason(waiter.request, computeWaitDeadline(waiter, overloaded), 0, now)
       if (reason === undefined) continue
       refused.add(waiter)
       waiter.reject(createRefusal(now - waiter.queuedAt, reason))
@@ -360,9 +360,9 @@
       const now = clock.now()
       const { priority, objective, deadline } = request
       const queuedRequest: QueuedRequest = { priority, objective, deadline, queuedAt: now }
-      const unusable = findUnusableReason(request, computeWaitDeadline(queuedRequest, isOverloaded(pressure, now)), now)
-      if (unusable !== undefined) throw createRefusal(0, unusable)
       const ahead = queue.filter(queued => compareRequests(queued, queuedRequest, now) <= 0).length
+      const unusable = findUnusableReason(request, computeWaitDeadline(queuedRequest, isOverloaded(pressure, now)), ahead, now)
+      if (unusable !== undefined) throw createRefusal(0, unusable)
       const servedFrom = request.need.kind === 'primary' ? estimatePrimaryTime(now) : now
       if (!canServeInTime(queuedRequest, { ahead, servedPerSecond: estimateServedPerSecond(request, now), servedFrom, overloaded: isOverloaded(pressure, now) }, now)) {
         pressure = recordTimeRefusal(pressure, now)
--- a/packages/cyclamenusherd/src/node/engine/warmupGate.ts
+++ b/packages/cyclamenusherd/src/node/engine/warmupGate.ts
@@ -28,8 +28,8 @@
   admit: (member: string, deadline: number) => Promise<boolean>
   /** Charges one statement if it may be sent now. */
   admitNow: (member: string) => boolean
-  /** Earliest time at which the server may get one more statement; infinite if that is not to be expected. */
-  earliest: (member: string, now: number) => number
+  /** Earliest time at which the server may get one more statement behind as many others; infinite if that is not to be expected. */
+  earliest: (member: string, ahead: number, now: number) => number
   /** Logs the begin and end of cold phases of the servers, and returns how many are cold. */
   observe: (members: readonly string[]) => number
 }
@@ -67,11 +67,10 @@
     logger.info(cold ? 'A backend server counts as cold here.' : 'A backend server counts as warm here.', { group, member })
   }
 
-  function earliest (member: string, now: number): number {
+  function earliest (member: string, ahead: number, now: number): number {
     if (!isCold(member)) return now
     observeServer(member)
-    const wait = link.warmups.timeUntil(member, 1 + (pending.get(member) ?? 0))
-    // Tokens of the share after this one can't be counted on, but a share is renewed as long as the lease.
+    const wait = link.warmups.timeUntil(member, 1 + ahead + (pending.get(member) ?? 0))
     if (wait !== Infinity) return now + wait
     const shareExpectedAt = (coldSince.get(member) ?? now) + SHARE_ARRIVAL_MILLISECONDS
     return now < shareExpectedAt ? shareExpectedAt : Infinity
@@ -99,9 +98,8 @@
       return link.warmups.tokens(member) - (pending.get(member) ?? 0) >= 1 ? 'cold' : 'exhausted'
     },
     noteLoss: member => {
-      if (!isActive()) return
-      link.warmups.doubt(member)
-      link.reportNow()
+      // A server that restarts closes all its connections; the first one is reported at once.
+      if (isActive() && link.warmups.doubt(member)) link.reportNow()
     },
     reserve: member => {
       if (!isCold(member)) return { release: () => {} }
--- a/packages/cyclamenusherd/src/node/process/fleet/warmupLedger.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/warmupLedger.ts
@@ -6,8 +6,8 @@
 
 export interface WarmupLedger {
   isCold: (member: string) => boolean
-  /** Has a server count as cold until it announces itself: a connection to it was lost, and it may have restarted. */
-  doubt: (member: string) => void
+  /** Has a server count as cold until it announces itself: a connection to it was lost, and it may have restarted. Returns whether it did not before. */
+  doubt: (member: string) => boolean
   /** Statements that may be sent to a cold server now; 0 without a valid share. */
   tokens: (member: string) => number
   /** Takes a token for one statement to a cold server, if there is one. */
@@ -58,7 +58,11 @@
 
   return {
     isCold: member => doubted.has(member) || (warmUntil.get(member) ?? -Infinity) > clock.now(),
-    doubt: member => { addDoubt(member, clock.now()) },
+    doubt: member => {
+      const isNew = !doubted.has(member)
+      addDoubt(member, clock.now())
+      return isNew
+    },
     tokens: member => {
       const share = findShare(member)
       return share === undefined ? 0 : refillBucket(share.bucket, share.limits, clock.now()).tokens
