--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -17,7 +17,7 @@
   let now = 0
   let control: ControlAddress[] = []
   const logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
-  const document = createDocument(1, { groups: [] })
+  const document = initial.document ?? createDocument(1, { groups: [] })
   let state: FleetState = { ...INITIAL_FLEET_STATE, document, entries, ...initial }
   const leadership = startLeadership({
     administration: { askStatus: async () => { throw new Error('no server') }, stepDown: async () => { throw new Error('no server') }, close: () => {} },
@@ -273,4 +273,32 @@
   }
 })
 
+test('a holder gets no share of a cold server, or gets one while that of an earlier leader may be valid', async () => {
+  const document = createDocument(1, { groups: [{ name: 'g', connectionsPerServer: 10, synchronousReplicas: 0, warmup: { milliseconds: 60_000, requestsPerSecond: 20 } }] })
+  const { leadership, renew, advance } = startLeader(0, { document })
+  const holding: Partial<RenewRequest> = { holds: true, lendsAt: { host: 'entry', port: 1 } }
+  const announce = (sequence: number, warmupMilliseconds: number): void => { leadership.announce({ member: 's', group: 'g', host: '10.0.0.1', port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'replica', bornAt: 1, sequence, warmupMilliseconds }) }
+  advance(500)
+  announce(1, 60_000)
+  let ledMilliseconds = 500
+  let grant: RenewGrant | undefined
+  const renewLater = async (): Promise<void> => {
+    advance(50)
+    ledMilliseconds += 50
+    grant = await renew('entry-1', holding)
+  }
+  await waitUntil('a share', async () => {
+    await renewLater()
+    return grant?.warmups?.s !== undefined
+  })
+  assert.ok(ledMilliseconds >= 1_500, `granted after ${ledMilliseconds} ms`)
+  assert.is(grant?.shared.holders?.g[0].failureDomain, 'a')
+  assert.is(grant?.shared.servers[0].warmupMilliseconds, 60_500 - ledMilliseconds)
+  announce(2, 0)
+  await waitUntil('its end', async () => {
+    await renewLater()
+    return grant?.warmups === undefined
+  })
+})
+
 test.run()
