Merge cold servers and home regions

Operations in the compact format carry the regions, and the servers of a failure domain that is restored after a drain count as cold until they announce themselves.

--- a/packages/cyclamenusherd/src/node/engine/attempt.ts
+++ b/packages/cyclamenusherd/src/node/engine/attempt.ts
@@ -45,14 +45,15 @@
  * connection; `mayReset` allows a reset of the connection's session.
  */
 export async function attemptStatement (services: LocalServices, acquired: AcquiredConnection, { session, request, deadline }: StatementContext, addPrefix: (text: string) => string, mayReset: boolean): Promise<AttemptReply> {
-  const { connection } = acquired
+  const { connection, admit } = acquired
   const refusal = acquired.sendability() === 'yes' ? undefined : await findSendRefusal(acquired.sendability, services.clock, deadline)
   if (refusal !== undefined) return { kind: 'not sent', reason: refusal }
   const startedAt = services.clock.now()
   const definition = request.statement.kind === 'execute' ? session.prepared.get(request.statement.name) : undefined
   try {
     const codec = services.codec()
-    await prepareConnection(connection, codec, session.values, definition, mayReset)
+    await prepareConnection(connection, codec, session.values, definition, mayReset, admit === undefined ? undefined : async () => await admit(deadline))
+    if (admit !== undefined && !await admit(deadline)) return { kind: 'not sent', reason: `server ${connection.member} is cold and its share is spent` }
     if (!connection.isOpen()) return { kind: 'not sent', reason: 'the connection is gone' }
     const sendability = acquired.sendability()
     if (sendability !== 'yes') return { kind: 'not sent', reason: UNSENDABLE_REASONS[sendability] }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/compactMessages.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/compactMessages.ts
@@ -84,9 +84,11 @@
   }
 }
 
-function writeOperation ({ account, route, admission }: AdmittedOperation): RequestContent {
+function writeOperation ({ account, route, allowedRegions, admission }: AdmittedOperation): RequestContent {
   return {
     account,
+    limitsRegions: allowedRegions !== undefined,
+    allowedRegions,
     group: route.group,
     readPolicy: READ_POLICIES[route.readPolicy],
     maximumStaleness: writeOptionalNumber(route.maximumStalenessMilliseconds),
@@ -142,7 +144,7 @@
   }
 }
 
-function readOperation ({ account, group, readPolicy, maximumStaleness, objective, priority, admissionVersion, admissionDatabase, admissionKeyDigest }: OperationRequest): Fields {
+function readOperation ({ account, group, readPolicy, maximumStaleness, objective, priority, limitsRegions, allowedRegions, admissionVersion, admissionDatabase, admissionKeyDigest }: OperationRequest): Fields {
   const admission = readPart({ version: readOptionalNumber(admissionVersion), database: admissionDatabase, keyDigest: admissionKeyDigest })
   return {
     route: {
@@ -152,6 +154,7 @@
       priority: readNumber(priority)
     },
     account,
+    ...(limitsRegions ? { allowedRegions } : {}),
     ...(admission === undefined ? {} : { admission })
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -7,7 +7,7 @@
  * sent, or was refused by the holder before it ran, is sent again. Reads may run twice.
  */
 
-import { orderHolders, selectHolder } from '@cyclamenusher/decisions'
+import { isAllowedDomain, orderHolders, selectHolder } from '@cyclamenusher/decisions'
 import { confirmDesignation, isLeaseOverdue } from '../confirmation.js'
 import { StatementFailure } from '../errors.js'
 import { requireNotEnded } from '../transactions.js'
@@ -70,7 +70,7 @@
   | { kind: 'failed here', error: Error }
 
 export function createForwardingRunner ({ services, local, peers, logger }: ForwardingOptions): ForwardingRunner {
-  const { link, clock, log } = services
+  const { link, regions, clock, log } = services
   const holderLinks = new Map<string, HolderLink>()
   /** Holders in order of preference, by group and account; valid for the list from which they were ordered. */
   const orders = new Map<string, { list: readonly NamedInstance[], ordered: NamedInstance[] }>()
@@ -102,6 +102,8 @@
   function chooseHolder (operation: AdmittedOperation, excluded: ReadonlySet<HolderLink>): HolderLink | undefined {
     const options = listHolders(operation).flatMap((listed): Array<HolderOption<HolderLink | undefined>> => {
       if (listed.name === link.name) return [{ holder: undefined, readiness: 'here' }]
+      // A region limits which instances receive the text; this one has it from the caller.
+      if (!isAllowedDomain(operation.allowedRegions, listed.failureDomain, regions)) return []
       const holder = ensureHolderLink(listed)
       if (excluded.has(holder)) return []
       const readiness = holder.readiness()
@@ -168,9 +170,9 @@
     context.holder = { name, ...(outcome.kind === 'reply' ? { version: outcome.reply.version } : {}) }
   }
 
-  function describeOperation ({ route, account, admission }: AdmittedOperation): AdmittedOperation {
+  function describeOperation ({ route, account, allowedRegions, admission }: AdmittedOperation): AdmittedOperation {
     const { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority } = route
-    return { route: { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority }, account, ...(admission === undefined ? {} : { admission }) }
+    return { route: { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority }, account, ...(allowedRegions === undefined ? {} : { allowedRegions }), ...(admission === undefined ? {} : { admission }) }
   }
 
   async function runWriteElsewhere (context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -33,13 +33,13 @@
 async function beginAtServer (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<AcquiredConnection> {
   const { session, request, deadline } = context
   const admitted = confirmAdmission(services, transaction)
-  const { route, account, readOnly } = admitted
+  const { route, account, readOnly, allowedRegions } = admitted
   const group = services.group(route.group)
   const codec = services.codec()
   const excluded = new Set<string>()
   for (;;) {
     const need = resolveRequirement(group, session, admitted)
-    const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need, excluded })
+    const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need, excluded, allowedRegions })
     if (!acquired.mayBegin()) {
       acquired.release(true)
       throw new StatementFailure('busy', `the failure domain of server ${acquired.connection.member} is drained; the transaction did not begin`)
@@ -101,8 +101,8 @@
   const { acquired } = transaction
   if (acquired === undefined) return
   transaction.acquired = undefined
-  // The server rolls back when the connection closes.
-  if (acquired.sendability() !== 'yes') return acquired.release(false)
+  // The server rolls back when the connection closes, which costs a cold server no request.
+  if (acquired.sendability() !== 'yes' || acquired.admitNow?.() === false) return acquired.release(false)
   const rollback = acquired.connection.run(id, services.codec().rollback(), ROLLBACK_TIMEOUT_MILLISECONDS + LATE_MARGIN_MILLISECONDS)
   void awaitReply(services, acquired, services.clock.now() + ROLLBACK_TIMEOUT_MILLISECONDS, rollback).then(reply => {
     acquired.release(reply.kind === 'complete' && reply.state === 'idle')
--- a/packages/cyclamenusherd/src/node/process/fleet/config.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/config.ts
@@ -1,6 +1,6 @@
 /** Settings of an instance in a fleet that is configured by versioned documents. */
 
-import type { RateTolerance } from '@cyclamenusher/decisions'
+import type { RateTolerance, RegionMap, WarmupTolerance } from '@cyclamenusher/decisions'
 import type { Address } from '../address.js'
 import type { Config } from '../config.js'
 
@@ -29,6 +29,8 @@
   declarationTrustMilliseconds?: number
   /** Time after which no statement reaches the servers of a drained failure domain, in milliseconds from the acknowledgement of the order. Undefined: no drains are expected while control is not reached. */
   domainDrainMilliseconds?: number
+  /** Regions of the failure domains, and of this instance. @default none */
+  regions?: RegionMap
 }
 
 export interface FleetControlConfig extends FleetInstanceConfig {
@@ -46,6 +48,8 @@
   domainDrainMilliseconds?: number
   /** Failure domains that can be drained before a server has announced itself there. @default none */
   failureDomains?: readonly string[]
+  /** How far the declared requests to a cold server may be exceeded. @default DEFAULT_WARMUP_TOLERANCE */
+  warmupTolerance?: WarmupTolerance
   /** Address of the service that performs promotions; if undefined, no server is promoted. */
   promotion?: Address
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
@@ -60,6 +60,7 @@
     domainDrainMilliseconds: config.domainDrainMilliseconds,
     failureDomains: config.failureDomains,
     rateTolerance: config.rateTolerance,
+    warmupTolerance: config.warmupTolerance,
     decodeDeclaration: ports.decodeDeclaration,
     credentials,
     clock,
--- a/packages/cyclamenusherd/src/node/process/fleet/leaderDrains.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leaderDrains.ts
@@ -12,6 +12,8 @@
   directory: LeaderDirectory
   /** Time from the acknowledgement of an order after which no statement reaches the failure domain, in milliseconds. */
   domainDrainMilliseconds: number
+  /** Called for a failure domain whose servers may be used again; they may have become cold meanwhile. */
+  onRestored: (failureDomain: string) => void
   clock: Clock
   logger: ScopedLogger
 }
@@ -25,7 +27,7 @@
 }
 
 /** `state` holds the orders that were given before this leader was elected. */
-export function createLeaderDrains ({ state, declaration, directory, domainDrainMilliseconds, clock, logger }: LeaderDrainsOptions): LeaderDrains {
+export function createLeaderDrains ({ state, declaration, directory, domainDrainMilliseconds, onRestored, clock, logger }: LeaderDrainsOptions): LeaderDrains {
   let changes = state().drainChanges
   let deadlines = updateDrainDeadlines(new Map(), state().drains, { now: clock.now(), boundMilliseconds: domainDrainMilliseconds, isInherited: true })
 
@@ -44,6 +46,7 @@
       const { drains, drainChanges } = state()
       if (drainChanges === changes) return
       changes = drainChanges
+      for (const failureDomain of deadlines.keys()) if (!drains.has(failureDomain)) onRestored(failureDomain)
       deadlines = updateDrainDeadlines(deadlines, drains, { now: clock.now(), boundMilliseconds: domainDrainMilliseconds, isInherited: false })
       directory.recordUrgentChange()
       warnOfGroupsWithoutServers()
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -1,7 +1,7 @@
 /** Leader duties during one term: grants leases and rate shares, runs the control of the groups, and persists changes. */
 
 import { deflateSync } from 'node:zlib'
-import { DRAIN_BOUND_MILLISECONDS, INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, findServerFault, isLoanHistoryComplete, listGroupServers, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
+import { DEFAULT_WARMUP_TOLERANCE, DRAIN_BOUND_MILLISECONDS, INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, findServerFault, isLoanHistoryComplete, listGroupServers, lookUp, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
 import { createHeldRequests } from '../heldRequests.js'
 import { createEntryLeases } from './entryLeases.js'
 import { createGroupHolders } from './groupHolders.js'
@@ -11,7 +11,8 @@
 import { createLeaderLoad } from './leaderLoad.js'
 import { createRatePool } from './ratePool.js'
 import { createShareRecord } from './shareRecord.js'
-import type { AnnouncementOutcome, BorrowReply, BorrowRequest, ClientAccount, Declaration, FleetCommand, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ReturningInstances, ServerAnnouncement, ShareHolderChanges, SharedGrant } from '@cyclamenusher/decisions'
+import { createWarmupShares } from './warmupShares.js'
+import type { AnnouncementOutcome, BorrowReply, BorrowRequest, ClientAccount, Declaration, FleetCommand, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ReturningInstances, ServerAnnouncement, ShareHolderChanges, SharedGrant, WarmupTolerance } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
 import type { ScopedLogger } from '../logger.js'
 import type { SharePlanOptions } from './entryLeases.js'
@@ -49,6 +50,8 @@
   /** Addresses of the control instances, sent with each grant. */
   controlAddresses: () => SharedGrant['control']
   rateTolerance: RateTolerance
+  /** How far the declared requests to a cold server may be exceeded. @default DEFAULT_WARMUP_TOLERANCE */
+  warmupTolerance?: WarmupTolerance
   /** How long a server takes work after it has announced that it is leaving, in milliseconds. */
   drainMilliseconds: number
   /** Time after which no statement reaches the servers of a drained failure domain, in milliseconds from the acknowledgement of the order. @default DRAIN_BOUND_MILLISECONDS */
@@ -79,9 +82,22 @@
   const noShareChanges: ShareHolderChanges = { added: [], removed: [], bounds: [], use: { term, milliseconds: [] } }
   const heldRenewals = createHeldRequests()
   const directory = createLeaderDirectory(releaseSoon)
-  const drains = createLeaderDrains({ ...options, directory, domainDrainMilliseconds: options.domainDrainMilliseconds ?? DRAIN_BOUND_MILLISECONDS })
+  const drains = createLeaderDrains({
+    ...options,
+    directory,
+    domainDrainMilliseconds: options.domainDrainMilliseconds ?? DRAIN_BOUND_MILLISECONDS,
+    onRestored: failureDomain => { warmups.doubtFailureDomain(failureDomain, clock.now()) }
+  })
   const leases = createEntryLeases(options.rateTolerance, startedAt)
   const holders = createGroupHolders()
+  const warmups = createWarmupShares({
+    startedAt,
+    tolerance: options.warmupTolerance ?? DEFAULT_WARMUP_TOLERANCE,
+    declaration,
+    directory,
+    listHolders: group => (lookUp(holders.changesSince(0) ?? {}, group) ?? []).map(({ name }) => name),
+    logger
+  })
   const groupTasks = new Map<string, GroupTask>()
   const load = createLeaderLoad(logger, clock)
   const shareRecord = createShareRecord({
@@ -147,7 +163,8 @@
       ...directory.classifyRuns([...copies?.servers ?? [], ...copies?.primary === undefined ? [] : [copies.primary]]),
       announcedBy: startedAt + SILENCE_INTERVALS * options.announceIntervalMilliseconds,
       drainMilliseconds: options.drainMilliseconds,
-      drains: drains.deadlines()
+      drains: drains.deadlines(),
+      cold: warmups.listCold(group, now)
     }
   }
 
@@ -213,7 +230,7 @@
     if (now - persistedAt < PERSIST_INTERVAL_MILLISECONDS) return
     persistedAt = now
     const entries = countEntries(now)
-    const { servers } = directory.changesSince(persistedChange)
+    const { servers } = directory.changesSince(persistedChange, now)
     persistedChange = directory.change()
     if (servers.length > 0 || entries !== state().entries) void remember({ servers, entries })
   }
@@ -234,6 +251,7 @@
     sharedGrants.clear()
     refreshControl()
     planShares(now)
+    warmups.plan(now)
     shareRecord.write(leases, now)
     persistChanges(now)
     for (const group of groupTasks.values()) group.tick()
@@ -285,7 +303,8 @@
       term,
       change: directory.change(),
       whole: knownChange === 0,
-      ...directory.changesSince(knownChange),
+      ...directory.changesSince(knownChange, clock.now()),
+      ...warmups.share(clock.now()),
       ...(isPlanned ? { lenders: leases.lendersOf(failureDomain, lendersKnown) } : {}),
       ...(groupHolders === undefined ? {} : { holders: groupHolders }),
       ...(document === undefined ? {} : { declaration: document }),
@@ -311,12 +330,13 @@
       kind: 'granted',
       leaseMilliseconds: LEASE_MILLISECONDS,
       shared: buildSharedGrant(request, knownChange, document),
-      ...(sharesChange > knownChange || knownChange === 0 ? { parts: shares } : {})
+      ...(sharesChange > knownChange || knownChange === 0 ? { parts: shares } : {}),
+      ...warmups.grant(request.name)
     }
   }
 
   refreshControl()
-  directory.merge([...state().servers.values()])
+  directory.merge([...state().servers.values()], startedAt)
   startGroupTasks()
   // The first leases wait until the log holds the instances.
   shareRecord.write(leases, startedAt)
@@ -332,7 +352,8 @@
       // An instance that takes this one for the leader that it knows does not say what it holds.
       if (request.knows.term > 0 && request.knows.term !== term && request.parts === undefined) return undefined
       const isNew = leases.renew(request, changeKnownBy(request), clock.now())
-      if (request.servers !== undefined) directory.merge(request.servers)
+      if (request.servers !== undefined) directory.merge(request.servers, clock.now())
+      warmups.renew(request, clock.now())
       // Plans the shares soon, because a new instance has none yet.
       if (isNew) planSoon(NEW_ENTRY_DELAY_MILLISECONDS)
       if (isNew) logger.info('An entry instance requested its first lease from this leader.', { name: request.name, failureDomain: request.failureDomain, term })
--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -29,6 +29,9 @@
   prefetchedTokens: Counter<'outcome'>
   /** Holders of connections, by what this instance has noticed of them. */
   holders: Gauge<'state'>
+  /** Backend servers that count as cold at this instance. */
+  coldServers: Gauge
+  warmupRefusals: Counter
   recordLatency: (name: LatencyName, milliseconds: number) => void
   render: () => Promise<string>
 }
@@ -67,6 +70,8 @@
     drainedFailureDomains: new Gauge({ name: 'cyclamenusher_drained_failure_domains', help: 'Failure domains to whose backend servers nothing is sent.', registers }),
     prefetchedTokens: new Counter({ name: 'cyclamenusher_prefetched_tokens_total', help: 'Tokens of rates that were requested before an operation needed them: used, unused or not granted.', labelNames: ['outcome'], registers }),
     holders: new Gauge({ name: 'cyclamenusher_holders', help: 'Instances that hold connections to backend servers, by whether this instance can send operations to them.', labelNames: ['state'], registers }),
+    coldServers: new Gauge({ name: 'cyclamenusher_cold_servers', help: 'Backend servers in use here that count as cold.', registers }),
+    warmupRefusals: new Counter({ name: 'cyclamenusher_warmup_refusals_total', help: 'Operations refused because all servers that could run them are cold.', registers }),
     recordLatency: (name, milliseconds) => {
       const microseconds = Math.min(MAXIMUM_LATENCY_MICROSECONDS, Math.max(1, Math.round(milliseconds * 1000)))
       latencies[name].recordValue(microseconds)
--- a/packages/decisions/src/node/fleet/groupTypes.ts
+++ b/packages/decisions/src/node/fleet/groupTypes.ts
@@ -136,6 +136,8 @@
   drainMilliseconds: number
   /** Drained failure domains. @default none */
   drains?: DrainDeadlines
+  /** Servers that are cold; among equal candidates another one is promoted. @default none */
+  cold?: ReadonlySet<string>
 }
 
 /** A step in progress: the state being changed, and the effects so far. */
