fix(fleet): a bound of a drain is two seconds at least

An instance sends nothing while its last grant is older than the bound, so a shorter one would stop the service between renewals. Tests for the cut-off instance, the held renewals, the settings and the command line's calls.

--- a/packages/cyclamenusher/src/node/__tests__/connection.test.ts
+++ b/packages/cyclamenusher/src/node/__tests__/connection.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { generate } from 'selfsigned'
-import { ControlService, listenForCalls } from '@cyclamenusher/protocol'
+import { ControlService, FleetService, listenForCalls } from '@cyclamenusher/protocol'
 import { createConnection } from '../connection.js'
 import { CommandError } from '../errors.js'
 
@@ -34,6 +34,26 @@
   await server.close()
 })
 
+// An instance that does not lead can't confirm an order.
+test('an order for a failure domain ends at an instance that does not lead', async () => {
+  const reply = (value: unknown) => ({ body: new Uint8Array(Buffer.from(JSON.stringify(value))) })
+  const orders: unknown[] = []
+  const servers = await Promise.all([false, true].map(async leads => await listenForCalls('127.0.0.1', 0, { secret: SECRET }, router => {
+    router.service(FleetService, {
+      drain: ({ body }) => {
+        orders.push(JSON.parse(Buffer.from(body).toString('utf8')))
+        return reply(leads ? 'held' : 'unknown')
+      },
+      domains: () => reply(leads ? [{ name: 'a', drained: true }] : null)
+    })
+  })))
+  const connection = createConnection({ control: servers.map(({ port }) => `127.0.0.1:${port}`).join(','), secretFile: write('secret', SECRET) })
+  assert.ok(await connection.orderDomain('a', true))
+  assert.equal(orders, [{ failureDomain: 'a', drained: true }, { failureDomain: 'a', drained: true }])
+  assert.equal(await connection.listDomains(), [{ name: 'a', drained: true }])
+  for (const server of servers) await server.close()
+})
+
 test('one TLS file without the others is wrong usage', () => {
   assert.throws(
     () => createConnection({ secretFile: write('secret', SECRET), tlsKey: write('key.pem', 'x') }),
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/drains.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/drains.test.ts
@@ -34,6 +34,18 @@
   assert.is(fleet.lines.filter(line => line === 'An order to drain a failure domain was accepted.').length, 3, 'one for each control instance')
 })
 
+// Its transactions went on at servers that were drained meanwhile.
+test('an instance that is cut off from control sends statements after the bound', async () => {
+  await fleet.declare(1)
+  let ahead = 0
+  const link = fleet.joinEntry('entry-1', undefined, { now: () => performance.now() + ahead })
+  await waitUntil('a lease', () => link.isLeased())
+  assert.ok(link.areDrainsKnown())
+  await Promise.all([...fleet.running.values()].map(async instance => { await instance.stop() }))
+  ahead = 4_800
+  assert.not.ok(link.areDrainsKnown())
+})
+
 test('a leader that is lost after the acknowledgement takes the order with it', async () => {
   await fleet.declare(1)
   await fleet.announceGroup()
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetHarness.ts
@@ -114,7 +114,7 @@
   }
 
   function joinEntry (name: string, report: () => Pick<RenewRequest, 'demand' | 'sightings' | 'busy'> = () => ({ demand: {}, sightings: {}, busy: [] }), clock: Clock = systemClock, lendsAt?: Address): FleetLink {
-    const link = createFleetLink({ name, failureDomain: 'a', seeds: () => addresses, decodeDeclaration: ({ text }) => JSON.parse(text) as Declaration, report, lendsAt, peers: createPeers(CREDENTIALS), clock, logger })
+    const link = createFleetLink({ name, failureDomain: 'a', seeds: () => addresses, decodeDeclaration: ({ text }) => JSON.parse(text) as Declaration, report, lendsAt, domainDrainMilliseconds: 5_000, peers: createPeers(CREDENTIALS), clock, logger })
     link.start()
     links.push(link)
     return link
--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -3,7 +3,7 @@
 import { INITIAL_FLEET_STATE, NO_TOLERANCE, applyFleetCommand } from '@cyclamenusher/decisions'
 import { startLeadership } from '../leadership.js'
 import { createDocument, waitUntil } from './fleetHarness.js'
-import type { ControlAddress, Declaration, FleetState, KnownServer, RenewGrant, RenewRequest } from '@cyclamenusher/decisions'
+import type { ControlAddress, Declaration, FleetCommand, FleetState, KnownServer, RenewGrant, RenewRequest } from '@cyclamenusher/decisions'
 import type { Leadership } from '../leadership.js'
 
 const NEVER_ABORTED = new AbortController().signal
@@ -52,7 +52,12 @@
     return await leadership.renew({ name, incarnation: '1', failureDomain: 'a', knows: { term: 1, change: 0 }, version: 1, demand: {}, sightings: {}, busy: [], holdMilliseconds: 0, ...changes }, NEVER_ABORTED)
   }
 
-  return { leadership, renew, state: () => state, listControl: (addresses: ControlAddress[]) => { control = addresses }, advance: (milliseconds: number) => { now += milliseconds } }
+  function apply (command: FleetCommand): void {
+    state = applyFleetCommand(state, command).state
+    leadership.refresh()
+  }
+
+  return { leadership, renew, apply, state: () => state, listControl: (addresses: ControlAddress[]) => { control = addresses }, advance: (milliseconds: number) => { now += milliseconds } }
 }
 
 // A share that changed anywhere ended the held renewals of all instances.
@@ -77,6 +82,21 @@
   await held
 })
 
+// Instances would have learned of a drain with their next renewal only.
+test('a drain waits for the renewals to end, or is missing in later grants', async () => {
+  const { renew, apply, advance } = startLeader()
+  advance(1_000)
+  const known = (await renew('entry-1'))?.shared
+  assert.is(known?.drains, undefined)
+  const held = renew('entry-1', { knows: { term: 1, change: known?.change ?? 0 }, holdMilliseconds: LONG_HOLD_MILLISECONDS })
+  apply({ kind: 'drain', failureDomain: 'a', drained: true })
+  const grant = await held
+  assert.equal(grant?.shared.drains, ['a'])
+  assert.equal((await renew('entry-1', { knows: { term: 1, change: grant?.shared.change ?? 0 } }))?.shared.drains, ['a'])
+  apply({ kind: 'drain', failureDomain: 'a', drained: false })
+  assert.equal((await renew('entry-1'))?.shared.drains, [])
+})
+
 // A new leader planned with the first instances that came, and shares moved away from all others.
 test('a new leader plans before the instances that hold shares have returned', async () => {
   const { renew, advance } = startLeader(3)
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from 'node:crypto'
 import { EventEmitter } from 'node:events'
 import { inflateSync } from 'node:zlib'
-import { DECLARATION_TRUST_MILLISECONDS, DRAIN_BOUND_MILLISECONDS, NO_DECLARATION_TRUST, RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, drainsKnownUntil, findLender, indexDeclaration, lookUp, mergeServer, listGroupServers, recordNewestVersion, trustedUntil, updateDomainDrains } from '@cyclamenusher/decisions'
+import { DECLARATION_TRUST_MILLISECONDS, NO_DECLARATION_TRUST, RENEWAL_HOLD_MILLISECONDS, LEASE_MILLISECONDS, LOAN_MEMORY_MILLISECONDS, SHARE_VALIDITY_MILLISECONDS, drainsKnownUntil, findLender, indexDeclaration, limitDrainBound, lookUp, mergeServer, listGroupServers, recordNewestVersion, trustedUntil, updateDomainDrains } from '@cyclamenusher/decisions'
 import { StreamCallError } from '@cyclamenusher/protocol'
 import { pause } from '../clock.js'
 import { createSuspensionWatch } from '../suspension.js'
@@ -122,6 +122,7 @@
   const incarnation = randomUUID()
   const suspension = createSuspensionWatch(clock)
   const trustMilliseconds = Math.max(MINIMUM_TRUST_MILLISECONDS, options.declarationTrustMilliseconds ?? DECLARATION_TRUST_MILLISECONDS)
+  const drainBound = limitDrainBound(options.domainDrainMilliseconds)
   const emitter = new EventEmitter()
   emitter.setMaxListeners(0)
   const links = new Map<string, InstanceCalls>()
@@ -272,7 +273,7 @@
     if (names === undefined || (names.length === drains.size && names.every(name => drains.has(name)))) return
     const previous = drains
     const now = clock.now()
-    drains = updateDomainDrains(previous, names, validUntil(0), now, options.domainDrainMilliseconds ?? DRAIN_BOUND_MILLISECONDS)
+    drains = updateDomainDrains(previous, names, validUntil(0), now, drainBound)
     for (const [failureDomain, { transactionsUntil }] of drains) {
       if (!previous.has(failureDomain)) logger.info('The drain of a failure domain takes effect here.', { failureDomain, transactionsFor: Math.round(Math.max(0, transactionsUntil - now)) })
     }
@@ -436,7 +437,7 @@
     primaryAssignment: group => assignments.get(group),
     servers: group => listGroupServers(servers, group),
     drains: () => drains,
-    areDrainsKnown: () => options.domainDrainMilliseconds === undefined || clock.now() < drainsKnownUntil(validUntil(0), options.domainDrainMilliseconds),
+    areDrainsKnown: () => options.domainDrainMilliseconds === undefined || clock.now() < drainsKnownUntil(validUntil(0), drainBound),
     holders: group => holders.get(group) ?? NO_HOLDERS,
     allHolders: () => [...new Map([...holders.values()].flat().map(holder => [holder.name, holder])).values()],
     isLeased,
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -1,7 +1,7 @@
 /** Leader duties during one term: grants leases and rate shares, runs the control of the groups, and persists changes. */
 
 import { deflateSync } from 'node:zlib'
-import { DRAIN_BOUND_MILLISECONDS, INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, findServerFault, isLoanHistoryComplete, listGroupServers, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
+import { INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, findServerFault, isLoanHistoryComplete, limitDrainBound, listGroupServers, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
 import { createHeldRequests } from '../heldRequests.js'
 import { createEntryLeases } from './entryLeases.js'
 import { createGroupHolders } from './groupHolders.js'
@@ -79,7 +79,7 @@
   const startedAt = clock.now()
   const heldRenewals = createHeldRequests()
   const directory = createLeaderDirectory(releaseSoon)
-  const drains = createLeaderDrains({ ...options, directory, domainDrainMilliseconds: options.domainDrainMilliseconds ?? DRAIN_BOUND_MILLISECONDS })
+  const drains = createLeaderDrains({ ...options, directory, domainDrainMilliseconds: limitDrainBound(options.domainDrainMilliseconds) })
   const leases = createEntryLeases(options.rateTolerance)
   const holders = createGroupHolders()
   const groupTasks = new Map<string, GroupTask>()
--- a/packages/decisions/src/node/fleet/drains.ts
+++ b/packages/decisions/src/node/fleet/drains.ts
@@ -22,6 +22,8 @@
 
 /** Default time from the acknowledgement of an order after which no statement reaches the failure domain, in milliseconds. */
 export const DRAIN_BOUND_MILLISECONDS = 5_000
+/** Shortest bound that is used, in milliseconds: renewals take up to a second, and an instance sends nothing while its last one is older than the bound. */
+const MINIMUM_BOUND_MILLISECONDS = 2_000
 /** How long before the end of the bound the last statement may be sent, in milliseconds: several round trips and a late timer. */
 const DRAIN_MARGIN_MILLISECONDS = 250
 /** Longest time for which open transactions may continue after their instance has learned of the drain, in milliseconds. */
@@ -29,6 +31,11 @@
 /** Fraction of the bound that a leader allows which was elected after the order, and does not know the order's age. */
 const INHERITED_FRACTION = 0.5
 
+/** The bound to use where the settings name one, or none. */
+export function limitDrainBound (milliseconds = DRAIN_BOUND_MILLISECONDS): number {
+  return Math.max(MINIMUM_BOUND_MILLISECONDS, milliseconds)
+}
+
 /** Drains or restores a failure domain. Returns the same state if nothing changes. */
 export function applyDrain (state: DrainState, failureDomain: string, drained: boolean): DrainState {
   if (state.drains.has(failureDomain) === drained) return state
