--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -1,7 +1,7 @@
 /** Leader duties during one term: grants leases and rate shares, runs the control of the groups, and persists changes. */
 
 import { deflateSync } from 'node:zlib'
-import { DEFAULT_WARMUP_TOLERANCE, DRAIN_BOUND_MILLISECONDS, INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, findServerFault, isLoanHistoryComplete, listGroupServers, lookUp, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
+import { DEFAULT_WARMUP_TOLERANCE, INITIAL_SHARE, LEASE_MILLISECONDS, awaitsReturn, findServerFault, isLoanHistoryComplete, limitDrainBound, listGroupServers, lookUp, mayHoldUnreportedShares } from '@cyclamenusher/decisions'
 import { createHeldRequests } from '../heldRequests.js'
 import { createEntryLeases } from './entryLeases.js'
 import { createGroupHolders } from './groupHolders.js'
@@ -85,7 +85,7 @@
   const drains = createLeaderDrains({
     ...options,
     directory,
-    domainDrainMilliseconds: options.domainDrainMilliseconds ?? DRAIN_BOUND_MILLISECONDS,
+    domainDrainMilliseconds: limitDrainBound(options.domainDrainMilliseconds),
     onRestored: failureDomain => { warmups.doubtFailureDomain(failureDomain, clock.now()) }
   })
   const leases = createEntryLeases(options.rateTolerance, startedAt)
