feat(forwarding): send a read to another holder while the lease here is over

The first holder of an account ran its reads itself for 1.2 s after its lease had ended, in the expectation that it comes back, and refused them at their deadline. Another holder that is reached now gets them, and decides by its own lease. Writes and transactions that may write stay: what runs elsewhere could not be acknowledged here, and would end in doubt.

selectHolder takes what the instance itself can do as now, soon or not.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -14,7 +14,7 @@
 import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
 import { createHolderLink } from './holderLink.js'
 import { roundTime } from './messages.js'
-import type { HolderOption, HolderReadiness, NamedInstance } from '@cyclamenusher/decisions'
+import type { HolderOption, HolderReadiness, NamedInstance, OwnAbility } from '@cyclamenusher/decisions'
 import type { MessageStream } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../../process/logger.js'
 import type { Peers } from '../../process/peers.js'
@@ -98,8 +98,14 @@
     return created
   }
 
+  /** Whether this instance can run an operation itself. Without a lease another holder may run a read; a write that runs elsewhere could not be acknowledged here. */
+  function assessOwnAbility (access: 'read' | 'write'): OwnAbility {
+    if (isLeaseOverdue(link, clock)) return 'not'
+    return link.isLeased() || access === 'write' ? 'now' : 'soon'
+  }
+
   /** The link to the holder that is to run the operation; undefined: this instance runs it. */
-  function chooseHolder (operation: AdmittedOperation, excluded: ReadonlySet<HolderLink>): HolderLink | undefined {
+  function chooseHolder (operation: AdmittedOperation, excluded: ReadonlySet<HolderLink>, access: 'read' | 'write'): HolderLink | undefined {
     const options = listHolders(operation).flatMap((listed): Array<HolderOption<HolderLink | undefined>> => {
       if (listed.name === link.name) return [{ holder: undefined, readiness: 'here' }]
       const holder = ensureHolderLink(listed)
@@ -108,8 +114,7 @@
       if (readiness === 'unreachable' && holder.isAttemptDue()) holder.attempt()
       return [{ holder, readiness }]
     })
-    // Without a lease here, another holder may have one.
-    const choice = selectHolder(options, !isLeaseOverdue(link, clock))
+    const choice = selectHolder(options, assessOwnAbility(access))
     return choice.kind === 'run here' ? undefined : choice.holder
   }
 
@@ -177,7 +182,7 @@
     const excluded = new Set<HolderLink>()
     for (;;) {
       if (isLeaseOverdue(link, clock)) throw new StatementFailure('busy', `${NO_LEASE_FOR_WRITES}; the write did not run: try another one`)
-      const holder = chooseHolder(operation, excluded)
+      const holder = chooseHolder(operation, excluded, 'write')
       if (holder === undefined) return await local.run(context, operation, 'write')
       const outcome = await send(holder, context, operation, 'write')
       const reason = findReasonToTryAnother(outcome)
@@ -224,7 +229,7 @@
     const attempts = new Set<Promise<ReadEvent>>()
     let silentHolders = 0
     for (;;) {
-      const holder = silentHolders < MAXIMUM_SILENT_HOLDERS ? chooseHolder(operation, excluded) : undefined
+      const holder = silentHolders < MAXIMUM_SILENT_HOLDERS ? chooseHolder(operation, excluded, 'read') : undefined
       if (holder === undefined) return await runReadHere(context, operation, attempts)
       excluded.add(holder)
       const { attempt, silent } = startRead(holder, context, operation)
@@ -247,7 +252,8 @@
 
   /** Opens the transaction at a holder that is not excluded, and excludes that one; undefined: this instance runs it. */
   async function openTransaction (context: StatementContext, transaction: Transaction, excluded: Set<HolderLink>): Promise<ForwardedTransaction | undefined> {
-    for (let holder = chooseHolder(transaction, excluded); holder !== undefined; holder = chooseHolder(transaction, excluded)) {
+    const access = transaction.readOnly ? 'read' : 'write'
+    for (let holder = chooseHolder(transaction, excluded, access); holder !== undefined; holder = chooseHolder(transaction, excluded, access)) {
       excluded.add(holder)
       const stream = await holder.open()
       if (stream === undefined) continue
@@ -373,7 +379,7 @@
   return {
     run: async (context, operation, access) => access === 'read' ? await runReadElsewhere(context, operation) : await runWriteElsewhere(context, operation),
     begin: (context, transaction) => {
-      if (chooseHolder(transaction, new Set()) === undefined) return local.begin(context, transaction)
+      if (chooseHolder(transaction, new Set(), transaction.readOnly ? 'read' : 'write') === undefined) return local.begin(context, transaction)
       transaction.forwarded = openTransaction(context, transaction, new Set())
     },
     continue: continueTransaction,
--- a/packages/decisions/src/node/fleet/__tests__/groupHolders.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/groupHolders.test.ts
@@ -172,12 +172,14 @@
   const silent: HolderOption<string> = { holder: 'silent', readiness: 'unusable' }
   const ready: HolderOption<string> = { holder: 'ready', readiness: 'ready' }
   const here: HolderOption<string> = { holder: 'here', readiness: 'here' }
-  assert.equal(selectHolder([lost, silent, ready], false), { kind: 'send', holder: 'ready' })
-  assert.equal(selectHolder([lost, here, ready], true), { kind: 'run here' })
-  assert.equal(selectHolder([lost, here, ready], false), { kind: 'send', holder: 'ready' })
-  assert.equal(selectHolder([lost, silent], true), { kind: 'run here' })
-  assert.equal(selectHolder([silent, lost], false), { kind: 'await attempt', holder: 'lost' })
-  assert.equal(selectHolder([silent], false), { kind: 'run here' })
+  assert.equal(selectHolder([lost, silent, ready], 'not'), { kind: 'send', holder: 'ready' })
+  assert.equal(selectHolder([lost, here, ready], 'now'), { kind: 'run here' })
+  assert.equal(selectHolder([lost, here, ready], 'not'), { kind: 'send', holder: 'ready' })
+  assert.equal(selectHolder([lost, silent], 'now'), { kind: 'run here' })
+  assert.equal(selectHolder([silent, lost], 'not'), { kind: 'await attempt', holder: 'lost' })
+  assert.equal(selectHolder([silent], 'not'), { kind: 'run here' })
+  assert.equal(selectHolder([here, lost, ready], 'soon'), { kind: 'send', holder: 'ready' })
+  assert.equal(selectHolder([here, lost], 'soon'), { kind: 'run here' })
 })
 
 test('a message that was held up is late by what the fastest one took less', () => {
--- a/packages/decisions/src/node/fleet/groupHolders.ts
+++ b/packages/decisions/src/node/fleet/groupHolders.ts
@@ -131,19 +131,25 @@
   | { kind: 'run here' }
   | { kind: 'await attempt', holder: Holder }
 
+/** Whether the instance that chooses can run the operation itself: now, probably once a lease that has just ended is back, or not. */
+export type OwnAbility = 'now' | 'soon' | 'not'
+
 /**
  * Chooses the holder that is to run an operation. A holder that can't be reached is passed
  * over; its attempt is awaited only by an operation that nothing else can run.
  *
+ * Load pattern: an instance has lost control, and others have not. What it would run itself
+ * waits for its lease up to the deadline, while another holder could answer.
+ *
  * Load pattern: half of the instances are cut off, and the streams to them have ended. If
  * each operation tried to reach its holder, it would wait for the timeout of an attempt
  * for each of the holders beyond the cut.
  */
-export function selectHolder<Holder> (options: ReadonlyArray<HolderOption<Holder>>, canRunHere: boolean): HolderChoice<Holder> {
-  const chosen = options.find(({ readiness }) => readiness === 'here' ? canRunHere : readiness === 'ready' || readiness === 'untried')
+export function selectHolder<Holder> (options: ReadonlyArray<HolderOption<Holder>>, here: OwnAbility): HolderChoice<Holder> {
+  const chosen = options.find(({ readiness }) => readiness === 'here' ? here === 'now' : readiness === 'ready' || readiness === 'untried')
   if (chosen?.readiness === 'here') return { kind: 'run here' }
   if (chosen !== undefined) return { kind: 'send', holder: chosen.holder }
-  const unreachable = canRunHere ? undefined : options.find(({ readiness }) => readiness === 'unreachable')
+  const unreachable = here !== 'not' ? undefined : options.find(({ readiness }) => readiness === 'unreachable')
   return unreachable === undefined ? { kind: 'run here' } : { kind: 'await attempt', holder: unreachable.holder }
 }
 
