--- a/packages/decisions/src/node/placement/requestQueue.ts
+++ b/packages/decisions/src/node/placement/requestQueue.ts
@@ -88,3 +88,47 @@
   if (servedPerSecond <= 0) return ahead < MAXIMUM_REQUESTS_AHEAD
   return Math.max(now, servedFrom) + ahead / servedPerSecond * 1000 < waitDeadline
 }
+
+/** Returns the time until the queue is expected to take a request, in milliseconds; infinite if that is not known. */
+export function estimateQueueWait ({ ahead, servedPerSecond, servedFrom }: Omit<QueueLoad, 'overloaded'>, now: number): number {
+  const untilServed = Math.max(0, servedFrom - now)
+  if (ahead === 0) return untilServed
+  return servedPerSecond <= 0 ? Infinity : untilServed + ahead / servedPerSecond * 1000
+}
+
+/**
+ * Whether a request that joins the queue now can meet its objective, or nothing more
+ * urgent waits.
+ *
+ * Load pattern: a burst in which urgent requests wait. A less urgent one that would be
+ * late in any case takes capacity from requests that can still be answered in time.
+ */
+export function canMeetObjectiveBehindUrgent ({ priority, objective }: QueuedRequest, waiting: ReadonlyArray<Pick<QueuedRequest, 'priority'>>, waitMilliseconds: number, now: number): boolean {
+  if (now + waitMilliseconds < objective) return true
+  return !waiting.some(other => other.priority < priority)
+}
+
+/** Waiting requests that each account may have in any case, so that a short burst of a small account is not refused. */
+const MINIMUM_WAITING_OF_ACCOUNT = 4
+
+export interface AccountShare {
+  /** Requests of the account that wait with the same priority. */
+  waiting: number
+  /** Weight of the account, and of all accounts that have requests of this priority waiting, itself included. */
+  weight: number
+  totalWeight: number
+}
+
+/**
+ * Whether one more waiting request of an account exceeds its fair share of the queue.
+ * The queue holds as many requests as can be served within the request's objective; the
+ * accounts that wait with the same priority share it by their weights.
+ *
+ * Load pattern: an account sends many times its usual load. Without a bound its requests
+ * fill the queue, and those of all other accounts are late.
+ */
+export function isExcessOfAccount ({ waiting, weight, totalWeight }: AccountShare, servedPerSecond: number, objectiveMilliseconds: number): boolean {
+  if (waiting < MINIMUM_WAITING_OF_ACCOUNT || weight >= totalWeight) return false
+  const places = servedPerSecond * Math.max(0, objectiveMilliseconds) / 1000
+  return waiting >= places * weight / totalWeight
+}
--- a/packages/decisions/src/node/placement/serverChoice.ts
+++ b/packages/decisions/src/node/placement/serverChoice.ts
@@ -5,7 +5,9 @@
  * tried again as its average fades. A replica that lacks a position is not chosen for
  * reads that require it until it may have caught up. Servers of other failure domains
  * are used when those of the same domain are busier by more than the network latency
- * costs.
+ * costs. Many instances choose at the same moment with knowledge of different age; each
+ * counts the statements that the others are likely to have at a server as many as its own.
+ * Among servers that are about equal the one in the own failure domain is chosen.
  */
 
 import { comparePositions } from '../session/position.js'
@@ -34,6 +36,12 @@
   /** Position that the server last reported as missing, and when it may hold it. */
   missing?: { position: LogPosition, until: number }
   lag: ReplicaLag
+  /** Whether the server is in the failure domain of this instance. @default false */
+  isNear?: boolean
+  /** Number of instances that choose among the group's servers. @default 1 */
+  choosers?: number
+  /** Whether statements of the most urgent priority of this instance run there, and this statement has a lower one. @default false */
+  runsUrgentWork?: boolean
 }
 
 /** "match": an idle connection of the account; "spare": a new connection, or one that replaces an idle one of another account; "none": all connections are in use. */
@@ -72,16 +80,57 @@
 
 export type PositionRequirement = Extract<ReadRequirement, { kind: 'position' }>
 
+/** Additional cost of a server without an idle connection of the account when servers are compared evenly, in milliseconds: without it a statement in progress at one server would open a connection at the next. */
+const EVEN_CONNECT_COST_MILLISECONDS = 15
+/** Difference of expected waits below which two servers count as equal, in milliseconds: about two network round trips between failure domains, which cost traffic besides time. */
+const EQUAL_WAIT_MILLISECONDS = 5
+
+/** Expected wait if every other instance that chooses among the servers has as many statements outstanding there as this one. */
+function estimateSharedWait (server: ServerLoad, now: number): number {
+  const wait = estimateWait(server, now, PRIMARY_PENALTY_MILLISECONDS)
+  const ofOthers = server.outstanding * ((server.choosers ?? 1) - 1)
+  const connectCost = server.connection === 'match' ? 0 : EVEN_CONNECT_COST_MILLISECONDS
+  return wait + computeFadedAverage(server, now) * ofOthers / Math.max(1, server.slots) + connectCost
+}
+
+/** Chooses the server with the shortest shared wait, or one of the own failure domain that is about equal. */
+function chooseEvenly (servers: readonly ServerLoad[], now: number): ServerLoad | undefined {
+  const usable = servers.map(server => ({ server, wait: estimateSharedWait(server, now) })).filter(({ wait }) => wait < Infinity)
+  const least = Math.min(...usable.map(({ wait }) => wait))
+  const equal = usable.filter(({ wait }) => wait <= least + EQUAL_WAIT_MILLISECONDS)
+  const near = equal.filter(({ server }) => server.isNear === true)
+  const candidates = near.length > 0 ? near : equal
+  return candidates.reduce<typeof candidates[number] | undefined>((best, candidate) => best === undefined || candidate.wait < best.wait ? candidate : best, undefined)?.server
+}
+
+/** Removes a primary that runs urgent work, if another server can take the statement now. */
+function avoidUrgentPrimary (servers: readonly ServerLoad[], now: number): readonly ServerLoad[] {
+  const others = servers.filter(({ isPrimary, runsUrgentWork }) => !(isPrimary && runsUrgentWork === true))
+  return others.some(server => estimateWait(server, now, 0) < Infinity) ? others : servers
+}
+
+/** "same role": the choice between primary and replicas follows the expected wait alone, and the servers of the role are compared evenly; "any role": all servers are compared evenly. */
+export type EvenChoice = 'same role' | 'any role'
+
+const EVEN_CHOICES: Record<EvenChoice, (servers: readonly ServerLoad[], now: number) => ServerLoad | undefined> = {
+  'same role': (servers, now) => {
+    const least = chooseLeastWait(servers, now)
+    return chooseEvenly(servers.filter(({ isPrimary }) => isPrimary === least?.isPrimary), now)
+  },
+  'any role': (servers, now) => chooseEvenly(avoidUrgentPrimary(servers, now), now)
+}
+
 /**
  * Chooses the server for a read that requires a position; undefined if none can take
  * it now. If the primary can't be used, a replica is chosen even if it is expected to
  * lack the position.
  */
-export function chooseReadServer (servers: readonly ServerLoad[], requirement: PositionRequirement, now: number): ServerLoad | undefined {
+export function chooseReadServer (servers: readonly ServerLoad[], requirement: PositionRequirement, now: number, choice: EvenChoice = 'same role'): ServerLoad | undefined {
+  const chooseOne = EVEN_CHOICES[choice]
   const available = servers.filter(({ leaving, isPrimary }) => !leaving || isPrimary)
-  const upToDate = chooseLeastWait(available.filter(server => !lacksPosition(server, requirement, now)), now)
+  const upToDate = chooseOne(available.filter(server => !lacksPosition(server, requirement, now)), now)
   if (upToDate !== undefined || available.some(({ isPrimary }) => isPrimary)) return upToDate
-  return chooseLeastWait(available.filter(({ missing }) => missing === undefined || now >= missing.until), now)
+  return chooseOne(available.filter(({ missing }) => missing === undefined || now >= missing.until), now)
 }
 
 function chooseLeastWait (servers: readonly ServerLoad[], now: number): ServerLoad | undefined {
