feat(engine): urgent statements find reserved places, and refusals follow from the queue

Where a group was asked for statements of more than one priority in the last five seconds, its pool limits each priority to what the reserve leaves, keeps reads of lower priority off a primary that runs urgent work, and refuses what would be late behind urgent requests or exceeds its account's share. A refusal says after how long the queue is expected to take the request. Outstanding statements, the use of the reserve and refusals by reason and priority are metrics; overloads are logged. Groups with one priority differ only in the choice among servers of the same role.

--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -1,13 +1,15 @@
 /** Connections to the servers of one group: chooses a server for each statement, and queues the statements that must wait. */
 
-import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, resolveReadRequirement, recordPosition, computeWaitDeadline, estimateLeaseReturn } from '@cyclamenusher/decisions'
+import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, resolveReadRequirement, recordPosition, computeWaitDeadline, estimateLeaseReturn, LEAST_ALLOWED_WITH_PRIORITIES, canMeetObjectiveBehindUrgent, computeReservedUse, estimateQueueWait, isExcessOfAccount } from '@cyclamenusher/decisions'
 import { awaitLease } from './confirmation.js'
 import { StatementFailure } from './errors.js'
+import { createPriorityUse } from './priorityUse.js'
 import { createServerPool } from './serverPool.js'
-import type { ConnectionBudget, LogPosition, PositionHistory, QueuePressure, QueuedRequest, ReadRequirement, ReadRequest, ServerLoad, ServerObservation } from '@cyclamenusher/decisions'
+import type { ConnectionBudget, LogPosition, PositionHistory, QueueLoad, QueuePressure, QueuedRequest, ReadRequirement, ReadRequest, ServerLoad, ServerObservation } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { ScopedLogger } from '../process/logger.js'
+import type { PoolMetrics, QueueRefusal } from './poolMetrics.js'
 import type { ServerConnection } from './serverConnection.js'
 import type { ServerPool } from './serverPool.js'
 import type { ServerCodec } from './statement.js'
@@ -68,6 +70,16 @@
   codec: () => ServerCodec
   clock: Clock
   logger: ScopedLogger
+  metrics: PoolMetrics
+}
+
+const REFUSAL_TEXTS: Record<QueueRefusal, string> = {
+  'no lease': 'this instance has no word from control',
+  'primary replaced': 'the primary is being replaced',
+  overload: 'more arrives than the servers can run',
+  'connections in use': 'all connections are in use',
+  'behind urgent': 'more urgent requests wait, and it would be late behind them',
+  'account share': 'its account has as many waiting as its share of the queue'
 }
 
 /** A request in the queue, with the callbacks of the promise that its caller awaits. */
@@ -77,7 +89,7 @@
   reject: (error: StatementFailure) => void
 }
 
-export function createGroupPool ({ group, link, codec, clock, logger }: GroupPoolOptions): GroupPool {
+export function createGroupPool ({ group, link, codec, clock, logger, metrics }: GroupPoolOptions): GroupPool {
   const pools = new Map<string, ServerPool>()
   let queue: WaitingRequest[] = []
   let pressure: QueuePressure = NO_PRESSURE
@@ -86,6 +98,9 @@
   let term = 0
   let primaryClosedSince: number | undefined
   let dispatching = false
+  const priorityUse = createPriorityUse()
+  let wasOverloaded = false
+  let refusedInOverload = 0
 
   /** Number of instances that share the connections to the group's servers: its holders, or all while no holders are known. An instance that is none of them keeps to the smallest share. */
   function countConnectingInstances (): number {
@@ -131,6 +146,7 @@
       if (currentMembers.has(member)) continue
       pool.close('the server is gone')
       pools.delete(member)
+      metrics.removeServer({ group, member })
     }
   }
 
@@ -164,9 +180,20 @@
     return [...pools].filter(([member]) => !request.excluded.has(member)).map(([, pool]) => pool.computeLoad(request.account, now, primary))
   }
 
+  /** Loads of the servers, limited to what the request's priority may use, with what makes equal servers differ. */
+  function listChoices (request: ConnectionRequest, now: number): ServerLoad[] {
+    const choosers = Math.max(1, link.holders(group).length)
+    const { maximum } = computeBudget()
+    return listServerLoads(request, now).map(load => ({
+      ...priorityUse.limitLoad(load, request.priority, maximum, queue, now),
+      isNear: pools.get(load.member)?.server().failureDomain === link.failureDomain,
+      choosers
+    }))
+  }
+
   function chooseServer (request: ConnectionRequest, now: number): ServerLoad | undefined {
-    const loads = listServerLoads(request, now)
-    if (request.need.kind === 'position') return chooseReadServer(loads, request.need, now)
+    const loads = listChoices(request, now)
+    if (request.need.kind === 'position') return chooseReadServer(loads, request.need, now, priorityUse.range(now) === undefined ? 'same role' : 'any role')
     return loads.find(load => load.isPrimary && estimateWait(load, now, 0) < Infinity)
   }
 
@@ -176,7 +203,7 @@
     return assignment?.member === member && assignment.designation === expectedDesignation && assignment.use !== 'closed'
   }
 
-  function createAcquiredConnection (pool: ServerPool, connection: ServerConnection, request: ConnectionRequest): AcquiredConnection {
+  function createAcquiredConnection (pool: ServerPool, connection: ServerConnection, request: ConnectionRequest, endUse: () => void): AcquiredConnection {
     const acquiredDesignation = designation
     const isPrimary = findUsablePrimary() === connection.member
     const requiredPosition = request.need.kind === 'position' ? request.need.position : undefined
@@ -201,6 +228,7 @@
       release: clean => {
         if (released) return
         released = true
+        endUse()
         pool.release(connection, clean)
       }
     }
@@ -213,11 +241,12 @@
   }
 
   /** Opens a connection for a waiting request; the request is queued again if opening fails or the server no longer serves. */
-  async function openConnectionFor (waiter: WaitingRequest, pool: ServerPool): Promise<void> {
+  async function openConnectionFor (waiter: WaitingRequest, pool: ServerPool, endUse: () => void): Promise<void> {
     const connection = await pool.open(waiter.request.account).catch(() => undefined)
     // The primary may have been replaced while the connection was opened.
     const isUsable = waiter.request.need.kind === 'position' || findUsablePrimary() === connection?.member
-    if (connection !== undefined && isUsable) return waiter.resolve(createAcquiredConnection(pool, connection, waiter.request))
+    if (connection !== undefined && isUsable) return waiter.resolve(createAcquiredConnection(pool, connection, waiter.request, endUse))
+    endUse()
     if (connection !== undefined) pool.release(connection, true)
     queue.push(waiter)
     dispatch()
@@ -228,30 +257,87 @@
     const chosen = chooseServer(waiter.request, now)
     const pool = chosen === undefined ? undefined : pools.get(chosen.member)
     if (chosen === undefined || pool === undefined) return false
+    const endUse = priorityUse.acquire(chosen.member, waiter.priority)
     const idle = pool.acquireIdle(waiter.request.account, waiter.request.values)
-    if (idle === undefined) void openConnectionFor(waiter, pool)
-    else waiter.resolve(createAcquiredConnection(pool, idle, waiter.request))
+    if (idle === undefined) void openConnectionFor(waiter, pool, endUse)
+    else waiter.resolve(createAcquiredConnection(pool, idle, waiter.request, endUse))
     return true
   }
 
   /** Refuses requests whose wait deadline has passed, and requests that can't be served before their deadline. */
   function refuseUnservable (now: number): void {
     const overloaded = isOverloaded(pressure, now)
-    const unservable = queue.filter(waiter => computeWaitDeadline(waiter, overloaded) <= now || (waiter.request.need.kind === 'primary' && estimatePrimaryTime(now) >= waiter.deadline))
+    const unservable = queue.filter(waiter => (computeWaitDeadline(waiter, overloaded) <= now && !isServerFreeFor(waiter, now)) || (waiter.request.need.kind === 'primary' && estimatePrimaryTime(now) >= waiter.deadline))
     if (unservable.length === 0) return
     pressure = recordTimeRefusal(pressure, now)
     queue = queue.filter(waiter => !unservable.includes(waiter))
-    for (const { reject, queuedAt } of unservable) reject(createRefusal(now - queuedAt))
+    for (const waiter of unservable) waiter.reject(createRefusal(waiter.request, now - waiter.queuedAt))
+  }
+
+  /** Whether a request whose wait is over can be sent now instead of being refused; only where priorities reserve capacity. */
+  function isServerFreeFor (waiter: WaitingRequest, now: number): boolean {
+    return priorityUse.range(now) !== undefined && waiter.deadline > now && chooseServer(waiter.request, now) !== undefined
   }
 
-  function createRefusal (waitedMilliseconds: number): StatementFailure {
-    return new StatementFailure('busy', `${findRefusalReason()}; it waited ${Math.round(waitedMilliseconds)} ms behind ${queue.length} and did not run`)
+  /** Why a request that joins the queue now is refused; undefined if it may wait. */
+  function findQueueRefusal (request: ConnectionRequest, queued: QueuedRequest, now: number): QueueRefusal | undefined {
+    const hasPriorities = priorityUse.range(now) !== undefined
+    if (hasPriorities && chooseServer(request, now) !== undefined) return undefined
+    const load = computeQueueLoad(request, queued, now)
+    if (!canServeInTime(queued, load, now)) return findRefusalReason()
+    if (!hasPriorities) return undefined
+    if (!canMeetObjectiveBehindUrgent(queued, queue, estimateQueueWait(load, now), now)) return 'behind urgent'
+    return load.overloaded && exceedsAccountShare(request, load.servedPerSecond, now) ? 'account share' : undefined
+  }
+
+  function computeQueueLoad (request: ConnectionRequest, queued: QueuedRequest, now: number): QueueLoad {
+    return {
+      ahead: queue.filter(other => compareRequests(other, queued, now) <= 0).length,
+      servedPerSecond: estimateServedPerSecond(request, now),
+      servedFrom: request.need.kind === 'primary' ? estimatePrimaryTime(now) : now,
+      overloaded: isOverloaded(pressure, now)
+    }
+  }
+
+  /** Whether the account has its fair share of the queue waiting; accounts weigh by their declared rates. */
+  function exceedsAccountShare ({ account, priority, objective }: ConnectionRequest, servedPerSecond: number, now: number): boolean {
+    const waitingAccounts = queue.filter(waiter => waiter.priority === priority).map(({ request }) => request.account)
+    const weightOf = (name: string): number => link.declaration()?.account(name)?.ratePerSecond ?? 1
+    const totalWeight = [...new Set([...waitingAccounts, account])].reduce((sum, name) => sum + weightOf(name), 0)
+    const waiting = waitingAccounts.filter(name => name === account).length
+    return isExcessOfAccount({ waiting, weight: weightOf(account), totalWeight }, servedPerSecond, objective - now)
+  }
+
+  /** Logs when an overload of the queue begins and ends, and records the load of the servers. */
+  function observeLoad (now: number): void {
+    const overloaded = isOverloaded(pressure, now)
+    if (overloaded !== wasOverloaded) {
+      if (overloaded) logger.info('The queue of a group is overloaded.', { group, waiting: queue.length })
+      else logger.info('The queue of a group is no longer overloaded.', { group, waiting: queue.length, refused: refusedInOverload })
+      refusedInOverload = 0
+      wasOverloaded = overloaded
+    }
+    const { maximum } = computeBudget()
+    const hasPriorities = priorityUse.range(now) !== undefined
+    for (const [member, pool] of pools) {
+      const { outstanding, allowed } = pool.computeLoad('', now, undefined)
+      metrics.recordServer({ group, member, outstanding, reservedUse: hasPriorities ? computeReservedUse(allowed, maximum, outstanding) : 0 })
+    }
+  }
+
+  function createRefusal (request: ConnectionRequest, waitedMilliseconds: number, reason = findRefusalReason()): StatementFailure {
+    const now = clock.now()
+    metrics.recordRefusal(reason, request.priority)
+    if (isOverloaded(pressure, now)) refusedInOverload += 1
+    const expected = estimateQueueWait(computeQueueLoad(request, { ...request, queuedAt: now }, now), now)
+    const expectation = expected === Infinity ? '' : `; the queue is expected to take it after ${Math.ceil(expected)} ms`
+    return new StatementFailure('busy', `${REFUSAL_TEXTS[reason]}; it waited ${Math.round(waitedMilliseconds)} ms behind ${queue.length} and did not run${expectation}`)
   }
 
-  function findRefusalReason (): string {
-    if (!link.isLeased()) return 'this instance has no word from control'
-    if (link.primaryAssignment(group)?.use !== 'open') return 'the primary is being replaced'
-    return isOverloaded(pressure, clock.now()) ? 'more arrives than the servers can run' : 'all connections are in use'
+  function findRefusalReason (): QueueRefusal {
+    if (!link.isLeased()) return 'no lease'
+    if (link.primaryAssignment(group)?.use !== 'open') return 'primary replaced'
+    return isOverloaded(pressure, clock.now()) ? 'overload' : 'connections in use'
   }
 
   /**
@@ -261,7 +347,8 @@
    * that wait, and most of them can't be served whatever their account.
    */
   function anyServerHasCapacity (): boolean {
-    return [...pools.values()].some(pool => pool.hasCapacity())
+    const leastAllowed = priorityUse.range(clock.now()) === undefined ? 1 : LEAST_ALLOWED_WITH_PRIORITIES
+    return [...pools.values()].some(pool => pool.hasCapacity(leastAllowed))
   }
 
   function dispatch (): void {
@@ -289,11 +376,11 @@
       const now = clock.now()
       const { priority, objective, deadline } = request
       const queuedRequest: QueuedRequest = { priority, objective, deadline, queuedAt: now }
-      const ahead = queue.filter(queued => compareRequests(queued, queuedRequest, now) <= 0).length
-      const servedFrom = request.need.kind === 'primary' ? estimatePrimaryTime(now) : now
-      if (!canServeInTime(queuedRequest, { ahead, servedPerSecond: estimateServedPerSecond(request, now), servedFrom, overloaded: isOverloaded(pressure, now) }, now)) {
+      priorityUse.recordRequest(priority, now)
+      const refusal = findQueueRefusal(request, queuedRequest, now)
+      if (refusal !== undefined) {
         pressure = recordTimeRefusal(pressure, now)
-        throw createRefusal(0)
+        throw createRefusal(request, 0, refusal)
       }
       return await new Promise<AcquiredConnection>((resolve, reject) => {
         queue.push({ request, ...queuedRequest, resolve, reject })
@@ -317,6 +404,7 @@
       const now = clock.now()
       for (const pool of pools.values()) pool.tick(now)
       if (queue.length > 0) dispatch()
+      observeLoad(now)
     },
     refresh: () => {
       refreshServers()
@@ -325,7 +413,7 @@
     },
     close: () => {
       for (const pool of pools.values()) pool.close('the instance stops')
-      for (const { reject, queuedAt } of queue) reject(createRefusal(clock.now() - queuedAt))
+      for (const { reject, request, queuedAt } of queue) reject(createRefusal(request, clock.now() - queuedAt))
       queue = []
     }
   }
--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -48,8 +48,8 @@
   server: () => KnownServer
   update: (server: KnownServer) => void
   computeLoad: (account: string, now: number, primary: string | undefined) => ServerLoad
-  /** Whether the server may be sent one more statement now, of any account. */
-  hasCapacity: () => boolean
+  /** Whether the server may be sent one more statement now, of any account; `leastAllowed` statements may be outstanding in any case. */
+  hasCapacity: (leastAllowed?: number) => boolean
   /** Acquires the idle connection of the account that needs the fewest statements to take the session's values. */
   acquireIdle: (account: string, values: ReadonlyMap<string, string>) => ServerConnection | undefined
   /** Opens and acquires a connection; where the budget is used up, it closes an idle one of another account. @throws OpenError */
@@ -214,7 +214,7 @@
 
   return {
     server: () => server,
-    hasCapacity: () => failingSince === undefined && countOutstanding() < computeAllowedStatements(concurrency, computeBounds()),
+    hasCapacity: (leastAllowed = 1) => failingSince === undefined && countOutstanding() < Math.max(leastAllowed, computeAllowedStatements(concurrency, computeBounds())),
     update: next => {
       const isReplaced = next.bornAt !== server.bornAt || next.host !== server.host || next.port !== server.port
       server = next
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -4,6 +4,7 @@
 import { createHolderService } from './forwarding/holderService.js'
 import { createGroupPool } from './groupPool.js'
 import { createLocalRunner } from './operations.js'
+import { createPoolMetrics } from './poolMetrics.js'
 import { createRateGate } from './rateGate.js'
 import { createHeldRequests } from '../process/heldRequests.js'
 import type { RateTolerance } from '@cyclamenusher/decisions'
@@ -12,6 +13,7 @@
 import type { Clock } from '../process/clock.js'
 import type { HolderService } from './forwarding/holderService.js'
 import type { GroupPool } from './groupPool.js'
+import type { PoolMetrics } from './poolMetrics.js'
 import type { OperationRunner } from './operations.js'
 import type { ServerCodec } from './statement.js'
 import type { RateGate } from './rateGate.js'
@@ -51,6 +53,7 @@
   /** State that the instance reports to control: demand by account, observations of servers by member, and groups whose primary is being closed but still runs work. */
   report: () => { demand: Record<string, number>, sightings: ReturnType<GroupPool['sightings']>, busy: string[], holds: boolean }
   startDraining: () => void
+  poolMetrics: PoolMetrics
   /** Runs operations of other instances. */
   holder: HolderService
   close: () => void
@@ -68,6 +71,7 @@
 
 export function createEngine ({ createLink, codec, clock, logger, log, tolerance, peers }: EngineOptions): Engine {
   const groups = new Map<string, GroupPool>()
+  const poolMetrics = createPoolMetrics()
   let draining = false
 
   function report (): ReturnType<Engine['report']> {
@@ -92,7 +96,7 @@
   function group (name: string): GroupPool {
     const existing = groups.get(name)
     if (existing !== undefined) return existing
-    const created = createGroupPool({ group: name, link, codec, clock, logger })
+    const created = createGroupPool({ group: name, link, codec, clock, logger, metrics: poolMetrics })
     groups.set(name, created)
     created.refresh()
     return created
@@ -128,6 +132,7 @@
     rates,
     operations,
     holder,
+    poolMetrics,
     group,
     codec,
     clock,
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -93,6 +93,7 @@
 
   const metricsPage = await startMetrics(config.metrics, isReady)
   requestLog.setMetrics(metricsPage.metrics)
+  engine.poolMetrics.setMetrics(metricsPage.metrics)
   observeLink(engine.link, metricsPage.metrics)
 
   async function close (): Promise<void> {
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -66,6 +66,7 @@
 export interface FleetLink {
   /** Name of this instance. */
   name: string
+  failureDomain: string
   /** Starts to renew the lease. */
   start: () => void
   declaration: () => DeclarationIndex | undefined
@@ -410,6 +411,7 @@
   scheduleLeaseCheck()
   return {
     name,
+    failureDomain,
     start: () => { void renewUntilClosed() },
     declaration: () => declarationIndex,
     primaryAssignment: group => assignments.get(group),
--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -23,6 +23,11 @@
   /** Versions of the declaration: the one that this instance holds, and the newest that control has named. */
   declarationVersions: Gauge<'known'>
   leaseLosses: Counter
+  /** Statements of this instance that wait for a server's answer. */
+  serverOutstanding: Gauge<'group' | 'member'>
+  /** Share of the statements reserved for the most urgent priority that is in use. */
+  reservedUse: Gauge<'group' | 'member'>
+  queueRefusals: Counter<'reason' | 'priority'>
   recordLatency: (name: LatencyName, milliseconds: number) => void
   render: () => Promise<string>
 }
@@ -58,6 +63,9 @@
     failovers: new Counter({ name: 'cyclamenusher_failovers_total', help: 'Promotions that this instance ordered.', labelNames: ['outcome'], registers }),
     declarationVersions: new Gauge({ name: 'cyclamenusher_declaration_version', help: 'Version of the declaration that the instance holds, and of the newest that control has named.', labelNames: ['known'], registers }),
     leaseLosses: new Counter({ name: 'cyclamenusher_lease_losses_total', help: 'Leases that ended before they were renewed.', registers }),
+    serverOutstanding: new Gauge({ name: 'cyclamenusher_server_outstanding', help: 'Statements of this instance that wait for the answer of a backend server.', labelNames: ['group', 'member'], registers }),
+    reservedUse: new Gauge({ name: 'cyclamenusher_reserved_in_use', help: 'Share of the statements reserved for the most urgent priority that is in use, from 0 to 1.', labelNames: ['group', 'member'], registers }),
+    queueRefusals: new Counter({ name: 'cyclamenusher_queue_refusals_total', help: 'Requests refused by the queue of a group.', labelNames: ['reason', 'priority'], registers }),
     recordLatency: (name, milliseconds) => {
       const microseconds = Math.min(MAXIMUM_LATENCY_MICROSECONDS, Math.max(1, Math.round(milliseconds * 1000)))
       latencies[name].recordValue(microseconds)
