fix(engine): count priorities by the connections in use, and see what waits during a dispatch

A connection that was lost or closed at a deadline is not released by its user, so a count of releases kept its place for ever. The least urgent priority was never found starved, as the queue is empty while it is being dispatched.

--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -98,7 +98,7 @@
   let term = 0
   let primaryClosedSince: number | undefined
   let dispatching = false
-  const priorityUse = createPriorityUse()
+  const priorityUse = createPriorityUse(() => new Map([...pools].map(([member, pool]) => [member, pool.connectionsInUse()])))
   let wasOverloaded = false
   let refusedInOverload = 0
 
@@ -185,7 +185,7 @@
     const choosers = Math.max(1, link.holders(group).length)
     const { maximum } = computeBudget()
     return listServerLoads(request, now).map(load => ({
-      ...priorityUse.limitLoad(load, request.priority, maximum, queue, now),
+      ...priorityUse.limitLoad(load, request.priority, maximum, now),
       isNear: pools.get(load.member)?.server().failureDomain === link.failureDomain,
       choosers
     }))
@@ -203,11 +203,12 @@
     return assignment?.member === member && assignment.designation === expectedDesignation && assignment.use !== 'closed'
   }
 
-  function createAcquiredConnection (pool: ServerPool, connection: ServerConnection, request: ConnectionRequest, endUse: () => void): AcquiredConnection {
+  function createAcquiredConnection (pool: ServerPool, connection: ServerConnection, request: ConnectionRequest): AcquiredConnection {
     const acquiredDesignation = designation
     const isPrimary = findUsablePrimary() === connection.member
     const requiredPosition = request.need.kind === 'position' ? request.need.position : undefined
     let released = false
+    priorityUse.assign(connection, request.priority)
     if (requiredPosition === undefined) pool.markPrimaryWork(connection)
     return {
       connection,
@@ -228,7 +229,6 @@
       release: clean => {
         if (released) return
         released = true
-        endUse()
         pool.release(connection, clean)
       }
     }
@@ -241,12 +241,13 @@
   }
 
   /** Opens a connection for a waiting request; the request is queued again if opening fails or the server no longer serves. */
-  async function openConnectionFor (waiter: WaitingRequest, pool: ServerPool, endUse: () => void): Promise<void> {
+  async function openConnectionFor (waiter: WaitingRequest, pool: ServerPool): Promise<void> {
+    const endOpening = priorityUse.startOpening(pool.server().member, waiter.priority)
     const connection = await pool.open(waiter.request.account).catch(() => undefined)
+    endOpening()
     // The primary may have been replaced while the connection was opened.
     const isUsable = waiter.request.need.kind === 'position' || findUsablePrimary() === connection?.member
-    if (connection !== undefined && isUsable) return waiter.resolve(createAcquiredConnection(pool, connection, waiter.request, endUse))
-    endUse()
+    if (connection !== undefined && isUsable) return waiter.resolve(createAcquiredConnection(pool, connection, waiter.request))
     if (connection !== undefined) pool.release(connection, true)
     queue.push(waiter)
     dispatch()
@@ -257,10 +258,9 @@
     const chosen = chooseServer(waiter.request, now)
     const pool = chosen === undefined ? undefined : pools.get(chosen.member)
     if (chosen === undefined || pool === undefined) return false
-    const endUse = priorityUse.acquire(chosen.member, waiter.priority)
     const idle = pool.acquireIdle(waiter.request.account, waiter.request.values)
-    if (idle === undefined) void openConnectionFor(waiter, pool, endUse)
-    else waiter.resolve(createAcquiredConnection(pool, idle, waiter.request, endUse))
+    if (idle === undefined) void openConnectionFor(waiter, pool)
+    else waiter.resolve(createAcquiredConnection(pool, idle, waiter.request))
     return true
   }
 
@@ -358,6 +358,7 @@
     refuseUnservable(now)
     queue.sort((left, right) => compareRequests(left, right, now))
     const waiting = queue
+    priorityUse.recordWaiting(waiting, now)
     queue = []
     // Serving one request changes the loads, so the servers are assessed again for each.
     let hasCapacity = anyServerHasCapacity()
--- a/packages/cyclamenusherd/src/node/engine/priorityUse.ts
+++ b/packages/cyclamenusherd/src/node/engine/priorityUse.ts
@@ -2,54 +2,64 @@
 
 import { computePriorityLimit, findPriorityRange, isStarved, mayAcquireConnection } from '@cyclamenusher/decisions'
 import type { PriorityRange, QueuedRequest, ServerLoad } from '@cyclamenusher/decisions'
+import type { ServerConnection } from './serverConnection.js'
 
 export interface PriorityUse {
   /** Records that a request of the priority has arrived. */
   recordRequest: (priority: number, now: number) => void
-  /** Records that a connection is used for the priority; the returned function records its release. */
-  acquire: (member: string, priority: number) => () => void
+  /** Records which requests wait. */
+  recordWaiting: (queue: readonly QueuedRequest[], now: number) => void
+  /** Records for which priority a connection has been acquired. */
+  assign: (connection: ServerConnection, priority: number) => void
+  /** Records that a connection is being opened for the priority; the returned function records the end of it. */
+  startOpening: (member: string, priority: number) => () => void
   /** The priorities in use; undefined if there is one only. */
   range: (now: number) => PriorityRange | undefined
   /** Limits the load of a server to what a request of the priority may use of it. */
-  limitLoad: (load: ServerLoad, priority: number, maximum: number, queue: readonly QueuedRequest[], now: number) => ServerLoad
+  limitLoad: (load: ServerLoad, priority: number, maximum: number, now: number) => ServerLoad
 }
 
-export function createPriorityUse (): PriorityUse {
+/** `listInUse` returns the connections in use, by member: those that are lost are no longer among them. */
+export function createPriorityUse (listInUse: () => ReadonlyMap<string, readonly ServerConnection[]>): PriorityUse {
   const requestedAt = new Map<number, number>()
-  const acquired = new Map<string, number[]>()
+  const priorities = new WeakMap<ServerConnection, number>()
+  const openings = new Set<{ member: string, priority: number }>()
+  let firstOfLeastUrgent: QueuedRequest | undefined
 
-  function countAcquired (priority: number): number {
-    return [...acquired.values()].flat().filter(other => other === priority).length
-  }
+  const range = (now: number): PriorityRange | undefined => findPriorityRange(requestedAt, now)
 
-  function findFirstWaiting (queue: readonly QueuedRequest[], priority: number): QueuedRequest | undefined {
-    return queue.filter(queued => queued.priority === priority).reduce<QueuedRequest | undefined>((first, queued) => first === undefined || queued.queuedAt < first.queuedAt ? queued : first, undefined)
+  /** Priorities for which connections of each member are in use or being opened. */
+  function listAcquired (): Map<string, number[]> {
+    const acquired = new Map([...listInUse()].map(([member, connections]) => [member, connections.flatMap(connection => priorities.get(connection) ?? [])]))
+    for (const { member, priority } of openings) acquired.set(member, [...acquired.get(member) ?? [], priority])
+    return acquired
   }
 
-  const range = (now: number): PriorityRange | undefined => findPriorityRange(requestedAt, now)
-
   return {
     recordRequest: (priority, now) => { requestedAt.set(priority, now) },
-    acquire: (member, priority) => {
-      const ofMember = acquired.get(member) ?? []
-      acquired.set(member, ofMember)
-      ofMember.push(priority)
-      let released = false
-      return () => {
-        if (released) return
-        released = true
-        ofMember.splice(ofMember.indexOf(priority), 1)
-        if (ofMember.length === 0 && acquired.get(member) === ofMember) acquired.delete(member)
+    recordWaiting: (queue, now) => {
+      const leastUrgent = range(now)?.leastUrgent
+      firstOfLeastUrgent = undefined
+      for (const queued of queue) {
+        if (queued.priority !== leastUrgent) continue
+        if (firstOfLeastUrgent === undefined || queued.queuedAt < firstOfLeastUrgent.queuedAt) firstOfLeastUrgent = queued
       }
     },
+    assign: (connection, priority) => { priorities.set(connection, priority) },
+    startOpening: (member, priority) => {
+      const opening = { member, priority }
+      openings.add(opening)
+      return () => { openings.delete(opening) }
+    },
     range,
-    limitLoad: (load, priority, maximum, queue, now) => {
-      const priorities = range(now)
-      if (priorities === undefined) return load
-      const { leastUrgent, mostUrgent } = priorities
+    limitLoad: (load, priority, maximum, now) => {
+      const inUse = range(now)
+      if (inUse === undefined) return load
+      const { leastUrgent, mostUrgent } = inUse
+      const acquired = listAcquired()
       const ofMember = acquired.get(load.member) ?? []
-      const leastUrgentStarved = isStarved(countAcquired(leastUrgent), findFirstWaiting(queue, leastUrgent), now)
-      const use = { maximum, priority, priorities, leastUrgentStarved }
+      const ofLeastUrgent = [...acquired.values()].flat().filter(other => other === leastUrgent).length
+      const use = { maximum, priority, priorities: inUse, leastUrgentStarved: isStarved(ofLeastUrgent, firstOfLeastUrgent, now) }
       return {
         ...load,
         allowed: computePriorityLimit({ ...use, allowed: load.allowed }),
--- a/packages/cyclamenusherd/src/node/engine/serverPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/serverPool.ts
@@ -50,6 +50,7 @@
   computeLoad: (account: string, now: number, primary: string | undefined) => ServerLoad
   /** Whether the server may be sent one more statement now, of any account; `leastAllowed` statements may be outstanding in any case. */
   hasCapacity: (leastAllowed?: number) => boolean
+  connectionsInUse: () => ServerConnection[]
   /** Acquires the idle connection of the account that needs the fewest statements to take the session's values. */
   acquireIdle: (account: string, values: ReadonlyMap<string, string>) => ServerConnection | undefined
   /** Opens and acquires a connection; where the budget is used up, it closes an idle one of another account. @throws OpenError */
@@ -235,6 +236,7 @@
       missing,
       lag
     }),
+    connectionsInUse: () => pooled.filter(({ inUse }) => inUse).map(({ connection }) => connection),
     acquireIdle: (account, values) => {
       const idle = pooled.filter(entry => !entry.inUse && entry.connection.account === account)
       let best: PooledConnection | undefined
