--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -1,16 +1,18 @@
 /** Connections to the servers of one group: chooses a server for each statement, and queues the statements that must wait. */
 
-import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, chooseWarmFirst, isAllowedDomain, resolveReadRequirement, recordPosition, computeWaitDeadline, estimateLeaseReturn } from '@cyclamenusher/decisions'
+import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, chooseWarmFirst, isAllowedDomain, resolveReadRequirement, recordPosition, computeWaitDeadline, estimateLeaseReturn, LEAST_ALLOWED_WITH_PRIORITIES, canMeetObjectiveBehindUrgent, computeReservedUse, estimateQueueWait, isExcessOfAccount } from '@cyclamenusher/decisions'
 import { awaitLease } from './confirmation.js'
 import { StatementFailure } from './errors.js'
 import { createGroupDrain } from './groupDrain.js'
+import { createPriorityUse } from './priorityUse.js'
 import { createServerPool } from './serverPool.js'
 import { createWarmupGate } from './warmupGate.js'
-import type { ConnectionBudget, LogPosition, PositionHistory, QueuePressure, QueuedRequest, ReadRequirement, ReadRequest, RegionMap, ServerLoad, ServerObservation } from '@cyclamenusher/decisions'
+import type { ConnectionBudget, LogPosition, PositionHistory, QueueLoad, QueuePressure, QueuedRequest, ReadRequirement, ReadRequest, RegionMap, ServerLoad, ServerObservation } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { ScopedLogger } from '../process/logger.js'
 import type { Sendability } from './groupDrain.js'
+import type { PoolMetrics, QueueRefusal } from './poolMetrics.js'
 import type { ServerConnection } from './serverConnection.js'
 import type { ServerPool } from './serverPool.js'
 import type { WarmupPermit } from './warmupGate.js'
@@ -89,6 +91,16 @@
   codec: () => ServerCodec
   clock: Clock
   logger: ScopedLogger
+  metrics: PoolMetrics
+}
+
+const REFUSAL_TEXTS: Record<QueueRefusal, string> = {
+  'no lease': 'this instance has no word from control',
+  'primary replaced': 'the primary is being replaced',
+  overload: 'more arrives than the servers can run',
+  'connections in use': 'all connections are in use',
+  'behind urgent': 'more urgent requests wait, and it would be late behind them',
+  'account share': 'its account has as many waiting as its share of the queue'
 }
 
 /** A request in the queue, with the callbacks of the promise that its caller awaits. */
@@ -98,7 +110,7 @@
   reject: (error: StatementFailure) => void
 }
 
-export function createGroupPool ({ group, link, regions, onWarmupRefusal, codec, clock, logger }: GroupPoolOptions): GroupPool {
+export function createGroupPool ({ group, link, regions, onWarmupRefusal, codec, clock, logger, metrics }: GroupPoolOptions): GroupPool {
   const warmup = createWarmupGate({ group, link, clock, logger })
   const pools = new Map<string, ServerPool>()
   let queue: WaitingRequest[] = []
@@ -108,6 +120,9 @@
   let term = 0
   let primaryClosedSince: number | undefined
   let dispatching = false
+  const priorityUse = createPriorityUse(() => new Map([...pools].map(([member, pool]) => [member, pool.connectionsInUse()])))
+  let wasOverloaded = false
+  let refusedInOverload = 0
 
   /** Number of instances that share the connections to the group's servers: its holders, or all while no holders are known. An instance that is none of them keeps to the smallest share. */
   function countConnectingInstances (): number {
@@ -156,6 +171,7 @@
       if (currentMembers.has(member)) continue
       pool.close('the server is gone')
       pools.delete(member)
+      metrics.removeServer({ group, member })
     }
   }
 
@@ -194,12 +210,23 @@
   }
 
   function chooseAmong (loads: readonly ServerLoad[], { need }: ConnectionRequest, now: number): ServerLoad | undefined {
-    if (need.kind === 'position') return chooseReadServer(loads, need, now)
+    if (need.kind === 'position') return chooseReadServer(loads, need, now, priorityUse.range(now) === undefined ? 'same role' : 'any role')
     return loads.find(load => load.isPrimary && estimateWait(load, now, 0) < Infinity)
   }
 
+  /** Loads of the servers, limited to what the request's priority may use, with what makes equal servers differ. */
+  function listChoices (request: ConnectionRequest, now: number): ServerLoad[] {
+    const choosers = Math.max(1, link.holders(group).length)
+    const { maximum } = computeBudget()
+    return listServerLoads(request, now).map(load => ({
+      ...priorityUse.limitLoad(load, request.priority, maximum, now),
+      isNear: pools.get(load.member)?.server().failureDomain === link.failureDomain,
+      choosers
+    }))
+  }
+
   function chooseServer (request: ConnectionRequest, now: number): ServerLoad | undefined {
-    const loads = listServerLoads(request, now)
+    const loads = listChoices(request, now)
     if (!warmup.isActive()) return chooseAmong(loads, request, now)
     return chooseWarmFirst(loads, warmup.warmthOf, candidates => chooseAmong(candidates, request, now))
   }
@@ -239,6 +266,7 @@
     const { failureDomain } = pool.server()
     let released = false
     let stopWatching = (): void => {}
+    priorityUse.assign(connection, request.priority)
     if (requiredPosition === undefined) pool.markPrimaryWork(connection)
     return {
       connection,
@@ -286,7 +314,9 @@
 
   /** Opens a connection for a waiting request; the request is queued again if opening fails or the server no longer serves. */
   async function openConnectionFor (waiter: WaitingRequest, pool: ServerPool, permit: WarmupPermit): Promise<void> {
+    const endOpening = priorityUse.startOpening(pool.server().member, waiter.priority)
     const connection = await pool.open(waiter.request.account).catch(() => undefined)
+    endOpening()
     // The primary may have been replaced while the connection was opened.
     const isUsable = waiter.request.need.kind === 'position' || findUsablePrimary() === connection?.member
     if (connection !== undefined && isUsable && !drain.isUnusable(pool, waiter.request)) return waiter.resolve(createAcquiredConnection(pool, connection, waiter.request, permit))
@@ -312,45 +342,99 @@
   function refuseUnservable (now: number): void {
     const overloaded = isOverloaded(pressure, now)
     refuseUnusable(overloaded, now)
-    const unservable = queue.filter(waiter => computeWaitDeadline(waiter, overloaded) <= now || (waiter.request.need.kind === 'primary' && estimatePrimaryTime(now) >= waiter.deadline))
+    const unservable = queue.filter(waiter => (computeWaitDeadline(waiter, overloaded) <= now && !isServerFreeFor(waiter, now)) || (waiter.request.need.kind === 'primary' && estimatePrimaryTime(now) >= waiter.deadline))
     if (unservable.length === 0) return
     pressure = recordTimeRefusal(pressure, now)
     queue = queue.filter(waiter => !unservable.includes(waiter))
-    for (const { reject, queuedAt } of unservable) reject(createRefusal(now - queuedAt))
+    for (const waiter of unservable) waiter.reject(createRefusal(waiter.request, now - waiter.queuedAt))
   }
 
   /** Refuses waiting requests that only drained servers could run. */
   function refuseDrained (now: number): void {
     if (link.drains().size === 0) return
+    refuseWaiting(waiter => drain.findRefusal(waiter.request), now)
+  }
+
+  /** Refuses requests that no server may run in time. */
+  function refuseUnusable (overloaded: boolean, now: number): void {
+    refuseWaiting(waiter => findUnusableReason(waiter.request, computeWaitDeadline(waiter, overloaded), 0, now), now)
+  }
+
+  /** Refuses the waiting requests for which there is a reason. */
+  function refuseWaiting (findReason: (waiter: WaitingRequest) => string | undefined, now: number): void {
     const waiting = queue
     queue = []
     for (const waiter of waiting) {
-      const reason = drain.findRefusal(waiter.request)
+      const reason = findReason(waiter)
       if (reason === undefined) queue.push(waiter)
       else waiter.reject(new StatementFailure('busy', `${reason}; it waited ${Math.round(now - waiter.queuedAt)} ms and did not run`))
     }
   }
 
-  /** Refuses requests that no server may run in time. */
-  function refuseUnusable (overloaded: boolean, now: number): void {
-    const refused = new Set<WaitingRequest>()
-    for (const waiter of queue) {
-      const reason = findUnusableReason(waiter.request, computeWaitDeadline(waiter, overloaded), 0, now)
-      if (reason === undefined) continue
-      refused.add(waiter)
-      waiter.reject(createRefusal(now - waiter.queuedAt, reason))
+  /** Whether a request whose wait is over can be sent now instead of being refused; only where priorities reserve capacity. */
+  function isServerFreeFor (waiter: WaitingRequest, now: number): boolean {
+    return priorityUse.range(now) !== undefined && waiter.deadline > now && chooseServer(waiter.request, now) !== undefined
+  }
+
+  /** Why a request that joins the queue now is refused; undefined if it may wait. */
+  function findQueueRefusal (request: ConnectionRequest, queued: QueuedRequest, now: number): QueueRefusal | undefined {
+    const hasPriorities = priorityUse.range(now) !== undefined
+    if (hasPriorities && chooseServer(request, now) !== undefined) return undefined
+    const load = computeQueueLoad(request, queued, now)
+    if (!canServeInTime(queued, load, now)) return findRefusalReason()
+    if (!hasPriorities) return undefined
+    if (!canMeetObjectiveBehindUrgent(queued, queue, estimateQueueWait(load, now), now)) return 'behind urgent'
+    return load.overloaded && exceedsAccountShare(request, load.servedPerSecond, now) ? 'account share' : undefined
+  }
+
+  function computeQueueLoad (request: ConnectionRequest, queued: QueuedRequest, now: number): QueueLoad {
+    return {
+      ahead: queue.filter(other => compareRequests(other, queued, now) <= 0).length,
+      servedPerSecond: estimateServedPerSecond(request, now),
+      servedFrom: request.need.kind === 'primary' ? estimatePrimaryTime(now) : now,
+      overloaded: isOverloaded(pressure, now)
     }
-    if (refused.size > 0) queue = queue.filter(waiter => !refused.has(waiter))
   }
 
-  function createRefusal (waitedMilliseconds: number, reason = findRefusalReason()): StatementFailure {
-    return new StatementFailure('busy', `${reason}; it waited ${Math.round(waitedMilliseconds)} ms behind ${queue.length} and did not run`)
+  /** Whether the account has its fair share of the queue waiting; accounts weigh by their declared rates. */
+  function exceedsAccountShare ({ account, priority, objective }: ConnectionRequest, servedPerSecond: number, now: number): boolean {
+    const waitingAccounts = queue.filter(waiter => waiter.priority === priority).map(({ request }) => request.account)
+    const weightOf = (name: string): number => link.declaration()?.account(name)?.ratePerSecond ?? 1
+    const totalWeight = [...new Set([...waitingAccounts, account])].reduce((sum, name) => sum + weightOf(name), 0)
+    const waiting = waitingAccounts.filter(name => name === account).length
+    return isExcessOfAccount({ waiting, weight: weightOf(account), totalWeight }, servedPerSecond, objective - now)
+  }
+
+  /** Logs when an overload of the queue begins and ends, and records the load of the servers. */
+  function observeLoad (now: number): void {
+    const overloaded = isOverloaded(pressure, now)
+    if (overloaded !== wasOverloaded) {
+      if (overloaded) logger.info('The queue of a group is overloaded.', { group, waiting: queue.length })
+      else logger.info('The queue of a group is no longer overloaded.', { group, waiting: queue.length, refused: refusedInOverload })
+      refusedInOverload = 0
+      wasOverloaded = overloaded
+    }
+    const { maximum } = computeBudget()
+    const hasPriorities = priorityUse.range(now) !== undefined
+    for (const [member, pool] of pools) {
+      const { outstanding, allowed } = pool.computeLoad('', now, undefined)
+      metrics.recordServer({ group, member, outstanding, reservedUse: hasPriorities ? computeReservedUse(allowed, maximum, outstanding) : 0 })
+    }
+  }
+
+  function createRefusal (request: ConnectionRequest, waitedMilliseconds: number, reason = findRefusalReason()): StatementFailure {
+    const now = clock.now()
+    metrics.recordRefusal(reason, request.priority)
+    if (isOverloaded(pressure, now)) refusedInOverload += 1
+    const expected = estimateQueueWait(computeQueueLoad(request, { ...request, queuedAt: now }, now), now)
+    const expectation = expected === Infinity ? '' : `; the queue is expected to take it after ${Math.ceil(expected)} ms`
+    return new StatementFailure('busy', `${REFUSAL_TEXTS[reason]}; it waited ${Math.round(waitedMilliseconds)} ms behind ${queue.length} and did not run${expectation}`)
   }
 
-  function findRefusalReason (): string {
-    if (!link.isLeased()) return 'this instance has no word from control'
-    if (link.primaryAssignment(group)?.use !== 'open') return 'the primary is being replaced'
-    return isOverloaded(pressure, clock.now()) ? 'more arrives than the servers can run' : 'all connections are in use'
+  function findRefusalReason (): QueueRefusal {
+    if (!link.isLeased()) return 'no lease'
+    if (link.primaryAssignment(group)?.use !== 'open') return 'primary replaced'
+    return isOverloaded(pressure, clock.now()) ? 'overload' : 'connections in use'
   }
 
   /**
@@ -360,7 +444,8 @@
    * that wait, and most of them can't be served whatever their account.
    */
   function anyServerHasCapacity (): boolean {
-    return [...pools.values()].some(pool => pool.hasCapacity())
+    const leastAllowed = priorityUse.range(clock.now()) === undefined ? 1 : LEAST_ALLOWED_WITH_PRIORITIES
+    return [...pools.values()].some(pool => pool.hasCapacity(leastAllowed))
   }
 
   function dispatch (): void {
@@ -371,6 +456,7 @@
     refuseDrained(now)
     queue.sort((left, right) => compareRequests(left, right, now))
     const waiting = queue
+    priorityUse.recordWaiting(waiting, now)
     queue = []
     // Serving one request changes the loads, so the servers are assessed again for each.
     let hasCapacity = anyServerHasCapacity()
@@ -391,13 +477,14 @@
       if (drainRefusal !== undefined) throw new StatementFailure('busy', `${drainRefusal}; it did not run`)
       const { priority, objective, deadline } = request
       const queuedRequest: QueuedRequest = { priority, objective, deadline, queuedAt: now }
+      priorityUse.recordRequest(priority, now)
       const ahead = queue.filter(queued => compareRequests(queued, queuedRequest, now) <= 0).length
       const unusable = findUnusableReason(request, computeWaitDeadline(queuedRequest, isOverloaded(pressure, now)), ahead, now)
-      if (unusable !== undefined) throw createRefusal(0, unusable)
-      const servedFrom = request.need.kind === 'primary' ? estimatePrimaryTime(now) : now
-      if (!canServeInTime(queuedRequest, { ahead, servedPerSecond: estimateServedPerSecond(request, now), servedFrom, overloaded: isOverloaded(pressure, now) }, now)) {
+      if (unusable !== undefined) throw new StatementFailure('busy', `${unusable}; it did not run`)
+      const refusal = findQueueRefusal(request, queuedRequest, now)
+      if (refusal !== undefined) {
         pressure = recordTimeRefusal(pressure, now)
-        throw createRefusal(0)
+        throw createRefusal(request, 0, refusal)
       }
       return await new Promise<AcquiredConnection>((resolve, reject) => {
         queue.push({ request, ...queuedRequest, resolve, reject })
@@ -423,6 +510,7 @@
       for (const pool of pools.values()) pool.tick(now)
       warmup.observe([...pools.keys()])
       if (queue.length > 0) dispatch()
+      observeLoad(now)
     },
     coldServers: () => warmup.observe([...pools.keys()]),
     refresh: () => {
@@ -433,7 +521,7 @@
     },
     close: () => {
       for (const pool of pools.values()) pool.close('the instance stops')
-      for (const { reject, queuedAt } of queue) reject(createRefusal(clock.now() - queuedAt))
+      for (const { reject, request, queuedAt } of queue) reject(createRefusal(request, clock.now() - queuedAt))
       queue = []
     }
   }
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -4,6 +4,7 @@
 import { createHolderService } from './forwarding/holderService.js'
 import { createGroupPool } from './groupPool.js'
 import { createLocalRunner } from './operations.js'
+import { createPoolMetrics } from './poolMetrics.js'
 import { createRateGate } from './rateGate.js'
 import { createHeldRequests } from '../process/heldRequests.js'
 import { NO_REGIONS, listUnknownRegions } from '@cyclamenusher/decisions'
@@ -14,6 +15,7 @@
 import type { ForwardingRunner } from './forwarding/forwarding.js'
 import type { HolderService } from './forwarding/holderService.js'
 import type { GroupPool } from './groupPool.js'
+import type { PoolMetrics } from './poolMetrics.js'
 import type { OperationRunner } from './operations.js'
 import type { ServerCodec } from './statement.js'
 import type { RateGate } from './rateGate.js'
@@ -59,6 +61,7 @@
   countHolders: ForwardingRunner['countHolders']
   /** Number of backend servers in use here that count as cold. */
   coldServers: () => number
+  poolMetrics: PoolMetrics
   /** Runs operations of other instances. */
   holder: HolderService
   close: () => void
@@ -80,6 +83,7 @@
 
 export function createEngine ({ createLink, codec, clock, logger, log, tolerance, regions = NO_REGIONS, onWarmupRefusal = () => {}, peers }: EngineOptions): Engine {
   const groups = new Map<string, GroupPool>()
+  const poolMetrics = createPoolMetrics()
   let draining = false
 
   function report (): ReturnType<Engine['report']> {
@@ -104,7 +108,7 @@
   function group (name: string): GroupPool {
     const existing = groups.get(name)
     if (existing !== undefined) return existing
-    const created = createGroupPool({ group: name, link, regions, onWarmupRefusal, codec, clock, logger })
+    const created = createGroupPool({ group: name, link, regions, onWarmupRefusal, codec, clock, logger, metrics: poolMetrics })
     groups.set(name, created)
     created.refresh()
     return created
@@ -154,6 +158,7 @@
     rates,
     operations,
     holder,
+    poolMetrics,
     group,
     codec,
     clock,
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -110,6 +110,7 @@
   requestLog.setMetrics(metricsPage.metrics)
   onWarmupRefusal = () => { metricsPage.metrics.warmupRefusals.inc() }
   const coldServersTimer = setInterval(() => { metricsPage.metrics.coldServers.set(engine.coldServers()) }, COLD_SERVERS_INTERVAL_MILLISECONDS)
+  engine.poolMetrics.setMetrics(metricsPage.metrics)
   observeLink(engine.link, metricsPage.metrics)
   const endHolderCount = observeHolders(engine, metricsPage.metrics)
 
--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -32,6 +32,11 @@
   /** Backend servers that count as cold at this instance. */
   coldServers: Gauge
   warmupRefusals: Counter
+  /** Statements of this instance that wait for a server's answer. */
+  serverOutstanding: Gauge<'group' | 'member'>
+  /** Share of the statements reserved for the most urgent priority that is in use. */
+  reservedUse: Gauge<'group' | 'member'>
+  queueRefusals: Counter<'reason' | 'priority'>
   recordLatency: (name: LatencyName, milliseconds: number) => void
   render: () => Promise<string>
 }
@@ -72,6 +77,9 @@
     holders: new Gauge({ name: 'cyclamenusher_holders', help: 'Instances that hold connections to backend servers, by whether this instance can send operations to them.', labelNames: ['state'], registers }),
     coldServers: new Gauge({ name: 'cyclamenusher_cold_servers', help: 'Backend servers in use here that count as cold.', registers }),
     warmupRefusals: new Counter({ name: 'cyclamenusher_warmup_refusals_total', help: 'Operations refused because all servers that could run them are cold.', registers }),
+    serverOutstanding: new Gauge({ name: 'cyclamenusher_server_outstanding', help: 'Statements of this instance that wait for the answer of a backend server.', labelNames: ['group', 'member'], registers }),
+    reservedUse: new Gauge({ name: 'cyclamenusher_reserved_in_use', help: 'Share of the statements reserved for the most urgent priority that is in use, from 0 to 1.', labelNames: ['group', 'member'], registers }),
+    queueRefusals: new Counter({ name: 'cyclamenusher_queue_refusals_total', help: 'Requests refused by the queue of a group.', labelNames: ['reason', 'priority'], registers }),
     recordLatency: (name, milliseconds) => {
       const microseconds = Math.min(MAXIMUM_LATENCY_MICROSECONDS, Math.max(1, Math.round(milliseconds * 1000)))
       latencies[name].recordValue(microseconds)
