--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -8,6 +8,7 @@
 import { INTERNAL_DIGEST } from './statement.js'
 import type { ClientAccount, PreparationKind } from '@cyclamenusher/decisions'
 import type { Socket } from 'node:net'
+import type { LogFacts } from '../process/logger.js'
 import type { EngineServices } from './services.js'
 import type { AdmittedOperation, StatementResult, Session, StatementContext } from './session.js'
 import type { CallerCodec, CallerMessage, Statement, StatementRequest } from './statement.js'
@@ -79,7 +80,7 @@
       prefetchToken('start', account)
     } catch (error) {
       if (!(error instanceof StatementFailure)) throw error
-      log.logAnswer('A session was refused.', { reason: error.kind, explanation: error.message, version: services.link.declaration()?.version })
+      log.logAnswer('A session was refused.', {}, () => ({ reason: error.kind, explanation: error.message, version: services.link.declaration()?.version }))
       write(codec.failure(error.kind, error.message))
       close()
     }
@@ -187,9 +188,9 @@
     return services.link.declaration()?.routeOf(session.database)?.statementMilliseconds ?? START_TIMEOUT_MILLISECONDS
   }
 
-  function logOutcome ({ session, request, startedAt, timing, holder }: StatementContext, failure?: StatementFailure): void {
-    const facts = {
-      ...Object.fromEntries(Object.entries(timing).map(([part, milliseconds]) => [part, Math.round(milliseconds)])),
+  function describeAnswer ({ session, request, timing, holder }: StatementContext, milliseconds: number, failure: StatementFailure | undefined): LogFacts {
+    return {
+      ...Object.fromEntries(Object.entries(timing).map(([part, duration]) => [part, Math.round(duration)])),
       id: request.id,
       statement: request.statement.kind,
       database: session.database,
@@ -198,10 +199,15 @@
       newest: services.link.newestVersion(),
       leasedFor: Math.round(services.link.leasedUntil() - clock.now()),
       ...(holder === undefined ? {} : { holder: holder.name, holderVersion: holder.version }),
-      milliseconds: Math.round((clock.now() - startedAt) * 10) / 10
+      milliseconds,
+      ...(failure === undefined ? {} : { failure: failure.kind, explanation: failure.message })
     }
-    if (failure === undefined) log.logAnswer('complete', facts)
-    else log.logAnswer('A statement failed.', { ...facts, failure: failure.kind, explanation: failure.message })
+  }
+
+  function logOutcome (context: StatementContext, failure?: StatementFailure): void {
+    const milliseconds = Math.round((clock.now() - context.startedAt) * 10) / 10
+    const answer = { statement: context.request.statement.kind, failure: failure?.kind, milliseconds }
+    log.logAnswer(failure === undefined ? 'complete' : 'A statement failed.', answer, () => describeAnswer(context, milliseconds, failure))
   }
 
   /** Logs a defect of the instance and rolls back the transaction. Whether the statement took effect is unknown, so it ends in doubt. */
--- a/packages/cyclamenusherd/src/node/engine/requestLog.ts
+++ b/packages/cyclamenusherd/src/node/engine/requestLog.ts
@@ -16,9 +16,17 @@
 /** Period over which lines are counted, in milliseconds; the numbers of omitted lines are logged after it. */
 const WINDOW_MILLISECONDS = 1_000
 
+/** What is counted of an answer. */
+export interface Answer {
+  /** Kind of the statement; undefined: the start of a session. */
+  statement?: string
+  failure?: string
+  milliseconds?: number
+}
+
 export interface RequestLog {
-  /** Logs and counts the answer to a statement; `kind` is "complete" or the sentence to log. */
-  logAnswer: (kind: string, facts: LogFacts) => void
+  /** Logs and counts the answer to a statement or a start of a session; `kind` is "complete" or the sentence to log. The facts are asked for only if a line is written. */
+  logAnswer: (kind: string, answer: Answer, describe: () => LogFacts) => void
   /** Logs a decision made while a request runs, such as a retry. */
   logDecision: (kind: string, facts: LogFacts) => void
   /** Counts what became of a token that was borrowed before an operation needed it. */
@@ -42,7 +50,7 @@
     windowStart = clock.now()
   }
 
-  function write (kind: string, facts: LogFacts): void {
+  function write (kind: string, describe: () => LogFacts): void {
     if (clock.now() - windowStart > WINDOW_MILLISECONDS) flush()
     const count = (lineCounts.get(kind) ?? 0) + 1
     lineCounts.set(kind, count)
@@ -50,19 +58,18 @@
       omittedCounts.set(kind, (omittedCounts.get(kind) ?? 0) + 1)
       return
     }
-    logger.info(kind, facts)
+    logger.info(kind, describe())
   }
 
   return {
-    logAnswer: (kind, facts) => {
-      const outcome = typeof facts.failure === 'string' ? facts.failure : kind
-      metrics?.requests.inc({ kind: String(facts.statement ?? 'start'), outcome })
-      if (typeof facts.milliseconds === 'number') metrics?.recordLatency('request', facts.milliseconds)
-      if (kind !== 'complete') return write(kind, facts)
+    logAnswer: (kind, { statement = 'start', failure = kind, milliseconds }, describe) => {
+      metrics?.requests.inc({ kind: statement, outcome: failure })
+      if (milliseconds !== undefined) metrics?.recordLatency('request', milliseconds)
+      if (kind !== 'complete') return write(kind, describe)
       successes += 1
-      if (successes % SUCCESS_SAMPLE_INTERVAL === 0) write(kind, { ...facts, sampled: SUCCESS_SAMPLE_INTERVAL })
+      if (successes % SUCCESS_SAMPLE_INTERVAL === 0) write(kind, () => ({ ...describe(), sampled: SUCCESS_SAMPLE_INTERVAL }))
     },
-    logDecision: write,
+    logDecision: (kind, facts) => { write(kind, () => facts) },
     countPrefetch: outcome => { metrics?.prefetchedTokens.inc({ outcome }) },
     setMetrics: target => { metrics = target },
     close: flush
