--- a/packages/cyclamenusherd/src/node/engine/forwarding/__tests__/messages.test.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/__tests__/messages.test.ts
@@ -10,6 +10,8 @@
 const OPERATION = { account: 'clinic', route: { group: 'g', readPolicy: 'primary', priority: 1 } }
 const REQUESTS: Array<Record<string, unknown>> = [
   { kind: 'run', number: 1, access: 'read', operation: OPERATION, statement: STATEMENT },
+  { kind: 'run', number: 2, access: 'write', operation: { ...OPERATION, allowedRegions: ['north', 'south'] }, statement: STATEMENT },
+  { kind: 'run', number: 3, access: 'read', operation: { ...OPERATION, allowedRegions: [] }, statement: STATEMENT },
   { kind: 'begin', transaction: 1, readOnly: false, operation: OPERATION, statement: STATEMENT },
   { kind: 'continue', number: 1, transaction: 1, isWrite: true, statement: STATEMENT },
   { kind: 'commit', number: 1, transaction: 1, statement: STATEMENT },
