test: untrusted clients exhaust the memory and the descriptors of real processes

What: tests named *.abuse.test.ts start real processes on loopback and a small number of clients that misuse a listener, with limits lowered in the test's own settings. They check that the process lives, that its peak memory and its open descriptors stay under a bound, and that an ordinary request is answered. The runner runs them one at a time, after all others.

Cause: only the number of statements ahead, the number of connections and the length of a line were limited, not their sum nor how long they last.

--- a/scripts/test.js
+++ b/scripts/test.js
@@ -1,5 +1,6 @@
 // Runs each test file in its own process and adds up the results that uvu reports.
-// Tests listed in KNOWN-RED.txt may fail; all others must pass. A file that reports
+// Files named *.abuse.test.ts bound the memory of processes under load; they run one at
+// a time, after all others. Tests listed in KNOWN-RED.txt may fail; all others must pass. A file that reports
 // no test counts as failed.
 import { spawn } from 'node:child_process'
 import { existsSync, readFileSync, readdirSync } from 'node:fs'
@@ -7,8 +8,12 @@
 
 /** Number of test files that run concurrently. */
 const PARALLEL_FILES = 4
+/** Files that run alone. */
+const ABUSE_TEST = /\.abuse\.test\.ts$/
 /** Time after which a file counts as hung, in milliseconds. */
 const FILE_TIMEOUT_MILLISECONDS = 120_000
+/** The same for files that run alone, which restart processes between tests. */
+const ABUSE_FILE_TIMEOUT_MILLISECONDS = 600_000
 
 function findTests (folder) {
   return readdirSync(folder, { withFileTypes: true }).flatMap(entry => {
@@ -39,7 +44,7 @@
   const timer = setTimeout(() => {
     timedOut = true
     child.kill('SIGKILL')
-  }, FILE_TIMEOUT_MILLISECONDS)
+  }, ABUSE_TEST.test(file) ? ABUSE_FILE_TIMEOUT_MILLISECONDS : FILE_TIMEOUT_MILLISECONDS)
   const code = await new Promise(resolve => child.once('close', resolve))
   clearTimeout(timer)
   const total = Number(/Total:\s+(\d+)/.exec(output)?.[1] ?? 0)
@@ -52,12 +57,18 @@
   return { file, passed, failures, problem, output }
 }
 
-async function runAll (files) {
+async function runConcurrently (files, parallelFiles) {
   const results = []
   const queue = [...files]
-  await Promise.all(Array.from({ length: PARALLEL_FILES }, async () => {
+  await Promise.all(Array.from({ length: parallelFiles }, async () => {
     for (let file = queue.shift(); file !== undefined; file = queue.shift()) results.push(await runFile(file))
   }))
+  return results
+}
+
+async function runAll (files) {
+  const results = await runConcurrently(files.filter(file => !ABUSE_TEST.test(file)), PARALLEL_FILES)
+  results.push(...await runConcurrently(files.filter(file => ABUSE_TEST.test(file)), 1))
   return results.sort((left, right) => left.file < right.file ? -1 : 1)
 }
 
