--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -105,6 +105,10 @@
       maximumConnections: options.maximumConnections ?? 100,
       maximumMessageBytes: 1024 * 1024,
       maximumInputBytes: 10 * 1024 * 1024,
+      maximumSessionBytes: 1024 * 1024,
+      handshakeGraceMilliseconds: 1_000,
+      messageMilliseconds: 5_000,
+      unreadAnswerMilliseconds: 5_000,
       requestMilliseconds: options.requestMilliseconds ?? 5_000,
       handshakeMilliseconds: options.handshakeMilliseconds ?? 5_000,
       idleTransactionMilliseconds: options.idleTransactionMilliseconds ?? 5_000
--- a/packages/cyclamenusherd/src/node/connection/callerConnection.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerConnection.ts
@@ -5,7 +5,7 @@
 
 import { SESSION_TOKEN_SETTING } from '@cyclamenusher/decisions'
 import { BACKEND, FRONTEND, buildBackendKeyData, buildFrame, buildParameterStatus, buildReadyForQuery, createFrameSplitter } from '@cyclamenusher/protocol'
-import { readExtendedBatch, readSimpleQuery } from '../request/batch.js'
+import { measureStatement, readExtendedBatch, readSimpleQuery } from '../request/batch.js'
 import { RefusalError, buildRefusalResponse } from '../request/refusal.js'
 import { createRequestRunner } from '../request/requestRunner.js'
 import { createFrameQueue } from './callerInput.js'
@@ -16,6 +16,8 @@
 import type { Batch, BatchNeed } from '../request/batch.js'
 import type { Identity } from '../version/rulesStore.js'
 import type { BackendConnection } from './backendConnection.js'
+import type { Config } from '../process/config.js'
+import type { LimitName } from '../process/limits.js'
 import type { InputBudget } from './callerInput.js'
 import type { CallerSession } from './callerSession.js'
 
@@ -91,6 +93,9 @@
   remaining: Buffer
   services: CallerServices
   inputBudget: InputBudget
+  limits: Pick<Config['callers'], 'maximumSessionBytes' | 'messageMilliseconds' | 'unreadAnswerMilliseconds'>
+  /** Called when a limit was met that this connection alone has. */
+  onLimit: (limit: LimitName) => void
   /** Time that a transaction may wait for its next request, in milliseconds. */
   idleTransactionMilliseconds: number
   onRefused: (error: RefusalError) => void
@@ -154,6 +159,11 @@
   let batchComplete = true
   /** Bytes of the input budget that this caller has reserved. */
   let reservedBytes = 0
+  /** Bytes of prepared statements that are reserved. */
+  let keptBytes = 0
+  /** Number of prepared statements when the reservation was last adjusted; undefined if a statement was reserved since. */
+  let keptStatements: number | undefined
+  let messageTimer: NodeJS.Timeout | undefined
   let processingQueue = false
   let draining = false
   let closed = false
@@ -177,8 +187,11 @@
     if (closed) return
     closed = true
     clearTimeout(idleTransactionTimer)
+    clearTimeout(messageTimer)
     options.inputBudget.adjust(-reservedBytes)
+    options.inputBudget.keep(-keptBytes)
     reservedBytes = 0
+    keptBytes = 0
     runner.stop()
     socket.destroySoon()
     options.onClosed()
@@ -203,7 +216,40 @@
     collectedFrames = []
     collectedBytes = 0
     batchComplete = frames.at(-1)?.type === FRONTEND.sync
-    return readExtendedBatch(frames, session.prepared, session.portals)
+    return readExtendedBatch(frames, session.prepared, session.portals, mayPrepare)
+  }
+
+  /** Reserves the memory of a statement that is to be prepared; it is corrected once the batch has run. */
+  function mayPrepare (bytes: number): boolean {
+    if (keptBytes + bytes <= options.limits.maximumSessionBytes && options.inputBudget.keep(bytes)) {
+      keptBytes += bytes
+      keptStatements = undefined
+      return true
+    }
+    options.onLimit('session bytes')
+    return false
+  }
+
+  /** Adjusts the reservation to the statements that are prepared. */
+  function updateKeptBytes (): void {
+    if (closed || keptStatements === session.prepared.size) return
+    keptStatements = session.prepared.size
+    const bytes = [...session.prepared].reduce((sum, [name, statement]) => name === '' ? sum : sum + measureStatement(statement), 0)
+    if (bytes < keptBytes) options.inputBudget.keep(bytes - keptBytes)
+    keptBytes = Math.min(keptBytes, bytes)
+  }
+
+  /** Limits the time of a message that is incomplete, while it is read. */
+  function watchMessage (): void {
+    if (splitter.pendingBytes() === 0 || closed || socket.isPaused()) {
+      clearTimeout(messageTimer)
+      messageTimer = undefined
+      return
+    }
+    messageTimer ??= setTimeout(() => {
+      options.onLimit('partial message time')
+      closeWithError(new RefusalError('limit exceeded', 'a message was not complete in time', 'not run'))
+    }, options.limits.messageMilliseconds)
   }
 
   function readSimpleBatch (frame: Frame): Batch {
@@ -285,9 +331,11 @@
     clearTimeout(idleTransactionTimer)
     while (!closed && await processNextBatch()) closeIfDrained()
     processingQueue = false
+    updateKeptBytes()
     updateInputBudget()
     startIdleTransactionTimer()
     if (!closed && socket.isPaused()) socket.resume()
+    watchMessage()
   }
 
   /** Adjusts the reservation to the bytes buffered here. Closes the connection when the budget is exceeded. */
@@ -297,23 +345,38 @@
     const additionalBytes = bytes - reservedBytes
     reservedBytes = bytes
     if (additionalBytes === 0 || options.inputBudget.adjust(additionalBytes)) return
+    options.onLimit('buffered bytes closed')
     closeWithError(new RefusalError('limit exceeded', 'this instance holds too many incomplete requests', 'not run', 'Try again, or send smaller messages.'))
   }
 
-  const splitter = createFrameSplitter(services.maximumMessageBytes, frame => { queue.add(frame) })
+  const splitter = createFrameSplitter(services.maximumMessageBytes, frame => {
+    // The next message has its own time.
+    clearTimeout(messageTimer)
+    messageTimer = undefined
+    queue.add(frame)
+  })
 
   function handleData (chunk: Buffer): void {
     try {
       splitter.push(chunk)
     } catch (error) {
+      options.onLimit('message bytes')
       return closeWithError(new RefusalError('protocol broken', (error as Error).message))
     }
     void processQueue()
     updateInputBudget()
     // Further requests wait in the caller's own buffers until the queue is processed.
     if (processingQueue && queue.isFull()) socket.pause()
+    watchMessage()
   }
 
+  // The time starts again with each byte that the caller takes or sends.
+  socket.setTimeout(options.limits.unreadAnswerMilliseconds, () => {
+    if (socket.writableLength === 0) return
+    options.onLimit('unread answer time')
+    close()
+    socket.destroy()
+  })
   socket.on('error', close)
   socket.on('close', close)
   socket.on('end', close)
--- a/packages/cyclamenusherd/src/node/connection/callerHandshake.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerHandshake.ts
@@ -39,6 +39,8 @@
   accept: (startup: CallerStartup, key: string | undefined) => Accepted
   /** Called when the handshake fails. */
   refused: (error: RefusalError) => void
+  /** Called when the handshake takes too long. */
+  onTimeout: () => void
   /** Cancels the running request of another connection. */
   cancelRequest: (processNumber: number, secret: number) => void
 }
@@ -171,7 +173,10 @@
  */
 export async function performHandshake<Accepted> (plainSocket: Socket, context: SecureContext | undefined, options: HandshakeOptions<Accepted>): Promise<AcceptedCaller<Accepted> | undefined> {
   let socket = plainSocket
-  const timer = setTimeout(() => { socket.destroy() }, options.milliseconds)
+  const timer = setTimeout(() => {
+    options.onTimeout()
+    socket.destroy()
+  }, options.milliseconds)
   let reader = createByteReader(socket, Buffer.alloc(0))
   try {
     let packet = await readStartupPacket(reader)
--- a/packages/cyclamenusherd/src/node/connection/callerInput.ts
+++ b/packages/cyclamenusherd/src/node/connection/callerInput.ts
@@ -1,5 +1,6 @@
 /** Bounds on the input of callers that is received but not being processed yet. */
 
+import { mayKeep } from '@cyclamenusher/decisions'
 import type { Frame } from '@cyclamenusher/protocol'
 
 /** Number of queued frames above which the caller's socket is paused while a request runs. */
@@ -11,11 +12,20 @@
 export interface InputBudget {
   /** Reserves bytes, or releases them when negative. Returns false when the reserved bytes exceed the budget; they stay reserved. */
   adjust: (bytes: number) => boolean
+  /** Reserves bytes that stay until they are released with a negative number. Returns false, and reserves none, if too much is kept. */
+  keep: (bytes: number) => boolean
 }
 
 export function createInputBudget (maximumBytes: number): InputBudget {
   let reservedBytes = 0
+  let keptBytes = 0
   return {
+    keep: bytes => {
+      if (bytes > 0 && !mayKeep(keptBytes, maximumBytes, bytes)) return false
+      keptBytes += bytes
+      reservedBytes += bytes
+      return true
+    },
     adjust: bytes => {
       reservedBytes += bytes
       return bytes <= 0 || reservedBytes <= maximumBytes
--- a/packages/cyclamenusherd/src/node/engine/callerListener.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerListener.ts
@@ -1,10 +1,12 @@
 /** Accepts callers' connections, and closes them step by step when the instance shuts down. */
 
 import { createServer } from 'node:net'
+import { createSilentConnections } from '@cyclamenusher/protocol'
 import { startCallerSession } from './callerSession.js'
 import { pause } from '../process/clock.js'
 import type { Server } from 'node:net'
 import type { Address } from '../process/address.js'
+import type { CallerProtection } from './callerProtection.js'
 import type { CallerSession } from './callerSession.js'
 import type { EngineServices } from './services.js'
 import type { CallerCodec } from './statement.js'
@@ -20,6 +22,7 @@
   services: EngineServices
   /** Maximum number of concurrent callers; further connections are closed at once. */
   maximumConnections: number
+  protection: CallerProtection
 }
 
 /** Schedule of a graceful shutdown, in milliseconds from its start. */
@@ -39,15 +42,19 @@
   close: () => void
 }
 
-export async function listenForSessions ({ listen, createCodec, services, maximumConnections }: CallerListenerOptions): Promise<CallerListener> {
+export async function listenForSessions ({ listen, createCodec, services, maximumConnections, protection }: CallerListenerOptions): Promise<CallerListener> {
   const sessions = new Set<CallerSession>()
+  const { limits, report } = protection
+  const silent = createSilentConnections(limits.silentConnections, () => { report('silent connections', { maximum: limits.silentConnections }) })
   const server: Server = createServer({ noDelay: true }, socket => {
     if (sessions.size >= maximumConnections) {
+      report('connections', { maximum: maximumConnections })
       socket.destroy()
       return
     }
-    const session = startCallerSession({ socket, codec: createCodec(), services, onClose: () => { sessions.delete(session) } })
+    const session = startCallerSession({ socket, codec: createCodec(), services, protection, onFirstMessage: () => { silent.remove(socket) }, onClose: () => { sessions.delete(session) } })
     sessions.add(session)
+    silent.add(socket)
   })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -1,19 +1,23 @@
 /** One caller's connection: owns the socket and the session, and answers the caller's statements one after another. */
 
+import { CLIENT_RESERVE_BYTES } from '@cyclamenusher/decisions'
 import { LONGEST_TIMER_MILLISECONDS } from '@cyclamenusher/protocol'
+import { createCallerProtection } from './callerProtection.js'
 import { StatementFailure } from './errors.js'
 import { admitOperation, resolveAccess } from './operationAdmission.js'
 import { createSession } from './session.js'
 import { INTERNAL_DIGEST } from './statement.js'
 import type { Socket } from 'node:net'
+import type { CallerProtection } from './callerProtection.js'
 import type { EngineServices } from './services.js'
 import type { StatementResult, Session, StatementContext } from './session.js'
-import type { CallerCodec, CallerMessage, Statement, StatementRequest } from './statement.js'
+import type { LimitName } from '../process/limits.js'
+import type { CallerCodec, CallerMessage, Statement, StatementDefinition, StatementRequest } from './statement.js'
 
-/** Time within which a caller must name its database, and time limit of statements without a route, in milliseconds: as long as callers wait for an answer. */
-const START_TIMEOUT_MILLISECONDS = 5_000
-/** Maximum number of statements that a caller may send ahead of their answers; a caller that sends more is disconnected. */
-const MAXIMUM_STATEMENTS_AHEAD = 1_000
+/** Time limit of statements without a route, in milliseconds: as long as callers wait for an answer. */
+const UNROUTED_STATEMENT_MILLISECONDS = 5_000
+/** Memory of a message, or of a value of a session, beside its text, in bytes. */
+const ENTRY_BYTES = 128
 /** How long a transaction may wait for its caller while no declaration is known, in milliseconds. */
 const DEFAULT_IDLE_TRANSACTION_MILLISECONDS = 3_000
 /** Maximum number of values of one session, and of its prepared statements. */
@@ -33,13 +37,47 @@
   codec: CallerCodec
   services: EngineServices
   onClose: () => void
+  /** Called with the first message. @default undefined */
+  onFirstMessage?: () => void
+  /** @default the default limits, for this session alone */
+  protection?: CallerProtection
 }
 
 const EMPTY_RESULT: StatementResult = { rows: [], digest: INTERNAL_DIGEST }
 
-export function startCallerSession ({ socket, codec, services, onClose }: CallerSessionOptions): CallerSession {
+/** Memory of a message while it waits, in bytes. */
+function measureMessage (message: CallerMessage): number {
+  if (message.kind === 'statement') return message.request.text.length + message.request.id.length + ENTRY_BYTES
+  return message.kind === 'start' ? message.database.length + message.key.length + ENTRY_BYTES : ENTRY_BYTES
+}
+
+/** Copies a part of a message, so that what is kept of it does not keep the whole message. */
+function copyText (text: string): string {
+  return Buffer.from(text, 'latin1').toString('latin1')
+}
+
+export function startCallerSession ({ socket, codec, services, onClose, onFirstMessage = () => {}, protection = createCallerProtection(services.clock) }: CallerSessionOptions): CallerSession {
   const { clock, log, operations } = services
+  const { limits, account, report } = protection
   const messages: CallerMessage[] = []
+  let waitingBytes = 0
+  /** Bytes of the session's names, values and prepared statements. */
+  let keptBytes = 0
+  /** Whether the account holds back this client's input. */
+  let heldBack = false
+  /** Whether the next statement waits until the caller has read its answers. */
+  let awaitingReader = false
+  let hasFirstMessage = false
+  let partialTimer: NodeJS.Timeout | undefined
+  const measure = (): number => codec.pendingBytes() + waitingBytes + socket.writableLength
+  const client = account.open({
+    measure,
+    resume: () => {
+      heldBack = false
+      resumeReading()
+    },
+    destroy: () => { destroy() }
+  })
   let startedSession: Session | undefined
   let processing = false
   let closed = false
@@ -48,7 +86,9 @@
   let idleTimer: NodeJS.Timeout | undefined
 
   function write (text: string): void {
-    if (!closed) socket.write(text, 'latin1')
+    if (closed) return
+    socket.write(text, 'latin1')
+    client.update(measure())
   }
 
   function close (): void {
@@ -56,13 +96,87 @@
     closed = true
     clearTimeout(idleTimer)
     clearTimeout(startTimer)
+    clearTimeout(partialTimer)
+    account.keep(-keptBytes)
+    keptBytes = 0
+    messages.length = 0
+    waitingBytes = 0
+    // What was sent is given time to be read; a caller that does not read must not keep the connection.
+    socket.setTimeout(limits.unreadAnswerMilliseconds, () => { socket.destroy() })
     if (startedSession?.transaction !== undefined && !processing) operations.rollBack(startedSession.transaction)
     socket.end()
     socket.destroySoon()
     onClose()
   }
 
-  const startTimer = setTimeout(close, START_TIMEOUT_MILLISECONDS)
+  function destroy (): void {
+    close()
+    socket.destroy()
+  }
+
+  function closeForLimit (limit: LimitName): void {
+    if (closed) return
+    report(limit, { client: socket.remoteAddress, bytes: measure(), database: startedSession?.database })
+    destroy()
+  }
+
+  const startTimer = setTimeout(() => { closeForLimit('first message time') }, limits.firstMessageMilliseconds)
+
+  function resumeReading (): void {
+    if (closed || heldBack || awaitingReader || waitingBytes > limits.pipelinedBytes || !socket.isPaused()) return
+    socket.resume()
+    watchPartialMessage()
+  }
+
+  /** Stops reading while too much is waiting. A message that is incomplete then has its whole time again afterwards. */
+  function pauseIfFull (): void {
+    heldBack = !client.mayRead(codec.pendingBytes() + waitingBytes)
+    const isFull = waitingBytes > limits.pipelinedBytes
+    if (!heldBack && !isFull) return
+    if (isFull) report('pipelined bytes', { client: socket.remoteAddress, bytes: waitingBytes })
+    clearTimeout(partialTimer)
+    partialTimer = undefined
+    socket.pause()
+  }
+
+  /** Limits the time of the message that is incomplete now, if there is one. */
+  function watchPartialMessage (): void {
+    if (codec.pendingBytes() === 0 || !hasFirstMessage) return
+    partialTimer ??= setTimeout(() => { closeForLimit('partial message time') }, limits.partialMessageMilliseconds)
+  }
+
+  /** Waits until the caller has read enough of its answers. */
+  async function awaitReader (): Promise<void> {
+    if (socket.writableLength <= limits.unreadAnswerBytes || closed) return
+    awaitingReader = true
+    socket.pause()
+    restartIdleTimer()
+    // The time starts again with each byte that the caller takes.
+    socket.setTimeout(limits.unreadAnswerMilliseconds, () => { closeForLimit('unread answer time') })
+    await new Promise<void>(resolve => { socket.once('drain', resolve).once('close', () => { resolve() }) })
+    awaitingReader = false
+    clearTimeout(idleTimer)
+    if (closed) return
+    socket.setTimeout(0)
+    socket.removeAllListeners('timeout')
+    client.recordProgress()
+    resumeReading()
+  }
+
+  /** Adds bytes that the session keeps. @throws StatementFailure */
+  function keep (bytes: number): void {
+    const tooMuch = keptBytes + bytes > limits.sessionBytes
+    if (tooMuch || !account.keep(bytes)) {
+      report('session bytes', { client: socket.remoteAddress, kept: keptBytes, bytes })
+      throw new StatementFailure(tooMuch ? 'too large' : 'busy', 'the values, statements and names of sessions take too much memory: drop those that are no longer used')
+    }
+    keptBytes += bytes
+  }
+
+  function forget (bytes: number): void {
+    keptBytes -= bytes
+    account.keep(-bytes)
+  }
 
   async function start (message: Extract<CallerMessage, { kind: 'start' }>): Promise<void> {
     clearTimeout(startTimer)
@@ -70,6 +184,7 @@
     if (closed) return
     try {
       resolveAccess(services, message)
+      keep(message.database.length + message.key.length)
       startedSession = createSession(message.database, message.key)
       write(codec.ready('idle'))
     } catch (error) {
@@ -83,6 +198,7 @@
   async function begin (context: StatementContext, readOnly: boolean): Promise<StatementResult> {
     const { session } = context
     if (session.transaction !== undefined) throw new StatementFailure('malformed', 'a transaction is open already')
+    if (context.request.id.length > CLIENT_RESERVE_BYTES) throw new StatementFailure('too large', 'the id of a statement that begins a transaction is too long')
     session.transaction = { ...await admitOperation(services, session), beginId: context.request.id, readOnly, wrote: false }
     session.state = 'in transaction'
     operations.begin(context, session.transaction)
@@ -114,6 +230,10 @@
     if (entries.size >= MAXIMUM_SESSION_ENTRIES) throw new StatementFailure('too large', `a session keeps ${MAXIMUM_SESSION_ENTRIES} values and as many statements at most: drop those that are no longer used`)
   }
 
+  function measurePrepared (name: string, { text }: StatementDefinition): number {
+    return name.length + text.length + ENTRY_BYTES
+  }
+
   type StatementHandlers = { [Kind in Statement['kind']]: (context: StatementContext, statement: Extract<Statement, { kind: Kind }>) => StatementResult | Promise<StatementResult> }
   const STATEMENT_HANDLERS: StatementHandlers = {
     begin: async (context, { readOnly }) => await begin(context, readOnly),
@@ -128,15 +248,23 @@
     },
     set: ({ session }, { name, value }) => {
       requireCapacity(session.values)
-      session.values.set(name, value)
+      keep(name.length + value.length + ENTRY_BYTES)
+      const replaced = session.values.get(name)
+      if (replaced !== undefined) forget(name.length + replaced.length + ENTRY_BYTES)
+      session.values.set(copyText(name), copyText(value))
       return EMPTY_RESULT
     },
     prepare: ({ session }, { name, definition }) => {
       requireCapacity(session.prepared)
-      session.prepared.set(name, definition)
+      keep(measurePrepared(name, definition))
+      const replaced = session.prepared.get(name)
+      if (replaced !== undefined) forget(measurePrepared(name, replaced))
+      session.prepared.set(copyText(name), { ...definition, text: copyText(definition.text) })
       return EMPTY_RESULT
     },
     deallocate: ({ session }, { name }) => {
+      const removed = session.prepared.get(name)
+      if (removed !== undefined) forget(measurePrepared(name, removed))
       session.prepared.delete(name)
       return EMPTY_RESULT
     }
@@ -157,7 +285,7 @@
   }
 
   function findStatementTimeout (session: Session): number {
-    return services.link.declaration()?.routeOf(session.database)?.statementMilliseconds ?? START_TIMEOUT_MILLISECONDS
+    return services.link.declaration()?.routeOf(session.database)?.statementMilliseconds ?? UNROUTED_STATEMENT_MILLISECONDS
   }
 
   function logOutcome ({ session, request, startedAt, timing, holder }: StatementContext, failure?: StatementFailure): void {
@@ -190,7 +318,12 @@
   async function answerStatement (session: Session, request: StatementRequest): Promise<void> {
     const startedAt = clock.now()
     const context: StatementContext = { timing: {}, session, request, startedAt, deadline: startedAt + findStatementTimeout(session) }
+    // Values of the session travel with each statement.
+    const bytes = request.text.length + keptBytes
+    let takeOff = (): void => {}
     try {
+      if (!account.mayStart(bytes)) throw new StatementFailure('busy', 'this instance holds too much for its clients now; the statement did not run: try again, or another one')
+      takeOff = account.start(bytes)
       const { rows, digest, position } = await execute(context)
       logOutcome(context)
       write(codec.result(rows, digest) + codec.ready(session.state, position))
@@ -200,11 +333,14 @@
       write(codec.failure(failure.kind, failure.message) + codec.ready(session.state))
       // Another instance may still hold a lease; callers that reconnect can reach it.
       if (!services.link.isLeased() && session.state === 'idle') closeWhenIdle = true
+    } finally {
+      takeOff()
     }
   }
 
   function answerMalformed (kind: 'malformed' | 'too large', reason: string): void {
     write(codec.failure(kind, reason))
+    if (kind === 'too large') report('message bytes', { client: socket.remoteAddress })
     if (startedSession === undefined || kind === 'too large') return close()
     write(codec.ready(startedSession.state))
   }
@@ -217,7 +353,7 @@
   }
 
   function endTransaction (reason: string): void {
-    if (processing || startedSession?.transaction === undefined) return
+    if ((processing && !awaitingReader) || startedSession?.transaction === undefined) return
     startedSession.transaction.endReason = reason
     operations.rollBack(startedSession.transaction)
   }
@@ -239,8 +375,11 @@
     processing = true
     clearTimeout(idleTimer)
     for (let message = messages.shift(); message !== undefined && !closed; message = messages.shift()) {
+      waitingBytes -= measureMessage(message)
       const handle = MESSAGE_HANDLERS[message.kind] as (message: CallerMessage) => void | Promise<void>
       await handle(message)
+      if (socket.writableLength > limits.unreadAnswerBytes) await awaitReader()
+      if (socket.isPaused()) resumeReading()
     }
     processing = false
     // The caller may have disconnected while its statement ran.
@@ -259,12 +398,28 @@
   }
 
   socket.on('data', chunk => {
-    messages.push(...codec.read(chunk))
-    if (messages.length > MAXIMUM_STATEMENTS_AHEAD) return close()
+    if (closed) return
+    const received = codec.read(chunk)
+    if (received.length > 0) {
+      if (partialTimer !== undefined) clearTimeout(partialTimer)
+      partialTimer = undefined
+      hasFirstMessage = true
+      onFirstMessage()
+      for (const message of received) waitingBytes += measureMessage(message)
+      messages.push(...received)
+      if (messages.length > limits.pipelinedStatements) return closeForLimit('pipelined statements')
+    }
+    client.recordProgress()
     void processMessages()
+    client.update(measure())
+    watchPartialMessage()
+    if (waitingBytes + codec.pendingBytes() > CLIENT_RESERVE_BYTES) pauseIfFull()
   })
   socket.on('end', close)
   socket.on('error', close)
-  socket.on('close', close)
+  socket.on('close', () => {
+    close()
+    client.release()
+  })
   return { closeIfIdle, endTransaction, close }
 }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -9,6 +9,7 @@
 import type { MessageStream, MessageStreamHandlers } from '@cyclamenusher/protocol'
 import type { Clock } from '../../process/clock.js'
 import type { ScopedLogger } from '../../process/logger.js'
+import type { MemoryAccount } from '../../process/memoryAccount.js'
 import type { DrainPlan } from '../callerListener.js'
 import type { LocalServices, OperationRunner } from '../operations.js'
 import type { Session, StatementContext, StatementResult, Transaction } from '../session.js'
@@ -37,6 +38,8 @@
   services: LocalServices
   clock: Clock
   logger: ScopedLogger
+  /** Counts the statements of other instances while they run here. @default undefined */
+  account?: MemoryAccount
 }
 
 interface ForwardedSession {
@@ -69,7 +72,7 @@
   session.lastCommit = lastCommit === undefined ? undefined : { position: lastCommit.position, at: now - lastCommit.agoMilliseconds }
 }
 
-export function createHolderService ({ runner, services, clock, logger }: HolderServiceOptions): HolderService {
+export function createHolderService ({ runner, services, clock, logger, account }: HolderServiceOptions): HolderService {
   const instances = new Set<CallingInstance>()
   let leaving = false
 
@@ -119,7 +122,10 @@
     const arrivedAt = clock.now()
     instance.running += 1
     let reply: HolderReply
+    let takeOff: (() => void) | undefined
     try {
+      if (account?.mayStart(request.text.length) === false) throw new StatementFailure('busy', 'this instance holds too much for its clients now; the statement did not run')
+      takeOff = account?.start(request.text.length)
       if (context.deadline <= clock.now()) throw new StatementFailure('busy', 'the statement was held up on its way until its deadline, and did not run')
       const { rows, digest, position, primary } = await run()
       reply = {
@@ -137,6 +143,7 @@
     } catch (error) {
       reply = buildFailure(number, request.id, session, error)
     }
+    takeOff?.()
     instance.running -= 1
     send(instance.stream, reply)
   }
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -8,6 +8,7 @@
 import { createHeldRequests } from '../process/heldRequests.js'
 import type { RateTolerance } from '@cyclamenusher/decisions'
 import type { Peers } from '../process/peers.js'
+import type { MemoryAccount } from '../process/memoryAccount.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { Clock } from '../process/clock.js'
 import type { HolderService } from './forwarding/holderService.js'
@@ -64,9 +65,11 @@
   log: RequestLog
   tolerance: RateTolerance
   peers: Peers
+  /** @default undefined - operations of other instances are not accounted */
+  account?: MemoryAccount
 }
 
-export function createEngine ({ createLink, codec, clock, logger, log, tolerance, peers }: EngineOptions): Engine {
+export function createEngine ({ createLink, codec, clock, logger, log, tolerance, peers, account }: EngineOptions): Engine {
   const groups = new Map<string, GroupPool>()
   let draining = false
 
@@ -101,7 +104,7 @@
   const local = { link, group, codec, clock, log }
   const runner = createLocalRunner(local)
   const operations = createForwardingRunner({ services: local, local: runner, peers, logger })
-  const holder = createHolderService({ runner, services: local, clock, logger })
+  const holder = createHolderService({ runner, services: local, clock, logger, account })
 
   link.onChange(() => {
     for (const pool of groups.values()) pool.refresh()
--- a/packages/cyclamenusherd/src/node/engine/statement.ts
+++ b/packages/cyclamenusherd/src/node/engine/statement.ts
@@ -65,6 +65,8 @@
 
 export interface CallerCodec {
   read: (chunk: Buffer) => CallerMessage[]
+  /** Memory that is in use for an incomplete message, in bytes. */
+  pendingBytes: () => number
   ready: (state: SessionState, position?: LogPosition) => string
   result: (rows: readonly string[], digest: string) => string
   failure: (kind: FailureKind, explanation: string) => string
--- a/packages/cyclamenusherd/src/node/process/callers.ts
+++ b/packages/cyclamenusherd/src/node/process/callers.ts
@@ -12,6 +12,7 @@
 import type { CallerStartup } from '../connection/callerHandshake.js'
 import type { Identity, RulesStore } from '../version/rulesStore.js'
 import type { Config } from './config.js'
+import type { LimitReport } from './limits.js'
 import type { ScopedLogger } from './logger.js'
 import type { Metrics } from './metrics.js'
 
@@ -40,15 +41,18 @@
   services: CallerServices
   logger: ScopedLogger
   metrics: Metrics
+  /** @default undefined - limits that were met are not reported */
+  report?: LimitReport['report']
 }
 
 export async function listenForCallers (options: CallersOptions): Promise<Callers> {
-  const { config, store, services, logger, metrics } = options
+  const { config, store, services, logger, metrics, report = () => {} } = options
   const { tlsCertificate, tlsKey, listen, maximumConnections } = config.callers
   const context = createCallerTlsContext(tlsCertificate === undefined || tlsKey === undefined ? undefined : { certificate: tlsCertificate, key: tlsKey })
   const callers = new Map<number, { caller: CallerConnection, secret: number }>()
   const inputBudget = createInputBudget(config.callers.maximumInputBytes)
-  const handshakingSockets = new Set<Socket>()
+  /** Connections without a complete handshake, in the order in which they came, and when. */
+  const handshakingSockets = new Map<Socket, number>()
   let nextProcessNumber = 1
   let draining = false
 
@@ -71,20 +75,34 @@
     logger.info('A request was refused.', { account, database, code, reason: error.message, ran: error.runState })
   }
 
+  /** Closes the oldest connection without a complete handshake, if it is older than the grace, so that silent ones do not keep out callers. */
+  function closeOldestHandshake (): boolean {
+    const [oldest] = handshakingSockets
+    if (oldest === undefined) return false
+    const [socket, since] = oldest
+    if (services.now() - since < config.callers.handshakeGraceMilliseconds) return false
+    handshakingSockets.delete(socket)
+    socket.destroy()
+    report('handshakes', { maximum: maximumConnections })
+    return true
+  }
+
   async function accept (plainSocket: Socket): Promise<void> {
     plainSocket.setNoDelay(true)
     plainSocket.on('error', () => { plainSocket.destroy() })
-    if (callers.size + handshakingSockets.size >= maximumConnections) {
+    if (callers.size + handshakingSockets.size >= maximumConnections && !closeOldestHandshake()) {
+      report('connections', { maximum: maximumConnections })
       // Does not wait for the handshake: a flood of connections must not hold resources.
       plainSocket.resume()
       plainSocket.write(buildRefusalResponse(new RefusalError('too many connections', `this instance serves ${maximumConnections} callers already`, 'not run', 'Connect again: the balancer may choose another instance.'), 'FATAL'))
       plainSocket.destroySoon()
       return
     }
-    handshakingSockets.add(plainSocket)
+    handshakingSockets.set(plainSocket, services.now())
     const handshake = await performHandshake(plainSocket, context, {
       milliseconds: config.callers.handshakeMilliseconds,
       refused: error => { recordRefusal(error) },
+      onTimeout: () => { report('first message time', { client: plainSocket.remoteAddress }) },
       needsKey: ({ user }) => user !== OPEN_ACCOUNT,
       accept: identify,
       cancelRequest: (processNumber, secret) => {
@@ -109,6 +127,8 @@
       remaining,
       services,
       inputBudget,
+      limits: config.callers,
+      onLimit: limit => { report(limit, { client: socket.remoteAddress, account: identity.account }) },
       idleTransactionMilliseconds: config.callers.idleTransactionMilliseconds,
       onRefused: error => { recordRefusal(error, identity.account, startup.database) },
       onClosed: () => {
@@ -188,7 +208,7 @@
       clearInterval(timer)
       server.close()
       endRemaining()
-      for (const socket of handshakingSockets) socket.destroy()
+      for (const socket of handshakingSockets.keys()) socket.destroy()
     }
   }
 }
--- a/packages/cyclamenusherd/src/node/process/config.ts
+++ b/packages/cyclamenusherd/src/node/process/config.ts
@@ -29,8 +29,16 @@
     maximumConnections: number
     /** Longest message of a caller, in bytes. @default 16777216 */
     maximumMessageBytes: number
-    /** Memory for incomplete requests of all callers together, in bytes. @default 268435456 */
+    /** Memory for incomplete requests and prepared statements of all callers together, in bytes. @default 33554432 */
     maximumInputBytes: number
+    /** Memory for the prepared statements of one caller, in bytes. @default 4194304 */
+    maximumSessionBytes: number
+    /** Age from which a connection without a complete handshake is closed for a further one, in milliseconds. @default 1000 */
+    handshakeGraceMilliseconds: number
+    /** Time within which a message must be complete, in milliseconds. @default 30000 */
+    messageMilliseconds: number
+    /** Time after which a caller is disconnected that reads nothing of an answer, in milliseconds. @default 10000 */
+    unreadAnswerMilliseconds: number
     /** Time limit for a request, in milliseconds. @default 30000 */
     requestMilliseconds: number
     /** Time limit for a caller's handshake, until its key is accepted, in milliseconds. @default 10000 */
@@ -44,6 +52,8 @@
     advertise: Address
     /** Shared secret of all instances and announcers. */
     secret: string
+    /** Connections that no authenticated call has come on. @default 1024 */
+    maximumUnauthenticated: number
     tls?: { certificate: string, key: string, authority: string }
   }
   control: {
@@ -78,7 +88,13 @@
     /** How long an instance may lend an account's tokens without a renewal by control, in milliseconds. @default 1500 */
     mandateMilliseconds: number
   }
-  metrics: { listen: Address }
+  metrics: {
+    listen: Address
+    /** @default 128 */
+    maximumConnections: number
+    /** @default 30000 */
+    requestMilliseconds: number
+  }
   log: {
     level: 'error' | 'warn' | 'info' | 'debug'
     format: 'lines' | 'json'
@@ -211,6 +227,10 @@
       maximumConnections: Number(callers.maximum_connections),
       maximumMessageBytes: Number(callers.maximum_message_bytes),
       maximumInputBytes: Number(callers.maximum_input_bytes),
+      maximumSessionBytes: Number(callers.maximum_session_bytes),
+      handshakeGraceMilliseconds: Number(callers.handshake_grace_milliseconds),
+      messageMilliseconds: Number(callers.message_milliseconds),
+      unreadAnswerMilliseconds: Number(callers.unread_answer_milliseconds),
       requestMilliseconds: Number(callers.request_milliseconds),
       handshakeMilliseconds: Number(callers.handshake_milliseconds),
       idleTransactionMilliseconds: Number(callers.idle_transaction_milliseconds)
@@ -219,6 +239,7 @@
       listen: parseAddress(String(calls.listen)),
       advertise: parseAddress(String(calls.advertise ?? calls.listen)),
       secret: files.secret('calls', 'secret_file'),
+      maximumUnauthenticated: Number(calls.maximum_unauthenticated),
       tls: authority === undefined
         ? undefined
         : { certificate: files.text('calls', 'tls_certificate') ?? '', key: files.text('calls', 'tls_key') ?? '', authority }
@@ -240,7 +261,7 @@
     },
     failover: { silenceMilliseconds: Number(failover.silence_milliseconds) },
     rates: { waitMilliseconds: Number(rates.wait_milliseconds), mandateMilliseconds: Number(rates.mandate_milliseconds) },
-    metrics: { listen: parseAddress(String(metrics.listen)) },
+    metrics: { listen: parseAddress(String(metrics.listen)), maximumConnections: Number(metrics.maximum_connections), requestMilliseconds: Number(metrics.request_milliseconds) },
     log: { level: log.level as Config['log']['level'], format: log.format as Config['log']['format'], decisions: log.decisions === true },
     shutdown: { graceMilliseconds: Number(shutdown.grace_milliseconds), drainMilliseconds: Number(shutdown.drain_milliseconds) }
   }
--- a/packages/cyclamenusherd/src/node/process/entry.ts
+++ b/packages/cyclamenusherd/src/node/process/entry.ts
@@ -18,6 +18,7 @@
 import type { Callers } from './callers.js'
 import type { Clock } from './clock.js'
 import type { Config } from './config.js'
+import type { LimitReport } from './limits.js'
 import type { Logger } from './logger.js'
 import type { Metrics } from './metrics.js'
 import type { MemberAnnouncement } from './directory.js'
@@ -46,6 +47,7 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  report: LimitReport['report']
   /** Stops the instance as SIGTERM does. */
   requestStop: () => void
 }
@@ -60,7 +62,7 @@
   }
 }
 
-export function createEntryRole ({ config, credentials, clock, logger, metrics, requestStop }: EntryOptions): EntryRole {
+export function createEntryRole ({ config, credentials, clock, logger, metrics, report, requestStop }: EntryOptions): EntryRole {
   const store = createRulesStore(clock, config.control.leaseMilliseconds)
   const directory = createDirectory(clock, logger.scope('directory'))
   const directoryClients = new Map<string, Client<typeof DirectoryService>>()
@@ -112,6 +114,7 @@
       store,
       logger: logger.scope('caller'),
       metrics,
+      report,
       services: {
         tokenSecret: config.calls.secret,
         maximumMessageBytes: config.callers.maximumMessageBytes,
--- a/packages/cyclamenusherd/src/node/process/fleet/config.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/config.ts
@@ -3,6 +3,7 @@
 import type { RateTolerance } from '@cyclamenusher/decisions'
 import type { Address } from '../address.js'
 import type { Config } from '../config.js'
+import type { CallerLimits, HttpLimits } from '../limits.js'
 
 export interface FleetInstanceConfig {
   name: string
@@ -19,12 +20,18 @@
   graceMilliseconds: number
   /** How far client accounts may exceed their rate. */
   rateTolerance: RateTolerance
+  limits: {
+    http: HttpLimits
+    /** Connections for calls between instances that are not authenticated; the oldest is closed for a further one. */
+    silentCalls: number
+  }
 }
 
 export interface FleetEntryConfig extends FleetInstanceConfig {
   callers: Address
   readiness: Address
   maximumCallers: number
+  callerLimits: CallerLimits
   /** Time within which a declaration must be in force at every instance, in milliseconds from its acknowledgement. @default DECLARATION_TRUST_MILLISECONDS */
   declarationTrustMilliseconds?: number
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetControlRole.ts
@@ -5,6 +5,7 @@
 import { createServerAdministration } from '../../engine/index.js'
 import { systemClock } from '../clock.js'
 import { openConsensusLog } from '../control/consensusLog.js'
+import { createLimitReport } from '../limits.js'
 import { createLogger } from '../logger.js'
 import { startMetrics } from './metricsPage.js'
 import { createFleetControl } from './fleetControl.js'
@@ -49,6 +50,9 @@
   const logger = createLogger(config.log)
   const log = logger.scope('process')
   const clock = systemClock
+  const limits = createLimitReport(logger.scope('process'), clock)
+  const { report } = limits
+  const http = { limits: config.limits.http, report }
   const credentials = { secret: config.secret }
   const administration = createServerAdministration(ports.createServerCodec, clock)
   const control = createFleetControl({
@@ -83,10 +87,11 @@
   const calls = await listenForCalls(config.calls.host, config.calls.port, credentials, router => {
     consensus.routes(router)
     control.routes(router)
-  }, control.streams)
-  const api = await listenForHttp(config.api, ports.createApi(control), error => { log.warn('A request from the platform failed.', { reason: error.message }) })
+  }, control.streams, { maximum: config.limits.silentCalls, onClosed: () => { report('silent calls', { maximum: config.limits.silentCalls }) } })
+  const api = await listenForHttp(config.api, ports.createApi(control), error => { log.warn('A request from the platform failed.', { reason: error.message }) }, http)
   log.info('The control instance runs.', { name: config.name, failureDomain: config.failureDomain, calls: `${config.calls.host}:${config.calls.port}`, api: `${config.api.host}:${config.api.port}`, bootstrap: config.bootstrap })
-  const metricsPage = await startMetrics(config.metrics, () => consensus.status().leader !== '')
+  const metricsPage = await startMetrics(config.metrics, () => consensus.status().leader !== '', http)
+  limits.setMetrics(metricsPage.metrics)
 
   async function close (): Promise<void> {
     control.close()
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -3,7 +3,9 @@
 import { FleetService, listenForCalls } from '@cyclamenusher/protocol'
 import { createEngine, createRequestLog, listenForSessions } from '../../engine/index.js'
 import { systemClock } from '../clock.js'
+import { createLimitReport } from '../limits.js'
 import { createLogger } from '../logger.js'
+import { createMemoryAccount } from '../memoryAccount.js'
 import { createPeers } from '../peers.js'
 import { decodeBody, encodeBody } from './bodies.js'
 import { startMetrics } from './metricsPage.js'
@@ -19,6 +21,8 @@
 
 /** Time in which the load balancer notices that an instance is not ready and sends it no more callers, in milliseconds: two failed checks, a second apart. */
 const BALANCER_REACTION_MILLISECONDS = 2_300
+/** Longest body of a request for readiness, which needs none. */
+const PAGE_BODY_BYTES = 16 * 1024
 /** Fraction of the grace period after which open transactions are ended. */
 const TRANSACTION_GRACE_FRACTION = 0.5
 /** Fraction of the grace period after which all remaining connections are closed. */
@@ -50,7 +54,12 @@
   const credentials = { secret: config.secret }
   const peers = createPeers(credentials)
   const requestLog = createRequestLog(logger.scope('request'), clock)
+  const limits = createLimitReport(logger.scope('process'), clock)
+  const { report } = limits
+  const account = createMemoryAccount(config.callerLimits.bufferedBytes, clock, limits)
+  const http = { limits: { ...config.limits.http, bodyBytes: Math.min(config.limits.http.bodyBytes, PAGE_BODY_BYTES) }, report }
   const engine = createEngine({
+    account,
     clock,
     logger: logger.scope('pool'),
     log: requestLog,
@@ -86,18 +95,20 @@
 
   const calls = await listenForCalls(config.calls.host, config.calls.port, credentials, router => {
     router.service(FleetService, { borrow: async ({ body }) => ({ body: encodeBody(await lend(checkLoan(decodeBody(body)))) }) })
-  }, createFleetStreams({ borrow: lend, operations: engine.holder.accept }, logger.scope('fleet')))
-  const callers = await listenForSessions({ listen: config.callers, createCodec: ports.createCallerCodec, services: engine, maximumConnections: config.maximumCallers })
-  const readiness = await listenForHttp(config.readiness, async () => ({ status: isReady() ? 200 : 503, body: '{}' }), error => { log.warn('A request to the readiness address failed.', { reason: error.message }) })
+  }, createFleetStreams({ borrow: lend, operations: engine.holder.accept }, logger.scope('fleet')), { maximum: config.limits.silentCalls, onClosed: () => { report('silent calls', { maximum: config.limits.silentCalls }) } })
+  const callers = await listenForSessions({ listen: config.callers, createCodec: ports.createCallerCodec, services: engine, maximumConnections: config.maximumCallers, protection: { limits: config.callerLimits, account, report } })
+  const readiness = await listenForHttp(config.readiness, async () => ({ status: isReady() ? 200 : 503, body: '{}' }), error => { log.warn('A request to the readiness address failed.', { reason: error.message }) }, http)
   log.info('The entry instance runs.', { name: config.name, failureDomain: config.failureDomain, callers: `${config.callers.host}:${config.callers.port}` })
 
-  const metricsPage = await startMetrics(config.metrics, isReady)
+  const metricsPage = await startMetrics(config.metrics, isReady, http)
+  limits.setMetrics(metricsPage.metrics)
   requestLog.setMetrics(metricsPage.metrics)
   observeLink(engine.link, metricsPage.metrics)
 
   async function close (): Promise<void> {
     callers.close()
     engine.close()
+    account.close()
     readiness.close()
     metricsPage.close()
     await calls.close()
--- a/packages/cyclamenusherd/src/node/process/fleet/http.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/http.ts
@@ -2,12 +2,13 @@
 
 import { createServer, request as sendRequest } from 'node:http'
 import { connect } from 'node:net'
-import { startAnswerTimeout } from '@cyclamenusher/protocol'
+import { CLIENT_RESERVE_BYTES } from '@cyclamenusher/decisions'
+import { createByteCollector, startAnswerTimeout } from '@cyclamenusher/protocol'
+import { DEFAULT_HTTP_PROTECTION, buildHttpOptions, protectHttpServer } from '../httpProtection.js'
 import type { Server } from 'node:http'
 import type { Address } from '../address.js'
+import type { LimitName } from '../limits.js'
 
-/** Largest request body that is accepted, in bytes: several times the largest document that the platform allows. */
-const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
 /** Timeout of a call to the platform, in milliseconds. */
 const CALL_TIMEOUT_MILLISECONDS = 1_000
 const JSON_HEADERS = { 'content-type': 'application/json' }
@@ -29,26 +30,48 @@
   headers: Record<string, string>
 }
 
-/** Serves requests with `handler`. Responds with 413 if the body is too large, and with 500 if the handler fails. */
-export async function listenForHttp ({ host, port }: Address, handler: HttpHandler, onError: (error: Error) => void): Promise<Server> {
-  const server = createServer((request, response) => {
-    const chunks: Buffer[] = []
-    let size = 0
+/** Serves requests with `handler`. Responds with 413 if the body is too large, with 503 if all unfinished bodies together are, and with 500 if the handler fails. */
+export async function listenForHttp ({ host, port }: Address, handler: HttpHandler, onError: (error: Error) => void, protection = DEFAULT_HTTP_PROTECTION): Promise<Server> {
+  const { limits, report } = protection
+  let bufferedBytes = 0
+  const server = createServer(buildHttpOptions(protection), (request, response) => {
+    const body = createByteCollector()
+    let counted = 0
+    let isRefused = false
     const respond = ({ status, body }: HttpResponse): void => { response.writeHead(status, JSON_HEADERS).end(body) }
+    const count = (bytes: number): void => {
+      bufferedBytes += bytes - counted
+      counted = bytes
+    }
+
+    /** Answers at once and closes the connection: nothing more of the body is read. */
+    function refuse (status: number, limit: LimitName): void {
+      isRefused = true
+      body.take()
+      count(0)
+      report(limit, { client: request.socket.remoteAddress, path: request.url })
+      response.writeHead(status, { ...JSON_HEADERS, connection: 'close' }).end('{}', () => { request.socket.destroySoon() })
+    }
+
+    if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) return refuse(413, 'http body bytes')
     request.on('data', (chunk: Buffer) => {
-      size += chunk.length
-      if (size <= MAXIMUM_BODY_BYTES) chunks.push(chunk)
+      if (isRefused) return
+      if (body.byteLength() + chunk.length > limits.bodyBytes) return refuse(413, 'http body bytes')
+      body.add(chunk)
+      count(body.capacity())
+      if (bufferedBytes > limits.bufferedBytes && body.byteLength() > CLIENT_RESERVE_BYTES) refuse(503, 'http buffered bytes')
     })
     request.on('error', onError)
+    response.on('close', () => { count(0) })
     request.on('end', () => {
-      if (size > MAXIMUM_BODY_BYTES) return respond({ status: 413, body: '{}' })
-      const body = Buffer.concat(chunks).toString('utf8')
-      handler({ method: request.method ?? '', path: request.url ?? '', body }).then(respond, (error: Error) => {
+      if (isRefused) return
+      handler({ method: request.method ?? '', path: request.url ?? '', body: body.take().toString('utf8') }).then(respond, (error: Error) => {
         onError(error)
         respond({ status: 500, body: '{}' })
       })
     })
   })
+  protectHttpServer(server, protection)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, host, resolve)
--- a/packages/cyclamenusherd/src/node/process/instance.ts
+++ b/packages/cyclamenusherd/src/node/process/instance.ts
@@ -4,6 +4,8 @@
 import { systemClock } from './clock.js'
 import { createControlRole } from './control/controlRole.js'
 import { createEntryRole } from './entry.js'
+import { computeHttpLimits } from './httpProtection.js'
+import { createLimitReport } from './limits.js'
 import { createLogger } from './logger.js'
 import { createMetrics, listenForMetrics } from './metrics.js'
 import type { Config } from './config.js'
@@ -30,14 +32,18 @@
     process.exitCode = FAILURE_EXIT_CODE
     requestStop()
   }
-  const entry = roles.includes('entry') ? createEntryRole({ config, credentials, clock, logger, metrics, requestStop }) : undefined
+  const limits = createLimitReport(log, clock)
+  limits.setMetrics(metrics)
+  const { report } = limits
+  const { maximumUnauthenticated } = config.calls
+  const entry = roles.includes('entry') ? createEntryRole({ config, report, credentials, clock, logger, metrics, requestStop }) : undefined
   const control = roles.includes('control') ? createControlRole(config, clock, logger, stopAfterFailure) : undefined
   const callServer = await listenForCalls(config.calls.listen.host, config.calls.listen.port, credentials, router => {
     entry?.routes(router)
     control?.routes(router)
-  })
+  }, new Map(), { maximum: maximumUnauthenticated, onClosed: () => { report('silent calls', { maximum: maximumUnauthenticated }) } })
   await entry?.start(callServer.port)
-  const metricsServer = await listenForMetrics(config.metrics.listen, metrics, () => (entry?.isReady() ?? true) && (control?.isReady() ?? true))
+  const metricsServer = await listenForMetrics(config.metrics.listen, metrics, () => (entry?.isReady() ?? true) && (control?.isReady() ?? true), { limits: { ...computeHttpLimits(0, config.metrics.maximumConnections), requestMilliseconds: config.metrics.requestMilliseconds }, report })
   log.info('The instance runs.', { name: config.instance.name, failureDomain: config.instance.failureDomain, roles: roles.join(','), calls: `${config.calls.listen.host}:${callServer.port}` })
 
   async function close (): Promise<void> {
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/memoryAccount.ts
@@ -0,0 +1,153 @@
+/** Keeps account of the bytes that all clients of this process make it hold, and holds back, refuses or closes clients by the decision in `memoryBudget`. */
+
+import { CLIENT_RESERVE_BYTES, chooseClientToClose, decideMemoryPressure, mayKeep, mayStartMessage } from '@cyclamenusher/decisions'
+import type { Clock } from './clock.js'
+import type { LimitReport } from './limits.js'
+
+/**
+ * Memory of a message that runs, as a multiple of its bytes: the message, the text in which it is
+ * sent on, and that text's bytes.
+ */
+const RUNNING_FACTOR = 4
+/** Interval at which the account is balanced while it is under pressure, in milliseconds. */
+const BALANCE_INTERVAL_MILLISECONDS = 50
+
+export interface AccountedClient {
+  /** Sets the bytes that the client makes the process hold now. */
+  update: (bytes: number) => void
+  /** The client has sent or read something. */
+  recordProgress: () => void
+  /** Whether more may be read of a client with this much unread input. If not, `resume` is called later. */
+  mayRead: (inputBytes: number) => boolean
+  release: () => void
+}
+
+export interface ClientHandle {
+  /** Bytes that the client makes the process hold. */
+  measure: () => number
+  /** Reads again. */
+  resume: () => void
+  /** Closes the connection without waiting for its reader. */
+  destroy: () => void
+}
+
+export interface MemoryAccount {
+  open: (handle: ClientHandle) => AccountedClient
+  /** Whether a message of this length may run now; counts it if it is refused. */
+  mayStart: (messageBytes: number) => boolean
+  /** Adds bytes of a message that runs; the function that it returns takes them off. */
+  start: (messageBytes: number) => () => void
+  /** Adds bytes that stay until they are taken off with a negative number. Returns false, and adds none, if too much is kept. */
+  keep: (bytes: number) => boolean
+  usedBytes: () => number
+  close: () => void
+}
+
+interface Client {
+  handle: ClientHandle
+  bytes: number
+  progressAt: number
+  held: boolean
+}
+
+export function createMemoryAccount (limitBytes: number, clock: Clock, { report }: Pick<LimitReport, 'report'>): MemoryAccount {
+  const clients = new Set<Client>()
+  /** Clients of which nothing is read, in the order in which they are read again. */
+  const held = new Set<Client>()
+  let granted: Client | undefined
+  let used = 0
+  let kept = 0
+  let timer: NodeJS.Timeout | undefined
+
+  const pressure = (): ReturnType<typeof decideMemoryPressure> => decideMemoryPressure(used, limitBytes)
+
+  function setBytes (client: Client, bytes: number): void {
+    used += bytes - client.bytes
+    client.bytes = bytes
+    if (pressure() !== 'none') timer ??= setInterval(balance, BALANCE_INTERVAL_MILLISECONDS)
+  }
+
+  function closeClients (): void {
+    while (pressure() === 'close') {
+      const client = chooseClientToClose(clients, clock.now())
+      if (client === undefined) return
+      report('buffered bytes closed', { bytes: client.bytes, used, limitBytes })
+      release(client)
+      client.handle.destroy()
+    }
+  }
+
+  function resume (client: Client): void {
+    held.delete(client)
+    client.held = false
+    client.handle.resume()
+  }
+
+  /**
+   * Closes clients while the limit is exceeded, and reads of all again once there is no pressure.
+   * Until then one held client at a time may go on, so that those that hold incomplete messages
+   * only do not wait for one another.
+   */
+  function balance (): void {
+    for (const client of clients) setBytes(client, client.handle.measure())
+    closeClients()
+    if (pressure() === 'none') {
+      granted = undefined
+      clearInterval(timer)
+      timer = undefined
+      for (const client of [...held]) resume(client)
+      return
+    }
+    const [next] = held
+    granted = next
+    if (next !== undefined) resume(next)
+  }
+
+  function release (client: Client): void {
+    if (!clients.delete(client)) return
+    held.delete(client)
+    used -= client.bytes
+  }
+
+  return {
+    open: handle => {
+      const client: Client = { handle, bytes: 0, progressAt: clock.now(), held: false }
+      clients.add(client)
+      return {
+        update: bytes => {
+          if (bytes !== client.bytes && clients.has(client)) setBytes(client, bytes)
+          if (used >= limitBytes) closeClients()
+        },
+        recordProgress: () => { client.progressAt = clock.now() },
+        mayRead: inputBytes => {
+          if (inputBytes <= CLIENT_RESERVE_BYTES || client === granted || pressure() === 'none') return true
+          if (!client.held) report('buffered bytes held back', { bytes: client.bytes, used, limitBytes })
+          client.held = true
+          held.add(client)
+          return false
+        },
+        release: () => { release(client) }
+      }
+    },
+    mayStart: messageBytes => {
+      const may = mayStartMessage(used, limitBytes, messageBytes, messageBytes * RUNNING_FACTOR)
+      if (!may) report('buffered bytes refused', { bytes: messageBytes, used, limitBytes })
+      return may
+    },
+    start: messageBytes => {
+      const bytes = messageBytes * RUNNING_FACTOR
+      used += bytes
+      return () => {
+        used -= bytes
+      }
+    },
+    keep: bytes => {
+      if (bytes > 0 && !mayKeep(kept, limitBytes, bytes)) return false
+      kept += bytes
+      used += bytes
+      return true
+    },
+    usedBytes: () => used,
+    close: () => { clearInterval(timer) }
+  }
+}
--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -3,9 +3,11 @@
 import { createServer } from 'node:http'
 import { build } from 'hdr-histogram-js/dist/HistogramBuilder.js'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
+import { buildHttpOptions, protectHttpServer } from './httpProtection.js'
 import type { Histogram } from 'hdr-histogram-js'
 import type { Server } from 'node:http'
 import type { Address } from './address.js'
+import type { HttpProtection } from './httpProtection.js'
 
 /** Longest latency that is recorded, in microseconds; longer ones count as this. */
 const MAXIMUM_LATENCY_MICROSECONDS = 60_000_000
@@ -23,6 +25,8 @@
   /** Versions of the declaration: the one that this instance holds, and the newest that control has named. */
   declarationVersions: Gauge<'known'>
   leaseLosses: Counter
+  /** How often a limit against untrusted clients was met. */
+  limits: Counter<'limit'>
   recordLatency: (name: LatencyName, milliseconds: number) => void
   render: () => Promise<string>
 }
@@ -58,6 +62,7 @@
     failovers: new Counter({ name: 'cyclamenusher_failovers_total', help: 'Promotions that this instance ordered.', labelNames: ['outcome'], registers }),
     declarationVersions: new Gauge({ name: 'cyclamenusher_declaration_version', help: 'Version of the declaration that the instance holds, and of the newest that control has named.', labelNames: ['known'], registers }),
     leaseLosses: new Counter({ name: 'cyclamenusher_lease_losses_total', help: 'Leases that ended before they were renewed.', registers }),
+    limits: new Counter({ name: 'cyclamenusher_limits_total', help: 'Limits against untrusted clients that were met.', labelNames: ['limit'], registers }),
     recordLatency: (name, milliseconds) => {
       const microseconds = Math.min(MAXIMUM_LATENCY_MICROSECONDS, Math.max(1, Math.round(milliseconds * 1000)))
       latencies[name].recordValue(microseconds)
@@ -71,8 +76,9 @@
 }
 
 /** Serves `/metrics`, and `/health` with 200 while `isHealthy` returns true and 503 otherwise. */
-export async function listenForMetrics (address: Address, metrics: Metrics, isHealthy: () => boolean): Promise<Server> {
-  const server = createServer((request, response) => {
+export async function listenForMetrics (address: Address, metrics: Metrics, isHealthy: () => boolean, protection?: HttpProtection): Promise<Server> {
+  const server = createServer(buildHttpOptions(protection), (request, response) => {
+    request.resume()
     if (request.url === '/health') {
       const healthy = isHealthy()
       response.writeHead(healthy ? 200 : 503, { 'content-type': 'text/plain' }).end(healthy ? 'ready\n' : 'not ready\n')
@@ -84,6 +90,7 @@
     }
     void metrics.render().then(page => response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page))
   })
+  protectHttpServer(server, protection)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(address.port, address.host, resolve)
--- a/packages/cyclamenusherd/src/node/process/settings.ts
+++ b/packages/cyclamenusherd/src/node/process/settings.ts
@@ -30,15 +30,20 @@
     tls_key: { kind: 'text', optional: true, description: 'file of its private key' },
     maximum_connections: { kind: 'number', minimum: 1, maximum: 100_000, unit: 'connections', default: 5000, description: 'connections of callers at the same time' },
     maximum_message_bytes: { kind: 'number', minimum: 1024, maximum: 1_073_741_824, unit: 'bytes', default: 16_777_216, description: 'longest message of a caller' },
-    maximum_input_bytes: { kind: 'number', minimum: 1_048_576, maximum: 17_179_869_184, unit: 'bytes', default: 268_435_456, description: 'memory for incomplete requests of all callers together' },
+    maximum_input_bytes: { kind: 'number', minimum: 1_048_576, maximum: 17_179_869_184, unit: 'bytes', default: 33_554_432, description: 'memory for incomplete requests and prepared statements of all callers together; a quarter of it for the latter' },
+    maximum_session_bytes: { kind: 'number', minimum: 1024, maximum: 1_073_741_824, unit: 'bytes', default: 4_194_304, description: 'memory for the prepared statements of one caller' },
     request_milliseconds: millisecondsField('time limit for a request', 30_000, 100, 3_600_000),
     handshake_milliseconds: millisecondsField('time limit for a caller\'s handshake, until its key is accepted', 10_000, 100, 60_000),
+    handshake_grace_milliseconds: millisecondsField('age from which a connection without a complete handshake is closed for a further one, once callers.maximum_connections are open', 1_000, 0, 60_000),
+    message_milliseconds: millisecondsField('time within which a message must be complete once its first byte has come', 30_000, 100, 3_600_000),
+    unread_answer_milliseconds: millisecondsField('time after which a caller is disconnected that reads nothing of an answer', 10_000, 100, 3_600_000),
     idle_transaction_milliseconds: millisecondsField('time that a transaction may stay idle between requests', 60_000, 100, 3_600_000)
   },
   calls: {
     listen: addressField('address for other instances, announcers and operators', '127.0.0.1:7432'),
     advertise: { ...addressField('address at which other instances reach this one (default: calls.listen)'), optional: true },
     secret_file: { kind: 'text', description: 'file with the secret that all instances and announcers share' },
+    maximum_unauthenticated: { kind: 'number', minimum: 1, maximum: 100_000, unit: 'connections', default: 1024, description: 'connections that no authenticated call has come on; the oldest is closed for a further one' },
     tls_certificate: { kind: 'text', optional: true, description: 'certificate for mutual TLS' },
     tls_key: { kind: 'text', optional: true, description: 'its private key' },
     tls_authority: { kind: 'text', optional: true, description: 'certificate of the authority that signed those of the other instances' }
@@ -65,7 +70,11 @@
     wait_milliseconds: millisecondsField('time that a request may wait for a token', 80, 0, 1_000),
     mandate_milliseconds: millisecondsField('how long an instance may lend tokens without a renewal by control; must be the same on all instances', 1_500, 1_000, 30_000)
   },
-  metrics: { listen: addressField('address of the metrics and health pages', '127.0.0.1:9432') },
+  metrics: {
+    listen: addressField('address of the metrics and health pages', '127.0.0.1:9432'),
+    maximum_connections: { kind: 'number', minimum: 1, maximum: 100_000, unit: 'connections', default: 128, description: 'connections to these pages at the same time' },
+    request_milliseconds: millisecondsField('time within which a request for these pages must be complete, and its answer read', 30_000, 100, 600_000)
+  },
   log: {
     level: { kind: 'choice', choices: ['error', 'warn', 'info', 'debug'], default: 'info', description: 'least severe level that is logged' },
     format: { kind: 'choice', choices: ['lines', 'json'], default: 'lines', description: 'readable lines, or JSON' },
--- a/packages/cyclamenusherd/src/node/request/batch.ts
+++ b/packages/cyclamenusherd/src/node/request/batch.ts
@@ -55,6 +55,10 @@
 
 /** Maximum number of statements that one caller may keep prepared. */
 const MAXIMUM_PREPARED_PER_CALLER = 1_000
+/** Maximum number of portals that one caller may have open. */
+const MAXIMUM_PORTALS_PER_CALLER = 1_000
+/** Copies of a statement's text that are kept: the bytes, and the text. */
+const STATEMENT_COPIES = 2
 /** Length of the digest in the name of a statement at backend servers, in characters. */
 const NAME_DIGEST_CHARACTERS = 32
 /** Name under which no statement is prepared. */
@@ -91,6 +95,12 @@
   changes: Map<string, PreparedStatement | undefined>
   portals: Portals
   batch: Batch
+  mayPrepare: (bytes: number) => boolean
+}
+
+/** Memory of a prepared statement, in bytes. */
+export function measureStatement ({ content }: PreparedStatement): number {
+  return content.length * STATEMENT_COPIES
 }
 
 function findStatement ({ prepared, changes }: ReadingState, name: string): PreparedStatement | undefined {
@@ -111,6 +121,7 @@
     const [name, statement] = readParse({ type, bytes })
     if (name !== '' && findStatement(state, name) !== undefined) throw new RefusalError('statement exists', `prepared statement "${name}" already exists`)
     if (state.prepared.size + state.changes.size > MAXIMUM_PREPARED_PER_CALLER) throw new RefusalError('limit exceeded', `a caller may keep ${MAXIMUM_PREPARED_PER_CALLER} statements prepared`, 'not run', 'Close the ones that are no longer used.')
+    if (name !== '' && !state.mayPrepare(measureStatement(statement))) throw new RefusalError('limit exceeded', 'the prepared statements of callers take too much memory', 'not run', 'Close the ones that are no longer used.')
     state.changes.set(name, statement)
     state.batch.referenced.push(...statement.statements)
     return { type, bytes, statementName: name, statement }
@@ -119,6 +130,7 @@
     const [portal, next] = readCString(bytes, FRAME_HEADER_BYTES)
     const [name] = readCString(bytes, next)
     const statement = requireStatement(state, name)
+    if (state.portals.size >= MAXIMUM_PORTALS_PER_CALLER && !state.portals.has(portal)) throw new RefusalError('limit exceeded', `a caller may have ${MAXIMUM_PORTALS_PER_CALLER} portals open`, 'not run', 'Close the ones that are no longer used.')
     state.portals.set(portal, statement)
     return { type, bytes, statementName: name, statement }
   },
@@ -150,9 +162,9 @@
  *
  * @throws RefusalError when a message is malformed, or names a statement that is unknown or already exists
  */
-export function readExtendedBatch (frames: readonly Frame[], prepared: PreparedStatements, portals: Portals): Batch {
+export function readExtendedBatch (frames: readonly Frame[], prepared: PreparedStatements, portals: Portals, mayPrepare: (bytes: number) => boolean = () => true): Batch {
   const batch: Batch = { messages: [], statements: [], referenced: [], complete: frames.at(-1)?.type === FRONTEND.sync, simple: false }
-  const state: ReadingState = { prepared, changes: new Map(), portals, batch }
+  const state: ReadingState = { prepared, changes: new Map(), portals, batch, mayPrepare }
   try {
     for (const frame of frames) batch.messages.push(EXTENDED_READERS[frame.type]?.(frame, state) ?? { type: frame.type, bytes: frame.bytes })
   } catch (error) {
--- a/packages/decisions/src/node/index.ts
+++ b/packages/decisions/src/node/index.ts
@@ -1,6 +1,7 @@
 /** The system's decisions as pure functions, without sockets, clocks or files. */
 
 export * from './lookUp.js'
+export * from './admission/memoryBudget.js'
 export * from './group/route.js'
 export * from './group/view.js'
 export * from './rate/agent.js'
--- a/packages/protocol/src/node/messageStream.ts
+++ b/packages/protocol/src/node/messageStream.ts
@@ -7,6 +7,7 @@
 
 import { Socket } from 'node:net'
 import { TLSSocket } from 'node:tls'
+import { createByteCollector } from './byteCollector.js'
 import type { Duplex } from 'node:stream'
 
 /** Largest message of a stream, in bytes: a declaration is the largest. */
@@ -38,15 +39,16 @@
 
 /** Returns a function that takes the bytes of a stream as they arrive, and returns the messages that are complete. It throws a MessageLengthError. */
 export function createMessageReader (maximumBytes = MAXIMUM_STREAM_MESSAGE_BYTES): (chunk: Buffer) => Buffer[] {
-  let chunks: Buffer[] = []
-  let available = 0
+  const pending = createByteCollector()
   /** Bytes from which another message may be complete. */
   let needed = LENGTH_BYTES
   return chunk => {
-    chunks.push(chunk)
-    available += chunk.length
-    if (available < needed) return []
-    let bytes = chunks.length === 1 ? chunk : Buffer.concat(chunks)
+    let bytes = chunk
+    if (pending.byteLength() > 0) {
+      pending.add(chunk)
+      if (pending.byteLength() < needed) return []
+      bytes = pending.take()
+    }
     const messages: Buffer[] = []
     while (bytes.length >= LENGTH_BYTES) {
       const length = bytes.readUInt32BE(0)
@@ -55,8 +57,7 @@
       messages.push(bytes.subarray(LENGTH_BYTES, LENGTH_BYTES + length))
       bytes = bytes.subarray(LENGTH_BYTES + length)
     }
-    chunks = bytes.length === 0 ? [] : [bytes]
-    available = bytes.length
+    if (bytes.length > 0) pending.add(bytes)
     needed = bytes.length < LENGTH_BYTES ? LENGTH_BYTES : LENGTH_BYTES + bytes.readUInt32BE(0)
     return messages
   }
--- a/packages/protocol/src/node/postgres/frames.ts
+++ b/packages/protocol/src/node/postgres/frames.ts
@@ -6,6 +6,7 @@
  * on is decoded.
  */
 
+import { createByteCollector } from '../byteCollector.js'
 import { FrameTooLongError, MalformedFrameError } from './errors.js'
 
 /** Size of a frame's header (type and length), in bytes. */
@@ -21,7 +22,7 @@
 export interface FrameSplitter {
   /** Adds received bytes and calls `onFrame` for each frame that they complete. */
   push: (chunk: Buffer) => void
-  /** Bytes buffered for an incomplete frame. */
+  /** Memory that is in use for an incomplete frame, in bytes. */
   pendingBytes: () => number
 }
 
@@ -32,8 +33,7 @@
  * @throws MalformedFrameError from `push`, when a frame's length is less than its own four bytes
  */
 export function createFrameSplitter (maximumFrameBytes: number, onFrame: (frame: Frame) => void): FrameSplitter {
-  let pendingChunks: Buffer[] = []
-  let pendingBytes = 0
+  const pending = createByteCollector()
   let neededBytes = FRAME_HEADER_BYTES
 
   function readFrameLength (buffer: Buffer, offset: number): number {
@@ -45,14 +45,10 @@
 
   function push (chunk: Buffer): void {
     let buffer = chunk
-    if (pendingBytes > 0) {
-      pendingChunks.push(chunk)
-      pendingBytes += chunk.length
-      // Chunks are joined once per frame, so that a large frame in many small chunks takes linear time.
-      if (pendingBytes < neededBytes) return
-      buffer = Buffer.concat(pendingChunks, pendingBytes)
-      pendingChunks = []
-      pendingBytes = 0
+    if (pending.byteLength() > 0) {
+      pending.add(chunk)
+      if (pending.byteLength() < neededBytes) return
+      buffer = pending.take()
     }
     let offset = 0
     neededBytes = FRAME_HEADER_BYTES
@@ -66,10 +62,8 @@
       offset += length
     }
     if (offset === buffer.length) return
-    const remainder = buffer.subarray(offset)
-    pendingChunks = [remainder]
-    pendingBytes = remainder.length
+    pending.add(buffer.subarray(offset))
   }
 
-  return { push, pendingBytes: () => pendingBytes }
+  return { push, pendingBytes: pending.capacity }
 }
--- a/packages/protocol/src/node/streamSocket.ts
+++ b/packages/protocol/src/node/streamSocket.ts
@@ -69,6 +69,7 @@
 
 export interface SocketStreamOptions {
   isSecret: (given: string) => boolean
+  onAuthenticated: () => void
   findStream: (name: string) => ((messages: MessageStream) => MessageStreamHandlers) | undefined
 }
 
@@ -77,7 +78,7 @@
 }
 
 /** Reads the first message on an accepted connection, and hands the connection to its stream. */
-export function acceptSocketStream (socket: Socket, { isSecret, findStream }: SocketStreamOptions): void {
+export function acceptSocketStream (socket: Socket, { isSecret, onAuthenticated, findStream }: SocketStreamOptions): void {
   const timer = setTimeout(() => { socket.destroy() }, HELLO_TIMEOUT_MILLISECONDS)
   let received = Buffer.alloc(0)
 
@@ -106,6 +107,7 @@
 
   function start ({ secret, stream }: StreamHello, rest: Buffer): void {
     if (!isSecret(secret)) return refuse('secret wrong')
+    onAuthenticated()
     const accept = findStream(stream)
     if (accept === undefined) return refuse('stream unknown')
     writeStatus(socket, 'accepted')
--- a/packages/protocol/src/node/transport.ts
+++ b/packages/protocol/src/node/transport.ts
@@ -11,10 +11,11 @@
 import { connectNodeAdapter, createGrpcTransport } from '@connectrpc/connect-node'
 import { createCallSessionManager } from './callSession.js'
 import { createMessageStream } from './messageStream.js'
+import { createSilentConnections } from './silentConnections.js'
 import { createStreamOpener } from './streamOpener.js'
 import { STREAM_PROTOCOL, acceptSocketStream, distinguishStreams } from './streamSocket.js'
-import type { Http2SecureServer, Http2Server, Http2ServerRequest, Http2ServerResponse, ServerHttp2Session } from 'node:http2'
-import type { Socket } from 'node:net'
+import type { Http2SecureServer, Http2Session, Http2Server, Http2ServerRequest, Http2ServerResponse, ServerHttp2Session } from 'node:http2'
+import type { Server as TcpServer, Socket } from 'node:net'
 import type { DescService } from '@bufbuild/protobuf'
 import type { Client, ConnectRouter, Interceptor } from '@connectrpc/connect'
 import type { MessageStream, MessageStreamHandlers } from './messageStream.js'
@@ -65,7 +66,7 @@
   const isSecret = createSecretCheck(secret)
   return next => async request => {
     if (!isSecret(request.header.get(SECRET_HEADER) ?? '')) {
-      throw new ConnectError('the shared secret is wrong: give both sides the same secret file', Code.Unauthenticated)
+      throw new ConnectError(SECRET_WRONG, Code.Unauthenticated)
     }
     return await next(request)
   }
@@ -96,38 +97,116 @@
   }
 }
 
+/** Bounds the connections that no authenticated call or stream has come on. */
+export interface UnauthenticatedCalls {
+  /** The oldest is closed for a further one. */
+  maximum: number
+  /** Called when one was closed, for a further one or after its time. */
+  onClosed: () => void
+}
+
+const DEFAULT_UNAUTHENTICATED: UnauthenticatedCalls = { maximum: 1_024, onClosed: () => {} }
+/** Time within which a connection must have brought an authenticated call or stream, in milliseconds. */
+const AUTHENTICATION_TIMEOUT_MILLISECONDS = 5_000
+/** Most calls of one connection at once. */
+const MAXIMUM_CALLS_OF_CONNECTION = 1_000
+/** Status of gRPC for a call without valid credentials. */
+const GRPC_UNAUTHENTICATED = 16
+const SECRET_WRONG = 'the shared secret is wrong: give both sides the same secret file'
+
+/** Refuses calls without the secret before their messages are read. */
+function requireSecretFirst (isSecret: (given: string) => boolean, onAuthenticated: (session: Http2Session | undefined) => void, handleCall: RequestHandler): RequestHandler {
+  return (request, response) => {
+    const { stream } = response
+    if (isSecret(String(request.headers[SECRET_HEADER] ?? ''))) {
+      onAuthenticated(stream.session)
+      return handleCall(request, response)
+    }
+    stream.on('error', () => {})
+    if (request.url.startsWith(STREAM_PATH)) stream.respond({ ':status': HTTP_KEY_MISSING }, { endStream: true })
+    else stream.respond({ ':status': HTTP_OK, 'content-type': 'application/grpc', 'grpc-status': GRPC_UNAUTHENTICATED, 'grpc-message': encodeURIComponent(SECRET_WRONG) }, { endStream: true })
+    stream.close()
+  }
+}
+
+/** Bounds the connections whose TLS handshake is not complete. */
+function boundHandshakes (server: TcpServer, maximum: number, onClosed: () => void): void {
+  const handshaking = createSilentConnections(maximum, onClosed)
+  const plainSockets = new Map<string, Socket>()
+  const nameOf = ({ remoteAddress, remotePort }: Socket): string => `${remoteAddress} ${remotePort}`
+  server.on('connection', (socket: Socket) => {
+    const name = nameOf(socket)
+    plainSockets.set(name, socket)
+    handshaking.add(socket)
+    socket.once('close', () => { plainSockets.delete(name) })
+  })
+  server.on('secureConnection', (socket: Socket) => {
+    const plainSocket = plainSockets.get(nameOf(socket))
+    if (plainSocket !== undefined) handshaking.remove(plainSocket)
+  })
+}
+
 /** Serves the services that `routes` registers and the message streams on `host:port`; port 0 selects a free port. */
-export async function listenForCalls (host: string, port: number, credentials: PeerCredentials, routes: (router: ConnectRouter) => void, streams: StreamRoutes = new Map()): Promise<CallServer> {
+export async function listenForCalls (host: string, port: number, credentials: PeerCredentials, routes: (router: ConnectRouter) => void, streams: StreamRoutes = new Map(), { maximum, onClosed } = DEFAULT_UNAUTHENTICATED): Promise<CallServer> {
   const isSecret = createSecretCheck(credentials.secret)
-  const handler = acceptStreams(streams, isSecret, connectNodeAdapter({
+  const unauthenticated = createSilentConnections(maximum, onClosed)
+  const timers = new Map<Socket, NodeJS.Timeout>()
+  const socketsOfSessions = new WeakMap<Http2Session, Socket>()
+  const authenticate = (socket: Socket): void => {
+    clearTimeout(timers.get(socket))
+    timers.delete(socket)
+    unauthenticated.remove(socket)
+  }
+  const handler = requireSecretFirst(isSecret, session => {
+    const socket = session === undefined ? undefined : socketsOfSessions.get(session)
+    if (socket !== undefined) authenticate(socket)
+  }, acceptStreams(streams, isSecret, connectNodeAdapter({
     routes,
     interceptors: [requireSecret(credentials.secret)],
     readMaxBytes: MAXIMUM_CALL_BYTES
-  }))
+  })))
   const { tls } = credentials
-  const calls: Http2Server | Http2SecureServer = tls === undefined ? createServer(handler) : createSecureServer({}, handler)
+  const callOptions = { settings: { maxConcurrentStreams: MAXIMUM_CALLS_OF_CONNECTION } }
+  const calls: Http2Server | Http2SecureServer = tls === undefined ? createServer(callOptions, handler) : createSecureServer(callOptions, handler)
   const sessions = new Set<ServerHttp2Session>()
+  let connecting: Socket | undefined
+  /** Hands a connection to HTTP/2, which opens its session at once. */
+  const acceptCalls = (event: 'connection' | 'secureConnection', socket: Socket): void => {
+    connecting = socket
+    calls.emit(event, socket)
+    connecting = undefined
+  }
   calls.on('session', session => {
+    if (connecting !== undefined) socketsOfSessions.set(session, connecting)
     sessions.add(session)
     session.on('close', () => { sessions.delete(session) })
     session.on('error', () => { session.destroy() })
   })
   const sockets = new Set<Socket>()
-  const acceptStream = (socket: Socket): void => { acceptSocketStream(socket, { isSecret, findStream: name => streams.get(name) }) }
+  const acceptStream = (socket: Socket): void => { acceptSocketStream(socket, { isSecret, findStream: name => streams.get(name), onAuthenticated: () => { authenticate(socket) } }) }
   const track = (socket: Socket): void => {
     sockets.add(socket)
-    socket.on('close', () => { sockets.delete(socket) })
+    unauthenticated.add(socket)
+    timers.set(socket, setTimeout(() => {
+      onClosed()
+      socket.destroy()
+    }, AUTHENTICATION_TIMEOUT_MILLISECONDS))
+    socket.on('close', () => {
+      sockets.delete(socket)
+      authenticate(socket)
+    })
   }
   const server = tls === undefined
     ? createTcpServer(socket => {
       track(socket)
-      distinguishStreams(socket, acceptStream, other => { calls.emit('connection', other) })
+      distinguishStreams(socket, acceptStream, other => { acceptCalls('connection', other) })
     })
-    : createTlsServer({ key: tls.key, cert: tls.certificate, ca: tls.authority, requestCert: true, rejectUnauthorized: true, ALPNProtocols: [STREAM_PROTOCOL, HTTP2_PROTOCOL] }, socket => {
+    : createTlsServer({ key: tls.key, cert: tls.certificate, ca: tls.authority, requestCert: true, rejectUnauthorized: true, handshakeTimeout: AUTHENTICATION_TIMEOUT_MILLISECONDS, ALPNProtocols: [STREAM_PROTOCOL, HTTP2_PROTOCOL] }, socket => {
       track(socket)
       if (socket.alpnProtocol === STREAM_PROTOCOL) distinguishStreams(socket, acceptStream, other => { other.destroy() })
-      else calls.emit('secureConnection', socket)
+      else acceptCalls('secureConnection', socket)
     })
+  if (tls !== undefined) boundHandshakes(server, maximum, onClosed)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(port, host, resolve)
