--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -43,6 +43,8 @@
   protection?: CallerProtection
 }
 
+/** Statements that release something, and are not refused for memory. */
+const ENDING_KINDS: ReadonlySet<Statement['kind']> = new Set<Statement['kind']>(['commit', 'rollback', 'deallocate'])
 const EMPTY_RESULT: StatementResult = { rows: [], digest: INTERNAL_DIGEST }
 
 /** Memory of a message while it waits, in bytes. */
@@ -101,11 +103,14 @@
     keptBytes = 0
     messages.length = 0
     waitingBytes = 0
-    // What was sent is given time to be read; a caller that does not read must not keep the connection.
-    socket.setTimeout(limits.unreadAnswerMilliseconds, () => { socket.destroy() })
     if (startedSession?.transaction !== undefined && !processing) operations.rollBack(startedSession.transaction)
     socket.end()
     socket.destroySoon()
+    // A caller that reads gets its answers; one that takes nothing must not keep the connection.
+    if (socket.writableLength > 0) {
+      socket.pause()
+      socket.setTimeout(limits.unreadAnswerMilliseconds, () => { socket.destroy() })
+    }
     onClose()
   }
 
@@ -141,7 +146,7 @@
 
   /** Limits the time of the message that is incomplete now, if there is one. */
   function watchPartialMessage (): void {
-    if (codec.pendingBytes() === 0 || !hasFirstMessage) return
+    if (closed || codec.pendingBytes() === 0 || !hasFirstMessage) return
     partialTimer ??= setTimeout(() => { closeForLimit('partial message time') }, limits.partialMessageMilliseconds)
   }
 
@@ -318,12 +323,11 @@
   async function answerStatement (session: Session, request: StatementRequest): Promise<void> {
     const startedAt = clock.now()
     const context: StatementContext = { timing: {}, session, request, startedAt, deadline: startedAt + findStatementTimeout(session) }
-    // Values of the session travel with each statement.
-    const bytes = request.text.length + keptBytes
     let takeOff = (): void => {}
     try {
-      if (!account.mayStart(bytes)) throw new StatementFailure('busy', 'this instance holds too much for its clients now; the statement did not run: try again, or another one')
-      takeOff = account.start(bytes)
+      if (!ENDING_KINDS.has(request.statement.kind) && !account.mayStart(request.text.length)) throw new StatementFailure('busy', 'this instance holds too much for its clients now; the statement did not run: try again, or another one')
+      // Values of the session travel with each statement.
+      takeOff = account.start(request.text.length + keptBytes)
       const { rows, digest, position } = await execute(context)
       logOutcome(context)
       write(codec.result(rows, digest) + codec.ready(session.state, position))
@@ -379,7 +383,10 @@
       const handle = MESSAGE_HANDLERS[message.kind] as (message: CallerMessage) => void | Promise<void>
       await handle(message)
       if (socket.writableLength > limits.unreadAnswerBytes) await awaitReader()
-      if (socket.isPaused()) resumeReading()
+      if (socket.isPaused()) {
+        heldBack = !client.mayRead(codec.pendingBytes() + waitingBytes)
+        resumeReading()
+      }
     }
     processing = false
     // The caller may have disconnected while its statement ran.
--- /dev/null
+++ b/packages/cyclamenusherd/src/node/process/__tests__/memoryAccount.test.ts
@@ -0,0 +1,96 @@
+import { test } from 'uvu'
+import * as assert from 'uvu/assert'
+import { createMemoryAccount } from '../memoryAccount.js'
+import type { AccountedClient, MemoryAccount } from '../memoryAccount.js'
+
+const KIBIBYTE = 1024
+const LIMIT = 1024 * KIBIBYTE
+const BALANCE_MILLISECONDS = 200
+
+let account: MemoryAccount
+let now = 0
+let limits: string[]
+let resumed: string[]
+let destroyed: string[]
+
+test.before.each(() => {
+  now = 0
+  limits = []
+  resumed = []
+  destroyed = []
+  account = createMemoryAccount(LIMIT, { now: () => now }, { report: limit => { limits.push(limit) } })
+})
+test.after.each(() => { account.close() })
+
+function openClient (name: string, bytes: { now: number }): AccountedClient {
+  const client = account.open({ measure: () => bytes.now, resume: () => { resumed.push(name) }, destroy: () => { destroyed.push(name) } })
+  client.update(bytes.now)
+  return client
+}
+
+const pause = async (): Promise<void> => { await new Promise(resolve => { setTimeout(resolve, BALANCE_MILLISECONDS) }) }
+
+test('a client is held back without pressure, or an ordinary one under it', () => {
+  const bytes = { now: 100 * KIBIBYTE }
+  const client = openClient('long', bytes)
+  assert.is(client.mayRead(bytes.now), true)
+  openClient('other', { now: 500 * KIBIBYTE })
+  assert.is(client.mayRead(bytes.now), false)
+  assert.is(client.mayRead(8 * KIBIBYTE), true)
+})
+
+test('clients that are held back wait for one another', async () => {
+  const clients = ['a', 'b', 'c'].map(name => openClient(name, { now: 250 * KIBIBYTE }))
+  for (const client of clients) assert.is(client.mayRead(250 * KIBIBYTE), false)
+  await pause()
+  assert.equal([...resumed].sort(), ['a', 'b', 'c'])
+  assert.equal(destroyed, [])
+})
+
+test('clients stay held back when the pressure is over', async () => {
+  const bytes = { now: 400 * KIBIBYTE }
+  const first = openClient('first', bytes)
+  openClient('second', { now: 200 * KIBIBYTE })
+  assert.is(first.mayRead(bytes.now), false)
+  bytes.now = 0
+  await pause()
+  assert.ok(resumed.includes('first'))
+  assert.is(first.mayRead(100 * KIBIBYTE), true)
+})
+
+test('another client than the slowest is closed', () => {
+  const slow = openClient('slow', { now: 500 * KIBIBYTE })
+  now = 5_000
+  openClient('fast', { now: 400 * KIBIBYTE })
+  openClient('newest', { now: 200 * KIBIBYTE })
+  assert.equal(destroyed, ['slow'])
+  assert.equal(limits, ['buffered bytes closed'])
+  slow.release()
+  assert.is(account.usedBytes(), 600 * KIBIBYTE)
+})
+
+test('bytes of a message that ran, or of a closed client, stay in the account', () => {
+  const client = openClient('client', { now: 10 * KIBIBYTE })
+  const takeOff = account.start(10 * KIBIBYTE)
+  assert.is(account.usedBytes(), 50 * KIBIBYTE)
+  takeOff()
+  client.release()
+  client.update(20 * KIBIBYTE)
+  assert.is(account.usedBytes(), 0)
+})
+
+test('kept values take more than their part, or are not released', () => {
+  assert.is(account.keep(LIMIT / 4), true)
+  assert.is(account.keep(1), false)
+  account.keep(-LIMIT / 4)
+  assert.is(account.usedBytes(), 0)
+  assert.is(account.keep(1), true)
+})
+
+test('an ordinary client is closed for messages that run', () => {
+  account.start(LIMIT / 4)
+  openClient('ordinary', { now: KIBIBYTE })
+  assert.equal(destroyed, [])
+})
+
+test.run()
--- a/packages/cyclamenusherd/src/node/process/memoryAccount.ts
+++ b/packages/cyclamenusherd/src/node/process/memoryAccount.ts
@@ -55,6 +55,8 @@
   /** Clients of which nothing is read, in the order in which they are read again. */
   const held = new Set<Client>()
   let granted: Client | undefined
+  /** Bytes of clients, and these with what runs and what is kept. */
+  let clientBytes = 0
   let used = 0
   let kept = 0
   let timer: NodeJS.Timeout | undefined
@@ -63,13 +65,14 @@
 
   function setBytes (client: Client, bytes: number): void {
     used += bytes - client.bytes
+    clientBytes += bytes - client.bytes
     client.bytes = bytes
     if (pressure() !== 'none') timer ??= setInterval(balance, BALANCE_INTERVAL_MILLISECONDS)
   }
 
   function closeClients (): void {
     while (pressure() === 'close') {
-      const client = chooseClientToClose(clients, clock.now())
+      const client = chooseClientToClose(clients, clock.now(), clientBytes < limitBytes)
       if (client === undefined) return
       report('buffered bytes closed', { bytes: client.bytes, used, limitBytes })
       release(client)
@@ -107,6 +110,7 @@
     if (!clients.delete(client)) return
     held.delete(client)
     used -= client.bytes
+    clientBytes -= client.bytes
   }
 
   return {
@@ -137,9 +141,7 @@
     start: messageBytes => {
       const bytes = messageBytes * RUNNING_FACTOR
       used += bytes
-      return () => {
-        used -= bytes
-      }
+      return () => { used -= bytes }
     },
     keep: bytes => {
       if (bytes > 0 && !mayKeep(kept, limitBytes, bytes)) return false
--- a/packages/decisions/src/node/admission/memoryBudget.ts
+++ b/packages/decisions/src/node/admission/memoryBudget.ts
@@ -54,11 +54,12 @@
   progressAt: number
 }
 
-/** The client that is closed first: the one that holds the most for the longest time without progress. */
-export function chooseClientToClose<Client extends ClientBytes> (clients: Iterable<Client>, now: number): Client | undefined {
+/** The client that is closed first: the one that holds the most for the longest time without progress. Those within their reserve are spared where `sparesReserves`. */
+export function chooseClientToClose<Client extends ClientBytes> (clients: Iterable<Client>, now: number, sparesReserves: boolean): Client | undefined {
   let chosen: Client | undefined
   let highestCost = 0
   for (const client of clients) {
+    if (sparesReserves && client.bytes <= CLIENT_RESERVE_BYTES) continue
     const cost = client.bytes * (1 + Math.max(0, now - client.progressAt) / 1000)
     if (cost <= highestCost) continue
     highestCost = cost
--- a/packages/protocol/src/node/transport.ts
+++ b/packages/protocol/src/node/transport.ts
@@ -105,13 +105,13 @@
   onClosed: () => void
 }
 
-const DEFAULT_UNAUTHENTICATED: UnauthenticatedCalls = { maximum: 1_024, onClosed: () => {} }
+const DEFAULT_SILENT_CALLS: UnauthenticatedCalls = { maximum: 1_024, onClosed: () => {} }
 /** Time within which a connection must have brought an authenticated call or stream, in milliseconds. */
 const AUTHENTICATION_TIMEOUT_MILLISECONDS = 5_000
 /** Most calls of one connection at once. */
 const MAXIMUM_CALLS_OF_CONNECTION = 1_000
 /** Status of gRPC for a call without valid credentials. */
-const GRPC_UNAUTHENTICATED = 16
+const GRPC_SECRET_WRONG = 16
 const SECRET_WRONG = 'the shared secret is wrong: give both sides the same secret file'
 
 /** Refuses calls without the secret before their messages are read. */
@@ -124,7 +124,7 @@
     }
     stream.on('error', () => {})
     if (request.url.startsWith(STREAM_PATH)) stream.respond({ ':status': HTTP_KEY_MISSING }, { endStream: true })
-    else stream.respond({ ':status': HTTP_OK, 'content-type': 'application/grpc', 'grpc-status': GRPC_UNAUTHENTICATED, 'grpc-message': encodeURIComponent(SECRET_WRONG) }, { endStream: true })
+    else stream.respond({ ':status': HTTP_OK, 'content-type': 'application/grpc', 'grpc-status': GRPC_SECRET_WRONG, 'grpc-message': encodeURIComponent(SECRET_WRONG) }, { endStream: true })
     stream.close()
   }
 }
@@ -147,7 +147,7 @@
 }
 
 /** Serves the services that `routes` registers and the message streams on `host:port`; port 0 selects a free port. */
-export async function listenForCalls (host: string, port: number, credentials: PeerCredentials, routes: (router: ConnectRouter) => void, streams: StreamRoutes = new Map(), { maximum, onClosed } = DEFAULT_UNAUTHENTICATED): Promise<CallServer> {
+export async function listenForCalls (host: string, port: number, credentials: PeerCredentials, routes: (router: ConnectRouter) => void, streams: StreamRoutes = new Map(), { maximum, onClosed } = DEFAULT_SILENT_CALLS): Promise<CallServer> {
   const isSecret = createSecretCheck(credentials.secret)
   const unauthenticated = createSilentConnections(maximum, onClosed)
   const timers = new Map<Socket, NodeJS.Timeout>()
