--- a/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/harness.ts
@@ -70,6 +70,7 @@
   maximumConnections?: number
   handshakeMilliseconds?: number
   idleTransactionMilliseconds?: number
+  unreadAnswerMilliseconds?: number
   tls?: { certificate: string, key: string }
   services?: Partial<CallerServices>
 }
@@ -108,7 +109,7 @@
       maximumSessionBytes: 1024 * 1024,
       handshakeGraceMilliseconds: 1_000,
       messageMilliseconds: 5_000,
-      unreadAnswerMilliseconds: 5_000,
+      unreadAnswerMilliseconds: options.unreadAnswerMilliseconds ?? 5_000,
       requestMilliseconds: options.requestMilliseconds ?? 5_000,
       handshakeMilliseconds: options.handshakeMilliseconds ?? 5_000,
       idleTransactionMilliseconds: options.idleTransactionMilliseconds ?? 5_000
