--- a/packages/decisions/src/node/admission/memoryBudget.ts
+++ b/packages/decisions/src/node/admission/memoryBudget.ts
@@ -9,8 +9,8 @@
 const MEBIBYTE = 1024 * 1024
 /**
  * Part of the machine's memory that clients may make a process hold. An accounted byte takes up
- * to three bytes of memory until the collector has run, beside 75 MB of the program: at 202 MB
- * of memory that is 151 MB.
+ * to three bytes of memory until the collector has run, beside 70 MB of the program: at 202 MB
+ * of memory that is 146 MB.
  */
 const CLIENT_PART = 1 / 8
 /** Least account, in bytes: one message of 1 MiB is held several times while it runs. */
