--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -10,6 +10,7 @@
 import { NO_REGIONS, listUnknownRegions } from '@cyclamenusher/decisions'
 import type { RateTolerance, RegionMap } from '@cyclamenusher/decisions'
 import type { Peers } from '../process/peers.js'
+import type { MemoryAccount } from '../process/memoryAccount.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { Clock } from '../process/clock.js'
 import type { ForwardingRunner } from './forwarding/forwarding.js'
@@ -79,9 +80,11 @@
   /** Called when an operation is refused because all servers that could run it are cold. */
   onWarmupRefusal?: () => void
   peers: Peers
+  /** @default undefined - operations of other instances are not accounted */
+  account?: MemoryAccount
 }
 
-export function createEngine ({ createLink, codec, clock, logger, log, tolerance, regions = NO_REGIONS, onWarmupRefusal = () => {}, peers }: EngineOptions): Engine {
+export function createEngine ({ createLink, codec, clock, logger, log, tolerance, regions = NO_REGIONS, onWarmupRefusal = () => {}, peers, account }: EngineOptions): Engine {
   const groups = new Map<string, GroupPool>()
   const poolMetrics = createPoolMetrics()
   let draining = false
@@ -117,7 +120,7 @@
   const local = { link, regions, group, codec, clock, log }
   const runner = createLocalRunner(local)
   const operations = createForwardingRunner({ services: local, local: runner, peers, logger })
-  const holder = createHolderService({ runner, services: local, clock, logger })
+  const holder = createHolderService({ runner, services: local, clock, logger, account })
 
   let checkedVersion = -1
 
--- a/packages/cyclamenusherd/src/node/process/metrics.ts
+++ b/packages/cyclamenusherd/src/node/process/metrics.ts
@@ -3,9 +3,11 @@
 import { createServer } from 'node:http'
 import { build } from 'hdr-histogram-js/dist/HistogramBuilder.js'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
+import { buildHttpOptions, protectHttpServer } from './httpProtection.js'
 import type { Histogram } from 'hdr-histogram-js'
 import type { Server } from 'node:http'
 import type { Address } from './address.js'
+import type { HttpProtection } from './httpProtection.js'
 
 /** Longest latency that is recorded, in microseconds; longer ones count as this. */
 const MAXIMUM_LATENCY_MICROSECONDS = 60_000_000
@@ -37,6 +39,8 @@
   /** Share of the statements reserved for the most urgent priority that is in use. */
   reservedUse: Gauge<'group' | 'member'>
   queueRefusals: Counter<'reason' | 'priority'>
+  /** How often a limit against untrusted clients was met. */
+  limits: Counter<'limit'>
   recordLatency: (name: LatencyName, milliseconds: number) => void
   render: () => Promise<string>
 }
@@ -80,6 +84,7 @@
     serverOutstanding: new Gauge({ name: 'cyclamenusher_server_outstanding', help: 'Statements of this instance that wait for the answer of a backend server.', labelNames: ['group', 'member'], registers }),
     reservedUse: new Gauge({ name: 'cyclamenusher_reserved_in_use', help: 'Share of the statements reserved for the most urgent priority that is in use, from 0 to 1.', labelNames: ['group', 'member'], registers }),
     queueRefusals: new Counter({ name: 'cyclamenusher_queue_refusals_total', help: 'Requests refused by the queue of a group.', labelNames: ['reason', 'priority'], registers }),
+    limits: new Counter({ name: 'cyclamenusher_limits_total', help: 'Limits against untrusted clients that were met.', labelNames: ['limit'], registers }),
     recordLatency: (name, milliseconds) => {
       const microseconds = Math.min(MAXIMUM_LATENCY_MICROSECONDS, Math.max(1, Math.round(milliseconds * 1000)))
       latencies[name].recordValue(microseconds)
@@ -93,8 +98,9 @@
 }
 
 /** Serves `/metrics`, and `/health` with 200 while `isHealthy` returns true and 503 otherwise. */
-export async function listenForMetrics (address: Address, metrics: Metrics, isHealthy: () => boolean): Promise<Server> {
-  const server = createServer((request, response) => {
+export async function listenForMetrics (address: Address, metrics: Metrics, isHealthy: () => boolean, protection?: HttpProtection): Promise<Server> {
+  const server = createServer(buildHttpOptions(protection), (request, response) => {
+    request.resume()
     if (request.url === '/health') {
       const healthy = isHealthy()
       response.writeHead(healthy ? 200 : 503, { 'content-type': 'text/plain' }).end(healthy ? 'ready\n' : 'not ready\n')
@@ -106,6 +112,7 @@
     }
     void metrics.render().then(page => response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(page))
   })
+  protectHttpServer(server, protection)
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
     server.listen(address.port, address.host, resolve)
