feat(cyclamenusher): where an operation would go from an entry instance

`cyclamenusher where DATABASE` asks a running entry instance, over the new call Where of FleetService, where an operation that arrives now would go. The engine explains it with the decisions that a real operation takes: the route, the account, what is left of its rate, the holders, and for each server its position, load, expected wait and the reason why it is not selected.

The explanation takes no token, opens no connection and changes no state. An instance that has not used the group builds a pool for the explanation and drops it. Where the operation runs at another instance, that one selects the server, so the command asks it too. The command sends a digest of the key, never the key; digestKey moves to the decisions, where the command line can use it.

On the path of statements only code is divided so that both can use it: the priorities in use are passed on instead of being looked up again, and the pure parts of refusals are functions of their own.

--- a/packages/cyclamenusher/src/node/__tests__/connection.test.ts
+++ b/packages/cyclamenusher/src/node/__tests__/connection.test.ts
@@ -54,6 +54,32 @@
   for (const server of servers) await server.close()
 })
 
+test('an instance that does not answer, or is of an older build, is reported without its address', async () => {
+  const received: unknown[] = []
+  const serving = await listenForCalls('127.0.0.1', 0, { secret: SECRET }, router => {
+    router.service(FleetService, {
+      where: ({ body }) => {
+        received.push(JSON.parse(Buffer.from(body).toString('utf8')))
+        return { body: new Uint8Array(Buffer.from(JSON.stringify({ kind: 'refused', reason: 'no declaration', explanation: 'none' }))) }
+      }
+    })
+  })
+  const older = await listenForCalls('127.0.0.1', 0, { secret: SECRET }, router => { router.service(FleetService, {}) })
+  const secretFile = write('secret', SECRET)
+  const request = { database: 'd', kind: 'read' as const }
+  const ask = async (port: number) => await createConnection({ entry: `127.0.0.1:${port}`, secretFile }).where(request).catch((error: CommandError) => error)
+  assert.equal(await ask(serving.port), { kind: 'refused', reason: 'no declaration', explanation: 'none' })
+  assert.equal(received, [request])
+  const unsupported = await ask(older.port) as CommandError
+  assert.is(unsupported.kind, 'refused')
+  assert.match(unsupported.message, new RegExp(`127\\.0\\.0\\.1:${older.port} does not explain`))
+  await serving.close()
+  await older.close()
+  const unreachable = await ask(older.port) as CommandError
+  assert.is(unreachable.kind, 'unreachable')
+  assert.match(unreachable.message, new RegExp(`127\\.0\\.0\\.1:${older.port} did not answer`))
+})
+
 test('one TLS file without the others is wrong usage', () => {
   assert.throws(
     () => createConnection({ secretFile: write('secret', SECRET), tlsKey: write('key.pem', 'x') }),
--- a/packages/cyclamenusher/src/node/__tests__/program.test.ts
+++ b/packages/cyclamenusher/src/node/__tests__/program.test.ts
@@ -4,9 +4,11 @@
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { digestKey } from '@cyclamenusher/decisions'
 import { createConnection } from '../connection.js'
 import { CommandError } from '../errors.js'
 import { runProgram } from '../program.js'
+import type { ExplanationRefusal, ExplanationRequest, OperationExplanation } from '@cyclamenusher/decisions'
 import type { Connection } from '../connection.js'
 
 /** A loopback address that no other process uses: a port that was closed there stays closed. */
@@ -98,6 +100,86 @@
   assert.is(errors, 'nobody answered. Check it.')
 })
 
+const EXPLANATION: OperationExplanation = {
+  instance: 'entry-1',
+  version: 7,
+  isCurrent: true,
+  database: 'padron',
+  kind: 'read',
+  route: { name: 'r', prefix: '/', group: 'g', readPolicy: 'bounded staleness', maximumStalenessMilliseconds: 500, priority: 1, statementMilliseconds: 1_000 },
+  account: 'clinic',
+  rate: { ratePerSecond: 10, share: 0.5, tokens: 3, prefetched: 0, source: 'this instance' },
+  holders: [{ name: 'entry-2', failureDomain: 'a', address: '127.0.0.1:2', readiness: 'ready', isAllowed: true }],
+  selection: { kind: 'send', name: 'entry-2', address: '127.0.0.1:2' }
+}
+const PLACEMENT: OperationExplanation['placement'] = {
+  group: 'g',
+  need: { kind: 'position', position: { term: 3, position: 10 } },
+  outcome: { kind: 'selected', member: 'm-1' },
+  waiting: 0,
+  servers: [
+    { member: 'm-1', role: 'replica', failureDomain: 'a', selected: true, position: { term: 3, position: 11 }, outstanding: 1, allowed: 3, connection: 'match', averageMilliseconds: 4, expectedWaitMilliseconds: 5 },
+    { member: 'm-2', role: 'primary', failureDomain: 'b', selected: false, outstanding: 3, allowed: 3, connection: 'none', averageMilliseconds: 4, reason: 'it is busy' }
+  ]
+}
+
+function connectForWhere (requests: Array<{ request: ExplanationRequest, address?: string }>): () => Connection {
+  return createConnect({
+    where: async (request, address) => {
+      requests.push({ request, address })
+      return { kind: 'explained', explanation: request.asHolder === true ? { ...EXPLANATION, placement: PLACEMENT, selection: { kind: 'run here' } } : EXPLANATION }
+    }
+  })
+}
+
+// The holder selects the server; the caller's instance knows less of the servers.
+test('where prints the servers as another instance than the holder sees them', async () => {
+  const requests: Array<{ request: ExplanationRequest, address?: string }> = []
+  const { code, output } = await run('where padron --kind read --account 007 --position 3.10', connectForWhere(requests))
+  assert.is(code, 0)
+  const request: ExplanationRequest = { database: 'padron', kind: 'read', account: '007', position: { term: 3, position: 10 } }
+  assert.equal(requests, [{ request, address: undefined }, { request: { ...request, asHolder: true }, address: '127.0.0.1:2' }])
+  assert.match(output, /rate: 3 tokens left here/)
+  assert.match(output, /runs at: entry-2 \(127\.0\.0\.1:2\)/)
+  assert.match(output, /goes to: server m-1/)
+  assert.match(output, /m-1 +replica +a +3\.11 +1\/3 +4 ms +5 ms +selected\nm-2 +primary +b +- +3\/3 +4 ms +- +it is busy/)
+  const json = JSON.parse((await run('where padron --json', connectForWhere([]))).output) as { atHolder: { reply: { explanation: OperationExplanation } } }
+  assert.equal(json.atHolder.reply.explanation.placement, PLACEMENT)
+})
+
+test('where sends or prints the key', async () => {
+  const keyFile = join(folder, 'key')
+  writeFileSync(keyFile, 'clinic-key\n')
+  const requests: Array<{ request: ExplanationRequest }> = []
+  const { output, errors } = await run(`where padron --key-file ${keyFile} --json`, connectForWhere(requests))
+  assert.is(requests[0].request.keyDigest, digestKey('clinic-key'))
+  assert.not.match(JSON.stringify(requests) + output + errors, /clinic-key/)
+})
+
+test('a holder that can not be asked hides the answer of the entry instance', async () => {
+  const connect = createConnect({
+    where: async ({ asHolder }) => {
+      if (asHolder === true) throw new CommandError('unreachable', 'it did not answer', 'Check it')
+      return { kind: 'explained', explanation: EXPLANATION }
+    }
+  })
+  const { code, output } = await run('where padron', connect)
+  assert.is(code, 0)
+  assert.match(output, /the holder selects the server, and could not be asked: it did not answer/)
+})
+
+test('where exits with code 0 on wrong use, or on a refusal of the instance', async () => {
+  for (const line of ['where', 'where padron --kind delete', 'where padron --position 3', 'where padron --position x.y', 'where padron --account a --key-file b', 'where padron --key-file nowhere']) {
+    assert.is((await run(line, connectForWhere([]))).code, 2, line)
+  }
+  const refusals = { 'no declaration': /reached control/, 'database unknown': /no such route/, 'account unknown': /no such account/, 'key refused': /--key-file/ }
+  for (const [reason, remedy] of Object.entries(refusals)) {
+    const { code, errors } = await run('where padron', createConnect({ where: async () => ({ kind: 'refused', reason: reason as ExplanationRefusal, explanation: 'it is so' }) }))
+    assert.is(code, 6, reason)
+    assert.match(errors, remedy)
+  }
+})
+
 test.after(() => { rmSync(folder, { recursive: true }) })
 test('domain orders have other exit codes than their outcomes', async () => {
   const orders: Array<[string, boolean]> = []
--- a/packages/cyclamenusher/src/node/connection.ts
+++ b/packages/cyclamenusher/src/node/connection.ts
@@ -4,6 +4,7 @@
 import { Code, ConnectError } from '@connectrpc/connect'
 import { ControlService, FleetService, OperatorService, createPeerClient } from '@cyclamenusher/protocol'
 import { CommandError } from './errors.js'
+import type { ExplanationReply, ExplanationRequest } from '@cyclamenusher/decisions'
 import type { ChangeMemberReply, ControlMember, PeerTls, SubmitReply } from '@cyclamenusher/protocol'
 
 /** Timeout of one call, in milliseconds. */
@@ -67,9 +68,11 @@
   /** Drains a failure domain, or restores it. Resolves with whether it is known. */
   orderDomain: (name: string, drained: boolean) => Promise<boolean>
   listDomains: () => Promise<FailureDomainEntry[]>
+  /** Asks an entry instance of the platform where an operation would go; `address` is another one than that of the flags. */
+  where: (request: ExplanationRequest, address?: string) => Promise<ExplanationReply>
 }
 
-function readFlagFile (file: string, purpose: string): string {
+export function readFlagFile (file: string, purpose: string): string {
   try {
     return readFileSync(file, 'utf8')
   } catch (error) {
@@ -213,9 +216,22 @@
     return reply
   }
 
+  async function where (request: ExplanationRequest, address = flags.entry): Promise<ExplanationReply> {
+    const [{ host, port }] = parseAddresses(address, 'entry')
+    const body = new Uint8Array(Buffer.from(JSON.stringify(request)))
+    try {
+      const received = await createPeerClient(FleetService, host, port, credentials).where({ body }, { timeoutMs: CALL_TIMEOUT_MILLISECONDS })
+      return JSON.parse(Buffer.from(received.body).toString('utf8')) as ExplanationReply
+    } catch (error) {
+      if (error instanceof ConnectError && error.code === Code.Unimplemented) throw new CommandError('refused', `the instance at ${host}:${port} does not explain operations`, 'Name an entry instance of the platform, of this build or a later one')
+      throw new CommandError('unreachable', `the entry instance at ${host}:${port} did not answer: ${(error as Error).message}`, 'Check --entry and --secret-file')
+    }
+  }
+
   return {
     orderDomain,
     listDomains,
+    where,
     submit,
     fetchStatuses,
     history,
--- a/packages/cyclamenusher/src/node/program.ts
+++ b/packages/cyclamenusher/src/node/program.ts
@@ -1,12 +1,15 @@
 /** Defines the commands, flags and examples of the command line, and runs it. */
 
+import { parseArgs } from 'node:util'
 import { cac } from 'cac'
 import { FaultyFileError } from '@cyclamenusher/decisions'
 import { apply, check, domain, drain, explain, history, member, status } from './commands.js'
 import { CommandError, EXIT_CODES } from './errors.js'
+import { where } from './where.js'
 import { trace } from './trace/traceCommand.js'
 import type { CAC } from 'cac'
 import type { CommandEnvironment } from './commands.js'
+import type { WhereFlags } from './where.js'
 
 /** Returns the message and exit code of an error. */
 function describeError (error: unknown): { message: string, code: number } {
@@ -15,6 +18,13 @@
   return { message: commandError.message, code: EXIT_CODES[commandError.kind] }
 }
 
+/** Reads flags as they were written: cac converts values that look like numbers, and makes 3.1 of the position 3.10. */
+function readTextFlags ({ rawArgs }: CAC): Pick<WhereFlags, 'account' | 'keyFile' | 'position'> {
+  const { values } = parseArgs({ args: rawArgs.slice(2), strict: false, options: { account: { type: 'string' }, 'key-file': { type: 'string' }, position: { type: 'string' } } })
+  const { account, 'key-file': keyFile, position } = values as Record<string, string | undefined>
+  return { account, keyFile, position }
+}
+
 function defineCommands (program: CAC, environment: CommandEnvironment): void {
   program.option('--control <addresses>', 'control instances, as HOST:PORT separated by commas')
   program.option('--entry <address>', 'an entry instance, as HOST:PORT')
@@ -41,6 +51,12 @@
     .option('--database <name>', 'database')
     .option('--token <text>', 'session token')
     .action(explain.bind(undefined, environment))
+  program.command('where <database>', 'show where an operation would go from an entry instance of the platform, without sending it')
+    .option('--kind <kind>', 'kind of the operation: read, write or begin (default: read)')
+    .option('--account <name>', 'client account')
+    .option('--key-file <file>', 'file with a key, in place of an account')
+    .option('--position <term.number>', 'log position of the last commit of the session')
+    .action(async (database: string, flags: WhereFlags) => await where(environment, database, { ...flags, ...readTextFlags(program) }))
   program.command('drain', 'stop new work on an entry instance, or on a backend server')
     .option('--group <name>', 'group of the backend server')
     .option('--member <name>', 'the backend server')
@@ -53,6 +69,7 @@
   program.example('cyclamenusher member add control-4 --control 127.0.0.1:7100 --secret-file secret')
   program.example('cyclamenusher domain drain zone-a --control 127.0.0.1:7100 --secret-file secret')
   program.example('cyclamenusher explain "select 1" --account clinic --database padron --entry 127.0.0.1:7001 --secret-file secret')
+  program.example('cyclamenusher where padron --kind read --account clinic --entry 127.0.0.1:7001 --secret-file secret')
   program.example('cyclamenusher trace 18a98b52461fb712 entry-1.log entry-2.log control-1.log')
   program.example('cyclamenusher drain --entry 127.0.0.1:7001 --secret-file secret')
 }
--- a/packages/cyclamenusherd/src/node/engine/__tests__/priorityUse.test.ts
+++ b/packages/cyclamenusherd/src/node/engine/__tests__/priorityUse.test.ts
@@ -57,6 +57,13 @@
 })
 
 // Guards against a change for deployments that declare one priority only.
+test('a priority that is only supposed to arrive is recorded', () => {
+  use = createPriorityUse(() => new Map())
+  use.recordRequest(1, 0)
+  assert.equal(use.rangeWith(2, 1), { mostUrgent: 1, leastUrgent: 2 })
+  assert.is(use.range(1), undefined)
+})
+
 test('with a single priority in use the load is unchanged', () => {
   use = createPriorityUse(() => new Map([['p', inUse]]))
   use.recordRequest(1, 0)
--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -14,7 +14,7 @@
 import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
 import { createHolderLink } from './holderLink.js'
 import { roundTime } from './messages.js'
-import type { HolderOption, HolderReadiness, NamedInstance, OwnAbility } from '@cyclamenusher/decisions'
+import type { HolderExplanation, HolderOption, HolderReadiness, HolderSelection, NamedInstance, OwnAbility } from '@cyclamenusher/decisions'
 import type { MessageStream } from '@cyclamenusher/protocol'
 import type { ScopedLogger } from '../../process/logger.js'
 import type { Peers } from '../../process/peers.js'
@@ -52,6 +52,8 @@
   tick: () => void
   /** Number of published holders, by what is known of them here. */
   countHolders: () => Record<HolderReadiness, number>
+  /** Explains which holder an operation would be sent to, and tries to reach none. */
+  explain: (operation: AdmittedOperation, access: 'read' | 'write') => { holders: HolderExplanation[], selection: HolderSelection }
   close: () => void
 }
 
@@ -89,8 +91,13 @@
     return ordered
   }
 
-  function ensureHolderLink ({ name, host, port }: NamedInstance): HolderLink {
-    const key = `${name} ${host}:${port}`
+  function buildHolderKey ({ name, host, port }: NamedInstance): string {
+    return `${name} ${host}:${port}`
+  }
+
+  function ensureHolderLink (listed: NamedInstance): HolderLink {
+    const { name, host, port } = listed
+    const key = buildHolderKey(listed)
     const existing = holderLinks.get(key)
     if (existing !== undefined) return existing
     const created = createHolderLink({ name, link: peers.link({ host, port }), clock, logger, onRequest: startWatching })
@@ -120,6 +127,18 @@
     return choice.kind === 'run here' ? undefined : choice.holder
   }
 
+  function explain (operation: AdmittedOperation, access: 'read' | 'write'): { holders: HolderExplanation[], selection: HolderSelection } {
+    const holders = orderHolders(operation.account, link.holders(operation.route.group)).map((listed): HolderExplanation => {
+      const { name, host, port, failureDomain } = listed
+      const isHere = name === link.name
+      const readiness = isHere ? 'here' : holderLinks.get(buildHolderKey(listed))?.readiness() ?? 'untried'
+      return { name, failureDomain, address: `${host}:${port}`, readiness, isAllowed: isHere || isAllowedDomain(operation.allowedRegions, failureDomain, regions) }
+    })
+    const options = holders.filter(({ isAllowed }) => isAllowed).map((holder): HolderOption<HolderExplanation> => ({ holder, readiness: holder.readiness }))
+    const choice = selectHolder(options, assessOwnAbility(access))
+    return { holders, selection: choice.kind === 'run here' ? choice : { kind: choice.kind, name: choice.holder.name, address: choice.holder.address } }
+  }
+
   function buildStatement ({ session, request, startedAt, deadline }: StatementContext): ForwardedStatement {
     const now = clock.now()
     const { id, text, statement } = request
@@ -387,6 +406,7 @@
     continue: continueTransaction,
     commit: commitTransaction,
     rollBack,
+    explain,
     tick: () => { warmStreams(clock.now()) },
     countHolders: () => {
       const counts: Record<HolderReadiness, number> = { ready: 0, untried: 0, unreachable: 0, unusable: 0 }
--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -1,13 +1,13 @@
 /** Connections to the servers of one group: chooses a server for each statement, and queues the statements that must wait. */
 
-import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, chooseWarmFirst, isAllowedDomain, resolveReadRequirement, recordPosition, computeWaitDeadline, estimateLeaseReturn, LEAST_ALLOWED_WITH_PRIORITIES, canMeetObjectiveBehindUrgent, computeReservedUse, estimateQueueWait, isExcessOfAccount } from '@cyclamenusher/decisions'
+import { EMPTY_POSITION_HISTORY, NO_PRESSURE, canServeInTime, chooseReadServer, compareRequests, estimateWait, dropPositionsUntil, isOverloaded, recordTimeRefusal, recordWaiting, planConnections, chooseWarmFirst, isAllowedDomain, resolveReadRequirement, recordPosition, computeWaitDeadline, estimateLeaseReturn, LEAST_ALLOWED_WITH_PRIORITIES, canMeetObjectiveBehindUrgent, computeReservedUse, estimateQueueWait, explainServerChoice, isExcessOfAccount } from '@cyclamenusher/decisions'
 import { awaitLease } from './confirmation.js'
 import { StatementFailure } from './errors.js'
-import { createGroupDrain } from './groupDrain.js'
+import { UNSENDABLE_REASONS, createGroupDrain } from './groupDrain.js'
 import { createPriorityUse } from './priorityUse.js'
 import { createServerPool } from './serverPool.js'
 import { createWarmupGate } from './warmupGate.js'
-import type { ConnectionBudget, LogPosition, PositionHistory, QueueLoad, QueuePressure, QueuedRequest, ReadRequirement, ReadRequest, RegionMap, ServerLoad, ServerObservation } from '@cyclamenusher/decisions'
+import type { ConnectionBudget, LogPosition, PlacementExplanation, PlacementOutcome, PositionHistory, PriorityRange, QueueLoad, QueuePressure, QueuedRequest, ReadRequirement, ReadRequest, RegionMap, ServerExplanation, ServerLoad, ServerObservation } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { ScopedLogger } from '../process/logger.js'
@@ -64,6 +64,13 @@
   release: (clean: boolean) => void
 }
 
+/** An operation whose placement is explained. */
+export interface ExplainedOperation extends Pick<ConnectionRequest, 'account' | 'priority' | 'objective' | 'deadline' | 'allowedRegions'> {
+  /** Undefined: only the primary can run it. */
+  read?: Pick<ReadRequest, 'policy' | 'maximumStalenessMilliseconds' | 'session'>
+  beginsTransaction: boolean
+}
+
 export interface GroupPool {
   acquire: (request: ConnectionRequest) => Promise<AcquiredConnection>
   resolveReadRequirement: (request: Pick<ReadRequest, 'policy' | 'maximumStalenessMilliseconds' | 'session'>) => ReadRequirement
@@ -79,6 +86,8 @@
   refresh: () => void
   /** Number of the group's servers that count as cold here. */
   coldServers: () => number
+  /** Explains which server an operation that arrives now would get. Opens no connection and changes nothing. */
+  explain: (operation: ExplainedOperation) => PlacementExplanation
   close: () => void
 }
 
@@ -103,6 +112,8 @@
   'account share': 'its account has as many waiting as its share of the queue'
 }
 
+const WARMUP_REFUSAL = 'the servers that could run it have just started and may not receive more yet'
+
 /** A request in the queue, with the callbacks of the promise that its caller awaits. */
 interface WaitingRequest extends QueuedRequest {
   request: ConnectionRequest
@@ -209,26 +220,27 @@
     return isAllowedDomain(allowedRegions, pool.server().failureDomain, regions)
   }
 
-  function chooseAmong (loads: readonly ServerLoad[], { need }: ConnectionRequest, now: number): ServerLoad | undefined {
-    if (need.kind === 'position') return chooseReadServer(loads, need, now, priorityUse.range(now) === undefined ? 'same role' : 'any role')
+  function chooseAmong (loads: readonly ServerLoad[], { need }: ConnectionRequest, now: number, inUse: PriorityRange | undefined): ServerLoad | undefined {
+    if (need.kind === 'position') return chooseReadServer(loads, need, now, inUse === undefined ? 'same role' : 'any role')
     return loads.find(load => load.isPrimary && estimateWait(load, now, 0) < Infinity)
   }
 
   /** Loads of the servers, limited to what the request's priority may use, with what makes equal servers differ. */
-  function listChoices (request: ConnectionRequest, now: number): ServerLoad[] {
+  function listChoices (request: ConnectionRequest, now: number, inUse: PriorityRange | undefined, unlimited = listServerLoads(request, now)): ServerLoad[] {
     const choosers = Math.max(1, link.holders(group).length)
     const { maximum } = computeBudget()
-    return listServerLoads(request, now).map(load => ({
-      ...priorityUse.limitLoad(load, request.priority, maximum, now),
+    return unlimited.map(load => ({
+      ...priorityUse.limitLoad(load, request.priority, maximum, now, inUse),
       isNear: pools.get(load.member)?.server().failureDomain === link.failureDomain,
       choosers
     }))
   }
 
-  function chooseServer (request: ConnectionRequest, now: number): ServerLoad | undefined {
-    const loads = listChoices(request, now)
-    if (!warmup.isActive()) return chooseAmong(loads, request, now)
-    return chooseWarmFirst(loads, warmup.warmthOf, candidates => chooseAmong(candidates, request, now))
+  /** `inUse`: the priorities in use. */
+  function chooseServer (request: ConnectionRequest, now: number, inUse = priorityUse.range(now)): ServerLoad | undefined {
+    const loads = listChoices(request, now, inUse)
+    if (!warmup.isActive()) return chooseAmong(loads, request, now, inUse)
+    return chooseWarmFirst(loads, warmup.warmthOf, candidates => chooseAmong(candidates, request, now, inUse))
   }
 
   /** Servers that could run the request if they had capacity. */
@@ -238,19 +250,30 @@
     return [...pools.values()].filter(pool => isAllowedServer(pool, request) && pool.observe(now)?.failingFor === undefined && !request.excluded.has(pool.server().member) && (request.need.kind === 'primary' ? pool.server().member === primary : !pool.server().leaving || pool.server().member === primary))
   }
 
-  /** Why no server can run the request in time, although servers are up: all are cold, or lie outside its regions. Undefined: one may. */
-  function findUnusableReason (request: ConnectionRequest, waitDeadline: number, ahead: number, now: number): string | undefined {
+  /** Why no server in the request's regions could run it. Undefined: one lies there. */
+  function findRegionRefusal (request: ConnectionRequest): string | undefined {
     const { allowedRegions } = request
-    if (allowedRegions !== undefined) {
-      const primary = link.primaryAssignment(group)?.member
-      const concerned = [...pools.values()].filter(pool => request.need.kind === 'position' || pool.server().member === primary)
-      if (concerned.length > 0 && !concerned.some(pool => isAllowedServer(pool, request))) return `no server that could run it lies in its regions (${allowedRegions.join(', ') || 'its route and its client account have none in common'})`
-    }
-    if (!warmup.isActive()) return undefined
+    if (allowedRegions === undefined) return undefined
+    const primary = link.primaryAssignment(group)?.member
+    const concerned = [...pools.values()].filter(pool => request.need.kind === 'position' || pool.server().member === primary)
+    if (concerned.length === 0 || concerned.some(pool => isAllowedServer(pool, request))) return undefined
+    return `no server that could run it lies in its regions (${allowedRegions.join(', ') || 'its route and its client account have none in common'})`
+  }
+
+  /** Whether all servers that could run the request are cold, and none may receive it in time. */
+  function isWarmupExhausted (request: ConnectionRequest, waitDeadline: number, ahead: number, now: number, earliest = warmup.earliest): boolean {
+    if (!warmup.isActive()) return false
     const capable = listCapable(request)
-    if (capable.length === 0 || capable.some(pool => warmup.earliest(pool.server().member, ahead / capable.length, now) < waitDeadline)) return undefined
+    return capable.length > 0 && !capable.some(pool => earliest(pool.server().member, ahead / capable.length, now) < waitDeadline)
+  }
+
+  /** Why no server can run the request in time, although servers are up: all are cold, or lie outside its regions. Undefined: one may. */
+  function findUnusableReason (request: ConnectionRequest, waitDeadline: number, ahead: number, now: number): string | undefined {
+    const regionRefusal = findRegionRefusal(request)
+    if (regionRefusal !== undefined) return regionRefusal
+    if (!isWarmupExhausted(request, waitDeadline, ahead, now)) return undefined
     onWarmupRefusal()
-    return 'the servers that could run it have just started and may not receive more yet'
+    return WARMUP_REFUSAL
   }
 
   async function confirmPrimary (member: string, expectedDesignation: number, deadline: number): Promise<boolean> {
@@ -377,9 +400,9 @@
   }
 
   /** Why a request that joins the queue now is refused; undefined if it may wait. */
-  function findQueueRefusal (request: ConnectionRequest, queued: QueuedRequest, now: number): QueueRefusal | undefined {
-    const hasPriorities = priorityUse.range(now) !== undefined
-    if (hasPriorities && chooseServer(request, now) !== undefined) return undefined
+  function findQueueRefusal (request: ConnectionRequest, queued: QueuedRequest, now: number, inUse = priorityUse.range(now)): QueueRefusal | undefined {
+    const hasPriorities = inUse !== undefined
+    if (hasPriorities && chooseServer(request, now, inUse) !== undefined) return undefined
     const load = computeQueueLoad(request, queued, now)
     if (!canServeInTime(queued, load, now)) return findRefusalReason()
     if (!hasPriorities) return undefined
@@ -405,6 +428,63 @@
     return isExcessOfAccount({ waiting, weight: weightOf(account), totalWeight }, servedPerSecond, objective - now)
   }
 
+  function explainOutcome (request: ConnectionRequest, selected: ServerLoad | undefined, inUse: PriorityRange | undefined, beginsTransaction: boolean, now: number): PlacementOutcome {
+    const { priority, objective, deadline } = request
+    const queued: QueuedRequest = { priority, objective, deadline, queuedAt: now }
+    const load = computeQueueLoad(request, queued, now)
+    const refusal = drain.findRefusal(request) ?? findRegionRefusal(request)
+    if (refusal !== undefined) return { kind: 'refused', reason: refusal }
+    if (isWarmupExhausted(request, computeWaitDeadline(queued, load.overloaded), load.ahead, now, warmup.estimate)) return { kind: 'refused', reason: WARMUP_REFUSAL }
+    const queueRefusal = findQueueRefusal(request, queued, now, inUse)
+    if (queueRefusal !== undefined) return { kind: 'refused', reason: REFUSAL_TEXTS[queueRefusal] }
+    if (request.need.kind === 'primary' && estimatePrimaryTime(now) >= deadline) return { kind: 'refused', reason: REFUSAL_TEXTS[findRefusalReason()] }
+    if (selected === undefined) {
+      const expected = estimateQueueWait(load, now)
+      const reason = link.areDrainsKnown() ? REFUSAL_TEXTS[findRefusalReason()] : UNSENDABLE_REASONS.unknown
+      return { kind: 'waits', reason, ...(expected === Infinity ? {} : { expectedMilliseconds: Math.ceil(expected) }) }
+    }
+    const failureDomain = pools.get(selected.member)?.server().failureDomain ?? ''
+    if (beginsTransaction && !drain.mayBegin(failureDomain)) return { kind: 'refused', reason: `the failure domain of server ${selected.member} is drained; the transaction would not begin` }
+    return { kind: 'selected', member: selected.member }
+  }
+
+  function explain ({ read, beginsTransaction, ...operation }: ExplainedOperation): PlacementExplanation {
+    const now = clock.now()
+    const known = dropPositionsUntil(history, link.resumedAt())
+    const need: ReadRequirement = read === undefined ? { kind: 'primary' } : resolveReadRequirement({ ...read, history: known, term, now })
+    const request: ConnectionRequest = { ...operation, values: new Map(), need, excluded: new Set() }
+    const inUse = priorityUse.rangeWith(request.priority, now)
+    const selected = chooseServer(request, now, inUse)
+    const outcome = explainOutcome(request, selected, inUse, beginsTransaction, now)
+    const selectable = drain.listSelectable(request)
+    const primary = findUsablePrimary()
+    const loads = listChoices(request, now, inUse, [...pools.values()].map(pool => pool.computeLoad(request.account, now, primary)))
+    const servers = loads.flatMap(load => {
+      const pool = pools.get(load.member)
+      if (pool === undefined) return []
+      const { failureDomain } = pool.server()
+      const role = link.primaryAssignment(group)?.member === load.member ? 'primary' : 'replica'
+      const position = role === 'primary' ? known.samples.at(-1)?.position : load.lag.newestPosition
+      const wait = estimateWait(load, now, 0)
+      const isSelected = outcome.kind === 'selected' && outcome.member === load.member
+      const reason = explainServerChoice({ load, need, isAllowed: isAllowedServer(pool, request), isSelectable: selectable.includes(pool), areDrainsKnown: link.areDrainsKnown(), warmth: warmup.warmthOf(load.member), selected }, now) ?? (outcome.kind === 'refused' ? outcome.reason : undefined)
+      return [{
+        member: load.member,
+        role,
+        failureDomain,
+        selected: isSelected,
+        ...(position === undefined ? {} : { position }),
+        outstanding: load.outstanding,
+        allowed: load.allowed,
+        connection: load.connection,
+        averageMilliseconds: Math.round(load.averageMilliseconds),
+        ...(wait === Infinity ? {} : { expectedWaitMilliseconds: Math.round(wait) }),
+        ...(reason === undefined ? {} : { reason })
+      } satisfies ServerExplanation]
+    })
+    return { group, need: { kind: need.kind, ...(need.kind === 'position' ? { position: need.position } : {}) }, outcome, waiting: queue.length, servers }
+  }
+
   /** Logs when an overload of the queue begins and ends, and records the load of the servers. */
   function observeLoad (now: number): void {
     const overloaded = isOverloaded(pressure, now)
@@ -513,6 +593,7 @@
       observeLoad(now)
     },
     coldServers: () => warmup.observe([...pools.keys()]),
+    explain,
     refresh: () => {
       refreshServers()
       refreshPrimary()
--- a/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
+++ b/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
@@ -1,8 +1,8 @@
 /** Decides whether an operation may run, by its route, its key and its client account's rate in the current declaration. */
 
-import { combineRegions, decideAccess, reviewAccess } from '@cyclamenusher/decisions'
+import { combineRegions, decideAccess, digestKey, reviewAccess } from '@cyclamenusher/decisions'
 import { StatementFailure } from './errors.js'
-import { digestKey, findAccountByDigest } from './keyDigest.js'
+import { findAccountByDigest } from './keyDigest.js'
 import { ANONYMOUS_ACCOUNT, accountName } from './session.js'
 import type { AccessRefusal, ClientAccount, DeclarationIndex, Route } from '@cyclamenusher/decisions'
 import type { LocalServices } from './operations.js'
--- a/packages/cyclamenusherd/src/node/engine/priorityUse.ts
+++ b/packages/cyclamenusherd/src/node/engine/priorityUse.ts
@@ -15,8 +15,10 @@
   startOpening: (member: string, priority: number) => () => void
   /** The priorities in use; undefined if there is one only. */
   range: (now: number) => PriorityRange | undefined
-  /** Limits the load of a server to what a request of the priority may use of it. */
-  limitLoad: (load: ServerLoad, priority: number, maximum: number, now: number) => ServerLoad
+  /** The priorities in use if a request of the priority arrived now. */
+  rangeWith: (priority: number, now: number) => PriorityRange | undefined
+  /** Limits the load of a server to what a request of the priority may use of it, by the priorities in use. */
+  limitLoad: (load: ServerLoad, priority: number, maximum: number, now: number, inUse?: PriorityRange) => ServerLoad
 }
 
 /** `listInUse` returns the connections in use, by member: those that are lost are no longer among them. */
@@ -52,8 +54,8 @@
       return () => { openings.delete(opening) }
     },
     range,
-    limitLoad: (load, priority, maximum, now) => {
-      const inUse = range(now)
+    rangeWith: (priority, now) => findPriorityRange(new Map([...requestedAt, [priority, now]]), now),
+    limitLoad: (load, priority, maximum, now, inUse = range(now)) => {
       if (inUse === undefined) return load
       const { leastUrgent, mostUrgent } = inUse
       const acquired = listAcquired()
--- a/packages/cyclamenusherd/src/node/engine/rateGate.ts
+++ b/packages/cyclamenusherd/src/node/engine/rateGate.ts
@@ -2,7 +2,7 @@
 
 import { INITIAL_PREFETCH_CREDIT, PREFETCHED_TOKEN_MILLISECONDS, chargeUnusedToken, computeShareLimits, earnPrefetchCredit, pausePrefetch, refillBucket, shortenPauses, shouldPrefetchToken, takeFromBucket, timeUntilToken } from '@cyclamenusher/decisions'
 import { pause } from '../process/clock.js'
-import type { BorrowReply, Bucket, BucketLimits, ClientAccount, PrefetchPauses, PreparationKind, RateTolerance } from '@cyclamenusher/decisions'
+import type { BorrowReply, Bucket, BucketLimits, ClientAccount, PrefetchPauses, PreparationKind, RateExplanation, RateTolerance, TokenSource } from '@cyclamenusher/decisions'
 import type { Clock } from '../process/clock.js'
 
 /** Time constant of the demand average, in milliseconds: several renewals of the shares. */
@@ -31,6 +31,8 @@
   lend: (account: ClientAccount, wanted: number) => Promise<number>
   /** Operations per second that were requested, by account; refused ones count too. Only accounts of which this instance holds a share: shares are divided by the demand at those that hold them, and others borrow from these. */
   demand: () => Record<string, number>
+  /** Explains where the token of the account's next operation would come from, and takes none. */
+  explain: (account: ClientAccount) => RateExplanation
 }
 
 interface WaitingOperation {
@@ -228,9 +230,26 @@
     return await new Promise<boolean>(resolve => { waitForLoan(account, state, { since: now, admit: resolve }) })
   }
 
+  /** The source of the next operation's token, in the order in which `admit` tries them. */
+  function findTokenSource (state: AccountState | undefined, tokens: number, prefetched: number, now: number): TokenSource {
+    if (tokens >= 1) return 'this instance'
+    if (state === undefined) return 'loan'
+    if (prefetched > 0 || state.awaitingPrefetch.length < state.prefetching) return 'prefetched'
+    return now < state.poolEmptyUntil ? 'none' : 'loan'
+  }
+
+  function explain (account: ClientAccount): RateExplanation {
+    const now = clock.now()
+    const state = accounts.get(account.name)
+    const { tokens } = refillBucket(state?.bucket ?? { tokens: 0, refilledAt: startedAt }, computeLimits(account), now)
+    const prefetched = state?.prefetched.filter(({ until }) => until > now).length ?? 0
+    return { ratePerSecond: account.ratePerSecond, share: shareOf(account.name), tokens: Math.floor(tokens), prefetched, source: findTokenSource(state, tokens, prefetched, now) }
+  }
+
   return {
     admit,
     prefetch,
+    explain,
     lend: async (account, wanted) => {
       const admitted = await Promise.all(Array.from({ length: Math.min(wanted, MAXIMUM_LOAN) }, async () => await admit(account)))
       return admitted.filter(Boolean).length
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -1,5 +1,6 @@
 /** Services that all sessions of a process share: the declaration in force, rate limits, groups and the request log. */
 
+import { explainOperation } from './explanation.js'
 import { createForwardingRunner } from './forwarding/forwarding.js'
 import { createHolderService } from './forwarding/holderService.js'
 import { createGroupPool } from './groupPool.js'
@@ -8,14 +9,14 @@
 import { createRateGate } from './rateGate.js'
 import { createHeldRequests } from '../process/heldRequests.js'
 import { NO_REGIONS, listUnknownRegions } from '@cyclamenusher/decisions'
-import type { RateTolerance, RegionMap } from '@cyclamenusher/decisions'
+import type { ExplanationReply, ExplanationRequest, PlacementExplanation, RateTolerance, RegionMap } from '@cyclamenusher/decisions'
 import type { Peers } from '../process/peers.js'
 import type { MemoryAccount } from '../process/memoryAccount.js'
 import type { FleetLink } from '../process/fleet/fleetLink.js'
 import type { Clock } from '../process/clock.js'
 import type { ForwardingRunner } from './forwarding/forwarding.js'
 import type { HolderService } from './forwarding/holderService.js'
-import type { GroupPool } from './groupPool.js'
+import type { ExplainedOperation, GroupPool } from './groupPool.js'
 import type { PoolMetrics } from './poolMetrics.js'
 import type { OperationRunner } from './operations.js'
 import type { ServerCodec } from './statement.js'
@@ -63,6 +64,8 @@
   /** Number of backend servers in use here that count as cold. */
   coldServers: () => number
   poolMetrics: PoolMetrics
+  /** Explains where an operation would go, without running one: takes no token, opens no connection and changes nothing. */
+  explain: (request: ExplanationRequest) => ExplanationReply
   /** Runs operations of other instances. */
   holder: HolderService
   close: () => void
@@ -111,12 +114,27 @@
   function group (name: string): GroupPool {
     const existing = groups.get(name)
     if (existing !== undefined) return existing
-    const created = createGroupPool({ group: name, link, regions, onWarmupRefusal, codec, clock, logger, metrics: poolMetrics })
+    const created = createPool(name)
     groups.set(name, created)
     created.refresh()
     return created
   }
 
+  function createPool (name: string): GroupPool {
+    return createGroupPool({ group: name, link, regions, onWarmupRefusal, codec, clock, logger, metrics: poolMetrics })
+  }
+
+  /** Explains a placement in a group. An instance that has not used the group yet does so with a pool that it does not keep. */
+  function explainPlacement (name: string, operation: ExplainedOperation): PlacementExplanation {
+    const existing = groups.get(name)
+    if (existing !== undefined) return existing.explain(operation)
+    const temporary = createPool(name)
+    temporary.refresh()
+    const explanation = temporary.explain(operation)
+    temporary.close()
+    return explanation
+  }
+
   const local = { link, regions, group, codec, clock, log }
   const runner = createLocalRunner(local)
   const operations = createForwardingRunner({ services: local, local: runner, peers, logger })
@@ -168,6 +186,7 @@
     log,
     isDraining: () => draining,
     countHolders: operations.countHolders,
+    explain: request => explainOperation({ link, regions, clock, rates, explainHolders: operations.explain, explainPlacement, isDraining: () => draining }, request),
     report,
     startDraining: () => {
       draining = true
--- a/packages/cyclamenusherd/src/node/engine/warmupGate.ts
+++ b/packages/cyclamenusherd/src/node/engine/warmupGate.ts
@@ -30,6 +30,8 @@
   admitNow: (member: string) => boolean
   /** Earliest time at which the server may get one more statement behind as many others; infinite if that is not to be expected. */
   earliest: (member: string, ahead: number, now: number) => number
+  /** The same as `earliest`, without a record that the server is cold. */
+  estimate: (member: string, ahead: number, now: number) => number
   /** Logs the begin and end of cold phases of the servers, and returns how many are cold. */
   observe: (members: readonly string[]) => number
 }
@@ -67,15 +69,20 @@
     logger.info(cold ? 'A backend server counts as cold here.' : 'A backend server counts as warm here.', { group, member })
   }
 
-  function earliest (member: string, ahead: number, now: number): number {
+  function estimate (member: string, ahead: number, now: number): number {
     if (!isCold(member)) return now
-    observeServer(member)
     const wait = link.warmups.timeUntil(member, 1 + ahead + (pending.get(member) ?? 0))
     if (wait !== Infinity) return now + wait
     const shareExpectedAt = (coldSince.get(member) ?? now) + SHARE_ARRIVAL_MILLISECONDS
     return now < shareExpectedAt ? shareExpectedAt : Infinity
   }
 
+  function earliest (member: string, ahead: number, now: number): number {
+    if (!isCold(member)) return now
+    observeServer(member)
+    return estimate(member, ahead, now)
+  }
+
   async function admit (member: string, deadline: number): Promise<boolean> {
     addPending(member, 1)
     try {
@@ -115,6 +122,7 @@
     admit,
     admitNow: member => !isCold(member) || link.warmups.take(member),
     earliest,
+    estimate,
     observe: members => {
       for (const member of coldSince.keys()) if (!members.includes(member)) coldSince.delete(member)
       if (!isActive() && coldSince.size === 0) return 0
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -9,6 +9,7 @@
 import { createPeers } from '../peers.js'
 import { decodeBody, encodeBody } from './bodies.js'
 import { startMetrics } from './metricsPage.js'
+import { checkExplanationRequest } from './explanationFields.js'
 import { createFleetLink } from './fleetLink.js'
 import { checkLoan, createFleetStreams } from './fleetStreams.js'
 import { listenForHttp } from './http.js'
@@ -109,7 +110,10 @@
   }
 
   const calls = await listenForCalls(config.calls.host, config.calls.port, credentials, router => {
-    router.service(FleetService, { borrow: async ({ body }) => ({ body: encodeBody(await lend(checkLoan(decodeBody(body)))) }) })
+    router.service(FleetService, {
+      borrow: async ({ body }) => ({ body: encodeBody(await lend(checkLoan(decodeBody(body)))) }),
+      where: ({ body }) => ({ body: encodeBody(engine.explain(checkExplanationRequest(decodeBody(body)))) })
+    })
   }, createFleetStreams({ borrow: lend, operations: engine.holder.accept }, logger.scope('fleet')), { maximum: config.limits.silentCalls, onClosed: () => { report('silent calls', { maximum: config.limits.silentCalls }) } })
   const callers = await listenForSessions({ listen: config.callers, createCodec: ports.createCallerCodec, services: engine, maximumConnections: config.maximumCallers, protection: { limits: config.callerLimits, account, report } })
   const readiness = await listenForHttp(config.readiness, async () => ({ status: isReady() ? 200 : 503, body: '{}' }), error => { log.warn('A request to the readiness address failed.', { reason: error.message }) }, http)
--- a/packages/decisions/src/node/placement/serverChoice.ts
+++ b/packages/decisions/src/node/placement/serverChoice.ts
@@ -72,7 +72,8 @@
   return average + queued + CONNECTION_COSTS[server.connection] + (server.isPrimary ? primaryPenaltyMilliseconds : 0)
 }
 
-function lacksPosition ({ missing, isPrimary, lag }: ServerLoad, { position, reachedAt }: PositionRequirement, now: number): boolean {
+/** Whether the server is not expected to hold the position. */
+export function lacksPosition ({ missing, isPrimary, lag }: ServerLoad, { position, reachedAt }: PositionRequirement, now: number): boolean {
   if (isPrimary) return false
   if (missing !== undefined && now < missing.until && comparePositions(position, missing.position) >= 0) return true
   return !isPositionExpected(lag, position, reachedAt, now)
