perf(engine): look up the priorities in use once for each choice of a server

The load of a server is limited only where priorities differ, so the lookup for each server falls away.

--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -230,7 +230,7 @@
     const choosers = Math.max(1, link.holders(group).length)
     const { maximum } = computeBudget()
     return unlimited.map(load => ({
-      ...priorityUse.limitLoad(load, request.priority, maximum, now, inUse),
+      ...(inUse === undefined ? load : priorityUse.limitLoad(load, request.priority, maximum, now, inUse)),
       isNear: pools.get(load.member)?.server().failureDomain === link.failureDomain,
       choosers
     }))
