fix(engine): check drains after each wait for a token of a cold server

What callers saw: after the bound of a drain, SET and PREPARE of a session still reached a cold server in the drained failure domain.

Cause: a statement checked whether it may be sent, then waited for a token before each SET and PREPARE for up to its deadline, and sent them without another check.

Why this works: the check follows each wait and directly precedes the send. A token that was taken for a statement that is then not sent is lost, which keeps the rule of cold servers.

--- a/packages/cyclamenusherd/src/node/engine/attempt.ts
+++ b/packages/cyclamenusherd/src/node/engine/attempt.ts
@@ -39,6 +39,13 @@
   return outcome
 }
 
+/** Waits until one statement may be sent. Returns why it may not be; undefined: it may. A drain may have come into force during the wait. */
+async function awaitAdmission ({ connection, admit, sendability }: AcquiredConnection, deadline: number): Promise<string | undefined> {
+  if (admit !== undefined && !await admit(deadline)) return `server ${connection.member} is cold and its share is spent`
+  const outcome = sendability()
+  return outcome === 'yes' ? undefined : UNSENDABLE_REASONS[outcome]
+}
+
 /**
  * Runs a caller's statement on a connection, after the connection has been given
  * the session's values. `addPrefix` adds what the text needs in front of it on this
@@ -52,11 +59,10 @@
   const definition = request.statement.kind === 'execute' ? session.prepared.get(request.statement.name) : undefined
   try {
     const codec = services.codec()
-    await prepareConnection(connection, codec, session.values, definition, mayReset, admit === undefined ? undefined : async () => await admit(deadline))
-    if (admit !== undefined && !await admit(deadline)) return { kind: 'not sent', reason: `server ${connection.member} is cold and its share is spent` }
+    await prepareConnection(connection, codec, session.values, definition, mayReset, admit === undefined ? undefined : async () => await awaitAdmission(acquired, deadline))
+    const lateRefusal = await awaitAdmission(acquired, deadline)
+    if (lateRefusal !== undefined) return { kind: 'not sent', reason: lateRefusal }
     if (!connection.isOpen()) return { kind: 'not sent', reason: 'the connection is gone' }
-    const sendability = acquired.sendability()
-    if (sendability !== 'yes') return { kind: 'not sent', reason: UNSENDABLE_REASONS[sendability] }
     return await awaitReply(services, acquired, deadline, connection.run(request.id, addPrefix(buildStatementText(codec, request, definition)), Math.max(0, deadline - services.clock.now()) + LATE_MARGIN_MILLISECONDS))
   } catch (error) {
     connection.close('a statement could not be run on it')
--- a/packages/cyclamenusherd/src/node/engine/preparation.ts
+++ b/packages/cyclamenusherd/src/node/engine/preparation.ts
@@ -61,10 +61,11 @@
 }
 
 /** Sends the statements one after another, each once it is admitted. */
-async function runAdmitted (connection: ServerConnection, statements: readonly InternalStatement[], admit: () => Promise<boolean>): Promise<Reply[]> {
+async function runAdmitted (connection: ServerConnection, statements: readonly InternalStatement[], awaitAdmission: () => Promise<string | undefined>): Promise<Reply[]> {
   const replies: Reply[] = []
   for (const { text, isAsked } of statements) {
-    if (isAsked && !await admit()) throw new PreparationError('the server is cold and its share is spent', false)
+    const refusal = isAsked ? await awaitAdmission() : undefined
+    if (refusal !== undefined) throw new PreparationError(refusal, false)
     const reply = await connection.run(INTERNAL_STATEMENT_ID, text, PREPARATION_TIMEOUT_MILLISECONDS)
     replies.push(reply)
     if (reply.kind !== 'complete') return replies
@@ -75,18 +76,19 @@
 /**
  * Gives the connection the session's values and, if `mayReset`, removes all others;
  * prepares the statement that is executed next. The statements needed for this are
- * sent at once; where `admit` is given, one after another, each once it is admitted.
+ * sent at once; where `awaitAdmission` is given, one after another, each once it
+ * resolves without a reason not to send it.
  *
  * @throws PreparationError
  */
-export async function prepareConnection (connection: ServerConnection, codec: ServerCodec, values: ReadonlyMap<string, string>, definition: StatementDefinition | undefined, mayReset: boolean, admit?: () => Promise<boolean>): Promise<void> {
+export async function prepareConnection (connection: ServerConnection, codec: ServerCodec, values: ReadonlyMap<string, string>, definition: StatementDefinition | undefined, mayReset: boolean, awaitAdmission?: () => Promise<string | undefined>): Promise<void> {
   const valueStatements = buildValueStatements(connection, codec, values, mayReset)
   const wasReset = valueStatements[0]?.text === codec.reset()
   const statements = [...valueStatements, ...buildPrepareStatements(connection, codec, definition, wasReset)]
   if (statements.length === 0) return
-  const replies = admit === undefined
+  const replies = awaitAdmission === undefined
     ? await connection.runAll(INTERNAL_STATEMENT_ID, statements.map(({ text }) => text), PREPARATION_TIMEOUT_MILLISECONDS)
-    : await runAdmitted(connection, statements, admit)
+    : await runAdmitted(connection, statements, awaitAdmission)
   for (const [index, reply] of replies.entries()) {
     if (reply.kind !== 'complete') throw new PreparationError(reply.kind === 'lost' ? reply.reason : reply.explanation, reply.kind === 'lost')
     statements[index].done()
