fix(engine): retry a limited read at the servers that it may use

What callers saw: a read limited by region that failed once at its only allowed server was refused after its wait, and the refusal let the queue count as overloaded for all accounts.

Cause: servers at which a read has failed are left out until it has failed at as many servers as have been seen. Servers outside its regions were among them, and are never tried.

Why this works: the servers that the request may use (regions, drains, not leaving) are the ones that count. If it has failed at all of them, they may all be chosen again.

--- a/packages/cyclamenusherd/src/node/engine/groupDrain.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupDrain.ts
@@ -27,11 +27,15 @@
   need: ReadRequirement
   /** Members at which the operation has already failed. */
   excluded: ReadonlySet<string>
+  /** Regions in which the operation may run; undefined: all. */
+  allowedRegions?: readonly string[]
 }
 
 export interface GroupDrain {
   /** The servers that may be selected now. */
   listSelectable: (request: DrainedRequest) => ServerPool[]
+  /** Whether the operation has failed at every server that could run it now. */
+  hasTriedAll: (request: DrainedRequest) => boolean
   /** Whether the server must not be used, although a connection to it was opened for the request. */
   isUnusable: (pool: ServerPool, request: DrainedRequest) => boolean
   /** Why the operation is refused: all servers that could run it are drained. Undefined: it is not refused for that. */
@@ -52,11 +56,13 @@
   pools: ReadonlyMap<string, ServerPool>
   /** The primary, if it is open for work and this instance holds its lease. */
   findUsablePrimary: () => string | undefined
+  /** Whether the server lies in the regions to which the request is limited. */
+  isAllowed: (pool: ServerPool, request: DrainedRequest) => boolean
   clock: Clock
   logger: ScopedLogger
 }
 
-export function createGroupDrain ({ group, link, pools, findUsablePrimary, clock, logger }: GroupDrainOptions): GroupDrain {
+export function createGroupDrain ({ group, link, pools, findUsablePrimary, isAllowed, clock, logger }: GroupDrainOptions): GroupDrain {
   const watched = new Set<{ pool: ServerPool, end: (reason: string) => void }>()
 
   function findDrain (pool: ServerPool): DomainDrain | undefined {
@@ -74,17 +80,30 @@
     return !leaving || member === link.primaryAssignment(group)?.member
   }
 
-  function listSelectable ({ need, excluded }: DrainedRequest): ServerPool[] {
+  function canRun (pool: ServerPool, { need }: DrainedRequest): boolean {
+    return need.kind === 'primary' ? pool.server().member === link.primaryAssignment(group)?.member : canRunReads(pool)
+  }
+
+  /** The servers that may be used now, including those at which the operation has failed. */
+  function listUsable (request: DrainedRequest): ServerPool[] {
     if (!link.areDrainsKnown()) return []
     const all = [...pools.values()]
-    const isExcluded = (pool: ServerPool): boolean => excluded.has(pool.server().member)
-    if (link.drains().size === 0) return all.filter(pool => !isExcluded(pool))
+    if (link.drains().size === 0) return all.filter(pool => isAllowed(pool, request))
     const outside = all.filter(pool => findDrain(pool) === undefined)
-    const needsPrimary = need.kind === 'primary' || !outside.some(canRunReads)
+    const needsPrimary = request.need.kind === 'primary' || !outside.some(canRunReads)
     const usable = needsPrimary ? [...outside, ...all.filter(isPrimaryInUse)] : outside
-    // Drained servers are not tried, so the others may be tried again once all of them have failed.
-    const untried = usable.filter(pool => !isExcluded(pool))
-    return untried.length > 0 ? untried : usable
+    return usable.filter(pool => isAllowed(pool, request))
+  }
+
+  /** Those at which the operation has not failed; all of them once none of these could run it, as servers that may not be used are never tried. */
+  function omitTried (usable: ServerPool[], request: DrainedRequest): ServerPool[] {
+    if (request.excluded.size === 0) return usable
+    const untried = usable.filter(pool => !request.excluded.has(pool.server().member))
+    return untried.some(pool => canRun(pool, request)) ? untried : usable
+  }
+
+  function listSelectable (request: DrainedRequest): ServerPool[] {
+    return omitTried(listUsable(request), request)
   }
 
   function refresh (): void {
@@ -105,6 +124,7 @@
 
   return {
     listSelectable,
+    hasTriedAll: request => !listUsable(request).some(pool => canRun(pool, request) && !request.excluded.has(pool.server().member)),
     isUnusable: (pool, request) => (link.drains().size > 0 || !link.areDrainsKnown()) && !listSelectable(request).includes(pool),
     findRefusal: request => {
       if (link.drains().size === 0 || !link.areDrainsKnown()) return undefined
--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -66,6 +66,8 @@
 
 export interface GroupPool {
   acquire: (request: ConnectionRequest) => Promise<AcquiredConnection>
+  /** Whether the request has failed at every server that it may use now. */
+  hasTriedAll: (request: Pick<ConnectionRequest, 'need' | 'excluded' | 'allowedRegions'>) => boolean
   resolveReadRequirement: (request: Pick<ReadRequest, 'policy' | 'maximumStalenessMilliseconds' | 'session'>) => ReadRequirement
   /** Observations of the servers that have answered or failed, by member. */
   sightings: () => Record<string, ServerObservation>
@@ -141,7 +143,7 @@
     return assignment?.use === 'open' && link.isLeased() ? assignment.member : undefined
   }
 
-  const drain = createGroupDrain({ group, link, pools, findUsablePrimary, clock, logger })
+  const drain = createGroupDrain({ group, link, pools, findUsablePrimary, isAllowed: isAllowedServer, clock, logger })
 
   function refreshServers (): void {
     const servers = link.servers(group)
@@ -202,10 +204,10 @@
 
   function listServerLoads (request: ConnectionRequest, now: number): ServerLoad[] {
     const primary = findUsablePrimary()
-    return drain.listSelectable(request).filter(pool => isAllowedServer(pool, request)).map(pool => pool.computeLoad(request.account, now, primary))
+    return drain.listSelectable(request).map(pool => pool.computeLoad(request.account, now, primary))
   }
 
-  function isAllowedServer (pool: ServerPool, { allowedRegions }: ConnectionRequest): boolean {
+  function isAllowedServer (pool: ServerPool, { allowedRegions }: Pick<ConnectionRequest, 'allowedRegions'>): boolean {
     return isAllowedDomain(allowedRegions, pool.server().failureDomain, regions)
   }
 
@@ -491,6 +493,7 @@
         dispatch()
       })
     },
+    hasTriedAll: drain.hasTriedAll,
     resolveReadRequirement: request => {
       history = dropPositionsUntil(history, link.resumedAt())
       return resolveReadRequirement({ ...request, history, term, now: clock.now() })
--- a/packages/cyclamenusherd/src/node/engine/reads.ts
+++ b/packages/cyclamenusherd/src/node/engine/reads.ts
@@ -7,7 +7,7 @@
 import type { LogPosition } from '@cyclamenusher/decisions'
 import type { AttemptReply } from './attempt.js'
 import type { LocalServices } from './operations.js'
-import type { GroupPool, AcquiredConnection } from './groupPool.js'
+import type { AcquiredConnection } from './groupPool.js'
 import type { AdmittedOperation, StatementResult, Session, StatementContext } from './session.js'
 
 /** Delay before a read that a server refused is retried, in milliseconds: about the time of one statement. */
@@ -56,11 +56,6 @@
   return { kind: 'again', reason: `${reply.failure}: ${reply.explanation}` }
 }
 
-/** Allows all servers again once the read has failed at each of them. */
-function clearExcludedWhenAllTried (group: GroupPool, { excluded }: ReadProgress): void {
-  if (excluded.size >= Object.keys(group.sightings()).length) excluded.clear()
-}
-
 /** Runs a read until it has a valid answer. @throws StatementFailure */
 export async function runRead (services: LocalServices, context: StatementContext, { route, account, allowedRegions }: AdmittedOperation): Promise<StatementResult> {
   const { session, request, deadline } = context
@@ -76,6 +71,6 @@
     if (outcome.kind === 'answer') return outcome.answer
     services.log.logDecision('A read runs again.', { id: request.id, member: acquired.connection.member, primary: acquired.isPrimary, reason: outcome.reason, left: Math.round(deadline - services.clock.now()) })
     if (services.clock.now() >= deadline) throw new StatementFailure('busy', `no server answered in time; the last said ${outcome.reason}`)
-    clearExcludedWhenAllTried(group, progress)
+    if (group.hasTriedAll({ need, excluded: progress.excluded, allowedRegions })) progress.excluded.clear()
   }
 }
