fix(engine): apply drains within the regions of a request

What callers saw: while a failure domain was drained, a request limited by region was queued and refused late although its only servers were drained. A limited read was not sent to an open drained primary that was its only allowed server, and no read was while all servers outside the drain failed.

Cause: a server outside the request's regions counted as able to run it, and so did a failing one.

Why this works: only allowed servers count. A failing server no longer keeps reads from the primary. It still keeps them from being refused for the drain, because it may answer again before their deadline.

--- a/packages/cyclamenusherd/src/node/engine/__tests__/groupDrain.test.ts
+++ b/packages/cyclamenusherd/src/node/engine/__tests__/groupDrain.test.ts
@@ -45,4 +45,34 @@
   assert.not.ok(createDrain().hasTriedAll(request))
 })
 
+// A server outside the regions counted as able to run the read, which was queued.
+test('a limited read whose only server is drained waits in the queue', () => {
+  const request = { ...READ, allowedRegions: ['b'] }
+  assert.match(createDrain({ drained: ['b'] }).findRefusal(request) ?? '', /drained/)
+  assert.is(createDrain({ drained: ['c'] }).findRefusal(request), undefined)
+  assert.is(createDrain({ drained: ['b'] }).findRefusal(READ), undefined)
+})
+
+test('a refusal names a drain although no server lies in the regions', () => {
+  assert.is(createDrain({ drained: ['b'] }).findRefusal({ ...READ, allowedRegions: ['z'] }), undefined)
+})
+
+test('a limited read is kept from a drained primary that is its only server', () => {
+  const request = { ...READ, allowedRegions: ['a'] }
+  assert.equal(listMembers(createDrain({ drained: ['a'] }), request), ['p'])
+  assert.is(createDrain({ drained: ['a'] }).findRefusal(request), undefined)
+  assert.equal(listMembers(createDrain({ drained: ['a'] }), READ), ['r1', 'r2'])
+})
+
+test('a read is kept from a drained primary while all other servers fail', () => {
+  const drain = createDrain({ drained: ['a'], failing: ['r1', 'r2'] })
+  assert.equal(listMembers(drain, READ), ['r1', 'r2', 'p'])
+  assert.equal(listMembers(createDrain({ drained: ['a'], failing: ['r1'] }), READ), ['r1', 'r2'])
+})
+
+// A failing server may answer again while the read waits.
+test('a read is refused for a drain while a server outside only fails', () => {
+  assert.is(createDrain({ drained: ['a', 'b'], failing: ['r2'] }).findRefusal(READ), undefined)
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/engine/groupDrain.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupDrain.ts
@@ -84,15 +84,22 @@
     return need.kind === 'primary' ? pool.server().member === link.primaryAssignment(group)?.member : canRunReads(pool)
   }
 
+  function isFailing (pool: ServerPool): boolean {
+    return pool.observe(clock.now())?.failingFor !== undefined
+  }
+
+  function listAllowed (request: DrainedRequest): ServerPool[] {
+    return [...pools.values()].filter(pool => isAllowed(pool, request))
+  }
+
   /** The servers that may be used now, including those at which the operation has failed. */
   function listUsable (request: DrainedRequest): ServerPool[] {
     if (!link.areDrainsKnown()) return []
-    const all = [...pools.values()]
-    if (link.drains().size === 0) return all.filter(pool => isAllowed(pool, request))
-    const outside = all.filter(pool => findDrain(pool) === undefined)
-    const needsPrimary = request.need.kind === 'primary' || !outside.some(canRunReads)
-    const usable = needsPrimary ? [...outside, ...all.filter(isPrimaryInUse)] : outside
-    return usable.filter(pool => isAllowed(pool, request))
+    const allowed = listAllowed(request)
+    if (link.drains().size === 0) return allowed
+    const outside = allowed.filter(pool => findDrain(pool) === undefined)
+    const needsPrimary = request.need.kind === 'primary' || !outside.some(pool => canRunReads(pool) && !isFailing(pool))
+    return needsPrimary ? [...outside, ...allowed.filter(isPrimaryInUse)] : outside
   }
 
   /** Those at which the operation has not failed; all of them once none of these could run it, as servers that may not be used are never tried. */
@@ -128,7 +135,7 @@
     isUnusable: (pool, request) => (link.drains().size > 0 || !link.areDrainsKnown()) && !listSelectable(request).includes(pool),
     findRefusal: request => {
       if (link.drains().size === 0 || !link.areDrainsKnown()) return undefined
-      const hasDrained = [...pools.values()].some(pool => findDrain(pool) !== undefined)
+      const hasDrained = listAllowed(request).some(pool => findDrain(pool) !== undefined)
       if (!hasDrained || listSelectable(request).some(pool => isPrimaryInUse(pool) || canRunReads(pool))) return undefined
       return 'all servers that could run this are in drained failure domains'
     },
