fix(engine): count only usable servers before an operation is refused as cold

What callers saw: with all usable servers cold and a warm one drained, an operation waited until its deadline for a token that could not come, instead of being refused at once.

Cause: the list of servers that could run it ignored drains, so the drained warm server counted as one.

Why this works: the list is built from the servers that may be selected now, which respects drains, regions and the servers at which the operation has failed.

--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -237,7 +237,7 @@
   function listCapable (request: ConnectionRequest): ServerPool[] {
     const primary = findUsablePrimary()
     const now = clock.now()
-    return [...pools.values()].filter(pool => isAllowedServer(pool, request) && pool.observe(now)?.failingFor === undefined && !request.excluded.has(pool.server().member) && (request.need.kind === 'primary' ? pool.server().member === primary : !pool.server().leaving || pool.server().member === primary))
+    return drain.listSelectable(request).filter(pool => pool.observe(now)?.failingFor === undefined && (request.need.kind === 'primary' ? pool.server().member === primary : !pool.server().leaving || pool.server().member === primary))
   }
 
   /** Why no server can run the request in time, although servers are up: all are cold, or lie outside its regions. Undefined: one may. */
