fix(decisions): close a drained primary only for a candidate that follows it

What callers saw: in a group without synchronous replicas, a drained primary that worked was closed at once although the only candidate was dead or lagged, and what needs the primary was refused. A candidate that lagged was promoted after a second, without the last commits.

Cause: without synchronous replicas any announced server outside the drain counted as a successor, and a planned switchover could not be given up.

Why this works: such a primary is closed once a candidate has answered, since the drain was noticed, that it holds what the primary then held. If no candidate then catches up, the primary opens again as long as the drain's bound is not due. Leaving primaries are replaced as before.

The test of a withdrawn drain closed the primary before any candidate had answered; its candidates answer now, and it checks that the replacement has begun.

--- a/packages/decisions/src/node/fleet/__tests__/drains.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/drains.test.ts
@@ -117,13 +117,55 @@
 })
 
 test('a replacement that has begun is given up when the drain is withdrawn', () => {
-  const group = createServingGroup({ servers: OUTSIDE, assignmentConfirmed: true, ...drain('a') })
-  run(group, 50)
+  const group = createServingGroup({ servers: OUTSIDE, assignmentConfirmed: true, busy: true, ...drain('a') })
+  run(group, 50, { p: 20, r1: 20, r2: 17 })
+  assert.is(group.state().phase, 'closing')
   group.environment.drains = new Map()
+  group.environment.busy = false
   run(group, 400, { p: 20, r1: 20, r2: 17 })
   assert.equal(group.effectsOf('designate').at(-1), { kind: 'designate', member: 'r1', after: 1 })
 })
 
+for (const [candidate, position] of [['is dead', undefined], ['lags', 10]] as const) {
+  const positions = { p: 20, ...(position === undefined ? {} : { r1: position }) }
+
+  // Without synchronous replicas any announced server counted as a successor.
+  test(`a drained primary is closed for a candidate that ${candidate}`, () => {
+    const group = createServingGroup({ servers: OUTSIDE.slice(0, 2), assignmentConfirmed: true, ...drain('a') })
+    run(group, 2_500, positions)
+    assert.is(getPrimaryAssignment(group.state()).use, 'open')
+    run(group, 500, positions)
+    assert.is(getPrimaryAssignment(group.state()).use, 'closed', 'the bound is due')
+  })
+
+  test(`a drained primary stays closed after its candidate ${candidate}`, () => {
+    const group = createServingGroup({ servers: OUTSIDE.slice(0, 2), assignmentConfirmed: true, busy: true, ...drain('a') })
+    run(group, 50, { p: 10, r1: 10 })
+    assert.is(group.state().phase, 'closing')
+    group.environment.busy = false
+    run(group, 1_300, positions)
+    assert.is(getPrimaryAssignment(group.state()).use, 'open')
+    assert.is(group.effectsOf('designate').length, 0)
+  })
+}
+
+// The position from the first drain would make a candidate that lags count as following.
+test('a second drain compares with the primary of the first one', () => {
+  const group = createServingGroup({ servers: OUTSIDE.slice(0, 2), assignmentConfirmed: true, ...drain('a') })
+  run(group, 200, { p: 20 })
+  group.environment.drains = new Map()
+  run(group, 200, { p: 30 })
+  group.environment.drains = drain('a').drains
+  run(group, 500, { p: 30, r1: 25 })
+  assert.is(getPrimaryAssignment(group.state()).use, 'open')
+})
+
+test('a primary that leaves waits for a position because it is drained too', () => {
+  const group = createServingGroup({ servers: [createServer('p', { role: 'primary', leaving: true }), OUTSIDE[1]], assignmentConfirmed: true, ...drain('a') })
+  group.step({ kind: 'tick' })
+  assert.is(group.state().phase, 'closing')
+})
+
 // Control sent status requests to servers that were about to be switched off.
 test('drained replicas are asked for their status after the bound', () => {
   const group = createServingGroup({ servers: OUTSIDE, assignmentConfirmed: true, synchronousReplicas: 1, ...drain('b') })
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -9,7 +9,7 @@
 import { RELEASE_CHECK_INTERVAL_MILLISECONDS, countSynchronousReplicas, listUnseenServers, noteInheritedLog, noteSeenPosition, recordCopies, releaseCopies, toRun } from './commitCopies.js'
 import { filterAskable, isDrainDue, isDrained } from './drainedServers.js'
 import { LEASE_MILLISECONDS } from './messages.js'
-import { chooseCandidate, listCandidates, findFreshStatus, findRecoveredPrimary, findRestartedPrimary, hasFollowingCandidate, listMembersToAsk, findPrimary } from './successor.js'
+import { chooseCandidate, listCandidates, findFreshStatus, findRecoveredPrimary, findRestartedPrimary, hasFollowingCandidate, isDrainedOnly, listMembersToAsk, findPrimary } from './successor.js'
 import type { KnownServer } from './directory.js'
 import type { PrimaryAssignment, GroupControlState, GroupEffect, GroupEvent, GroupPhase, GroupStep, GroupEnvironment, PrimaryUse, PromotionOutcome, ServerStatus } from './groupTypes.js'
 import type { Designation } from './state.js'
@@ -75,7 +75,7 @@
   const primary = findPrimary(step)
   noteInheritedLog(step, status)
   const seenPositions: GroupControlState['seenPositions'] = state.term === status.term ? state.seenPositions : new Map()
-  enterPhase(step, 'serving', { term: status.term, bornAt: primary?.bornAt, leavingSince: undefined, target: undefined, planned: false, excludedUntil: new Map(), lastPrimary: primary === undefined ? state.lastPrimary : toRun(primary), successorTarget: undefined, seenPositions })
+  enterPhase(step, 'serving', { term: status.term, bornAt: primary?.bornAt, leavingSince: undefined, target: undefined, planned: false, excludedUntil: new Map(), lastPrimary: primary === undefined ? state.lastPrimary : toRun(primary), successorTarget: undefined, drainedSince: undefined, seenPositions })
 }
 
 function tickUnverified (step: GroupStep): void {
@@ -105,6 +105,7 @@
   const missing = primary === undefined && environment.verdict !== 'reachable'
   if (missing && hasSuccessor) return enterPhase(step, 'fenced', { planned: false })
   if (isToBeReplaced(step, primary) && isReplaceable(step)) return enterPhase(step, 'closing', { planned: true })
+  if (state.drainedSince !== undefined && !isDrainedOnly(step)) Object.assign(state, { drainedSince: undefined, successorTarget: undefined })
   state.leavingSince = primary?.leaving === true ? state.leavingSince ?? environment.now : undefined
   if (isDrainEnding(step)) return enterPhase(step, 'closing', { planned: false })
   if (isDrainDue(step, primary, DRAIN_RESERVE_MILLISECONDS)) return enterPhase(step, 'closing', { planned: true })
@@ -173,7 +174,8 @@
   const behind = best !== undefined && (primaryStatus === undefined ? isPrimaryDrained(step) : comparePositions(best.status.received, primaryStatus.received) < 0)
   const hasTimedOut = environment.now - state.phaseSince >= CATCH_UP_TIMEOUT_MILLISECONDS
   const isDue = isDrainDue(step, findPrimary(step), DRAIN_RESERVE_MILLISECONDS)
-  if (best === undefined && hasTimedOut && !isDue && state.planned && primaryStatus?.role === 'primary' && countSynchronousReplicas(step) > 0) return resumePlanned(step, primaryStatus)
+  const lacksSuccessor = countSynchronousReplicas(step) > 0 ? best === undefined : isDrainedOnly(step) && (best === undefined || behind)
+  if (lacksSuccessor && hasTimedOut && !isDue && state.planned && primaryStatus?.role === 'primary') return resumePlanned(step, primaryStatus)
   if (best === undefined || (state.planned && behind && !hasTimedOut)) {
     return requestStatus(step, listMembersToAsk(step), state.planned && !(isDue && hasTimedOut) ? CATCH_UP_INTERVAL_MILLISECONDS : STATUS_INTERVAL_MILLISECONDS)
   }
@@ -210,7 +212,7 @@
   requestStatus(step, [primary.member], STATUS_INTERVAL_MILLISECONDS)
 }
 
-/** Opens a leaving primary again that no successor has caught up with. */
+/** Opens a leaving or drained primary again that no successor has caught up with. */
 function resumePlanned (step: GroupStep, status: ServerStatus): void {
   startServing(step, status)
   step.state.plannedRetryAt = step.environment.now + PLANNED_RETRY_MILLISECONDS
--- a/packages/decisions/src/node/fleet/groupTypes.ts
+++ b/packages/decisions/src/node/fleet/groupTypes.ts
@@ -86,6 +86,8 @@
   inherited?: InheritedLog
   /** The position of a leaving primary that a successor must have received before the primary is closed. */
   successorTarget?: LogPosition
+  /** Since when the open primary is seen to be drained, in groups without synchronous replicas; statuses from before do not show which candidate follows it. */
+  drainedSince?: number
   /** Until when a leaving primary stays open, because no successor caught up. */
   plannedRetryAt?: number
   /** Servers that are being taken off the record of commit copies. */
--- a/packages/decisions/src/node/fleet/successor.ts
+++ b/packages/decisions/src/node/fleet/successor.ts
@@ -123,14 +123,34 @@
   return findNewest(step, upToDate.filter(({ server }) => !server.leaving)) ?? findNewest(step, upToDate)
 }
 
-/** Whether a candidate has received what a leaving primary held a moment ago, so that the primary can be closed for a short time only. Without synchronous replicas any candidate will do. */
+/** Whether the primary works and is replaced only because its failure domain is drained. */
+export function isDrainedOnly (step: GroupStep): boolean {
+  const primary = findPrimary(step)
+  return primary !== undefined && !primary.leaving && isDrained(step, primary)
+}
+
+/**
+ * Whether a candidate has received what a primary that is to be replaced held a moment ago,
+ * so that the primary can be closed for a short time only. Without synchronous replicas any
+ * candidate will do for a leaving primary.
+ */
 export function hasFollowingCandidate (step: GroupStep): boolean {
-  const { state } = step
+  const { state, environment } = step
   const candidates = listCandidates(step)
-  if (countSynchronousReplicas(step) === 0) return candidates.length > 0
-  state.successorTarget ??= findAnsweringPrimary(step)?.status.received
+  if (countSynchronousReplicas(step) > 0) return hasReachedTarget(step, candidates, -Infinity)
+  if (!isDrainedOnly(step)) return candidates.length > 0
+  state.drainedSince ??= environment.now
+  return hasReachedTarget(step, candidates, state.drainedSince)
+}
+
+/** Whether a candidate holds what the primary held when it first answered; statuses from before `since` do not count. */
+function hasReachedTarget (step: GroupStep, candidates: readonly KnownServer[], since: number): boolean {
+  const { state } = step
+  const isRecent = ({ server }: AnsweredServer): boolean => (state.statuses.get(server.member)?.at ?? -Infinity) >= since
+  const primary = findAnsweringPrimary(step)
+  if (primary !== undefined && isRecent(primary)) state.successorTarget ??= primary.status.received
   const target = state.successorTarget
-  return target !== undefined && listAnswered(step, candidates).some(({ status }) => comparePositions(status.received, target) >= 0)
+  return target !== undefined && listAnswered(step, candidates).some(answered => isRecent(answered) && comparePositions(answered.status.received, target) >= 0)
 }
 
 /** The designated primary, if it has answered as primary: it holds every acknowledged commit. */
