fix(fleet): have instances count servers as cold after the withdrawal of a drain

What callers saw: if the leader was lost right after a drain was withdrawn, the servers there counted as warm and got more requests than cold servers may receive.

Cause: only the leader that applied the withdrawal counted them as cold, in its memory.

Why this works: each instance that learns of the withdrawal, from whichever leader, counts the servers of groups with a warm-up as cold and reports that with its renewals until they announce themselves.

--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/fleetLink.test.ts
@@ -1,4 +1,5 @@
 import { connect, createServer } from 'node:net'
+import { deflateSync } from 'node:zlib'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { listenForCalls } from '@cyclamenusher/protocol'
@@ -7,7 +8,7 @@
 import { createPeers } from '../../peers.js'
 import { createFleetStreams } from '../fleetStreams.js'
 import { waitUntil } from './fleetHarness.js'
-import type { KnownServer, RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
+import type { Declaration, KnownServer, RenewGrant, RenewReply, RenewRequest } from '@cyclamenusher/decisions'
 
 const HOST = '127.0.0.1'
 const QUIET_LOGGER = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
@@ -16,7 +17,7 @@
 const GRANT: RenewGrant = { kind: 'granted', leaseMilliseconds: 1_500, parts: { clinic: 0.4 }, shared: { term: 1, change: 1, whole: true, groups: [], servers: [], entries: 1, control: [] } }
 
 /** Connects a link to one control instance whose replies come from `reply`. */
-async function connectLink (reply: (request: RenewRequest) => RenewReply | Promise<RenewReply>, granted = 0) {
+async function connectLink (reply: (request: RenewRequest) => RenewReply | Promise<RenewReply>, granted = 0, decodeDeclaration = (): Declaration => { throw new Error('unexpected declaration') }) {
   const requests: RenewRequest[] = []
   const streams = createFleetStreams({
     renew: async request => {
@@ -38,7 +39,7 @@
   const address = forwarder.address()
   const port = typeof address === 'object' && address !== null ? address.port : 0
   const peers = createPeers(CREDENTIALS)
-  const link = createFleetLink({ name: 'entry-1', failureDomain: 'a', seeds: () => [{ host: HOST, port }], decodeDeclaration: () => { throw new Error('unexpected declaration') }, report: () => ({ demand: {}, sightings: {}, busy: [] }), peers, clock: systemClock, logger: QUIET_LOGGER })
+  const link = createFleetLink({ name: 'entry-1', failureDomain: 'a', seeds: () => [{ host: HOST, port }], decodeDeclaration, report: () => ({ demand: {}, sightings: {}, busy: [] }), peers, clock: systemClock, logger: QUIET_LOGGER })
   link.start()
   return {
     link,
@@ -150,4 +151,27 @@
   }
 })
 
+// The leader that had applied the withdrawal was lost, and its successor knew of no cold servers.
+test('a server counts as warm after its drain was withdrawn by a leader that is lost', async () => {
+  const server: KnownServer = { member: 'cold', group: 'g', host: HOST, port: 1, failureDomain: 'b', slots: 3, leaving: false, role: 'replica', bornAt: 1, sequence: 1, gone: false }
+  const servers = [server, { ...server, member: 'elsewhere', failureDomain: 'a' }, { ...server, member: 'unlimited', group: 'h' }]
+  const group = { name: 'g', connectionsPerServer: 10, synchronousReplicas: 0 }
+  const declared: Declaration = { version: 1, routes: [], groups: [{ ...group, warmup: { milliseconds: 30_000, requestsPerSecond: 5 } }, { ...group, name: 'h' }], accounts: [], idleTransactionMilliseconds: 1_000 }
+  const declaration = { version: 1, deflated: deflateSync('{}').toString('base64') }
+  let isWithdrawn = false
+  const { link, requests, stop } = await connectLink(() => ({ ...GRANT, shared: { ...GRANT.shared, term: isWithdrawn ? 2 : 1, servers, declaration, ...(isWithdrawn ? {} : { drains: ['b'] }) } }), 0, () => declared)
+  try {
+    await waitUntil('the drain', () => link.drains().has('b'))
+    assert.not.ok(link.warmups.isCold('cold'))
+    isWithdrawn = true
+    await waitUntil('the withdrawal', () => link.drains().size === 0)
+    assert.equal(['cold', 'elsewhere', 'unlimited'].map(member => link.warmups.isCold(member)), [true, false, false])
+    const before = requests.length
+    await waitUntil('a renewal after it', () => requests.length > before)
+    assert.equal(Object.keys(requests.at(-1)?.doubted ?? {}), ['cold'])
+  } finally {
+    await stop()
+  }
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetLink.ts
@@ -299,7 +299,19 @@
     for (const [failureDomain, { transactionsUntil }] of drains) {
       if (!previous.has(failureDomain)) logger.info('The drain of a failure domain takes effect here.', { failureDomain, transactionsFor: Math.round(Math.max(0, transactionsUntil - now)) })
     }
-    for (const failureDomain of previous.keys()) if (!drains.has(failureDomain)) logger.info('The drain of a failure domain is over here.', { failureDomain })
+    for (const failureDomain of previous.keys()) {
+      if (drains.has(failureDomain)) continue
+      logger.info('The drain of a failure domain is over here.', { failureDomain })
+      doubtFailureDomain(failureDomain)
+    }
+  }
+
+  /** Has the servers of a failure domain count as cold until they announce themselves. Each instance reports that, so that it survives the loss of the leader that applied the withdrawal. */
+  function doubtFailureDomain (failureDomain: string): void {
+    for (const server of servers.values()) {
+      const canBeCold = declarationIndex?.group(server.group)?.warmup !== undefined
+      if (canBeCold && !server.gone && server.failureDomain === failureDomain) warmups.doubt(server.member)
+    }
   }
 
   function adoptGrant ({ shared, parts, warmups: warmupShares, settled }: RenewGrant, sentAt: number): void {
