fix(fleet): compare the end of a cold phase with the published one

What callers saw: when a server's announced end of its cold phase moved a little with each announcement, entry instances took it for warm or cold at times far from the announced end.

Cause: each announcement was compared with the one before it, also when that one had not been published, so small moves never added up to a publication.

Why this works: the published end is kept apart from the announced one.

--- a/packages/cyclamenusherd/src/node/process/fleet/leaderDirectory.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leaderDirectory.ts
@@ -35,6 +35,8 @@
   const servers = new Map<string, KnownServer>()
   const announcedAt = new Map<string, number>()
   const warmUntil = new Map<string, number>()
+  /** The ends of cold phases that entry instances know. */
+  const publishedWarmUntil = new Map<string, number>()
   const serverChanges = new Map<string, number>()
   const assignments = new Map<string, { assignment: PrimaryAssignment, change: number }>()
   let change = 0
@@ -53,11 +55,12 @@
 
   function recordServerChange (member: string): void {
     serverChanges.set(member, recordUrgentChange())
+    publishedWarmUntil.set(member, warmUntil.get(member) ?? -Infinity)
   }
 
-  /** Notes until when a server is cold, and returns whether that is news. */
+  /** Notes until when a server is cold, and returns whether that has to be published. */
   function noteWarmup ({ member, warmupMilliseconds = 0 }: ServerAnnouncement, now: number): boolean {
-    const isNews = isWarmupChanged(warmUntil.get(member) ?? -Infinity, warmupMilliseconds, now)
+    const isNews = isWarmupChanged(publishedWarmUntil.get(member) ?? -Infinity, warmupMilliseconds, now)
     if (warmupMilliseconds === 0) warmUntil.delete(member)
     else warmUntil.set(member, now + warmupMilliseconds)
     return isNews
@@ -65,7 +68,7 @@
 
   function withRemainingWarmup (server: KnownServer, now: number): KnownServer {
     if (server.warmupMilliseconds === undefined) return server
-    return { ...server, warmupMilliseconds: Math.max(0, Math.round((warmUntil.get(server.member) ?? now) - now)) }
+    return { ...server, warmupMilliseconds: Math.max(0, Math.round((publishedWarmUntil.get(server.member) ?? now) - now)) }
   }
 
   return {
