--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -73,6 +73,8 @@
 
 export interface GroupPool {
   acquire: (request: ConnectionRequest) => Promise<AcquiredConnection>
+  /** Whether the request has failed at every server that it may use now. */
+  hasTriedAll: (request: Pick<ConnectionRequest, 'need' | 'excluded' | 'allowedRegions'>) => boolean
   resolveReadRequirement: (request: Pick<ReadRequest, 'policy' | 'maximumStalenessMilliseconds' | 'session'>) => ReadRequirement
   /** Observations of the servers that have answered or failed, by member. */
   sightings: () => Record<string, ServerObservation>
@@ -152,7 +154,7 @@
     return assignment?.use === 'open' && link.isLeased() ? assignment.member : undefined
   }
 
-  const drain = createGroupDrain({ group, link, pools, findUsablePrimary, clock, logger })
+  const drain = createGroupDrain({ group, link, pools, findUsablePrimary, isAllowed: isAllowedServer, clock, logger })
 
   function refreshServers (): void {
     const servers = link.servers(group)
@@ -213,10 +215,10 @@
 
   function listServerLoads (request: ConnectionRequest, now: number): ServerLoad[] {
     const primary = findUsablePrimary()
-    return drain.listSelectable(request).filter(pool => isAllowedServer(pool, request)).map(pool => pool.computeLoad(request.account, now, primary))
+    return drain.listSelectable(request).map(pool => pool.computeLoad(request.account, now, primary))
   }
 
-  function isAllowedServer (pool: ServerPool, { allowedRegions }: ConnectionRequest): boolean {
+  function isAllowedServer (pool: ServerPool, { allowedRegions }: Pick<ConnectionRequest, 'allowedRegions'>): boolean {
     return isAllowedDomain(allowedRegions, pool.server().failureDomain, regions)
   }
 
@@ -247,7 +249,7 @@
   function listCapable (request: ConnectionRequest): ServerPool[] {
     const primary = findUsablePrimary()
     const now = clock.now()
-    return [...pools.values()].filter(pool => isAllowedServer(pool, request) && pool.observe(now)?.failingFor === undefined && !request.excluded.has(pool.server().member) && (request.need.kind === 'primary' ? pool.server().member === primary : !pool.server().leaving || pool.server().member === primary))
+    return drain.listSelectable(request).filter(pool => pool.observe(now)?.failingFor === undefined && (request.need.kind === 'primary' ? pool.server().member === primary : !pool.server().leaving || pool.server().member === primary))
   }
 
   /** Why no server in the request's regions could run it. Undefined: one lies there. */
@@ -571,6 +573,7 @@
         dispatch()
       })
     },
+    hasTriedAll: drain.hasTriedAll,
     resolveReadRequirement: request => {
       history = dropPositionsUntil(history, link.resumedAt())
       return resolveReadRequirement({ ...request, history, term, now: clock.now() })
