fix(engine): capacity for urgent work is reserved only where the settings ask for it

Callers of deployments with two priorities, which asked for no reserve, were served worse after a loss of all power: a queue with many less urgent requests that no server may take is looked through for each answer. The reserve is off unless a deployment's settings turn it on.

--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -97,6 +97,8 @@
   group: string
   link: FleetLink
   regions: RegionMap
+  /** Whether capacity at the servers is kept for the most urgent priority in use. @default false */
+  reservesUrgentCapacity?: boolean
   /** Called when an operation is refused because all servers that could run it are cold. */
   onWarmupRefusal: () => void
   codec: () => ServerCodec
@@ -123,7 +125,7 @@
   reject: (error: StatementFailure) => void
 }
 
-export function createGroupPool ({ group, link, regions, onWarmupRefusal, codec, clock, logger, metrics }: GroupPoolOptions): GroupPool {
+export function createGroupPool ({ group, link, regions, reservesUrgentCapacity = false, onWarmupRefusal, codec, clock, logger, metrics }: GroupPoolOptions): GroupPool {
   const warmup = createWarmupGate({ group, link, clock, logger })
   const pools = new Map<string, ServerPool>()
   let queue: WaitingRequest[] = []
@@ -133,7 +135,7 @@
   let term = 0
   let primaryClosedSince: number | undefined
   let dispatching = false
-  const priorityUse = createPriorityUse(() => new Map([...pools].map(([member, pool]) => [member, pool.connectionsInUse()])))
+  const priorityUse = createPriorityUse(() => new Map([...pools].map(([member, pool]) => [member, pool.connectionsInUse()])), reservesUrgentCapacity)
   let wasOverloaded = false
   let refusedInOverload = 0
 
--- a/packages/cyclamenusherd/src/node/engine/priorityUse.ts
+++ b/packages/cyclamenusherd/src/node/engine/priorityUse.ts
@@ -21,14 +21,17 @@
   limitLoad: (load: ServerLoad, priority: number, maximum: number, now: number, inUse?: PriorityRange) => ServerLoad
 }
 
-/** `listInUse` returns the connections in use, by member: those that are lost are no longer among them. */
-export function createPriorityUse (listInUse: () => ReadonlyMap<string, readonly ServerConnection[]>): PriorityUse {
+/**
+ * `listInUse` returns the connections in use, by member: those that are lost are no longer
+ * among them. Unless capacity is reserved, all priorities count as one.
+ */
+export function createPriorityUse (listInUse: () => ReadonlyMap<string, readonly ServerConnection[]>, reservesCapacity = true): PriorityUse {
   const requestedAt = new Map<number, number>()
   const priorities = new WeakMap<ServerConnection, number>()
   const openings = new Set<{ member: string, priority: number }>()
   let firstOfLeastUrgent: QueuedRequest | undefined
 
-  const range = (now: number): PriorityRange | undefined => findPriorityRange(requestedAt, now)
+  const range = (now: number): PriorityRange | undefined => reservesCapacity ? findPriorityRange(requestedAt, now) : undefined
 
   /** Priorities for which connections of each member are in use or being opened. */
   function listAcquired (): Map<string, number[]> {
@@ -54,7 +57,7 @@
       return () => { openings.delete(opening) }
     },
     range,
-    rangeWith: (priority, now) => findPriorityRange(new Map([...requestedAt, [priority, now]]), now),
+    rangeWith: (priority, now) => reservesCapacity ? findPriorityRange(new Map([...requestedAt, [priority, now]]), now) : undefined,
     limitLoad: (load, priority, maximum, now, inUse = range(now)) => {
       if (inUse === undefined) return load
       const { leastUrgent, mostUrgent } = inUse
--- a/packages/cyclamenusherd/src/node/engine/services.ts
+++ b/packages/cyclamenusherd/src/node/engine/services.ts
@@ -80,6 +80,8 @@
   tolerance: RateTolerance
   /** @default NO_REGIONS */
   regions?: RegionMap
+  /** Whether capacity at the servers is kept for the most urgent priority in use. @default false */
+  reservesUrgentCapacity?: boolean
   /** Called when an operation is refused because all servers that could run it are cold. */
   onWarmupRefusal?: () => void
   peers: Peers
@@ -87,7 +89,7 @@
   account?: MemoryAccount
 }
 
-export function createEngine ({ createLink, codec, clock, logger, log, tolerance, regions = NO_REGIONS, onWarmupRefusal = () => {}, peers, account }: EngineOptions): Engine {
+export function createEngine ({ createLink, codec, clock, logger, log, tolerance, regions = NO_REGIONS, reservesUrgentCapacity = false, onWarmupRefusal = () => {}, peers, account }: EngineOptions): Engine {
   const groups = new Map<string, GroupPool>()
   const poolMetrics = createPoolMetrics()
   let draining = false
@@ -121,7 +123,7 @@
   }
 
   function createPool (name: string): GroupPool {
-    return createGroupPool({ group: name, link, regions, onWarmupRefusal, codec, clock, logger, metrics: poolMetrics })
+    return createGroupPool({ group: name, link, regions, reservesUrgentCapacity, onWarmupRefusal, codec, clock, logger, metrics: poolMetrics })
   }
 
   /** Explains a placement in a group. An instance that has not used the group yet does so with a pool that it does not keep. */
--- a/packages/cyclamenusherd/src/node/process/fleet/config.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/config.ts
@@ -38,6 +38,8 @@
   domainDrainMilliseconds?: number
   /** Regions of the failure domains, and of this instance. @default none */
   regions?: RegionMap
+  /** Whether capacity at the servers is kept for the most urgent priority in use. @default false */
+  reservesUrgentCapacity?: boolean
 }
 
 export interface FleetControlConfig extends FleetInstanceConfig {
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -78,6 +78,7 @@
     log: requestLog,
     tolerance: config.rateTolerance,
     regions: config.regions,
+    reservesUrgentCapacity: config.reservesUrgentCapacity,
     onWarmupRefusal: () => { onWarmupRefusal() },
     codec: ports.createServerCodec,
     peers,
