fix(protocol): ignore requests that were reset before they are handled

A connection without the secret could end the process with one packet that opened an HTTP/2 stream and reset it. The first bytes are put back on the socket before HTTP/2 reads them, so the request is handled after its reset, and responding to a closed stream throws outside of any call. The library's answer to `expect: 100-continue` throws in the same way.

A stream that is closed or destroyed is no longer responded to, and requests that expect 100-continue, which no instance sends, are reset.

--- a/packages/protocol/src/node/__tests__/transport.test.ts
+++ b/packages/protocol/src/node/__tests__/transport.test.ts
@@ -1,5 +1,6 @@
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
+import { connect } from 'node:net'
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { generate } from 'selfsigned'
@@ -95,4 +96,62 @@
   assert.is(output.toString().trim(), 'ConnectionError false')
 })
 
+function frameOfHttp2 (type: number, flags: number, stream: number, body: Buffer): Buffer {
+  const head = Buffer.alloc(9)
+  head.writeUIntBE(body.length, 0, 3)
+  head.writeUInt8(type, 3)
+  head.writeUInt8(flags, 4)
+  head.writeUInt32BE(stream, 5)
+  return Buffer.concat([head, body])
+}
+
+/** Header fields as literals that are not indexed. */
+function encodeFields (fields: ReadonlyArray<readonly [string, string]>): Buffer {
+  return Buffer.concat(fields.flatMap(([name, value]) => [Buffer.from([0, name.length]), Buffer.from(name), Buffer.from([value.length]), Buffer.from(value)]))
+}
+
+const CALL_FIELDS = [[':method', 'POST'], [':scheme', 'http'], [':path', '/service/Method'], [':authority', 'host']] as const
+const STREAM_FIELDS = [[':method', 'POST'], [':scheme', 'http'], [':path', '/cyclamenusher.streams/echo'], [':authority', 'host']] as const
+const RESET_REQUESTS = {
+  call: CALL_FIELDS,
+  stream: STREAM_FIELDS,
+  'stream with the secret': [...STREAM_FIELDS, ['x-cyclamenusher-secret', SECRET]],
+  'call that expects 100-continue': [...CALL_FIELDS, ['expect', '100-continue']],
+  'call that expects anything else': [...CALL_FIELDS, ['expect', 'other']],
+  tunnel: [[':method', 'CONNECT'], [':authority', 'host']]
+} as const
+
+// To respond to a stream that is closed throws, outside of any call.
+for (const [name, fields] of Object.entries(RESET_REQUESTS)) {
+  test(`a ${name} that is reset in the packet that opens it ends the process`, async () => {
+    const server = await listenForCalls('127.0.0.1', 0, { secret: SECRET }, () => {}, new Map([['echo', () => ({ message: () => {}, closed: () => {} })]]))
+    const errors: Error[] = []
+    const collect = (error: Error): void => { errors.push(error) }
+    process.on('uncaughtException', collect)
+    const socket = connect(server.port, '127.0.0.1')
+    socket.on('error', () => {})
+    socket.write(Buffer.concat([
+      Buffer.from('PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'),
+      frameOfHttp2(4, 0, 0, Buffer.alloc(0)),
+      frameOfHttp2(1, 4, 1, encodeFields(fields)),
+      frameOfHttp2(3, 0, 1, Buffer.from([0, 0, 0, 8])),
+      frameOfHttp2(6, 0, 0, Buffer.alloc(8))
+    ]))
+    // The answer to the ping comes after the streams of the packet were handled.
+    await new Promise<void>(resolve => {
+      let received = Buffer.alloc(0)
+      socket.on('data', (chunk: Buffer) => {
+        received = Buffer.concat([received, chunk])
+        if (received.includes(Buffer.from([0, 0, 8, 6, 1]))) resolve()
+      })
+      socket.on('close', () => { resolve() })
+    })
+    await new Promise(resolve => { setTimeout(resolve, 100) })
+    process.off('uncaughtException', collect)
+    socket.destroy()
+    await server.close()
+    assert.equal(errors, [])
+  })
+}
+
 test.run()
--- a/packages/protocol/src/node/transport.ts
+++ b/packages/protocol/src/node/transport.ts
@@ -14,7 +14,7 @@
 import { createSilentConnections } from './silentConnections.js'
 import { createStreamOpener } from './streamOpener.js'
 import { STREAM_PROTOCOL, acceptSocketStream, distinguishStreams } from './streamSocket.js'
-import type { Http2SecureServer, Http2Session, Http2Server, Http2ServerRequest, Http2ServerResponse, ServerHttp2Session } from 'node:http2'
+import type { Http2SecureServer, Http2Session, Http2Server, Http2ServerRequest, Http2ServerResponse, ServerHttp2Session, ServerHttp2Stream } from 'node:http2'
 import type { Server as TcpServer, Socket } from 'node:net'
 import type { DescService } from '@bufbuild/protobuf'
 import type { Client, ConnectRouter, Interceptor } from '@connectrpc/connect'
@@ -84,6 +84,11 @@
 
 type RequestHandler = (request: Http2ServerRequest, response: Http2ServerResponse) => void
 
+/** Whether the other side has ended the stream already, also in the chunk that opened it: to respond would throw. */
+function isReset (stream: ServerHttp2Stream): boolean {
+  return stream.destroyed || stream.closed
+}
+
 /** Accepts the requests for message streams of the build before, and passes on all others. */
 function acceptStreams (streams: StreamRoutes, isSecret: (given: string) => boolean, handleCall: RequestHandler): RequestHandler {
   return (request, response) => {
@@ -91,6 +96,7 @@
     const { stream } = response
     const accept = streams.get(request.url.slice(STREAM_PATH.length))
     const isAuthenticated = isSecret(String(request.headers[SECRET_HEADER] ?? ''))
+    if (isReset(stream)) return
     if (!isAuthenticated || accept === undefined) return stream.respond({ ':status': isAuthenticated ? HTTP_NOT_FOUND : HTTP_KEY_MISSING }, { endStream: true })
     stream.respond({ ':status': HTTP_OK })
     createMessageStream(stream, accept)
@@ -122,6 +128,7 @@
       onAuthenticated(stream.session)
       return handleCall(request, response)
     }
+    if (isReset(stream)) return
     stream.on('error', () => {})
     if (request.url.startsWith(STREAM_PATH)) stream.respond({ ':status': HTTP_KEY_MISSING }, { endStream: true })
     else stream.respond({ ':status': HTTP_OK, 'content-type': 'application/grpc', 'grpc-status': GRPC_SECRET_WRONG, 'grpc-message': encodeURIComponent(SECRET_WRONG) }, { endStream: true })
@@ -168,6 +175,8 @@
   const { tls } = credentials
   const callOptions = { settings: { maxConcurrentStreams: MAXIMUM_CALLS_OF_CONNECTION } }
   const calls: Http2Server | Http2SecureServer = tls === undefined ? createServer(callOptions, handler) : createSecureServer(callOptions, handler)
+  // The library's own answer to `expect: 100-continue`, which no instance sends, throws if the stream was reset.
+  calls.on('checkContinue', (_: Http2ServerRequest, { stream }: Http2ServerResponse) => { stream.close() })
   const sessions = new Set<ServerHttp2Session>()
   let connecting: Socket | undefined
   /** Hands a connection to HTTP/2, which opens its session at once. */
