fix(process): balance the account whenever a client is held back

A caller whose connection was paused under pressure could stay paused for ever. The timer that reads held-back clients again was started only when a client reported other bytes. Messages that run and values that are kept raised the account without it.

Holding a client back, starting a message and keeping bytes now start the timer too, while there is pressure.

--- a/packages/cyclamenusherd/src/node/process/__tests__/memoryAccount.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/memoryAccount.test.ts
@@ -93,4 +93,22 @@
   assert.equal(destroyed, [])
 })
 
+// No client reports other bytes while messages run, so nothing else balanced the account.
+test('a client that is held back for messages that run is never read again', async () => {
+  const client = openClient('held', { now: 100 * KIBIBYTE })
+  const takeOff = account.start(LIMIT / 8)
+  assert.is(client.mayRead(100 * KIBIBYTE), false)
+  takeOff()
+  await pause()
+  assert.equal(resumed, ['held'])
+})
+
+// The account is balanced without a report of any client.
+test('a message that exceeds the account closes no client while none reports its bytes', async () => {
+  openClient('long', { now: 100 * KIBIBYTE })
+  account.start(LIMIT / 4)
+  await pause()
+  assert.equal(destroyed, ['long'])
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/memoryAccount.ts
+++ b/packages/cyclamenusherd/src/node/process/memoryAccount.ts
@@ -67,6 +67,11 @@
     used += bytes - client.bytes
     clientBytes += bytes - client.bytes
     client.bytes = bytes
+    watchPressure()
+  }
+
+  /** Balances the account until the pressure is over. Clients that are held back are read again by this only. */
+  function watchPressure (): void {
     if (pressure() !== 'none') timer ??= setInterval(balance, BALANCE_INTERVAL_MILLISECONDS)
   }
 
@@ -128,6 +133,7 @@
           if (!client.held) report('buffered bytes held back', { bytes: client.bytes, used, limitBytes })
           client.held = true
           held.add(client)
+          watchPressure()
           return false
         },
         release: () => { release(client) }
@@ -141,12 +147,14 @@
     start: messageBytes => {
       const bytes = messageBytes * RUNNING_FACTOR
       used += bytes
+      watchPressure()
       return () => { used -= bytes }
     },
     keep: bytes => {
       if (bytes > 0 && !mayKeep(kept, limitBytes, bytes)) return false
       kept += bytes
       used += bytes
+      watchPressure()
       return true
     },
     usedBytes: () => used,
