fix(engine): close the session that keeps the most in place of refusing new ones

Two idle sessions that kept values of 4 MiB refused every new session as busy at 202 MB of memory: the names that a session starts with were counted in the part of the account for kept bytes, which was full.

The first 8 KiB of each session no longer count in that part. When it is full, the session that keeps the most is closed for one that keeps less (limit "session bytes closed"). The default of SessionBytes is lowered from 4 MiB to 512 KiB, so that twelve sessions fill the part and not two. The kept bytes are recorded with their client, whose release takes them off.

--- a/packages/cyclamenusherd/src/node/engine/callerProtection.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerProtection.ts
@@ -8,7 +8,6 @@
 
 /** Memory of the machine that the default limits assume, in mebibytes. */
 const DEFAULT_MACHINE_MEBIBYTES = 202
-const MEBIBYTE = 1024 * 1024
 
 export interface CallerProtection {
   limits: CallerLimits
@@ -28,7 +27,8 @@
     silentConnections: Math.max(1, Math.floor(maximumConnections * 0.75)),
     pipelinedStatements: 1_000,
     pipelinedBytes: 256 * 1024,
-    sessionBytes: 4 * MEBIBYTE,
+    // Sessions set a few short values and prepare a few statements. Two of 4 MiB filled the part of all sessions at 202 MB.
+    sessionBytes: 512 * 1024,
     unreadAnswerBytes: 256 * 1024,
     unreadAnswerMilliseconds: 10_000
   }
--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -103,7 +103,7 @@
     clearTimeout(idleTimer)
     clearTimeout(startTimer)
     clearTimeout(partialTimer)
-    account.keep(-keptBytes)
+    client.keep(-keptBytes)
     keptBytes = 0
     messages.length = 0
     waitingBytes = 0
@@ -175,7 +175,7 @@
   /** Adds bytes that the session keeps. @throws StatementFailure */
   function keep (bytes: number): void {
     const tooMuch = keptBytes + bytes > limits.sessionBytes
-    if (tooMuch || !account.keep(bytes)) {
+    if (tooMuch || !client.keep(bytes)) {
       report('session bytes', { client: socket.remoteAddress, kept: keptBytes, bytes })
       throw new StatementFailure(tooMuch ? 'too large' : 'busy', 'the values, statements and names of sessions take too much memory: drop those that are no longer used')
     }
@@ -184,7 +184,7 @@
 
   function forget (bytes: number): void {
     keptBytes -= bytes
-    account.keep(-bytes)
+    client.keep(-bytes)
   }
 
   async function start (message: Extract<CallerMessage, { kind: 'start' }>): Promise<void> {
--- a/packages/cyclamenusherd/src/node/process/__tests__/memoryAccount.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/memoryAccount.test.ts
@@ -5,6 +5,7 @@
 
 const KIBIBYTE = 1024
 const LIMIT = 1024 * KIBIBYTE
+const RESERVE = 8 * KIBIBYTE
 const BALANCE_MILLISECONDS = 200
 
 let account: MemoryAccount
@@ -80,11 +81,29 @@
 })
 
 test('kept values take more than their part, or are not released', () => {
-  assert.is(account.keep(LIMIT / 4), true)
-  assert.is(account.keep(1), false)
-  account.keep(-LIMIT / 4)
+  const client = openClient('client', { now: 0 })
+  assert.is(client.keep(LIMIT / 4 + RESERVE), true)
+  assert.is(client.keep(1), false)
+  client.keep(-LIMIT / 4 - RESERVE)
   assert.is(account.usedBytes(), 0)
-  assert.is(account.keep(1), true)
+  assert.is(client.keep(RESERVE + 1), true)
+  client.release()
+  assert.is(account.usedBytes(), 0)
+  assert.is(client.keep(1), false)
+})
+
+// Two sessions that kept all they may refused every new session.
+test('sessions that keep the most keep out a new one', () => {
+  const large = openClient('large', { now: 0 })
+  const other = openClient('other', { now: 0 })
+  assert.is(large.keep(LIMIT / 6), true)
+  assert.is(other.keep(LIMIT / 4 - LIMIT / 6 + 2 * RESERVE), true)
+  const session = openClient('session', { now: 0 })
+  assert.is(session.keep(RESERVE), true)
+  assert.equal(destroyed, [])
+  assert.is(session.keep(RESERVE), true)
+  assert.equal(destroyed, ['large'])
+  assert.equal(limits, ['session bytes closed'])
 })
 
 test('an ordinary client is closed for messages that run', () => {
--- a/packages/cyclamenusherd/src/node/process/limits.ts
+++ b/packages/cyclamenusherd/src/node/process/limits.ts
@@ -14,6 +14,7 @@
   | 'pipelined bytes'
   | 'message bytes'
   | 'session bytes'
+  | 'session bytes closed'
   | 'unread answer time'
   | 'buffered bytes held back'
   | 'buffered bytes refused'
--- a/packages/cyclamenusherd/src/node/process/memoryAccount.ts
+++ b/packages/cyclamenusherd/src/node/process/memoryAccount.ts
@@ -1,6 +1,6 @@
 /** Keeps account of the bytes that all clients of this process make it hold, and holds back, refuses or closes clients by the decision in `memoryBudget`. */
 
-import { CLIENT_RESERVE_BYTES, chooseClientToClose, decideMemoryPressure, mayKeep, mayStartMessage } from '@cyclamenusher/decisions'
+import { CLIENT_RESERVE_BYTES, chooseClientToClose, chooseSessionToClose, countBeyondReserve, decideMemoryPressure, mayKeep, mayStartMessage } from '@cyclamenusher/decisions'
 import type { Clock } from './clock.js'
 import type { LimitReport } from './limits.js'
 
@@ -17,6 +17,8 @@
   update: (bytes: number) => void
   /** The client has sent or read something. */
   recordProgress: () => void
+  /** Adds bytes that stay until they are taken off with a negative number, or the client is released. May close the session that keeps the most. Returns false, and adds none, if too much is kept. */
+  keep: (bytes: number) => boolean
   /** Whether more may be read of a client with this much unread input. If not, `resume` is called later. */
   mayRead: (inputBytes: number) => boolean
   release: () => void
@@ -37,8 +39,6 @@
   mayStart: (messageBytes: number) => boolean
   /** Adds bytes of a message that runs; the function that it returns takes them off. */
   start: (messageBytes: number) => () => void
-  /** Adds bytes that stay until they are taken off with a negative number. Returns false, and adds none, if too much is kept. */
-  keep: (bytes: number) => boolean
   usedBytes: () => number
   close: () => void
 }
@@ -46,6 +46,7 @@
 interface Client {
   handle: ClientHandle
   bytes: number
+  kept: number
   progressAt: number
   held: boolean
 }
@@ -58,7 +59,8 @@
   /** Bytes of clients, and these with what runs and what is kept. */
   let clientBytes = 0
   let used = 0
-  let kept = 0
+  /** Bytes that sessions keep beyond their reserves. */
+  let keptBeyondReserves = 0
   let timer: NodeJS.Timeout | undefined
 
   const pressure = (): ReturnType<typeof decideMemoryPressure> => decideMemoryPressure(used, limitBytes)
@@ -111,8 +113,30 @@
     if (next !== undefined) resume(next)
   }
 
+  function setKept (client: Client, bytes: number): void {
+    keptBeyondReserves += countBeyondReserve(bytes) - countBeyondReserve(client.kept)
+    used += bytes - client.kept
+    client.kept = bytes
+    watchPressure()
+  }
+
+  /** Makes room for what a session adds by closing the one that keeps the most. Returns whether there is room. */
+  function makeRoom (client: Client, bytes: number): boolean {
+    const added = countBeyondReserve(bytes) - countBeyondReserve(client.kept)
+    while (added > 0 && !mayKeep(keptBeyondReserves, limitBytes, added)) {
+      const largest = chooseSessionToClose(clients, bytes)
+      if (largest === undefined) return false
+      report('session bytes closed', { bytes: largest.kept, used, limitBytes })
+      release(largest)
+      largest.handle.destroy()
+    }
+    return true
+  }
+
   function release (client: Client): void {
-    if (!clients.delete(client)) return
+    if (!clients.has(client)) return
+    setKept(client, 0)
+    clients.delete(client)
     held.delete(client)
     used -= client.bytes
     clientBytes -= client.bytes
@@ -120,7 +144,7 @@
 
   return {
     open: handle => {
-      const client: Client = { handle, bytes: 0, progressAt: clock.now(), held: false }
+      const client: Client = { handle, bytes: 0, kept: 0, progressAt: clock.now(), held: false }
       clients.add(client)
       return {
         update: bytes => {
@@ -128,6 +152,11 @@
           if (used >= limitBytes) closeClients()
         },
         recordProgress: () => { client.progressAt = clock.now() },
+        keep: bytes => {
+          if (!clients.has(client) || (bytes > 0 && !makeRoom(client, client.kept + bytes))) return false
+          setKept(client, client.kept + bytes)
+          return true
+        },
         mayRead: inputBytes => {
           if (inputBytes <= CLIENT_RESERVE_BYTES || client === granted || pressure() === 'none') return true
           if (!client.held) report('buffered bytes held back', { bytes: client.bytes, used, limitBytes })
@@ -150,13 +179,6 @@
       watchPressure()
       return () => { used -= bytes }
     },
-    keep: bytes => {
-      if (bytes > 0 && !mayKeep(kept, limitBytes, bytes)) return false
-      kept += bytes
-      used += bytes
-      watchPressure()
-      return true
-    },
     usedBytes: () => used,
     close: () => { clearInterval(timer) }
   }
--- a/packages/decisions/src/node/admission/__tests__/memoryBudget.test.ts
+++ b/packages/decisions/src/node/admission/__tests__/memoryBudget.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { CLIENT_RESERVE_BYTES, chooseClientToClose, computeMemoryLimit, decideMemoryPressure, mayKeep, mayStartMessage } from '../memoryBudget.js'
+import { CLIENT_RESERVE_BYTES, chooseClientToClose, chooseSessionToClose, computeMemoryLimit, countBeyondReserve, decideMemoryPressure, mayKeep, mayStartMessage } from '../memoryBudget.js'
 
 const MEBIBYTE = 1024 * 1024
 const LIMIT = 8 * MEBIBYTE
@@ -40,4 +40,17 @@
   assert.is(chooseClientToClose([ordinary], 10_000, false), ordinary)
 })
 
+// Names of the database and the key were refused while two other sessions kept values.
+test('the first bytes of a session count towards the part of all', () => {
+  assert.is(countBeyondReserve(CLIENT_RESERVE_BYTES), 0)
+  assert.is(countBeyondReserve(CLIENT_RESERVE_BYTES + 1), 1)
+})
+
+// Otherwise sessions that keep as much as one another would close each other in turn.
+test('another session is closed than the one that keeps the most, or one that keeps no more', () => {
+  const [small, large] = [{ kept: 10 }, { kept: 20 }]
+  assert.is(chooseSessionToClose([small, large], 15), large)
+  assert.is(chooseSessionToClose([small, large], 20), undefined)
+})
+
 test.run()
--- a/packages/decisions/src/node/admission/memoryBudget.ts
+++ b/packages/decisions/src/node/admission/memoryBudget.ts
@@ -47,6 +47,18 @@
   return keptBytes + additionalBytes <= limitBytes * KEPT_PART
 }
 
+/** Bytes that a session keeps beyond the reserve, which each session may keep whatever the others do. */
+export function countBeyondReserve (keptBytes: number): number {
+  return Math.max(0, keptBytes - CLIENT_RESERVE_BYTES)
+}
+
+/** The session that is closed when the part for kept bytes is full: the one that keeps the most, if that is more than the session that needs room would keep. */
+export function chooseSessionToClose<Session extends { kept: number }> (sessions: Iterable<Session>, keptBytes: number): Session | undefined {
+  let chosen: Session | undefined
+  for (const session of sessions) if (session.kept > (chosen?.kept ?? keptBytes)) chosen = session
+  return chosen
+}
+
 /** What a client makes the process hold. */
 export interface ClientBytes {
   bytes: number
