fix(engine): count the kept bytes of a session before its statement runs

Only the text was checked before the start, and kept bytes were not counted as the client's own.

A statement may now start only if its text and the session's kept bytes fit, and is refused as busy otherwise, before it has run. The client that is closed at the limit is chosen with the kept bytes counted.

--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -357,7 +357,7 @@
     const context: StatementContext = { timing: {}, session, request, startedAt, deadline: startedAt + findStatementTimeout(session) }
     let takeOff = (): void => {}
     try {
-      if (!ENDING_KINDS.has(request.statement.kind) && !account.mayStart(request.text.length)) throw new StatementFailure('busy', 'this instance holds too much for its clients now; the statement did not run: try again, or another one')
+      if (!ENDING_KINDS.has(request.statement.kind) && !account.mayStart(request.text.length + keptBytes)) throw new StatementFailure('busy', 'this instance holds too much for its clients now; the statement did not run: try again, or another one')
       // Values of the session travel with each statement.
       takeOff = account.start(request.text.length + keptBytes)
       const { rows, digest, position } = await execute(context)
--- a/packages/cyclamenusherd/src/node/process/__tests__/memoryAccount.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/memoryAccount.test.ts
@@ -130,4 +130,14 @@
   assert.equal(destroyed, ['long'])
 })
 
+// Statements that carry the values of a session made others be closed for them.
+test('another client is closed than the one whose session keeps the most', async () => {
+  const keeper = openClient('keeper', { now: 0 })
+  openClient('ordinary', { now: 2 * RESERVE })
+  assert.is(keeper.keep(LIMIT / 8), true)
+  account.start(LIMIT * 0.9 / 4)
+  await pause()
+  assert.equal(destroyed, ['keeper'])
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/memoryAccount.ts
+++ b/packages/cyclamenusherd/src/node/process/memoryAccount.ts
@@ -45,6 +45,7 @@
 
 interface Client {
   handle: ClientHandle
+  /** All bytes of the client, with those that its session keeps. */
   bytes: number
   kept: number
   progressAt: number
@@ -99,7 +100,7 @@
    * only do not wait for one another.
    */
   function balance (): void {
-    for (const client of clients) setBytes(client, client.handle.measure())
+    for (const client of clients) setBytes(client, client.handle.measure() + client.kept)
     closeClients()
     if (pressure() === 'none') {
       granted = undefined
@@ -115,9 +116,9 @@
 
   function setKept (client: Client, bytes: number): void {
     keptBeyondReserves += countBeyondReserve(bytes) - countBeyondReserve(client.kept)
-    used += bytes - client.kept
+    const others = client.bytes - client.kept
     client.kept = bytes
-    watchPressure()
+    setBytes(client, others + bytes)
   }
 
   /** Makes room for what a session adds by closing the one that keeps the most. Returns whether there is room. */
@@ -148,7 +149,7 @@
       clients.add(client)
       return {
         update: bytes => {
-          if (bytes !== client.bytes && clients.has(client)) setBytes(client, bytes)
+          if (bytes + client.kept !== client.bytes && clients.has(client)) setBytes(client, bytes + client.kept)
           if (used >= limitBytes) closeClients()
         },
         recordProgress: () => { client.progressAt = clock.now() },
