--- a/packages/cyclamenusherd/src/node/process/__tests__/memoryAccount.test.ts
+++ b/packages/cyclamenusherd/src/node/process/__tests__/memoryAccount.test.ts
@@ -5,6 +5,7 @@
 
 const KIBIBYTE = 1024
 const LIMIT = 1024 * KIBIBYTE
+const RESERVE = 8 * KIBIBYTE
 const BALANCE_MILLISECONDS = 200
 
 let account: MemoryAccount
@@ -80,11 +81,29 @@
 })
 
 test('kept values take more than their part, or are not released', () => {
-  assert.is(account.keep(LIMIT / 4), true)
-  assert.is(account.keep(1), false)
-  account.keep(-LIMIT / 4)
+  const client = openClient('client', { now: 0 })
+  assert.is(client.keep(LIMIT / 4 + RESERVE), true)
+  assert.is(client.keep(1), false)
+  client.keep(-LIMIT / 4 - RESERVE)
   assert.is(account.usedBytes(), 0)
-  assert.is(account.keep(1), true)
+  assert.is(client.keep(RESERVE + 1), true)
+  client.release()
+  assert.is(account.usedBytes(), 0)
+  assert.is(client.keep(1), false)
+})
+
+// Two sessions that kept all they may refused every new session.
+test('sessions that keep the most keep out a new one', () => {
+  const large = openClient('large', { now: 0 })
+  const other = openClient('other', { now: 0 })
+  assert.is(large.keep(LIMIT / 6), true)
+  assert.is(other.keep(LIMIT / 4 - LIMIT / 6 + 2 * RESERVE), true)
+  const session = openClient('session', { now: 0 })
+  assert.is(session.keep(RESERVE), true)
+  assert.equal(destroyed, [])
+  assert.is(session.keep(RESERVE), true)
+  assert.equal(destroyed, ['large'])
+  assert.equal(limits, ['session bytes closed'])
 })
 
 test('an ordinary client is closed for messages that run', () => {
@@ -93,4 +112,32 @@
   assert.equal(destroyed, [])
 })
 
+// No client reports other bytes while messages run, so nothing else balanced the account.
+test('a client that is held back for messages that run is never read again', async () => {
+  const client = openClient('held', { now: 100 * KIBIBYTE })
+  const takeOff = account.start(LIMIT / 8)
+  assert.is(client.mayRead(100 * KIBIBYTE), false)
+  takeOff()
+  await pause()
+  assert.equal(resumed, ['held'])
+})
+
+// The account is balanced without a report of any client.
+test('a message that exceeds the account closes no client while none reports its bytes', async () => {
+  openClient('long', { now: 100 * KIBIBYTE })
+  account.start(LIMIT / 4)
+  await pause()
+  assert.equal(destroyed, ['long'])
+})
+
+// Statements that carry the values of a session made others be closed for them.
+test('another client is closed than the one whose session keeps the most', async () => {
+  const keeper = openClient('keeper', { now: 0 })
+  openClient('ordinary', { now: 2 * RESERVE })
+  assert.is(keeper.keep(LIMIT / 8), true)
+  account.start(LIMIT * 0.9 / 4)
+  await pause()
+  assert.equal(destroyed, ['keeper'])
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/memoryAccount.ts
+++ b/packages/cyclamenusherd/src/node/process/memoryAccount.ts
@@ -1,6 +1,6 @@
 /** Keeps account of the bytes that all clients of this process make it hold, and holds back, refuses or closes clients by the decision in `memoryBudget`. */
 
-import { CLIENT_RESERVE_BYTES, chooseClientToClose, decideMemoryPressure, mayKeep, mayStartMessage } from '@cyclamenusher/decisions'
+import { CLIENT_RESERVE_BYTES, chooseClientToClose, chooseSessionToClose, countBeyondReserve, decideMemoryPressure, mayKeep, mayStartMessage } from '@cyclamenusher/decisions'
 import type { Clock } from './clock.js'
 import type { LimitReport } from './limits.js'
 
@@ -17,6 +17,8 @@
   update: (bytes: number) => void
   /** The client has sent or read something. */
   recordProgress: () => void
+  /** Adds bytes that stay until they are taken off with a negative number, or the client is released. May close the session that keeps the most. Returns false, and adds none, if too much is kept. */
+  keep: (bytes: number) => boolean
   /** Whether more may be read of a client with this much unread input. If not, `resume` is called later. */
   mayRead: (inputBytes: number) => boolean
   release: () => void
@@ -37,15 +39,15 @@
   mayStart: (messageBytes: number) => boolean
   /** Adds bytes of a message that runs; the function that it returns takes them off. */
   start: (messageBytes: number) => () => void
-  /** Adds bytes that stay until they are taken off with a negative number. Returns false, and adds none, if too much is kept. */
-  keep: (bytes: number) => boolean
   usedBytes: () => number
   close: () => void
 }
 
 interface Client {
   handle: ClientHandle
+  /** All bytes of the client, with those that its session keeps. */
   bytes: number
+  kept: number
   progressAt: number
   held: boolean
 }
@@ -58,7 +60,8 @@
   /** Bytes of clients, and these with what runs and what is kept. */
   let clientBytes = 0
   let used = 0
-  let kept = 0
+  /** Bytes that sessions keep beyond their reserves. */
+  let keptBeyondReserves = 0
   let timer: NodeJS.Timeout | undefined
 
   const pressure = (): ReturnType<typeof decideMemoryPressure> => decideMemoryPressure(used, limitBytes)
@@ -67,6 +70,11 @@
     used += bytes - client.bytes
     clientBytes += bytes - client.bytes
     client.bytes = bytes
+    watchPressure()
+  }
+
+  /** Balances the account until the pressure is over. Clients that are held back are read again by this only. */
+  function watchPressure (): void {
     if (pressure() !== 'none') timer ??= setInterval(balance, BALANCE_INTERVAL_MILLISECONDS)
   }
 
@@ -92,7 +100,7 @@
    * only do not wait for one another.
    */
   function balance (): void {
-    for (const client of clients) setBytes(client, client.handle.measure())
+    for (const client of clients) setBytes(client, client.handle.measure() + client.kept)
     closeClients()
     if (pressure() === 'none') {
       granted = undefined
@@ -106,8 +114,30 @@
     if (next !== undefined) resume(next)
   }
 
+  function setKept (client: Client, bytes: number): void {
+    keptBeyondReserves += countBeyondReserve(bytes) - countBeyondReserve(client.kept)
+    const others = client.bytes - client.kept
+    client.kept = bytes
+    setBytes(client, others + bytes)
+  }
+
+  /** Makes room for what a session adds by closing the one that keeps the most. Returns whether there is room. */
+  function makeRoom (client: Client, bytes: number): boolean {
+    const added = countBeyondReserve(bytes) - countBeyondReserve(client.kept)
+    while (added > 0 && !mayKeep(keptBeyondReserves, limitBytes, added)) {
+      const largest = chooseSessionToClose(clients, bytes)
+      if (largest === undefined) return false
+      report('session bytes closed', { bytes: largest.kept, used, limitBytes })
+      release(largest)
+      largest.handle.destroy()
+    }
+    return true
+  }
+
   function release (client: Client): void {
-    if (!clients.delete(client)) return
+    if (!clients.has(client)) return
+    setKept(client, 0)
+    clients.delete(client)
     held.delete(client)
     used -= client.bytes
     clientBytes -= client.bytes
@@ -115,19 +145,25 @@
 
   return {
     open: handle => {
-      const client: Client = { handle, bytes: 0, progressAt: clock.now(), held: false }
+      const client: Client = { handle, bytes: 0, kept: 0, progressAt: clock.now(), held: false }
       clients.add(client)
       return {
         update: bytes => {
-          if (bytes !== client.bytes && clients.has(client)) setBytes(client, bytes)
+          if (bytes + client.kept !== client.bytes && clients.has(client)) setBytes(client, bytes + client.kept)
           if (used >= limitBytes) closeClients()
         },
         recordProgress: () => { client.progressAt = clock.now() },
+        keep: bytes => {
+          if (!clients.has(client) || (bytes > 0 && !makeRoom(client, client.kept + bytes))) return false
+          setKept(client, client.kept + bytes)
+          return true
+        },
         mayRead: inputBytes => {
           if (inputBytes <= CLIENT_RESERVE_BYTES || client === granted || pressure() === 'none') return true
           if (!client.held) report('buffered bytes held back', { bytes: client.bytes, used, limitBytes })
           client.held = true
           held.add(client)
+          watchPressure()
           return false
         },
         release: () => { release(client) }
@@ -141,14 +177,9 @@
     start: messageBytes => {
       const bytes = messageBytes * RUNNING_FACTOR
       used += bytes
+      watchPressure()
       return () => { used -= bytes }
     },
-    keep: bytes => {
-      if (bytes > 0 && !mayKeep(kept, limitBytes, bytes)) return false
-      kept += bytes
-      used += bytes
-      return true
-    },
     usedBytes: () => used,
     close: () => { clearInterval(timer) }
   }
