--- a/packages/cyclamenusherd/src/node/engine/callerProtection.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerProtection.ts
@@ -27,8 +27,8 @@
     silentConnections: Math.max(1, Math.floor(maximumConnections * 0.75)),
     pipelinedStatements: 1_000,
     pipelinedBytes: 256 * 1024,
-    // Sessions set a few short values and prepare a few statements. Two of 4 MiB filled the part of all sessions at 202 MB.
-    sessionBytes: 512 * 1024,
+    // One message of the largest size, and a few short values and statements. Two sessions of 4 MiB filled the part of all sessions at 202 MB.
+    sessionBytes: 1_280 * 1024,
     unreadAnswerBytes: 256 * 1024,
     unreadAnswerMilliseconds: 10_000
   }
