perf(engine): set the metrics of servers once a second, not with each tick

An entry instance that holds connections to several groups set two labelled gauges for each server every 50 ms.

fix(forwarding): also takes the answers on a second stream to a silent holder off the list of its probes, so that later round trips are measured from the right probe.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -136,6 +136,7 @@
         if (reply.kind === 'alive' && reply.formats?.includes(COMPACT_FORMAT) === true) compactStreams.add(stream)
         if (stream === replacement?.stream) {
           replacement.answeredAt ??= clock.now()
+          if (reply.kind === 'alive') probes.get(stream)?.shift()
           if (reply.kind === 'leaving') REPLY_HANDLERS.leaving(reply)
           return
         }
--- a/packages/cyclamenusherd/src/node/engine/groupPool.ts
+++ b/packages/cyclamenusherd/src/node/engine/groupPool.ts
@@ -18,6 +18,8 @@
 import type { WarmupPermit } from './warmupGate.js'
 import type { ServerCodec } from './statement.js'
 
+/** Interval at which the metrics of the servers are set, in milliseconds: the labels of each gauge are hashed whenever it is set, which is too much for each tick of each group. */
+const METRICS_INTERVAL_MILLISECONDS = 1_000
 /** Usual time from the loss of a primary to the first answer of its successor, in milliseconds: detection, fencing and the platform's promotion. */
 const PRIMARY_REPLACEMENT_MILLISECONDS = 1_300
 
@@ -137,6 +139,7 @@
   let dispatching = false
   const priorityUse = createPriorityUse(() => new Map([...pools].map(([member, pool]) => [member, pool.connectionsInUse()])), reservesUrgentCapacity)
   let wasOverloaded = false
+  let observedAt = -Infinity
   let refusedInOverload = 0
 
   /** Number of instances that share the connections to the group's servers: its holders, or all while no holders are known. An instance that is none of them keeps to the smallest share. */
@@ -498,6 +501,8 @@
       refusedInOverload = 0
       wasOverloaded = overloaded
     }
+    if (now - observedAt < METRICS_INTERVAL_MILLISECONDS) return
+    observedAt = now
     const { maximum } = computeBudget()
     const hasPriorities = priorityUse.range(now) !== undefined
     for (const [member, pool] of pools) {
