--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -113,17 +113,25 @@
 
   /** The link to the holder that is to run the operation; undefined: this instance runs it. */
   function chooseHolder (operation: AdmittedOperation, excluded: ReadonlySet<HolderLink>, access: 'read' | 'write'): HolderLink | undefined {
-    const options = listHolders(operation).flatMap((listed): Array<HolderOption<HolderLink | undefined>> => {
-      if (listed.name === link.name) return [{ holder: undefined, readiness: 'here' }]
+    const ability = assessOwnAbility(access)
+    const options: Array<HolderOption<HolderLink | undefined>> = []
+    for (const listed of listHolders(operation)) {
+      if (listed.name === link.name) {
+        options.push({ holder: undefined, readiness: 'here' })
+        if (ability === 'now') break
+        continue
+      }
       // A region limits which instances receive the text; this one has it from the caller.
-      if (!isAllowedDomain(operation.allowedRegions, listed.failureDomain, regions)) return []
+      if (!isAllowedDomain(operation.allowedRegions, listed.failureDomain, regions)) continue
       const holder = ensureHolderLink(listed)
-      if (excluded.has(holder)) return []
+      if (excluded.has(holder)) continue
       const readiness = holder.readiness()
       if (readiness === 'unreachable' && holder.isAttemptDue()) holder.attempt()
-      return [{ holder, readiness }]
-    })
-    const choice = selectHolder(options, assessOwnAbility(access))
+      options.push({ holder, readiness })
+      // Usually the first one; the others need not be looked at for each operation.
+      if (readiness === 'ready' || readiness === 'untried') break
+    }
+    const choice = selectHolder(options, ability)
     return choice.kind === 'run here' ? undefined : choice.holder
   }
 
