perf(forwarding): send JSON between instances in the first 10 s of a process

After a loss of all power answers were later than before the compact format: its codec is not compiled yet, while the runtime's own code reads and writes JSON.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -21,6 +21,14 @@
 /** How long a silent stream may still answer after the holder has answered on another one, in milliseconds: an instance that wakes reads both. */
 const REPLACEMENT_GRACE_MILLISECONDS = 75
 
+/**
+ * How long after the start of the process requests are sent as JSON, in milliseconds.
+ *
+ * Load pattern: all instances start again after a loss of power. The codec of the compact
+ * format is not compiled yet, while the runtime's own code reads and writes JSON.
+ */
+const JSON_AFTER_START_MILLISECONDS = 10_000
+
 export type ForwardOutcome =
   | { kind: 'reply', reply: Extract<HolderReply, { kind: 'result' | 'failure' }> }
   /** The request was not sent. */
@@ -94,6 +102,8 @@
   /** Replaced streams on which answers are still outstanding. */
   const replaced = new Set<MessageStream>()
   const tokens = new WeakMap<MessageStream, string>()
+  /** Until then requests are sent as JSON. */
+  const compactFrom = (clock.startedAt ?? -Infinity) + JSON_AFTER_START_MILLISECONDS
   /** Streams on which the holder has listed the compact format. */
   const compactStreams = new WeakSet<MessageStream>()
   /** When the probes were sent that have no answer yet, by stream, the oldest first. */
@@ -101,7 +111,7 @@
 
   function write (stream: MessageStream, request: HolderRequest): void {
     if (request.kind === 'probe') probes.set(stream, [...probes.get(stream) ?? [], clock.now()])
-    stream.send(encodeHolderRequest(request, compactStreams.has(stream) ? COMPACT_FORMAT : 'json'))
+    stream.send(encodeHolderRequest(request, compactStreams.has(stream) && clock.now() >= compactFrom ? COMPACT_FORMAT : 'json'))
   }
 
   function finish (number: number, outcome: ForwardOutcome): void {
