--- a/review/8/run.js
+++ b/review/8/run.js
@@ -37,7 +37,11 @@
   const deployment = await startDeployment({ zones: ['z-a', 'z-b', 'z-c'].map(name => ({ name, controls: 1, entries: 1 })), services: [service], record })
   onEnd(deployment.stop)
   const received = new Set()
-  const onReceive = id => { received.add(id) }
+  const onReceive = id => {
+    if (id === '-') return
+    received.add(id)
+    record('received', { id })
+  }
   const onRun = ({ id, server }) => { record('run', { id, server }) }
   for (const [index, zone] of ['z-a', 'z-b', 'z-c'].entries()) await deployment.addServer({ id: draw('i-'), host: deployment.nextAddress(), zone, role: index === 0 ? 'primary' : 'replica', service, onRun, onReceive, workMilliseconds: WORK_MILLISECONDS, slots: 12 })
   await deployment.replace({
--- a/review/harness-2/deployment.js
+++ b/review/harness-2/deployment.js
@@ -5,7 +5,7 @@
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { PORTS, createAddresses, pause } from './network.js'
+import { PORTS, chooseFreePorts, createAddresses, pause } from './network.js'
 import { startProvider } from './provider.js'
 import { callJson, startServer } from './server.js'
 
@@ -49,6 +49,7 @@
 /** `zones` holds the entry and control instances of each zone: `{ name, entries, controls }`. */
 export async function startDeployment ({ zones, record, services, promoteMilliseconds, restartMilliseconds = RESTART_MILLISECONDS, bootstrapMilliseconds = 20_000 }) {
   const nextAddress = createAddresses()
+  await chooseFreePorts(nextAddress())
   const folder = mkdtempSync(join(tmpdir(), 'review-'))
   const providerHost = nextAddress()
   const instances = []
--- a/review/harness-2/server.js
+++ b/review/harness-2/server.js
@@ -38,7 +38,7 @@
 
 /**
  * Starts a server. `group` is shared by the servers of a service: `{ name, servers, items }`.
- * `onRun` is called with each statement that runs.
+ * `onRun` is called with each statement that runs, and when it arrived (`at`).
  */
 export async function startServer ({ id, host, zone, role, group, controls, workMilliseconds = 1, slots = 3, readRows, maximumConnections = 200, onRun = () => {}, onReceive = () => {}, log = () => {}, advertised = { host, port: PORTS.server } }) {
   const sockets = new Set()
@@ -133,12 +133,12 @@
       const value = session.writes.get(rest) ?? itemsNow().get(rest)
       const rows = readRows?.(rest) ?? (value === undefined ? [] : [value])
       const digest = digestOf()
-      onRun({ id: statementId, verb, item: rest, account: session.account, server: id, position: positionText(), at: performance.now(), inTransaction: session.open })
+      onRun({ id: statementId, verb, item: rest, account: session.account, server: id, position: positionText(), at: session.receivedAt, inTransaction: session.open })
       return { rows, digest }
     }
     const [item, data] = splitWord(rest)
     session.writes.set(item, data)
-    onRun({ id: statementId, verb, item, data, account: session.account, server: id, at: performance.now(), inTransaction: session.open })
+    onRun({ id: statementId, verb, item, data, account: session.account, server: id, at: session.receivedAt, inTransaction: session.open })
     if (!session.open) {
       commitWrites(session.writes, statementId)
       session.writes = new Map()
@@ -154,7 +154,7 @@
     }
     if (wrote && server.role === 'replica') return { fault: `READONLY ${id}` }
     if (wrote) commitWrites(session.writes, statementId)
-    onRun({ id: statementId, verb: 'COMMIT', account: session.account, server: id, position: positionText(), at: performance.now(), wrote })
+    onRun({ id: statementId, verb: 'COMMIT', account: session.account, server: id, position: positionText(), at: session.receivedAt, wrote })
     endTransaction(session)
     return { rows: [], digest: digestOf() }
   }
@@ -214,7 +214,7 @@
     sockets.add(socket)
     const session = { account: undefined, open: false, plain: false, state: 'I', writes: new Map(), values: new Map(), prepared: new Map() }
     let turn = Promise.resolve()
-    async function handle (line) {
+    async function handle (line, receivedAt) {
       const [word, rest] = splitWord(line)
       if (word === 'TERMINATE') return socket.end()
       if (word === 'STARTUP') {
@@ -225,6 +225,7 @@
         return socket.write(`READY I ${positionText()}\r\n`)
       }
       const [statementId, text] = splitWord(rest)
+      session.receivedAt = receivedAt
       onReceive(statementId)
       const result = await runText(session, statementId, text)
       if (socket.destroyed) return
@@ -235,7 +236,10 @@
     socket.setNoDelay(true)
     socket.on('error', () => {})
     socket.on('close', () => { sockets.delete(socket) })
-    socket.on('data', createLines(line => { turn = turn.then(async () => { await handle(line) }) }))
+    socket.on('data', createLines(line => {
+      const receivedAt = performance.now()
+      turn = turn.then(async () => { await handle(line, receivedAt) })
+    }))
   }
 
   let target = 0
