fix(engine): an open transaction goes on after its key was withdrawn

Cause: an operation was admitted once, with its begin. Neither the statements of a transaction, its commit, nor the hop to a holder looked at the key again, and nothing ended the transactions of a key when a declaration without it arrived.

No other hypothesis was left to tell apart.

Change: the key is looked at with each statement of a transaction and with its commit, again after the wait for its begin, and with each new declaration for transactions that wait for their callers. A statement that runs ends first and its rows are delivered. The caller gets "aborted", which is true of what is kept, and the final answer with its next attempt. An instance that may not hold the newest declaration says with each statement by what it was admitted, and the holder decides; where nobody can tell, the transaction is aborted. Reads, writes and begins look at the key again once they have a connection.

Why it works: each path to a server now asks the newest declaration known where it runs, in the turn in which the statement is sent, as the PostgreSQL side does. What a holder was sent before the withdrawal ends at its deadline.

--- a/packages/cyclamenusherd/src/node/engine/callerListener.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerListener.ts
@@ -4,7 +4,7 @@
 import { createSilentConnections } from '@cyclamenusher/protocol'
 import { startCallerSession } from './callerSession.js'
 import { pause } from '../process/clock.js'
-import type { Server } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
 import type { Address } from '../process/address.js'
 import type { CallerProtection } from './callerProtection.js'
 import type { CallerSession } from './callerSession.js'
@@ -36,6 +36,8 @@
 }
 
 export interface CallerListener {
+  /** Port on which callers are accepted, also where the operating system chose it. */
+  port: number
   /** Closes all sessions by the plan; `cut` is the number that had to be closed at its end. */
   drain: (plan: DrainPlan) => Promise<{ cut: number }>
   callers: () => number
@@ -61,6 +63,14 @@
     server.listen({ host: listen.host, port: listen.port, backlog: LISTEN_BACKLOG }, resolve)
   })
 
+  let reviewedVersion = services.link.declaration()?.version
+  services.link.onChange(() => {
+    const version = services.link.declaration()?.version
+    if (version === reviewedVersion) return
+    reviewedVersion = version
+    for (const session of [...sessions]) session.reviewTransaction()
+  })
+
   async function drain ({ closeIdleAfter, endTransactionsAfter, forceCloseAfter }: DrainPlan): Promise<{ cut: number }> {
     const { clock } = services
     const startedAt = clock.now()
@@ -80,6 +90,7 @@
   }
 
   return {
+    port: (server.address() as AddressInfo).port,
     drain,
     callers: () => sessions.size,
     close: () => {
--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -4,7 +4,7 @@
 import { LONGEST_TIMER_MILLISECONDS } from '@cyclamenusher/protocol'
 import { createCallerProtection } from './callerProtection.js'
 import { StatementFailure } from './errors.js'
-import { admitOperation, resolveAccess } from './operationAdmission.js'
+import { admitOperation, describeStatementAdmission, findTransactionEnd, resolveAccess } from './operationAdmission.js'
 import { createSession } from './session.js'
 import { INTERNAL_DIGEST } from './statement.js'
 import type { ClientAccount, PreparationKind } from '@cyclamenusher/decisions'
@@ -13,7 +13,7 @@
 import type { LimitName } from '../process/limits.js'
 import type { CallerProtection } from './callerProtection.js'
 import type { EngineServices } from './services.js'
-import type { AdmittedOperation, StatementResult, Session, StatementContext } from './session.js'
+import type { AdmittedOperation, StatementResult, Session, StatementContext, Transaction } from './session.js'
 import type { CallerCodec, CallerMessage, Statement, StatementDefinition, StatementRequest } from './statement.js'
 
 /** Time limit of statements without a route, in milliseconds: as long as callers wait for an answer. */
@@ -29,6 +29,8 @@
 export interface CallerSession {
   /** Closes the connection if no statement or transaction is in progress, or else as soon as none is. Returns whether it was closed. */
   closeIfIdle: () => boolean
+  /** Ends the open transaction if its key no longer stands; called when the declaration has changed. */
+  reviewTransaction: () => void
   /** Rolls back the open transaction if it waits for its caller. */
   endTransaction: (reason: string) => void
   close: () => void
@@ -88,6 +90,8 @@
   /** Whether the connection closes as soon as no statement or transaction is in progress. */
   let closeWhenIdle = false
   let idleTimer: NodeJS.Timeout | undefined
+  /** Whether the open transaction was ended while a statement of it ran, and is rolled back after that. */
+  let rollsBackNext = false
   /** When a token was last borrowed for the next operation; undefined: not since the last operation. */
   let prefetchedAt: number | undefined
 
@@ -242,15 +246,56 @@
     return EMPTY_RESULT
   }
 
+  /** Ends a transaction that must not run the statement, and notes by what one is admitted that may. */
+  function admitToTransaction (context: StatementContext, transaction: Transaction): void {
+    const reason = transaction.endReason === undefined ? findTransactionEnd(services, context, transaction) : undefined
+    if (reason !== undefined) {
+      noteKeyLoss(transaction, reason)
+      operations.rollBack(transaction)
+    }
+    context.admission = describeStatementAdmission(services, context.session, transaction)
+  }
+
+  function noteKeyLoss (transaction: Transaction, reason: string): void {
+    transaction.endReason = reason
+    log.logDecision('A transaction is ended, because its key no longer stands.', { database: startedSession?.database, account: transaction.account, version: services.link.declaration()?.version, reason })
+  }
+
+  function reviewTransaction (): void {
+    const transaction = startedSession?.transaction
+    if (startedSession === undefined || transaction === undefined || transaction.endReason !== undefined) return
+    const reason = findTransactionEnd(services, { session: startedSession }, transaction)
+    if (reason === undefined) return
+    noteKeyLoss(transaction, reason)
+    if (isAtWork()) rollsBackNext = true
+    else operations.rollBack(transaction)
+  }
+
+  /** Whether a statement is being run, so that its result is not cut off. */
+  function isAtWork (): boolean {
+    return processing && !awaitingReader
+  }
+
+  /** Rolls back the transaction that was ended during the last statement. */
+  function rollBackIfEnded (): void {
+    if (!rollsBackNext) return
+    rollsBackNext = false
+    if (startedSession?.transaction !== undefined) operations.rollBack(startedSession.transaction)
+  }
+
   async function commitIfOpen (context: StatementContext): Promise<StatementResult> {
     const { session } = context
     if (session.transaction === undefined) return EMPTY_RESULT
+    admitToTransaction(context, session.transaction)
     return await operations.commit(context, session.transaction)
   }
 
   async function runOperation (context: StatementContext, access: 'read' | 'write'): Promise<StatementResult> {
     const { session } = context
-    if (session.transaction !== undefined) return await operations.continue(context, session.transaction, access === 'write')
+    if (session.transaction !== undefined) {
+      admitToTransaction(context, session.transaction)
+      return await operations.continue(context, session.transaction, access === 'write')
+    }
     const operation = await admit(session)
     context.timing.admission = clock.now() - context.startedAt
     return await operations.run(context, operation, access)
@@ -389,7 +434,7 @@
   }
 
   function endTransaction (reason: string): void {
-    if ((processing && !awaitingReader) || startedSession?.transaction === undefined) return
+    if (isAtWork() || startedSession?.transaction === undefined) return
     startedSession.transaction.endReason = reason
     operations.rollBack(startedSession.transaction)
   }
@@ -414,6 +459,7 @@
       waitingBytes -= measureMessage(message)
       const handle = MESSAGE_HANDLERS[message.kind] as (message: CallerMessage) => void | Promise<void>
       await handle(message)
+      rollBackIfEnded()
       if (socket.writableLength > limits.unreadAnswerBytes) await awaitReader()
       if (socket.isPaused()) {
         heldBack = !client.mayRead(codec.pendingBytes() + waitingBytes)
@@ -460,5 +506,5 @@
     close()
     client.release()
   })
-  return { closeIfIdle, endTransaction, close }
+  return { closeIfIdle, reviewTransaction, endTransaction, close }
 }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/__tests__/messages.test.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/__tests__/messages.test.ts
@@ -7,6 +7,7 @@
 import type { HolderReply, HolderRequest } from '../messages.js'
 
 const STATEMENT = { id: 'id-1', text: 'FETCH a', values: [['zone', 'north']], sentAt: 1, epoch: 0, elapsedMilliseconds: 0, remainingMilliseconds: 100 }
+const ADMISSION = { version: 7, database: 'd', keyDigest: 'k' }
 const OPERATION = { account: 'clinic', route: { group: 'g', readPolicy: 'primary', priority: 1 } }
 const REQUESTS: Array<Record<string, unknown>> = [
   { kind: 'run', number: 1, access: 'read', operation: OPERATION, statement: STATEMENT },
@@ -14,7 +15,9 @@
   { kind: 'run', number: 3, access: 'read', operation: { ...OPERATION, allowedRegions: [] }, statement: STATEMENT },
   { kind: 'begin', transaction: 1, readOnly: false, operation: OPERATION, statement: STATEMENT },
   { kind: 'continue', number: 1, transaction: 1, isWrite: true, statement: STATEMENT },
+  { kind: 'continue', number: 2, transaction: 1, isWrite: false, statement: STATEMENT, admission: ADMISSION },
   { kind: 'commit', number: 1, transaction: 1, statement: STATEMENT },
+  { kind: 'commit', number: 2, transaction: 1, statement: STATEMENT, admission: ADMISSION },
   { kind: 'roll back', transaction: 1 }
 ]
 
@@ -26,10 +29,17 @@
   for (const request of REQUESTS) assert.equal(decodeHolderRequest(encode(request)), request)
 })
 
+test('a statement of a transaction is accepted with half of what it was admitted by', () => {
+  for (const request of REQUESTS.filter(({ admission }) => admission !== undefined)) {
+    assert.throws(() => decodeHolderRequest(encode({ ...request, admission: { ...ADMISSION, version: undefined } })), /lacks a field/)
+    assert.throws(() => decodeHolderRequest(encode({ ...request, admission: null })), /lacks a field/)
+  }
+})
+
 // A field that was missing was first missed when the operation ran.
 test('a request without one of its fields is accepted', () => {
   for (const request of REQUESTS) {
-    for (const field of Object.keys(request).filter(name => !['kind', 'readOnly', 'isWrite'].includes(name))) {
+    for (const field of Object.keys(request).filter(name => !['kind', 'readOnly', 'isWrite', 'admission'].includes(name))) {
       assert.throws(() => decodeHolderRequest(encode({ ...request, [field]: undefined })), /lacks a field|no known kind/)
       assert.throws(() => decodeHolderRequest(encode({ ...request, [field]: null })), /lacks a field/)
     }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/compactMessages.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/compactMessages.ts
@@ -4,7 +4,7 @@
 import type { LogPosition, ReadPolicy } from '@cyclamenusher/decisions'
 import type { FlatContent } from '@cyclamenusher/protocol'
 import type { Fields } from '../../process/messageFields.js'
-import type { AdmittedOperation } from '../session.js'
+import type { Admission, AdmittedOperation } from '../session.js'
 import type { ForwardedStatement, HolderReply, HolderRequest } from './messages.js'
 
 type OperationRequest = FlatContent<typeof OperationRequestSchema>
@@ -77,6 +77,14 @@
   }
 }
 
+function writeAdmission (admission: Admission | undefined): RequestContent {
+  return {
+    admissionVersion: writeOptionalNumber(admission?.version),
+    admissionDatabase: admission?.database,
+    admissionKeyDigest: admission?.keyDigest
+  }
+}
+
 function writeOperation ({ account, route, allowedRegions, admission }: AdmittedOperation): RequestContent {
   return {
     account,
@@ -87,9 +95,7 @@
     maximumStaleness: writeOptionalNumber(route.maximumStalenessMilliseconds),
     objective: writeOptionalNumber(route.objectiveMilliseconds),
     priority: writeNumber(route.priority),
-    admissionVersion: writeOptionalNumber(admission?.version),
-    admissionDatabase: admission?.database,
-    admissionKeyDigest: admission?.keyDigest
+    ...writeAdmission(admission)
   }
 }
 
@@ -98,8 +104,8 @@
   run: ({ number, access, operation, statement }) => ({ kind: OperationRequestKind.RUN, number: writeNumber(number), isWrite: access === 'write', ...writeOperation(operation), ...writeStatement(statement) }),
   // The text and the execution of a begin are those of the statement that follows it; the holder needs neither.
   begin: ({ transaction, readOnly, operation, statement }) => ({ kind: OperationRequestKind.BEGIN, transaction: writeNumber(transaction), readOnly, ...writeOperation(operation), ...writeStatement({ ...statement, execution: undefined }), text: undefined }),
-  continue: ({ number, transaction, isWrite, statement }) => ({ kind: OperationRequestKind.CONTINUE, number: writeNumber(number), transaction: writeNumber(transaction), isWrite, ...writeStatement(statement) }),
-  commit: ({ number, transaction, statement }) => ({ kind: OperationRequestKind.COMMIT, number: writeNumber(number), transaction: writeNumber(transaction), ...writeStatement(statement) }),
+  continue: ({ number, transaction, isWrite, statement, admission }) => ({ kind: OperationRequestKind.CONTINUE, number: writeNumber(number), transaction: writeNumber(transaction), isWrite, ...writeStatement(statement), ...writeAdmission(admission) }),
+  commit: ({ number, transaction, statement, admission }) => ({ kind: OperationRequestKind.COMMIT, number: writeNumber(number), transaction: writeNumber(transaction), ...writeStatement(statement), ...writeAdmission(admission) }),
   'roll back': ({ transaction, id }) => ({ kind: OperationRequestKind.ROLL_BACK, transaction: writeNumber(transaction), id }),
   probe: ({ stream, replaces }) => ({ kind: OperationRequestKind.PROBE, stream, replaces })
 }
@@ -137,8 +143,13 @@
   }
 }
 
-function readOperation ({ account, group, readPolicy, maximumStaleness, objective, priority, limitsRegions, allowedRegions, admissionVersion, admissionDatabase, admissionKeyDigest }: OperationRequest): Fields {
-  const admission = readPart({ version: admissionVersion, database: admissionDatabase, keyDigest: admissionKeyDigest })
+/** The field with by what a request was admitted, if it has one. */
+function readAdmission ({ admissionVersion, admissionDatabase, admissionKeyDigest }: OperationRequest): Fields {
+  return readPart({ admission: readPart({ version: admissionVersion, database: admissionDatabase, keyDigest: admissionKeyDigest }) }) ?? {}
+}
+
+function readOperation (message: OperationRequest): Fields {
+  const { account, group, readPolicy, maximumStaleness, objective, priority, limitsRegions, allowedRegions } = message
   return {
     route: {
       group,
@@ -148,7 +159,7 @@
     },
     account,
     ...(limitsRegions ? { allowedRegions } : {}),
-    ...(admission === undefined ? {} : { admission })
+    ...readAdmission(message)
   }
 }
 
@@ -156,8 +167,8 @@
 const REQUEST_READERS = new Map<OperationRequestKind, MessageReader<OperationRequest>>([
   [OperationRequestKind.RUN, message => ({ kind: 'run', number: message.number, access: message.isWrite ? 'write' : 'read', operation: readOperation(message), statement: readStatement(message, true) })],
   [OperationRequestKind.BEGIN, message => ({ kind: 'begin', transaction: message.transaction, readOnly: message.readOnly, operation: readOperation(message), statement: readStatement(message, false) })],
-  [OperationRequestKind.CONTINUE, message => ({ kind: 'continue', number: message.number, transaction: message.transaction, isWrite: message.isWrite, statement: readStatement(message, true) })],
-  [OperationRequestKind.COMMIT, message => ({ kind: 'commit', number: message.number, transaction: message.transaction, statement: readStatement(message, true) })],
+  [OperationRequestKind.CONTINUE, message => ({ kind: 'continue', number: message.number, transaction: message.transaction, isWrite: message.isWrite, statement: readStatement(message, true), ...readAdmission(message) })],
+  [OperationRequestKind.COMMIT, message => ({ kind: 'commit', number: message.number, transaction: message.transaction, statement: readStatement(message, true), ...readAdmission(message) })],
   [OperationRequestKind.ROLL_BACK, ({ transaction, id }) => ({ kind: 'roll back', ...readPart({ transaction, id }) })],
   [OperationRequestKind.PROBE, ({ stream, replaces }) => ({ kind: 'probe', ...readPart({ stream, replaces }) })]
 ])
--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -311,12 +311,24 @@
     throw new StatementFailure('aborted', `${NO_LEASE_FOR_WRITES}; the transaction was rolled back`)
   }
 
+  /**
+   * Ends the transaction if neither this instance nor its holder can tell whether its key
+   * still stands: this one has not known the newest declaration lately, and the holder,
+   * of an earlier build, does not decide again.
+   */
+  function endUndecided ({ admission }: StatementContext, transaction: Transaction, forwarded: ForwardedTransaction): void {
+    if (admission === undefined || link.isDeclarationTrusted() || forwarded.link.reviewsTransactions(forwarded.stream)) return
+    transaction.endReason ??= 'this instance has no word from control and can not tell whether the key still stands; the transaction was rolled back'
+    rollBack(transaction)
+  }
+
   async function continueTransaction (context: StatementContext, transaction: Transaction, isWrite: boolean): Promise<StatementResult> {
     const { session } = context
     const excluded = new Set<HolderLink>()
     let forwarded = await transaction.forwarded
     for (;;) {
       if (forwarded === undefined) return await local.continue(context, transaction, isWrite)
+      endUndecided(context, transaction, forwarded)
       requireNotEnded(session, transaction)
       if (isWrite) requireLeaseForWrites(session, transaction)
       const outcome = await sendInTransaction(context, forwarded, isWrite)
@@ -332,8 +344,13 @@
     }
   }
 
+  /** By what a statement of a transaction was admitted, as a part of its request. */
+  function includeAdmission ({ admission }: StatementContext): Pick<StatementContext, 'admission'> {
+    return admission === undefined ? {} : { admission }
+  }
+
   async function sendInTransaction (context: StatementContext, forwarded: ForwardedTransaction, isWrite: boolean): Promise<ForwardOutcome> {
-    const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'continue', number, transaction: forwarded.number, isWrite, statement: buildStatement(context) }), context.deadline + REPLY_GRACE_MILLISECONDS, { endsWithStream: true })
+    const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'continue', number, transaction: forwarded.number, isWrite, statement: buildStatement(context), ...includeAdmission(context) }), context.deadline + REPLY_GRACE_MILLISECONDS, { endsWithStream: true })
     recordHolder(context, forwarded.link, outcome)
     return outcome
   }
@@ -360,9 +377,10 @@
     if (forwarded === undefined) return await local.commit(context, transaction)
     session.transaction = undefined
     session.state = 'idle'
+    endUndecided(context, transaction, forwarded)
     if (transaction.endReason !== undefined) throw new StatementFailure('aborted', transaction.endReason)
     if (transaction.wrote) requireLeaseForWrites(session, transaction)
-    const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'commit', number, transaction: forwarded.number, statement: buildStatement(context) }), context.deadline + CONFIRM_GRACE_MILLISECONDS + REPLY_GRACE_MILLISECONDS)
+    const outcome = await forwarded.link.request(forwarded.stream, number => ({ kind: 'commit', number, transaction: forwarded.number, statement: buildStatement(context), ...includeAdmission(context) }), context.deadline + CONFIRM_GRACE_MILLISECONDS + REPLY_GRACE_MILLISECONDS)
     recordHolder(context, forwarded.link, outcome)
     if (outcome.kind === 'reply') return await adoptCommit(context, transaction, outcome.reply)
     if (outcome.kind === 'not sent') throw new StatementFailure('aborted', `the commit was not sent: ${outcome.reason}`)
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderLink.ts
@@ -53,6 +53,8 @@
   request: (stream: MessageStream, build: (number: number) => HolderRequest, deadline: number, options?: RequestOptions) => Promise<ForwardOutcome>
   /** Sends a message that has no reply. */
   post: (stream: MessageStream, request: HolderRequest) => void
+  /** Whether the holder decides again about the statements of a transaction, as it says with its first answer on a stream; true until then, as it decides about the begin. */
+  reviewsTransactions: (stream: MessageStream) => boolean
   /** Notes that the holder refused because it can't serve at present. */
   recordRefusal: () => void
   /** Asks whether the holder answers, although nothing is outstanding; called when another one has gone silent. */
@@ -106,6 +108,8 @@
   const compactFrom = (clock.startedAt ?? -Infinity) + JSON_AFTER_START_MILLISECONDS
   /** Streams on which the holder has listed the compact format. */
   const compactStreams = new WeakSet<MessageStream>()
+  /** By stream, whether the holder has said that it decides again about the statements of a transaction. */
+  const reviewingStreams = new WeakMap<MessageStream, boolean>()
   /** When the probes were sent that have no answer yet, by stream, the oldest first. */
   const probes = new WeakMap<MessageStream, number[]>()
 
@@ -144,6 +148,7 @@
       message: body => {
         const reply = decodeHolderReply(body)
         if (reply.kind === 'alive' && reply.formats?.includes(COMPACT_FORMAT) === true) compactStreams.add(stream)
+        if (reply.kind === 'alive' && !reviewingStreams.has(stream)) reviewingStreams.set(stream, reply.reviewsTransactions === true)
         if (stream === replacement?.stream) {
           replacement.answeredAt ??= clock.now()
           if (reply.kind === 'alive') probes.get(stream)?.shift()
@@ -329,6 +334,7 @@
       onRequest()
     }),
     post: write,
+    reviewsTransactions: stream => reviewingStreams.get(stream) ?? true,
     recordRefusal: () => { health = recordHolderRefusal(health, clock.now()) },
     probe,
     isWatched: () => outstanding.size > 0 || (current !== undefined && health.probedAt > health.heardAt) || health.silent || replacement !== undefined || replaced.size > 0,
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -171,7 +171,7 @@
     stream.send(encodeHolderReply(reply, format))
   }
 
-  function runInSession (instance: CallingInstance, { number, transaction, statement }: Extract<HolderRequest, { kind: 'continue' | 'commit' }>, access: 'read' | 'write', run: (context: StatementContext, transaction: Transaction) => Promise<StatementResult>): ForwardedSession | undefined {
+  function runInSession (instance: CallingInstance, { number, transaction, statement, admission }: Extract<HolderRequest, { kind: 'continue' | 'commit' }>, access: 'read' | 'write', run: (context: StatementContext, transaction: Transaction) => Promise<StatementResult>): ForwardedSession | undefined {
     const found = instance.transactions.get(transaction)
     if (found === undefined) {
       send(instance, { kind: 'failure', number, failure: 'aborted', explanation: 'this transaction is not open here', state: 'failed transaction', canServe: true })
@@ -179,7 +179,7 @@
     }
     const received = receiveStatement(instance, statement)
     runInOrder(found, async () => {
-      const context = createContext(found.session, received, access)
+      const context = { ...createContext(found.session, received, access), admission }
       await answer(instance, number, context, async () => await run(context, found.transaction))
     })
     return found
@@ -238,7 +238,7 @@
       if (stream !== undefined) instance.token = stream
       const ended = replaces === undefined ? undefined : [...instances].find(({ token }) => token === replaces)
       ended?.stream.close('the other side uses another stream')
-      send(instance, { kind: 'alive', formats: [COMPACT_FORMAT] })
+      send(instance, { kind: 'alive', formats: [COMPACT_FORMAT], reviewsTransactions: true })
     }
   }
 
--- a/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/messages.ts
@@ -15,7 +15,7 @@
 import { readCompactReply, readCompactRequest, writeCompactReply, writeCompactRequest } from './compactMessages.js'
 import type { LogPosition, SendTime } from '@cyclamenusher/decisions'
 import type { FieldCheck, Fields } from '../../process/messageFields.js'
-import type { AdmittedOperation, StatementTiming } from '../session.js'
+import type { Admission, AdmittedOperation, StatementTiming } from '../session.js'
 import type { FailureKind, SessionState, StatementDefinition } from '../statement.js'
 
 /** A statement with what its session has set. */
@@ -36,8 +36,9 @@
   | { kind: 'run', number: number, access: 'read' | 'write', operation: AdmittedOperation, statement: ForwardedStatement }
   /** Begins a transaction without an answer; its number identifies it on this stream. */
   | { kind: 'begin', transaction: number, readOnly: boolean, operation: AdmittedOperation, statement: ForwardedStatement }
-  | { kind: 'continue', number: number, transaction: number, isWrite: boolean, statement: ForwardedStatement }
-  | { kind: 'commit', number: number, transaction: number, statement: ForwardedStatement }
+  /** `admission`: by what the statement was admitted, where that may not be the newest declaration; so with a commit. */
+  | { kind: 'continue', number: number, transaction: number, isWrite: boolean, statement: ForwardedStatement, admission?: Admission }
+  | { kind: 'commit', number: number, transaction: number, statement: ForwardedStatement, admission?: Admission }
   | { kind: 'roll back', transaction: number, id?: string }
   /** Asks whether the holder answers. `stream` names the stream on which it is sent, and `replaces` one that has ended, which the holder may not have noticed. */
   | { kind: 'probe', stream?: string, replaces?: string }
@@ -60,8 +61,12 @@
   }
   /** `canServe` is false where the holder has no lease, so that another one may serve. */
   | { kind: 'failure', number: number, failure: FailureKind, explanation: string, state?: SessionState, canServe: boolean, version?: number }
-  /** `formats`: what the holder reads besides JSON; undefined at a holder of the previous build. */
-  | { kind: 'alive', formats?: readonly string[] }
+  /**
+   * `formats`: what the holder reads besides JSON; undefined at a holder of an earlier build.
+   * `reviewsTransactions`: it decides again about the statements of a transaction; undefined at
+   * a holder of an earlier build, which runs them. Neither is sent in the compact format.
+   */
+  | { kind: 'alive', formats?: readonly string[], reviewsTransactions?: boolean }
   | { kind: 'leaving' }
 
 /** Rounds a time to a tenth of a millisecond, which is sent with fewer digits. */
@@ -96,8 +101,8 @@
 const REQUEST_CHECKS: Record<HolderRequest['kind'], FieldCheck> = {
   run: hasFields({ number: isNumber, access: isText, operation: isOperation, statement: isStatement }),
   begin: hasFields({ transaction: isNumber, operation: isOperation, statement: isStatement }),
-  continue: hasFields({ number: isNumber, transaction: isNumber, statement: isStatement }),
-  commit: hasFields({ number: isNumber, transaction: isNumber, statement: isStatement }),
+  continue: hasFields({ number: isNumber, transaction: isNumber, statement: isStatement, admission: isOptional(isAdmission) }),
+  commit: hasFields({ number: isNumber, transaction: isNumber, statement: isStatement, admission: isOptional(isAdmission) }),
   'roll back': hasFields({ transaction: isNumber, id: isOptional(isText) }),
   probe: hasFields({ stream: isOptional(isText), replaces: isOptional(isText) })
 }
--- a/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
+++ b/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
@@ -1,13 +1,24 @@
 /** Decides whether an operation may run, by its route, its key and its client account's rate in the current declaration. */
 
-import { combineRegions, decideAccess, digestKey, reviewAccess } from '@cyclamenusher/decisions'
+import { combineRegions, decideAccess, digestKey, findKeyLoss, reviewAccess } from '@cyclamenusher/decisions'
+import { isLeaseOverdue } from './confirmation.js'
 import { StatementFailure } from './errors.js'
 import { findAccountByDigest } from './keyDigest.js'
 import { ANONYMOUS_ACCOUNT, accountName } from './session.js'
-import type { AccessRefusal, ClientAccount, DeclarationIndex, Route } from '@cyclamenusher/decisions'
+import { pause } from '../process/clock.js'
+import type { AccessRefusal, ClientAccount, DeclarationIndex, KeyLoss, Route } from '@cyclamenusher/decisions'
+import type { AcquiredConnection } from './groupPool.js'
 import type { LocalServices } from './operations.js'
 import type { EngineServices } from './services.js'
-import type { Admission, AdmittedOperation, Session } from './session.js'
+import type { Admission, AdmittedOperation, Session, StatementContext, Transaction } from './session.js'
+
+/** Interval at which an instance looks whether it knows the newest declaration again, in milliseconds. */
+const TRUST_POLL_INTERVAL_MILLISECONDS = 20
+
+const KEY_LOSSES: Record<KeyLoss, string> = {
+  withdrawn: 'no client account has this key any more',
+  moved: 'the key belongs to another client account now'
+}
 
 export interface Access {
   index: DeclarationIndex
@@ -31,12 +42,67 @@
 }
 
 /** Describes by what an operation is admitted, if another instance may hold a newer declaration. */
-function describeAdmission ({ link }: EngineServices, session: Session, { version }: DeclarationIndex): Admission | undefined {
+function describeAdmission ({ link }: Pick<EngineServices, 'link'>, session: Session, { version }: DeclarationIndex): Admission | undefined {
   if (link.isDeclarationCurrent()) return undefined
   session.keyDigest ??= digestKey(session.key)
   return { version, database: session.database, keyDigest: session.keyDigest }
 }
 
+/** The same for a statement of an open transaction; one without an account needs no key. */
+export function describeStatementAdmission (services: Pick<EngineServices, 'link'>, session: Session, { account }: Transaction): Admission | undefined {
+  const index = services.link.declaration()
+  return index === undefined || account === ANONYMOUS_ACCOUNT ? undefined : describeAdmission(services, session, index)
+}
+
+/** The account of the caller's key now. `known` is false where this instance has not been told the key, or was told by one with a newer declaration. */
+function findCurrentAccount (index: DeclarationIndex, { key }: Session, admission: Admission | undefined): { known: boolean, account?: ClientAccount } {
+  if (key !== '') return { known: true, account: index.accountOf(key) }
+  if (admission === undefined || index.version <= admission.version) return { known: false }
+  return { known: true, account: findAccountByDigest(index, admission.keyDigest) }
+}
+
+/** Why the key of an admitted operation no longer stands for its account; undefined: it does, as far as this instance can tell. */
+function findLoss ({ link }: Pick<LocalServices, 'link'>, session: Session, account: string, admission: Admission | undefined): KeyLoss | undefined {
+  const index = link.declaration()
+  const current = index === undefined ? undefined : findCurrentAccount(index, session, admission)
+  if (current?.known !== true) return undefined
+  return findKeyLoss(account === ANONYMOUS_ACCOUNT ? undefined : account, current.account)
+}
+
+/**
+ * Requires, after a wait, that the key of an operation still stands for its account, so
+ * that nothing is sent to a server later than that. Releases the connection otherwise.
+ *
+ * @throws StatementFailure
+ */
+export function requireKey (services: LocalServices, { session }: StatementContext, { account, admission }: AdmittedOperation, acquired: AcquiredConnection): void {
+  const loss = findLoss(services, session, account, admission)
+  if (loss === undefined) return
+  acquired.release(true)
+  if (loss === 'withdrawn') throw createAccessFailure(services, 'key refused', KEY_LOSSES.withdrawn)
+  throw new StatementFailure('busy', `${KEY_LOSSES.moved}; the operation did not run`)
+}
+
+/** Why an open transaction must end, by the declaration here; undefined: it may go on. A change of its route applies from the next transaction onward. */
+export function findTransactionEnd (services: Pick<LocalServices, 'link'>, { session, admission }: Pick<StatementContext, 'session' | 'admission'>, transaction: Transaction): string | undefined {
+  const loss = findLoss(services, session, transaction.account, admission ?? transaction.admission)
+  return loss === undefined ? undefined : `${KEY_LOSSES[loss]}; the transaction was rolled back`
+}
+
+/**
+ * The same at the instance that runs the transaction, which must have known the newest
+ * declaration lately where the callers' instance has not. Waits until the deadline for a
+ * lease that is expected back.
+ */
+export async function reviewTransaction (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<string | undefined> {
+  const { link, clock } = services
+  if (context.admission !== undefined) {
+    while (!link.isDeclarationTrusted() && !isLeaseOverdue(link, clock) && clock.now() < context.deadline) await pause(TRUST_POLL_INTERVAL_MILLISECONDS)
+    if (!link.isDeclarationTrusted()) return 'this instance has no word from control and can not tell whether the key still stands; the transaction was rolled back'
+  }
+  return findTransactionEnd(services, context, transaction)
+}
+
 /** The regions of an operation, as a part of it; none where neither list limits it. */
 function limitRegions (route: Route, account: ClientAccount | undefined): Pick<AdmittedOperation, 'allowedRegions'> {
   const allowedRegions = combineRegions(route, account)
--- a/packages/cyclamenusherd/src/node/engine/reads.ts
+++ b/packages/cyclamenusherd/src/node/engine/reads.ts
@@ -2,6 +2,7 @@
 
 import { StatementFailure } from './errors.js'
 import { attemptStatement } from './attempt.js'
+import { requireKey } from './operationAdmission.js'
 import { pause } from '../process/clock.js'
 import { computeObjective } from './session.js'
 import type { LogPosition } from '@cyclamenusher/decisions'
@@ -57,7 +58,8 @@
 }
 
 /** Runs a read until it has a valid answer. @throws StatementFailure */
-export async function runRead (services: LocalServices, context: StatementContext, { route, account, allowedRegions }: AdmittedOperation): Promise<StatementResult> {
+export async function runRead (services: LocalServices, context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
+  const { route, account, allowedRegions } = operation
   const { session, request, deadline } = context
   const group = services.group(route.group)
   const progress: ReadProgress = { excluded: new Set(), failedRuns: 0 }
@@ -65,6 +67,7 @@
     const need = group.resolveReadRequirement({ policy: route.readPolicy, maximumStalenessMilliseconds: route.maximumStalenessMilliseconds, session: session.lastCommit })
     const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need, excluded: progress.excluded, allowedRegions })
     context.timing.acquisition = services.clock.now() - context.startedAt
+    requireKey(services, context, operation, acquired)
     const { requiredPosition } = acquired
     const addPrefix = (text: string): string => requiredPosition === undefined ? text : services.codec().requirePosition(requiredPosition, text)
     const outcome = await assessReply(acquired, context, await attemptStatement(services, acquired, context, addPrefix, true), progress)
--- a/packages/cyclamenusherd/src/node/engine/session.ts
+++ b/packages/cyclamenusherd/src/node/engine/session.ts
@@ -80,6 +80,8 @@
 }
 
 export interface StatementContext {
+  /** By what a statement of an open transaction was admitted; undefined: by the newest declaration, or outside transactions. */
+  admission?: Admission
   /** The instance that ran the statement for this one, and the version of its declaration as far as it is known; logged with the answer. */
   holder?: { name: string, version?: number }
   /** Filled in while the statement runs; logged with its answer. */
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -9,7 +9,7 @@
 import { LATE_MARGIN_MILLISECONDS, attemptStatement, awaitReply } from './attempt.js'
 import { INTERNAL_STATEMENT_ID } from './preparation.js'
 import { adoptNewerTerm } from './reads.js'
-import { confirmAdmission } from './operationAdmission.js'
+import { confirmAdmission, requireKey, reviewTransaction } from './operationAdmission.js'
 import { CONFIRM_GRACE_MILLISECONDS, NOT_RUN_FAILURES } from './writes.js'
 import { computeObjective } from './session.js'
 import { pause } from '../process/clock.js'
@@ -31,8 +31,8 @@
 
 /** Begins the transaction at a server. @throws StatementFailure if no server has begun it by the deadline */
 async function beginAtServer (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<AcquiredConnection> {
-  const { session, request, deadline } = context
-  const admitted = confirmAdmission(services, transaction)
+  const { session, request, deadline, admission = transaction.admission } = context
+  const admitted = confirmAdmission(services, { ...transaction, admission })
   const { route, account, readOnly, allowedRegions } = admitted
   const group = services.group(route.group)
   const codec = services.codec()
@@ -40,6 +40,7 @@
   for (;;) {
     const need = resolveRequirement(group, session, admitted)
     const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need, excluded, allowedRegions })
+    requireKey(services, context, admitted, acquired)
     if (!acquired.mayBegin()) {
       acquired.release(true)
       throw new StatementFailure('busy', `the failure domain of server ${acquired.connection.member} is drained; the transaction did not begin`)
@@ -124,6 +125,15 @@
   throw new StatementFailure('aborted', transaction.endReason)
 }
 
+/** Ends the transaction if its caller's key no longer stands for its account, or if that can't be told. */
+async function endWithoutKey (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<void> {
+  const reason = await reviewTransaction(services, context, transaction)
+  if (reason === undefined) return
+  transaction.endReason ??= reason
+  services.log.logDecision('A transaction is ended where it runs, because its key may not stand any more.', { id: context.request.id, account: transaction.account, reason, version: services.link.declaration()?.version })
+  rollBackTransaction(services, transaction)
+}
+
 async function attemptInTransaction (services: LocalServices, context: StatementContext, transaction: Transaction, acquired: AcquiredConnection): Promise<AttemptReply> {
   transaction.isRunning = true
   try {
@@ -139,7 +149,12 @@
   requireNotEnded(session, transaction)
   await transaction.beginning
   requireNotEnded(session, transaction)
-  const acquired = transaction.acquired ?? await beginNow(services, context, transaction)
+  if (transaction.acquired === undefined) await beginNow(services, context, transaction)
+  else await endWithoutKey(services, context, transaction)
+  // It may also have been ended while its begin waited.
+  if (transaction.endReason !== undefined) rollBackTransaction(services, transaction)
+  requireNotEnded(session, transaction)
+  const acquired = transaction.acquired as AcquiredConnection
   const reply = await attemptInTransaction(services, context, transaction, acquired)
   if (reply.kind === 'late') throw failTransaction(session, transaction, new StatementFailure('aborted', `server ${acquired.connection.member} did not answer in time; its connection was closed`))
   if (reply.kind === 'lost' || reply.kind === 'not sent') throw failTransaction(session, transaction, new StatementFailure('aborted', `the connection to server ${acquired.connection.member} was lost: ${reply.reason}`))
@@ -153,11 +168,9 @@
   return reply
 }
 
-async function beginNow (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<AcquiredConnection> {
+async function beginNow (services: LocalServices, context: StatementContext, transaction: Transaction): Promise<void> {
   try {
-    const acquired = await beginAtServer(services, context, transaction)
-    adoptConnection(services, transaction, acquired)
-    return acquired
+    adoptConnection(services, transaction, await beginAtServer(services, context, transaction))
   } catch (error) {
     context.session.state = 'failed transaction'
     throw error
@@ -171,6 +184,7 @@
   session.state = 'idle'
   if (transaction.endReason !== undefined) throw new StatementFailure('aborted', transaction.endReason)
   await transaction.beginning
+  await endWithoutKey(services, context, transaction)
   if (transaction.endReason !== undefined) throw new StatementFailure('aborted', transaction.endReason)
   const acquired = transaction.acquired ?? await beginAtServer(services, context, transaction)
   transaction.acquired = undefined
--- a/packages/cyclamenusherd/src/node/engine/writes.ts
+++ b/packages/cyclamenusherd/src/node/engine/writes.ts
@@ -2,6 +2,7 @@
 
 import { StatementFailure } from './errors.js'
 import { attemptStatement } from './attempt.js'
+import { requireKey } from './operationAdmission.js'
 import { pause } from '../process/clock.js'
 import { computeObjective } from './session.js'
 import type { LocalServices } from './operations.js'
@@ -17,12 +18,14 @@
 export const NOT_RUN_FAILURES: ReadonlySet<FailureKind> = new Set(['busy', 'statement unknown', 'lagging', 'read only', 'wrong server', 'too many'])
 
 /** Runs a write at the primary. @throws StatementFailure */
-export async function runWrite (services: LocalServices, context: StatementContext, { route, account, allowedRegions }: AdmittedOperation): Promise<StatementResult> {
+export async function runWrite (services: LocalServices, context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
   const { session, request, deadline } = context
+  const { route, account, allowedRegions } = operation
   const group = services.group(route.group)
   for (;;) {
     const acquired = await group.acquire({ account, values: session.values, priority: route.priority, objective: computeObjective(context, route), deadline, need: { kind: 'primary' }, excluded: new Set(), allowedRegions })
     context.timing.acquisition = services.clock.now() - context.startedAt
+    requireKey(services, context, operation, acquired)
     const { connection } = acquired
     const reply = await attemptStatement(services, acquired, context, text => text, true)
     if (reply.kind === 'complete') {
--- a/packages/decisions/src/node/declaration/__tests__/access.test.ts
+++ b/packages/decisions/src/node/declaration/__tests__/access.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
-import { decideAccess, reviewAccess } from '../access.js'
+import { decideAccess, findKeyLoss, reviewAccess } from '../access.js'
 import { indexDeclaration } from '../declaration.js'
 import type { ClientAccount, Route } from '../declaration.js'
 
@@ -39,4 +39,12 @@
   assert.is(review.kind === 'granted' ? review.route.maximumStalenessMilliseconds : undefined, 500)
 })
 
+test('a key goes on for its account after it was withdrawn or moved, or is lost with other changes', () => {
+  assert.is(findKeyLoss('clinic', undefined), 'withdrawn')
+  assert.is(findKeyLoss('clinic', { ...ACCOUNT, name: 'warehouse' }), 'moved')
+  assert.is(findKeyLoss('clinic', { ...ACCOUNT, keys: ['k', 'other'] }), undefined)
+  assert.is(findKeyLoss(undefined, undefined), undefined)
+  assert.is(findKeyLoss(undefined, ACCOUNT), undefined)
+})
+
 test.run()
--- a/packages/decisions/src/node/declaration/access.ts
+++ b/packages/decisions/src/node/declaration/access.ts
@@ -31,6 +31,23 @@
   /** The newer declaration allows the operation elsewhere, or to another account. */
   | { kind: 'moved', explanation: string }
 
+/** Why a client account may no longer act for its caller. */
+export type KeyLoss =
+  /** No client account has the caller's key any more. */
+  | 'withdrawn'
+  /** Another client account has it. */
+  | 'moved'
+
+/**
+ * Decides about the key of an operation or a transaction that was admitted before, whose
+ * route stands. `admitted` is the client account that it runs for, `current` that of the
+ * caller's key now. What runs without an account needs no key. Undefined: it may go on.
+ */
+export function findKeyLoss (admitted: string | undefined, current: ClientAccount | undefined): KeyLoss | undefined {
+  if (admitted === undefined || current?.name === admitted) return undefined
+  return current === undefined ? 'withdrawn' : 'moved'
+}
+
 /** Decides about an admitted operation by a newer declaration. `account` is that of the caller's key there. */
 export function reviewAccess (index: DeclarationIndex, admitted: AdmittedAccess, account: ClientAccount | undefined): AccessReview {
   const decision = decideAccess(index, admitted.database, account)
