fix(engine): a transaction that runs a statement when its time is over outlives a stop

Cause: open transactions are ended after half of the grace period, each session being asked once. A session that ran a statement at that moment did nothing, and nobody came back to it: its later statements were sent to servers until all connections were cut at 0.9 of the grace period.

Evidence: one request traced through the record: its transaction was open and at work 3 s after the SIGTERM, it was sent 5.234 s after it, received 8 ms later, cut 212 ms later, and the server ran it after that. Sessions that were idle at 3 s lost nothing.

Change: the end of a transaction is noted at once and carried out after the statement that runs, whose rows are delivered; what comes later is aborted. From then on operations are refused as busy, so that a session that is never idle closes as well, and a begin that waited for its rate does not open. What a server still works on at the end gets a final answer that is true in any case: timeout, in doubt or aborted. A holder does the same, and sends what still arrives to another one. With a grace period below 4.6 s, transactions end after half of it.

Why it works: after half of the grace period nothing is sent to a server any more, so nothing sent later can be at work when connections are closed; and what was sent before is answered either way.

--- a/packages/cyclamenusherd/src/node/engine/callerListener.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerListener.ts
@@ -15,6 +15,8 @@
 const LISTEN_BACKLOG = 1_024
 /** Interval at which the remaining sessions are checked while draining, in milliseconds. */
 const DRAIN_POLL_INTERVAL_MILLISECONDS = 50
+/** What callers of a stopping instance are told. */
+export const STOP_REASON = 'the instance stops'
 
 export interface CallerListenerOptions {
   listen: Address
@@ -29,9 +31,9 @@
 export interface DrainPlan {
   /** New connections are accepted until then; idle sessions are closed after it. */
   closeIdleAfter: number
-  /** Open transactions that wait for their callers are rolled back then. */
+  /** Open transactions end then, those that run a statement after it, and further operations are refused. */
   endTransactionsAfter: number
-  /** All remaining sessions are closed then. */
+  /** What still runs gets a final answer then, and all remaining sessions are closed. */
   forceCloseAfter: number
 }
 
@@ -74,18 +76,20 @@
   async function drain ({ closeIdleAfter, endTransactionsAfter, forceCloseAfter }: DrainPlan): Promise<{ cut: number }> {
     const { clock } = services
     const startedAt = clock.now()
+
+    /** Waits until all sessions are closed, until `after` milliseconds from the start at the latest. */
+    async function awaitSessions (after: number): Promise<void> {
+      for (let left = after; sessions.size > 0 && left > 0; left = startedAt + after - clock.now()) await pause(Math.min(left, DRAIN_POLL_INTERVAL_MILLISECONDS))
+    }
+
     await pause(closeIdleAfter)
     server.close()
     for (const session of [...sessions]) session.closeIfIdle()
-    let transactionsEnded = false
-    while (sessions.size > 0 && clock.now() - startedAt < forceCloseAfter) {
-      await pause(DRAIN_POLL_INTERVAL_MILLISECONDS)
-      if (transactionsEnded || clock.now() - startedAt < endTransactionsAfter) continue
-      transactionsEnded = true
-      for (const session of [...sessions]) session.endTransaction('the instance stops')
-    }
+    await awaitSessions(endTransactionsAfter)
+    for (const session of [...sessions]) session.endWork(STOP_REASON)
+    await awaitSessions(forceCloseAfter)
     const cut = sessions.size
-    for (const session of [...sessions]) session.close()
+    for (const session of [...sessions]) session.cut(STOP_REASON)
     return { cut }
   }
 
--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -1,13 +1,13 @@
 /** One caller's connection: owns the socket and the session, and answers the caller's statements one after another. */
 
-import { CLIENT_RESERVE_BYTES, PREFETCHED_TOKEN_MILLISECONDS } from '@cyclamenusher/decisions'
+import { CLIENT_RESERVE_BYTES, PREFETCHED_TOKEN_MILLISECONDS, assessCutStatement } from '@cyclamenusher/decisions'
 import { LONGEST_TIMER_MILLISECONDS } from '@cyclamenusher/protocol'
 import { createCallerProtection } from './callerProtection.js'
 import { StatementFailure } from './errors.js'
 import { admitOperation, describeStatementAdmission, findTransactionEnd, resolveAccess } from './operationAdmission.js'
 import { createSession } from './session.js'
 import { INTERNAL_DIGEST } from './statement.js'
-import type { ClientAccount, PreparationKind } from '@cyclamenusher/decisions'
+import type { ClientAccount, CutStatement, PreparationKind } from '@cyclamenusher/decisions'
 import type { Socket } from 'node:net'
 import type { LogFacts } from '../process/logger.js'
 import type { LimitName } from '../process/limits.js'
@@ -31,8 +31,10 @@
   closeIfIdle: () => boolean
   /** Ends the open transaction if its key no longer stands; called when the declaration has changed. */
   reviewTransaction: () => void
-  /** Rolls back the open transaction if it waits for its caller. */
-  endTransaction: (reason: string) => void
+  /** Ends the open transaction, after the statement of it that runs, and refuses the operations that come from now on. */
+  endWork: (reason: string) => void
+  /** Gives a final answer to the statement that runs and to those that wait, and closes the connection. */
+  cut: (reason: string) => void
   close: () => void
 }
 
@@ -92,6 +94,10 @@
   let idleTimer: NodeJS.Timeout | undefined
   /** Whether the open transaction was ended while a statement of it ran, and is rolled back after that. */
   let rollsBackNext = false
+  /** Why operations are refused; undefined: they are not. */
+  let refusal: string | undefined
+  /** The statement that is run now, and the transaction that was open when it arrived. */
+  let running: { request: StatementRequest, transaction: Transaction | undefined } | undefined
   /** When a token was last borrowed for the next operation; undefined: not since the last operation. */
   let prefetchedAt: number | undefined
 
@@ -224,9 +230,18 @@
     if (index?.routeOf(database) !== undefined) prefetchToken(kind, index.accountOf(key))
   }
 
+  /** @throws StatementFailure if operations are refused */
+  function requireAccepted (): void {
+    if (refusal !== undefined) throw new StatementFailure('busy', `${refusal}; the operation did not run: try another instance`)
+  }
+
   async function admit (session: Session): Promise<AdmittedOperation> {
     prefetchedAt = undefined
-    return await admitOperation(services, session)
+    requireAccepted()
+    const operation = await admitOperation(services, session)
+    // It may have waited for its rate until operations were refused.
+    requireAccepted()
+    return operation
   }
 
   async function begin (context: StatementContext, readOnly: boolean): Promise<StatementResult> {
@@ -250,14 +265,14 @@
   function admitToTransaction (context: StatementContext, transaction: Transaction): void {
     const reason = transaction.endReason === undefined ? findTransactionEnd(services, context, transaction) : undefined
     if (reason !== undefined) {
-      noteKeyLoss(transaction, reason)
+      logKeyLoss(transaction, reason)
+      transaction.endReason = reason
       operations.rollBack(transaction)
     }
     context.admission = describeStatementAdmission(services, context.session, transaction)
   }
 
-  function noteKeyLoss (transaction: Transaction, reason: string): void {
-    transaction.endReason = reason
+  function logKeyLoss (transaction: Transaction, reason: string): void {
     log.logDecision('A transaction is ended, because its key no longer stands.', { database: startedSession?.database, account: transaction.account, version: services.link.declaration()?.version, reason })
   }
 
@@ -266,9 +281,8 @@
     if (startedSession === undefined || transaction === undefined || transaction.endReason !== undefined) return
     const reason = findTransactionEnd(services, { session: startedSession }, transaction)
     if (reason === undefined) return
-    noteKeyLoss(transaction, reason)
-    if (isAtWork()) rollsBackNext = true
-    else operations.rollBack(transaction)
+    logKeyLoss(transaction, reason)
+    endTransaction(reason)
   }
 
   /** Whether a statement is being run, so that its result is not cut off. */
@@ -401,6 +415,7 @@
     const startedAt = clock.now()
     const context: StatementContext = { timing: {}, session, request, startedAt, deadline: startedAt + findStatementTimeout(session) }
     let takeOff = (): void => {}
+    running = { request, transaction: session.transaction }
     try {
       if (!ENDING_KINDS.has(request.statement.kind) && !account.mayStart(request.text.length + keptBytes)) throw new StatementFailure('busy', 'this instance holds too much for its clients now; the statement did not run: try again, or another one')
       // Values of the session travel with each statement.
@@ -415,6 +430,7 @@
       // Another instance may still hold a lease; callers that reconnect can reach it.
       if (!services.link.isLeased() && session.state === 'idle') closeWhenIdle = true
     } finally {
+      running = undefined
       takeOff()
     }
   }
@@ -433,10 +449,40 @@
     idleTimer = setTimeout(() => { endTransaction(`the transaction was idle for more than ${limitMilliseconds} ms`) }, Math.min(limitMilliseconds, LONGEST_TIMER_MILLISECONDS))
   }
 
+  /** Ends the open transaction: at once if it waits for its caller, otherwise after the statement of it that runs. */
   function endTransaction (reason: string): void {
-    if (isAtWork() || startedSession?.transaction === undefined) return
-    startedSession.transaction.endReason = reason
-    operations.rollBack(startedSession.transaction)
+    const transaction = startedSession?.transaction
+    if (transaction === undefined || transaction.endReason !== undefined) return
+    transaction.endReason = reason
+    if (isAtWork()) rollsBackNext = true
+    else operations.rollBack(transaction)
+  }
+
+  function endWork (reason: string): void {
+    refusal = reason
+    endTransaction(reason)
+  }
+
+  function findAccess ({ prepared }: Session, { statement }: StatementRequest): CutStatement['access'] {
+    if (statement.kind === 'begin' || statement.kind === 'commit' || statement.kind === 'write') return statement.kind
+    return statement.kind === 'execute' ? prepared.get(statement.name)?.access ?? 'read' : 'read'
+  }
+
+  function cut (reason: string): void {
+    if (startedSession === undefined) return close()
+    const session = startedSession
+    if (running !== undefined) {
+      const { request, transaction } = running
+      const access = findAccess(session, request)
+      const outcome = assessCutStatement({ access, isInTransaction: transaction !== undefined, hasWritten: transaction?.wrote === true })
+      log.logAnswer('A statement was cut off by the end of the instance.', { statement: request.statement.kind, failure: outcome }, () => ({ id: request.id, statement: request.statement.kind, failure: outcome }))
+      if (outcome === 'aborted' && access !== 'commit') session.state = 'failed transaction'
+      write(codec.failure(outcome, reason) + codec.ready(session.state))
+    }
+    const waiting = messages.filter(({ kind }) => kind === 'statement').length
+    const failure = session.transaction === undefined ? 'busy' : 'aborted'
+    for (let answered = 0; answered < waiting; answered += 1) write(codec.failure(failure, `${reason}; the statement did not run`) + codec.ready(session.state))
+    close()
   }
 
   type MessageHandlers = { [Kind in CallerMessage['kind']]: (message: Extract<CallerMessage, { kind: Kind }>) => void | Promise<void> }
@@ -506,5 +552,5 @@
     close()
     client.release()
   })
-  return { closeIfIdle, reviewTransaction, endTransaction, close }
+  return { closeIfIdle, reviewTransaction, endWork, cut, close }
 }
--- a/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/holderService.ts
@@ -2,6 +2,7 @@
 
 import { isAllowedHere, measureDelay } from '@cyclamenusher/decisions'
 import { pause } from '../../process/clock.js'
+import { STOP_REASON } from '../callerListener.js'
 import { awaitLease } from '../confirmation.js'
 import { StatementFailure } from '../errors.js'
 import { createSession } from '../session.js'
@@ -32,7 +33,7 @@
   accept: (stream: MessageStream) => MessageStreamHandlers
   /** Tells the other instances that this one stops, so that they send new operations elsewhere. */
   startLeaving: () => void
-  /** Resolves once no work of other instances is left, by the plan at the latest. */
+  /** Ends the work of other instances by the plan. Resolves once none is left, at the plan's end at the latest. */
   drain: (plan: DrainPlan) => Promise<void>
 }
 
@@ -80,6 +81,8 @@
 export function createHolderService ({ runner, services, clock, logger, account }: HolderServiceOptions): HolderService {
   const instances = new Set<CallingInstance>()
   let leaving = false
+  /** Whether operations that arrive now are refused, because the instance stops soon. */
+  let refusing = false
 
   /** Takes the times of a statement when it arrives. */
   function receiveStatement (instance: CallingInstance, statement: ForwardedStatement): ReceivedStatement {
@@ -173,6 +176,10 @@
 
   function runInSession (instance: CallingInstance, { number, transaction, statement, admission }: Extract<HolderRequest, { kind: 'continue' | 'commit' }>, access: 'read' | 'write', run: (context: StatementContext, transaction: Transaction) => Promise<StatementResult>): ForwardedSession | undefined {
     const found = instance.transactions.get(transaction)
+    if (found === undefined && refusing) {
+      send(instance, { kind: 'failure', number, failure: 'busy', explanation: `${STOP_REASON}; the transaction is not open here`, state: 'failed transaction', canServe: false })
+      return undefined
+    }
     if (found === undefined) {
       send(instance, { kind: 'failure', number, failure: 'aborted', explanation: 'this transaction is not open here', state: 'failed transaction', canServe: true })
       return undefined
@@ -196,6 +203,7 @@
   const REQUEST_HANDLERS: RequestHandlers = {
     run: (instance, { number, access, operation, statement }) => {
       if (!isAllowed(operation)) return send(instance, { kind: 'failure', number, failure: 'busy', explanation: 'this instance lies outside the regions of the operation, which did not run', state: 'idle', canServe: false })
+      if (refusing) return send(instance, { kind: 'failure', number, failure: 'busy', explanation: `${STOP_REASON}; the operation did not run`, state: 'idle', canServe: false })
       const context = createContext(createSession('', ''), receiveStatement(instance, statement), access)
       if (instance.running >= MAXIMUM_RUNNING_REQUESTS) return send(instance, buildFailure(number, statement.id, context.session, new StatementFailure('busy', 'too many statements of one instance run here')))
       void answer(instance, number, context, async () => {
@@ -205,7 +213,7 @@
     },
     begin: (instance, { transaction: number, readOnly, operation, statement }) => {
       // The first statement of a transaction that is not open here is told so.
-      if (instance.transactions.size >= MAXIMUM_TRANSACTIONS || !isAllowed(operation)) return
+      if (refusing || instance.transactions.size >= MAXIMUM_TRANSACTIONS || !isAllowed(operation)) return
       const session = createSession('', '')
       const transaction: Transaction = { ...operation, beginId: statement.id, readOnly, wrote: false }
       session.transaction = transaction
@@ -271,18 +279,20 @@
     }
   }
 
-  function endIdleTransactions (): void {
+  /** Ends all transactions, those that run a statement after it, and refuses further operations. */
+  function endWork (): void {
+    refusing = true
     for (const { transactions } of instances) {
       for (const { transaction, pending } of transactions.values()) {
-        if (pending > 0 || transaction.endReason !== undefined) continue
-        transaction.endReason = 'the instance stops'
-        runner.rollBack(transaction)
+        if (transaction.endReason !== undefined) continue
+        transaction.endReason = STOP_REASON
+        if (pending === 0) runner.rollBack(transaction)
       }
     }
   }
 
   function countWork (): number {
-    return [...instances].reduce((sum, { running, transactions }) => sum + running + [...transactions.values()].filter(({ transaction }) => transaction.endReason === undefined).length, 0)
+    return [...instances].reduce((sum, { running, transactions }) => sum + running + [...transactions.values()].filter(({ transaction, pending }) => pending > 0 || transaction.endReason === undefined).length, 0)
   }
 
   return {
@@ -293,11 +303,16 @@
     },
     drain: async ({ closeIdleAfter, endTransactionsAfter, forceCloseAfter }) => {
       const startedAt = clock.now()
-      await pause(closeIdleAfter)
-      while (countWork() > 0 && clock.now() - startedAt < forceCloseAfter) {
-        if (clock.now() - startedAt >= endTransactionsAfter) endIdleTransactions()
-        await pause(DRAIN_POLL_INTERVAL_MILLISECONDS)
+
+      /** Waits until no work is left, until `after` milliseconds from the start at the latest. */
+      async function awaitWork (after: number): Promise<void> {
+        for (let left = after; countWork() > 0 && left > 0; left = startedAt + after - clock.now()) await pause(Math.min(left, DRAIN_POLL_INTERVAL_MILLISECONDS))
       }
+
+      await pause(closeIdleAfter)
+      await awaitWork(endTransactionsAfter)
+      endWork()
+      await awaitWork(forceCloseAfter)
     }
   }
 }
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -148,9 +148,10 @@
   const { session } = context
   requireNotEnded(session, transaction)
   await transaction.beginning
-  requireNotEnded(session, transaction)
-  if (transaction.acquired === undefined) await beginNow(services, context, transaction)
-  else await endWithoutKey(services, context, transaction)
+  if (transaction.endReason === undefined) {
+    if (transaction.acquired === undefined) await beginNow(services, context, transaction)
+    else await endWithoutKey(services, context, transaction)
+  }
   // It may also have been ended while its begin waited.
   if (transaction.endReason !== undefined) rollBackTransaction(services, transaction)
   requireNotEnded(session, transaction)
@@ -185,7 +186,10 @@
   if (transaction.endReason !== undefined) throw new StatementFailure('aborted', transaction.endReason)
   await transaction.beginning
   await endWithoutKey(services, context, transaction)
-  if (transaction.endReason !== undefined) throw new StatementFailure('aborted', transaction.endReason)
+  if (transaction.endReason !== undefined) {
+    rollBackTransaction(services, transaction)
+    throw new StatementFailure('aborted', transaction.endReason)
+  }
   const acquired = transaction.acquired ?? await beginAtServer(services, context, transaction)
   transaction.acquired = undefined
   const { connection } = acquired
--- a/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/fleetEntry.ts
@@ -147,7 +147,8 @@
       log.info('The instance starts to drain.', { callers: callers.callers(), graceMilliseconds: config.graceMilliseconds })
       engine.startDraining()
       const { graceMilliseconds } = config
-      const plan = { closeIdleAfter: BALANCER_REACTION_MILLISECONDS, endTransactionsAfter: graceMilliseconds * TRANSACTION_GRACE_FRACTION, forceCloseAfter: graceMilliseconds * CUT_GRACE_FRACTION }
+      const endTransactionsAfter = graceMilliseconds * TRANSACTION_GRACE_FRACTION
+      const plan = { closeIdleAfter: Math.min(BALANCER_REACTION_MILLISECONDS, endTransactionsAfter), endTransactionsAfter, forceCloseAfter: graceMilliseconds * CUT_GRACE_FRACTION }
       const [result] = await Promise.all([callers.drain(plan), engine.holder.drain(plan)])
       log.info('The instance stops.', { cut: result.cut })
       await close()
