--- a/packages/cyclamenusherd/src/node/connection/__tests__/abuse.ts
+++ b/packages/cyclamenusherd/src/node/connection/__tests__/abuse.ts
@@ -1,11 +1,12 @@
-/** Callers that misuse a real entry instance's PostgreSQL listener. Needs the built programs, as `npm run build` makes them. */
+/** Callers that misuse a real entry instance's PostgreSQL listener. */
 
+import { execFileSync } from 'node:child_process'
 import { readFileSync, readdirSync } from 'node:fs'
 import { connect } from 'node:net'
 import pg from 'pg'
 import * as assert from 'uvu/assert'
 import { FRONTEND, buildFrame, cString } from '@cyclamenusher/protocol'
-import { startDeployment } from '@cyclamenusher/stand-ins'
+import { WORKSPACE_FOLDER, startDeployment } from '@cyclamenusher/stand-ins'
 import type { Socket } from 'node:net'
 import type { Deployment, InstanceProcess } from '@cyclamenusher/stand-ins'
 
@@ -23,8 +24,10 @@
 let entry: InstanceProcess
 const sockets: Socket[] = []
 
-/** Starts three control instances, one entry instance and a group of three servers. */
+/** Builds the programs, and starts three control instances, one entry instance and a group of three servers. */
 export async function startPostgres (settings: Record<string, string[]>): Promise<void> {
+  // A checkout may have none, or those of other sources.
+  execFileSync(process.execPath, ['scripts/build.js'], { cwd: WORKSPACE_FOLDER })
   deployment = await startDeployment({
     failureDomains: ['domain-a', 'domain-b', 'domain-c'],
     entries: 1,
