fix(engine): a read of an open route that waits is refused for good after its key was withdrawn

A client with a key on a route that needs none got UNAUTH for a statement that waited for a connection while the key was withdrawn. The refusal was final and not true: without the key the route is open to it, and the next statement ran.

Now such a statement is busy (not run), and runs for no account when it is sent again, as a key of another account is. The commit of a transaction that was ended while a statement before it waited is also rolled back where that statement was refused before it ran.

--- a/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
+++ b/packages/cyclamenusherd/src/node/engine/operationAdmission.ts
@@ -70,17 +70,24 @@
 }
 
 /**
- * Requires, after a wait, that the key of an operation still stands for its account, so
- * that nothing is sent to a server later than that. Releases the connection otherwise.
- *
- * @throws StatementFailure
+ * Why an operation that has waited must not be sent: its key no longer stands for its
+ * account. Undefined: it may be sent. Where another account has the key, or the route
+ * needs none, it may run when it is sent again.
  */
-export function requireKey (services: LocalServices, { session }: StatementContext, { account, admission }: AdmittedOperation, acquired: AcquiredConnection): void {
+export function findKeyFailure (services: Pick<LocalServices, 'link'>, { session }: Pick<StatementContext, 'session'>, { account, admission }: AdmittedOperation): StatementFailure | undefined {
   const loss = findLoss(services, session, account, admission)
-  if (loss === undefined) return
+  if (loss === undefined) return undefined
+  const isOpen = services.link.declaration()?.routeOf(admission?.database ?? session.database)?.open === true
+  if (loss === 'withdrawn' && !isOpen) return createAccessFailure(services, 'key refused', KEY_LOSSES.withdrawn)
+  return new StatementFailure('busy', `${KEY_LOSSES[loss]}; the operation did not run: try again`)
+}
+
+/** Releases the connection if its operation must not be sent any more. @throws StatementFailure */
+export function requireKey (services: LocalServices, context: StatementContext, operation: AdmittedOperation, acquired: AcquiredConnection): void {
+  const failure = findKeyFailure(services, context, operation)
+  if (failure === undefined) return
   acquired.release(true)
-  if (loss === 'withdrawn') throw createAccessFailure(services, 'key refused', KEY_LOSSES.withdrawn)
-  throw new StatementFailure('busy', `${KEY_LOSSES.moved}; the operation did not run`)
+  throw failure
 }
 
 /** Why an open transaction must end, by the declaration here; undefined: it may go on. A change of its route applies from the next transaction onward. */
--- a/packages/cyclamenusherd/src/node/engine/transactions.ts
+++ b/packages/cyclamenusherd/src/node/engine/transactions.ts
@@ -183,9 +183,10 @@
   const { session } = context
   session.transaction = undefined
   session.state = 'idle'
-  if (transaction.endReason !== undefined) throw new StatementFailure('aborted', transaction.endReason)
-  await transaction.beginning
-  await endWithoutKey(services, context, transaction)
+  if (transaction.endReason === undefined) {
+    await transaction.beginning
+    await endWithoutKey(services, context, transaction)
+  }
   if (transaction.endReason !== undefined) {
     rollBackTransaction(services, transaction)
     throw new StatementFailure('aborted', transaction.endReason)
