fix(forwarding): a read is sent to another holder after its key was withdrawn

An operation whose holder refused it or went silent was sent to the next holder by the admission of its arrival, also when its key had been withdrawn meanwhile at the instance that sends it. It could run until its deadline.

Cause: the loops over the holders looked for the lease and the deadline, not at the key. Now they look at it before each holder is chosen. What one holder has already stays there until its deadline, as docs/design/keys.md says.

--- a/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
+++ b/packages/cyclamenusherd/src/node/engine/forwarding/forwarding.ts
@@ -10,6 +10,7 @@
 import { isAllowedDomain, orderHolders, selectHolder } from '@cyclamenusher/decisions'
 import { confirmDesignation, isLeaseOverdue } from '../confirmation.js'
 import { StatementFailure } from '../errors.js'
+import { findKeyFailure } from '../operationAdmission.js'
 import { requireNotEnded } from '../transactions.js'
 import { CONFIRM_GRACE_MILLISECONDS } from '../writes.js'
 import { createHolderLink } from './holderLink.js'
@@ -207,9 +208,16 @@
     return { route: { group, readPolicy, maximumStalenessMilliseconds, objectiveMilliseconds, priority }, account, ...(allowedRegions === undefined ? {} : { allowedRegions }), ...(admission === undefined ? {} : { admission }) }
   }
 
+  /** Requires, before an operation is sent to a holder, that its key still stands: it may have waited for others. @throws StatementFailure */
+  function requireKeyToSend (context: StatementContext, operation: AdmittedOperation): void {
+    const failure = findKeyFailure(services, context, operation)
+    if (failure !== undefined) throw failure
+  }
+
   async function runWriteElsewhere (context: StatementContext, operation: AdmittedOperation): Promise<StatementResult> {
     const excluded = new Set<HolderLink>()
     for (;;) {
+      requireKeyToSend(context, operation)
       if (isLeaseOverdue(link, clock)) throw new StatementFailure('busy', `${NO_LEASE_FOR_WRITES}; the write did not run: try another one`)
       const holder = chooseHolder(operation, excluded, 'write')
       if (holder === undefined) return await local.run(context, operation, 'write')
@@ -258,6 +266,7 @@
     const attempts = new Set<Promise<ReadEvent>>()
     let silentHolders = 0
     for (;;) {
+      requireKeyToSend(context, operation)
       const holder = silentHolders < MAXIMUM_SILENT_HOLDERS ? chooseHolder(operation, excluded, 'read') : undefined
       if (holder === undefined) return await runReadHere(context, operation, attempts)
       excluded.add(holder)
