fix(engine): a malformed message that waits at the end of a stop gets no answer

What waited behind the last statement of a stopping instance was answered, but for messages that can't be read, which were counted out. They are answered as the others are.

--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -1,17 +1,19 @@
 /** One caller's connection: owns the socket and the session, and answers the caller's statements one after another. */
 
-import { CLIENT_RESERVE_BYTES, PREFETCHED_TOKEN_MILLISECONDS, assessCutStatement } from '@cyclamenusher/decisions'
+import { CLIENT_RESERVE_BYTES, PREFETCHED_TOKEN_MILLISECONDS } from '@cyclamenusher/decisions'
 import { LONGEST_TIMER_MILLISECONDS } from '@cyclamenusher/protocol'
 import { createCallerProtection } from './callerProtection.js'
+import { cutRunning, refuseWaiting } from './cutAnswer.js'
 import { StatementFailure } from './errors.js'
 import { admitOperation, describeStatementAdmission, findTransactionEnd, resolveAccess } from './operationAdmission.js'
 import { createSession } from './session.js'
 import { INTERNAL_DIGEST } from './statement.js'
-import type { ClientAccount, CutStatement, PreparationKind } from '@cyclamenusher/decisions'
+import type { ClientAccount, PreparationKind } from '@cyclamenusher/decisions'
 import type { Socket } from 'node:net'
 import type { LogFacts } from '../process/logger.js'
 import type { LimitName } from '../process/limits.js'
 import type { CallerProtection } from './callerProtection.js'
+import type { RunningStatement } from './cutAnswer.js'
 import type { EngineServices } from './services.js'
 import type { AdmittedOperation, StatementResult, Session, StatementContext, Transaction } from './session.js'
 import type { CallerCodec, CallerMessage, Statement, StatementDefinition, StatementRequest } from './statement.js'
@@ -96,8 +98,7 @@
   let rollsBackNext = false
   /** Why operations are refused; undefined: they are not. */
   let refusal: string | undefined
-  /** The statement that is run now, and the transaction that was open when it arrived. */
-  let running: { request: StatementRequest, transaction: Transaction | undefined } | undefined
+  let running: RunningStatement | undefined
   /** When a token was last borrowed for the next operation; undefined: not since the last operation. */
   let prefetchedAt: number | undefined
 
@@ -463,25 +464,15 @@
     endTransaction(reason)
   }
 
-  function findAccess ({ prepared }: Session, { statement }: StatementRequest): CutStatement['access'] {
-    if (statement.kind === 'begin' || statement.kind === 'commit' || statement.kind === 'write') return statement.kind
-    return statement.kind === 'execute' ? prepared.get(statement.name)?.access ?? 'read' : 'read'
-  }
-
   function cut (reason: string): void {
     if (startedSession === undefined) return close()
-    const session = startedSession
     if (running !== undefined) {
-      const { request, transaction } = running
-      const access = findAccess(session, request)
-      const outcome = assessCutStatement({ access, isInTransaction: transaction !== undefined, hasWritten: transaction?.wrote === true })
-      log.logAnswer('A statement was cut off by the end of the instance.', { statement: request.statement.kind, failure: outcome }, () => ({ id: request.id, statement: request.statement.kind, failure: outcome }))
-      if (outcome === 'aborted' && access !== 'commit') session.state = 'failed transaction'
-      write(codec.failure(outcome, reason) + codec.ready(session.state))
+      const { id, statement } = running.request
+      const outcome = cutRunning(startedSession, running)
+      log.logAnswer('A statement was cut off by the end of the instance.', { statement: statement.kind, failure: outcome }, () => ({ id, statement: statement.kind, failure: outcome }))
+      write(codec.failure(outcome, reason) + codec.ready(startedSession.state))
     }
-    const waiting = messages.filter(({ kind }) => kind === 'statement').length
-    const failure = session.transaction === undefined ? 'busy' : 'aborted'
-    for (let answered = 0; answered < waiting; answered += 1) write(codec.failure(failure, `${reason}; the statement did not run`) + codec.ready(session.state))
+    write(refuseWaiting(codec, startedSession, messages, reason))
     close()
   }
 
