--- a/review/harness-3/server.mjs
+++ b/review/harness-3/server.mjs
@@ -47,7 +47,7 @@
 
   /** Gives a replica the primary's log up to an entry. */
   function receive (replica, primary, length) {
-    if (!isBehind(replica, primary)) return
+    if (!isBehind(replica, primary) || replica.term > primary.term) return
     const log = primary.log.slice(0, length)
     if (replica.term === primary.term && replica.log.length >= log.length) return
     replica.log = log
@@ -240,16 +240,16 @@
     promote: id => {
       const server = servers.find(candidate => candidate.id === id)
       if (server === undefined || !server.running) return 409
-      if (server.role === 'primary') return 200
+      if (server.role === 'primary' && server.term === term) return 200
       setTimeout(() => {
-        if (!server.running || server.role === 'primary') return
+        if (!server.running || (server.role === 'primary' && server.term === term)) return
         term += 1
         server.role = 'primary'
         server.term = term
         onPromoted(server)
         for (const other of servers) {
           if (other === server || other.role !== 'primary') continue
-          setTimeout(() => { other.role = 'replica' }, 1_000)
+          setTimeout(() => { if (other.term < server.term) other.role = 'replica' }, 1_000)
         }
       }, 600)
       return 200
