--- a/review/harness-3/deployment.mjs
+++ b/review/harness-3/deployment.mjs
@@ -222,6 +222,11 @@
 
 /** Runs a case: exits with 1 if it reports a broken rule, 0 if the rule held and 2 if it could not run. */
 export function runCase (run) {
+  // A fault of the stand-ins is not a broken rule.
+  process.on('uncaughtException', error => {
+    console.error(error)
+    process.exit(2)
+  })
   const limit = setTimeout(() => {
     console.error('the case took too long')
     process.exit(2)
