--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -4,7 +4,7 @@
  */
 
 import { fileURLToPath } from 'node:url'
-import { KEY, PORTS, hasTrouble, runCase, startDeployment } from '../harness-3/deployment.mjs'
+import { BOUNDS, KEY, PORTS, hasTrouble, runCase, startDeployment } from '../harness-3/deployment.mjs'
 import { openSession, pause } from '../harness-3/wire.mjs'
 
 const DOWN_MILLISECONDS = 600
@@ -20,6 +20,8 @@
   const runs = new Map()
   /** The last promotion of each service that took effect. */
   const promotions = new Map()
+  /** When each server was back after its crash. */
+  const returns = new Map()
   const deployment = await startDeployment({
     recordFile: fileURLToPath(new URL('record.txt', import.meta.url)),
     services: NAMES.map(name => ({ name, servers: 3 })),
@@ -27,7 +29,8 @@
     onRun: ({ server, id, text, at }) => {
       if (!text.startsWith('STORE')) return
       const newest = promotions.get(server.service)
-      runs.set(id, { server: server.id, term: server.term, role: server.role, supersededBy: newest === undefined || newest.server === server ? undefined : newest.server.id, since: newest === undefined ? undefined : at - newest.at })
+      const isExcused = at - (returns.get(server) ?? -Infinity) < BOUNDS.FreezeSlackMs
+      runs.set(id, { server: server.id, term: server.term, role: server.role, supersededBy: isExcused || newest === undefined || newest.server === server ? undefined : newest.server.id, since: newest === undefined ? undefined : at - newest.at })
     },
     onPromoted: server => {
       promotions.set(server.service, { server, at: Date.now() })
@@ -66,6 +69,7 @@
     await service.crash(primary)
     await pause(DOWN_MILLISECONDS)
     await service.restart(primary)
+    returns.set(primary, Date.now())
     record('is back', { server: primary.id, role: primary.role })
     await announce(primary)
   }
