--- a/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/__tests__/leadership.test.ts
@@ -3,7 +3,7 @@
 import { INITIAL_FLEET_STATE, NO_TOLERANCE, applyFleetCommand } from '@cyclamenusher/decisions'
 import { startLeadership } from '../leadership.js'
 import { createDocument, waitUntil } from './fleetHarness.js'
-import type { ControlAddress, Declaration, FleetCommand, FleetState, KnownServer, RenewGrant, RenewRequest } from '@cyclamenusher/decisions'
+import type { ControlAddress, Declaration, FleetCommand, FleetState, KnownServer, RenewGrant, RenewRequest, ServerStatus } from '@cyclamenusher/decisions'
 import type { Leadership } from '../leadership.js'
 
 const NEVER_ABORTED = new AbortController().signal
@@ -13,14 +13,14 @@
 test.after.each(() => { for (const leadership of started.splice(0)) leadership.close() })
 
 /** Starts a leader whose clock stands still between the steps of a test. `initial` is what the log holds; commands are in the log once `written` resolves, and those of earlier leaders are applied once `confirmed` does. */
-function startLeader (entries = 0, initial: Partial<FleetState> = {}, written: () => Promise<void> = async () => {}, confirmed: () => Promise<void> = async () => {}) {
+function startLeader (entries = 0, initial: Partial<FleetState> = {}, written: () => Promise<void> = async () => {}, confirmed: () => Promise<void> = async () => {}, askStatus: () => Promise<ServerStatus> = async () => { throw new Error('no server') }) {
   let now = 0
   let control: ControlAddress[] = []
   const logger = { error: () => {}, warn: () => {}, info: () => {}, debug: () => {} }
   const document = initial.document ?? createDocument(1, { groups: [] })
   let state: FleetState = { ...INITIAL_FLEET_STATE, document, entries, ...initial }
   const leadership = startLeadership({
-    administration: { askStatus: async () => { throw new Error('no server') }, stepDown: async () => { throw new Error('no server') }, close: () => {} },
+    administration: { askStatus, stepDown: async () => { throw new Error('no server') }, close: () => {} },
     promotion: { promote: async () => 'not sent' },
     propose: async command => {
       await written()
@@ -341,4 +341,16 @@
   })
 })
 
+test('a new leader does not learn in which term the primary was verified', async () => {
+  const server: KnownServer = { member: 'p', group: 'g', host: '10.0.0.1', port: 1, failureDomain: 'a', slots: 3, leaving: false, role: 'primary', bornAt: 1, sequence: 1, gone: false }
+  const designation = { group: 'g', member: 'p', number: 2, leadsFrom: 2 }
+  const initial = { document: createDocument(1), servers: new Map([['p', server]]), designations: new Map([['g', designation]]) }
+  const { advance, state } = startLeader(0, initial, undefined, undefined, async () => ({ role: 'primary', term: 2, received: { term: 2, position: 0 } }))
+  await waitUntil('the term', () => {
+    advance(50)
+    return state().designations.get('g')?.term !== undefined
+  })
+  assert.equal(state().designations.get('g'), { ...designation, term: 2 })
+})
+
 test.run()
--- a/packages/cyclamenusherd/src/node/process/fleet/groupTask.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/groupTask.ts
@@ -1,7 +1,7 @@
 /** Runs the control of one group: passes events to it and carries out its effects, which are requests to servers, designations and promotions. */
 
-import { getPrimaryAssignment, assessPrimary, createGroupControl, stepGroupControl } from '@cyclamenusher/decisions'
-import type { CommitCopies, Designation, FleetCommand, FleetOutcome, PrimaryAssignment, GroupControlState, GroupEffect, GroupEvent, GroupEnvironment, KnownServer, PromotionOutcome, ServerObservation, ServerStatus } from '@cyclamenusher/decisions'
+import { getPrimaryAssignment, assessPrimary, createGroupControl, findVerifiedTerm, stepGroupControl } from '@cyclamenusher/decisions'
+import type { CommitCopies, Designation, FleetCommand, FleetOutcome, PrimaryAssignment, GroupControlState, GroupEffect, GroupEvent, GroupEnvironment, KnownServer, PromotionOutcome, ServerObservation, ServerStatus, VerifiedTerm } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
 import type { ScopedLogger } from '../logger.js'
 import type { ProposeOutcome } from '../control/replicatedLog.js'
@@ -46,6 +46,8 @@
   tick: () => void
   /** Whether the designated primary has been verified: entry instances may use it, or it is to be replaced. */
   settled: () => boolean
+  /** The term in which the open primary was verified. */
+  verifiedTerm: () => VerifiedTerm | undefined
   close: () => void
 }
 
@@ -97,8 +99,8 @@
     }
   }
 
-  async function designate (member: string, after: number): Promise<void> {
-    const outcome = await propose({ kind: 'designate', group, member, after })
+  async function designate ({ member, after, leadsFrom }: Extract<GroupEffect, { kind: 'designate' }>): Promise<void> {
+    const outcome = await propose({ kind: 'designate', group, member, after, ...(leadsFrom === undefined ? {} : { leadsFrom }) })
     if (outcome.kind !== 'applied' || !('designation' in outcome.result)) {
       logger.warn('A designation was not confirmed by the log.', { group, member, outcome: outcome.kind })
       return
@@ -107,9 +109,9 @@
   }
 
   async function promote (member: string): Promise<void> {
-    if (!options.mayPromote()) return
+    if (!options.mayPromote()) return step({ kind: 'promoted', member, outcome: 'not sent' })
     const outcome = await promotion.promote({ group, member, holder: options.holder, fence: options.fence }, options.mayPromote)
-    logger.info('A promotion was ordered.', { group, member, fence: options.fence, outcome })
+    logger.info('A promotion was ordered.', { group, member, fence: options.fence, outcome, newestTerm: state.newestTerm })
     resignIfUnsent(outcome)
     step({ kind: 'promoted', member, outcome })
   }
@@ -128,7 +130,7 @@
   const EFFECT_HANDLERS: EffectHandlers = {
     publish: () => { options.publish(getPrimaryAssignment(state)) },
     'ask status': ({ member }) => { void sendRequest(member, administration.askStatus) },
-    designate: ({ member, after }) => { void designate(member, after) },
+    designate: effect => { void designate(effect) },
     promote: ({ member }) => { void promote(member) },
     'record copies': ({ copies }) => { options.recordCopies(copies) },
     'step down': ({ member, term }) => { void sendRequest(member, async server => await administration.stepDown(server, term)) }
@@ -148,7 +150,7 @@
     const next = stepGroupControl(state, event, environment)
     state = next.state
     if (state.phase !== phase) {
-      logger.info('The control of a group moved on.', { group, from: phase, to: state.phase, primary: state.designation?.member, designation: state.designation?.number, target: state.target, verdict: environment.verdict, term: state.term, ...describeChoice(environment) })
+      logger.info('The control of a group moved on.', { group, from: phase, to: state.phase, primary: state.designation?.member, designation: state.designation?.number, target: state.target, verdict: environment.verdict, term: state.term, newestTerm: state.newestTerm, ...describeOrders(), ...describeChoice(environment) })
     }
     for (const effect of next.effects) {
       const handle = EFFECT_HANDLERS[effect.kind] as (effect: GroupEffect) => void
@@ -156,10 +158,15 @@
     }
   }
 
+  /** The promotions whose outcome is not known, for the log. */
+  function describeOrders (): Record<string, unknown> {
+    return state.orders.size === 0 ? {} : { ordered: [...state.orders].map(([member, { after }]) => `${member} after ${after}`).join(', ') }
+  }
+
   /** The positions on which the choice of a successor depends, for the log. */
   function describeChoice ({ copies }: GroupEnvironment): Record<string, unknown> {
     if (state.phase !== 'choosing' && state.phase !== 'designating') return {}
-    const received = [...state.statuses].map(([member, { status }]) => `${member} ${status.role} ${status.received.term}.${status.received.position}`)
+    const received = [...state.statuses].map(([member, { status }]) => `${member} ${status.role} in ${status.term}, ${status.received.term}.${status.received.position}`)
     return { received: received.join(', '), copies: copies?.servers.map(({ member }) => member).join(', ') }
   }
 
@@ -182,6 +189,7 @@
       step({ kind: 'tick' })
     },
     settled: () => state.phase !== 'unverified',
+    verifiedTerm: () => findVerifiedTerm(state, clock.now()),
     close: () => { closed = true }
   }
 }
--- a/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/leadership.ts
@@ -12,7 +12,7 @@
 import { createRatePool } from './ratePool.js'
 import { createShareRecord } from './shareRecord.js'
 import { createWarmupShares } from './warmupShares.js'
-import type { AnnouncementOutcome, BorrowReply, BorrowRequest, ClientAccount, Declaration, FleetCommand, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ReturningInstances, ServerAnnouncement, ShareHolderChanges, SharedGrant, WarmupTolerance } from '@cyclamenusher/decisions'
+import type { AnnouncementOutcome, BorrowReply, BorrowRequest, ClientAccount, Declaration, FleetCommand, FleetState, GroupEnvironment, RateTolerance, RenewGrant, RenewRequest, ReturningInstances, ServerAnnouncement, ShareHolderChanges, SharedGrant, VerifiedTerm, WarmupTolerance } from '@cyclamenusher/decisions'
 import type { Clock } from '../clock.js'
 import type { ScopedLogger } from '../logger.js'
 import type { SharePlanOptions } from './entryLeases.js'
@@ -34,6 +34,8 @@
 const ENTRY_RETURN_MILLISECONDS = 4_000
 /** Minimum interval between two commands that write changed servers to the log, in milliseconds: each costs a disk sync. */
 const PERSIST_INTERVAL_MILLISECONDS = 1_000
+/** Interval at which terms of primaries are written that the log does not hold, in milliseconds: the next leader would wait for a promotion that is over. */
+const TERM_RECORD_INTERVAL_MILLISECONDS = 200
 /** Delay with which urgent changes end the held renewals, in milliseconds: short compared to a promotion. */
 const RELEASE_DELAY_MILLISECONDS = 40
 /** Minimum interval between two documents sent to one entry instance, in milliseconds: in a burst of changes, intermediate versions are skipped. */
@@ -125,6 +127,7 @@
   let boundsAwaitedSince = Infinity
   let persistedAt = startedAt
   let persistedChange = 0
+  let termsRecordedAt = startedAt
 
   /**
    * Ends the held renewals a moment later, together for the changes that come in between.
@@ -140,8 +143,8 @@
   }
 
   /** Writes what the next leader must know to the log. */
-  async function remember ({ servers = [], entries = state().entries, copies, shares = noShareChanges }: Partial<Omit<Extract<FleetCommand, { kind: 'remember' }>, 'kind'>>): ReturnType<LeadershipOptions['propose']> {
-    return await options.propose({ kind: 'remember', servers, entries, shares, ...(copies === undefined ? {} : { copies }) })
+  async function remember ({ servers = [], entries = state().entries, copies, shares = noShareChanges, verified = [] }: Partial<Omit<Extract<FleetCommand, { kind: 'remember' }>, 'kind'>>): ReturnType<LeadershipOptions['propose']> {
+    return await options.propose({ kind: 'remember', servers, entries, shares, ...(copies === undefined ? {} : { copies }), ...(verified.length === 0 ? {} : { verified }) })
   }
 
   /** Plans the shares after a delay, unless they are planned earlier anyway. */
@@ -225,6 +228,23 @@
     return Math.max(leases.count(now), expected)
   }
 
+  /** The terms of primaries that the next leader would not know. */
+  function listUnrecordedTerms (): VerifiedTerm[] {
+    const verified = [...groupTasks.values()].flatMap(task => task.verifiedTerm() ?? [])
+    return verified.filter(({ group, designation, term }) => {
+      const recorded = state().designations.get(group)
+      return recorded?.number === designation && recorded.term !== term
+    })
+  }
+
+  /** Writes the terms of primaries, as soon as a promotion is over. */
+  function recordTerms (now: number): void {
+    if (now - termsRecordedAt < TERM_RECORD_INTERVAL_MILLISECONDS) return
+    termsRecordedAt = now
+    const verified = listUnrecordedTerms()
+    if (verified.length > 0) void remember({ verified })
+  }
+
   /** Writes changed servers and the number of entry instances to the log, in batches. */
   function persistChanges (now: number): void {
     if (now - persistedAt < PERSIST_INTERVAL_MILLISECONDS) return
@@ -255,6 +275,7 @@
     shareRecord.write(leases, now)
     persistChanges(now)
     for (const group of groupTasks.values()) group.tick()
+    recordTerms(now)
     if (!settled && isSettled()) {
       settled = true
       releaseSoon()
--- a/packages/decisions/src/node/fleet/__tests__/drains.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/drains.test.ts
@@ -80,7 +80,7 @@
     run(group, 400, { p: 20, r1: 20, r2: 20 })
     assert.is(group.state().phase, 'closing')
     run(group, 700, { p: 20, r1: 20, r2: 20 })
-    assert.equal(group.effectsOf('designate').at(-1), { kind: 'designate', member: 'r2', after: 1 })
+    assert.equal(group.effectsOf('designate').at(-1), { kind: 'designate', member: 'r2', after: 1, leadsFrom: 2 })
   })
 }
 
@@ -91,7 +91,7 @@
   assert.is(group.effectsOf('designate').length, 0)
   assert.is(getPrimaryAssignment(group.state()).use, 'closed')
   run(group, 400, { p: 20, r1: 20, r2: 20 })
-  assert.equal(group.effectsOf('designate').at(-1), { kind: 'designate', member: 'r2', after: 1 })
+  assert.equal(group.effectsOf('designate').at(-1), { kind: 'designate', member: 'r2', after: 1, leadsFrom: 2 })
 })
 
 test('with all failure domains drained a primary is used after the bound, or stays closed after the withdrawal', () => {
@@ -113,7 +113,7 @@
   run(group, 400, { p: 20, r1: 19, r2: 17 })
   assert.is(group.effectsOf('designate').length, 0, 'the last commits are missing')
   run(group, 400, { p: 20, r1: 20, r2: 17 })
-  assert.equal(group.effectsOf('designate').at(-1), { kind: 'designate', member: 'r1', after: 1 })
+  assert.equal(group.effectsOf('designate').at(-1), { kind: 'designate', member: 'r1', after: 1, leadsFrom: 2 })
 })
 
 test('a replacement that has begun is given up when the drain is withdrawn', () => {
@@ -123,7 +123,7 @@
   group.environment.drains = new Map()
   group.environment.busy = false
   run(group, 400, { p: 20, r1: 20, r2: 17 })
-  assert.equal(group.effectsOf('designate').at(-1), { kind: 'designate', member: 'r1', after: 1 })
+  assert.equal(group.effectsOf('designate').at(-1), { kind: 'designate', member: 'r1', after: 1, leadsFrom: 2 })
 })
 
 for (const [candidate, position] of [['is dead', undefined], ['lags', 10]] as const) {
--- a/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/groupControl.test.ts
@@ -28,7 +28,7 @@
   group.step({ kind: 'tick' }, 50)
   group.step({ kind: 'status', member: 'r1', status: createStatus('replica', 8) })
   group.step({ kind: 'status', member: 'r2', status: createStatus('replica', 9) })
-  assert.equal(group.effectsOf('designate'), [{ kind: 'designate', member: 'r2', after: 1 }])
+  assert.equal(group.effectsOf('designate'), [{ kind: 'designate', member: 'r2', after: 1, leadsFrom: 2 }])
 })
 
 test('no server is chosen before leases of an earlier leader have expired', () => {
@@ -75,7 +75,7 @@
   group.step({ kind: 'promoted', member: 'r2', outcome: 'refused' })
   group.step({ kind: 'tick' }, 25)
   group.step({ kind: 'status', member: 'r1', status: createStatus('replica', 8) }, 400)
-  assert.equal(group.effectsOf('designate').at(-1), { kind: 'designate', member: 'r1', after: 2 })
+  assert.equal(group.effectsOf('designate').at(-1), { kind: 'designate', member: 'r1', after: 2, leadsFrom: 2 })
 })
 
 test('a planned replacement waits for running work and the last commits', () => {
@@ -94,7 +94,7 @@
   group.step({ kind: 'status', member: 'r2', status: createStatus('replica', 17) })
   assert.is(group.effectsOf('designate').length, 0)
   group.step({ kind: 'status', member: 'r1', status: createStatus('replica', 20) }, 25)
-  assert.equal(group.effectsOf('designate'), [{ kind: 'designate', member: 'r1', after: 1 }])
+  assert.equal(group.effectsOf('designate'), [{ kind: 'designate', member: 'r1', after: 1, leadsFrom: 2 }])
 })
 
 test('with one synchronous replica all candidates must answer', () => {
@@ -106,7 +106,7 @@
   group.step({ kind: 'tick' }, 5_000)
   assert.is(group.effectsOf('designate').length, 0)
   group.step({ kind: 'status', member: 'r2', status: createStatus('replica', 9) })
-  assert.equal(group.effectsOf('designate'), [{ kind: 'designate', member: 'r2', after: 1 }])
+  assert.equal(group.effectsOf('designate'), [{ kind: 'designate', member: 'r2', after: 1, leadsFrom: 2 }])
 })
 
 test('a primary that restarted with its log is used again', () => {
@@ -127,7 +127,7 @@
   group.step({ kind: 'status', member: 'p', status: createStatus('replica', 8) })
   group.step({ kind: 'tick' }, 25)
   for (const [member, answer] of [['p', createStatus('replica', 8)], ['r1', createStatus('primary', 12)], ['r2', createStatus('replica', 9)]] as const) group.step({ kind: 'status', member, status: answer }, 5)
-  assert.equal(group.effectsOf('designate'), [{ kind: 'designate', member: 'r1', after: 1 }])
+  assert.equal(group.effectsOf('designate'), [{ kind: 'designate', member: 'r1', after: 1, leadsFrom: 1 }])
 })
 
 test('the first designation is the server that announces itself as primary', () => {
@@ -150,7 +150,7 @@
   group.step({ kind: 'tick' }, 200)
   group.step({ kind: 'status', member: 'r1', status: createStatus('replica', 9) })
   group.step({ kind: 'tick' }, 400)
-  assert.equal(group.effectsOf('designate'), [{ kind: 'designate', member: 'r1', after: 1 }])
+  assert.equal(group.effectsOf('designate'), [{ kind: 'designate', member: 'r1', after: 1, leadsFrom: 2 }])
 })
 
 test('a recovered primary is used again while no replica answers', () => {
--- a/packages/decisions/src/node/fleet/__tests__/groupHarness.ts
+++ b/packages/decisions/src/node/fleet/__tests__/groupHarness.ts
@@ -3,6 +3,7 @@
 import { createGroupControl, stepGroupControl } from '../groupControl.js'
 import type { GroupControlState, GroupEffect, GroupEvent, GroupEnvironment, ServerStatus } from '../groupTypes.js'
 import type { KnownServer } from '../directory.js'
+import type { Designation } from '../state.js'
 
 /** Each server has its own host. */
 export function createServer (member: string, change: Partial<KnownServer> = {}): KnownServer {
@@ -16,9 +17,9 @@
 export const SERVERS = [createServer('p', { role: 'primary' }), createServer('r1'), createServer('r2')]
 
 /** The control of a group, with a virtual clock and the recorded effects. */
-export function createGroup (change: Partial<GroupEnvironment> = {}) {
+export function createGroup (change: Partial<GroupEnvironment> = {}, designation: Designation = { group: 'g', member: 'p', number: 1 }) {
   const environment: GroupEnvironment = { now: 0, servers: SERVERS, verdict: 'reachable', assignmentConfirmed: false, busy: false, earlierLeasesExpireAt: 0, synchronousReplicas: 0, endedRuns: new Set(), leavingRuns: new Set(), announcedBy: 0, drainMilliseconds: 7_000, ...change }
-  let state: GroupControlState = createGroupControl('g', { group: 'g', member: 'p', number: 1 }, 0)
+  let state: GroupControlState = createGroupControl('g', designation, environment.now)
   const effects: GroupEffect[] = []
   return {
     environment,
--- a/packages/decisions/src/node/fleet/__tests__/synchronousGroupModel.ts
+++ b/packages/decisions/src/node/fleet/__tests__/groupModel.ts
@@ -1,13 +1,15 @@
 /**
- * A group with synchronous replicas in virtual time: servers with logs, a provider that
- * promotes, a directory that hears of servers late, and leaders of control that change.
- * Counts the acknowledged commits that a promoted server lacks.
+ * A group in virtual time: servers with logs, a provider that promotes late and whose
+ * answers get lost, a directory that hears of servers late, and leaders of control that
+ * change. Counts the acknowledged commits that a promoted server lacks, and those that a
+ * server made after another one had begun to lead.
  */
 
 import { createRandom } from '../../model/world.js'
 import { describeRun } from '../commitCopies.js'
 import { deregisterServer, listGroupServers, mergeServer, recordAnnouncement } from '../directory.js'
 import { createGroupControl, getPrimaryAssignment, stepGroupControl } from '../groupControl.js'
+import { findVerifiedTerm } from '../promotionOrders.js'
 import { INITIAL_FLEET_STATE, applyFleetCommand, decodeFleetState, encodeFleetState } from '../state.js'
 import type { ServerRun } from '../commitCopies.js'
 import type { KnownServer } from '../directory.js'
@@ -38,6 +40,10 @@
   ended: boolean
   receives: boolean
   announces: boolean
+  /** Until when the servers do not reach each other's primary, so that a former one does not step down by itself. */
+  cutUntil: number
+  /** Until when control and the entry instances get no answer. */
+  silentUntil: number
   refusesUntil: number
   sequence: number
 }
@@ -47,29 +53,37 @@
   promotions: number
   /** Acknowledged commits that a server lacked when it was promoted. */
   lost: string[]
+  /** Acknowledged commits of a server after another one had begun to lead. */
+  outdated: string[]
   /** Whether the group serves once all faults are over. */
   serves: boolean
 }
 
 export interface GroupModelOptions {
   seed: number
+  /** Without, commits may be lost, and each is acknowledged at once. @default true */
+  isSynchronous?: boolean
   /** Whether each log outlives its server's process and control hears of each server; otherwise a copy may never be found again. */
   logsSurvive: boolean
 }
 
 /** `note` receives a line for each event, to trace a seed. */
-export function runSynchronousGroup ({ seed, logsSurvive }: GroupModelOptions, note: (line: string) => void = () => {}): GroupModelResult {
+export function runGroup ({ seed, isSynchronous = true, logsSurvive }: GroupModelOptions, note: (line: string) => void = () => {}): GroupModelResult {
   const random = createRandom(seed)
   const between = (least: number, most: number): number => least + Math.floor(random() * (most - least + 1))
   const pick = <Item>(items: readonly Item[]): Item | undefined => items[between(0, items.length - 1)]
-  const result: GroupModelResult = { acknowledged: 0, promotions: 0, lost: [], serves: false }
+  const result: GroupModelResult = { acknowledged: 0, promotions: 0, lost: [], outdated: [], serves: false }
   let now = 0
   let work: Array<{ at: number, run: () => void }> = []
   let fleet = INITIAL_FLEET_STATE
-  let declared = 1
+  let declared = isSynchronous ? 1 : 0
   let names = 0
   const acknowledged: Commit[] = []
   const servers: ModelServer[] = []
+  /** The server that was promoted last. */
+  let leading: ModelServer
+  /** Until when the provider's answers get lost. */
+  let answersLostUntil = -Infinity
 
   const later = (milliseconds: number, run: () => void): void => { work.push({ at: now + milliseconds, run }) }
   const endOf = ({ log, term, role }: ModelServer): Commit => log.at(-1) ?? { term: role === 'primary' ? term : 0, position: 0 }
@@ -80,14 +94,14 @@
 
   function addServer (host: string, log: Commit[], term = 1): ModelServer {
     names += 1
-    const server: ModelServer = { member: `s${names}`, host, bornAt: 1_000 + now, role: 'replica', term, log, up: true, leaving: false, ended: false, receives: true, announces: true, refusesUntil: -Infinity, sequence: 0 }
+    const server: ModelServer = { member: `s${names}`, host, bornAt: 1_000 + now, role: 'replica', term, log, up: true, leaving: false, ended: false, receives: true, announces: true, cutUntil: -Infinity, silentUntil: -Infinity, refusesUntil: -Infinity, sequence: 0 }
     servers.push(server)
     return server
   }
 
   /** Gives a replica what its primary holds, without gaps; what it holds beyond that is rolled back. */
   function deliver (replica: ModelServer, primary: ModelServer): void {
-    if (!replica.up || !primary.up || !replica.receives || replica.role !== 'replica' || replica === primary || replica.term > primary.term) return
+    if (!replica.up || !primary.up || !replica.receives || Math.max(replica.cutUntil, primary.cutUntil) > now || replica.role !== 'replica' || replica === primary || replica.term > primary.term) return
     Object.assign(replica, { log: [...primary.log], term: primary.term })
   }
 
@@ -114,7 +128,7 @@
     const at = leaderSince
     later(between(2, 20), () => {
       const server = servers.find(candidate => candidate.member === member && candidate.up)
-      if (server === undefined || at !== leaderSince) return
+      if (server === undefined || server.silentUntil > now || at !== leaderSince) return
       before(server)
       const status: ServerStatus = { role: server.role, term: server.term, received: endOf(server) }
       later(between(2, 20), () => { if (at === leaderSince && leads) step({ kind: 'status', member, status }) })
@@ -124,8 +138,9 @@
   function lead (server: ModelServer): void {
     const term = Math.max(...servers.map(other => other.term)) + 1
     result.promotions += 1
-    for (const commit of acknowledged) if (!holds(server, commit)) result.lost.push(`${commit.term}.${commit.position} at ${server.member}, ${now} ms`)
+    if (isSynchronous) for (const commit of acknowledged) if (!holds(server, commit)) result.lost.push(`${commit.term}.${commit.position} at ${server.member}, ${now} ms`)
     Object.assign(server, { role: 'primary', term })
+    leading = server
     for (const other of servers) if (other !== server && other.role === 'replica') Object.assign(other, { log: other.log.filter(entry => holds(server, entry)) })
     announce(server)
   }
@@ -142,11 +157,11 @@
       const at = leaderSince
       later(between(2, 30), () => { if (at === leaderSince && leads) apply({ kind: 'remember', servers: [], entries: 1, copies }) })
     },
-    designate: ({ member, after }) => {
+    designate: ({ member, after, leadsFrom }) => {
       const at = leaderSince
       later(between(2, 30), () => {
         if (at !== leaderSince || !leads) return
-        const outcome = apply({ kind: 'designate', group: 'g', member, after })
+        const outcome = apply({ kind: 'designate', group: 'g', member, after, leadsFrom })
         if ('designation' in outcome) step({ kind: 'designated', designation: outcome.designation, accepted: outcome.kind === 'designated' })
       })
     },
@@ -154,8 +169,11 @@
       const server = servers.find(candidate => candidate.member === member && candidate.up)
       const at = leaderSince
       const accepted = server !== undefined && server.refusesUntil < now
-      if (accepted && server.role !== 'primary') later(300, () => { if (server.up && server.role !== 'primary') lead(server) })
-      later(between(2, 20), () => { if (at === leaderSince && leads) step({ kind: 'promoted', member, outcome: accepted ? 'done' : 'refused' }) })
+      const isLost = answersLostUntil > now
+      const isExecuted = accepted && !(isLost && random() < 0.3)
+      if (isExecuted) later(between(200, 900), () => { if (server.up && server !== leading) lead(server) })
+      const outcome = isLost ? 'unknown' : accepted ? 'done' : 'refused'
+      later(isLost ? between(500, 1_000) : between(2, 20), () => { if (at === leaderSince && leads) step({ kind: 'promoted', member, outcome }) })
     }
   }
 
@@ -169,7 +187,7 @@
     const next = stepGroupControl(control, event, {
       now,
       servers: listGroupServers(directory, 'g'),
-      verdict: designated?.up === true ? 'reachable' : 'failed',
+      verdict: designated?.up === true && designated.silentUntil <= now ? 'reachable' : 'failed',
       assignmentConfirmed: now - publishedAt > 50,
       busy: false,
       earlierLeasesExpireAt: leaderSince + ELECTION_MILLISECONDS,
@@ -189,15 +207,20 @@
   function commit (): void {
     const { member, use } = getPrimaryAssignment(control)
     const primary = servers.find(server => server.member === member && server.up && server.role === 'primary')
-    if (primary === undefined || use !== 'open') return
+    if (primary === undefined || primary.silentUntil > now || use !== 'open') return
     const entry = { term: primary.term, position: endOf(primary).position + 1 }
     const required = declared
+    const isOutdated = primary !== leading
     primary.log.push(entry)
     for (const replica of servers) if (replica !== primary) later(between(1, 30), () => { deliver(replica, primary) })
+    const acknowledge = (): void => {
+      acknowledged.push(entry)
+      if (isOutdated) result.outdated.push(`${entry.term}.${entry.position} at ${member}, ${now} ms`)
+    }
     const confirm = (): void => {
       const isUsable = leads && getPrimaryAssignment(control).member === member && getPrimaryAssignment(control).use !== 'closed'
-      if (!primary.up || !isUsable || required === 0) return
-      if (servers.filter(server => server !== primary && server.up && holds(server, entry)).length >= required) acknowledged.push(entry)
+      if (!primary.up || !isUsable || (isSynchronous && required === 0)) return
+      if (servers.filter(server => server !== primary && server.up && holds(server, entry)).length >= required) acknowledge()
       else later(10, confirm)
     }
     later(5, confirm)
@@ -205,7 +228,7 @@
 
   function restart (server: ModelServer): void {
     if (server.up || server.ended) return
-    Object.assign(server, { up: true, bornAt: 1_000 + now, sequence: 0, receives: true, role: server.role === 'primary' && server.term === Math.max(...servers.map(({ term }) => term)) ? 'primary' : 'replica' })
+    Object.assign(server, { up: true, bornAt: 1_000 + now, sequence: 0, receives: true, role: server === leading ? 'primary' : 'replica' })
     announce(server)
   }
 
@@ -218,6 +241,56 @@
     later(between(50, 1_000), () => { announce(inherits ? addServer(server.host, [...server.log], server.term) : addServer(`10.0.0.${names + 1}`, [])) })
   }
 
+  function crash (server: ModelServer, milliseconds: number): void {
+    if (!server.up) return
+    server.up = false
+    later(milliseconds, () => { restart(server) })
+  }
+
+  function leave (server: ModelServer): void {
+    if (!server.up || server.leaving) return
+    server.leaving = true
+    announce(server)
+    later(between(2_000, 4_000), () => { end(server) })
+  }
+
+  /** Another control instance is elected after some time. */
+  function changeLeader (milliseconds: number): void {
+    leads = false
+    later(milliseconds, () => {
+      leads = true
+      leaderSince = now
+      publishedAt = now
+      directory = new Map()
+      for (const server of fleet.servers.values()) mergeServer(directory, server)
+      control = createGroupControl('g', fleet.designations.get('g'), now)
+    })
+  }
+
+  const DISTURBANCES: Array<(target: ModelServer) => void> = [
+    leave,
+    target => { crash(target, between(300, 6_000)) },
+    target => { target.silentUntil = now + between(300, 6_000) },
+    () => { changeLeader(between(100, 1_000)) },
+    () => { answersLostUntil = now + between(500, 3_000) },
+    target => { target.refusesUntil = now + 1_000 }
+  ]
+
+  /** The primary fails for a moment or is out of reach, and its successor is disturbed while it is promoted. */
+  function failWithSuccessor (): void {
+    const primary = findPrimary()
+    if (primary === undefined) return
+    for (const server of servers) server.cutUntil = now + between(500, 6_000)
+    if (random() < 0.5) crash(primary, between(200, 1_500))
+    else primary.silentUntil = now + between(200, 2_000)
+    for (let count = between(1, 3); count > 0; count -= 1) {
+      later(between(20, 1_500), () => {
+        const target = servers.find(({ member }) => member === control.designation?.member)
+        if (target !== undefined) DISTURBANCES[between(0, DISTURBANCES.length - 1)](target)
+      })
+    }
+  }
+
   const FAULTS: Array<() => void> = [
     () => {
       const server = pick(servers.filter(({ up }) => up))
@@ -231,16 +304,11 @@
     },
     () => {
       const primary = findPrimary()
-      if (primary === undefined) return
-      primary.up = false
-      later(between(1_000, 8_000), () => { restart(primary) })
+      if (primary !== undefined) crash(primary, between(1_000, 8_000))
     },
     () => {
       const server = pick(servers.filter(({ up, leaving }) => up && !leaving))
-      if (server === undefined) return
-      server.leaving = true
-      announce(server)
-      later(between(2_000, 4_000), () => { end(server) })
+      if (server !== undefined) leave(server)
     },
     () => {
       const server = pick(servers)
@@ -260,25 +328,20 @@
       server.refusesUntil = now + 1_000
     },
     () => {
+      if (!isSynchronous) return
       const previous = declared
       declared = between(0, 2)
       later(between(200, 2_000), () => { declared = Math.max(1, previous) })
     },
-    () => {
-      leads = false
-      later(between(100, 1_000), () => {
-        leads = true
-        leaderSince = now
-        publishedAt = now
-        directory = new Map()
-        for (const server of fleet.servers.values()) mergeServer(directory, server)
-        control = createGroupControl('g', fleet.designations.get('g'), now)
-      })
-    }
+    () => { changeLeader(between(100, 1_000)) },
+    failWithSuccessor,
+    failWithSuccessor,
+    failWithSuccessor
   ]
 
   for (let index = 0; index < 3; index += 1) addServer(`10.0.0.${index + 1}`, [])
   servers[0].role = 'primary'
+  leading = servers[0]
   for (const server of servers) announce(server)
   let faultAt = 1_000
   for (; now < END_MILLISECONDS; now += 5) {
@@ -288,12 +351,14 @@
     if (leads && now % TICK_MILLISECONDS === 0) step({ kind: 'tick' })
     if (now % 20 === 0) commit()
     if (now % CHECK_IN_MILLISECONDS === 0) for (const server of servers) announce(server)
+    const verified = findVerifiedTerm(control, now)
     if (now % 1_000 === 0 && leads) apply({ kind: 'remember', servers: [...directory.values()], entries: 1 })
+    if (now % 200 === 0 && leads && verified !== undefined) apply({ kind: 'remember', servers: [], entries: 1, verified: [verified] })
     const primary = findPrimary()
     if (now % 50 === 0 && primary !== undefined) {
       for (const server of servers) {
         // A former primary steps down once it reaches the new one.
-        if (server.up && server.role === 'primary' && server.term < primary.term && now % 1_000 === 0) server.role = 'replica'
+        if (server.up && server.role === 'primary' && server.term < primary.term && Math.max(server.cutUntil, primary.cutUntil) <= now && now % 1_000 === 0) server.role = 'replica'
         deliver(server, primary)
       }
     }
@@ -304,7 +369,10 @@
       note(`${now} fault ${index}, declared ${declared}: ${servers.map(describeServer).join(' | ')}`)
     }
     if (now === FAULTS_UNTIL_MILLISECONDS) {
+      answersLostUntil = -Infinity
       for (const server of servers) {
+        server.cutUntil = -Infinity
+        server.silentUntil = -Infinity
         server.receives = true
         server.announces = true
         restart(server)
--- a/packages/decisions/src/node/fleet/__tests__/state.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/state.test.ts
@@ -123,4 +123,15 @@
   assert.is(apply([remember({}), remember({ servers: [] })]).state.copies.size, 0)
 })
 
+// A new leader would take a former primary for the one that leads, or wait for a promotion that is over.
+test('the term of a primary is lost with a snapshot, or noted for another designation', () => {
+  const { state } = apply([{ kind: 'designate', group: 'g', member: 'p', after: 0 }, { kind: 'designate', group: 'g', member: 'r1', after: 1, leadsFrom: 2 }])
+  const verify = (designation: number) => applyFleetCommand(state, { kind: 'remember', servers: [], entries: 4, verified: [{ group: 'g', designation, term: 2 }] }).state
+  assert.equal(verify(1).designations.get('g'), { group: 'g', member: 'r1', number: 2, leadsFrom: 2 })
+  const verified = decodeFleetState(encodeFleetState(verify(2)))
+  assert.equal(verified.designations.get('g'), { group: 'g', member: 'r1', number: 2, leadsFrom: 2, term: 2 })
+  const next = applyFleetCommand(verified, { kind: 'designate', group: 'g', member: 'p', after: 2, leadsFrom: 3 }).state
+  assert.is(next.designations.get('g')?.term, undefined)
+})
+
 test.run()
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -2,14 +2,16 @@
  * Reducer by which control replaces the primary of a group. It closes the primary
  * for all entry instances, waits until each of them has confirmed that or has lost
  * its lease, and only then promotes another server. No server is promoted while an
- * entry instance may still use the old primary.
+ * entry instance may still use the old primary, and none is opened while another one
+ * leads the group or may be about to (promotionOrders.ts).
  */
 
 import { comparePositions } from '../session/position.js'
 import { RELEASE_CHECK_INTERVAL_MILLISECONDS, countSynchronousReplicas, listUnseenServers, noteInheritedLog, noteSeenPosition, recordCopies, releaseCopies, toRun } from './commitCopies.js'
 import { filterAskable, isDrainDue, isDrained } from './drainedServers.js'
 import { LEASE_MILLISECONDS } from './messages.js'
-import { chooseCandidate, listCandidates, findFreshStatus, findRecoveredPrimary, findRestartedPrimary, hasFollowingCandidate, isDrainedOnly, listMembersToAsk, findPrimary } from './successor.js'
+import { PROMOTION_TIMEOUT_MILLISECONDS, beginOrder, computeLeadingTerm, inheritOrders, isAnyPending, isLeading, isOtherPending, noteNewestTerm, recordCall, recordOutcome, settleOrders } from './promotionOrders.js'
+import { chooseCandidate, listCandidates, findFreshStatus, findLeadingStatus, findRecoveredPrimary, findRestartedPrimary, hasFollowingCandidate, isDrainedOnly, listMembersToAsk, findPrimary } from './successor.js'
 import type { KnownServer } from './directory.js'
 import type { PrimaryAssignment, GroupControlState, GroupEffect, GroupEvent, GroupPhase, GroupStep, GroupEnvironment, PrimaryUse, PromotionOutcome, ServerStatus } from './groupTypes.js'
 import type { Designation } from './state.js'
@@ -28,8 +30,14 @@
 const PLANNED_RETRY_MILLISECONDS = 4_000
 /** Interval between attempts to promote a server, or to designate a group's first primary, in milliseconds. */
 const PROMOTION_RETRY_MILLISECONDS = 400
-/** How long to wait until a promoted server reports that it is primary, in milliseconds: several times the usual length of a promotion. Then another server is chosen. Also limits the wait for the log to answer a designation, and for a missing primary to announce itself. */
-const PROMOTION_TIMEOUT_MILLISECONDS = 4_000
+/** How long to wait until the server whose promotion was ordered leads, in milliseconds. Then another server is chosen. */
+const AWAITING_TIMEOUT_MILLISECONDS = PROMOTION_TIMEOUT_MILLISECONDS
+/** The same where it already was primary and still is, in milliseconds: its answers after the end of the order show that nothing has changed. */
+const UNCHANGED_TIMEOUT_MILLISECONDS = 2 * PROMOTION_TIMEOUT_MILLISECONDS
+/** How long to wait until the log answers a designation, in milliseconds. */
+const DESIGNATION_TIMEOUT_MILLISECONDS = 4_000
+/** How long to wait for a missing primary to announce itself, in milliseconds: longer than the interval between two announcements. */
+const VERIFICATION_TIMEOUT_MILLISECONDS = 4_000
 /** How long a server that could not be promoted is excluded from the candidates, in milliseconds. */
 const EXCLUSION_MILLISECONDS = 2_000
 /** How long a replaced primary is asked to step down, in milliseconds. */
@@ -38,7 +46,7 @@
 const STEP_DOWN_INTERVAL_MILLISECONDS = 500
 
 export function createGroupControl (group: string, designation: Designation | undefined, now: number): GroupControlState {
-  return { group, phase: 'unverified', phaseSince: now, designation, term: 0, planned: false, statuses: new Map(), statusAskedAt: -Infinity, orderedAt: -Infinity, excludedUntil: new Map(), stepDownAskedAt: -Infinity, seenPositions: new Map() }
+  return { group, phase: 'unverified', phaseSince: now, designation, term: 0, planned: false, statuses: new Map(), statusAskedAt: -Infinity, orderedAt: -Infinity, excludedUntil: new Map(), stepDownAskedAt: -Infinity, seenPositions: new Map(), ...inheritOrders(designation, now) }
 }
 
 const USE_BY_PHASE: Record<GroupPhase, PrimaryUse> = {
@@ -88,11 +96,10 @@
     return
   }
   const status = findFreshStatus(step, state.designation.member)
-  if (status?.role === 'primary') return startServing(step, status)
-  if (status?.role === 'replica' || environment.verdict === 'failed') return enterPhase(step, 'fenced')
+  if (status !== undefined && isLeading(step, status)) return startServing(step, status)
+  if (status !== undefined || environment.verdict === 'failed') return enterPhase(step, 'fenced')
   const primary = findPrimary(step)
-  // The primary has not announced itself for longer than the interval between two announcements.
-  if (primary === undefined && environment.now - state.phaseSince > PROMOTION_TIMEOUT_MILLISECONDS && listCandidates(step).length > 0) return enterPhase(step, 'fenced')
+  if (primary === undefined && environment.now - state.phaseSince > VERIFICATION_TIMEOUT_MILLISECONDS && listCandidates(step).length > 0) return enterPhase(step, 'fenced')
   requestStatus(step, [state.designation.member], STATUS_INTERVAL_MILLISECONDS)
 }
 
@@ -104,7 +111,7 @@
   if (environment.verdict === 'failed' || restartedAsReplica) return enterPhase(step, 'fenced', { planned: false })
   const missing = primary === undefined && environment.verdict !== 'reachable'
   if (missing && hasSuccessor) return enterPhase(step, 'fenced', { planned: false })
-  if (isToBeReplaced(step, primary) && isReplaceable(step)) return enterPhase(step, 'closing', { planned: true })
+  if (isToBeReplaced(step, primary) && !isAnyPending(step) && isReplaceable(step)) return enterPhase(step, 'closing', { planned: true })
   if (state.drainedSince !== undefined && !isDrainedOnly(step)) Object.assign(state, { drainedSince: undefined, successorTarget: undefined })
   state.leavingSince = primary?.leaving === true ? state.leavingSince ?? environment.now : undefined
   if (isDrainEnding(step)) return enterPhase(step, 'closing', { planned: false })
@@ -170,19 +177,21 @@
   const resumable = findRestartedPrimary(step) ?? findRecoveredPrimary(step, candidates)
   if (resumable !== undefined) return startServing(step, resumable)
   const best = chooseCandidate(step, candidates)
-  const primaryStatus = state.designation === undefined ? undefined : findFreshStatus(step, state.designation.member)
+  const primaryStatus = findLeadingStatus(step)
   const behind = best !== undefined && (primaryStatus === undefined ? isPrimaryDrained(step) : comparePositions(best.status.received, primaryStatus.received) < 0)
   const hasTimedOut = environment.now - state.phaseSince >= CATCH_UP_TIMEOUT_MILLISECONDS
   const isDue = isDrainDue(step, findPrimary(step), DRAIN_RESERVE_MILLISECONDS)
   const lacksSuccessor = countSynchronousReplicas(step) > 0 ? best === undefined : isDrainedOnly(step) && (best === undefined || behind)
-  if (lacksSuccessor && hasTimedOut && !isDue && state.planned && primaryStatus?.role === 'primary') return resumePlanned(step, primaryStatus)
-  if (best === undefined || (state.planned && behind && !hasTimedOut)) {
+  if (lacksSuccessor && hasTimedOut && !isDue && state.planned && primaryStatus !== undefined) return resumePlanned(step, primaryStatus)
+  // Two promotions that are under way may take effect in any order.
+  const isBlocked = best !== undefined && isOtherPending(step, best.server.member)
+  if (best === undefined || isBlocked || (state.planned && behind && !hasTimedOut)) {
     return requestStatus(step, listMembersToAsk(step), state.planned && !(isDue && hasTimedOut) ? CATCH_UP_INTERVAL_MILLISECONDS : STATUS_INTERVAL_MILLISECONDS)
   }
   const { member } = best.server
-  enterPhase(step, 'designating', { target: member })
-  state.orderedAt = environment.now
-  step.effects.push({ kind: 'designate', member, after: state.designation?.number ?? 0 })
+  const leadsFrom = isLeading(step, best.status) ? best.status.term : Math.max(state.newestTerm + 1, computeLeadingTerm(state))
+  enterPhase(step, 'designating', { target: member, leadsFrom })
+  designateTarget(step)
 }
 
 /** Whether the primary is in a drained failure domain. It works, so its last commits are known only once it has answered. */
@@ -207,8 +216,8 @@
     return
   }
   const status = findFreshStatus(step, primary.member)
-  if (status?.role === 'primary') return startServing(step, status)
-  if (status?.role === 'replica') return enterPhase(step, 'fenced', { planned: false })
+  if (status !== undefined && isLeading(step, status)) return startServing(step, status)
+  if (status !== undefined) return enterPhase(step, 'fenced', { planned: false })
   requestStatus(step, [primary.member], STATUS_INTERVAL_MILLISECONDS)
 }
 
@@ -221,15 +230,21 @@
 function tickDesignating (step: GroupStep): void {
   const { state, environment } = step
   // The log did not answer. Proposing the designation again shows whether the first proposal was applied.
-  if (environment.now - state.orderedAt < PROMOTION_TIMEOUT_MILLISECONDS || state.target === undefined) return
+  if (environment.now - state.orderedAt >= DESIGNATION_TIMEOUT_MILLISECONDS) designateTarget(step)
+}
+
+function designateTarget (step: GroupStep): void {
+  const { state, environment } = step
+  if (state.target === undefined) return
   state.orderedAt = environment.now
-  step.effects.push({ kind: 'designate', member: state.target, after: state.designation?.number ?? 0 })
+  step.effects.push({ kind: 'designate', member: state.target, after: state.designation?.number ?? 0, leadsFrom: state.leadsFrom })
 }
 
 function tickPromoting (step: GroupStep): void {
   const { state, environment } = step
   if (state.target === undefined || environment.now - state.orderedAt < PROMOTION_RETRY_MILLISECONDS) return
   state.orderedAt = environment.now
+  recordCall(step, state.target)
   step.effects.push({ kind: 'promote', member: state.target })
 }
 
@@ -237,8 +252,9 @@
   const { state, environment } = step
   if (state.target === undefined) return enterPhase(step, 'fenced')
   const status = findFreshStatus(step, state.target)
-  if (status?.role === 'primary') return startServing(step, status)
-  if (environment.now - state.phaseSince > PROMOTION_TIMEOUT_MILLISECONDS) return excludeTarget(step, state.target)
+  if (status !== undefined && isLeading(step, status)) return startServing(step, status)
+  const timeout = status?.role === 'primary' ? UNCHANGED_TIMEOUT_MILLISECONDS : AWAITING_TIMEOUT_MILLISECONDS
+  if (environment.now - state.phaseSince > timeout) return excludeTarget(step, state.target)
   requestStatus(step, [state.target], STATUS_INTERVAL_MILLISECONDS / 3)
 }
 
@@ -263,14 +279,21 @@
 function handleDesignated (step: GroupStep, { designation, accepted }: Extract<GroupEvent, { kind: 'designated' }>): void {
   const { state, environment } = step
   if (designation === undefined) return
-  if (!accepted) return enterPhase(step, 'unverified', { designation })
-  if (state.phase !== 'designating') return enterPhase(step, 'unverified', { designation })
+  if (!accepted || state.phase !== 'designating') return adoptDesignation(step, designation)
   const previousMember = state.designation?.member
   const formerPrimary = previousMember === undefined || previousMember === designation.member ? state.formerPrimary : { member: previousMember, until: environment.now + STEP_DOWN_TIMEOUT_MILLISECONDS }
   enterPhase(step, 'promoting', { designation, formerPrimary })
+  beginOrder(step, designation.member)
   tickPromoting(step)
 }
 
+/** Takes over a designation that this leader has not ordered a promotion for. */
+function adoptDesignation (step: GroupStep, designation: Designation): void {
+  const { state, environment } = step
+  const { newestTerm, orders } = inheritOrders(designation, environment.now)
+  enterPhase(step, 'unverified', { designation, newestTerm: Math.max(state.newestTerm, newestTerm), orders: new Map([...orders, ...state.orders]) })
+}
+
 const PROMOTION_HANDLERS: Record<PromotionOutcome, (step: GroupStep, member: string) => void> = {
   done: step => { enterPhase(step, 'awaiting') },
   refused: excludeTarget,
@@ -288,11 +311,14 @@
   },
   status: (step, { member, status }) => {
     noteSeenPosition(step, member, status)
+    noteNewestTerm(step, status)
     step.state.statuses = new Map(step.state.statuses).set(member, { status, at: step.environment.now })
+    settleOrders(step)
     TICK_HANDLERS[step.state.phase](step)
   },
   designated: handleDesignated,
   promoted: (step, { member, outcome }) => {
+    recordOutcome(step, member, outcome)
     if (step.state.phase === 'promoting' && step.state.target === member) PROMOTION_HANDLERS[outcome](step, member)
   }
 }
--- a/packages/decisions/src/node/fleet/groupTypes.ts
+++ b/packages/decisions/src/node/fleet/groupTypes.ts
@@ -5,6 +5,7 @@
 import type { KnownServer } from './directory.js'
 import type { DrainDeadlines } from './drains.js'
 import type { PrimaryVerdict } from './evidence.js'
+import type { PromotionOrders } from './promotionOrders.js'
 import type { Designation } from './state.js'
 
 /** A server's answer to a status request. */
@@ -61,12 +62,18 @@
   phaseSince: number
   designation?: Designation
   term: number
+  /** Newest log term that any server has reported; the group may have been led in it. */
+  newestTerm: number
+  /** Promotions that were ordered, as long as their outcome is not known. */
+  orders: PromotionOrders
   /** `bornAt` (start time of the process) of the primary when control last verified that it is primary. */
   bornAt?: number
   /** When this instance first noticed that the primary is leaving; undefined if it is not. */
   leavingSince?: number
   /** The server to promote. */
   target?: string
+  /** Lowest term in which the target leads the group. */
+  leadsFrom?: number
   /** Whether the replacement in progress is planned: the primary still works, but is leaving or in a drained failure domain. */
   planned: boolean
   statuses: ReadonlyMap<string, { status: ServerStatus, at: number }>
@@ -108,7 +115,8 @@
 export type GroupEffect =
   | { kind: 'publish' }
   | { kind: 'ask status', member: string }
-  | { kind: 'designate', member: string, after: number }
+  /** `leadsFrom`: lowest term in which the server leads the group, unless the designation is the first. */
+  | { kind: 'designate', member: string, after: number, leadsFrom?: number }
   | { kind: 'promote', member: string }
   | { kind: 'step down', member: string, term: number }
   | { kind: 'record copies', copies: CommitCopies }
--- a/packages/decisions/src/node/fleet/state.ts
+++ b/packages/decisions/src/node/fleet/state.ts
@@ -20,6 +20,17 @@
   member: string
   /** Increases by one with each designation in the group. */
   number: number
+  /** Lowest log term in which the server leads the group; in an earlier one it is a former primary. Undefined: the first designation, or one of an earlier build. */
+  leadsFrom?: number
+  /** Log term in which the server was last verified as primary; undefined if it has not been, or by an earlier build. */
+  term?: number
+}
+
+/** The term in which the primary of a designation was verified. */
+export interface VerifiedTerm {
+  group: string
+  designation: number
+  term: number
 }
 
 /** Changes of the entry instances that may hold shares of rates or have borrowed lately. Leaders of earlier builds write none. */
@@ -33,11 +44,11 @@
 }
 
 export type FleetCommand =
-  /** Stores what the next leader must know: servers that have changed, the number of entry instances, the servers that may hold a group's acknowledged commits, and the entry instances that may hold shares of rates. */
-  | { kind: 'remember', servers: KnownServer[], entries: number, copies?: CommitCopies, shares?: ShareHolderChanges }
+  /** Stores what the next leader must know: servers that have changed, the number of entry instances, the servers that may hold a group's acknowledged commits, the entry instances that may hold shares of rates, and the terms in which primaries were verified. */
+  | { kind: 'remember', servers: KnownServer[], entries: number, copies?: CommitCopies, shares?: ShareHolderChanges, verified?: VerifiedTerm[] }
   | { kind: 'declare', document: DeclarationDocument }
   /** `after` is the number of the designation to replace; 0 for the first designation. */
-  | { kind: 'designate', group: string, member: string, after: number }
+  | { kind: 'designate', group: string, member: string, after: number, leadsFrom?: number }
   /** Drains a failure domain, or restores it. Repeating it changes nothing. */
   | { kind: 'drain', failureDomain: string, drained: boolean }
 
@@ -93,23 +104,33 @@
   return isNames(added) && isNames(removed) && isWrittenBounds(bounds)
 }
 
+function recordVerifiedTerms (recorded: FleetState['designations'], verified: readonly VerifiedTerm[]): FleetState['designations'] {
+  if (verified.length === 0) return recorded
+  const next = new Map(recorded)
+  for (const { group, designation, term } of verified) {
+    const current = next.get(group)
+    if (current?.number === designation) next.set(group, { ...current, term })
+  }
+  return next
+}
+
 type CommandHandlers = { [Kind in FleetCommand['kind']]: (state: FleetState, command: Extract<FleetCommand, { kind: Kind }>) => { state: FleetState, outcome: FleetOutcome } }
 
 const COMMAND_HANDLERS: CommandHandlers = {
-  remember: (state, { servers, entries, copies, shares }) => {
+  remember: (state, { servers, entries, copies, shares, verified = [] }) => {
     const known = new Map(state.servers)
     for (const server of servers) mergeServer(known, server)
-    return { state: { ...state, servers: known, entries, copies: recordCopies(state.copies, copies), ...recordShareHolders(state, shares) }, outcome: { kind: 'remembered' } }
+    return { state: { ...state, servers: known, entries, copies: recordCopies(state.copies, copies), designations: recordVerifiedTerms(state.designations, verified), ...recordShareHolders(state, shares) }, outcome: { kind: 'remembered' } }
   },
   declare: (state, { document }) => {
     const heldVersion = state.document?.version ?? -Infinity
     if (document.version <= heldVersion) return { state, outcome: { kind: 'overtaken', version: heldVersion } }
     return { state: { ...state, document }, outcome: { kind: 'declared', version: document.version } }
   },
-  designate: (state, { group, member, after }) => {
+  designate: (state, { group, member, after, leadsFrom }) => {
     const current = state.designations.get(group)
     if ((current?.number ?? 0) !== after) return { state, outcome: { kind: 'conflict', designation: current } }
-    const designation = { group, member, number: after + 1 }
+    const designation = { group, member, number: after + 1, ...(leadsFrom === undefined ? {} : { leadsFrom }) }
     return { state: { ...state, designations: new Map(state.designations).set(group, designation) }, outcome: { kind: 'designated', designation } }
   },
   drain: (state, { failureDomain, drained }) => {
--- a/packages/decisions/src/node/fleet/successor.ts
+++ b/packages/decisions/src/node/fleet/successor.ts
@@ -2,7 +2,9 @@
 
 import { comparePositions } from '../session/position.js'
 import { isDrained } from './drainedServers.js'
-import { countSynchronousReplicas, countUnansweredCopies, findInheritedLog, findLastPrimary, hasPrimaryReplacement } from './commitCopies.js'
+import { isLeading } from './promotionOrders.js'
+import { countSynchronousReplicas, countUnansweredCopies, describeRun, findInheritedLog, findLastPrimary, hasPrimaryReplacement } from './commitCopies.js'
+import type { ServerRun } from './commitCopies.js'
 import type { KnownServer } from './directory.js'
 import type { GroupStep, ServerStatus } from './groupTypes.js'
 
@@ -22,8 +24,9 @@
 export function listCandidates (step: GroupStep): KnownServer[] {
   const { state, environment } = step
   return environment.servers.filter(({ member, leaving }) => {
-    // A designated server that was never promoted is still a replica, and remains a candidate.
-    const isPrimary = member === state.designation?.member && state.statuses.get(member)?.status.role !== 'replica'
+    // A designated server that was never promoted is still a replica or a former primary, and remains a candidate.
+    const status = state.statuses.get(member)?.status
+    const isPrimary = member === state.designation?.member && (status === undefined || isLeading(step, status))
     return !isPrimary && !leaving && !isExcluded(step, member)
   }).filter(server => !isDrained(step, server))
 }
@@ -34,6 +37,13 @@
   return latest !== undefined && latest.at >= state.phaseSince ? latest.status : undefined
 }
 
+/** The status of the designated server, if it was asked for in the current phase and shows that the server leads the group. */
+export function findLeadingStatus (step: GroupStep): ServerStatus | undefined {
+  const member = step.state.designation?.member
+  const status = member === undefined ? undefined : findFreshStatus(step, member)
+  return status !== undefined && isLeading(step, status) ? status : undefined
+}
+
 /** The candidates, and the primary if the directory lists it; with synchronous replicas all servers, as each may hold an acknowledged commit. */
 export function listMembersToAsk (step: GroupStep): string[] {
   if (countSynchronousReplicas(step) > 0) return step.environment.servers.map(({ member }) => member)
@@ -43,13 +53,16 @@
   return primaryMember !== undefined && present ? [...new Set([...candidates, primaryMember])] : candidates
 }
 
-/** The status of a primary that has restarted with its log and is still primary, so that no other server was promoted. */
+function isSameRun (server: KnownServer, run: ServerRun | undefined): boolean {
+  return run !== undefined && describeRun(server) === describeRun(run)
+}
+
+/** The status of a primary that has restarted with its log, or was promoted late, and leads the group. */
 export function findRestartedPrimary (step: GroupStep): ServerStatus | undefined {
   const { state } = step
   const primary = findPrimary(step)
-  if (primary === undefined || state.planned || primary.bornAt === state.bornAt || primary.leaving || isDrained(step, primary)) return undefined
-  const status = findFreshStatus(step, primary.member)
-  return status?.role === 'primary' ? status : undefined
+  if (primary === undefined || state.planned || isSameRun(primary, state.lastPrimary) || primary.leaving || isDrained(step, primary)) return undefined
+  return findLeadingStatus(step)
 }
 
 /** The status of a primary that is reachable again while no candidate can be promoted, so that no other server was or can be promoted. */
@@ -61,8 +74,7 @@
     ? candidates.some(({ member }) => findFreshStatus(step, member) !== undefined)
     : chooseCandidate(step, candidates) !== undefined
   if (isPromotable || environment.now - state.phaseSince <= ANSWER_WAIT_MILLISECONDS) return undefined
-  const status = findFreshStatus(step, primary.member)
-  return status?.role === 'primary' ? status : undefined
+  return findLeadingStatus(step)
 }
 
 export interface AnsweredServer {
@@ -77,10 +89,18 @@
   })
 }
 
-/** Compares two candidates by position; of equal ones, a warm server is the better one. */
-function compareCandidates (left: AnsweredServer, right: AnsweredServer, { environment: { cold } }: GroupStep): number {
+/** Whether the server reports that it is primary, and is not known to lead the group. That its promotion has taken effect shows later than that of a replica: only in the term. */
+function isUnconfirmedPrimary (step: GroupStep, { status }: AnsweredServer): boolean {
+  return status.role === 'primary' && !isLeading(step, status)
+}
+
+/** Compares two candidates by position; of equal ones, a replica is better than a former primary, and a warm server than a cold one. */
+function compareCandidates (left: AnsweredServer, right: AnsweredServer, step: GroupStep): number {
+  const { cold } = step.environment
+  const compareFlags = (isWorse: (candidate: AnsweredServer) => boolean): number => Number(isWorse(right)) - Number(isWorse(left))
   const difference = comparePositions(left.status.received, right.status.received)
-  return difference !== 0 ? difference : Number(cold?.has(right.server.member) === true) - Number(cold?.has(left.server.member) === true)
+  if (difference !== 0) return difference
+  return compareFlags(candidate => isUnconfirmedPrimary(step, candidate)) || compareFlags(({ server }) => cold?.has(server.member) === true)
 }
 
 function findNewest (step: GroupStep, answered: readonly AnsweredServer[]): AnsweredServer | undefined {
@@ -96,7 +116,8 @@
 function chooseAsynchronousCandidate (step: GroupStep, candidates: readonly KnownServer[]): AnsweredServer | undefined {
   const answered = listAnswered(step, candidates)
   const isOver = step.environment.now - step.state.phaseSince > ANSWER_WAIT_MILLISECONDS
-  return answered.length === candidates.length || isOver ? findNewest(step, answered) : undefined
+  if (answered.length < candidates.length && !isOver) return undefined
+  return findNewest(step, answered.filter(candidate => !isUnconfirmedPrimary(step, candidate))) ?? findNewest(step, answered)
 }
 
 /**
@@ -153,9 +174,9 @@
   return target !== undefined && listAnswered(step, candidates).some(answered => isRecent(answered) && comparePositions(answered.status.received, target) >= 0)
 }
 
-/** The designated primary, if it has answered as primary: it holds every acknowledged commit. */
+/** The designated primary, if it has answered and leads the group: it holds every acknowledged commit. */
 function findAnsweringPrimary (step: GroupStep): AnsweredServer | undefined {
   const server = findPrimary(step)
-  const status = server === undefined ? undefined : findFreshStatus(step, server.member)
-  return server !== undefined && status?.role === 'primary' ? { server, status } : undefined
+  const status = findLeadingStatus(step)
+  return server !== undefined && status !== undefined ? { server, status } : undefined
 }
