fix(control): an answer that was asked for before a primary was closed counts for its last commits

What a server has received was compared with the time at which its answer came. An answer that had been asked for before the group was closed, and came late, counted as the state after the closing: a replica that lacked the last acknowledged commits could pass for one that held them.

The answer now counts from when it was asked for. The new test of `promotionOrders.test.ts` fails without that.

--- a/packages/cyclamenusherd/src/node/process/fleet/groupTask.ts
+++ b/packages/cyclamenusherd/src/node/process/fleet/groupTask.ts
@@ -90,7 +90,7 @@
       const status = await request(server)
       answeredAt.set(member, clock.now())
       failingSince.delete(member)
-      step({ kind: 'status', member, status })
+      step({ kind: 'status', member, status, askedAt: requestedAt })
     } catch (error) {
       if (!failingSince.has(member)) failingSince.set(member, requestedAt)
       logger.debug('A backend server did not answer control.', { group, member, reason: (error as Error).message })
--- a/packages/decisions/src/node/fleet/__tests__/groupModel.ts
+++ b/packages/decisions/src/node/fleet/__tests__/groupModel.ts
@@ -126,12 +126,13 @@
 
   function askStatus (member: string, before: (server: ModelServer) => void = () => {}): void {
     const at = leaderSince
+    const askedAt = now
     later(between(2, 20), () => {
       const server = servers.find(candidate => candidate.member === member && candidate.up)
       if (server === undefined || server.silentUntil > now || at !== leaderSince) return
       before(server)
       const status: ServerStatus = { role: server.role, term: server.term, received: endOf(server) }
-      later(between(2, 20), () => { if (at === leaderSince && leads) step({ kind: 'status', member, status }) })
+      later(between(2, 20), () => { if (at === leaderSince && leads) step({ kind: 'status', member, status, askedAt }) })
     })
   }
 
--- a/packages/decisions/src/node/fleet/__tests__/promotionOrders.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/promotionOrders.test.ts
@@ -142,6 +142,15 @@
   assert.ok(opened > 8_000 && opened < 9_000, `${opened} ms`)
 })
 
+test('an answer that was asked for before the primary was closed counts for its last commits', () => {
+  const group = createServingGroup({ assignmentConfirmed: true, synchronousReplicas: 1 })
+  group.environment.verdict = 'failed'
+  group.step({ kind: 'tick' })
+  group.step({ kind: 'tick' }, 25)
+  for (const member of ['r1', 'r2']) group.step({ kind: 'status', member, status: createStatus('replica', 9), askedAt: 0 }, 10)
+  assert.is(group.effectsOf('designate').length, 0)
+})
+
 test('a new leader waits for a promotion that the log shows as over', () => {
   const designation = { group: 'g', member: 'p', number: 2, leadsFrom: 2 }
   const statuses = { r1: createStatus('replica', 9), r2: createStatus('replica', 9) }
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -309,10 +309,10 @@
     recordCopies(step)
     TICK_HANDLERS[step.state.phase](step)
   },
-  status: (step, { member, status }) => {
+  status: (step, { member, status, askedAt }) => {
     noteSeenPosition(step, member, status)
     noteNewestTerm(step, status)
-    step.state.statuses = new Map(step.state.statuses).set(member, { status, at: step.environment.now })
+    step.state.statuses = new Map(step.state.statuses).set(member, { status, at: askedAt ?? step.environment.now })
     settleOrders(step)
     TICK_HANDLERS[step.state.phase](step)
   },
--- a/packages/decisions/src/node/fleet/groupTypes.ts
+++ b/packages/decisions/src/node/fleet/groupTypes.ts
@@ -76,6 +76,7 @@
   leadsFrom?: number
   /** Whether the replacement in progress is planned: the primary still works, but is leaving or in a drained failure domain. */
   planned: boolean
+  /** The last answer of each server, and when it was asked for. */
   statuses: ReadonlyMap<string, { status: ServerStatus, at: number }>
   statusAskedAt: number
   /** When the last designation or promotion was ordered in this phase. */
@@ -105,7 +106,8 @@
 
 export type GroupEvent =
   | { kind: 'tick' }
-  | { kind: 'status', member: string, status: ServerStatus }
+  /** `askedAt`: when the status was asked for. @default now */
+  | { kind: 'status', member: string, status: ServerStatus, askedAt?: number }
   | { kind: 'designated', designation: Designation | undefined, accepted: boolean }
   | { kind: 'promoted', member: string, outcome: PromotionOutcome }
 
--- a/packages/decisions/src/node/fleet/successor.ts
+++ b/packages/decisions/src/node/fleet/successor.ts
@@ -31,7 +31,7 @@
   }).filter(server => !isDrained(step, server))
 }
 
-/** The member's status, if it arrived in the current phase. */
+/** The member's status, if it was asked for in the current phase. */
 export function findFreshStatus ({ state }: GroupStep, member: string): ServerStatus | undefined {
   const latest = state.statuses.get(member)
   return latest !== undefined && latest.at >= state.phaseSince ? latest.status : undefined
