fix(control): a group's primary stays open after another server has begun to lead

An open primary was verified once. A promotion that took effect after control had given it up, or the promotion of a server that control had replaced, was not noticed: writes went on at the old primary until they failed.

A server that is not the primary and announces itself as one, and every designated one that was replaced, is asked to step down first thing. One that leads a newer term doesn't, and its answer has the term: the group is closed, and its primary verified or replaced. A primary that announces itself as a replica is asked, and replaced if it is one.

Four new tests of `promotionOrders.test.ts` fail without this.

--- a/packages/decisions/src/node/fleet/__tests__/promotionOrders.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/promotionOrders.test.ts
@@ -142,6 +142,42 @@
   assert.ok(opened > 8_000 && opened < 9_000, `${opened} ms`)
 })
 
+test('the primary stays open after another server has begun to lead', () => {
+  const group = createServingGroup({ servers: LED_BY_R1, assignmentConfirmed: true })
+  group.step({ kind: 'tick' }, 25)
+  assert.equal(group.effectsOf('step down'), [{ kind: 'step down', member: 'r1', term: 1 }])
+  group.step({ kind: 'status', member: 'r1', status: createStatus('primary', 9, 2) })
+  assert.is(isOpen(group), false)
+  run(group, 300, { p: createStatus('primary', 10), r1: createStatus('primary', 9, 2), r2: createStatus('replica', 9, 2) })
+  assert.is(isOpen(group), false)
+  assert.is(listOrdered(group).at(-1), 'r1')
+})
+
+test('a primary whose term has changed is closed for good', () => {
+  const group = createServingGroup()
+  group.step({ kind: 'status', member: 'r1', status: createStatus('replica', 10, 2) }, 25)
+  group.step({ kind: 'tick' }, 25)
+  assert.is(isOpen(group), false)
+  assert.ok(run(group, 200, { p: createStatus('primary', 10, 2) }))
+  assert.is(getPrimaryAssignment(group.state()).term, 2)
+})
+
+test('a server that has stopped to lead stays the primary', () => {
+  const group = createServingGroup({ servers: [createServer('p'), createServer('r1')] })
+  run(group, 500, { p: createStatus('replica', 10) })
+  assert.is(isOpen(group), false)
+})
+
+test('two former primaries are not both asked to step down', () => {
+  const group = createReplacedGroup()
+  group.step({ kind: 'tick' }, 25)
+  group.environment.servers = [OLD_PRIMARY, createServer('r1', { role: 'primary', leaving: true }), createServer('r2')]
+  run(group, 200, { p: createStatus('primary', 9), r1: createStatus('primary', 9, 2), r2: createStatus('replica', 9) }, 'done')
+  run(group, 600, { r2: createStatus('primary', 9, 3) })
+  group.step({ kind: 'tick' }, 500)
+  assert.equal(group.effectsOf('step down').slice(-2), ['p', 'r1'].map(member => ({ kind: 'step down', member, term: 3 })))
+})
+
 test('an answer that was asked for before the primary was closed counts for its last commits', () => {
   const group = createServingGroup({ assignmentConfirmed: true, synchronousReplicas: 1 })
   group.environment.verdict = 'failed'
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -40,13 +40,13 @@
 const VERIFICATION_TIMEOUT_MILLISECONDS = 4_000
 /** How long a server that could not be promoted is excluded from the candidates, in milliseconds. */
 const EXCLUSION_MILLISECONDS = 2_000
-/** How long a replaced primary is asked to step down, in milliseconds. */
+/** How long a replaced primary is asked to step down without a new announcement of it, in milliseconds. */
 const STEP_DOWN_TIMEOUT_MILLISECONDS = 60_000
 /** Interval between step-down requests, in milliseconds. */
 const STEP_DOWN_INTERVAL_MILLISECONDS = 500
 
 export function createGroupControl (group: string, designation: Designation | undefined, now: number): GroupControlState {
-  return { group, phase: 'unverified', phaseSince: now, designation, term: 0, planned: false, statuses: new Map(), statusAskedAt: -Infinity, orderedAt: -Infinity, excludedUntil: new Map(), stepDownAskedAt: -Infinity, seenPositions: new Map(), ...inheritOrders(designation, now) }
+  return { group, phase: 'unverified', phaseSince: now, designation, term: 0, planned: false, statuses: new Map(), statusAskedAt: -Infinity, orderedAt: -Infinity, excludedUntil: new Map(), formerPrimaries: new Set(), stepDownAsked: new Map(), seenPositions: new Map(), ...inheritOrders(designation, now) }
 }
 
 const USE_BY_PHASE: Record<GroupPhase, PrimaryUse> = {
@@ -105,6 +105,9 @@
 
 function tickServing (step: GroupStep): void {
   const { state, environment } = step
+  // Another server leads, or the primary was promoted once more.
+  if (state.newestTerm > state.term) return enterPhase(step, 'unverified')
+  requestStepDown(step)
   const primary = findPrimary(step)
   const restartedAsReplica = primary !== undefined && primary.bornAt !== state.bornAt && primary.role === 'replica'
   const hasSuccessor = listCandidates(step).length > 0
@@ -116,9 +119,9 @@
   state.leavingSince = primary?.leaving === true ? state.leavingSince ?? environment.now : undefined
   if (isDrainEnding(step)) return enterPhase(step, 'closing', { planned: false })
   if (isDrainDue(step, primary, DRAIN_RESERVE_MILLISECONDS)) return enterPhase(step, 'closing', { planned: true })
-  requestStepDown(step)
   if (primary === undefined) return
-  const unconfirmed = [...new Set([...releaseCopies(step, primary.member), ...listUnseenServers(step)])]
+  if (findFreshStatus(step, primary.member)?.role === 'replica') return enterPhase(step, 'fenced', { planned: false })
+  const unconfirmed = [...new Set([...releaseCopies(step, primary.member), ...listUnseenServers(step), ...(primary.role === 'replica' ? [primary.member] : [])])]
   if (unconfirmed.length > 0) requestStatus(step, unconfirmed, RELEASE_CHECK_INTERVAL_MILLISECONDS)
 }
 
@@ -140,20 +143,24 @@
   return state.leavingSince !== undefined && environment.now - state.leavingSince > environment.drainMilliseconds - DRAIN_RESERVE_MILLISECONDS
 }
 
-/** Asks the former primary to step down until it reports that it is a replica, leaves the directory, or the time limit passes. */
+/** Asks servers other than the primary that were designated before, or announce themselves as primary, to step down. One that leads a newer term does not, and its answer shows the term. */
 function requestStepDown (step: GroupStep): void {
   const { state, environment } = step
-  if (state.formerPrimary === undefined) return
-  const { member, until } = state.formerPrimary
-  const status = findFreshStatus(step, member)
-  const present = environment.servers.some(server => server.member === member)
-  if (status?.role === 'replica' || environment.now > until || !present) {
-    state.formerPrimary = undefined
-    return
+  for (const { member, sequence } of listFormerPrimaries(step)) {
+    const last = state.stepDownAsked.get(member)
+    const isKnown = last?.sequence === sequence && environment.now - state.phaseSince > STEP_DOWN_TIMEOUT_MILLISECONDS
+    if (isKnown || environment.now - (last?.at ?? -Infinity) < STEP_DOWN_INTERVAL_MILLISECONDS) continue
+    state.stepDownAsked = new Map(state.stepDownAsked).set(member, { at: environment.now, sequence })
+    step.effects.push({ kind: 'step down', member, term: state.term })
   }
-  if (environment.now - state.stepDownAskedAt < STEP_DOWN_INTERVAL_MILLISECONDS) return
-  state.stepDownAskedAt = environment.now
-  step.effects.push({ kind: 'step down', member, term: state.term })
+}
+
+function listFormerPrimaries (step: GroupStep): KnownServer[] {
+  const { state, environment } = step
+  const others = environment.servers.filter(({ member }) => member !== state.designation?.member)
+  const replaced = others.filter(({ member }) => state.formerPrimaries.has(member) && findFreshStatus(step, member)?.role !== 'replica')
+  if (replaced.length !== state.formerPrimaries.size) state.formerPrimaries = new Set(replaced.map(({ member }) => member))
+  return others.filter(server => server.role === 'primary' || replaced.includes(server))
 }
 
 function tickClosing (step: GroupStep): void {
@@ -277,12 +284,11 @@
 }
 
 function handleDesignated (step: GroupStep, { designation, accepted }: Extract<GroupEvent, { kind: 'designated' }>): void {
-  const { state, environment } = step
+  const { state } = step
   if (designation === undefined) return
   if (!accepted || state.phase !== 'designating') return adoptDesignation(step, designation)
   const previousMember = state.designation?.member
-  const formerPrimary = previousMember === undefined || previousMember === designation.member ? state.formerPrimary : { member: previousMember, until: environment.now + STEP_DOWN_TIMEOUT_MILLISECONDS }
-  enterPhase(step, 'promoting', { designation, formerPrimary })
+  enterPhase(step, 'promoting', { designation, formerPrimaries: new Set([...state.formerPrimaries, ...(previousMember === undefined ? [] : [previousMember])]) })
   beginOrder(step, designation.member)
   tickPromoting(step)
 }
--- a/packages/decisions/src/node/fleet/groupTypes.ts
+++ b/packages/decisions/src/node/fleet/groupTypes.ts
@@ -83,9 +83,10 @@
   orderedAt: number
   /** Servers that could not be promoted, with the time until which they are excluded from the candidates. */
   excludedUntil: ReadonlyMap<string, number>
-  /** The previous primary, which may not have stepped down yet, and the time until which it is asked to. */
-  formerPrimary?: { member: string, until: number }
-  stepDownAskedAt: number
+  /** Designated servers that were replaced and may not have stepped down yet. */
+  formerPrimaries: ReadonlySet<string>
+  /** When servers were last asked to step down, and the sequence number of their last announcement then. */
+  stepDownAsked: ReadonlyMap<string, { at: number, sequence: number }>
   /** Newest position that each run of a server, by `describeRun`, has reported since the primary's term began; a promotion may roll servers back. */
   seenPositions: ReadonlyMap<string, LogPosition>
   /** The server that was last verified as primary. */
