fix(control): a new leader waits without end for a primary that it does not reach

A group stayed closed while the leader got no answer of the designated primary, and entry instances reached it, as where the primary is cut off from the control instances when their leader changes.

After 4 s a candidate is promoted, as where the primary is not listed. The new test fails without that.

--- a/packages/decisions/src/node/fleet/__tests__/promotionOrders.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/promotionOrders.test.ts
@@ -199,6 +199,14 @@
   }
 })
 
+test('a new leader waits without end for a primary that entry instances reach, and it does not', () => {
+  const group = createGroup({ assignmentConfirmed: true }, { group: 'g', member: 'p', number: 2, leadsFrom: 2, term: 2 })
+  assert.is(run(group, 3_900, {}), undefined)
+  assert.is(group.state().phase, 'unverified')
+  run(group, 500, { r1: createStatus('replica', 9, 2), r2: createStatus('replica', 9, 2) })
+  assert.is(listOrdered(group).length, 1)
+})
+
 test('the term of a primary is not recorded, or before its promotion is over', () => {
   const group = createServingGroup()
   assert.equal(findVerifiedTerm(group.state(), group.environment.now), { group: 'g', designation: 1, term: 1 })
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -36,7 +36,7 @@
 const UNCHANGED_TIMEOUT_MILLISECONDS = 2 * PROMOTION_TIMEOUT_MILLISECONDS
 /** How long to wait until the log answers a designation, in milliseconds. */
 const DESIGNATION_TIMEOUT_MILLISECONDS = 4_000
-/** How long to wait for a missing primary to announce itself, in milliseconds: longer than the interval between two announcements. */
+/** How long to wait for an answer of the designated primary, in milliseconds: longer than the interval between two announcements. */
 const VERIFICATION_TIMEOUT_MILLISECONDS = 4_000
 /** How long a server that could not be promoted is excluded from the candidates, in milliseconds. */
 const EXCLUSION_MILLISECONDS = 2_000
@@ -98,8 +98,7 @@
   const status = findFreshStatus(step, state.designation.member)
   if (status !== undefined && isLeading(step, status)) return startServing(step, status)
   if (status !== undefined || environment.verdict === 'failed') return enterPhase(step, 'fenced')
-  const primary = findPrimary(step)
-  if (primary === undefined && environment.now - state.phaseSince > VERIFICATION_TIMEOUT_MILLISECONDS && listCandidates(step).length > 0) return enterPhase(step, 'fenced')
+  if (environment.now - state.phaseSince > VERIFICATION_TIMEOUT_MILLISECONDS && listCandidates(step).length > 0) return enterPhase(step, 'fenced')
   requestStatus(step, [state.designation.member], STATUS_INTERVAL_MILLISECONDS)
 }
 
