fix(control): a server that has started again, empty, since it was chosen is promoted

Control repeated the order without asking whether the server still was the one whose position it had compared.

Its start time is kept with the choice and compared before each call; if it has changed, a successor is chosen anew.

--- a/packages/decisions/src/node/fleet/__tests__/promotionOrders.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/promotionOrders.test.ts
@@ -207,6 +207,15 @@
   assert.is(listOrdered(group).length, 1)
 })
 
+// All commits were lost: the promotion service was down until the server had started again (review/11).
+test('a server is promoted that has started again, empty, since it was chosen', () => {
+  const group = createPromotingGroup()
+  group.step({ kind: 'promoted', member: 'r1', outcome: 'unknown' })
+  group.environment.servers = [createServer('r1', { bornAt: 2 }), createServer('r2')]
+  run(group, 5_000, { r1: createStatus('replica', 0), r2: createStatus('replica', 8) })
+  assert.equal(listOrdered(group).filter((member, index, all) => member !== all[index - 1]), ['r1', 'r2'])
+})
+
 test('the term of a primary is not recorded, or before its promotion is over', () => {
   const group = createServingGroup()
   assert.equal(findVerifiedTerm(group.state(), group.environment.now), { group: 'g', designation: 1, term: 1 })
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -194,9 +194,9 @@
   if (best === undefined || isBlocked || (state.planned && behind && !hasTimedOut)) {
     return requestStatus(step, listMembersToAsk(step), state.planned && !(isDue && hasTimedOut) ? CATCH_UP_INTERVAL_MILLISECONDS : STATUS_INTERVAL_MILLISECONDS)
   }
-  const { member } = best.server
+  const { member, bornAt } = best.server
   const leadsFrom = isLeading(step, best.status) ? best.status.term : Math.max(state.newestTerm + 1, computeLeadingTerm(state))
-  enterPhase(step, 'designating', { target: member, leadsFrom })
+  enterPhase(step, 'designating', { target: member, targetBornAt: bornAt, leadsFrom })
   designateTarget(step)
 }
 
@@ -249,11 +249,18 @@
 function tickPromoting (step: GroupStep): void {
   const { state, environment } = step
   if (state.target === undefined || environment.now - state.orderedAt < PROMOTION_RETRY_MILLISECONDS) return
+  // A server that runs anew may have lost its log.
+  if (hasTargetRestarted(step)) return enterPhase(step, 'choosing', { target: undefined, planned: false })
   state.orderedAt = environment.now
   recordCall(step, state.target)
   step.effects.push({ kind: 'promote', member: state.target })
 }
 
+function hasTargetRestarted ({ state, environment }: GroupStep): boolean {
+  const server = environment.servers.find(({ member }) => member === state.target)
+  return server !== undefined && server.bornAt !== state.targetBornAt
+}
+
 function tickAwaiting (step: GroupStep): void {
   const { state, environment } = step
   if (state.target === undefined) return enterPhase(step, 'fenced')
--- a/packages/decisions/src/node/fleet/groupTypes.ts
+++ b/packages/decisions/src/node/fleet/groupTypes.ts
@@ -72,6 +72,8 @@
   leavingSince?: number
   /** The server to promote. */
   target?: string
+  /** `bornAt` of the target when it was chosen. */
+  targetBornAt?: number
   /** Lowest term in which the target leads the group. */
   leadsFrom?: number
   /** Whether the replacement in progress is planned: the primary still works, but is leaving or in a drained failure domain. */
