fix(engine): the commit of a failed transaction is told as a success

It still rolls back, and is answered that nothing is kept, which is true, as a session leaves its transaction before its commit is sent.

--- a/packages/cyclamenusherd/src/node/engine/callerSession.ts
+++ b/packages/cyclamenusherd/src/node/engine/callerSession.ts
@@ -368,10 +368,17 @@
     throw new StatementFailure('malformed', 'the transaction has failed: end it first')
   }
 
+  /** Rolls back. No commit has been sent, so one that ends the transaction is answered that nothing is kept. */
+  function endFailedTransaction (context: StatementContext): StatementResult {
+    const result = rollback(context)
+    if (context.request.statement.kind === 'commit') throw new StatementFailure('aborted', 'the transaction has failed and was rolled back')
+    return result
+  }
+
   async function execute (context: StatementContext): Promise<StatementResult> {
     const { session, request: { statement } } = context
     requireNotFailed(session, statement)
-    if (session.state === 'failed transaction') return rollback(context)
+    if (session.state === 'failed transaction') return endFailedTransaction(context)
     const handle = STATEMENT_HANDLERS[statement.kind] as (context: StatementContext, statement: Statement) => StatementResult | Promise<StatementResult>
     return await handle(context, statement)
   }
