--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -145,7 +145,9 @@
 /** Asks servers other than the primary that were designated before, or announce themselves as primary, to step down. One that leads a newer term does not, and its answer shows the term. */
 function requestStepDown (step: GroupStep): void {
   const { state, environment } = step
-  for (const { member, sequence } of listFormerPrimaries(step)) {
+  const former = listFormerPrimaries(step)
+  if (former.length === 0 && state.stepDownAsked.size > 0) state.stepDownAsked = new Map()
+  for (const { member, sequence } of former) {
     const last = state.stepDownAsked.get(member)
     const isKnown = last?.sequence === sequence && environment.now - state.phaseSince > STEP_DOWN_TIMEOUT_MILLISECONDS
     if (isKnown || environment.now - (last?.at ?? -Infinity) < STEP_DOWN_INTERVAL_MILLISECONDS) continue
