--- a/packages/decisions/src/node/fleet/__tests__/promotionOrders.test.ts
+++ b/packages/decisions/src/node/fleet/__tests__/orderedPromotions.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu'
 import * as assert from 'uvu/assert'
 import { getPrimaryAssignment } from '../groupControl.js'
-import { findVerifiedTerm } from '../promotionOrders.js'
+import { findVerifiedTerm } from '../orderedPromotions.js'
 import { createChoosingGroup, createGroup, createServer, createServingGroup, createStatus } from './groupHarness.js'
 import type { PromotionOutcome, ServerStatus } from '../groupTypes.js'
 
--- a/packages/decisions/src/node/fleet/groupControl.ts
+++ b/packages/decisions/src/node/fleet/groupControl.ts
@@ -3,14 +3,14 @@
  * for all entry instances, waits until each of them has confirmed that or has lost
  * its lease, and only then promotes another server. No server is promoted while an
  * entry instance may still use the old primary, and none is opened while another one
- * leads the group or may be about to (promotionOrders.ts).
+ * leads the group or may be about to (orderedPromotions.ts).
  */
 
 import { comparePositions } from '../session/position.js'
 import { RELEASE_CHECK_INTERVAL_MILLISECONDS, countSynchronousReplicas, listUnseenServers, noteInheritedLog, noteSeenPosition, recordCopies, releaseCopies, toRun } from './commitCopies.js'
 import { filterAskable, isDrainDue, isDrained } from './drainedServers.js'
 import { LEASE_MILLISECONDS } from './messages.js'
-import { PROMOTION_TIMEOUT_MILLISECONDS, beginOrder, computeLeadingTerm, inheritOrders, isAnyPending, isLeading, isOtherPending, noteNewestTerm, recordCall, recordOutcome, settleOrders } from './promotionOrders.js'
+import { PROMOTION_TIMEOUT_MILLISECONDS, beginOrder, computeLeadingTerm, inheritOrders, isAnyPending, isLeading, isOtherPending, noteNewestTerm, recordCall, recordOutcome, settleOrders } from './orderedPromotions.js'
 import { chooseCandidate, listCandidates, findFreshStatus, findLeadingStatus, findRecoveredPrimary, findRestartedPrimary, hasFollowingCandidate, isDrainedOnly, listMembersToAsk, findPrimary } from './successor.js'
 import type { KnownServer } from './directory.js'
 import type { PrimaryAssignment, GroupControlState, GroupEffect, GroupEvent, GroupPhase, GroupStep, GroupEnvironment, PrimaryUse, PromotionOutcome, ServerStatus } from './groupTypes.js'
--- a/packages/decisions/src/node/fleet/groupTypes.ts
+++ b/packages/decisions/src/node/fleet/groupTypes.ts
@@ -5,7 +5,7 @@
 import type { KnownServer } from './directory.js'
 import type { DrainDeadlines } from './drains.js'
 import type { PrimaryVerdict } from './evidence.js'
-import type { PromotionOrders } from './promotionOrders.js'
+import type { PromotionOrders } from './orderedPromotions.js'
 import type { Designation } from './state.js'
 
 /** A server's answer to a status request. */
--- a/packages/decisions/src/node/fleet/successor.ts
+++ b/packages/decisions/src/node/fleet/successor.ts
@@ -2,7 +2,7 @@
 
 import { comparePositions } from '../session/position.js'
 import { isDrained } from './drainedServers.js'
-import { isLeading } from './promotionOrders.js'
+import { isLeading } from './orderedPromotions.js'
 import { countSynchronousReplicas, countUnansweredCopies, describeRun, findInheritedLog, findLastPrimary, hasPrimaryReplacement } from './commitCopies.js'
 import type { ServerRun } from './commitCopies.js'
 import type { KnownServer } from './directory.js'
